Lay out the workspace: core, daemons, laboratory

Cause: nothing exists yet. Three crates, so that the decisions can be driven by a simulator and by the daemons alike.

--- /dev/null
+++ b/crates/woodladder-core/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sans-I/O decisions of the woodladder load balancer.
--- /dev/null
+++ b/crates/woodladder-lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Laboratory: stand-ins, fault proxy, load, simulation and measurements.
--- /dev/null
+++ b/crates/woodladder/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shells round the decision logic: daemons and the command line.
--- /dev/null
+++ b/crates/woodladder/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the `woodladder` command.
+
+fn main() {}
