--- /dev/null
+++ b/crates/woodladder-core/src/bundle.rs
@@ -0,0 +1,145 @@
+//! The bundle: one version of the operators' configuration, in canonical form.
+
+use std::net::SocketAddr;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+use crate::digest::Digest;
+use crate::identifier::{ServiceId, TargetId, ZoneIndex};
+use crate::signature::{OperatorKey, Purpose, SignatureError, Signed, TrustedKeys};
+
+/// One version of the configuration.
+///
+/// Canonical: services and targets are sorted by identifier, so that equal
+/// bundles have equal encodings and digests.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub struct Bundle {
+    /// Version that the operators gave to this bundle.
+    pub version: u64,
+    /// Name of the deployment, such as `ankang`.
+    pub deployment: String,
+    /// Zones that targets are placed in.
+    pub zones: Vec<Zone>,
+    /// Services, sorted by identifier.
+    pub services: Vec<Service>,
+    /// Targets of all services, sorted by identifier.
+    pub targets: Vec<Target>,
+}
+
+/// A zone and the region that it lies in.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Zone {
+    /// Name of the zone.
+    pub name: String,
+    /// Name of its region.
+    pub region: String,
+}
+
+/// A service and the addresses that its callers use.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub struct Service {
+    /// Identifier, never reused for another service.
+    pub id: ServiceId,
+    /// Name for people.
+    pub name: String,
+    /// Addresses that callers send to, sorted.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// One back end with the agent beside it.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub struct Target {
+    /// Identifier, never reused for another service.
+    pub id: TargetId,
+    /// Service that it belongs to.
+    pub service: ServiceId,
+    /// Data address of its agent.
+    pub address: SocketAddr,
+    /// Zone that it is in.
+    pub zone: ZoneIndex,
+    /// Requests that the back end runs at the same time.
+    pub slots: u16,
+    /// Connections that the back end holds at the same time.
+    pub connections: u32,
+    /// Whether it takes new work.
+    pub state: TargetState,
+}
+
+/// Whether a target takes new work.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum TargetState {
+    /// Takes new flows.
+    Active,
+    /// Takes no new flow; established ones go on.
+    Leaving,
+}
+
+/// A bundle's encoding with an operator's signature: what `bundle sign` makes.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub struct SignedBundle {
+    /// The bundle.
+    pub bundle: Bundle,
+    /// Signature over the bundle's digest, for [`Purpose::SignOff`].
+    pub sign_off: Signed,
+}
+
+impl Bundle {
+    /// Brings services, their addresses and targets into canonical order.
+    #[must_use]
+    pub fn canonical(mut self) -> Self {
+        for service in &mut self.services {
+            service.addresses.sort();
+        }
+        self.services.sort_by_key(|service| service.id);
+        self.targets.sort_by_key(|target| target.id);
+        self
+    }
+
+    /// Digest of the canonical encoding.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        Digest::of(&encode(self))
+    }
+
+    /// The service with this identifier.
+    #[must_use]
+    pub fn service(&self, id: ServiceId) -> Option<&Service> {
+        let position = self
+            .services
+            .binary_search_by_key(&id, |service| service.id)
+            .ok()?;
+        self.services.get(position)
+    }
+
+    /// The target with this identifier.
+    #[must_use]
+    pub fn target(&self, id: TargetId) -> Option<&Target> {
+        let position = self
+            .targets
+            .binary_search_by_key(&id, |target| target.id)
+            .ok()?;
+        self.targets.get(position)
+    }
+}
+
+impl SignedBundle {
+    /// Signs a bundle off.
+    #[must_use]
+    pub fn sign(bundle: Bundle, key: &OperatorKey) -> Self {
+        let sign_off = key.sign(Purpose::SignOff, &bundle.digest().0);
+        Self { bundle, sign_off }
+    }
+
+    /// Checks the signature.
+    ///
+    /// # Errors
+    /// [`SignatureError`] when the key is not trusted or does not match.
+    pub fn verify(&self, trusted: &TrustedKeys) -> Result<(), SignatureError> {
+        trusted.verify(Purpose::SignOff, &self.bundle.digest().0, &self.sign_off)
+    }
+}
+
+/// Encodes a value whose encoding cannot fail.
+pub(crate) fn encode<T: BorshSerialize>(value: &T) -> Vec<u8> {
+    borsh::to_vec(value).unwrap_or_default()
+}
--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -1,1 +1,28 @@
 //! Sans-I/O decisions of the woodladder load balancer.
+//!
+//! Nothing in this crate opens a socket, reads a clock, starts a thread or
+//! keeps a global. State machines take an event and an [`clock::Instant`] and
+//! return actions; the daemons and the simulator carry them out.
+//!
+//! | part | modules |
+//! | --- | --- |
+//! | identity and time | [`identifier`], [`clock`], [`finding`], [`digest`], [`signature`] |
+//! | configuration | [`bundle`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
+//! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
+
+pub mod bundle;
+pub mod carrier;
+pub mod clock;
+pub mod digest;
+pub mod directory;
+pub mod envelope;
+pub mod finding;
+pub mod hop_list;
+pub mod identifier;
+pub mod keyed_tag;
+pub mod roll_record;
+pub mod router;
+pub mod signature;
+pub mod snapshot;
+pub mod snapshot_delta;
+pub mod token;
