Read bundles with all findings at once

Cause: operators mend a bundle in one go only when every fault is reported. Ruled out: serde's derived reading, which stops at the first unknown key.

--- /dev/null
+++ b/crates/woodladder-core/src/bundle_source/document.rs
@@ -0,0 +1,63 @@
+//! A parsed TOML text with its line numbers.
+
+use std::ops::Range;
+
+use toml::Spanned;
+use toml::de::DeTable;
+
+use super::reader::{KeyPlace, TableReader};
+use crate::finding::{Finding, Findings, Place};
+
+const RULE_SYNTAX: &str = "a bundle is a TOML document";
+
+/// A parsed text.
+pub(super) struct Document<'a> {
+    table: Spanned<DeTable<'a>>,
+    lines: Lines,
+}
+
+/// Finds the line of a byte.
+pub(super) struct Lines {
+    ends: Vec<usize>,
+}
+
+impl<'a> Document<'a> {
+    /// Parses a text; what cannot be parsed becomes findings.
+    pub(super) fn parse(text: &'a str, findings: &mut Findings) -> Self {
+        let lines = Lines::new(text);
+        let (table, errors) = DeTable::parse_recoverable(text);
+        for error in errors {
+            let line = error.span().map(|span| lines.line(&span));
+            findings.push(Finding {
+                place: Place {
+                    line,
+                    ..Place::default()
+                },
+                problem: error.message().to_owned(),
+                rule: RULE_SYNTAX,
+            });
+        }
+        Self { table, lines }
+    }
+
+    /// Reader of the outermost table.
+    pub(super) fn root(&self) -> TableReader<'_> {
+        let place = KeyPlace {
+            key: String::new(),
+            line: 1,
+        };
+        TableReader::new(self.table.get_ref(), place, &self.lines)
+    }
+}
+
+impl Lines {
+    fn new(text: &str) -> Self {
+        let ends = text.match_indices('\n').map(|(index, _)| index).collect();
+        Self { ends }
+    }
+
+    /// Line of a span's start, counted from one.
+    pub(super) fn line(&self, span: &Range<usize>) -> usize {
+        self.ends.partition_point(|end| *end < span.start) + 1
+    }
+}
--- a/crates/woodladder-core/src/finding.rs
+++ b/crates/woodladder-core/src/finding.rs
@@ -71,17 +71,18 @@
         self
     }
 
+    /// Brings the faults into the order of their lines; those without a line
+    /// come first.
+    pub fn sort_by_line(&mut self) {
+        self.list.sort_by_key(|finding| finding.place.line);
+    }
+
     /// The faults found so far.
     #[must_use]
     pub fn list(&self) -> &[Finding] {
         &self.list
     }
 
-    /// The faults, to be changed in place (such as to add line numbers).
-    pub fn list_mut(&mut self) -> &mut [Finding] {
-        &mut self.list
-    }
-
     /// Whether nothing is wrong.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -7,10 +7,11 @@
 //! | part | modules |
 //! | --- | --- |
 //! | identity and time | [`identifier`], [`clock`], [`finding`], [`digest`], [`signature`] |
-//! | configuration | [`bundle`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
+//! | configuration | [`bundle`], [`bundle_source`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
 //! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
 
 pub mod bundle;
+pub mod bundle_source;
 pub mod carrier;
 pub mod clock;
 pub mod digest;
