--- /dev/null
+++ b/crates/woodladder-core/src/admission/mod.rs
@@ -0,0 +1,351 @@
+//! Admission: what the agent beside a back end does with an enveloped datagram.
+//!
+//! The agent has the last word on new flows because it alone knows its load
+//! as it is now. It takes a flow, hands it on to the next target that the
+//! balancer named, or, when it is the last to be asked, declines it at once.
+//! Nothing that is meant for another service or target reaches the transport.
+//!
+//! Source: Mitzenmacher, "The power of two choices in randomized load
+//! balancing", 2001; here the load is fresh and travels with the flow.
+
+mod choice;
+mod fence;
+mod flow_memory;
+mod options;
+mod pending_flows;
+mod verdict;
+
+use std::sync::Arc;
+
+use crate::carrier::Packet;
+use crate::clock::Instant;
+use crate::directory::Directory;
+use crate::envelope::{Envelope, FirstRoute, Route};
+use crate::hop_list::{Load, flow_hash};
+use crate::identifier::{ServiceId, TargetId};
+use crate::load::Usage;
+use crate::router::Forward;
+use crate::token::TokenKeys;
+
+use choice::{Choice, Position};
+use fence::Fence;
+use flow_memory::{FlowMemory, Remembered};
+use pending_flows::{DeclineWindow, PendingFlows};
+
+pub use fence::FENCE_GRACE;
+pub use options::AdmissionOptions;
+pub use verdict::{AdmissionDrop, Decision, RefuseReason, SequenceHint, Verdict};
+
+/// Who the agent's back end is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Identity {
+    /// The target.
+    pub target: TargetId,
+    /// Its service.
+    pub service: ServiceId,
+}
+
+/// State of the target when a datagram arrives.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Conditions {
+    /// What is in use, without flows whose first request is still to come.
+    pub usage: Usage,
+    /// Whether the target's drain lets new flows in.
+    pub takes_new_flows: bool,
+}
+
+/// Admission at one target.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    identity: Identity,
+    keys: TokenKeys,
+    options: AdmissionOptions,
+    directory: Arc<Directory>,
+    fence: Fence,
+    memory: FlowMemory,
+    pending: PendingFlows,
+    declines: DeclineWindow,
+}
+
+impl Admission {
+    /// Admission of a target that knows no directory yet.
+    #[must_use]
+    pub fn new(identity: Identity, keys: TokenKeys, options: AdmissionOptions) -> Self {
+        Self {
+            identity,
+            keys,
+            options,
+            directory: Arc::new(Directory::default()),
+            fence: Fence::default(),
+            memory: FlowMemory::new(options.memory_time, options.memory_limit),
+            pending: PendingFlows::new(options.pending_window),
+            declines: DeclineWindow::new(options.decline_window),
+        }
+    }
+
+    /// Takes a directory in; one that is not later than the one in force is
+    /// ignored.
+    pub fn adopt(&mut self, directory: Arc<Directory>, now: Instant) {
+        if directory.sequence() > self.directory.sequence() {
+            self.fence.adopt(directory.sequence(), now);
+            self.directory = directory;
+        }
+    }
+
+    /// The directory in force.
+    #[must_use]
+    pub fn directory(&self) -> &Arc<Directory> {
+        &self.directory
+    }
+
+    /// Load of the target, flows whose first request is still to come included.
+    pub fn load(&mut self, usage: &Usage, now: Instant) -> Load {
+        let pending = self.pending.waiting(now);
+        usage.load(pending, self.options.connection_weight)
+    }
+
+    /// The transport has opened the flow's connection, and the usage counts it.
+    pub fn connection_opened(&mut self, flow: u64) {
+        self.pending.opened(flow);
+    }
+
+    /// The first request of a flow has arrived, and the usage counts it.
+    pub fn request_arrived(&mut self, flow: u64) {
+        self.pending.remove(flow);
+    }
+
+    /// The flow has ended.
+    pub fn connection_closed(&mut self, flow: u64) {
+        self.pending.remove(flow);
+    }
+
+    /// Decides on a datagram that came in an envelope.
+    pub fn handle(
+        &mut self,
+        envelope: Envelope,
+        packet: &Packet<'_>,
+        conditions: &Conditions,
+        now: Instant,
+    ) -> Decision {
+        let hint = self.hint(&envelope, now);
+        let verdict = self
+            .decide(envelope, packet, conditions, now)
+            .unwrap_or_else(Verdict::Drop);
+        Decision { verdict, hint }
+    }
+
+    fn decide(
+        &mut self,
+        envelope: Envelope,
+        packet: &Packet<'_>,
+        conditions: &Conditions,
+        now: Instant,
+    ) -> Result<Verdict, AdmissionDrop> {
+        if envelope.service != self.identity.service {
+            return Err(AdmissionDrop::WrongService);
+        }
+        let token = self.keys.verify(packet.destination);
+        match envelope.route.clone() {
+            Route::Established(target) => self.established(target, token),
+            Route::Relay(target) => self.relay(envelope, target, token),
+            Route::First(first) => {
+                self.check_target(first.current().map(|hop| hop.target))?;
+                match token {
+                    Some(target) => self.established(target, token),
+                    None => self.first(envelope, &first, packet, conditions, now),
+                }
+            }
+        }
+    }
+
+    fn check_target(&self, target: Option<TargetId>) -> Result<(), AdmissionDrop> {
+        if target == Some(self.identity.target) {
+            Ok(())
+        } else {
+            Err(AdmissionDrop::WrongTarget)
+        }
+    }
+
+    fn check_token(token: Option<TargetId>, target: TargetId) -> Result<(), AdmissionDrop> {
+        match token {
+            None => Err(AdmissionDrop::InvalidToken),
+            Some(named) if named != target => Err(AdmissionDrop::ForeignToken),
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn established(
+        &self,
+        target: TargetId,
+        token: Option<TargetId>,
+    ) -> Result<Verdict, AdmissionDrop> {
+        Self::check_token(token, self.identity.target)?;
+        self.check_target(Some(target))?;
+        Ok(Verdict::Deliver)
+    }
+
+    fn relay(
+        &self,
+        envelope: Envelope,
+        target: TargetId,
+        token: Option<TargetId>,
+    ) -> Result<Verdict, AdmissionDrop> {
+        Self::check_token(token, target)?;
+        if target == self.identity.target {
+            return Ok(Verdict::Deliver);
+        }
+        let entry = self
+            .directory
+            .target(target)
+            .ok_or(AdmissionDrop::UnknownRelayTarget)?;
+        if entry.service != envelope.service {
+            return Err(AdmissionDrop::WrongService);
+        }
+        Ok(Verdict::Relay(Forward {
+            to: entry.address,
+            envelope: Envelope {
+                route: Route::Established(target),
+                ..envelope
+            },
+        }))
+    }
+
+    fn first(
+        &mut self,
+        envelope: Envelope,
+        first: &FirstRoute,
+        packet: &Packet<'_>,
+        conditions: &Conditions,
+        now: Instant,
+    ) -> Result<Verdict, AdmissionDrop> {
+        if !packet.may_open_flow {
+            return Err(AdmissionDrop::InvalidToken);
+        }
+        self.check_service_address(&envelope)?;
+        let flow = flow_hash(packet.destination);
+        let load = self.load(&conditions.usage, now);
+        let obstacle = self.obstacle(&envelope, conditions, load);
+        let directory = Arc::clone(&self.directory);
+        let position = Position::new(first, flow, load, obstacle, &directory, &envelope);
+        if let Some(verdict) = self.remembered(flow, &position, &envelope, now) {
+            return Ok(verdict);
+        }
+        if self.fence.is_stale(envelope.sequence, now) {
+            return Err(AdmissionDrop::StaleSequence);
+        }
+        let choice = position.choose(&self.options);
+        Ok(self.carry_out(choice, flow, &envelope, now))
+    }
+
+    /// A service address that the directory gives to another service means
+    /// that the balancer has not heard of the move.
+    fn check_service_address(&self, envelope: &Envelope) -> Result<(), AdmissionDrop> {
+        let own = self.directory.service_at(&envelope.service_address);
+        let moved = own.is_some_and(|service| service != self.identity.service);
+        if moved && self.directory.sequence() >= envelope.sequence {
+            Err(AdmissionDrop::WrongService)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// What keeps the target from taking a new flow, if anything does.
+    fn obstacle(
+        &self,
+        envelope: &Envelope,
+        conditions: &Conditions,
+        load: Load,
+    ) -> Option<RefuseReason> {
+        if !conditions.takes_new_flows || !self.stands(envelope) {
+            return Some(RefuseReason::Leaving);
+        }
+        let usage = &conditions.usage;
+        let connections = usage
+            .open_connections
+            .saturating_add(self.pending.unopened());
+        if connections >= usage.connection_limit {
+            return Some(RefuseReason::ConnectionLimit);
+        }
+        let overloaded = self.options.refuse_above.is_some_and(|limit| load > limit);
+        overloaded.then_some(RefuseReason::Overloaded)
+    }
+
+    /// Whether the target takes new flows by the directory. A target that the
+    /// directory does not hold does when the balancer has a later one.
+    fn stands(&self, envelope: &Envelope) -> bool {
+        match self.directory.target(self.identity.target) {
+            Some(entry) if entry.service != self.identity.service => false,
+            Some(entry) => entry.standing.takes_new_flows(),
+            None => envelope.sequence > self.directory.sequence(),
+        }
+    }
+
+    fn remembered(
+        &self,
+        flow: u64,
+        position: &Position<'_>,
+        envelope: &Envelope,
+        now: Instant,
+    ) -> Option<Verdict> {
+        match self.memory.recall(flow, now)? {
+            Remembered::Accepted => Some(Verdict::Accept),
+            Remembered::Declined => Some(Verdict::AcceptToDecline),
+            Remembered::Refused(reason) => Some(Verdict::Refuse(reason)),
+            Remembered::HandedOn { to, last } => {
+                let route = position.repeat(&to, last)?;
+                Some(hand_on(envelope, to.address, route))
+            }
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        choice: Choice,
+        flow: u64,
+        envelope: &Envelope,
+        now: Instant,
+    ) -> Verdict {
+        match choice {
+            Choice::Take => {
+                self.pending.add(flow, now);
+                self.memory.remember(flow, Remembered::Accepted, now);
+                Verdict::Accept
+            }
+            Choice::HandOn { to, route } => {
+                let last = route.last;
+                self.memory
+                    .remember(flow, Remembered::HandedOn { to, last }, now);
+                hand_on(envelope, to.address, route)
+            }
+            Choice::Decline(reason) => self.decline(flow, reason, now),
+        }
+    }
+
+    fn decline(&mut self, flow: u64, reason: RefuseReason, now: Instant) -> Verdict {
+        if self.declines.take(self.options.decline_allowance, now) {
+            self.memory.remember(flow, Remembered::Declined, now);
+            return Verdict::AcceptToDecline;
+        }
+        self.memory.remember(flow, Remembered::Refused(reason), now);
+        Verdict::Refuse(reason)
+    }
+
+    fn hint(&self, envelope: &Envelope, now: Instant) -> Option<SequenceHint> {
+        if envelope.sequence > self.directory.sequence() {
+            return Some(SequenceHint::OwnIsBehind(envelope.sequence));
+        }
+        self.fence
+            .is_stale(envelope.sequence, now)
+            .then_some(SequenceHint::SenderIsBehind(envelope.sequence))
+    }
+}
+
+fn hand_on(envelope: &Envelope, to: std::net::SocketAddr, route: FirstRoute) -> Verdict {
+    Verdict::HandOn(Forward {
+        to,
+        envelope: Envelope {
+            route: Route::First(route),
+            ..envelope.clone()
+        },
+    })
+}
--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -9,21 +9,27 @@
 //! | identity and time | [`identifier`], [`clock`], [`finding`], [`digest`], [`signature`] |
 //! | configuration | [`bundle`], [`bundle_source`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
 //! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
+//! | work of a target | [`admission`], [`request`], [`drain`], [`load`], [`slow_start`] |
 
+pub mod admission;
 pub mod bundle;
 pub mod bundle_source;
 pub mod carrier;
 pub mod clock;
 pub mod digest;
 pub mod directory;
+pub mod drain;
 pub mod envelope;
 pub mod finding;
 pub mod hop_list;
 pub mod identifier;
 pub mod keyed_tag;
+pub mod load;
+pub mod request;
 pub mod roll_record;
 pub mod router;
 pub mod signature;
+pub mod slow_start;
 pub mod snapshot;
 pub mod snapshot_delta;
 pub mod token;
