Stand-in for back ends, with an execution log

Tests need a back end whose misbehaviour is chosen and whose work is known afterwards. It bounds slots and connections, starts cold, sheds load, drains, honours deadlines and cancellation, and shows late, half, cut and frozen answers and false health and load on demand. Each execution is logged with operation, attempt and service; each answer states its operation, service, length and checksum, so that a crossed or short one is seen by its reader.

--- a/crates/woodladder-lab/src/stand_in/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/mod.rs
@@ -3,11 +3,16 @@
 //! Each stand-in is started with a configuration and returns a handle which knows the bound
 //! addresses and stops the stand-in.
 
+pub mod answer;
+pub mod back_end;
 pub mod clock;
 pub mod error;
+pub mod execution_log;
 pub mod fabric;
+pub mod headers;
 pub mod http_server;
 pub mod machine_list;
+pub mod operation;
 pub mod proxy_header;
 pub mod socket;
 pub mod store;
