Serve QUIC and HTTP/3 beside a back end

The path from a caller to a back end lacked its middle: nothing ended QUIC, admitted flows or asked the back end.

The agent gives quinn a socket of its own, which takes envelopes apart, puts each datagram to the core's admission and sends answers through the fabric behind a PROXY protocol header. Connection identifiers are routing tokens; the key for stateless resets is derived from the settings, so an agent that restarted with nothing ends old flows at once.

Ruled out: - a map from callers to service addresses: the transport gives back the local address that a flow came with, so a number in the discard-only block 100::/64 carries the service address without state per flow; - h3-quinn's request streams: they hide a caller's STOP_SENDING while nothing is written, and a dropped send stream is finished by quinn, so a truncated answer would look whole; the adapter here resets it; - kept connections to the back end: one closed by the back end while the next request is written leaves an unknown outcome.

A failure to connect is told from a broken exchange by the client error's cause, because the client reports both under one kind. A deadline that passes while the connection is being made counts as unknown, which is never false.

Drain, hand-on between agents and resets after a restart are not tested yet.

--- /dev/null
+++ b/crates/woodladder/src/agent/control.rs
@@ -0,0 +1,222 @@
+//! The core's state machines of one agent, driven by the real clock.
+
+use std::fmt;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant as SystemInstant;
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Decision, Identity};
+use woodladder_core::carrier::Packet;
+use woodladder_core::clock::Instant;
+use woodladder_core::directory::{Directory, Standing};
+use woodladder_core::drain::{Activity, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason};
+use woodladder_core::envelope::Envelope;
+use woodladder_core::load::Usage;
+use woodladder_core::slow_start::EffectiveSlots;
+use woodladder_core::token::TokenKeys;
+
+use super::counters::Counters;
+use super::slots::Slots;
+
+/// How far callers are told that the agent leaves.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Notice {
+    /// Not at all.
+    Serving,
+    /// Callers are asked to open no more requests; late ones are taken.
+    Leaving,
+    /// Requests that arrive are answered as not run.
+    Refusing,
+    /// No request is left.
+    Drained,
+}
+
+/// State machines of one agent.
+pub(super) struct Control {
+    identity: Identity,
+    origin: SystemInstant,
+    directory: Arc<ArcSwap<Directory>>,
+    slots: Arc<Slots>,
+    counters: Arc<Counters>,
+    connection_limit: u32,
+    machines: Mutex<Machines>,
+    notice: watch::Sender<Notice>,
+}
+
+struct Machines {
+    admission: Admission,
+    drain: Drain,
+}
+
+impl Control {
+    pub(super) fn new(
+        identity: Identity,
+        keys: TokenKeys,
+        options: AdmissionOptions,
+        drain: Drain,
+        shared: SharedState,
+    ) -> Self {
+        Self {
+            identity,
+            origin: SystemInstant::now(),
+            directory: shared.directory,
+            slots: shared.slots,
+            counters: shared.counters,
+            connection_limit: shared.connection_limit,
+            machines: Mutex::new(Machines {
+                admission: Admission::new(identity, keys, options),
+                drain,
+            }),
+            notice: watch::Sender::new(Notice::Serving),
+        }
+    }
+
+    /// Decides on a datagram in its envelope.
+    pub(super) fn admit(&self, envelope: Envelope, packet: &Packet<'_>) -> Decision {
+        let now = self.now();
+        let mut machines = self.machines();
+        self.adopt(&mut machines, now);
+        let conditions = Conditions {
+            usage: self.usage(),
+            takes_new_flows: machines.drain.takes_new_flows(),
+        };
+        machines
+            .admission
+            .handle(envelope, packet, &conditions, now)
+    }
+
+    /// The transport has opened a flow's connection.
+    pub(super) fn connection_opened(&self, flow: u64) {
+        self.machines().admission.connection_opened(flow);
+        self.activity_changed();
+    }
+
+    /// The first request of a flow has arrived.
+    pub(super) fn request_arrived(&self, flow: u64) {
+        self.machines().admission.request_arrived(flow);
+    }
+
+    /// A flow's connection has ended.
+    pub(super) fn connection_closed(&self, flow: u64) {
+        self.machines().admission.connection_closed(flow);
+        self.activity_changed();
+    }
+
+    /// Whether a request that arrives now is taken.
+    pub(super) fn takes_new_requests(&self) -> bool {
+        self.machines().drain.takes_new_requests(self.now())
+    }
+
+    /// Tells the drain what the agent holds now.
+    pub(super) fn activity_changed(&self) {
+        let activity = Activity {
+            requests: count(self.counters.requests.load(Ordering::Acquire)),
+            connections: count(self.counters.connections.load(Ordering::Acquire)),
+        };
+        self.drain(DrainEvent::Activity(activity));
+    }
+
+    /// Takes a drain event in and carries out what follows from it.
+    pub(super) fn drain(&self, event: DrainEvent) {
+        let now = self.now();
+        let actions = self.machines().drain.handle(event, now);
+        for action in actions {
+            self.notice.send_replace(notice(action));
+        }
+    }
+
+    /// Looks at the clock and at the directory in force.
+    pub(super) fn tick(&self) {
+        let now = self.now();
+        self.adopt(&mut self.machines(), now);
+        if let Some(event) = self.bundle_event() {
+            self.drain(event);
+        }
+        self.drain(DrainEvent::Tick);
+    }
+
+    /// Follows the notices to callers.
+    pub(super) fn notices(&self) -> watch::Receiver<Notice> {
+        self.notice.subscribe()
+    }
+
+    /// How far the drain has come.
+    pub(super) fn phase(&self) -> DrainPhase {
+        self.machines().drain.phase()
+    }
+
+    fn adopt(&self, machines: &mut Machines, now: Instant) {
+        let directory = self.directory.load();
+        if directory.sequence() > machines.admission.directory().sequence() {
+            machines.admission.adopt(Arc::clone(&directory), now);
+        }
+    }
+
+    /// What the directory says about this target's leaving. A directory that
+    /// never held the target says nothing: the target's roll is still to come.
+    fn bundle_event(&self) -> Option<DrainEvent> {
+        let directory = self.directory.load();
+        let entry = directory.target(self.identity.target)?;
+        let stays = match entry.standing {
+            Standing::InBundle(_) => entry.standing.takes_new_flows(),
+            Standing::Retired => false,
+        };
+        Some(if stays {
+            DrainEvent::Withdraw(DrainReason::Bundle)
+        } else {
+            DrainEvent::Begin(DrainReason::Bundle)
+        })
+    }
+
+    fn usage(&self) -> Usage {
+        let slots = u16::try_from(self.slots.count()).unwrap_or(u16::MAX);
+        Usage {
+            busy_slots: count(self.slots.busy()),
+            queued: count(self.slots.queued()),
+            slots: EffectiveSlots::all(slots),
+            open_connections: count(self.counters.connections.load(Ordering::Acquire)),
+            connection_limit: self.connection_limit,
+        }
+    }
+
+    fn now(&self) -> Instant {
+        Instant::from_origin(self.origin.elapsed())
+    }
+
+    fn machines(&self) -> MutexGuard<'_, Machines> {
+        // A panic elsewhere leaves the machines as they were between events.
+        self.machines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What the machines look at besides their events.
+pub(super) struct SharedState {
+    pub(super) directory: Arc<ArcSwap<Directory>>,
+    pub(super) slots: Arc<Slots>,
+    pub(super) counters: Arc<Counters>,
+    pub(super) connection_limit: u32,
+}
+
+impl fmt::Debug for Control {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Control")
+            .field("identity", &self.identity)
+            .finish_non_exhaustive()
+    }
+}
+
+fn notice(action: DrainAction) -> Notice {
+    match action {
+        DrainAction::NotifyCallers => Notice::Leaving,
+        DrainAction::RefuseRequests => Notice::Refusing,
+        DrainAction::Resume => Notice::Serving,
+        DrainAction::Finish => Notice::Drained,
+    }
+}
+
+fn count(value: usize) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/woodladder/src/agent/handle.rs
@@ -0,0 +1,220 @@
+//! Starting an agent, and the handle that steers it.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use quinn::{Endpoint, TokioRuntime, VarInt};
+use tokio::net::UdpSocket;
+use tokio::time::{MissedTickBehavior, interval};
+use volo_http::error::ClientError;
+use woodladder_core::admission::{AdmissionOptions, Identity};
+use woodladder_core::drain::{Drain, DrainEvent, DrainReason};
+
+use super::acceptor;
+use super::back_end::BackEnd;
+use super::config::AgentConfig;
+use super::control::{Control, Notice, SharedState};
+use super::counters::{AgentStatus, Counters};
+use super::egress::Egress;
+use super::gate::Gate;
+use super::quic::{self, QuicConfigError};
+use super::shared::Shared;
+use super::slots::Slots;
+use super::socket::AgentSocket;
+
+/// How often the agent looks at the directory and the drain's clock.
+const TICK: Duration = Duration::from_millis(100);
+/// H3_NO_ERROR (RFC 9114, section 8.1).
+const NO_ERROR: VarInt = VarInt::from_u32(0x100);
+
+/// Starts agents.
+#[derive(Debug)]
+pub struct Agent;
+
+/// A running agent; dropping the handle does not stop it.
+#[derive(Clone)]
+pub struct AgentHandle {
+    endpoint: Endpoint,
+    gate: Arc<Gate>,
+    shared: Arc<Shared>,
+}
+
+/// Why an agent cannot start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The socket cannot be used.
+    Socket(io::Error),
+    /// QUIC cannot be set up.
+    Quic(QuicConfigError),
+    /// The client for the back end cannot be set up.
+    BackEnd(ClientError),
+    /// The fabric has no address to send answers to.
+    NoEgress,
+}
+
+impl Agent {
+    /// Starts an agent on the running Tokio runtime.
+    ///
+    /// # Errors
+    /// [`StartError`] when the socket, the certificate or the client for the
+    /// back end cannot be used.
+    pub fn start(config: AgentConfig) -> Result<AgentHandle, StartError> {
+        if config.egress.is_empty() {
+            return Err(StartError::NoEgress);
+        }
+        let limits = config.limits;
+        let server = quic::server_config(&config.certificate, &limits).map_err(StartError::Quic)?;
+        let endpoint = quic::endpoint_config(config.target, config.keys.token, config.keys.reset)
+            .map_err(StartError::Quic)?;
+        let back_end = BackEnd::new(config.back_end).map_err(StartError::BackEnd)?;
+        config
+            .socket
+            .set_nonblocking(true)
+            .map_err(StartError::Socket)?;
+        let io = UdpSocket::from_std(config.socket).map_err(StartError::Socket)?;
+
+        let counters = Arc::new(Counters::default());
+        let slots = Arc::new(Slots::new(limits.slots, limits.queue, limits.connections));
+        let control = Arc::new(Control::new(
+            Identity {
+                target: config.target,
+                service: config.service,
+            },
+            config.keys.token,
+            AdmissionOptions::default(),
+            Drain::new(limits.drain_grace),
+            SharedState {
+                directory: config.directory,
+                slots: Arc::clone(&slots),
+                counters: Arc::clone(&counters),
+                connection_limit: u32::try_from(limits.connections).unwrap_or(u32::MAX),
+            },
+        ));
+        let gate = Arc::new(Gate::new(Arc::clone(&control), Arc::clone(&counters)));
+        let socket = AgentSocket::new(
+            io,
+            config.keys.envelope,
+            Arc::clone(&gate),
+            Egress::new(config.egress),
+            Arc::clone(&counters),
+        );
+        let endpoint = Endpoint::new_with_abstract_socket(
+            endpoint,
+            Some(server),
+            Arc::new(socket),
+            Arc::new(TokioRuntime),
+        )
+        .map_err(StartError::Socket)?;
+        let shared = Arc::new(Shared {
+            limits,
+            back_end,
+            slots,
+            counters,
+            control,
+            logger: config.logger,
+        });
+        let handle = AgentHandle {
+            endpoint,
+            gate,
+            shared,
+        };
+        handle.spawn();
+        Ok(handle)
+    }
+}
+
+impl AgentHandle {
+    /// Address of the data socket.
+    ///
+    /// # Errors
+    /// The socket's error.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// A reason to leave holds: no new flows from now on, no new requests
+    /// after a grace, while requests and feeds that run go on.
+    pub fn begin_drain(&self, reason: DrainReason) {
+        self.shared.control.drain(DrainEvent::Begin(reason));
+    }
+
+    /// A reason to leave holds no longer.
+    pub fn withdraw_drain(&self, reason: DrainReason) {
+        self.shared.control.drain(DrainEvent::Withdraw(reason));
+    }
+
+    /// Waits until the agent leaves and its last request has ended.
+    pub async fn drained(&self) {
+        let mut notices = self.shared.control.notices();
+        // The sender lives as long as this handle.
+        let _ = notices.wait_for(|notice| *notice == Notice::Drained).await;
+    }
+
+    /// What the agent does now.
+    #[must_use]
+    pub fn status(&self) -> AgentStatus {
+        let Shared {
+            slots,
+            counters,
+            control,
+            ..
+        } = &*self.shared;
+        AgentStatus {
+            phase: control.phase(),
+            newest_sequence_seen: self.gate.newest_sequence(),
+            flows: counters.flows(),
+            drops: counters.drops(),
+            busy_slots: slots.busy(),
+            slots: slots.count(),
+            queued: slots.queued(),
+            connections: counters.connections.load(Ordering::Acquire),
+            requests: counters.requests.load(Ordering::Acquire),
+            feeds: counters.feeds.load(Ordering::Acquire),
+            ends: counters.ends(),
+        }
+    }
+
+    /// Closes all connections and the endpoint at once.
+    pub async fn close(&self) {
+        self.endpoint.close(NO_ERROR, &[]);
+        self.endpoint.wait_idle().await;
+    }
+
+    fn spawn(&self) {
+        let gate = Arc::clone(&self.gate);
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(acceptor::run(self.endpoint.clone(), gate, shared));
+        tokio::spawn(tick(Arc::downgrade(&self.shared.control)));
+    }
+}
+
+async fn tick(control: std::sync::Weak<Control>) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(control) = control.upgrade() else {
+            return;
+        };
+        control.tick();
+    }
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Socket(error) => write!(formatter, "the data socket cannot be used: {error}"),
+            Self::Quic(error) => write!(formatter, "QUIC cannot be set up: {error}"),
+            Self::BackEnd(error) => {
+                write!(formatter, "the back end's client cannot be set up: {error}")
+            }
+            Self::NoEgress => formatter.write_str("the fabric has no address for answers"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
--- /dev/null
+++ b/crates/woodladder/src/agent/mod.rs
@@ -0,0 +1,31 @@
+//! The agent beside one back end: ends QUIC and HTTP/3, admits flows and
+//! requests, and asks the back end over HTTP/1.1.
+
+mod acceptor;
+mod address_book;
+mod back_end;
+mod certificate;
+mod config;
+mod connection;
+mod control;
+mod counters;
+mod egress;
+mod gate;
+mod handle;
+mod headers;
+mod marked_flows;
+mod outcome;
+mod quic;
+mod request;
+mod shared;
+mod slots;
+mod socket;
+mod stream;
+
+pub use certificate::CertificateError;
+pub use config::{AgentConfig, AgentKeys, Certificate, Limits};
+pub use counters::{AgentStatus, DatagramDrop, DropCount, EndCount, FlowCounts, RequestEnd};
+pub use handle::{Agent, AgentHandle, StartError};
+pub use headers::{DEADLINE, OUTCOME, REASON};
+pub use outcome::{NotRunReason, UnknownReason};
+pub use quic::QuicConfigError;
--- /dev/null
+++ b/crates/woodladder/src/agent/quic.rs
@@ -0,0 +1,148 @@
+//! Settings of the QUIC endpoint.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::crypto::rustls::{NoInitialCipherSuite, QuicServerConfig};
+use quinn::{
+    ConnectionId, ConnectionIdGenerator, EndpointConfig, IdleTimeout, MtuDiscoveryConfig,
+    ServerConfig, TransportConfig, VarInt,
+};
+use rand::Rng as _;
+use ring::hmac;
+use woodladder_core::identifier::TargetId;
+use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH, TokenKeys};
+
+use super::config::{Certificate, Limits};
+use super::socket::MAXIMUM_DATAGRAM;
+
+/// Protocol identifier of HTTP/3 (RFC 9114, section 3.1).
+pub(super) const ALPN_HTTP3: &[u8] = b"h3";
+
+/// Longest packet: leaves room for envelopes on links of 1500 bytes.
+const MAXIMUM_PACKET: u16 = 1350;
+/// Unidirectional streams of a caller: control, QPACK's two, and spare ones.
+const UNIDIRECTIONAL_STREAMS: u32 = 8;
+/// Shortest time between stateless resets. Only packets with a valid token
+/// get one, so the interval may be short enough to end all flows that a
+/// restarted agent has lost within a second.
+const RESET_INTERVAL: Duration = Duration::from_micros(100);
+const RESET_LABEL: &[u8] = b"stateless reset";
+
+/// Why the endpoint's settings cannot be built.
+#[derive(Debug)]
+pub enum QuicConfigError {
+    /// The certificate or its key is not usable.
+    Certificate(rustls::Error),
+    /// The handshake lacks the cipher suite that first packets need.
+    CipherSuite(NoInitialCipherSuite),
+    /// The idle timeout does not fit the protocol.
+    IdleTimeout(Duration),
+    /// The transport refuses a value.
+    Transport(quinn::ConfigError),
+}
+
+/// Settings of the endpoint: connection identifiers are tokens of the target,
+/// and stateless resets outlive a restart.
+pub(super) fn endpoint_config(
+    target: TargetId,
+    tokens: TokenKeys,
+    reset: TagKey,
+) -> Result<EndpointConfig, QuicConfigError> {
+    let mut config = EndpointConfig::new(Arc::new(reset_key(target, reset)));
+    config
+        .max_udp_payload_size(MAXIMUM_DATAGRAM)
+        .map_err(QuicConfigError::Transport)?;
+    config.min_reset_interval(RESET_INTERVAL);
+    config.cid_generator(move || Box::new(TokenGenerator { target, tokens }));
+    Ok(config)
+}
+
+/// Settings of the server side.
+pub(super) fn server_config(
+    certificate: &Certificate,
+    limits: &Limits,
+) -> Result<ServerConfig, QuicConfigError> {
+    let mut config = ServerConfig::with_crypto(Arc::new(crypto_config(certificate)?));
+    config.transport_config(Arc::new(transport_config(limits)?));
+    config.migration(true);
+    Ok(config)
+}
+
+fn crypto_config(certificate: &Certificate) -> Result<QuicServerConfig, QuicConfigError> {
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(QuicConfigError::Certificate)?
+        .with_no_client_auth()
+        .with_single_cert(certificate.chain.clone(), certificate.key.clone_key())
+        .map_err(QuicConfigError::Certificate)?;
+    tls.alpn_protocols = vec![ALPN_HTTP3.to_vec()];
+    // No request byte may be read before the handshake has settled on one
+    // agent, so early data stays off.
+    tls.max_early_data_size = 0;
+    QuicServerConfig::try_from(tls).map_err(QuicConfigError::CipherSuite)
+}
+
+fn transport_config(limits: &Limits) -> Result<TransportConfig, QuicConfigError> {
+    let idle = IdleTimeout::try_from(limits.idle_timeout)
+        .map_err(|_| QuicConfigError::IdleTimeout(limits.idle_timeout))?;
+    let mut discovery = MtuDiscoveryConfig::default();
+    discovery.upper_bound(MAXIMUM_PACKET);
+    let mut config = TransportConfig::default();
+    config
+        .max_idle_timeout(Some(idle))
+        .keep_alive_interval(Some(limits.keep_alive))
+        .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams_per_connection))
+        .max_concurrent_uni_streams(VarInt::from_u32(UNIDIRECTIONAL_STREAMS))
+        .mtu_discovery_config(Some(discovery))
+        .enable_segmentation_offload(false);
+    Ok(config)
+}
+
+fn reset_key(target: TargetId, root: TagKey) -> hmac::Key {
+    let root = hmac::Key::new(hmac::HMAC_SHA256, root.secret());
+    let mut context = hmac::Context::with_key(&root);
+    context.update(RESET_LABEL);
+    context.update(&target.0.to_be_bytes());
+    hmac::Key::new(hmac::HMAC_SHA256, context.sign().as_ref())
+}
+
+/// Issues connection identifiers that are routing tokens.
+struct TokenGenerator {
+    target: TargetId,
+    tokens: TokenKeys,
+}
+
+impl ConnectionIdGenerator for TokenGenerator {
+    fn generate_cid(&mut self) -> ConnectionId {
+        let mut nonce = [0; TOKEN_NONCE_LENGTH];
+        rand::rng().fill(&mut nonce);
+        ConnectionId::new(&self.tokens.issue(self.target, nonce))
+    }
+
+    fn cid_len(&self) -> usize {
+        TOKEN_LENGTH
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
+impl fmt::Display for QuicConfigError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Certificate(error) => write!(formatter, "the certificate is not usable: {error}"),
+            Self::CipherSuite(error) => write!(formatter, "{error}"),
+            Self::IdleTimeout(value) => {
+                write!(formatter, "the idle timeout {value:?} is too long")
+            }
+            Self::Transport(error) => write!(formatter, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for QuicConfigError {}
--- a/crates/woodladder/src/lib.rs
+++ b/crates/woodladder/src/lib.rs
@@ -1,1 +1,3 @@
 //! Shells round the decision logic: daemons and the command line.
+
+pub mod agent;
--- /dev/null
+++ b/crates/woodladder/tests/agent_support/fabric.rs
@@ -0,0 +1,123 @@
+//! A fabric and one balancer in a task: wraps what callers send in envelopes
+//! and strips what agents send back.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwap;
+use ppp::v2::{Addresses, Header};
+use tokio::net::UdpSocket;
+use woodladder::agent::AgentKeys;
+use woodladder_core::directory::Directory;
+use woodladder_core::envelope::Envelope;
+use woodladder_core::router::{Inbound, Router};
+
+use super::ANY_PORT;
+
+const DATAGRAM: usize = 4096;
+
+type Layout = Arc<ArcSwap<Directory>>;
+
+/// Changes an envelope on its way to an agent.
+pub type Tamper = Box<dyn Fn(&mut Envelope) + Send>;
+
+pub struct Fabric {
+    pub service_address: SocketAddr,
+    pub egress_address: SocketAddr,
+    layout: Arc<Mutex<Option<Layout>>>,
+    tamper: Arc<Mutex<Option<Tamper>>>,
+}
+
+impl Fabric {
+    pub async fn start(keys: AgentKeys) -> Self {
+        let front = Arc::new(UdpSocket::bind(ANY_PORT).await.unwrap());
+        let egress = UdpSocket::bind(ANY_PORT).await.unwrap();
+        let fabric = Self {
+            service_address: front.local_addr().unwrap(),
+            egress_address: egress.local_addr().unwrap(),
+            layout: Arc::default(),
+            tamper: Arc::default(),
+        };
+        let balancer = Balancer {
+            service_address: fabric.service_address,
+            keys,
+            layout: Arc::clone(&fabric.layout),
+            tamper: Arc::clone(&fabric.tamper),
+        };
+        tokio::spawn(balancer.run(Arc::clone(&front)));
+        tokio::spawn(deliver(egress, front));
+        fabric
+    }
+
+    pub fn route_by(&self, layout: &Layout) {
+        *self.layout.lock().unwrap() = Some(Arc::clone(layout));
+    }
+
+    pub fn tamper(&self, tamper: Option<Tamper>) {
+        *self.tamper.lock().unwrap() = tamper;
+    }
+}
+
+struct Balancer {
+    service_address: SocketAddr,
+    keys: AgentKeys,
+    layout: Arc<Mutex<Option<Layout>>>,
+    tamper: Arc<Mutex<Option<Tamper>>>,
+}
+
+impl Balancer {
+    async fn run(self, front: Arc<UdpSocket>) {
+        let back = UdpSocket::bind(ANY_PORT).await.unwrap();
+        let mut received = [0; DATAGRAM];
+        let mut enveloped = Vec::new();
+        loop {
+            let (length, caller) = front.recv_from(&mut received).await.unwrap();
+            let datagram = &received[..length];
+            if let Some(to) = self.envelop(caller, datagram, &mut enveloped) {
+                back.send_to(&enveloped, to).await.unwrap();
+            }
+        }
+    }
+
+    fn envelop(
+        &self,
+        caller: SocketAddr,
+        datagram: &[u8],
+        enveloped: &mut Vec<u8>,
+    ) -> Option<SocketAddr> {
+        let layout = self.layout.lock().unwrap().clone()?;
+        let router = Router::new(layout.load_full(), self.keys.token, 2);
+        let inbound = Inbound {
+            caller,
+            service_address: self.service_address,
+            datagram,
+        };
+        let mut forward = router.route(&inbound).ok()?;
+        if let Some(tamper) = &*self.tamper.lock().unwrap() {
+            tamper(&mut forward.envelope);
+        }
+        forward
+            .envelope
+            .encode_into(&self.keys.envelope, datagram, enveloped);
+        Some(forward.to)
+    }
+}
+
+async fn deliver(egress: UdpSocket, front: Arc<UdpSocket>) {
+    let mut received = [0; DATAGRAM];
+    loop {
+        let (length, _) = egress.recv_from(&mut received).await.unwrap();
+        let header = Header::try_from(&received[..length]).unwrap();
+        let Addresses::IPv4(addresses) = header.addresses else {
+            panic!("not between IPv4 addresses");
+        };
+        let source = SocketAddr::from((addresses.source_address, addresses.source_port));
+        assert_eq!(source, front.local_addr().unwrap());
+        let caller = (addresses.destination_address, addresses.destination_port);
+        let start = header.len();
+        front
+            .send_to(&received[start..length], SocketAddr::from(caller))
+            .await
+            .unwrap();
+    }
+}
