Add the command line, settings, logs, store client, endpoints and packet path

Cause: the core decides and nothing runs it yet. Change: the `woodladder` command with bundle, key, check-settings and balancer; settings in three layers whose faults are reported together with file, line and rule; the client of the key-value service; status, readiness and metrics over HTTP; the packet path with one SO_REUSEPORT socket for each worker and batched receiving.

Ruled out: volo-http's own stop at SIGTERM for the endpoints, since it closes the listener while readiness must still be visible; a second server takes the socket over. Extracting settings by serde in one go, since it ends at the first fault.

The control driver is not in yet, so a balancer never becomes ready.

--- a/crates/woodladder-lab/src/lib.rs
+++ b/crates/woodladder-lab/src/lib.rs
@@ -1,4 +1,3 @@
 //! Laboratory: stand-ins, fault proxy, load, simulation and measurements.
 
-pub mod fault_proxy;
 pub mod stand_in;
--- /dev/null
+++ b/crates/woodladder/src/balancer/counters.rs
@@ -0,0 +1,155 @@
+//! Counters of the packet path: one set for each worker, so that no two
+//! threads write the same cache line.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use woodladder_core::router::DropReason;
+
+use super::proxy_header::ProxyHeaderError;
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PacketDrop {
+    /// Its PROXY header is malformed.
+    MalformedProxyHeader,
+    /// Its PROXY header speaks of no datagram between IP addresses.
+    NotProxied,
+    /// No bundle is in force yet.
+    NoBundle,
+    /// It is not a packet of the transport.
+    MalformedPacket,
+    /// No service has the address.
+    UnknownService,
+    /// Its token is not valid, and it cannot open a flow.
+    InvalidToken,
+    /// Its token names a target of another service.
+    WrongService,
+    /// The service has no target.
+    NoTarget,
+    /// The socket did not take it.
+    SendFailed,
+}
+
+const DROP_KINDS: usize = PacketDrop::ALL.len();
+
+/// Figures of all workers together.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PacketCounts {
+    /// Datagrams received.
+    pub received: u64,
+    /// Datagrams sent to agents.
+    pub forwarded: u64,
+    dropped: [u64; DROP_KINDS],
+}
+
+/// Counters of one worker; only that worker writes them.
+#[derive(Debug, Default)]
+#[repr(align(128))]
+pub(super) struct WorkerCounters {
+    received: AtomicU64,
+    forwarded: AtomicU64,
+    dropped: [AtomicU64; DROP_KINDS],
+}
+
+impl PacketDrop {
+    /// Every reason.
+    pub const ALL: [Self; 9] = [
+        Self::MalformedProxyHeader,
+        Self::NotProxied,
+        Self::NoBundle,
+        Self::MalformedPacket,
+        Self::UnknownService,
+        Self::InvalidToken,
+        Self::WrongService,
+        Self::NoTarget,
+        Self::SendFailed,
+    ];
+
+    /// Name in figures.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::MalformedProxyHeader => "malformed_proxy_header",
+            Self::NotProxied => "not_proxied",
+            Self::NoBundle => "no_bundle",
+            Self::MalformedPacket => "malformed_packet",
+            Self::UnknownService => "unknown_service",
+            Self::InvalidToken => "invalid_token",
+            Self::WrongService => "wrong_service",
+            Self::NoTarget => "no_target",
+            Self::SendFailed => "send_failed",
+        }
+    }
+}
+
+impl From<ProxyHeaderError> for PacketDrop {
+    fn from(error: ProxyHeaderError) -> Self {
+        match error {
+            ProxyHeaderError::Malformed => Self::MalformedProxyHeader,
+            ProxyHeaderError::NotProxied => Self::NotProxied,
+        }
+    }
+}
+
+impl From<DropReason> for PacketDrop {
+    fn from(reason: DropReason) -> Self {
+        match reason {
+            DropReason::Malformed => Self::MalformedPacket,
+            DropReason::UnknownService => Self::UnknownService,
+            DropReason::InvalidToken => Self::InvalidToken,
+            DropReason::WrongService => Self::WrongService,
+            DropReason::NoTarget => Self::NoTarget,
+        }
+    }
+}
+
+impl PacketCounts {
+    /// Datagrams dropped for one reason.
+    #[must_use]
+    pub fn dropped(&self, reason: PacketDrop) -> u64 {
+        self.dropped[reason as usize]
+    }
+
+    /// The figures by name.
+    #[must_use]
+    pub fn by_name(&self) -> BTreeMap<String, u64> {
+        let mut figures = BTreeMap::new();
+        figures.insert("packets_received_total".to_owned(), self.received);
+        figures.insert("packets_forwarded_total".to_owned(), self.forwarded);
+        for reason in PacketDrop::ALL {
+            let name = format!("packets_dropped_{}_total", reason.name());
+            figures.insert(name, self.dropped(reason));
+        }
+        figures
+    }
+}
+
+impl WorkerCounters {
+    pub(super) fn received(&self) {
+        increment(&self.received);
+    }
+
+    pub(super) fn forwarded(&self) {
+        increment(&self.forwarded);
+    }
+
+    pub(super) fn dropped(&self, reason: PacketDrop) {
+        increment(&self.dropped[reason as usize]);
+    }
+
+    /// Adds this worker's figures to a sum.
+    pub(super) fn add_to(&self, counts: &mut PacketCounts) {
+        counts.received += self.received.load(Ordering::Relaxed);
+        counts.forwarded += self.forwarded.load(Ordering::Relaxed);
+        for (sum, counter) in counts.dropped.iter_mut().zip(&self.dropped) {
+            *sum += counter.load(Ordering::Relaxed);
+        }
+    }
+}
+
+/// One writer only, so a plain load and store do.
+fn increment(counter: &AtomicU64) {
+    let value = counter.load(Ordering::Relaxed);
+    counter.store(value.wrapping_add(1), Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/woodladder/src/balancer/packet_path.rs
@@ -0,0 +1,103 @@
+//! All workers together.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+use arc_swap::ArcSwapOption;
+use slog::Logger;
+use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::router::Router;
+
+use super::counters::{PacketCounts, WorkerCounters};
+use super::socket;
+use super::worker::Worker;
+use crate::process::{StopSignal, StopSwitch};
+
+/// What the packet path is started with.
+pub struct PacketPathConfig {
+    /// Address for datagrams from the fabric.
+    pub listen: SocketAddr,
+    /// Number of workers, at least one.
+    pub workers: usize,
+    /// Bytes asked for as each socket's buffers.
+    pub socket_buffer: usize,
+    /// Decides about each datagram; replaced when a roll comes into force, and
+    /// absent before the first.
+    pub router: Arc<ArcSwapOption<Router>>,
+    /// Key of the envelopes to agents.
+    pub envelope_key: TagKey,
+    /// Where faults are logged.
+    pub logger: Logger,
+}
+
+/// Running workers; they end when it is dropped.
+pub struct PacketPath {
+    address: SocketAddr,
+    counters: Vec<Arc<WorkerCounters>>,
+    threads: Vec<JoinHandle<()>>,
+    stop: StopSwitch,
+}
+
+impl PacketPath {
+    /// Binds the sockets and starts the workers.
+    ///
+    /// # Errors
+    /// The system's error when a socket or a thread cannot be had.
+    pub fn start(config: &PacketPathConfig) -> io::Result<Self> {
+        let sockets = socket::bind(config.listen, config.workers, config.socket_buffer)?;
+        let address = match sockets.first() {
+            Some(socket) => socket.local_addr()?,
+            None => config.listen,
+        };
+        let (stop, signal) = StopSignal::new();
+        let mut path = Self {
+            address,
+            counters: Vec::new(),
+            threads: Vec::new(),
+            stop,
+        };
+        for socket in sockets {
+            let counters = Arc::new(WorkerCounters::default());
+            let worker = Worker {
+                router: config.router.clone(),
+                envelope_key: config.envelope_key,
+                counters: counters.clone(),
+                logger: config.logger.clone(),
+            };
+            let signal = signal.clone();
+            let thread = std::thread::Builder::new()
+                .name("forward".to_owned())
+                .spawn(move || worker.run(socket, signal))?;
+            path.counters.push(counters);
+            path.threads.push(thread);
+        }
+        Ok(path)
+    }
+
+    /// Address that the workers receive on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Figures of all workers together.
+    #[must_use]
+    pub fn counts(&self) -> PacketCounts {
+        let mut counts = PacketCounts::default();
+        for counters in &self.counters {
+            counters.add_to(&mut counts);
+        }
+        counts
+    }
+}
+
+impl Drop for PacketPath {
+    fn drop(&mut self) {
+        self.stop.stop();
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder/src/balancer/proxy_header.rs
@@ -0,0 +1,66 @@
+//! The PROXY protocol header (version 2) that the fabric puts before each
+//! datagram.
+//!
+//! Source: HAProxy Technologies, "The PROXY protocol, versions 1 & 2",
+//! section 2.2. The header is read by a library and nothing is copied.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use ppp::v2::{Addresses, Command, Header, Protocol};
+use woodladder_core::router::Inbound;
+
+/// Why a datagram's header is not accepted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProxyHeaderError {
+    /// It is not a header of version 2, or it is cut short.
+    Malformed,
+    /// It does not speak of a datagram between two IP addresses.
+    NotProxied,
+}
+
+/// Reads the header and finds the caller's datagram behind it.
+///
+/// # Errors
+/// [`ProxyHeaderError`] when the header is not accepted.
+pub fn parse(bytes: &[u8]) -> Result<Inbound<'_>, ProxyHeaderError> {
+    let header = Header::try_from(bytes).map_err(|_| ProxyHeaderError::Malformed)?;
+    if header.command != Command::Proxy || header.protocol != Protocol::Datagram {
+        return Err(ProxyHeaderError::NotProxied);
+    }
+    let (caller, service_address) =
+        addresses(&header.addresses).ok_or(ProxyHeaderError::NotProxied)?;
+    let datagram = bytes
+        .get(header.len()..)
+        .ok_or(ProxyHeaderError::Malformed)?;
+    Ok(Inbound {
+        caller,
+        service_address,
+        datagram,
+    })
+}
+
+fn addresses(addresses: &Addresses) -> Option<(SocketAddr, SocketAddr)> {
+    match addresses {
+        Addresses::IPv4(ip) => Some((
+            SocketAddr::from((ip.source_address, ip.source_port)),
+            SocketAddr::from((ip.destination_address, ip.destination_port)),
+        )),
+        Addresses::IPv6(ip) => Some((
+            SocketAddr::from((ip.source_address, ip.source_port)),
+            SocketAddr::from((ip.destination_address, ip.destination_port)),
+        )),
+        Addresses::Unspecified | Addresses::Unix(_) => None,
+    }
+}
+
+impl fmt::Display for ProxyHeaderError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Malformed => "the PROXY header is malformed",
+            Self::NotProxied => "the PROXY header speaks of no datagram between IP addresses",
+        })
+    }
+}
+
+impl std::error::Error for ProxyHeaderError {}
--- /dev/null
+++ b/crates/woodladder/src/command/agent.rs
@@ -0,0 +1,34 @@
+//! `woodladder agent`: run an agent.
+
+use clap::Args;
+use woodladder_core::finding::Findings;
+
+use super::failure::Failure;
+use super::runtime;
+use crate::log;
+use crate::settings::{AgentFlags, AgentSettings};
+
+pub(super) const HELP: &str = "Examples:
+  woodladder agent --settings agent.toml
+  woodladder agent --settings agent.toml --target 12 --back-end 127.0.0.1:8080
+  WOODLADDER_SLOTS=5 woodladder agent --settings agent.toml
+
+SIGTERM asks for a planned stop: callers are told to go elsewhere, no new work
+is taken, and the process ends with code 0 when its last stream has ended.";
+
+#[derive(Args, Debug)]
+pub(super) struct AgentCommand {
+    #[command(flatten)]
+    flags: AgentFlags,
+}
+
+impl AgentCommand {
+    pub(super) fn run(self) -> Result<(), Failure> {
+        let mut findings = Findings::new();
+        let file = self.flags.node.settings.as_deref();
+        let layers = runtime::layers(file, &self.flags, &mut findings);
+        let settings = AgentSettings::read(&layers, findings)?;
+        let (_logger, _guard) = log::open(settings.node.log);
+        Err(Failure::Internal("not built yet".to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/woodladder/src/command/bundle.rs
@@ -0,0 +1,196 @@
+//! `woodladder bundle`: write, check, sign, show and compare bundles.
+
+use std::io::Write as _;
+use std::path::{Path, PathBuf};
+
+use clap::Subcommand;
+use woodladder_core::bundle::{Bundle, SignedBundle};
+use woodladder_core::bundle_source::{EXAMPLE, render};
+use woodladder_core::finding::Findings;
+use woodladder_core::signature::{PublicKey, TrustedKeys};
+
+use super::bundle_difference::BundleDifference;
+use super::bundle_file::{BundleFile, encode_signed, load, refused};
+use super::failure::Failure;
+use super::key_file::read_key;
+use crate::settings::public_key;
+
+pub(super) const HELP: &str = "Examples:
+  woodladder bundle new --out menu.toml
+  woodladder bundle check menu.toml
+  woodladder bundle sign menu.toml --key operator.key --out menu.signed
+  woodladder bundle show menu.signed
+  woodladder bundle diff old.signed menu.signed --json";
+
+const RULE_SIGN_OFF: &str = "a signed bundle bears the signature of a trusted operator";
+
+#[derive(Debug, Subcommand)]
+pub(super) enum BundleCommand {
+    /// Write an example to start from
+    #[command(after_help = HELP)]
+    New {
+        /// File to write; it must not exist
+        #[arg(long, value_name = "FILE")]
+        out: PathBuf,
+    },
+    /// Check a bundle and print every finding
+    #[command(after_help = HELP)]
+    Check {
+        /// Bundle, written or signed
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Public key that a signed bundle must bear; may be given several times
+        #[arg(long = "trusted-key", value_name = "HEX", value_parser = public_key)]
+        trusted_keys: Vec<PublicKey>,
+        /// Print the findings as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Sign a bundle off
+    #[command(after_help = HELP)]
+    Sign {
+        /// Bundle in its written form
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// File with the operator's secret key
+        #[arg(long, value_name = "FILE")]
+        key: PathBuf,
+        /// File to write
+        #[arg(long, value_name = "FILE")]
+        out: PathBuf,
+    },
+    /// Print a bundle with its digest and signature
+    #[command(after_help = HELP)]
+    Show {
+        /// Bundle, written or signed
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// Print as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Print what differs between two bundles
+    #[command(after_help = HELP)]
+    Diff {
+        /// Old bundle, written or signed
+        #[arg(value_name = "OLD")]
+        old: PathBuf,
+        /// New bundle, written or signed
+        #[arg(value_name = "NEW")]
+        new: PathBuf,
+        /// Print as JSON
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+impl BundleCommand {
+    pub(super) fn run(self) -> Result<(), Failure> {
+        match self {
+            Self::New { out } => write_new(&out),
+            Self::Check {
+                file,
+                trusted_keys,
+                json,
+            } => check(&file, trusted_keys, json),
+            Self::Sign { file, key, out } => sign(&file, &key, &out),
+            Self::Show { file, json } => show(&file, json),
+            Self::Diff { old, new, json } => diff(&old, &new, json),
+        }
+    }
+}
+
+fn write_new(out: &Path) -> Result<(), Failure> {
+    let mut file = std::fs::File::create_new(out).map_err(|error| Failure::file(out, error))?;
+    file.write_all(EXAMPLE.as_bytes())
+        .map_err(|error| Failure::file(out, error))
+}
+
+fn check(path: &Path, trusted_keys: Vec<PublicKey>, json: bool) -> Result<(), Failure> {
+    let result = load(path).and_then(|file| check_sign_off(path, &file, trusted_keys));
+    if !json {
+        result?;
+        println!("no findings");
+        return Ok(());
+    }
+    match result {
+        Ok(()) => print_json(&Findings::new()),
+        Err(Failure::Findings(findings)) => {
+            print_json(&findings)?;
+            Err(Failure::Refused("the bundle has faults".to_owned()))
+        }
+        Err(failure) => Err(failure),
+    }
+}
+
+/// Checks the signature when the file has one and keys to trust are named.
+fn check_sign_off(path: &Path, file: &BundleFile, keys: Vec<PublicKey>) -> Result<(), Failure> {
+    if keys.is_empty() {
+        return Ok(());
+    }
+    let name = path.display().to_string();
+    let BundleFile::Signed(signed) = file else {
+        return Err(refused(&name, "is not signed", RULE_SIGN_OFF));
+    };
+    signed
+        .verify(&TrustedKeys::new(keys))
+        .map_err(|error| refused(&name, &error.to_string(), RULE_SIGN_OFF))
+}
+
+fn sign(path: &Path, key: &Path, out: &Path) -> Result<(), Failure> {
+    let bundle = load(path)?.bundle().clone();
+    let signed = SignedBundle::sign(bundle, &read_key(key)?);
+    let bytes = encode_signed(&signed)?;
+    std::fs::write(out, bytes).map_err(|error| Failure::file(out, error))?;
+    println!(
+        "signed version {} by {}",
+        signed.bundle.version, signed.sign_off.key
+    );
+    println!("digest {}", signed.bundle.digest());
+    Ok(())
+}
+
+fn show(path: &Path, json: bool) -> Result<(), Failure> {
+    let file = load(path)?;
+    let bundle = file.bundle();
+    let signer = match &file {
+        BundleFile::Written(_) => None,
+        BundleFile::Signed(signed) => Some(signed.sign_off.key.to_string()),
+    };
+    let text = render(bundle).map_err(|error| Failure::Internal(error.to_string()))?;
+    if json {
+        return show_json(bundle, signer, &text);
+    }
+    println!("# digest {}", bundle.digest());
+    println!("# signed by {}", signer.as_deref().unwrap_or("nobody"));
+    print!("{text}");
+    Ok(())
+}
+
+fn show_json(bundle: &Bundle, signer: Option<String>, text: &str) -> Result<(), Failure> {
+    let value: serde_json::Value =
+        toml::from_str(text).map_err(|error| Failure::Internal(error.to_string()))?;
+    print_json(&serde_json::json!({
+        "digest": bundle.digest().to_string(),
+        "signed_by": signer,
+        "bundle": value,
+    }))
+}
+
+fn diff(old: &Path, new: &Path, json: bool) -> Result<(), Failure> {
+    let old = load(old)?;
+    let new = load(new)?;
+    let difference = BundleDifference::between(old.bundle(), new.bundle());
+    if json {
+        return print_json(&difference);
+    }
+    print!("{difference}");
+    Ok(())
+}
+
+fn print_json(value: &impl serde::Serialize) -> Result<(), Failure> {
+    let text = serde_json::to_string_pretty(value)
+        .map_err(|error| Failure::Internal(error.to_string()))?;
+    println!("{text}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/woodladder/src/command/check_settings.rs
@@ -0,0 +1,46 @@
+//! `woodladder check-settings`: check settings without running anything.
+
+use std::path::PathBuf;
+
+use clap::{Args, ValueEnum};
+use woodladder_core::finding::Findings;
+
+use super::failure::Failure;
+use crate::settings::{AgentSettings, BalancerSettings, Layers, OperatorSettings};
+
+pub(super) const HELP: &str = "Examples:
+  woodladder check-settings --role balancer balancer.toml
+  WOODLADDER_ZONE=north-1 woodladder check-settings --role agent agent.toml
+
+Environment variables count, as they do when the command itself runs.";
+
+#[derive(Args, Debug)]
+pub(super) struct CheckSettingsCommand {
+    /// Whose settings they are
+    #[arg(long, value_enum)]
+    role: SettingsRole,
+    /// Settings file
+    #[arg(value_name = "FILE")]
+    file: PathBuf,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum SettingsRole {
+    Balancer,
+    Agent,
+    Operator,
+}
+
+impl CheckSettingsCommand {
+    pub(super) fn run(self) -> Result<(), Failure> {
+        let mut findings = Findings::new();
+        let layers = Layers::new().file(&self.file, &mut findings).environment();
+        match self.role {
+            SettingsRole::Balancer => BalancerSettings::read(&layers, findings).map(drop)?,
+            SettingsRole::Agent => AgentSettings::read(&layers, findings).map(drop)?,
+            SettingsRole::Operator => OperatorSettings::read(&layers, findings).map(drop)?,
+        }
+        println!("no findings");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/woodladder/src/command/mod.rs
@@ -0,0 +1,69 @@
+//! The command line.
+
+mod agent;
+mod balancer;
+mod bundle;
+mod bundle_difference;
+mod bundle_file;
+mod check_settings;
+mod failure;
+mod key;
+mod key_file;
+mod runtime;
+
+use clap::{Parser, Subcommand};
+
+use crate::process::{EXIT_CODES_HELP, Exit};
+
+pub use bundle_difference::{BundleDifference, Change, Difference};
+pub use bundle_file::{BundleFile, load};
+pub use failure::Failure;
+pub use key_file::read_key;
+
+/// Layer-4 load balancer for services whose callers all arrive at once.
+#[derive(Debug, Parser)]
+#[command(name = "woodladder", version, after_help = EXIT_CODES_HELP)]
+pub struct CommandLine {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a balancer: forward callers' datagrams to agents
+    #[command(after_help = balancer::HELP)]
+    Balancer(Box<balancer::BalancerCommand>),
+    /// Run an agent beside one back end
+    #[command(after_help = agent::HELP)]
+    Agent(Box<agent::AgentCommand>),
+    /// Write, check, sign, show and compare bundles
+    #[command(subcommand, after_help = bundle::HELP)]
+    Bundle(bundle::BundleCommand),
+    /// Make an operator's key
+    #[command(subcommand, after_help = key::HELP)]
+    Key(key::KeyCommand),
+    /// Check settings without running anything
+    #[command(after_help = check_settings::HELP)]
+    CheckSettings(check_settings::CheckSettingsCommand),
+}
+
+impl CommandLine {
+    /// Carries the command out; messages go to standard output and error.
+    #[must_use]
+    pub fn run(self) -> Exit {
+        let result = match self.command {
+            Command::Balancer(command) => command.run(),
+            Command::Agent(command) => command.run(),
+            Command::Bundle(command) => command.run(),
+            Command::Key(command) => command.run(),
+            Command::CheckSettings(command) => command.run(),
+        };
+        match result {
+            Ok(()) => Exit::Success,
+            Err(failure) => {
+                eprintln!("{}", failure.to_string().trim_end());
+                failure.exit()
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder/src/endpoint/mod.rs
@@ -0,0 +1,16 @@
+//! Status, health and metrics over HTTP.
+//!
+//! | path | answer |
+//! | --- | --- |
+//! | `/health` | 200 while the process runs |
+//! | `/ready` | 200 when the node takes traffic, otherwise 503 with the reason |
+//! | `/status` | JSON: role, sequence, bundle, peers, counters |
+//! | `/metrics` | the same figures as Prometheus text |
+
+mod metrics;
+mod server;
+mod status;
+
+pub use metrics::{Gauges, render};
+pub use server::{Endpoint, NodeView};
+pub use status::{NodeStatus, NotReady, Role};
--- /dev/null
+++ b/crates/woodladder/src/endpoint/server.rs
@@ -0,0 +1,136 @@
+//! The HTTP server of the endpoints.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
+use slog::{Logger, error};
+use tokio::task::JoinHandle;
+use volo::net::incoming::DefaultIncoming;
+use volo_http::body::Body;
+use volo_http::server::Server;
+use volo_http::server::route::{Router, get};
+
+use super::metrics::render;
+use super::status::NodeStatus;
+use crate::process::StopSignal;
+
+const JSON: &str = "application/json";
+const METRICS_TEXT: &str = "text/plain; version=0.0.4";
+const PLAIN_TEXT: &str = "text/plain; charset=utf-8";
+
+/// What the endpoints ask a node for.
+pub trait NodeView: Send + Sync + 'static {
+    /// Status at this moment.
+    fn status(&self) -> NodeStatus;
+}
+
+/// A running HTTP server.
+pub struct Endpoint {
+    address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Endpoint {
+    /// Listens on `address` and answers for `view` until it is dropped.
+    ///
+    /// volo-http's server stops accepting at SIGTERM by itself. Readiness must
+    /// stay visible while a node drains, so once `stop` is asked for a second
+    /// server takes over the same listening socket.
+    ///
+    /// # Errors
+    /// The system's error when the address cannot be listened on.
+    pub fn start(
+        address: SocketAddr,
+        view: Arc<dyn NodeView>,
+        mut stop: StopSignal,
+        log: &Logger,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let first = incoming(&listener)?;
+        let second = incoming(&listener)?;
+        let while_running = tokio::spawn(serve(first, view.clone(), log.clone()));
+        let log = log.clone();
+        let while_stopping = tokio::spawn(async move {
+            stop.asked().await;
+            serve(second, view, log).await;
+        });
+        Ok(Self {
+            address,
+            tasks: vec![while_running, while_stopping],
+        })
+    }
+
+    /// Address that it listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Endpoint {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+fn incoming(listener: &TcpListener) -> std::io::Result<DefaultIncoming> {
+    let listener = tokio::net::TcpListener::from_std(listener.try_clone()?)?;
+    Ok(DefaultIncoming::from(listener))
+}
+
+async fn serve(incoming: DefaultIncoming, view: Arc<dyn NodeView>, log: Logger) {
+    if let Err(problem) = Server::new(router(view)).run(incoming).await {
+        error!(log, "endpoint: cannot serve"; "error" => %problem);
+    }
+}
+
+fn router(view: Arc<dyn NodeView>) -> Router {
+    let ready_view = view.clone();
+    let status_view = view.clone();
+    Router::new()
+        .route(
+            "/health",
+            get(async || answer(StatusCode::OK, PLAIN_TEXT, "ok\n".to_owned())),
+        )
+        .route("/ready", get(async move || ready(&ready_view.status())))
+        .route("/status", get(async move || status(&status_view.status())))
+        .route(
+            "/metrics",
+            get(async move || answer(StatusCode::OK, METRICS_TEXT, render(&view.status()))),
+        )
+}
+
+fn ready(status: &NodeStatus) -> Response<Body> {
+    match status.not_ready {
+        None => answer(StatusCode::OK, PLAIN_TEXT, "ready\n".to_owned()),
+        Some(reason) => answer(
+            StatusCode::SERVICE_UNAVAILABLE,
+            PLAIN_TEXT,
+            format!("{reason}\n"),
+        ),
+    }
+}
+
+fn status(status: &NodeStatus) -> Response<Body> {
+    match serde_json::to_string(status) {
+        Ok(text) => answer(StatusCode::OK, JSON, text),
+        Err(problem) => answer(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            PLAIN_TEXT,
+            problem.to_string(),
+        ),
+    }
+}
+
+fn answer(status: StatusCode, content_type: &'static str, text: String) -> Response<Body> {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static(content_type);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/crates/woodladder/src/endpoint/status.rs
@@ -0,0 +1,73 @@
+//! What a node tells about itself.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// What a node does.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Forwards datagrams to agents.
+    Balancer,
+    /// Stands beside a back end.
+    Agent,
+}
+
+/// Why a node does not take traffic.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NotReady {
+    /// No bundle has reached it yet.
+    NoBundle,
+    /// A planned stop has begun.
+    Stopping,
+    /// Its back end does not answer, or is not in the bundle.
+    BackEnd,
+}
+
+/// Status of a node.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct NodeStatus {
+    /// What the node does.
+    pub role: Role,
+    /// Identifier of this run of the process.
+    pub node: u64,
+    /// Zone that it is in.
+    pub zone: String,
+    /// Why it takes no traffic, when it takes none.
+    pub not_ready: Option<NotReady>,
+    /// Sequence in force; zero before the first.
+    pub sequence: u64,
+    /// Version of the bundle in force.
+    pub bundle_version: Option<u64>,
+    /// Digest of the snapshot in force.
+    pub snapshot: Option<String>,
+    /// Control addresses of the nodes that it knows.
+    pub peers: Vec<SocketAddr>,
+    /// Seconds since the process started.
+    pub uptime_seconds: u64,
+    /// Figures by name.
+    pub counters: BTreeMap<String, u64>,
+}
+
+impl fmt::Display for NotReady {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::NoBundle => "no bundle is in force yet",
+            Self::Stopping => "a planned stop has begun",
+            Self::BackEnd => "the back end takes no work",
+        })
+    }
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Self::Balancer => "balancer",
+            Self::Agent => "agent",
+        })
+    }
+}
--- a/crates/woodladder/src/lib.rs
+++ b/crates/woodladder/src/lib.rs
@@ -1,3 +1,10 @@
 //! Shells round the decision logic: daemons and the command line.
 
 pub mod agent;
+pub mod balancer;
+pub mod command;
+pub mod endpoint;
+pub mod log;
+pub mod process;
+pub mod settings;
+pub mod store;
--- a/crates/woodladder/src/main.rs
+++ b/crates/woodladder/src/main.rs
@@ -1,3 +1,10 @@
 //! Entry point of the `woodladder` command.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser as _;
+use woodladder::command::CommandLine;
+
+fn main() -> ExitCode {
+    CommandLine::parse().run().into()
+}
--- /dev/null
+++ b/crates/woodladder/src/settings/value.rs
@@ -0,0 +1,136 @@
+//! Parsers of single settings; each error is the rule that was broken.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use woodladder_core::keyed_tag::{TAG_KEY_LENGTH, TagKey};
+use woodladder_core::signature::{KEY_LENGTH, PublicKey};
+use woodladder_core::token::{MAXIMUM_KEY_NUMBER, TokenKey};
+
+use crate::log::{LogFormat, LogLevel};
+
+const RULE_ADDRESS: &str = "an address is an IP number and a port, such as 10.0.0.1:7000";
+const RULE_REACHABLE: &str =
+    "the address is the IP number that others reach the node at, and a port";
+const RULE_PEER_ADDRESS: &str = "a peer's address is an IP number and a port above zero";
+const RULE_NAME: &str = "a name has 1 to 64 letters, digits, dots, dashes or underscores";
+const RULE_TAG_KEY: &str = "a shared key is 32 hexadecimal digits (16 bytes)";
+const RULE_TOKEN_KEY: &str =
+    "a token key is its number from 0 to 15, a colon and 32 hexadecimal digits";
+const RULE_PUBLIC_KEY: &str = "an operator's public key is 64 hexadecimal digits (32 bytes)";
+const RULE_DURATION: &str = "a duration is a number with a unit, such as 250ms or 2s";
+const RULE_COUNT: &str = "a count is a whole number above zero";
+const RULE_IDENTIFIER: &str = "an identifier is a whole number from 1 to 4294967295";
+const RULE_SERVER_NAME: &str = "a server name is 1 to 253 characters without spaces";
+const RULE_PATH: &str = "a path must not be empty";
+const RULE_LEVEL: &str = "a log level is one of trace, debug, info, warning, error";
+const RULE_FORMAT: &str = "a log format is one of terminal, json";
+
+const LONGEST_NAME: usize = 64;
+const LONGEST_SERVER_NAME: usize = 253;
+
+/// An address to listen on; port zero lets the system choose.
+pub fn listen_address(text: &str) -> Result<SocketAddr, &'static str> {
+    text.parse().map_err(|_| RULE_ADDRESS)
+}
+
+/// An address to listen on that others use as it is written.
+pub fn reachable_listen_address(text: &str) -> Result<SocketAddr, &'static str> {
+    let address: SocketAddr = text.parse().map_err(|_| RULE_REACHABLE)?;
+    if address.ip().is_unspecified() {
+        return Err(RULE_REACHABLE);
+    }
+    Ok(address)
+}
+
+/// An address of another process.
+pub fn peer_address(text: &str) -> Result<SocketAddr, &'static str> {
+    let address: SocketAddr = text.parse().map_err(|_| RULE_PEER_ADDRESS)?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return Err(RULE_PEER_ADDRESS);
+    }
+    Ok(address)
+}
+
+/// A name of a zone, service or operator.
+pub fn name(text: &str) -> Result<String, &'static str> {
+    let allowed = |symbol: char| symbol.is_ascii_alphanumeric() || ".-_".contains(symbol);
+    if text.is_empty() || text.len() > LONGEST_NAME || !text.chars().all(allowed) {
+        return Err(RULE_NAME);
+    }
+    Ok(text.to_owned())
+}
+
+/// A key shared by the nodes.
+pub fn tag_key(text: &str) -> Result<TagKey, &'static str> {
+    let mut secret = [0; TAG_KEY_LENGTH];
+    hex::decode_to_slice(text, &mut secret).map_err(|_| RULE_TAG_KEY)?;
+    Ok(TagKey::new(secret))
+}
+
+/// A key for routing tokens, with its number.
+pub fn token_key(text: &str) -> Result<TokenKey, &'static str> {
+    let (number, secret) = text.split_once(':').ok_or(RULE_TOKEN_KEY)?;
+    let number: u8 = number.parse().map_err(|_| RULE_TOKEN_KEY)?;
+    if number > MAXIMUM_KEY_NUMBER {
+        return Err(RULE_TOKEN_KEY);
+    }
+    let key = tag_key(secret).map_err(|_| RULE_TOKEN_KEY)?;
+    Ok(TokenKey { number, key })
+}
+
+/// An operator's public key.
+pub fn public_key(text: &str) -> Result<PublicKey, &'static str> {
+    let mut key = [0; KEY_LENGTH];
+    hex::decode_to_slice(text, &mut key).map_err(|_| RULE_PUBLIC_KEY)?;
+    Ok(PublicKey(key))
+}
+
+/// A duration with its unit.
+pub fn duration(text: &str) -> Result<Duration, &'static str> {
+    humantime::parse_duration(text).map_err(|_| RULE_DURATION)
+}
+
+/// A count above zero.
+pub fn count(text: &str) -> Result<usize, &'static str> {
+    match text.parse() {
+        Ok(0) | Err(_) => Err(RULE_COUNT),
+        Ok(count) => Ok(count),
+    }
+}
+
+/// A numeric identifier.
+pub fn identifier(text: &str) -> Result<u32, &'static str> {
+    match text.parse() {
+        Ok(0) | Err(_) => Err(RULE_IDENTIFIER),
+        Ok(identifier) => Ok(identifier),
+    }
+}
+
+/// A name that a certificate is made for.
+pub fn server_name(text: &str) -> Result<String, &'static str> {
+    let spaced = text.contains(char::is_whitespace);
+    if text.is_empty() || text.len() > LONGEST_SERVER_NAME || spaced {
+        return Err(RULE_SERVER_NAME);
+    }
+    Ok(text.to_owned())
+}
+
+/// A path to a file.
+pub fn path(text: &str) -> Result<PathBuf, &'static str> {
+    if text.is_empty() {
+        return Err(RULE_PATH);
+    }
+    Ok(PathBuf::from(text))
+}
+
+/// A log level.
+pub fn log_level(text: &str) -> Result<LogLevel, &'static str> {
+    LogLevel::named(text).ok_or(RULE_LEVEL)
+}
+
+/// A log format.
+pub fn log_format(text: &str) -> Result<LogFormat, &'static str> {
+    LogFormat::named(text).ok_or(RULE_FORMAT)
+}
--- /dev/null
+++ b/crates/woodladder/src/store/machine_list.rs
@@ -0,0 +1,83 @@
+//! Client of the platform's list of machines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde::Deserialize;
+use volo_http::client::Client;
+
+use super::StoreError;
+use super::http::{Ask, client, exchange};
+
+const PATH: &str = "/machines";
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// One machine, as the platform lists it. The list lags: a machine in it may
+/// be gone, and one that is not in it may run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub struct Machine {
+    /// Control address of the node on it.
+    pub address: SocketAddr,
+    /// What the node does.
+    pub role: MachineRole,
+    /// Whether the machine is about to go.
+    pub state: MachineState,
+}
+
+/// What a node does.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum MachineRole {
+    /// Forwards datagrams.
+    Balancer,
+    /// Stands beside a back end.
+    Agent,
+}
+
+/// State of a machine.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "lowercase")]
+pub enum MachineState {
+    /// In use.
+    Live,
+    /// About to go.
+    Leaving,
+}
+
+/// Client of the list of machines.
+pub struct MachineList {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl MachineList {
+    /// A client of the list at this address.
+    ///
+    /// # Errors
+    /// [`StoreError::Unreachable`] when the HTTP client cannot be built.
+    pub fn new(address: SocketAddr) -> Result<Self, StoreError> {
+        Ok(Self {
+            client: client()?,
+            address,
+        })
+    }
+
+    /// Reads the whole list.
+    ///
+    /// # Errors
+    /// [`StoreError`] when there is no answer or it cannot be understood.
+    pub async fn read(&self) -> Result<Vec<Machine>, StoreError> {
+        let ask = Ask {
+            method: Method::GET,
+            path: PATH.to_owned(),
+            body: Vec::new(),
+            timeout: ANSWER_TIMEOUT,
+        };
+        let answer = exchange(&self.client, self.address, &ask).await?;
+        if answer.status != StatusCode::OK {
+            return Err(StoreError::Failed(answer.status.as_u16()));
+        }
+        serde_json::from_slice(&answer.body).map_err(|_| StoreError::Malformed("list of machines"))
+    }
+}
--- /dev/null
+++ b/crates/woodladder/tests/layers.rs
@@ -0,0 +1,58 @@
+//! Layers of settings: what wins, and where a fault is said to lie.
+
+use woodladder::log::LogLevel;
+use woodladder::settings::{Layers, LogFlags, OperatorFlags, OperatorSettings, PlatformFlags};
+use woodladder_core::finding::Findings;
+
+const FILE: &str = "stores = [\"127.0.0.1:8500\"]\noperator = \"ankang\"\nlog_level = \"debug\"\n";
+
+fn flags(log_level: &str) -> OperatorFlags {
+    OperatorFlags {
+        platform: PlatformFlags {
+            stores: vec!["127.0.0.1:8501".to_owned()],
+            ..PlatformFlags::default()
+        },
+        log: LogFlags {
+            log_level: Some(log_level.to_owned()),
+            ..LogFlags::default()
+        },
+        ..OperatorFlags::default()
+    }
+}
+
+#[test]
+fn flags_win_over_the_file_and_leave_the_rest() -> Result<(), Findings> {
+    let mut findings = Findings::new();
+    let layers = Layers::new()
+        .toml("operator.toml", FILE, &mut findings)
+        .flags(&flags("error"), &mut findings);
+    let settings = OperatorSettings::read(&layers, findings)?;
+    assert_eq!(settings.log.level, LogLevel::Error);
+    assert_eq!(settings.operator, "ankang");
+    assert_eq!(settings.platform.stores.len(), 1);
+    assert_eq!(settings.platform.stores[0].port(), 8501);
+    Ok(())
+}
+
+#[test]
+fn a_fault_names_the_layer_that_it_comes_from() {
+    let mut findings = Findings::new();
+    let layers = Layers::new()
+        .toml(
+            "operator.toml",
+            "stores = []\npoll = \"often\"\n",
+            &mut findings,
+        )
+        .flags(&flags("loud"), &mut findings);
+    let text = match OperatorSettings::read(&layers, findings) {
+        Ok(_) => String::new(),
+        Err(findings) => findings.to_string(),
+    };
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(
+        lines[1].starts_with("operator.toml: line 2: poll: "),
+        "{text}"
+    );
+    assert!(lines[0].starts_with("flags: log_level: "), "{text}");
+}
