--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -8,6 +8,7 @@
 //! | --- | --- |
 //! | identity and time | [`identifier`], [`clock`], [`finding`], [`digest`], [`signature`] |
 //! | configuration | [`bundle`], [`bundle_source`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
+//! | control plane | [`control_message`], [`membership`], [`replica`], [`store_operation`] |
 //! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
 //! | work of a target | [`admission`], [`request`], [`drain`], [`load`], [`slow_start`] |
 
@@ -16,6 +17,7 @@
 pub mod bundle_source;
 pub mod carrier;
 pub mod clock;
+pub mod control_message;
 pub mod digest;
 pub mod directory;
 pub mod drain;
@@ -25,6 +27,8 @@
 pub mod identifier;
 pub mod keyed_tag;
 pub mod load;
+pub mod membership;
+pub mod replica;
 pub mod request;
 pub mod roll_record;
 pub mod router;
@@ -32,4 +36,5 @@
 pub mod slow_start;
 pub mod snapshot;
 pub mod snapshot_delta;
+pub mod store_operation;
 pub mod token;
--- /dev/null
+++ b/crates/woodladder-core/src/replica/adoption.rs
@@ -0,0 +1,118 @@
+//! The checks between a record that was heard and a roll in force.
+
+use std::sync::Arc;
+
+use borsh::BorshDeserialize as _;
+
+use crate::digest::Digest;
+use crate::replica::Installed;
+use crate::roll_record::RollRecord;
+use crate::signature::{SignatureError, TrustedKeys};
+use crate::snapshot::Snapshot;
+use crate::snapshot_delta::{DeltaError, SnapshotDelta};
+
+/// Longest encoding of a snapshot in bytes that a node accepts.
+pub(super) const MAXIMUM_SNAPSHOT_LENGTH: usize = 8 * 1024 * 1024;
+
+/// Why a record, delta or copy was not adopted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rejection {
+    /// The record's signature is not accepted.
+    RecordSignature(SignatureError),
+    /// The record has the sequence in force and states something else.
+    SequenceTaken,
+    /// The record names a snapshot that is empty or too long.
+    SnapshotLength,
+    /// The delta does not lead to the snapshot that the record names.
+    Delta(DeltaError),
+    /// The copy does not have the digest that the record names.
+    CopyDigest,
+    /// The bytes cannot be decoded.
+    Malformed,
+    /// The bundle's sign-off is not accepted.
+    SignOff(SignatureError),
+    /// The record states another bundle version than the snapshot holds.
+    BundleVersion,
+}
+
+/// Checks a record on its own.
+pub(super) fn check_record(record: &RollRecord, trusted: &TrustedKeys) -> Result<(), Rejection> {
+    record.verify(trusted).map_err(Rejection::RecordSignature)?;
+    let length = record.statement.snapshot_length as usize;
+    if length == 0 || length > MAXIMUM_SNAPSHOT_LENGTH {
+        return Err(Rejection::SnapshotLength);
+    }
+    Ok(())
+}
+
+/// The roll that a copy of the snapshot makes.
+pub(super) fn adopt_copy(
+    record: &RollRecord,
+    copy: &[u8],
+    trusted: &TrustedKeys,
+) -> Result<Arc<Installed>, Rejection> {
+    if Digest::of(copy) != record.statement.snapshot {
+        return Err(Rejection::CopyDigest);
+    }
+    let snapshot = Snapshot::try_from_slice(copy).map_err(|_| Rejection::Malformed)?;
+    adopt_snapshot(record, snapshot, trusted)
+}
+
+/// The roll that a delta from the snapshot in force makes.
+pub(super) fn adopt_delta(
+    record: &RollRecord,
+    delta: &SnapshotDelta,
+    installed: &Installed,
+    trusted: &TrustedKeys,
+) -> Result<Arc<Installed>, Rejection> {
+    let snapshot = delta
+        .apply(
+            &installed.snapshot,
+            installed.digest(),
+            record.statement.snapshot,
+        )
+        .map_err(Rejection::Delta)?;
+    adopt_snapshot(record, snapshot, trusted)
+}
+
+fn adopt_snapshot(
+    record: &RollRecord,
+    snapshot: Snapshot,
+    trusted: &TrustedKeys,
+) -> Result<Arc<Installed>, Rejection> {
+    snapshot
+        .verify_sign_off(trusted)
+        .map_err(Rejection::SignOff)?;
+    if snapshot.bundle.version != record.statement.bundle_version {
+        return Err(Rejection::BundleVersion);
+    }
+    Ok(Installed::new(record.clone(), snapshot))
+}
+
+impl Rejection {
+    /// Whether no other source can make the record acceptable.
+    pub(super) fn is_final(self) -> bool {
+        matches!(self, Self::SignOff(_) | Self::BundleVersion)
+    }
+}
+
+impl std::fmt::Display for Rejection {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::RecordSignature(error) => write!(formatter, "roll record: {error}"),
+            Self::SequenceTaken => {
+                formatter.write_str("another roll with the sequence in force was heard")
+            }
+            Self::SnapshotLength => {
+                formatter.write_str("the record names an empty or too long snapshot")
+            }
+            Self::Delta(error) => write!(formatter, "delta: {error}"),
+            Self::CopyDigest => formatter.write_str("the copy has another digest"),
+            Self::Malformed => formatter.write_str("the copy cannot be decoded"),
+            Self::SignOff(error) => write!(formatter, "sign-off: {error}"),
+            Self::BundleVersion => formatter.write_str("the record states another bundle version"),
+        }
+    }
+}
+
+impl std::error::Error for Rejection {}
--- /dev/null
+++ b/crates/woodladder-core/src/replica/counters.rs
@@ -0,0 +1,100 @@
+//! What a replica counts.
+
+use crate::control_message::FrameError;
+use crate::replica::Rejection;
+
+/// Counts since the start of the replica.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ReplicaCounters {
+    /// Rolls put in force.
+    pub adopted: u64,
+    /// Rolls among them that came by a delta.
+    pub adopted_by_delta: u64,
+    /// Messages sent.
+    pub messages_sent: u64,
+    /// Messages received.
+    pub messages_received: u64,
+    /// Bytes of copies sent to others.
+    pub copy_bytes_sent: u64,
+    /// Bytes of copies received.
+    pub copy_bytes_received: u64,
+    /// Reads of the key-value service.
+    pub store_reads: u64,
+    /// Pauses that were noticed.
+    pub pauses: u64,
+    /// Refusals by reason.
+    pub rejections: RejectionCounts,
+}
+
+/// Refusals by reason.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RejectionCounts {
+    /// Frames cut short.
+    pub frame_truncated: u64,
+    /// Frames too long.
+    pub frame_oversized: u64,
+    /// Frames of an unknown version.
+    pub frame_unknown_version: u64,
+    /// Frames whose tag does not match.
+    pub frame_forged: u64,
+    /// Frames that cannot be decoded.
+    pub frame_malformed: u64,
+    /// Records signed by a key that is not trusted, or wrongly signed.
+    pub record_signature: u64,
+    /// Other records under the sequence in force.
+    pub sequence_taken: u64,
+    /// Records that name an empty or too long snapshot.
+    pub snapshot_length: u64,
+    /// Deltas that do not lead to the snapshot rolled.
+    pub delta: u64,
+    /// Copies with another digest.
+    pub copy_digest: u64,
+    /// Values that cannot be decoded.
+    pub malformed: u64,
+    /// Sign-offs that are not accepted.
+    pub sign_off: u64,
+    /// Records that contradict their snapshot.
+    pub bundle_version: u64,
+}
+
+impl RejectionCounts {
+    /// Counts a refused record, delta or copy.
+    pub(super) fn count(&mut self, rejection: Rejection) {
+        let counter = match rejection {
+            Rejection::RecordSignature(_) => &mut self.record_signature,
+            Rejection::SequenceTaken => &mut self.sequence_taken,
+            Rejection::SnapshotLength => &mut self.snapshot_length,
+            Rejection::Delta(_) => &mut self.delta,
+            Rejection::CopyDigest => &mut self.copy_digest,
+            Rejection::Malformed => &mut self.malformed,
+            Rejection::SignOff(_) => &mut self.sign_off,
+            Rejection::BundleVersion => &mut self.bundle_version,
+        };
+        *counter += 1;
+    }
+
+    /// Counts a refused frame.
+    pub(super) fn count_frame(&mut self, error: FrameError) {
+        let counter = match error {
+            FrameError::Truncated => &mut self.frame_truncated,
+            FrameError::Oversized => &mut self.frame_oversized,
+            FrameError::UnknownVersion => &mut self.frame_unknown_version,
+            FrameError::Forged => &mut self.frame_forged,
+            FrameError::Malformed => &mut self.frame_malformed,
+        };
+        *counter += 1;
+    }
+
+    /// Sum over all reasons.
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        let frames = self.frame_truncated
+            + self.frame_oversized
+            + self.frame_unknown_version
+            + self.frame_forged
+            + self.frame_malformed;
+        let records = self.record_signature + self.sequence_taken + self.snapshot_length;
+        let copies = self.delta + self.copy_digest + self.malformed;
+        frames + records + copies + self.sign_off + self.bundle_version
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/replica/event.rs
@@ -0,0 +1,61 @@
+//! What a replica is told and what it asks for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::control_message::{ControlMessage, FrameError};
+use crate::identifier::Sequence;
+use crate::membership::ListedMachine;
+use crate::replica::Installed;
+use crate::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The wake-up time came, or the process woke for another reason.
+    Tick,
+    /// A control message came.
+    Message {
+        /// Address that it came from; answers go there.
+        from: SocketAddr,
+        /// The message.
+        message: ControlMessage,
+    },
+    /// A datagram that is no control message came.
+    BadFrame(FrameError),
+    /// The key-value service answered, or a request to it failed. Answers may
+    /// come late, in any order, several times or never.
+    StoreAnswer {
+        /// The request.
+        request: StoreRequestId,
+        /// What came of it.
+        answer: StoreAnswer,
+    },
+    /// The machine list was read.
+    Machines(Vec<ListedMachine>),
+    /// The data path saw a packet under this sequence.
+    SequenceSeen(Sequence),
+    /// The node begins a planned stop.
+    Leaving,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Send a control message.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// The message.
+        message: ControlMessage,
+    },
+    /// Send a request to the key-value service.
+    Store {
+        /// Number to give with the answer.
+        request: StoreRequestId,
+        /// The request; a replica only reads.
+        operation: StoreOperation,
+    },
+    /// Put a roll in force.
+    Install(Arc<Installed>),
+}
--- /dev/null
+++ b/crates/woodladder-core/src/replica/history.rs
@@ -0,0 +1,115 @@
+//! The last few deltas, so that a node a few rolls behind gets one small
+//! message in place of a full copy.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::bundle::encode;
+use crate::digest::Digest;
+use crate::snapshot_delta::SnapshotDelta;
+
+const MAXIMUM_DELTAS: usize = 8;
+/// A longer delta is not kept: a full copy serves as well.
+const MAXIMUM_DELTA_LENGTH: usize = 48 * 1024;
+
+/// Consecutive deltas that lead to the snapshot in force.
+#[derive(Clone, Debug, Default)]
+pub(super) struct History {
+    result: Digest,
+    deltas: VecDeque<SnapshotDelta>,
+}
+
+impl History {
+    /// Takes note that `delta` led to the snapshot `result`.
+    pub(super) fn push(&mut self, delta: SnapshotDelta, result: Digest) {
+        if delta.base != self.result {
+            self.deltas.clear();
+        }
+        self.result = result;
+        if encode(&delta).len() > MAXIMUM_DELTA_LENGTH {
+            self.deltas.clear();
+            return;
+        }
+        if self.deltas.len() == MAXIMUM_DELTAS {
+            self.deltas.pop_front();
+        }
+        self.deltas.push_back(delta);
+    }
+
+    /// Takes note of the first snapshot.
+    pub(super) fn begin(&mut self, result: Digest) {
+        self.deltas.clear();
+        self.result = result;
+    }
+
+    /// The delta from the snapshot before to the one in force.
+    pub(super) fn last(&self) -> Option<&SnapshotDelta> {
+        self.deltas.back()
+    }
+
+    /// One delta from `base` to the snapshot in force.
+    pub(super) fn since(&self, base: Digest) -> Option<SnapshotDelta> {
+        let start = self.deltas.iter().position(|delta| delta.base == base)?;
+        let mut parts = self.deltas.range(start..);
+        let first = parts.next()?.clone();
+        Some(parts.fold(first, join))
+    }
+}
+
+/// The delta that does what `first` and then `next` do.
+fn join(first: SnapshotDelta, next: &SnapshotDelta) -> SnapshotDelta {
+    let (services, removed_services) = join_lists(
+        (first.services, first.removed_services),
+        (&next.services, &next.removed_services),
+        |service| service.id,
+    );
+    let (targets, removed_targets) = join_lists(
+        (first.targets, first.removed_targets),
+        (&next.targets, &next.removed_targets),
+        |target| target.id,
+    );
+    let (retired, removed_retired) = join_lists(
+        (first.retired, first.removed_retired),
+        (&next.retired, &next.removed_retired),
+        |target| target.id,
+    );
+    SnapshotDelta {
+        base: first.base,
+        version: next.version,
+        sign_off: next.sign_off,
+        zones: next.zones.clone().or(first.zones),
+        services,
+        removed_services,
+        targets,
+        removed_targets,
+        retired,
+        removed_retired,
+    }
+}
+
+fn join_lists<T, K>(
+    first: (Vec<T>, Vec<K>),
+    next: (&[T], &[K]),
+    key: impl Fn(&T) -> K,
+) -> (Vec<T>, Vec<K>)
+where
+    T: Clone,
+    K: Ord + Clone,
+{
+    let mut changed: BTreeMap<K, T> = BTreeMap::new();
+    let mut removed: BTreeSet<K> = first.1.into_iter().collect();
+    for item in first.0 {
+        changed.insert(key(&item), item);
+    }
+    for gone in next.1 {
+        changed.remove(gone);
+        removed.insert(gone.clone());
+    }
+    for item in next.0 {
+        removed.remove(&key(item));
+        changed.insert(key(item), item.clone());
+    }
+    (
+        changed.into_values().collect(),
+        removed.into_iter().collect(),
+    )
+}
--- /dev/null
+++ b/crates/woodladder-core/src/replica/mod.rs
@@ -0,0 +1,40 @@
+//! The replica: keeps the roll in force up to date at one node.
+//!
+//! Every node runs the same state machine; none leads. A replica adopts a roll
+//! only when its sequence is greater than the one in force, its record bears a
+//! trusted operator's signature, its snapshot has the digest that the record
+//! names and the bundle's sign-off is trusted. So it never goes back, and who
+//! delivered the roll does not matter.
+//!
+//! | part | modules |
+//! | --- | --- |
+//! | interface | [`Replica`], [`ReplicaSettings`], [`Event`], [`Action`], [`Installed`] |
+//! | checks | `adoption` |
+//! | spreading | `gossip`, `history`, `copy_server` |
+//! | catching up | `catch_up`, `fetch`, `copy_assembly`, `store_reader`, `pace` |
+//! | confidence | `joining`, `vigilance` |
+
+mod adoption;
+mod catch_up;
+mod copy_assembly;
+mod copy_server;
+mod counters;
+mod event;
+mod fetch;
+mod gossip;
+mod history;
+mod installed;
+mod joining;
+mod machine;
+mod pace;
+mod settings;
+mod store_reader;
+mod vigilance;
+
+pub use adoption::Rejection;
+pub use copy_server::CopyServer;
+pub use counters::{RejectionCounts, ReplicaCounters};
+pub use event::{Action, Event};
+pub use installed::Installed;
+pub use machine::Replica;
+pub use settings::{LEASE_LENGTH, ReplicaSettings, ReplicaTuning};
--- /dev/null
+++ b/crates/woodladder-core/tests/control_world/network.rs
@@ -0,0 +1,343 @@
+//! Replicas that exchange messages over a network with faults.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use woodladder_core::clock::Instant;
+use woodladder_core::control_message::ControlMessage;
+use woodladder_core::identifier::{NodeId, Sequence};
+use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::membership::{ListedMachine, ListedStanding, Locality, Role};
+use woodladder_core::replica::{Action, Event, Replica, ReplicaSettings, ReplicaTuning};
+use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+
+use super::fixture;
+use super::store::Store;
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub loss: f64,
+    pub duplication: f64,
+    pub shortest_delay: Duration,
+    pub longest_delay: Duration,
+}
+
+impl Faults {
+    pub const NONE: Self = Self {
+        loss: 0.0,
+        duplication: 0.0,
+        shortest_delay: Duration::from_micros(500),
+        longest_delay: Duration::from_micros(1500),
+    };
+}
+
+pub struct Node {
+    pub replica: Replica,
+    pub down: bool,
+    pub installed: Vec<Sequence>,
+    pub frozen_until: Instant,
+    wake_at: Instant,
+}
+
+enum Delivery {
+    Wake,
+    Message(SocketAddr, Box<ControlMessage>),
+    StoreAnswer(StoreRequestId, StoreAnswer),
+    StoreRequest(StoreRequestId, StoreOperation),
+}
+
+struct Due {
+    at: Instant,
+    order: u64,
+    node: usize,
+    delivery: Delivery,
+}
+
+pub struct World {
+    pub now: Instant,
+    pub nodes: Vec<Node>,
+    pub store: Store,
+    pub faults: Faults,
+    pub messages: u64,
+    pub bytes: u64,
+    /// Messages between these two halves of the nodes are lost.
+    pub cut_at: Option<usize>,
+    random: ChaCha8Rng,
+    queue: BinaryHeap<Reverse<Due>>,
+    order: u64,
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    let [_, high, middle, low] = u32::try_from(index).unwrap().to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, high, middle, low), 7000))
+}
+
+pub fn settings(index: usize, tuning: ReplicaTuning) -> ReplicaSettings {
+    let region = if index.is_multiple_of(2) {
+        "north"
+    } else {
+        "south"
+    };
+    ReplicaSettings {
+        node: NodeId(index as u64 + 1),
+        role: if index.is_multiple_of(10) {
+            Role::Balancer
+        } else {
+            Role::Agent
+        },
+        locality: Locality::new(region, "a"),
+        control: address(index),
+        seeds: Vec::new(),
+        trusted: fixture::trusted(),
+        tuning,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            now: Instant::ORIGIN,
+            nodes: Vec::new(),
+            store: Store::default(),
+            faults: Faults::NONE,
+            messages: 0,
+            bytes: 0,
+            cut_at: None,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            queue: BinaryHeap::new(),
+            order: 0,
+        }
+    }
+
+    /// Nodes that all know each other by the machine list.
+    pub fn listed(count: usize, seed: u64, tuning: ReplicaTuning) -> Self {
+        let mut world = Self::new(seed);
+        for _ in 0..count {
+            world.add(tuning);
+        }
+        for index in 0..count {
+            world.read_list(index, 0..count);
+        }
+        world
+    }
+
+    pub fn add(&mut self, tuning: ReplicaTuning) -> usize {
+        let index = self.nodes.len();
+        let replica = self.replica(index, tuning);
+        self.nodes.push(Node {
+            replica,
+            down: false,
+            installed: Vec::new(),
+            frozen_until: Instant::ORIGIN,
+            wake_at: Instant::ORIGIN,
+        });
+        self.event(index, Event::Tick);
+        index
+    }
+
+    /// Replaces the process of a node by one that knows nothing.
+    pub fn restart(&mut self, index: usize, tuning: ReplicaTuning) {
+        let replica = self.replica(index, tuning);
+        self.nodes[index].replica = replica;
+        self.nodes[index].installed.clear();
+        self.nodes[index].down = false;
+        self.event(index, Event::Tick);
+    }
+
+    pub fn read_list(&mut self, index: usize, named: impl IntoIterator<Item = usize>) {
+        let machine = |named| ListedMachine {
+            control: address(named),
+            standing: ListedStanding::Live,
+        };
+        let machines = named.into_iter().map(machine).collect();
+        self.event(index, Event::Machines(machines));
+    }
+
+    pub fn event(&mut self, index: usize, event: Event) {
+        let actions = self.nodes[index].replica.handle(event, self.now);
+        for action in actions {
+            self.carry_out(index, action);
+        }
+        let wake_at = self.nodes[index].replica.next_wakeup().max(self.now);
+        if wake_at != self.nodes[index].wake_at {
+            self.nodes[index].wake_at = wake_at;
+            self.push(wake_at, index, Delivery::Wake);
+        }
+    }
+
+    pub fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    /// Runs until the condition holds; false when the time is over before.
+    pub fn run_until(&mut self, time: Duration, condition: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + time;
+        while !condition(self) {
+            if !self.step(end) {
+                self.now = end;
+                return condition(self);
+            }
+        }
+        true
+    }
+
+    pub fn all_have(&self, sequence: Sequence) -> bool {
+        let up = self.nodes.iter().filter(|node| !node.down);
+        up.clone().all(|node| node.replica.sequence() == sequence)
+    }
+
+    /// Panics when a node's roll in force ever went back.
+    pub fn assert_never_reverted(&self) {
+        for node in &self.nodes {
+            assert!(
+                node.installed
+                    .is_sorted_by(|earlier, later| earlier < later)
+            );
+        }
+    }
+
+    fn replica(&mut self, index: usize, tuning: ReplicaTuning) -> Replica {
+        let random = ChaCha8Rng::seed_from_u64(self.random.random());
+        Replica::new(settings(index, tuning), random, self.now)
+    }
+
+    fn step(&mut self, end: Instant) -> bool {
+        let Some(Reverse(due)) = self.queue.peek() else {
+            return false;
+        };
+        if due.at > end {
+            return false;
+        }
+        let Some(Reverse(due)) = self.queue.pop() else {
+            return false;
+        };
+        self.now = due.at;
+        self.deliver(due);
+        true
+    }
+
+    fn deliver(&mut self, due: Due) {
+        let node = &self.nodes[due.node];
+        if node.down {
+            return;
+        }
+        if node.frozen_until > self.now {
+            let at = node.frozen_until;
+            self.push(at, due.node, due.delivery);
+            return;
+        }
+        match due.delivery {
+            Delivery::Wake if node.wake_at > self.now => {}
+            Delivery::Wake => self.event(due.node, Event::Tick),
+            Delivery::Message(from, message) => {
+                let message = *message;
+                self.event(due.node, Event::Message { from, message });
+            }
+            Delivery::StoreAnswer(request, answer) => {
+                self.event(due.node, Event::StoreAnswer { request, answer });
+            }
+            Delivery::StoreRequest(request, operation) => {
+                self.ask_store(due.node, request, operation);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send { to, message } => self.send(index, to, message),
+            Action::Store { request, operation } => self.ask_store(index, request, operation),
+            Action::Install(installed) => self.nodes[index].installed.push(installed.sequence()),
+        }
+    }
+
+    fn ask_store(&mut self, index: usize, request: StoreRequestId, operation: StoreOperation) {
+        if self.store.blocks(&operation) {
+            let later = self.now + Duration::from_millis(200);
+            self.push(later, index, Delivery::StoreRequest(request, operation));
+            return;
+        }
+        let answer = self.store.answer(&operation);
+        let delay = self.delay() * 2;
+        self.push(
+            self.now + delay,
+            index,
+            Delivery::StoreAnswer(request, answer),
+        );
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: ControlMessage) {
+        let frame = message.encode(&TagKey::new([1; 16])).unwrap();
+        self.messages += 1;
+        self.bytes += frame.len() as u64;
+        let Some(to) = (0..self.nodes.len()).position_of(to) else {
+            return;
+        };
+        let is_cut = |cut: usize| (from < cut) != (to < cut);
+        if self.cut_at.is_some_and(is_cut) || self.random.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.random.random_bool(self.faults.duplication));
+        for _ in 0..copies {
+            let at = self.now + self.delay();
+            let delivery = Delivery::Message(address(from), Box::new(message.clone()));
+            self.push(at, to, delivery);
+        }
+    }
+
+    fn delay(&mut self) -> Duration {
+        let range = self.faults.shortest_delay..=self.faults.longest_delay;
+        self.random.random_range(range)
+    }
+
+    fn push(&mut self, at: Instant, node: usize, delivery: Delivery) {
+        self.order += 1;
+        self.queue.push(Reverse(Due {
+            at,
+            order: self.order,
+            node,
+            delivery,
+        }));
+    }
+}
+
+trait PositionOf {
+    fn position_of(self, wanted: SocketAddr) -> Option<usize>;
+}
+
+impl PositionOf for std::ops::Range<usize> {
+    fn position_of(self, wanted: SocketAddr) -> Option<usize> {
+        let SocketAddr::V4(wanted) = wanted else {
+            return None;
+        };
+        let [_, high, middle, low] = wanted.ip().octets();
+        let index = u32::from_be_bytes([0, high, middle, low]) as usize;
+        self.contains(&index).then_some(index)
+    }
+}
+
+impl PartialEq for Due {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Due {}
+
+impl PartialOrd for Due {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Due {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
--- a/crates/woodladder-lab/src/lib.rs
+++ b/crates/woodladder-lab/src/lib.rs
@@ -1,3 +1,4 @@
 //! Laboratory: stand-ins, fault proxy, load, simulation and measurements.
 
+pub mod fault_proxy;
 pub mod stand_in;
--- a/crates/woodladder-lab/src/main.rs
+++ b/crates/woodladder-lab/src/main.rs
@@ -1,3 +1,13 @@
 //! Entry point of the `woodladder-lab` command.
 
-fn main() {}
+mod command;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use command::CommandLine;
+
+fn main() -> ExitCode {
+    CommandLine::parse().run()
+}
