--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -8,7 +8,7 @@
 //! | --- | --- |
 //! | identity and time | [`identifier`], [`clock`], [`finding`], [`digest`], [`signature`] |
 //! | configuration | [`bundle`], [`bundle_source`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
-//! | control plane | [`control_message`], [`membership`], [`replica`], [`store_operation`] |
+//! | control plane | [`control_message`], [`membership`], [`replica`], [`store_operation`], [`roll_command`] |
 //! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
 //! | work of a target | [`admission`], [`request`], [`drain`], [`load`], [`slow_start`] |
 
@@ -30,6 +30,7 @@
 pub mod membership;
 pub mod replica;
 pub mod request;
+pub mod roll_command;
 pub mod roll_record;
 pub mod router;
 pub mod signature;
--- a/crates/woodladder-core/src/replica/adoption.rs
+++ b/crates/woodladder-core/src/replica/adoption.rs
@@ -12,7 +12,7 @@
 use crate::snapshot_delta::{DeltaError, SnapshotDelta};
 
 /// Longest encoding of a snapshot in bytes that a node accepts.
-pub(super) const MAXIMUM_SNAPSHOT_LENGTH: usize = 8 * 1024 * 1024;
+pub const MAXIMUM_SNAPSHOT_LENGTH: usize = 8 * 1024 * 1024;
 
 /// Why a record, delta or copy was not adopted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/woodladder-core/src/replica/mod.rs
+++ b/crates/woodladder-core/src/replica/mod.rs
@@ -31,7 +31,7 @@
 mod store_reader;
 mod vigilance;
 
-pub use adoption::Rejection;
+pub use adoption::{MAXIMUM_SNAPSHOT_LENGTH, Rejection};
 pub use copy_server::CopyServer;
 pub use counters::{RejectionCounts, ReplicaCounters};
 pub use event::{Action, Event};
