Drive an agent's requests by the core's request table

Requests now hold a ticket at a desk that drives the table.

Not tested: relay to another target's agent, migration, IPv6.

--- a/crates/woodladder/src/agent/connection.rs
+++ b/crates/woodladder/src/agent/connection.rs
@@ -134,12 +134,12 @@
 
     fn refusal(&self) -> Option<NotRunReason> {
         if self.flow.declined {
-            return Some(NotRunReason::Overloaded);
+            return Some(NotRunReason::FlowDeclined);
         }
         let refusing = self.told >= Notice::Refusing || !self.shared.control.takes_new_requests();
         // Before any request, the first GOAWAY already names the first one.
         let excluded = self.told >= Notice::Leaving && !self.any_request;
-        (refusing || excluded).then_some(NotRunReason::Draining)
+        (refusing || excluded).then_some(NotRunReason::LEAVING)
     }
 
     fn note_first_request(&mut self) {
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -3,7 +3,6 @@
 use std::fmt;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant as SystemInstant;
 
 use arc_swap::ArcSwap;
 use tokio::sync::watch;
@@ -14,11 +13,12 @@
 use woodladder_core::drain::{Activity, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason};
 use woodladder_core::envelope::Envelope;
 use woodladder_core::load::Usage;
-use woodladder_core::slow_start::EffectiveSlots;
+use woodladder_core::request::RequestEvent;
 use woodladder_core::token::TokenKeys;
 
+use super::clock::Clock;
 use super::counters::Counters;
-use super::slots::Slots;
+use super::request_desk::RequestDesk;
 
 /// How far callers are told that the agent leaves.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -36,9 +36,9 @@
 /// State machines of one agent.
 pub(super) struct Control {
     identity: Identity,
-    origin: SystemInstant,
+    clock: Clock,
     directory: Arc<ArcSwap<Directory>>,
-    slots: Arc<Slots>,
+    desk: Arc<RequestDesk>,
     counters: Arc<Counters>,
     connection_limit: u32,
     machines: Mutex<Machines>,
@@ -60,9 +60,9 @@
     ) -> Self {
         Self {
             identity,
-            origin: SystemInstant::now(),
+            clock: shared.clock,
             directory: shared.directory,
-            slots: shared.slots,
+            desk: shared.desk,
             counters: shared.counters,
             connection_limit: shared.connection_limit,
             machines: Mutex::new(Machines {
@@ -123,6 +123,11 @@
         let now = self.now();
         let actions = self.machines().drain.handle(event, now);
         for action in actions {
+            match action {
+                DrainAction::RefuseRequests => self.desk.handle(RequestEvent::RefuseArrivals),
+                DrainAction::Resume => self.desk.handle(RequestEvent::TakeArrivals),
+                DrainAction::NotifyCallers | DrainAction::Finish => {}
+            }
             self.notice.send_replace(notice(action));
         }
     }
@@ -171,18 +176,18 @@
     }
 
     fn usage(&self) -> Usage {
-        let slots = u16::try_from(self.slots.count()).unwrap_or(u16::MAX);
+        let counts = self.desk.counts();
         Usage {
-            busy_slots: count(self.slots.busy()),
-            queued: count(self.slots.queued()),
-            slots: EffectiveSlots::all(slots),
+            busy_slots: counts.busy,
+            queued: counts.queued,
+            slots: self.desk.effective_slots(),
             open_connections: count(self.counters.connections.load(Ordering::Acquire)),
             connection_limit: self.connection_limit,
         }
     }
 
     fn now(&self) -> Instant {
-        Instant::from_origin(self.origin.elapsed())
+        self.clock.now()
     }
 
     fn machines(&self) -> MutexGuard<'_, Machines> {
@@ -194,7 +199,8 @@
 /// What the machines look at besides their events.
 pub(super) struct SharedState {
     pub(super) directory: Arc<ArcSwap<Directory>>,
-    pub(super) slots: Arc<Slots>,
+    pub(super) clock: Clock,
+    pub(super) desk: Arc<RequestDesk>,
     pub(super) counters: Arc<Counters>,
     pub(super) connection_limit: u32,
 }
--- a/crates/woodladder/src/agent/shared.rs
+++ b/crates/woodladder/src/agent/shared.rs
@@ -5,16 +5,18 @@
 use slog::Logger;
 
 use super::back_end::BackEnd;
+use super::clock::Clock;
 use super::config::Limits;
 use super::control::Control;
 use super::counters::Counters;
-use super::slots::Slots;
+use super::request_desk::RequestDesk;
 
 /// What all connections of one agent share.
 pub(super) struct Shared {
     pub(super) limits: Limits,
     pub(super) back_end: BackEnd,
-    pub(super) slots: Arc<Slots>,
+    pub(super) clock: Clock,
+    pub(super) desk: Arc<RequestDesk>,
     pub(super) counters: Arc<Counters>,
     pub(super) control: Arc<Control>,
     pub(super) logger: Logger,
