--- /dev/null
+++ b/crates/woodladder-lab/src/stand_in/oracle/answers.rs
@@ -0,0 +1,83 @@
+//! Checks of what callers were told.
+
+use std::collections::BTreeSet;
+
+use super::{Evidence, OracleSettings, Violation};
+use crate::stand_in::caller::{NotRunReason, Outcome, OutcomeRecord, UnknownReason};
+use crate::stand_in::operation::OperationId;
+
+pub(super) fn check(
+    evidence: &Evidence,
+    settings: &OracleSettings,
+    violations: &mut Vec<Violation>,
+) {
+    let executed: BTreeSet<OperationId> = evidence
+        .back_ends
+        .iter()
+        .flat_map(|log| &log.executions)
+        .map(|execution| execution.operation)
+        .collect();
+    for record in &evidence.callers.outcomes {
+        match &record.outcome {
+            Outcome::Answered {
+                defect: Some(defect),
+            } => violations.push(Violation::DefectiveAnswer {
+                operation: record.operation,
+                attempt: record.attempt,
+                defect: defect.clone(),
+            }),
+            Outcome::Answered { defect: None } => {
+                if settings.all_logs_present && !executed.contains(&record.operation) {
+                    violations.push(Violation::AnsweredWithoutExecution {
+                        operation: record.operation,
+                        attempt: record.attempt,
+                    });
+                }
+            }
+            Outcome::NotRun {
+                reason: NotRunReason::Told,
+                ..
+            } => check_refusal(record, settings, violations),
+            Outcome::Unknown { reason } => check_cut(record, *reason, settings, violations),
+            Outcome::NotRun { .. } | Outcome::Refused { .. } => {}
+        }
+    }
+}
+
+fn check_refusal(
+    record: &OutcomeRecord,
+    settings: &OracleSettings,
+    violations: &mut Vec<Violation>,
+) {
+    let held_ms = record.ended_ms.saturating_sub(record.asked_ms);
+    if settings
+        .refusal_limit_ms
+        .is_some_and(|limit| held_ms > limit)
+    {
+        violations.push(Violation::RefusalHeldBack {
+            operation: record.operation,
+            attempt: record.attempt,
+            held_ms,
+        });
+    }
+}
+
+/// A lost connection or reset stream cuts a request; a deadline that passes does not.
+fn check_cut(
+    record: &OutcomeRecord,
+    reason: UnknownReason,
+    settings: &OracleSettings,
+    violations: &mut Vec<Violation>,
+) {
+    let cut = match reason {
+        UnknownReason::ConnectionLost | UnknownReason::StreamReset { .. } => true,
+        UnknownReason::Told | UnknownReason::TimedOut | UnknownReason::AnswerTooLarge => false,
+    };
+    if cut && settings.planned_changes_only {
+        violations.push(Violation::RequestCut {
+            operation: record.operation,
+            attempt: record.attempt,
+            reason,
+        });
+    }
+}
