--- a/crates/woodladder-core/src/replica/catch_up.rs
+++ b/crates/woodladder-core/src/replica/catch_up.rs
@@ -124,13 +124,13 @@
         if !self.begin_fetch(record, now) {
             return;
         }
-        match (&mut self.fetch, source) {
-            (Some(fetch), Some(source)) => {
-                fetch.add_source(source);
-                fetch.offered(&delta);
-            }
-            (Some(fetch), None) => fetch.read_store_soon(now, &mut self.random),
-            (None, _) => {}
+        let Some(source) = source else {
+            self.allow_store_read(now);
+            return;
+        };
+        if let Some(fetch) = &mut self.fetch {
+            fetch.add_source(source);
+            fetch.offered(&delta);
         }
     }
 
@@ -159,9 +159,17 @@
             if *fetch.record() == record {
                 return true;
             }
-            if fetch.record().sequence() >= sequence && !fetch.is_stuck() {
+            let greater = fetch.record().sequence() >= sequence;
+            if greater && !fetch.is_stuck() {
                 return false;
             }
+            if greater {
+                let put_off = fetch.record().clone();
+                let known = self.deferred.take();
+                self.deferred = known
+                    .filter(|known| known.sequence() > put_off.sequence())
+                    .or(Some(put_off));
+            }
         }
         self.fetch = Some(Fetch::new(record, self.record_request(), now));
         true
@@ -180,6 +188,23 @@
         self.try_delta(&record, &delta, now)
     }
 
+    /// Fetches the greater record that was put off, once the smaller one is in
+    /// force.
+    pub(super) fn resume_deferred(&mut self, now: Instant) {
+        let Some(record) = self.deferred.take() else {
+            return;
+        };
+        if record.sequence() > self.sequence() && self.begin_fetch(record, now) {
+            self.allow_store_read(now);
+        }
+    }
+
+    fn allow_store_read(&mut self, now: Instant) {
+        if let Some(fetch) = &mut self.fetch {
+            fetch.read_store_soon(now, &mut self.random);
+        }
+    }
+
     fn try_delta(&mut self, record: &RollRecord, delta: &SnapshotDelta, now: Instant) -> bool {
         let Some(installed) = self.installed.clone() else {
             return false;
--- a/crates/woodladder-core/src/replica/install.rs
+++ b/crates/woodladder-core/src/replica/install.rs
@@ -49,6 +49,7 @@
         }
         self.actions.push(Action::Install(next));
         self.spread();
+        self.resume_deferred(now);
     }
 
     fn remember_delta(&mut self, next: &Installed, delta: Option<SnapshotDelta>) {
