Measure broken flows and imbalance of the chosen way against baselines

A flow-level model on a virtual clock drives the core's admission, request table, drain, slow start and router at the sizes of both deployments; the ways compared see the same flows. A first model took one packet at an agent that does not know its flow for a break; QUIC repeats packets, so a flow now counts as broken when none arrives for 16 s.

--- a/crates/woodladder-lab/src/command.rs
+++ b/crates/woodladder-lab/src/command.rs
@@ -1,5 +1,6 @@
 //! Command line of `woodladder-lab`. Each subcommand has a module of its own.
 
+mod measure;
 mod stand_in;
 mod time_text;
 
@@ -17,6 +18,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Measure broken flows, imbalance, the balancer's decision and its packet path.
+    Measure(measure::MeasureCommand),
     /// Run one stand-in until SIGTERM; its first line of output is JSON with the bound addresses.
     StandIn(stand_in::StandInCommand),
 }
@@ -25,6 +28,7 @@
     /// Runs the chosen subcommand.
     pub fn run(self) -> ExitCode {
         match self.command {
+            Command::Measure(command) => command.run(),
             Command::StandIn(command) => command.run(),
         }
     }
