Let callers have their last bytes before a drained agent ends

A refused or failed request counted as over once its answer was written, so an agent could be drained and gone before the caller had it; and `drained` ended before the last GOAWAY was out. A finished stream is now open until it is acknowledged, and `drained` waits a bounded time for connections to close. A reset stream is not awaited: the transport does not tell when a reset is acknowledged.

--- a/crates/woodladder/src/agent/connection.rs
+++ b/crates/woodladder/src/agent/connection.rs
@@ -13,7 +13,7 @@
 use super::control::Notice;
 use super::counters::{GaugeGuard, RequestEnd};
 use super::outcome::NotRunReason;
-use super::request::{self, CallerRequest};
+use super::request::{self, CallerRequest, Conclusion};
 use super::shared::Shared;
 use super::stream::{CallerConnection, LastAccepted, Stopped};
 
@@ -26,7 +26,7 @@
 const NO_MORE_REQUESTS: usize = 1;
 /// How long a connection without requests stays open after the last GOAWAY,
 /// for the requests that crossed it and must be told that they didn't run.
-const CLOSE_DELAY: Duration = Duration::from_millis(500);
+pub(super) const CLOSE_DELAY: Duration = Duration::from_millis(500);
 
 type Http = server::Connection<CallerConnection, Bytes>;
 type Resolver = RequestResolver<CallerConnection, Bytes>;
@@ -161,14 +161,14 @@
     let Ok(Ok(request)) = timeout(deadline, resolve(resolver)).await else {
         return;
     };
-    let end = tokio::select! {
+    let conclusion = tokio::select! {
         biased;
-        _ = &mut stopped => RequestEnd::Cancelled,
-        end = request::run(request, refusal, &shared) => end,
+        _ = &mut stopped => Conclusion::reset(RequestEnd::Cancelled),
+        conclusion = request::run(request, refusal, &shared) => conclusion,
     };
-    shared.counters.end_request(end);
-    if matches!(end, RequestEnd::Answered | RequestEnd::NotRun) {
-        // The stream has ended only when the caller has all of it. Without
+    shared.counters.end_request(conclusion.end);
+    if conclusion.finished {
+        // A finished stream has ended when the caller has all of it. Without
         // the connection the outcome no longer matters.
         let _ = stopped.await;
     }
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use slog::{Logger, info};
 use tokio::sync::watch;
 use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Decision, Identity};
 use woodladder_core::carrier::Packet;
@@ -41,6 +42,7 @@
     desk: Arc<RequestDesk>,
     counters: Arc<Counters>,
     connection_limit: u32,
+    logger: Logger,
     machines: Mutex<Machines>,
     notice: watch::Sender<Notice>,
 }
@@ -65,6 +67,7 @@
             desk: shared.desk,
             counters: shared.counters,
             connection_limit: shared.connection_limit,
+            logger: shared.logger,
             machines: Mutex::new(Machines {
                 admission: Admission::new(identity, keys, options),
                 drain,
@@ -128,6 +131,7 @@
                 DrainAction::Resume => self.desk.handle(RequestEvent::TakeArrivals),
                 DrainAction::NotifyCallers | DrainAction::Finish => {}
             }
+            info!(self.logger, "agent: {}", description(action));
             self.notice.send_replace(notice(action));
         }
     }
@@ -203,6 +207,7 @@
     pub(super) desk: Arc<RequestDesk>,
     pub(super) counters: Arc<Counters>,
     pub(super) connection_limit: u32,
+    pub(super) logger: Logger,
 }
 
 impl fmt::Debug for Control {
@@ -223,6 +228,15 @@
     }
 }
 
+fn description(action: DrainAction) -> &'static str {
+    match action {
+        DrainAction::NotifyCallers => "leaving, no new flows",
+        DrainAction::RefuseRequests => "leaving, no new requests",
+        DrainAction::Resume => "serving again",
+        DrainAction::Finish => "drained",
+    }
+}
+
 fn count(value: usize) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/woodladder/src/agent/handle.rs
+++ b/crates/woodladder/src/agent/handle.rs
@@ -11,7 +11,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 use volo_http::error::ClientError;
 use woodladder_core::admission::{AdmissionOptions, Identity};
 use woodladder_core::drain::{Drain, DrainEvent, DrainReason};
@@ -22,6 +22,7 @@
 use super::back_end::BackEnd;
 use super::clock::Clock;
 use super::config::{AgentConfig, Limits};
+use super::connection::CLOSE_DELAY;
 use super::control::{Control, Notice, SharedState};
 use super::counters::{AgentStatus, Counters};
 use super::egress::Egress;
@@ -33,6 +34,8 @@
 
 /// How often the agent looks at the directory and the drain's clock.
 const TICK: Duration = Duration::from_millis(100);
+/// How long a drained agent waits for its callers to know.
+const CLOSE_PATIENCE: Duration = CLOSE_DELAY.saturating_mul(4);
 /// H3_NO_ERROR (RFC 9114, section 8.1).
 const NO_ERROR: VarInt = VarInt::from_u32(0x100);
 
@@ -99,6 +102,7 @@
                 desk: Arc::clone(&desk),
                 counters: Arc::clone(&counters),
                 connection_limit: limits.connections,
+                logger: config.logger.clone(),
             },
         ));
         let gate = Arc::new(Gate::new(Arc::clone(&control), Arc::clone(&counters)));
@@ -155,11 +159,14 @@
         self.shared.control.drain(DrainEvent::Withdraw(reason));
     }
 
-    /// Waits until the agent leaves and its last request has ended.
+    /// Waits until the agent leaves and its last request has ended, and until
+    /// callers know so, which takes a bounded time.
     pub async fn drained(&self) {
         let mut notices = self.shared.control.notices();
         // The sender lives as long as this handle.
         let _ = notices.wait_for(|notice| *notice == Notice::Drained).await;
+        // Connections close by themselves; what is left is closed by the stop.
+        let _ = timeout(CLOSE_PATIENCE, self.endpoint.wait_idle()).await;
     }
 
     /// What the agent does now.
--- a/crates/woodladder/src/agent/request.rs
+++ b/crates/woodladder/src/agent/request.rs
@@ -37,6 +37,14 @@
     pub(super) receiver: Receiver,
 }
 
+/// How a request's run ended.
+pub(super) struct Conclusion {
+    /// What became of the request.
+    pub(super) end: RequestEnd,
+    /// Whether the caller's stream was finished, rather than reset.
+    pub(super) finished: bool,
+}
+
 /// Why a request has no answer of the back end.
 enum Failure {
     NotRun {
@@ -73,7 +81,7 @@
     request: CallerRequest,
     refusal: Option<NotRunReason>,
     shared: &Shared,
-) -> RequestEnd {
+) -> Conclusion {
     let CallerRequest {
         parts,
         sender,
@@ -96,7 +104,7 @@
             let response = outcome::unknown(reason, repeatable);
             conclude(sender, response, RequestEnd::Unknown).await
         }
-        Err(Failure::Cancelled) => RequestEnd::Cancelled,
+        Err(Failure::Cancelled) => Conclusion::reset(RequestEnd::Cancelled),
     }
 }
 
@@ -213,7 +221,7 @@
 }
 
 /// Passes an answer on. One that breaks off resets the caller's stream.
-async fn relay(mut sender: Sender, answer: Answer, shared: &Shared) -> RequestEnd {
+async fn relay(mut sender: Sender, answer: Answer, shared: &Shared) -> Conclusion {
     let Answer {
         response,
         refusal,
@@ -235,7 +243,7 @@
         }
     };
     match relayed {
-        Ok(()) if refusal => RequestEnd::NotRun,
+        Ok(()) if refusal => Conclusion::finished(RequestEnd::NotRun),
         Ok(()) => {
             ticket.handle(RequestEvent::AnswerEnd {
                 id: ticket.id(),
@@ -245,16 +253,16 @@
                 let service_time = shared.clock.now().since(begun_at);
                 shared.desk.record_service_time(service_time);
             }
-            RequestEnd::Answered
+            Conclusion::finished(RequestEnd::Answered)
         }
-        Err(RelayError::Caller) => RequestEnd::Cancelled,
+        Err(RelayError::Caller) => Conclusion::reset(RequestEnd::Cancelled),
         Err(RelayError::BackEnd) => {
             ticket.handle(RequestEvent::AnswerEnd {
                 id: ticket.id(),
                 complete: false,
             });
             sender.stop_stream(Code::H3_INTERNAL_ERROR);
-            RequestEnd::Unknown
+            Conclusion::reset(RequestEnd::Unknown)
         }
     }
 }
@@ -277,11 +285,27 @@
 }
 
 /// Ends a request with an answer of the agent's own.
-async fn conclude(mut sender: Sender, response: Response<()>, end: RequestEnd) -> RequestEnd {
+async fn conclude(mut sender: Sender, response: Response<()>, end: RequestEnd) -> Conclusion {
     if sender.send_response(response).await.is_err() || sender.finish().await.is_err() {
-        return RequestEnd::Cancelled;
+        return Conclusion::reset(RequestEnd::Cancelled);
+    }
+    Conclusion::finished(end)
+}
+
+impl Conclusion {
+    fn finished(end: RequestEnd) -> Self {
+        Self {
+            end,
+            finished: true,
+        }
+    }
+
+    pub(super) fn reset(end: RequestEnd) -> Self {
+        Self {
+            end,
+            finished: false,
+        }
     }
-    end
 }
 
 impl Shared {
--- a/crates/woodladder/tests/agent_flows.rs
+++ b/crates/woodladder/tests/agent_flows.rs
@@ -123,6 +123,37 @@
     within("the drain", world.agent().drained()).await;
 }
 
+#[tokio::test]
+async fn flow_survives_a_change_of_the_callers_address() {
+    let mut world = World::start(Limits::default()).await;
+    let caller = world.caller().await;
+    let mut feed = caller.get("/feed").await;
+    let mut exchange = world.back_end().next().await;
+    exchange.begin_feed().await;
+    head(&mut feed).await;
+    caller.change_address();
+    for event in ["data: 1\n\n", "data: 2\n\n"] {
+        exchange.write_chunk(event).await;
+        let received = next(&mut feed).await.unwrap();
+        assert_eq!(received.as_deref(), Some(event.as_bytes()));
+    }
+    assert_eq!(world.agent().status().connections, 1);
+}
+
+#[tokio::test]
+async fn agent_relays_flows_that_a_balancer_cannot_place() {
+    let back_ends = vec![BackEnd::start().await, BackEnd::start().await];
+    let mut world = World::with_back_ends(Limits::default(), back_ends).await;
+    world.agent().begin_drain(DrainReason::Signal);
+    let caller = world.caller().await;
+    world.fabric.route_by(&world.older_layout(0));
+    let mut stream = caller.get("/").await;
+    world.peers[1].back_end.next().await.answer("found").await;
+    head(&mut stream).await;
+    assert_eq!(body(&mut stream).await.unwrap(), b"found");
+    assert!(world.agent().status().flows.relayed > 0);
+}
+
 #[tokio::test]
 async fn restarted_agent_ends_old_flows_at_once() {
     let (world, mut sockets) = World::without_agents(1).await;
--- a/crates/woodladder/tests/agent_support/mod.rs
+++ b/crates/woodladder/tests/agent_support/mod.rs
@@ -124,6 +124,14 @@
         Caller::connect(self.fabric.service_address, &self.certificate.chain).await
     }
 
+    /// What a balancer has whose bundle holds only the target at `position`.
+    pub fn older_layout(&self, position: usize) -> Arc<ArcSwap<Directory>> {
+        let mut targets = targets(self.peers.iter().map(|peer| peer.address));
+        let target = targets.swap_remove(position);
+        let layout = directory(Sequence(1), self.fabric.service_address, vec![target]);
+        Arc::new(ArcSwap::from_pointee(layout))
+    }
+
     /// Puts a bundle in force in which the first target leaves.
     pub fn roll_first_leaving(&self) {
         let mut targets = targets(self.peers.iter().map(|peer| peer.address));
