--- a/crates/woodladder-core/tests/replica_adoption.rs
+++ b/crates/woodladder-core/tests/replica_adoption.rs
@@ -65,7 +65,7 @@
                 .prop_map(|(roll, with_delta)| Heard::Offer { roll, with_delta }),
             1 => (0..ROLLS).prop_map(|roll| Heard::ForgedOffer { roll }),
             1 => (1..ROLLS).prop_map(|roll| Heard::AlteredDelta { roll }),
-            1 => (0..ROLLS).prop_map(|roll| Heard::DamagedChunk { roll }),
+            2 => (0..ROLLS).prop_map(|roll| Heard::DamagedChunk { roll }),
             2 => (0..ROLLS).prop_map(|roll| Heard::StoreValue { roll }),
             4 => Just(Heard::Answers),
             1 => any::<u8>().prop_map(Heard::Pause),
@@ -178,6 +178,19 @@
     bytes.chunks(CHUNK_LENGTH).enumerate().map(chunk).collect()
 }
 
+/// The last chunk with a retired target's time changed, which no sign-off
+/// covers.
+fn damaged_last_chunk(content: CopyContent, roll: &Roll) -> ControlMessage {
+    let mut copy = roll.snapshot.encode();
+    *copy.last_mut().unwrap() ^= 1;
+    let index = (copy.len() - 1) / CHUNK_LENGTH;
+    ControlMessage::CopyChunk(CopyChunk {
+        content,
+        index: index as u32,
+        bytes: copy[index * CHUNK_LENGTH..].to_vec(),
+    })
+}
+
 fn stored(operation: &StoreOperation) -> StoreAnswer {
     let StoreOperation::Read {
         key: StoreKey::Snapshot(digest),
@@ -238,11 +251,7 @@
             }
             Heard::DamagedChunk { roll } => {
                 let content = CopyContent::Snapshot(chain[roll].snapshot.digest());
-                subject.hear(ControlMessage::CopyChunk(CopyChunk {
-                    content,
-                    index: 0,
-                    bytes: vec![0; CHUNK_LENGTH],
-                }));
+                subject.hear(damaged_last_chunk(content, &chain[roll]));
             }
             Heard::StoreValue { roll } => subject.event(Event::StoreAnswer {
                 request: woodladder_core::store_operation::StoreRequestId(1_000),
