Aim the admission properties at the target under test

The generator of envelopes seldom met the target under test, and nothing asked the second case by itself.

Change: envelopes and tokens name the target under test three times in four; two cases for lists of one target.

--- a/crates/woodladder-core/tests/admission.rs
+++ b/crates/woodladder-core/tests/admission.rs
@@ -59,12 +59,19 @@
     )
 }
 
+/// Mostly the target under test.
+fn any_target() -> impl Strategy<Value = TargetId> {
+    prop_oneof![3 => Just(1), 1 => 1..15_u32].prop_map(TargetId)
+}
+
 fn any_route() -> impl Strategy<Value = Route> {
-    let established = (1..15_u32).prop_map(|id| Route::Established(TargetId(id)));
-    let relay = (1..15_u32).prop_map(|id| Route::Relay(TargetId(id)));
-    let first = (1..15_u32, 1..15_u32, 0..2_u8, any::<bool>())
-        .prop_map(|(one, two, at, last)| Route::First(first_route(&[one, two], at, last)));
-    prop_oneof![established, relay, first]
+    let first = (any_target(), any_target(), 0..2_u8, any::<bool>())
+        .prop_map(|(one, two, at, last)| Route::First(first_route(&[one.0, two.0], at, last)));
+    prop_oneof![
+        any_target().prop_map(Route::Established),
+        any_target().prop_map(Route::Relay),
+        first,
+    ]
 }
 
 proptest! {
@@ -74,13 +81,12 @@
         to_print: bool,
         sequence in 0..9_u64,
         route in any_route(),
-        token_of in prop::option::of(1..15_u32),
+        named in prop::option::of(any_target()),
         is_first: bool,
         key_number in 1..3_u8,
         busy in 0..20_u32,
     ) {
         let service = if to_print { PRINT } else { KITCHEN };
-        let named = token_of.map(TargetId);
         let id = named.map_or(vec![9; 20], |target| {
             keys(key_number).issue(target, [3; 7]).to_vec()
         });
@@ -278,6 +284,24 @@
     assert!(route.last);
 }
 
+#[test]
+fn a_list_of_one_target_does_not_undo_an_earlier_decision() {
+    let mut model = model(1).with_busy(8);
+    let (to, _) = handed_on(verdict(&mut model, first_envelope(5, &[1, 2])));
+    let (again, route) = handed_on(verdict(&mut model, first_envelope(4, &[1])));
+    assert_eq!(again, to);
+    assert!(route.last);
+}
+
+#[test]
+fn a_leaving_target_alone_on_its_list_knows_another() {
+    let mut model = model(1);
+    model.conditions.takes_new_flows = false;
+    let (to, route) = handed_on(verdict(&mut model, first_envelope(5, &[1])));
+    assert_ne!(to, TargetId(1));
+    assert!(route.last);
+}
+
 #[test]
 fn a_moved_service_address_is_not_admitted() {
     let mut sent = first_envelope(5, &[1]);
