End a declined flow's connection after its first refusal

A flow that admission took only to decline stayed declined for as long as its caller kept the connection, also when the target had room again: a caller who waited for Retry-After and asked on the same connection was refused for ever.

The connection now gets the last GOAWAY after its first refused request and closes once that answer has arrived. A GOAWAY before the first request was ruled out: client libraries then fail the request without asking, and the caller never learns when to come back. A connection on which the caller itself ends requests waits for its last answers before it closes.

--- a/crates/woodladder/src/agent/connection.rs
+++ b/crates/woodladder/src/agent/connection.rs
@@ -58,6 +58,7 @@
         flow,
         notices: shared.control.notices(),
         told: Notice::Serving,
+        told_first: false,
         close_at: None,
         any_request: false,
         requests: JoinSet::new(),
@@ -73,6 +74,9 @@
     notices: watch::Receiver<Notice>,
     /// What this caller was told; it never goes back.
     told: Notice,
+    /// Whether the first GOAWAY came before any request, and so already
+    /// excludes all of them.
+    told_first: bool,
     close_at: Option<Instant>,
     any_request: bool,
     requests: JoinSet<()>,
@@ -90,8 +94,14 @@
             let close_at = self.close_at.filter(|_| self.requests.is_empty());
             tokio::select! {
                 accepted = self.http.accept() => match accepted {
-                    Ok(Some(resolver)) => self.start(resolver),
-                    Ok(None) | Err(_) => return,
+                    Ok(Some(resolver)) => {
+                        self.start(resolver);
+                        if self.tell().await.is_err() {
+                            return;
+                        }
+                    }
+                    Ok(None) => return self.finish().await,
+                    Err(_) => return,
                 },
                 changed = self.notices.changed() => {
                     if changed.is_err() || self.tell().await.is_err() {
@@ -106,11 +116,16 @@
         }
     }
 
-    /// Brings the caller up to the agent's notice.
+    /// Brings the caller up to the agent's notice. A declined flow is told to
+    /// go after its first request, so that the caller may come back on another.
     async fn tell(&mut self) -> Result<(), ConnectionError> {
-        let notice = *self.notices.borrow_and_update();
+        let mut notice = *self.notices.borrow_and_update();
+        if self.flow.declined && self.any_request {
+            notice = notice.max(Notice::Refusing);
+        }
         if notice >= Notice::Leaving && self.told < Notice::Leaving {
             self.told = Notice::Leaving;
+            self.told_first = !self.any_request;
             self.http.shutdown(ALL_REQUESTS).await?;
         }
         if notice >= Notice::Refusing && self.told < Notice::Refusing {
@@ -121,12 +136,20 @@
         Ok(())
     }
 
+    /// The caller opens no more requests: its last answers are still awaited.
+    async fn finish(mut self) {
+        while self.requests.join_next().await.is_some() {}
+    }
+
     fn start(&mut self, resolver: Resolver) {
         let Some(stopped) = self.last.claim() else {
             return;
         };
         let refusal = self.refusal();
-        self.note_first_request();
+        if refusal.is_none() && !self.any_request {
+            self.shared.control.request_arrived(self.flow.hash);
+        }
+        self.any_request = true;
         let shared = Arc::clone(&self.shared);
         self.requests
             .spawn(serve_stream(resolver, stopped, refusal, shared));
@@ -137,16 +160,7 @@
             return Some(NotRunReason::FlowDeclined);
         }
         let refusing = self.told >= Notice::Refusing || !self.shared.control.takes_new_requests();
-        // Before any request, the first GOAWAY already names the first one.
-        let excluded = self.told >= Notice::Leaving && !self.any_request;
-        (refusing || excluded).then_some(NotRunReason::LEAVING)
-    }
-
-    fn note_first_request(&mut self) {
-        if !self.any_request && self.told < Notice::Leaving {
-            self.any_request = true;
-            self.shared.control.request_arrived(self.flow.hash);
-        }
+        (refusing || self.told_first).then_some(NotRunReason::LEAVING)
     }
 }
 
--- a/crates/woodladder/tests/agent_flows.rs
+++ b/crates/woodladder/tests/agent_flows.rs
@@ -66,7 +66,7 @@
 #[tokio::test]
 async fn flow_that_no_target_takes_is_told_so_at_once() {
     let mut world = World::start(Limits::default()).await;
-    world.agent().begin_drain(DrainReason::Signal);
+    world.agent().begin_drain(DrainReason::MachineList);
     let caller = world.caller().await;
     let mut stream = caller.get("/").await;
     let response = head(&mut stream).await;
@@ -75,6 +75,14 @@
     assert!(field(&response, "retry-after").is_some());
     assert_eq!(world.agent().status().flows.declined, 1);
     assert!(world.back_end().is_idle());
+
+    // The connection ends, so that the caller can come back on another.
+    within("the connection", caller.connection.closed()).await;
+    world.agent().withdraw_drain(DrainReason::MachineList);
+    let caller = world.caller().await;
+    let mut stream = caller.get("/").await;
+    world.back_end().next().await.answer("taken").await;
+    assert_eq!(head(&mut stream).await.status(), StatusCode::OK);
 }
 
 #[tokio::test]
