--- a/crates/woodladder-lab/src/stand_in/caller/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/caller/mod.rs
@@ -142,6 +142,7 @@
             service: self.shared.config.service.clone(),
             repeatable: operation.kind.is_repeatable(),
             outcome: outcome.clone(),
+            gave_up_early: limit < self.shared.config.request_timeout,
             asked_ms,
             ended_ms: unix_milliseconds(),
         });
--- a/crates/woodladder-lab/src/stand_in/caller/outcome_log.rs
+++ b/crates/woodladder-lab/src/stand_in/caller/outcome_log.rs
@@ -20,6 +20,8 @@
     pub repeatable: bool,
     /// What became of the attempt.
     pub outcome: Outcome,
+    /// Whether the caller set a limit shorter than its usual one.
+    pub gave_up_early: bool,
     /// When it was asked.
     pub asked_ms: u64,
     /// When its outcome was known.
--- a/crates/woodladder-lab/src/stand_in/oracle/answers.rs
+++ b/crates/woodladder-lab/src/stand_in/oracle/answers.rs
@@ -62,18 +62,20 @@
     }
 }
 
-/// A lost connection or reset stream cuts a request; a deadline that passes does not.
+/// Without faults every request is answered or refused, unless its caller gives up early.
 fn check_cut(
     record: &OutcomeRecord,
     reason: UnknownReason,
     settings: &OracleSettings,
     violations: &mut Vec<Violation>,
 ) {
-    let cut = match reason {
-        UnknownReason::ConnectionLost | UnknownReason::StreamReset { .. } => true,
-        UnknownReason::Told | UnknownReason::TimedOut | UnknownReason::AnswerTooLarge => false,
+    let excused = match reason {
+        UnknownReason::Told | UnknownReason::TimedOut => record.gave_up_early,
+        UnknownReason::ConnectionLost
+        | UnknownReason::StreamReset { .. }
+        | UnknownReason::AnswerTooLarge => false,
     };
-    if cut && settings.planned_changes_only {
+    if settings.planned_changes_only && !excused {
         violations.push(Violation::RequestCut {
             operation: record.operation,
             attempt: record.attempt,
--- a/crates/woodladder-lab/src/stand_in/oracle/executions.rs
+++ b/crates/woodladder-lab/src/stand_in/oracle/executions.rs
@@ -4,7 +4,7 @@
 
 use super::{Evidence, OracleSettings, Violation};
 use crate::stand_in::caller::{Outcome, OutcomeRecord};
-use crate::stand_in::execution_log::Execution;
+use crate::stand_in::execution_log::{Execution, ExecutionLog};
 use crate::stand_in::operation::OperationId;
 
 type AttemptsByOperation<'a> = BTreeMap<OperationId, Vec<&'a OutcomeRecord>>;
@@ -101,10 +101,7 @@
     }
 }
 
-fn check_arrivals(
-    log: &crate::stand_in::execution_log::ExecutionLog,
-    violations: &mut Vec<Violation>,
-) {
+fn check_arrivals(log: &ExecutionLog, violations: &mut Vec<Violation>) {
     for arrival in &log.wrong_service_arrivals {
         violations.push(Violation::WrongService {
             service: arrival.service.clone(),
--- a/crates/woodladder-lab/tests/stand_in_oracle.rs
+++ b/crates/woodladder-lab/tests/stand_in_oracle.rs
@@ -40,6 +40,7 @@
         service: SERVICE.to_owned(),
         repeatable: false,
         outcome,
+        gave_up_early: false,
         asked_ms: 5,
         ended_ms: 25,
     }
@@ -52,19 +53,24 @@
     }
 }
 
+fn unknown(reason: UnknownReason) -> Outcome {
+    Outcome::Unknown { reason }
+}
+
 fn answered(defect: Option<AnswerDefect>) -> Outcome {
     Outcome::Answered { defect }
 }
 
-/// Operation 1 is refused once and then answered; operation 2 times out while it runs; operation 3
+/// Operation 1 is refused once and then answered; operation 2 is given up while it runs; operation 3
 /// is refused for good; one feed is watched; the back end gets work soon after it started to leave.
 fn clean() -> Evidence {
     let late = Execution {
         leaving_for_ms: Some(5_000),
         ..execution(2, Some(1))
     };
-    let timed_out = Outcome::Unknown {
-        reason: UnknownReason::TimedOut,
+    let given_up = OutcomeRecord {
+        gave_up_early: true,
+        ..record(2, 1, unknown(UnknownReason::TimedOut))
     };
     Evidence {
         back_ends: vec![ExecutionLog {
@@ -81,7 +87,7 @@
             outcomes: vec![
                 record(1, 1, not_run()),
                 record(1, 2, answered(None)),
-                record(2, 1, timed_out),
+                given_up,
                 record(3, 1, not_run()),
             ],
             feeds: vec![FeedRecord {
@@ -264,12 +270,19 @@
 
 #[test]
 fn sees_a_request_and_a_feed_cut_by_a_planned_change() {
-    for reason in [
-        UnknownReason::ConnectionLost,
-        UnknownReason::StreamReset { code: None },
-    ] {
+    let lost = UnknownReason::ConnectionLost;
+    let reset = UnknownReason::StreamReset { code: None };
+    let (told, timed_out) = (UnknownReason::Told, UnknownReason::TimedOut);
+    let cases = [
+        (lost, true),
+        (reset, true),
+        (told, false),
+        (timed_out, false),
+    ];
+    for (reason, gave_up_early) in cases {
         let found = violations(|evidence| {
-            evidence.callers.outcomes[2].outcome = Outcome::Unknown { reason };
+            evidence.callers.outcomes[2].outcome = unknown(reason);
+            evidence.callers.outcomes[2].gave_up_early = gave_up_early;
         });
         let expected = Violation::RequestCut {
             operation: OperationId(2),
--- a/crates/woodladder-lab/tests/support/h3_server.rs
+++ b/crates/woodladder-lab/tests/support/h3_server.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use woodladder_lab::stand_in::answer;
 use woodladder_lab::stand_in::operation::OperationId;
+use woodladder_lab::stand_in::socket::bind_std_udp;
 
 /// What the server does with one request. Without a step left it answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -67,7 +68,15 @@
         let crypto = QuicServerConfig::try_from(tls).expect("QUIC");
         let config = quinn::ServerConfig::with_crypto(Arc::new(crypto));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let endpoint = quinn::Endpoint::server(config, any).expect("endpoint");
+        let socket = bind_std_udp(any).expect("socket");
+        let runtime = Arc::new(quinn::TokioRuntime);
+        let endpoint = quinn::Endpoint::new(
+            quinn::EndpointConfig::default(),
+            Some(config),
+            socket,
+            runtime,
+        )
+        .expect("endpoint");
         let server = Self {
             address: endpoint.local_addr().expect("address"),
             certificate,
