Take no flows while the back end takes no connections

An agent whose back end was down answered each request at once as not run, held no slot by it, and so stated the least load of all: it drew flows to where they could not be served.

After a failed connection the agent has no slots, refuses waiting and new requests at once, and hands new flows on. The health endpoint was ruled out as the sign, because it lags; the connection itself does not.

--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -83,7 +83,7 @@
         self.adopt(&mut machines, now);
         let conditions = Conditions {
             usage: self.usage(),
-            takes_new_flows: machines.drain.takes_new_flows(),
+            takes_new_flows: machines.drain.takes_new_flows() && !self.desk.is_back_end_down(),
         };
         machines
             .admission
--- a/crates/woodladder/src/agent/request.rs
+++ b/crates/woodladder/src/agent/request.rs
@@ -139,7 +139,6 @@
         Ok(_) => return Err(fail(ticket, None, shared).await),
         Err(error) => return Err(fail(ticket, Some(error), shared).await),
     };
-    shared.desk.back_end_up();
     Ok(begin_answer(response, begun_at, ticket))
 }
 
@@ -177,8 +176,9 @@
         },
         Some(BackEndError::InvalidRequest) => return shared.not_run(NotRunReason::InvalidRequest),
         Some(BackEndError::Unreachable) => {
-            shared.desk.back_end_down();
-            RequestEvent::BackEndFailed(ticket.id())
+            ticket.handle(RequestEvent::BackEndFailed(ticket.id()));
+            shared.back_end_down();
+            return given_up(&mut ticket).await;
         }
         Some(BackEndError::Failed) => {
             // Any failure but that of the connection counts as after the
--- a/crates/woodladder/src/agent/request_desk.rs
+++ b/crates/woodladder/src/agent/request_desk.rs
@@ -34,7 +34,7 @@
     table: RequestTable,
     slots: u16,
     slow_start: Option<SlowStart>,
-    back_end_was_down: bool,
+    back_end_down: bool,
     mailboxes: HashMap<RequestId, mpsc::UnboundedSender<RequestAction>>,
     last_id: u64,
 }
@@ -60,7 +60,7 @@
                 table: RequestTable::new(options, slots, random),
                 slots,
                 slow_start,
-                back_end_was_down: false,
+                back_end_down: false,
                 mailboxes: HashMap::new(),
                 last_id: 0,
             }),
@@ -105,25 +105,32 @@
         self.limits_changed.notify_one();
     }
 
-    /// The back end did not take a connection.
-    pub(super) fn back_end_down(&self) {
-        self.state().back_end_was_down = true;
+    /// The back end does not take connections: requests that wait or arrive
+    /// are refused at once. Tells whether that is news.
+    pub(super) fn back_end_down(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let news = !std::mem::replace(&mut state.back_end_down, true);
+        state.update_slots(now);
+        news
     }
 
-    /// The back end has answered; after a time without connections it starts
-    /// cold again.
+    /// The back end takes connections again, and starts cold.
     pub(super) fn back_end_up(&self) {
         let now = self.clock.now();
         let mut state = self.state();
-        if !std::mem::take(&mut state.back_end_was_down) {
-            return;
-        }
+        state.back_end_down = false;
         if let Some(slow_start) = &mut state.slow_start {
             slow_start.restart(now);
         }
         state.update_slots(now);
     }
 
+    /// Whether the back end takes no connections, as far as is known.
+    pub(super) fn is_back_end_down(&self) -> bool {
+        self.state().back_end_down
+    }
+
     /// A request has held its slot for this time.
     pub(super) fn record_service_time(&self, time: Duration) {
         let now = self.clock.now();
@@ -209,6 +216,7 @@
 
     fn effective_slots(&mut self, now: Instant) -> EffectiveSlots {
         match &mut self.slow_start {
+            _ if self.back_end_down => EffectiveSlots::all(0),
             Some(slow_start) => slow_start.effective_slots(self.slots, now),
             None => EffectiveSlots::all(self.slots),
         }
--- a/crates/woodladder/tests/agent_flows.rs
+++ b/crates/woodladder/tests/agent_flows.rs
@@ -131,6 +131,34 @@
     within("the drain", world.agent().drained()).await;
 }
 
+#[tokio::test]
+async fn target_without_a_back_end_gets_no_flows_until_it_is_back() {
+    let limits = Limits {
+        slow_start: None,
+        ..Limits::default()
+    };
+    let back_ends = vec![BackEnd::absent().await, BackEnd::start().await];
+    let mut world = World::with_back_ends(limits, back_ends).await;
+    while world.agent().status().effective_slots > 0 {
+        let caller = world.caller().await;
+        let mut stream = caller.get("/").await;
+        if world.agent().status().flows.accepted == 0 {
+            world.peers[1].back_end.next().await.answer("other").await;
+        }
+        head(&mut stream).await;
+    }
+    for _ in 0..8 {
+        let caller = world.caller().await;
+        let mut stream = caller.get("/").await;
+        world.peers[1].back_end.next().await.answer("other").await;
+        assert_eq!(head(&mut stream).await.status(), StatusCode::OK);
+    }
+    let address = world.back_end().address;
+    let _back = BackEnd::start_at(address).await;
+    let agent = world.agent();
+    eventually("the slots are back", || agent.status().effective_slots == 7).await;
+}
+
 #[tokio::test]
 async fn flow_survives_a_change_of_the_callers_address() {
     let mut world = World::start(Limits::default()).await;
--- a/crates/woodladder/tests/agent_support/back_end.rs
+++ b/crates/woodladder/tests/agent_support/back_end.rs
@@ -26,7 +26,11 @@
 
 impl BackEnd {
     pub async fn start() -> Self {
-        let listener = TcpListener::bind(ANY_PORT).await.unwrap();
+        Self::start_at(ANY_PORT).await
+    }
+
+    pub async fn start_at(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
         let address = listener.local_addr().unwrap();
         let (sender, exchanges) = mpsc::unbounded_channel();
         tokio::spawn(async move {
