--- a/crates/woodladder-core/src/replica/catch_up.rs
+++ b/crates/woodladder-core/src/replica/catch_up.rs
@@ -1,8 +1,6 @@
-//! From an offer or a reading of the key-value service to a roll in force.
+//! From a record that was heard to its snapshot.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
 
 use borsh::BorshDeserialize as _;
 
@@ -11,23 +9,14 @@
 use crate::control_message::{
     CopyChunk, CopyContent, CopyRefused, CopyRequest, Offer, OfferedDelta,
 };
-use crate::digest::Digest;
 use crate::replica::adoption::{Rejection, adopt_copy, adopt_delta, check_record};
 use crate::replica::fetch::{Fetch, FetchAction, Fetched};
+use crate::replica::history::History;
+use crate::replica::install::Way;
 use crate::replica::joining::JoinProgress;
-use crate::replica::{Action, Installed, Replica};
-use crate::roll_record::{RollRecord, StoredRoll};
+use crate::replica::{Installed, Replica};
+use crate::roll_record::RollRecord;
 use crate::snapshot_delta::SnapshotDelta;
-use crate::store_operation::{StoreAnswer, StoreKey, StoreOperation, StoreRequestId};
-
-const MAXIMUM_REMEMBERED: usize = 16;
-
-/// How a snapshot came.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Way {
-    Delta,
-    Copy,
-}
 
 impl Replica {
     /// Takes an offer from a node.
@@ -36,29 +25,6 @@
         self.consider(record, delta, Some(from), now);
     }
 
-    /// Takes an answer of the key-value service.
-    pub(super) fn handle_store(
-        &mut self,
-        request: StoreRequestId,
-        answer: StoreAnswer,
-        now: Instant,
-    ) {
-        let fetch = self.fetch.as_ref();
-        if fetch.is_some_and(|fetch| fetch.is_reading(request)) {
-            self.handle_stored_snapshot(&answer, now);
-            return;
-        }
-        let awaited = self.store.answered(request, &answer, now, &mut self.random);
-        if awaited {
-            self.joining.store_settled();
-        }
-        match &answer {
-            StoreAnswer::Value { value, .. } => self.handle_current(request, value, now),
-            StoreAnswer::NotFound => self.vigilance.confirmed_by_store(request),
-            _ => {}
-        }
-    }
-
     /// Answers a request for chunks.
     pub(super) fn handle_copy_request(
         &mut self,
@@ -101,36 +67,13 @@
         }
     }
 
-    /// Sends the reads of the current entry that are due.
-    pub(super) fn run_store(&mut self, now: Instant) {
-        let known_nodes = self.members.len();
-        let next_request = &mut self.next_request;
-        let number = || {
-            let number = *next_request;
-            next_request.0 += 1;
-            number
-        };
-        let due = self.store.due(known_nodes, now, &mut self.random, number);
-        for (request, operation) in due {
-            self.counters.store_reads += 1;
-            self.actions.push(Action::Store { request, operation });
-        }
-    }
-
     /// Carries the fetch on.
     pub(super) fn run_fetch(&mut self, now: Instant) {
         let Some(mut fetch) = self.fetch.take() else {
             return;
         };
-        let known_nodes = self.members.len();
-        let spread = self.store_spread(known_nodes);
-        let due = fetch.due(
-            known_nodes,
-            spread,
-            &mut self.fetch_pace,
-            now,
-            &mut self.random,
-        );
+        let spread = self.store_spread();
+        let due = fetch.due(spread, &mut self.fetch_pace, now, &mut self.random);
         for action in due {
             match action {
                 FetchAction::Send(to, message) => self.send(to, message),
@@ -151,52 +94,8 @@
         self.joining.update(progress, now);
     }
 
-    /// Time over which all nodes spread reads of one snapshot, so that they
-    /// stay within the rate that they share.
-    fn store_spread(&self, known_nodes: usize) -> Duration {
-        let rate = f64::from(self.settings.tuning.store_reads_per_second.max(1));
-        let nodes = u32::try_from(known_nodes).unwrap_or(u32::MAX);
-        Duration::from_secs_f64(f64::from(nodes) / rate)
-    }
-
-    fn read_snapshot(&mut self, fetch: &mut Fetch, digest: Digest, now: Instant) {
-        let request = self.take_request_number();
-        fetch.store_asked(request, now);
-        self.counters.store_reads += 1;
-        let operation = StoreOperation::Read {
-            key: StoreKey::Snapshot(digest),
-            wait: None,
-        };
-        self.actions.push(Action::Store { request, operation });
-    }
-
-    fn handle_current(&mut self, request: StoreRequestId, value: &[u8], now: Instant) {
-        let Ok(stored) = StoredRoll::try_from_slice(value) else {
-            self.counters.rejections.count(Rejection::Malformed);
-            return;
-        };
-        if stored.record.sequence() <= self.sequence() {
-            self.vigilance.confirmed_by_store(request);
-        }
-        let delta = stored.delta.map_or(OfferedDelta::None, |delta| {
-            OfferedDelta::Inline(Box::new(delta))
-        });
-        self.consider(stored.record, delta, None, now);
-    }
-
-    fn handle_stored_snapshot(&mut self, answer: &StoreAnswer, now: Instant) {
-        if let StoreAnswer::Value { value, .. } = answer
-            && let Some(rejection) = self.take_copy(value, now)
-        {
-            self.refuse_fetched(rejection);
-        }
-        if let Some(fetch) = &mut self.fetch {
-            fetch.store_failed(now, &mut self.random);
-        }
-    }
-
     /// Looks at a record that was heard and adopts, fetches or refuses it.
-    fn consider(
+    pub(super) fn consider(
         &mut self,
         record: RollRecord,
         delta: OfferedDelta,
@@ -222,9 +121,14 @@
         {
             return;
         }
-        if self.begin_fetch(record, now)
-            && let (Some(fetch), Some(source)) = (&mut self.fetch, source)
-        {
+        if !self.begin_fetch(record, now) {
+            return;
+        }
+        let Some(source) = source else {
+            self.allow_store_read(now);
+            return;
+        };
+        if let Some(fetch) = &mut self.fetch {
             fetch.add_source(source);
             fetch.offered(&delta);
         }
@@ -234,7 +138,7 @@
     /// unacceptable.
     fn is_news(&mut self, record: &RollRecord) -> bool {
         let Some(installed) = &self.installed else {
-            return !self.unacceptable.contains(&record_digest(record));
+            return !self.is_unacceptable(record);
         };
         if record.sequence() == installed.sequence() && *record != installed.record {
             let verified = record.verify(&self.settings.trusted);
@@ -244,8 +148,7 @@
             });
             return false;
         }
-        record.sequence() > installed.sequence()
-            && !self.unacceptable.contains(&record_digest(record))
+        record.sequence() > installed.sequence() && !self.is_unacceptable(record)
     }
 
     /// Makes sure that the record is being fetched; false when a greater one
@@ -256,9 +159,17 @@
             if *fetch.record() == record {
                 return true;
             }
-            if fetch.record().sequence() >= sequence && !fetch.is_stuck() {
+            let greater = fetch.record().sequence() >= sequence;
+            if greater && !fetch.is_stuck() {
                 return false;
             }
+            if greater {
+                let put_off = fetch.record().clone();
+                let known = self.deferred.take();
+                self.deferred = known
+                    .filter(|known| known.sequence() > put_off.sequence())
+                    .or(Some(put_off));
+            }
         }
         self.fetch = Some(Fetch::new(record, self.record_request(), now));
         true
@@ -277,6 +188,23 @@
         self.try_delta(&record, &delta, now)
     }
 
+    /// Fetches the greater record that was put off, once the smaller one is in
+    /// force.
+    pub(super) fn resume_deferred(&mut self, now: Instant) {
+        let Some(record) = self.deferred.take() else {
+            return;
+        };
+        if record.sequence() > self.sequence() && self.begin_fetch(record, now) {
+            self.allow_store_read(now);
+        }
+    }
+
+    fn allow_store_read(&mut self, now: Instant) {
+        if let Some(fetch) = &mut self.fetch {
+            fetch.read_store_soon(now, &mut self.random);
+        }
+    }
+
     fn try_delta(&mut self, record: &RollRecord, delta: &SnapshotDelta, now: Instant) -> bool {
         let Some(installed) = self.installed.clone() else {
             return false;
@@ -322,7 +250,7 @@
     }
 
     /// Adopts the copy that was fetched, or tells why not.
-    fn take_copy(&mut self, bytes: &[u8], now: Instant) -> Option<Rejection> {
+    pub(super) fn take_copy(&mut self, bytes: &[u8], now: Instant) -> Option<Rejection> {
         let record = self.fetch.as_ref()?.record();
         match adopt_copy(record, bytes, &self.settings.trusted) {
             Ok(next) => {
@@ -333,80 +261,16 @@
         }
     }
 
-    fn refuse_fetched(&mut self, rejection: Rejection) {
+    pub(super) fn refuse_fetched(&mut self, rejection: Rejection) {
         if let Some(record) = self.fetch.as_ref().map(|fetch| fetch.record().clone()) {
             self.refuse_content(&record, rejection);
         }
     }
-
-    fn install(
-        &mut self,
-        next: Arc<Installed>,
-        delta: Option<SnapshotDelta>,
-        way: Way,
-        now: Instant,
-    ) {
-        if next.sequence() <= self.sequence() {
-            return;
-        }
-        self.remember_delta(&next, delta);
-        self.counters.adopted += 1;
-        if way == Way::Delta {
-            self.counters.adopted_by_delta += 1;
-        }
-        let first = self.installed.is_none();
-        self.installed = Some(Arc::clone(&next));
-        let overtaken = |fetch: &Fetch| fetch.record().sequence() <= next.sequence();
-        if self.fetch.as_ref().is_some_and(overtaken) {
-            self.fetch = None;
-        }
-        self.joining.installed(now);
-        if first {
-            self.gossip.round_soon(now);
-        }
-        self.actions.push(Action::Install(next));
-        self.spread();
-    }
-
-    fn remember_delta(&mut self, next: &Installed, delta: Option<SnapshotDelta>) {
-        let Some(previous) = &self.installed else {
-            self.history.begin(next.digest());
-            return;
-        };
-        let delta =
-            delta.unwrap_or_else(|| SnapshotDelta::between(&previous.snapshot, &next.snapshot));
-        self.history.push(delta, next.digest());
-    }
-
-    fn refuse_content(&mut self, record: &RollRecord, rejection: Rejection) {
-        self.refuse(rejection);
-        if !rejection.is_final() {
-            return;
-        }
-        if self.unacceptable.len() == MAXIMUM_REMEMBERED {
-            self.unacceptable.remove(0);
-        }
-        self.unacceptable.push(record_digest(record));
-        if self.fetch.as_ref().map(Fetch::record) == Some(record) {
-            self.fetch = None;
-        }
-        if self.greatest_heard == record.sequence() {
-            self.greatest_heard = self.sequence();
-        }
-    }
-
-    fn refuse(&mut self, rejection: Rejection) {
-        self.counters.rejections.count(rejection);
-    }
-}
-
-fn record_digest(record: &RollRecord) -> Digest {
-    Digest::of(&encode(record))
 }
 
 fn encoded_content(
     installed: &Installed,
-    history: &crate::replica::history::History,
+    history: &History,
     content: &CopyContent,
 ) -> Option<Vec<u8>> {
     let current = installed.digest();
--- a/crates/woodladder-core/src/replica/fetch.rs
+++ b/crates/woodladder-core/src/replica/fetch.rs
@@ -23,6 +23,9 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(150);
 const FAILURES_BEFORE_STORE: u32 = 3;
 const STORE_TIME_LIMIT: Duration = Duration::from_secs(10);
+/// Mean time that a node waits for others before it reads a snapshot whose
+/// record it read in the key-value service.
+const SOON: Duration = Duration::from_millis(200);
 const FIRST_STORE_BACKOFF: Duration = Duration::from_secs(1);
 const LONGEST_STORE_BACKOFF: Duration = Duration::from_secs(30);
 /// Longest delta worth fetching in chunks.
@@ -99,6 +102,15 @@
         self.sources.is_empty() || self.failures > FAILURES_BEFORE_STORE
     }
 
+    /// Allows the key-value service to be read soon: the record was read there,
+    /// so only as many nodes know it as may read.
+    pub(super) fn read_store_soon(&mut self, now: Instant, random: &mut impl Rng) {
+        if matches!(self.store, StoreStage::NotNeeded) {
+            let wait = jittered(SOON, random);
+            self.store = StoreStage::DueAt(now + wait);
+        }
+    }
+
     /// Adds a node that has the snapshot.
     pub(super) fn add_source(&mut self, source: SocketAddr) {
         if self.sources.contains(&source) {
@@ -127,8 +139,7 @@
     /// What is due.
     pub(super) fn due(
         &mut self,
-        known_nodes: usize,
-        spread: Duration,
+        store_spread: Duration,
         pace: &mut Pace,
         now: Instant,
         random: &mut impl Rng,
@@ -139,19 +150,10 @@
             actions.extend(self.ask(pace, now));
         }
         if self.is_stuck() && matches!(self.store, StoreStage::NotNeeded) {
-            let wait = if known_nodes == 0 {
-                Duration::ZERO
-            } else {
-                spread.mul_f64(random.random_range(0.0..1.0))
-            };
+            let wait = store_spread.mul_f64(random.random_range(0.0..1.0));
             self.store = StoreStage::DueAt(now + wait);
         }
-        if let StoreStage::DueAt(due) = self.store
-            && now >= due
-        {
-            self.store = StoreStage::DueAt(now + STORE_TIME_LIMIT);
-            actions.push(FetchAction::ReadStore(self.record.statement.snapshot));
-        }
+        actions.extend(self.read_store(now));
         actions
     }
 
@@ -226,6 +228,22 @@
         [store, question].into_iter().flatten().min()
     }
 
+    /// The read of the key-value service, unless sources deliver by now.
+    fn read_store(&mut self, now: Instant) -> Option<FetchAction> {
+        let StoreStage::DueAt(due) = self.store else {
+            return None;
+        };
+        if now < due {
+            return None;
+        }
+        if !self.is_stuck() {
+            self.store = StoreStage::NotNeeded;
+            return None;
+        }
+        self.store = StoreStage::DueAt(now + STORE_TIME_LIMIT);
+        Some(FetchAction::ReadStore(self.record.statement.snapshot))
+    }
+
     fn pace_allows_at(&self, pace: &Pace) -> Instant {
         let range = self.assembly.next_missing();
         pace.available_at(range.map_or(0, byte_length))
--- a/crates/woodladder-core/src/replica/machine.rs
+++ b/crates/woodladder-core/src/replica/machine.rs
@@ -18,6 +18,7 @@
 use crate::replica::store_reader::StoreReader;
 use crate::replica::vigilance::Vigilance;
 use crate::replica::{Action, Event, Installed, ReplicaCounters, ReplicaSettings};
+use crate::roll_record::RollRecord;
 use crate::store_operation::StoreRequestId;
 
 /// Keeps the roll in force up to date at one node.
@@ -29,6 +30,8 @@
     pub(super) installed: Option<Arc<Installed>>,
     pub(super) history: History,
     pub(super) fetch: Option<Fetch>,
+    /// A greater record whose fetch got stuck while a smaller one could be had.
+    pub(super) deferred: Option<RollRecord>,
     pub(super) fetch_pace: Pace,
     pub(super) copies: CopyServer,
     pub(super) gossip: Gossip,
@@ -59,6 +62,7 @@
             installed: None,
             history: History::default(),
             fetch: None,
+            deferred: None,
             fetch_pace: Pace::new(tuning.copy_bytes_per_second, now),
             copies: CopyServer::new(tuning.copy_bytes_per_second, now),
             gossip: Gossip::new(&tuning, now),
--- a/crates/woodladder-core/src/replica/mod.rs
+++ b/crates/woodladder-core/src/replica/mod.rs
@@ -9,9 +9,9 @@
 //! | part | modules |
 //! | --- | --- |
 //! | interface | [`Replica`], [`ReplicaSettings`], [`Event`], [`Action`], [`Installed`] |
-//! | checks | `adoption` |
+//! | checks | `adoption`, `install` |
 //! | spreading | `gossip`, `history`, `copy_server` |
-//! | catching up | `catch_up`, `fetch`, `copy_assembly`, `store_reader`, `pace` |
+//! | catching up | `catch_up`, `fetch`, `copy_assembly`, `store_access`, `store_reader`, `pace` |
 //! | confidence | `joining`, `vigilance` |
 
 mod adoption;
@@ -23,11 +23,13 @@
 mod fetch;
 mod gossip;
 mod history;
+mod install;
 mod installed;
 mod joining;
 mod machine;
 mod pace;
 mod settings;
+mod store_access;
 mod store_reader;
 mod vigilance;
 
--- a/crates/woodladder-core/src/replica/store_reader.rs
+++ b/crates/woodladder-core/src/replica/store_reader.rs
@@ -13,6 +13,7 @@
 use crate::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId};
 
 const SHORTEST_INTERVAL: Duration = Duration::from_secs(1);
+const SHORTEST_PAUSE: Duration = Duration::from_millis(200);
 const READ_TIME_LIMIT: Duration = Duration::from_secs(5);
 const WATCH_TIME_LIMIT: Duration = Duration::from_secs(90);
 const FIRST_BACKOFF: Duration = Duration::from_secs(1);
@@ -80,7 +81,7 @@
         if self.read.is_none() && now >= self.read_at {
             let request = number();
             self.read = Some(outstanding(request, now + READ_TIME_LIMIT));
-            self.read_at = now + jittered(self.interval(known_nodes), random);
+            self.read_at = now + self.pause(known_nodes, random);
             due.push((request, read_current(None)));
         }
         self.watching = known_nodes <= self.watch_limit;
@@ -138,6 +139,14 @@
         self.watching && self.watch.is_none() && now >= self.watch_at
     }
 
+    /// Time to the next read: anything up to twice the interval, so that nodes
+    /// which started together still read at all times.
+    fn pause(&self, known_nodes: usize, random: &mut impl Rng) -> Duration {
+        let interval = self.interval(known_nodes);
+        let pause = interval.mul_f64(random.random_range(0.0..2.0));
+        pause.max(SHORTEST_PAUSE)
+    }
+
     fn interval(&self, known_nodes: usize) -> Duration {
         let nodes = u32::try_from(known_nodes + 1).unwrap_or(u32::MAX);
         let seconds = f64::from(nodes) / f64::from(self.reads_per_second);
--- a/crates/woodladder-core/tests/control_world/network.rs
+++ b/crates/woodladder-core/tests/control_world/network.rs
@@ -264,6 +264,9 @@
             return;
         }
         let answer = self.store.answer(&operation);
+        if self.store.mute {
+            return;
+        }
         let delay = self.delay() * 2;
         self.push(
             self.now + delay,
--- a/crates/woodladder-core/tests/control_world/store.rs
+++ b/crates/woodladder-core/tests/control_world/store.rs
@@ -11,6 +11,8 @@
     entries: HashMap<StoreKey, (StoreIndex, Vec<u8>)>,
     index: u64,
     pub down: bool,
+    /// Takes requests and loses the answers.
+    pub mute: bool,
     pub requests: u64,
 }
 
--- /dev/null
+++ b/crates/woodladder-core/tests/membership.rs
@@ -0,0 +1,115 @@
+//! The member table: bounded, and the machine list is only a hint.
+
+mod control_world;
+
+use std::time::Duration;
+
+use control_world::network::{address, settings};
+use proptest::prelude::*;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use woodladder_core::clock::Instant;
+use woodladder_core::membership::{
+    HEARD_LATELY, ListedMachine, ListedStanding, Membership, Peer, SILENT_AFTER,
+};
+use woodladder_core::replica::ReplicaTuning;
+
+const OWN: usize = 0;
+
+fn peer(index: usize) -> Peer {
+    settings(index, ReplicaTuning::default()).peer()
+}
+
+fn table(capacity: usize) -> Membership {
+    Membership::new(address(OWN), peer(OWN).locality, capacity)
+}
+
+fn list(indices: impl IntoIterator<Item = usize>) -> Vec<ListedMachine> {
+    let machine = |index| ListedMachine {
+        control: address(index),
+        standing: ListedStanding::Live,
+    };
+    indices.into_iter().map(machine).collect()
+}
+
+fn silence(members: &mut Membership, index: usize) {
+    for _ in 0..SILENT_AFTER {
+        members.asked(address(index));
+    }
+}
+
+#[test]
+fn node_that_the_list_omits_is_known_once_it_is_heard() {
+    let mut members = table(100);
+    members.replace_list(&list([1, 2]));
+    members.heard_from(peer(3), false, Instant::ORIGIN);
+    members.replace_list(&list([1, 2]));
+    assert!(members.iter().any(|member| member.control == address(3)));
+    assert_eq!(members.counts(Instant::ORIGIN).listed, 2);
+}
+
+#[test]
+fn dead_node_that_the_list_names_is_asked_rarely() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut members = table(100);
+    members.replace_list(&list(1..=20));
+    (1..=10).for_each(|index| silence(&mut members, index));
+    let asked: Vec<_> = (0..1000)
+        .flat_map(|_| members.pick(1, &mut random))
+        .collect();
+    let dead = (1..=10).map(address).collect::<Vec<_>>();
+    let to_dead = asked.iter().filter(|asked| dead.contains(asked)).count();
+    assert!((1..100).contains(&to_dead), "{to_dead} of 1000");
+}
+
+#[test]
+fn silent_node_without_an_entry_in_the_list_is_forgotten() {
+    let mut members = table(100);
+    members.replace_list(&list(1..=30));
+    members.heard_from(peer(40), false, Instant::ORIGIN);
+    silence(&mut members, 40);
+    silence(&mut members, 1);
+    assert_eq!(members.len(), 30);
+    members.replace_list(&list(2..=30));
+    assert_eq!(members.len(), 29);
+}
+
+#[test]
+fn only_nodes_heard_lately_are_named_to_others() {
+    let mut random = ChaCha8Rng::seed_from_u64(2);
+    let mut members = table(100);
+    members.replace_list(&list(1..=3));
+    members.heard_from(peer(1), false, Instant::ORIGIN);
+    let sample = members.sample(4, Instant::ORIGIN, &mut random);
+    assert_eq!(sample, vec![peer(1)]);
+    let later = Instant::ORIGIN + HEARD_LATELY + Duration::from_secs(1);
+    assert!(members.sample(4, later, &mut random).is_empty());
+}
+
+proptest! {
+    #[test]
+    fn table_stays_bounded_and_picks_differ(
+        steps in proptest::collection::vec((0..5_u8, 0..60_usize), 0..200),
+        seed in any::<u64>(),
+    ) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut members = table(25);
+        for (kind, index) in steps {
+            match kind {
+                0 => members.heard_from(peer(index), index % 7 == 0, Instant::ORIGIN),
+                1 => members.named_by_other(peer(index)),
+                2 => members.asked(address(index)),
+                3 => silence(&mut members, index),
+                _ => members.replace_list(&list(index..index + 10)),
+            }
+            prop_assert!(members.len() <= 25);
+            let picked = members.pick(5, &mut random);
+            prop_assert_eq!(picked.len(), members.len().min(5));
+            let mut different = picked.clone();
+            different.sort();
+            different.dedup();
+            prop_assert_eq!(different.len(), picked.len());
+            prop_assert!(!picked.contains(&address(OWN)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/replica_adoption.rs
@@ -0,0 +1,289 @@
+//! Adoption as a state machine: whatever is heard, in whatever order, the roll
+//! in force never goes back and ends at the greatest one.
+
+mod control_world;
+
+use std::sync::LazyLock;
+use std::time::Duration;
+
+use control_world::fixture::{Roll, bundle, roll, stranger};
+use control_world::network::{address, settings};
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use woodladder_core::clock::Instant;
+use woodladder_core::control_message::{
+    CHUNK_LENGTH, ControlMessage, CopyChunk, CopyContent, CopyRequest, Offer, OfferedDelta,
+    RecordRequest,
+};
+use woodladder_core::identifier::Sequence;
+use woodladder_core::replica::{Action, Event, Replica, ReplicaTuning};
+use woodladder_core::roll_record::RollRecord;
+use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
+
+const ROLLS: usize = 8;
+
+/// Eight rolls, each of another size, of which the last rolls an older bundle.
+static CHAIN: LazyLock<Vec<Roll>> = LazyLock::new(|| {
+    let mut chain: Vec<Roll> = Vec::new();
+    for index in 0..ROLLS as u32 {
+        let version = if index == 7 { 3 } else { u64::from(index) };
+        let targets = (version as u32)..(20 + 15 * version as u32);
+        let next = roll(chain.last(), bundle(version, targets, 4), index as u8);
+        chain.push(next);
+    }
+    chain
+});
+
+#[derive(Clone, Debug)]
+enum Heard {
+    Offer { roll: usize, with_delta: bool },
+    ForgedOffer { roll: usize },
+    AlteredDelta { roll: usize },
+    DamagedChunk { roll: usize },
+    StoreValue { roll: usize },
+    Answers,
+    Pause(u8),
+}
+
+/// Index of the greatest roll heard, if any.
+#[derive(Clone, Debug, Default)]
+struct Greatest(Option<usize>);
+
+impl ReferenceStateMachine for Greatest {
+    type State = Self;
+    type Transition = Heard;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        Just(Self::default()).boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<Heard> {
+        prop_oneof![
+            4 => (0..ROLLS, any::<bool>())
+                .prop_map(|(roll, with_delta)| Heard::Offer { roll, with_delta }),
+            1 => (0..ROLLS).prop_map(|roll| Heard::ForgedOffer { roll }),
+            1 => (1..ROLLS).prop_map(|roll| Heard::AlteredDelta { roll }),
+            2 => (0..ROLLS).prop_map(|roll| Heard::DamagedChunk { roll }),
+            2 => (0..ROLLS).prop_map(|roll| Heard::StoreValue { roll }),
+            4 => Just(Heard::Answers),
+            1 => any::<u8>().prop_map(Heard::Pause),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, heard: &Heard) -> Self {
+        let roll = match heard {
+            Heard::Offer { roll, .. }
+            | Heard::AlteredDelta { roll }
+            | Heard::StoreValue { roll } => Some(*roll),
+            _ => None,
+        };
+        state.0 = state.0.max(roll);
+        state
+    }
+}
+
+/// A replica and what it asked that was not answered yet.
+struct Subject {
+    replica: Replica,
+    now: Instant,
+    asked: Vec<Action>,
+    installed: Sequence,
+    greatest: Sequence,
+}
+
+impl Subject {
+    fn event(&mut self, event: Event) {
+        self.now = self.now + Duration::from_millis(1);
+        for action in self.replica.handle(event, self.now) {
+            match action {
+                Action::Install(installed) => {
+                    let expected = &CHAIN[installed.sequence().0 as usize - 1];
+                    assert!(installed.sequence() > self.installed);
+                    assert_eq!(installed.record, expected.stored.record);
+                    assert_eq!(installed.snapshot, expected.snapshot);
+                    self.installed = installed.sequence();
+                }
+                asked => self.asked.push(asked),
+            }
+        }
+    }
+
+    fn hear(&mut self, message: ControlMessage) {
+        let from = address(1);
+        self.event(Event::Message { from, message });
+    }
+
+    /// Answers all that was asked, in the reverse order and each twice.
+    fn answer_all(&mut self) {
+        for action in std::mem::take(&mut self.asked).into_iter().rev() {
+            for event in answers(&action) {
+                self.event(event.clone());
+                self.event(event);
+            }
+        }
+    }
+}
+
+/// Answers of a node that has the last roll, and of a service that has
+/// the snapshots only.
+fn answers(action: &Action) -> Vec<Event> {
+    let from = address(1);
+    let message = |message| Event::Message { from, message };
+    match action {
+        Action::Send {
+            message: ControlMessage::RecordRequest(request),
+            ..
+        } => vec![message(offer_since(request))],
+        Action::Send {
+            message: ControlMessage::CopyRequest(request),
+            ..
+        } => chunks(request).into_iter().map(message).collect(),
+        Action::Store { request, operation } => vec![Event::StoreAnswer {
+            request: *request,
+            answer: stored(operation),
+        }],
+        _ => Vec::new(),
+    }
+}
+
+fn offer_since(request: &RecordRequest) -> ControlMessage {
+    let last = &CHAIN[ROLLS - 1];
+    let delta = last.stored.delta.as_ref();
+    let delta = delta.filter(|delta| delta.base == request.have);
+    ControlMessage::Offer(Box::new(Offer::fitting(last.stored.record.clone(), delta)))
+}
+
+fn chunks(request: &CopyRequest) -> Vec<ControlMessage> {
+    let is_result = |roll: &&Roll| match request.content {
+        CopyContent::Snapshot(digest) => roll.snapshot.digest() == digest,
+        CopyContent::Delta { result, .. } => roll.snapshot.digest() == result,
+    };
+    let Some(roll) = CHAIN.iter().find(is_result) else {
+        return Vec::new();
+    };
+    let bytes = match request.content {
+        CopyContent::Snapshot(_) => roll.snapshot.encode(),
+        CopyContent::Delta { .. } => borsh::to_vec(roll.stored.delta.as_ref().unwrap()).unwrap(),
+    };
+    let chunk = |(index, bytes): (usize, &[u8])| {
+        ControlMessage::CopyChunk(CopyChunk {
+            content: request.content,
+            index: index as u32,
+            bytes: bytes.to_vec(),
+        })
+    };
+    bytes.chunks(CHUNK_LENGTH).enumerate().map(chunk).collect()
+}
+
+/// The last chunk with a retired target's time changed, which no sign-off
+/// covers.
+fn damaged_last_chunk(content: CopyContent, roll: &Roll) -> ControlMessage {
+    let mut copy = roll.snapshot.encode();
+    *copy.last_mut().unwrap() ^= 1;
+    let index = (copy.len() - 1) / CHUNK_LENGTH;
+    ControlMessage::CopyChunk(CopyChunk {
+        content,
+        index: index as u32,
+        bytes: copy[index * CHUNK_LENGTH..].to_vec(),
+    })
+}
+
+fn stored(operation: &StoreOperation) -> StoreAnswer {
+    let StoreOperation::Read {
+        key: StoreKey::Snapshot(digest),
+        ..
+    } = operation
+    else {
+        return StoreAnswer::Unreachable;
+    };
+    let named = |roll: &&Roll| roll.snapshot.digest() == *digest;
+    CHAIN
+        .iter()
+        .find(named)
+        .map_or(StoreAnswer::NotFound, |roll| StoreAnswer::Value {
+            index: StoreIndex(1),
+            value: roll.snapshot.encode(),
+        })
+}
+
+impl StateMachineTest for Subject {
+    type SystemUnderTest = Self;
+    type Reference = Greatest;
+
+    fn init_test(_: &Greatest) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(1);
+        let settings = settings(0, ReplicaTuning::default());
+        Self {
+            replica: Replica::new(settings, random, Instant::ORIGIN),
+            now: Instant::ORIGIN,
+            asked: Vec::new(),
+            installed: Sequence(0),
+            greatest: Sequence(0),
+        }
+    }
+
+    fn apply(mut subject: Self, greatest: &Greatest, heard: Heard) -> Self {
+        let chain = &*CHAIN;
+        match heard {
+            Heard::Offer { roll, with_delta } => {
+                let stored = chain[roll].stored.clone();
+                let delta = stored.delta.filter(|_| with_delta);
+                let offer = Offer::fitting(stored.record, delta.as_ref());
+                subject.hear(ControlMessage::Offer(Box::new(offer)));
+            }
+            Heard::ForgedOffer { roll } => {
+                let mut statement = chain[roll].stored.record.statement.clone();
+                statement.sequence = Sequence(100);
+                let record = RollRecord::sign(statement, &stranger());
+                let delta = OfferedDelta::None;
+                subject.hear(ControlMessage::Offer(Box::new(Offer { record, delta })));
+            }
+            Heard::AlteredDelta { roll } => {
+                let stored = chain[roll].stored.clone();
+                let mut delta = stored.delta.unwrap();
+                delta.removed_targets.clear();
+                delta.version += 1;
+                let offer = Offer::fitting(stored.record, Some(&delta));
+                subject.hear(ControlMessage::Offer(Box::new(offer)));
+            }
+            Heard::DamagedChunk { roll } => {
+                let content = CopyContent::Snapshot(chain[roll].snapshot.digest());
+                subject.hear(damaged_last_chunk(content, &chain[roll]));
+            }
+            Heard::StoreValue { roll } => subject.event(Event::StoreAnswer {
+                request: woodladder_core::store_operation::StoreRequestId(1_000),
+                answer: StoreAnswer::Value {
+                    index: StoreIndex(roll as u64 + 1),
+                    value: borsh::to_vec(&chain[roll].stored).unwrap(),
+                },
+            }),
+            Heard::Answers => subject.answer_all(),
+            Heard::Pause(seconds) => {
+                subject.now = subject.now + Duration::from_secs(u64::from(seconds));
+                subject.event(Event::Tick);
+            }
+        }
+        assert_eq!(subject.replica.sequence(), subject.installed);
+        subject.greatest = Sequence(greatest.0.map_or(0, |roll| roll as u64 + 1));
+        let last = subject.installed == Sequence(ROLLS as u64);
+        assert!(last || subject.installed <= subject.greatest);
+        subject
+    }
+
+    fn teardown(mut subject: Self) {
+        for _ in 0..1_000 {
+            subject.answer_all();
+            subject.now = subject.replica.next_wakeup().max(subject.now);
+            subject.event(Event::Tick);
+        }
+        assert!(subject.installed >= subject.greatest);
+    }
+}
+
+prop_state_machine! {
+    #[test]
+    fn adoption_never_reverts_and_ends_at_the_greatest(sequential 1..40 => Subject);
+}
