--- a/crates/woodladder-lab/src/stand_in/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod back_end;
+pub mod caller;
 pub mod clock;
 pub mod error;
 pub mod execution_log;
@@ -13,6 +14,7 @@
 pub mod http_server;
 pub mod machine_list;
 pub mod operation;
+pub mod oracle;
 pub mod proxy_header;
 pub mod socket;
 pub mod store;
--- a/crates/woodladder-lab/src/stand_in/socket.rs
+++ b/crates/woodladder-lab/src/stand_in/socket.rs
@@ -19,10 +19,19 @@
 /// # Errors
 /// When the address cannot be bound.
 pub fn bind_udp(address: SocketAddr) -> Result<UdpSocket, StandInError> {
+    let socket = bind_std_udp(address)?;
+    UdpSocket::from_std(socket).map_err(|source| StandInError::Bind { address, source })
+}
+
+/// Binds a UDP socket with large buffers, for a library that registers it with the runtime.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn bind_std_udp(address: SocketAddr) -> Result<std::net::UdpSocket, StandInError> {
     try_bind(address).map_err(|source| StandInError::Bind { address, source })
 }
 
-fn try_bind(address: SocketAddr) -> io::Result<UdpSocket> {
+fn try_bind(address: SocketAddr) -> io::Result<std::net::UdpSocket> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::DGRAM,
@@ -33,7 +42,7 @@
     let _ = socket.set_recv_buffer_size(BUFFER_BYTES);
     let _ = socket.set_send_buffer_size(BUFFER_BYTES);
     socket.bind(&address.into())?;
-    UdpSocket::from_std(socket.into())
+    Ok(socket.into())
 }
 
 /// The address a socket is bound to.
