Let nodes pass on the chunks of a copy before they have it whole

Cause: with 680 nodes and 6,300 targets a roll that needs full copies was not in force everywhere within 11 s: whole copies of 168 KB left each node at 64 KB a second, so their number doubled every few seconds. Ruled out: small rolls, which travel as deltas; the limit of bytes a second, which stays. Change: a record is told on when its fetch begins; a request names the missing chunks and the sender picks held ones at random; nodes that fetch the same copy serve each other. Offers are asked first; refusals are met with growing pauses; a fetch without a new chunk for 2 s turns to the key-value service.

--- a/crates/woodladder-core/src/control_message.rs
+++ b/crates/woodladder-core/src/control_message.rs
@@ -10,6 +10,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use crate::chunk_set::ChunkSet;
 use crate::digest::Digest;
 use crate::identifier::Sequence;
 use crate::keyed_tag::{TAG_LENGTH, TagKey};
@@ -148,15 +149,15 @@
     },
 }
 
-/// Asks for consecutive chunks of a copy.
-#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+/// Asks for chunks of a copy.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
 pub struct CopyRequest {
     /// What to copy.
     pub content: CopyContent,
-    /// Position of the first chunk.
-    pub first: u32,
-    /// How many chunks, at most [`MAXIMUM_CHUNKS_PER_REQUEST`].
-    pub count: u16,
+    /// Chunks that the sender misses; the receiver chooses among them.
+    pub wanted: ChunkSet,
+    /// How many to send, at most [`MAXIMUM_CHUNKS_PER_REQUEST`].
+    pub limit: u16,
 }
 
 /// One chunk of a copy.
@@ -166,6 +167,8 @@
     pub content: CopyContent,
     /// Position of the chunk.
     pub index: u32,
+    /// Whether it is the last one sent for the request.
+    pub last: bool,
     /// Bytes of the chunk: [`CHUNK_LENGTH`], fewer in the last one.
     pub bytes: Vec<u8>,
 }
@@ -182,8 +185,10 @@
 /// Why a copy is refused.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CopyRefusal {
-    /// The node does not hold it.
+    /// The node neither holds nor fetches it.
     NotHeld,
+    /// The node fetches it itself and has none of the wanted chunks yet.
+    NotYet,
     /// The node sends as much as it may already.
     Busy,
 }
@@ -280,7 +285,9 @@
     fn is_within_limits(&self) -> bool {
         match self {
             Self::Digest(digest) => digest.sample.len() <= MAXIMUM_SAMPLE,
-            Self::CopyRequest(request) => request.count <= MAXIMUM_CHUNKS_PER_REQUEST,
+            Self::CopyRequest(request) => {
+                request.limit <= MAXIMUM_CHUNKS_PER_REQUEST && request.wanted.is_within_limits()
+            }
             Self::CopyChunk(chunk) => chunk.bytes.len() <= CHUNK_LENGTH,
             _ => true,
         }
--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -8,7 +8,7 @@
 //! | --- | --- |
 //! | identity and time | [`identifier`], [`clock`], [`finding`], [`digest`], [`signature`] |
 //! | configuration | [`bundle`], [`bundle_source`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
-//! | control plane | [`control_message`], [`membership`], [`replica`], [`store_operation`], [`roll_command`] |
+//! | control plane | [`control_message`], [`chunk_set`], [`membership`], [`replica`], [`store_operation`], [`roll_command`] |
 //! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
 //! | work of a target | [`admission`], [`request`], [`drain`], [`load`], [`slow_start`] |
 
@@ -16,6 +16,7 @@
 pub mod bundle;
 pub mod bundle_source;
 pub mod carrier;
+pub mod chunk_set;
 pub mod clock;
 pub mod control_message;
 pub mod digest;
--- a/crates/woodladder-core/src/replica/catch_up.rs
+++ b/crates/woodladder-core/src/replica/catch_up.rs
@@ -7,7 +7,7 @@
 use crate::bundle::encode;
 use crate::clock::Instant;
 use crate::control_message::{
-    CopyChunk, CopyContent, CopyRefused, CopyRequest, Offer, OfferedDelta,
+    ControlMessage, CopyChunk, CopyContent, CopyRefused, CopyRequest, Offer, OfferedDelta,
 };
 use crate::replica::adoption::{Rejection, adopt_copy, adopt_delta, check_record};
 use crate::replica::fetch::{Fetch, FetchAction, Fetched};
@@ -32,23 +32,41 @@
         request: &CopyRequest,
         now: Instant,
     ) {
-        let installed = self.installed.clone();
-        let history = &self.history;
-        let load = |content: &CopyContent| encoded_content(installed.as_deref()?, history, content);
-        let messages = self.copies.answer(request, now, load);
+        let messages = self.copy_messages(from, request, now);
         for message in messages {
             self.counters.copy_bytes_sent += message.datagram_length() as u64;
             self.send(from, message);
         }
     }
 
+    fn copy_messages(
+        &mut self,
+        from: SocketAddr,
+        request: &CopyRequest,
+        now: Instant,
+    ) -> Vec<ControlMessage> {
+        if let Some(fetch) = &mut self.fetch
+            && fetch.assembly().content() == request.content
+        {
+            fetch.add_source(from);
+            let part = fetch.assembly();
+            return self
+                .copies
+                .answer_part(request, part, now, &mut self.random);
+        }
+        let installed = self.installed.as_deref();
+        let history = &self.history;
+        let load = |content: &CopyContent| encoded_content(installed?, history, content);
+        self.copies.answer(request, now, &mut self.random, load)
+    }
+
     /// Takes a chunk.
     pub(super) fn handle_copy_chunk(&mut self, chunk: CopyChunk, now: Instant) {
         let Some(fetch) = &mut self.fetch else {
             return;
         };
         self.counters.copy_bytes_received += chunk.bytes.len() as u64;
-        match fetch.chunk(chunk) {
+        match fetch.chunk(chunk, &mut self.fetch_pace, now) {
             None => {}
             Some(Fetched::Snapshot(bytes)) => self.take_chunked_copy(&bytes, now),
             Some(Fetched::Delta(bytes)) => self.take_delta(&bytes, now),
@@ -63,7 +81,7 @@
         now: Instant,
     ) {
         if let Some(fetch) = &mut self.fetch {
-            fetch.refused(from, refused, now);
+            fetch.refused(from, refused, &mut self.fetch_pace, now);
         }
     }
 
@@ -105,8 +123,8 @@
         if !self.is_news(&record) {
             return;
         }
-        let fetching = self.fetch.as_ref().map(Fetch::record);
-        if fetching != Some(&record) {
+        let is_new = self.fetch.as_ref().map(Fetch::record) != Some(&record);
+        if is_new {
             if let Err(rejection) = check_record(&record, &self.settings.trusted) {
                 self.refuse(rejection);
                 return;
@@ -124,13 +142,12 @@
         if !self.begin_fetch(record, now) {
             return;
         }
-        let Some(source) = source else {
-            self.allow_store_read(now);
-            return;
-        };
-        if let Some(fetch) = &mut self.fetch {
-            fetch.add_source(source);
-            fetch.offered(&delta);
+        match (&mut self.fetch, source) {
+            (Some(fetch), Some(source)) => fetch.offered(source, &delta, now),
+            _ => self.allow_store_read(now),
+        }
+        if is_new {
+            self.spread_fetched();
         }
     }
 
@@ -160,7 +177,7 @@
                 return true;
             }
             let greater = fetch.record().sequence() >= sequence;
-            if greater && !fetch.is_stuck() {
+            if greater && !fetch.is_stuck(now) {
                 return false;
             }
             if greater {
--- a/crates/woodladder-core/src/replica/copy_assembly.rs
+++ b/crates/woodladder-core/src/replica/copy_assembly.rs
@@ -1,6 +1,7 @@
 //! Puts a copy together from its chunks.
 
-use crate::control_message::{CHUNK_LENGTH, CopyChunk, CopyContent, MAXIMUM_CHUNKS_PER_REQUEST};
+use crate::chunk_set::ChunkSet;
+use crate::control_message::{CHUNK_LENGTH, CopyChunk, CopyContent};
 
 /// A copy of known length, of which some chunks may be missing.
 #[derive(Clone, Debug)]
@@ -11,13 +12,6 @@
     missing: usize,
 }
 
-/// Consecutive chunks.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct ChunkRange {
-    pub(super) first: u32,
-    pub(super) count: u16,
-}
-
 impl CopyAssembly {
     /// An assembly without chunks yet.
     pub(super) fn new(content: CopyContent, length: u32) -> Self {
@@ -36,27 +30,33 @@
         self.content
     }
 
-    /// The first run of missing chunks, as many as one request may ask for.
-    pub(super) fn next_missing(&self) -> Option<ChunkRange> {
-        let first = self.chunks.iter().position(Option::is_none)?;
-        let run = self.chunks[first..]
-            .iter()
-            .take(usize::from(MAXIMUM_CHUNKS_PER_REQUEST))
-            .take_while(|chunk| chunk.is_none())
-            .count();
-        Some(ChunkRange {
-            first: u32::try_from(first).ok()?,
-            count: u16::try_from(run).ok()?,
-        })
+    /// Length of the whole copy in bytes.
+    pub(super) fn byte_length(&self) -> u32 {
+        u32::try_from(self.length).unwrap_or(u32::MAX)
+    }
+
+    /// Whether a chunk has come.
+    pub(super) fn is_begun(&self) -> bool {
+        self.missing < self.chunks.len()
+    }
+
+    /// How many chunks are missing.
+    pub(super) fn missing_count(&self) -> usize {
+        self.missing
+    }
+
+    /// The chunks that are missing.
+    pub(super) fn missing(&self) -> ChunkSet {
+        let chunks = self.chunks.iter().enumerate();
+        chunks
+            .filter(|(_, chunk)| chunk.is_none())
+            .map(|(index, _)| index)
+            .collect()
     }
 
-    /// Whether all chunks of a range are there.
-    pub(super) fn has(&self, range: ChunkRange) -> bool {
-        let first = range.first as usize;
-        let end = (first + usize::from(range.count)).min(self.chunks.len());
-        self.chunks
-            .get(first..end)
-            .is_some_and(|chunks| chunks.iter().all(Option::is_some))
+    /// A chunk that is there.
+    pub(super) fn chunk(&self, index: usize) -> Option<&[u8]> {
+        self.chunks.get(index)?.as_deref()
     }
 
     /// Adds a chunk; false when it does not belong here or is there already.
--- a/crates/woodladder-core/src/replica/copy_server.rs
+++ b/crates/woodladder-core/src/replica/copy_server.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::Rng;
+use rand::seq::index;
+
 use crate::clock::Instant;
 use crate::control_message::{
     CHUNK_LENGTH, ControlMessage, CopyChunk, CopyContent, CopyRefusal, CopyRefused, CopyRequest,
     MAXIMUM_CHUNKS_PER_REQUEST,
 };
+use crate::replica::copy_assembly::CopyAssembly;
 use crate::replica::pace::Pace;
 
 const MAXIMUM_HELD: usize = 4;
@@ -43,20 +47,24 @@
         &mut self,
         request: &CopyRequest,
         now: Instant,
+        random: &mut impl Rng,
         load: impl FnOnce(&CopyContent) -> Option<Vec<u8>>,
     ) -> Vec<ControlMessage> {
         let Some(bytes) = self.hold(request.content, now, load) else {
-            return vec![refused(request.content, CopyRefusal::NotHeld)];
+            return refused(request, CopyRefusal::NotHeld);
         };
-        let messages = chunks(request, &bytes);
-        let length = messages.iter().map(ControlMessage::datagram_length).sum();
-        if messages.is_empty() {
-            return vec![refused(request.content, CopyRefusal::NotHeld)];
-        }
-        if !self.pace.take(length, now) {
-            return vec![refused(request.content, CopyRefusal::Busy)];
-        }
-        messages
+        self.send(request, |index| chunk_of(&bytes, index), now, random)
+    }
+
+    /// Messages that answer a request for a copy that is not whole here yet.
+    pub(super) fn answer_part(
+        &mut self,
+        request: &CopyRequest,
+        part: &CopyAssembly,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Vec<ControlMessage> {
+        self.send(request, |index| part.chunk(index), now, random)
     }
 
     /// Drops copies that nobody asked for lately.
@@ -64,6 +72,36 @@
         self.held.retain(|copy| now.since(copy.used) < IDLE_TIME);
     }
 
+    /// Sends wanted chunks, chosen at random so that nodes which ask at the
+    /// same time get different ones to pass on.
+    fn send<'a>(
+        &mut self,
+        request: &CopyRequest,
+        chunk: impl Fn(usize) -> Option<&'a [u8]>,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Vec<ControlMessage> {
+        let wanted = request.wanted.iter();
+        let held: Vec<(usize, &[u8])> = wanted
+            .filter_map(|index| chunk(index).map(|bytes| (index, bytes)))
+            .collect();
+        if held.is_empty() {
+            return refused(request, CopyRefusal::NotYet);
+        }
+        let limit = usize::from(request.limit.min(MAXIMUM_CHUNKS_PER_REQUEST));
+        let mut chosen = Vec::new();
+        for place in index::sample(random, held.len(), limit.min(held.len())) {
+            if !self.pace.take(held[place].1.len(), now) {
+                break;
+            }
+            chosen.push(held[place]);
+        }
+        if chosen.is_empty() {
+            return refused(request, CopyRefusal::Busy);
+        }
+        messages(request.content, &chosen)
+    }
+
     fn hold(
         &mut self,
         content: CopyContent,
@@ -87,26 +125,28 @@
     }
 }
 
-fn refused(content: CopyContent, reason: CopyRefusal) -> ControlMessage {
-    ControlMessage::CopyRefused(CopyRefused { content, reason })
+fn refused(request: &CopyRequest, reason: CopyRefusal) -> Vec<ControlMessage> {
+    let content = request.content;
+    vec![ControlMessage::CopyRefused(CopyRefused { content, reason })]
 }
 
-fn chunks(request: &CopyRequest, bytes: &[u8]) -> Vec<ControlMessage> {
-    let count = request.count.min(MAXIMUM_CHUNKS_PER_REQUEST);
-    let first = request.first;
-    let wanted = first..first.saturating_add(u32::from(count));
-    wanted
-        .filter_map(|index| chunk(request.content, index, bytes))
-        .collect()
+fn chunk_of(copy: &[u8], index: usize) -> Option<&[u8]> {
+    let start = index.checked_mul(CHUNK_LENGTH)?;
+    let rest = copy.get(start..).filter(|rest| !rest.is_empty())?;
+    Some(&rest[..rest.len().min(CHUNK_LENGTH)])
 }
 
-fn chunk(content: CopyContent, index: u32, bytes: &[u8]) -> Option<ControlMessage> {
-    let start = (index as usize).checked_mul(CHUNK_LENGTH)?;
-    let rest = bytes.get(start..).filter(|rest| !rest.is_empty())?;
-    let length = rest.len().min(CHUNK_LENGTH);
-    Some(ControlMessage::CopyChunk(CopyChunk {
-        content,
-        index,
-        bytes: rest[..length].to_vec(),
-    }))
+fn messages(content: CopyContent, chosen: &[(usize, &[u8])]) -> Vec<ControlMessage> {
+    let mut left = chosen.len();
+    let mut messages = Vec::with_capacity(left);
+    for (index, bytes) in chosen {
+        left -= 1;
+        messages.push(ControlMessage::CopyChunk(CopyChunk {
+            content,
+            index: u32::try_from(*index).unwrap_or(u32::MAX),
+            last: left == 0,
+            bytes: bytes.to_vec(),
+        }));
+    }
+    messages
 }
--- a/crates/woodladder-core/src/replica/fetch.rs
+++ b/crates/woodladder-core/src/replica/fetch.rs
@@ -9,10 +9,10 @@
 use crate::clock::Instant;
 use crate::control_message::{
     CHUNK_LENGTH, ControlMessage, CopyChunk, CopyContent, CopyRefusal, CopyRefused, CopyRequest,
-    OfferedDelta, RecordRequest,
+    MAXIMUM_CHUNKS_PER_REQUEST, OfferedDelta, RecordRequest,
 };
 use crate::digest::Digest;
-use crate::replica::copy_assembly::{ChunkRange, CopyAssembly};
+use crate::replica::copy_assembly::CopyAssembly;
 use crate::replica::pace::Pace;
 use crate::replica::store_reader::jittered;
 use crate::roll_record::RollRecord;
@@ -20,7 +20,10 @@
 
 const MAXIMUM_SOURCES: usize = 8;
 const ANSWER_TIME_LIMIT: Duration = Duration::from_millis(400);
-const BUSY_PAUSE: Duration = Duration::from_millis(150);
+/// A fetch without a new chunk for this long looks for another way.
+const PROGRESS_TIME_LIMIT: Duration = Duration::from_secs(2);
+const FIRST_REFUSED_PAUSE: Duration = Duration::from_millis(25);
+const LONGEST_REFUSED_PAUSE: Duration = Duration::from_millis(200);
 const FAILURES_BEFORE_STORE: u32 = 3;
 const STORE_TIME_LIMIT: Duration = Duration::from_secs(10);
 /// Mean time that a node waits for others before it reads a snapshot whose
@@ -49,7 +52,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Question {
     Delta,
-    Chunks(ChunkRange),
+    /// So many chunks that did not come yet.
+    Chunks(usize),
 }
 
 /// Reading the snapshot from the key-value service.
@@ -70,7 +74,9 @@
     delta_asked: bool,
     question: Option<(Question, Instant)>,
     resume_at: Instant,
+    refused_pause: Duration,
     failures: u32,
+    progress_at: Instant,
     store: StoreStage,
     store_backoff: Duration,
 }
@@ -87,7 +93,9 @@
             delta_asked: have.have == Digest::default(),
             question: None,
             resume_at: now,
+            refused_pause: FIRST_REFUSED_PAUSE,
             failures: 0,
+            progress_at: now,
             store: StoreStage::NotNeeded,
             store_backoff: FIRST_STORE_BACKOFF,
         }
@@ -98,8 +106,25 @@
     }
 
     /// Whether no source has delivered for a while.
-    pub(super) fn is_stuck(&self) -> bool {
-        self.sources.is_empty() || self.failures > FAILURES_BEFORE_STORE
+    pub(super) fn is_stuck(&self, now: Instant) -> bool {
+        let silent = now.since(self.progress_at) >= PROGRESS_TIME_LIMIT;
+        self.sources.is_empty() || self.failures > FAILURES_BEFORE_STORE || silent
+    }
+
+    /// What has come so far.
+    pub(super) fn assembly(&self) -> &CopyAssembly {
+        &self.assembly
+    }
+
+    /// The delta that is being fetched, as it is offered to others.
+    pub(super) fn offered_delta(&self) -> OfferedDelta {
+        match self.assembly.content() {
+            CopyContent::Snapshot(_) => OfferedDelta::None,
+            CopyContent::Delta { base, .. } => OfferedDelta::Chunked {
+                base,
+                length: self.assembly.byte_length(),
+            },
+        }
     }
 
     /// Allows the key-value service to be read soon: the record was read there,
@@ -111,7 +136,7 @@
         }
     }
 
-    /// Adds a node that has the snapshot.
+    /// Adds a node that has the snapshot or fetches it.
     pub(super) fn add_source(&mut self, source: SocketAddr) {
         if self.sources.contains(&source) {
             return;
@@ -122,8 +147,14 @@
         self.sources.push(source);
     }
 
-    /// Takes note of the delta that a source offered in place of a copy.
-    pub(super) fn offered(&mut self, delta: &OfferedDelta) {
+    /// Takes note of an offer: its sender is asked next, and first for the
+    /// delta if it offers one.
+    pub(super) fn offered(&mut self, source: SocketAddr, delta: &OfferedDelta, now: Instant) {
+        self.sources.retain(|known| *known != source);
+        self.sources.insert(0, source);
+        self.sources.truncate(MAXIMUM_SOURCES);
+        self.resume_at = now;
+        self.refused_pause = FIRST_REFUSED_PAUSE;
         if matches!(self.question, Some((Question::Delta, _))) {
             self.question = None;
         }
@@ -131,7 +162,6 @@
             OfferedDelta::Chunked { base, length } if *base == self.have.have => {
                 self.begin_delta(*length);
             }
-            OfferedDelta::None => self.delta_asked = true,
             _ => {}
         }
     }
@@ -149,7 +179,7 @@
         if self.question.is_none() && now >= self.resume_at {
             actions.extend(self.ask(pace, now));
         }
-        if self.is_stuck() && matches!(self.store, StoreStage::NotNeeded) {
+        if self.is_stuck(now) && matches!(self.store, StoreStage::NotNeeded) {
             let wait = store_spread.mul_f64(random.random_range(0.0..1.0));
             self.store = StoreStage::DueAt(now + wait);
         }
@@ -174,15 +204,27 @@
     }
 
     /// Takes a chunk; the whole copy once it is complete.
-    pub(super) fn chunk(&mut self, chunk: CopyChunk) -> Option<Fetched> {
-        if !self.assembly.add(chunk) {
-            return None;
+    pub(super) fn chunk(
+        &mut self,
+        chunk: CopyChunk,
+        pace: &mut Pace,
+        now: Instant,
+    ) -> Option<Fetched> {
+        let last = chunk.last && chunk.content == self.assembly.content();
+        let added = self.assembly.add(chunk);
+        if added {
+            self.failures = 0;
+            self.progress_at = now;
+            self.refused_pause = FIRST_REFUSED_PAUSE;
         }
-        self.failures = 0;
-        if let Some((Question::Chunks(range), _)) = self.question
-            && self.assembly.has(range)
-        {
-            self.question = None;
+        if let Some((Question::Chunks(awaited), _)) = &mut self.question {
+            *awaited = awaited.saturating_sub(usize::from(added));
+        }
+        if last {
+            self.end_question(pace);
+        }
+        if !added {
+            return None;
         }
         let bytes = self.assembly.whole()?;
         Some(match self.assembly.content() {
@@ -192,15 +234,22 @@
     }
 
     /// Takes note that a source refused.
-    pub(super) fn refused(&mut self, from: SocketAddr, refused: &CopyRefused, now: Instant) {
+    pub(super) fn refused(
+        &mut self,
+        from: SocketAddr,
+        refused: &CopyRefused,
+        pace: &mut Pace,
+        now: Instant,
+    ) {
         if refused.content != self.assembly.content() {
             return;
         }
-        self.question = None;
+        self.end_question(pace);
         match refused.reason {
-            CopyRefusal::Busy => {
+            CopyRefusal::Busy | CopyRefusal::NotYet => {
                 self.rotate();
-                self.resume_at = now + BUSY_PAUSE;
+                self.resume_at = now + self.refused_pause;
+                self.refused_pause = LONGEST_REFUSED_PAUSE.min(self.refused_pause * 2);
             }
             CopyRefusal::NotHeld if self.is_fetching_delta() => self.begin_snapshot(),
             CopyRefusal::NotHeld => self.sources.retain(|source| *source != from),
@@ -236,7 +285,7 @@
         if now < due {
             return None;
         }
-        if !self.is_stuck() {
+        if !self.is_stuck(now) && self.assembly.is_begun() {
             self.store = StoreStage::NotNeeded;
             return None;
         }
@@ -245,8 +294,7 @@
     }
 
     fn pace_allows_at(&self, pace: &Pace) -> Instant {
-        let range = self.assembly.next_missing();
-        pace.available_at(range.map_or(0, byte_length))
+        pace.available_at(self.next_length())
     }
 
     fn ask(&mut self, pace: &mut Pace, now: Instant) -> Option<FetchAction> {
@@ -260,15 +308,15 @@
                 ControlMessage::RecordRequest(self.have),
             ));
         }
-        let range = self.assembly.next_missing()?;
-        if !pace.take(byte_length(range), now) {
+        let awaited = self.next_count();
+        if awaited == 0 || !pace.take(self.next_length(), now) {
             return None;
         }
-        self.question = Some((Question::Chunks(range), limit));
+        self.question = Some((Question::Chunks(awaited), limit));
         let request = CopyRequest {
             content: self.assembly.content(),
-            first: range.first,
-            count: range.count,
+            wanted: self.assembly.missing(),
+            limit: u16::try_from(awaited).unwrap_or(MAXIMUM_CHUNKS_PER_REQUEST),
         };
         Some(FetchAction::Send(
             source,
@@ -292,6 +340,23 @@
         }
     }
 
+    /// Chunks that the next request asks for.
+    fn next_count(&self) -> usize {
+        let limit = usize::from(MAXIMUM_CHUNKS_PER_REQUEST);
+        self.assembly.missing_count().min(limit)
+    }
+
+    fn next_length(&self) -> usize {
+        self.next_count() * CHUNK_LENGTH
+    }
+
+    /// Ends a question for chunks and gives back what it did not use.
+    fn end_question(&mut self, pace: &mut Pace) {
+        if let Some((Question::Chunks(awaited), _)) = self.question.take() {
+            pace.give_back(awaited * CHUNK_LENGTH);
+        }
+    }
+
     fn rotate(&mut self) {
         if self.sources.len() > 1 {
             self.sources.rotate_left(1);
@@ -327,7 +392,3 @@
     let content = CopyContent::Snapshot(record.statement.snapshot);
     CopyAssembly::new(content, record.statement.snapshot_length)
 }
-
-fn byte_length(range: ChunkRange) -> usize {
-    usize::from(range.count) * CHUNK_LENGTH
-}
--- a/crates/woodladder-core/src/replica/gossip.rs
+++ b/crates/woodladder-core/src/replica/gossip.rs
@@ -131,12 +131,16 @@
     ) {
         if request.sequence < self.sequence() {
             self.offer_to(from, request.have, now);
+        } else if let Some(offer) = self.fetched_offer()
+            && offer.record.sequence() > request.sequence
+        {
+            self.send(from, ControlMessage::Offer(Box::new(offer)));
         }
     }
 
     /// The data path saw a packet under a sequence.
     pub(super) fn handle_sequence_seen(&mut self, sequence: Sequence, now: Instant) {
-        if sequence <= self.sequence() || self.is_fetching(sequence) {
+        if sequence <= self.sequence() || self.is_fetching(sequence, now) {
             return;
         }
         self.greatest_heard = self.greatest_heard.max(sequence);
@@ -160,6 +164,26 @@
         }
     }
 
+    /// Tells a few nodes of the record that is being fetched, so that they
+    /// fetch it at the same time and pass chunks to each other.
+    pub(super) fn spread_fetched(&mut self) {
+        let Some(offer) = self.fetched_offer() else {
+            return;
+        };
+        let fanout = self.settings.tuning.rumor_fanout;
+        for control in self.members.pick(fanout, &mut self.random) {
+            self.send(control, ControlMessage::Offer(Box::new(offer.clone())));
+        }
+    }
+
+    fn fetched_offer(&self) -> Option<Offer> {
+        let fetch = self.fetch.as_ref()?;
+        Some(Offer {
+            record: fetch.record().clone(),
+            delta: fetch.offered_delta(),
+        })
+    }
+
     fn round_interval(&mut self) -> Duration {
         let joining = !self.is_ready() && self.gossip.short_rounds_left > 0;
         if joining {
@@ -188,16 +212,16 @@
             fetch.add_source(from);
             return;
         }
-        if self.is_fetching(sequence) || !self.gossip.may_request(sequence, now) {
+        if self.is_fetching(sequence, now) || !self.gossip.may_request(sequence, now) {
             return;
         }
         let request = self.record_request();
         self.send(from, ControlMessage::RecordRequest(request));
     }
 
-    fn is_fetching(&self, sequence: Sequence) -> bool {
+    fn is_fetching(&self, sequence: Sequence, now: Instant) -> bool {
         let fetch = self.fetch.as_ref();
-        fetch.is_some_and(|fetch| fetch.record().sequence() >= sequence && !fetch.is_stuck())
+        fetch.is_some_and(|fetch| fetch.record().sequence() >= sequence && !fetch.is_stuck(now))
     }
 
     fn offer_to(&mut self, to: SocketAddr, have: Digest, now: Instant) {
--- a/crates/woodladder-core/src/replica/pace.rs
+++ b/crates/woodladder-core/src/replica/pace.rs
@@ -37,6 +37,12 @@
         true
     }
 
+    /// Gives back bytes that were taken and not used.
+    pub(super) fn give_back(&mut self, bytes: usize) {
+        let available = self.available.saturating_add(bytes as u64);
+        self.available = available.min(self.bytes_per_second);
+    }
+
     /// When so many bytes will be available.
     pub(super) fn available_at(&self, bytes: usize) -> Instant {
         let missing = self.bounded(bytes).saturating_sub(self.available);
--- a/crates/woodladder-core/src/roll_command/machine.rs
+++ b/crates/woodladder-core/src/roll_command/machine.rs
@@ -302,7 +302,9 @@
             ControlMessage::RecordRequest(request) => {
                 rollout.answer_record(request).into_iter().collect()
             }
-            ControlMessage::CopyRequest(request) => rollout.answer_copy(&request, now),
+            ControlMessage::CopyRequest(request) => {
+                rollout.answer_copy(&request, now, &mut self.random)
+            }
             _ => return,
         };
         let answers = answers.into_iter().map(|answer| (from, answer)).collect();
--- a/crates/woodladder-core/src/roll_command/rollout.rs
+++ b/crates/woodladder-core/src/roll_command/rollout.rs
@@ -168,10 +168,11 @@
         &mut self,
         request: &CopyRequest,
         now: Instant,
+        random: &mut impl Rng,
     ) -> Vec<ControlMessage> {
         let planned = &self.planned;
         let load = |content: &CopyContent| planned_content(planned, content);
-        self.copies.answer(request, now, load)
+        self.copies.answer(request, now, random, load)
     }
 
     pub(super) fn next_wakeup(&self) -> Instant {
--- a/crates/woodladder-core/tests/control_message.rs
+++ b/crates/woodladder-core/tests/control_message.rs
@@ -92,14 +92,15 @@
             delta,
         )))
     });
-    let request = |(content, first, count)| CopyRequest {
+    let request = |(content, first, limit)| CopyRequest {
         content,
-        first,
-        count,
+        wanted: (first..first + 100).collect(),
+        limit,
     };
     let chunk = |(content, index, bytes)| CopyChunk {
         content,
         index,
+        last: true,
         bytes,
     };
     let bytes = proptest::collection::vec(any::<u8>(), 0..=CHUNK_LENGTH);
@@ -111,7 +112,7 @@
             let sequence = Sequence(sequence);
             ControlMessage::RecordRequest(RecordRequest { sequence, have })
         }),
-        (contents(), any::<u32>(), 0..=16_u16)
+        (contents(), 0..9_000_usize, 0..=16_u16)
             .prop_map(move |parts| ControlMessage::CopyRequest(request(parts))),
         (contents(), any::<u32>(), bytes)
             .prop_map(move |parts| ControlMessage::CopyChunk(chunk(parts))),
--- a/crates/woodladder-core/tests/replica_adoption.rs
+++ b/crates/woodladder-core/tests/replica_adoption.rs
@@ -172,6 +172,7 @@
         ControlMessage::CopyChunk(CopyChunk {
             content: request.content,
             index: index as u32,
+            last: false,
             bytes: bytes.to_vec(),
         })
     };
@@ -187,6 +188,7 @@
     ControlMessage::CopyChunk(CopyChunk {
         content,
         index: index as u32,
+        last: true,
         bytes: copy[index * CHUNK_LENGTH..].to_vec(),
     })
 }
--- a/crates/woodladder-core/tests/replica_delta.rs
+++ b/crates/woodladder-core/tests/replica_delta.rs
@@ -2,6 +2,7 @@
 
 mod control_world;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use borsh::BorshDeserialize as _;
@@ -61,6 +62,7 @@
             let chunk = woodladder_core::control_message::CopyChunk {
                 content,
                 index: index as u32,
+                last: false,
                 bytes: bytes.to_vec(),
             };
             exchange(&mut replica, ControlMessage::CopyChunk(chunk), START);
@@ -96,15 +98,16 @@
     assert!(length as usize <= CHUNK_LENGTH * usize::from(MAXIMUM_CHUNKS_PER_REQUEST));
     let request = CopyRequest {
         content,
-        first: 0,
-        count: MAXIMUM_CHUNKS_PER_REQUEST,
+        wanted: (0..usize::from(MAXIMUM_CHUNKS_PER_REQUEST)).collect(),
+        limit: MAXIMUM_CHUNKS_PER_REQUEST,
     };
-    let chunks = exchange(replica, ControlMessage::CopyRequest(request), now);
-    let bytes = chunks.into_iter().filter_map(|message| match message {
-        ControlMessage::CopyChunk(chunk) => Some(chunk.bytes),
+    let answers = exchange(replica, ControlMessage::CopyRequest(request), now);
+    let chunks = answers.into_iter().filter_map(|message| match message {
+        ControlMessage::CopyChunk(chunk) => Some((chunk.index, chunk.bytes)),
         _ => None,
     });
-    bytes.flatten().collect()
+    let ordered: BTreeMap<u32, Vec<u8>> = chunks.collect();
+    ordered.into_values().flatten().collect()
 }
 
 proptest! {
