Bound the connections tried for one attempt; stop servers when dropped

A server that says on each connection that it takes no requests would have kept a caller connecting without end. After four connections the attempt now counts as not run.

--- a/crates/woodladder-lab/src/stand_in/back_end/server.rs
+++ b/crates/woodladder-lab/src/stand_in/back_end/server.rs
@@ -16,7 +16,7 @@
 use crate::stand_in::execution_log::ExecutionLog;
 use crate::stand_in::http_server::{Gate, HttpServer};
 
-/// A running back end. It runs until `shutdown` or the end of the runtime.
+/// A running back end. Dropping it stops it.
 #[derive(Debug)]
 pub struct BackEnd {
     service: HttpServer,
--- a/crates/woodladder-lab/src/stand_in/caller/feed_stream.rs
+++ b/crates/woodladder-lab/src/stand_in/caller/feed_stream.rs
@@ -13,7 +13,7 @@
 use super::outcome::{NotRunReason, Outcome, UnknownReason};
 use super::outcome_log::FeedBreak;
 use super::tick::{Tick, TickParser};
-use super::{Caller, CallerConfig};
+use super::{CONNECTIONS_PER_ATTEMPT, Caller, CallerConfig};
 use crate::stand_in::headers;
 
 const FEED_PATH: &str = "/feed";
@@ -27,7 +27,7 @@
 impl FeedStream {
     /// Opens a feed; it is established once the head of a successful answer has come.
     pub(super) async fn open(caller: &Caller) -> Result<Self, Outcome> {
-        loop {
+        for _ in 0..CONNECTIONS_PER_ATTEMPT {
             let connection = match caller.connection().await {
                 Ok(connection) => connection,
                 Err(NoConnection) => return Err(Outcome::not_run(NotRunReason::NoConnection)),
@@ -48,6 +48,7 @@
                 }
             }
         }
+        Err(Outcome::not_run(NotRunReason::NotSent))
     }
 
     async fn open_on(
--- a/crates/woodladder-lab/src/stand_in/caller/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/caller/mod.rs
@@ -32,6 +32,9 @@
 use super::clock::unix_milliseconds;
 use super::headers;
 
+/// Connections tried for one attempt when each of them takes no more requests.
+const CONNECTIONS_PER_ATTEMPT: usize = 4;
+
 /// How a caller behaves.
 #[derive(Clone, Debug)]
 pub struct CallerConfig {
@@ -162,7 +165,7 @@
     }
 
     async fn attempt(&self, operation: Operation, attempt: u32, limit: Duration) -> Outcome {
-        loop {
+        for _ in 0..CONNECTIONS_PER_ATTEMPT {
             let connection = match self.connection().await {
                 Ok(connection) => connection,
                 Err(NoConnection) => return Outcome::not_run(NotRunReason::NoConnection),
@@ -178,6 +181,7 @@
                 Err(ExchangeFailure::Failed(outcome)) => return outcome,
             }
         }
+        Outcome::not_run(NotRunReason::NotSent)
     }
 
     fn operation_request(
--- a/crates/woodladder-lab/src/stand_in/caller/outcome.rs
+++ b/crates/woodladder-lab/src/stand_in/caller/outcome.rs
@@ -79,7 +79,7 @@
     RequestRejected,
     /// No connection was established.
     NoConnection,
-    /// The request could not be written down.
+    /// No connection took the request.
     NotSent,
 }
 
--- a/crates/woodladder-lab/src/stand_in/http_server.rs
+++ b/crates/woodladder-lab/src/stand_in/http_server.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// A running HTTP server.
+/// A running HTTP server. Dropping it stops it.
 #[derive(Debug)]
 pub struct HttpServer {
     address: SocketAddr,
@@ -113,6 +113,12 @@
     }
 }
 
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.shutdown();
+    }
+}
+
 struct GatedIncoming {
     listener: Option<TcpListener>,
     gate: Gate,
--- a/crates/woodladder-lab/src/stand_in/store/server.rs
+++ b/crates/woodladder-lab/src/stand_in/store/server.rs
@@ -50,7 +50,7 @@
     }
 }
 
-/// A running store. Dropping it stops the lapse of sessions, `shutdown` all of it.
+/// A running store. Dropping it stops it.
 #[derive(Debug)]
 pub struct Store {
     service: HttpServer,
