Refuse connections of a store that is down

A store told to refuse accepted connections and closed them. To its clients that is a request which may have taken effect; a refused connection is one that cannot have. The listener is now closed while the gate is shut, and a second socket that never listens keeps the port. Sharing the port by SO_REUSEPORT was tried and dropped: a second process on the same port would not have been noticed.

--- a/crates/woodladder-lab/src/stand_in/http_server.rs
+++ b/crates/woodladder-lab/src/stand_in/http_server.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -11,11 +10,8 @@
 use http::header::CONTENT_TYPE;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use volo::Service;
-use volo::net::conn::Conn;
-use volo::net::incoming::{Incoming, MakeIncoming};
 use volo_http::body::Body;
 use volo_http::context::ServerContext;
 use volo_http::request::Request;
@@ -23,8 +19,9 @@
 use volo_http::server::{IntoResponse, Router, Server};
 
 use super::error::StandInError;
+use super::incoming::{GatedIncoming, PortReservation};
 
-/// Switch which, while shut, closes each connection without an answer.
+/// Switch which, while shut, refuses connections and closes open ones without an answer.
 #[derive(Clone, Debug)]
 pub struct Gate {
     shut: watch::Sender<bool>,
@@ -52,9 +49,18 @@
 
     /// Waits until the gate is shut.
     pub async fn wait_shut(&self) {
+        self.wait(true).await;
+    }
+
+    /// Waits until the gate is open.
+    pub async fn wait_open(&self) {
+        self.wait(false).await;
+    }
+
+    async fn wait(&self, wanted: bool) {
         let mut receiver = self.shut.subscribe();
         // The sender lives in `self`, so the wait cannot fail.
-        let _ = receiver.wait_for(|shut| *shut).await;
+        let _ = receiver.wait_for(|shut| *shut == wanted).await;
     }
 }
 
@@ -77,14 +83,11 @@
         gate: Gate,
     ) -> Result<Self, StandInError> {
         let bind_error = |source| StandInError::Bind { address, source };
-        let listener = TcpListener::bind(address).await.map_err(bind_error)?;
-        let bound = listener.local_addr().map_err(bind_error)?;
+        let reservation = PortReservation::take(address).map_err(bind_error)?;
+        let bound = reservation.address();
         let listening = watch::Sender::new(true);
-        let incoming = GatedIncoming {
-            listener: Some(listener),
-            gate: gate.clone(),
-            listening: listening.subscribe(),
-        };
+        let incoming = GatedIncoming::open(reservation, gate.clone(), listening.subscribe())
+            .map_err(bind_error)?;
         let service = GatedService {
             router,
             gate: gate.clone(),
@@ -119,51 +122,6 @@
     }
 }
 
-struct GatedIncoming {
-    listener: Option<TcpListener>,
-    gate: Gate,
-    listening: watch::Receiver<bool>,
-}
-
-impl fmt::Debug for GatedIncoming {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter
-            .debug_struct("GatedIncoming")
-            .finish_non_exhaustive()
-    }
-}
-
-impl MakeIncoming for GatedIncoming {
-    type Incoming = Self;
-
-    async fn make_incoming(self) -> io::Result<Self> {
-        Ok(self)
-    }
-}
-
-impl Incoming for GatedIncoming {
-    async fn accept(&mut self) -> io::Result<Option<Conn>> {
-        loop {
-            let Some(listener) = &self.listener else {
-                return std::future::pending().await;
-            };
-            tokio::select! {
-                _ = self.listening.wait_for(|listening| !listening) => {
-                    self.listener = None;
-                }
-                accepted = listener.accept() => {
-                    let (stream, _) = accepted?;
-                    if self.gate.is_shut() {
-                        continue;
-                    }
-                    stream.set_nodelay(true)?;
-                    return Ok(Some(Conn::from(stream)));
-                }
-            }
-        }
-    }
-}
-
 struct GatedService {
     router: Router,
     gate: Gate,
--- a/crates/woodladder-lab/src/stand_in/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/mod.rs
@@ -12,6 +12,7 @@
 pub mod fabric;
 pub mod headers;
 pub mod http_server;
+mod incoming;
 pub mod machine_list;
 pub mod operation;
 pub mod oracle;
--- a/crates/woodladder-lab/src/stand_in/store/fault.rs
+++ b/crates/woodladder-lab/src/stand_in/store/fault.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum DownMode {
-    /// Connections close at once, without an answer.
+    /// Connections are refused, and open ones close without an answer.
     #[default]
     Refuse,
     /// Requests are answered with status 503.
--- a/crates/woodladder-lab/tests/stand_in_store.rs
+++ b/crates/woodladder-lab/tests/stand_in_store.rs
@@ -8,7 +8,8 @@
 
 use http::Method;
 use serde_json::Value;
-use support::{Answer, HttpClient};
+use support::{Answer, HttpClient, PATIENCE};
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 use woodladder_core::clock::Instant;
 use woodladder_lab::stand_in::store::{
@@ -245,19 +246,32 @@
     assert_eq!(get(&client, store.address(), "").await.status, 503);
     store.set_fault(down(DownMode::Refuse));
     assert!(client.get(store.address(), KEY).await.is_err());
+    let refused = async {
+        while TcpStream::connect(store.address()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(PATIENCE, refused)
+        .await
+        .expect("connections accepted");
     store.set_fault(down(DownMode::Hang));
+    let listens = async { while TcpStream::connect(store.address()).await.is_err() {} };
+    timeout(PATIENCE, listens).await.expect("does not listen");
     assert!(
         timeout(SILENCE, client.get(store.address(), KEY))
             .await
             .is_err()
     );
     store.set_fault(StoreFault::default());
-    assert_eq!(
-        get(&HttpClient::default(), store.address(), "")
-            .await
-            .status,
-        200
-    );
+    let answered = async {
+        loop {
+            if let Ok(answer) = HttpClient::default().get(store.address(), KEY).await {
+                return answer.status;
+            }
+        }
+    };
+    let status = timeout(PATIENCE, answered).await.expect("not back");
+    assert_eq!(status, 200);
 }
 
 fn down(down_mode: DownMode) -> StoreFault {
@@ -268,6 +282,16 @@
     }
 }
 
+#[tokio::test]
+async fn refuses_a_port_that_another_store_listens_on() {
+    let store = store().await;
+    let config = StoreConfig {
+        address: store.address(),
+        ..StoreConfig::default()
+    };
+    assert!(Store::start(config).await.is_err());
+}
+
 #[tokio::test]
 async fn watches_come_never_or_twice_when_told_to() {
     let store = store().await;
