Offer a roll again to nodes whose status shows them behind

Cause: a node that the first 32 offers missed and that knows nobody stayed behind until the command ended. Change: after 1 s a reply with a lower sequence is answered by an offer; values that were not awaited are no fault; a suspect node asks at once after adopting.

--- a/crates/woodladder-core/src/replica/install.rs
+++ b/crates/woodladder-core/src/replica/install.rs
@@ -44,7 +44,7 @@
             self.fetch = None;
         }
         self.joining.installed(now);
-        if first {
+        if first || self.vigilance.is_suspect(now) {
             self.gossip.round_soon(now);
         }
         self.actions.push(Action::Install(next));
--- a/crates/woodladder-core/src/replica/store_access.rs
+++ b/crates/woodladder-core/src/replica/store_access.rs
@@ -31,8 +31,8 @@
             self.joining.store_settled();
         }
         match &answer {
-            StoreAnswer::Value { value, .. } => self.handle_current(request, value, now),
-            StoreAnswer::NotFound => self.vigilance.confirmed_by_store(request),
+            StoreAnswer::Value { value, .. } => self.handle_current(request, value, awaited, now),
+            StoreAnswer::NotFound if awaited => self.vigilance.confirmed_by_store(request),
             _ => {}
         }
     }
@@ -72,9 +72,19 @@
         self.actions.push(Action::Store { request, operation });
     }
 
-    fn handle_current(&mut self, request: StoreRequestId, value: &[u8], now: Instant) {
+    /// Takes a value of the current entry. A value that was not awaited may be
+    /// the late one of a snapshot, so it is no fault when it is no record.
+    fn handle_current(
+        &mut self,
+        request: StoreRequestId,
+        value: &[u8],
+        awaited: bool,
+        now: Instant,
+    ) {
         let Ok(stored) = StoredRoll::try_from_slice(value) else {
-            self.counters.rejections.count(Rejection::Malformed);
+            if awaited {
+                self.refuse(Rejection::Malformed);
+            }
             return;
         };
         if stored.record.sequence() <= self.sequence() {
--- a/crates/woodladder-core/src/roll_command/machine.rs
+++ b/crates/woodladder-core/src/roll_command/machine.rs
@@ -291,13 +291,13 @@
         let Some(rollout) = &mut self.rollout else {
             return;
         };
-        let answers = match message {
+        let answers: Vec<ControlMessage> = match message {
             ControlMessage::StatusReply(reply) => {
                 if rollout.reply(&reply) {
                     let progress = rollout.progress();
                     self.actions.push(RollAction::Progress(progress));
                 }
-                return;
+                rollout.offer_to_late(&reply, now).into_iter().collect()
             }
             ControlMessage::RecordRequest(request) => {
                 rollout.answer_record(request).into_iter().collect()
--- a/crates/woodladder-core/src/roll_command/rollout.rs
+++ b/crates/woodladder-core/src/roll_command/rollout.rs
@@ -23,6 +23,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Status requests in one batch.
 const POLL_BATCH: usize = 1000;
+/// Time that nodes get to hear of the roll from each other, before one that
+/// is behind gets an offer of its own.
+const OFFER_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// Time before a node is asked again.
 const ASK_AGAIN_AFTER: Duration = Duration::from_millis(700);
 /// Bytes a second of copies that the command sends.
@@ -46,6 +49,7 @@
     copies: CopyServer,
     next_position: usize,
     next_poll: Instant,
+    offers_again_at: Instant,
     ends_at: Instant,
     progress: RollProgress,
 }
@@ -67,6 +71,7 @@
             copies: CopyServer::new(COPY_BYTES_PER_SECOND, now),
             next_position: 0,
             next_poll: now + POLL_INTERVAL,
+            offers_again_at: now + OFFER_AGAIN_AFTER,
             ends_at: now + time,
             progress: RollProgress::default(),
         };
@@ -154,6 +159,21 @@
         before != self.progress
     }
 
+    /// The offer to a node whose reply shows that it is still behind.
+    pub(super) fn offer_to_late(
+        &self,
+        reply: &StatusReply,
+        now: Instant,
+    ) -> Option<ControlMessage> {
+        if now < self.offers_again_at {
+            return None;
+        }
+        self.answer_record(RecordRequest {
+            sequence: reply.sequence,
+            have: reply.snapshot,
+        })
+    }
+
     /// The offer that a node asks for.
     pub(super) fn answer_record(&self, request: RecordRequest) -> Option<ControlMessage> {
         if request.sequence >= self.planned.record().sequence() {
