--- a/crates/woodladder-core/src/admission/choice.rs
+++ b/crates/woodladder-core/src/admission/choice.rs
@@ -55,7 +55,7 @@
     }
 
     pub(super) fn choose(&self, options: &AdmissionOptions) -> Choice {
-        if self.route.last {
+        if self.is_ordered_here() {
             return self.obstacle.map_or(Choice::Take, Choice::Decline);
         }
         if self.obstacle.is_none() && self.load < options.accept_below {
@@ -67,21 +67,34 @@
         }
     }
 
-    /// The route on which a flow handed on before goes again; `None` when the
-    /// earlier receiver has stated its load since, so that the choice is to be
-    /// made anew, or when this target was told to take the flow.
+    /// The route on which a flow handed on before goes again. `None` when it
+    /// would go back to a target that was asked meanwhile: then the choice is
+    /// made anew, or this target was told to take the flow.
     pub(super) fn repeat(&self, to: &Hop, last: bool) -> Option<FirstRoute> {
-        if self.route.last {
-            return None;
+        let hops = &self.route.hops;
+        let listed = hops.iter().position(|hop| hop.target == to.target);
+        let is_ordered = self.is_ordered_here();
+        match listed {
+            None if is_ordered && hops.len() >= MAXIMUM_HOPS => None,
+            None => Some(self.route_beyond(to)),
+            Some(_) if is_ordered => None,
+            Some(index) => {
+                let stated = hops[index].load.is_some();
+                let was_asked = stated || index <= self.index;
+                if was_asked {
+                    return (stated && last).then(|| self.route_to(index, last));
+                }
+                Some(self.route_ahead(index, last))
+            }
         }
+    }
+
+    /// Whether another target has sent the flow here to be taken or refused. A
+    /// balancer that knows a single target says so too, but cannot know better.
+    fn is_ordered_here(&self) -> bool {
         let hops = &self.route.hops;
-        let Some(index) = hops.iter().position(|hop| hop.target == to.target) else {
-            return Some(self.route_beyond(to));
-        };
-        let stated = hops[index].load.is_some();
-        let was_asked = stated || index <= self.index;
-        let may_go = !was_asked || (stated && last);
-        may_go.then(|| self.route_to(index, last))
+        let is_fresh = self.index == 0 && hops.iter().all(|hop| hop.load.is_none());
+        self.route.last && !is_fresh
     }
 
     /// All targets were asked: the least loaded takes the flow.
@@ -186,15 +199,28 @@
         }
     }
 
-    /// A list of this target and one that is not on its list.
+    /// The route to a target further along the list, put next on it, so that
+    /// those between are still to be asked.
+    fn route_ahead(&self, index: usize, last: bool) -> FirstRoute {
+        let next = self.index + 1;
+        let mut route = self.route_to(next, last);
+        route.hops[next..=index].rotate_right(1);
+        route
+    }
+
+    /// A list that ends with a target which is not on this one, with the order
+    /// to take the flow. A list made so grows by one target with each step, so
+    /// that steps end; one by a balancer is left behind.
     fn route_beyond(&self, to: &Hop) -> FirstRoute {
-        let own = Hop {
-            load: self.stated_load(),
-            ..self.route.hops[self.index]
-        };
+        let mut hops = self.route.hops.clone();
+        hops[self.index].load = self.stated_load();
+        if !self.is_ordered_here() {
+            hops = vec![hops[self.index]];
+        }
+        hops.push(Hop { load: None, ..*to });
         FirstRoute {
-            hops: vec![own, Hop { load: None, ..*to }],
-            position: 1,
+            position: u8::try_from(hops.len() - 1).unwrap_or_default(),
+            hops,
             last: true,
         }
     }
--- a/crates/woodladder-core/src/drain.rs
+++ b/crates/woodladder-core/src/drain.rs
@@ -48,7 +48,7 @@
 pub struct Activity {
     /// Requests without a final answer, streams included.
     pub requests: u32,
-    /// Callers' connections that are open.
+    /// Callers' connections that are open, handshakes included.
     pub connections: u32,
 }
 
@@ -74,7 +74,8 @@
     RefuseRequests,
     /// Take flows and requests again.
     Resume,
-    /// All work has ended; a process that was told to stop may end.
+    /// All work has ended; a process that was told to stop may end. Comes again
+    /// when a further reason to leave is added after that.
     Finish,
 }
 
@@ -123,7 +124,9 @@
     pub fn takes_new_requests(&self, now: Instant) -> bool {
         match self.phase {
             DrainPhase::Serving => true,
-            DrainPhase::Leaving { since } => now.since(since) < self.grace,
+            DrainPhase::Leaving { since } => {
+                !self.refuses_requests && now.since(since) < self.grace
+            }
             DrainPhase::Drained => false,
         }
     }
@@ -151,10 +154,14 @@
     }
 
     fn begin(&mut self, reason: DrainReason, now: Instant, actions: &mut Vec<DrainAction>) {
-        self.reasons.insert(reason);
-        if self.phase == DrainPhase::Serving {
-            self.phase = DrainPhase::Leaving { since: now };
-            actions.push(DrainAction::NotifyCallers);
+        let is_new = self.reasons.insert(reason);
+        match self.phase {
+            DrainPhase::Serving => {
+                self.phase = DrainPhase::Leaving { since: now };
+                actions.push(DrainAction::NotifyCallers);
+            }
+            DrainPhase::Drained if is_new => actions.push(DrainAction::Finish),
+            DrainPhase::Leaving { .. } | DrainPhase::Drained => {}
         }
     }
 
@@ -174,14 +181,14 @@
         let DrainPhase::Leaving { since } = self.phase else {
             return;
         };
-        if !self.refuses_requests && now.since(since) >= self.grace {
+        let none_may_arrive = self.activity.connections == 0;
+        let grace_is_over = now.since(since) >= self.grace;
+        if !self.refuses_requests && (grace_is_over || none_may_arrive) {
             self.refuses_requests = true;
             actions.push(DrainAction::RefuseRequests);
         }
-        let no_more_may_arrive = self.refuses_requests || self.activity.connections == 0;
-        if no_more_may_arrive && self.activity.requests == 0 {
+        if self.refuses_requests && self.activity.requests == 0 {
             self.phase = DrainPhase::Drained;
-            self.refuses_requests = true;
             actions.push(DrainAction::Finish);
         }
     }
--- a/crates/woodladder-core/src/request/table.rs
+++ b/crates/woodladder-core/src/request/table.rs
@@ -134,6 +134,8 @@
             limit: Some(limit),
         };
         self.store.put(id, request);
+        // Before late requests are given up: one that need not wait may have a
+        // limit of no time at all.
         self.dispatch_waiting(now, actions);
     }
 
--- /dev/null
+++ b/crates/woodladder-core/tests/admission.rs
@@ -0,0 +1,383 @@
+//! Admission at one target.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use woodladder_core::admission::{
+    AdmissionDrop, AdmissionOptions, FENCE_GRACE, RefuseReason, SequenceHint, Verdict,
+};
+use woodladder_core::bundle::TargetState;
+use woodladder_core::directory::Directory;
+use woodladder_core::envelope::{Envelope, FirstRoute, Route};
+use woodladder_core::hop_list::{Load, flow_hash};
+use woodladder_core::identifier::{Sequence, TargetId};
+
+use support::target_model::{TargetModel, envelope, first_envelope, first_route};
+use support::{
+    KITCHEN, PRINT, active, at, directory, first_datagram, keys, service_address, short_datagram,
+    target, target_address,
+};
+
+const FLOW: [u8; 8] = [7; 8];
+
+fn kitchen() -> Arc<Directory> {
+    directory(5, [active(1..8, KITCHEN), active(11..14, PRINT)].concat())
+}
+
+fn only_target() -> Arc<Directory> {
+    directory(5, active([1], KITCHEN))
+}
+
+fn model(id: u32) -> TargetModel {
+    TargetModel::new(id, &kitchen(), AdmissionOptions::default())
+}
+
+fn verdict(model: &mut TargetModel, envelope: Envelope) -> Verdict {
+    let decision = model.handle(envelope, &first_datagram(&FLOW), at(0));
+    decision.verdict
+}
+
+fn handed_on(verdict: Verdict) -> (TargetId, FirstRoute) {
+    let Verdict::HandOn(forward) = verdict else {
+        panic!("not handed on: {verdict:?}");
+    };
+    let Route::First(route) = forward.envelope.route else {
+        panic!("not a first route");
+    };
+    let hop = *route.current().expect("a hop");
+    assert_eq!(forward.to, hop.address);
+    (hop.target, route)
+}
+
+fn reaches_transport(verdict: &Verdict) -> bool {
+    matches!(
+        verdict,
+        Verdict::Deliver | Verdict::Accept | Verdict::AcceptToDecline
+    )
+}
+
+/// Mostly the target under test.
+fn any_target() -> impl Strategy<Value = TargetId> {
+    prop_oneof![3 => Just(1), 1 => 1..15_u32].prop_map(TargetId)
+}
+
+fn any_route() -> impl Strategy<Value = Route> {
+    let first = (any_target(), any_target(), 0..2_u8, any::<bool>())
+        .prop_map(|(one, two, at, last)| Route::First(first_route(&[one.0, two.0], at, last)));
+    prop_oneof![
+        any_target().prop_map(Route::Established),
+        any_target().prop_map(Route::Relay),
+        first,
+    ]
+}
+
+proptest! {
+    /// Whatever comes, only packets of the own service and target pass.
+    #[test]
+    fn nothing_of_another_service_or_target_reaches_the_transport(
+        to_print: bool,
+        sequence in 0..9_u64,
+        route in any_route(),
+        named in prop::option::of(any_target()),
+        is_first: bool,
+        key_number in 1..3_u8,
+        busy in 0..20_u32,
+    ) {
+        let service = if to_print { PRINT } else { KITCHEN };
+        let id = named.map_or(vec![9; 20], |target| {
+            keys(key_number).issue(target, [3; 7]).to_vec()
+        });
+        let datagram = if is_first { first_datagram(&id) } else { short_datagram(&id) };
+        let verified = named.filter(|_| key_number == 1);
+        let sent = envelope(service, sequence, route.clone());
+        let decision = model(1).with_busy(busy).handle(sent, &datagram, at(0));
+        if reaches_transport(&decision.verdict) {
+            let own = Some(TargetId(1));
+            let meant_for = match &route {
+                Route::Established(target) | Route::Relay(target) => Some(*target),
+                Route::First(first) => first.current().map(|hop| hop.target),
+            };
+            prop_assert!(!to_print);
+            prop_assert_eq!(meant_for, own);
+            prop_assert!(verified == own || (verified.is_none() && is_first));
+            let opens = decision.verdict != Verdict::Deliver;
+            prop_assert!(!opens || matches!(route, Route::First(_)));
+        }
+    }
+
+    /// A target that leaves takes no flow that it has not taken before.
+    #[test]
+    fn a_leaving_target_accepts_nothing_new(
+        flow: [u8; 8],
+        busy in 0..20_u32,
+        targets in prop::sample::subsequence(vec![1, 2, 3, 4], 1..=4),
+        last: bool,
+        by_bundle: bool,
+    ) {
+        let mut targets = targets;
+        targets.retain(|id| *id != 1);
+        targets.insert(0, 1);
+        let state = if by_bundle { TargetState::Leaving } else { TargetState::Active };
+        let known = directory(5, [vec![target(1, KITCHEN, state)], active(2..8, KITCHEN)].concat());
+        let mut model = TargetModel::new(1, &known, AdmissionOptions::default()).with_busy(busy);
+        model.conditions.takes_new_flows = by_bundle;
+        let mut route = first_route(&targets, 0, last);
+        if last {
+            route.hops[0].load = Some(Load(500));
+        }
+        let sent = envelope(KITCHEN, 5, Route::First(route));
+        let verdict = model.handle(sent, &first_datagram(&flow), at(0)).verdict;
+        if last {
+            prop_assert_eq!(verdict, Verdict::AcceptToDecline);
+        } else {
+            let (_, route) = handed_on(verdict);
+            prop_assert_eq!(route.hops[0].load, None, "it would come back");
+        }
+    }
+
+    /// The decision on a flow holds for its further first packets, whatever
+    /// list they come with.
+    #[test]
+    fn a_decision_is_kept(
+        flow: [u8; 8],
+        first_busy in 0..20_u32,
+        second_busy in 0..20_u32,
+        first_other in 2..8_u32,
+        second_other in 2..8_u32,
+        delay in 0..7000_u64,
+    ) {
+        let mut model = model(1).with_busy(first_busy);
+        let datagram = first_datagram(&flow);
+        let before = model.handle(first_envelope(5, &[1, first_other]), &datagram, at(0)).verdict;
+        model.conditions.usage.busy_slots = second_busy;
+        model.conditions.takes_new_flows = false;
+        let again = first_envelope(5, &[1, second_other]);
+        let after = model.handle(again, &datagram, at(delay)).verdict;
+        match before {
+            Verdict::HandOn(_) => prop_assert_eq!(handed_on(before).0, handed_on(after).0),
+            _ => prop_assert_eq!(before, after),
+        }
+    }
+}
+
+#[test]
+fn little_load_is_taken_at_once_and_more_is_handed_on() {
+    let idle = verdict(&mut model(1), first_envelope(5, &[1, 2]));
+    assert_eq!(idle, Verdict::Accept);
+    let busy = verdict(&mut model(1).with_busy(8), first_envelope(5, &[1, 2]));
+    let (to, route) = handed_on(busy);
+    assert_eq!(to, TargetId(2));
+    assert_eq!(route.hops[0].load, Some(Load(800)));
+    assert!(!route.last);
+}
+
+#[test]
+fn the_last_asked_compares_and_sends_back() {
+    let stated = |load| {
+        let mut route = first_route(&[1, 2, 3], 2, false);
+        route.hops[0].load = Some(Load(900));
+        route.hops[1].load = Some(Load(load));
+        envelope(KITCHEN, 5, Route::First(route))
+    };
+    let equal = verdict(&mut model(3).with_busy(8), stated(800));
+    assert_eq!(equal, Verdict::Accept);
+    let (to, route) = handed_on(verdict(&mut model(3).with_busy(8), stated(799)));
+    assert_eq!(to, TargetId(2));
+    assert!(route.last);
+    let sent_back = envelope(KITCHEN, 5, Route::First(route));
+    let taken = verdict(&mut model(2).with_busy(30), sent_back);
+    assert_eq!(taken, Verdict::Accept);
+}
+
+#[test]
+fn a_margin_keeps_small_differences_from_a_return() {
+    let options = AdmissionOptions {
+        return_margin: Load(100),
+        ..AdmissionOptions::default()
+    };
+    let mut route = first_route(&[1, 2], 1, false);
+    route.hops[0].load = Some(Load(700));
+    let sent = envelope(KITCHEN, 5, Route::First(route));
+    let mut model = TargetModel::new(2, &kitchen(), options).with_busy(8);
+    assert_eq!(verdict(&mut model, sent), Verdict::Accept);
+}
+
+#[test]
+fn flows_just_taken_count_until_their_first_request() {
+    let mut model = model(1).with_busy(1);
+    let take = |model: &mut TargetModel, flow: u8, now| {
+        let sent = first_envelope(5, &[1, 2]);
+        let datagram = first_datagram(&[flow; 8]);
+        model.handle(sent, &datagram, at(now)).verdict
+    };
+    assert_eq!(take(&mut model, 1, 0), Verdict::Accept);
+    assert!(matches!(take(&mut model, 2, 0), Verdict::HandOn(_)));
+    model.admission.request_arrived(flow_hash(&[1; 8]));
+    assert_eq!(take(&mut model, 3, 0), Verdict::Accept);
+    assert!(matches!(take(&mut model, 4, 499), Verdict::HandOn(_)));
+    assert_eq!(take(&mut model, 5, 500), Verdict::Accept);
+}
+
+#[test]
+fn connections_are_bounded_with_those_not_open_yet() {
+    let mut model = TargetModel::new(1, &only_target(), AdmissionOptions::default());
+    model.conditions.usage.connection_limit = 1;
+    let only = |flow: u8| (first_envelope(5, &[1]), first_datagram(&[flow; 8]));
+    let (sent, datagram) = only(1);
+    assert_eq!(
+        model.handle(sent, &datagram, at(0)).verdict,
+        Verdict::Accept
+    );
+    let (sent, datagram) = only(2);
+    let full = model.handle(sent, &datagram, at(0)).verdict;
+    assert_eq!(full, Verdict::AcceptToDecline);
+    model.admission.connection_closed(flow_hash(&[1; 8]));
+    let (sent, datagram) = only(3);
+    assert_eq!(
+        model.handle(sent, &datagram, at(0)).verdict,
+        Verdict::Accept
+    );
+}
+
+#[test]
+fn beyond_the_allowance_flows_are_refused() {
+    let options = AdmissionOptions {
+        decline_allowance: 2,
+        ..AdmissionOptions::default()
+    };
+    let mut model = TargetModel::new(1, &only_target(), options);
+    model.conditions.takes_new_flows = false;
+    let mut decide = |flow: u8, now| {
+        let datagram = first_datagram(&[flow; 8]);
+        model
+            .handle(first_envelope(5, &[1]), &datagram, at(now))
+            .verdict
+    };
+    assert_eq!(decide(1, 0), Verdict::AcceptToDecline);
+    assert_eq!(decide(2, 0), Verdict::AcceptToDecline);
+    assert_eq!(decide(3, 999), Verdict::Refuse(RefuseReason::Leaving));
+    assert_eq!(decide(4, 1000), Verdict::AcceptToDecline);
+}
+
+#[test]
+fn targets_that_the_own_directory_rules_out_are_not_asked() {
+    let leaving = target(2, KITCHEN, TargetState::Leaving);
+    let known = directory(
+        5,
+        [vec![leaving], active([1, 3], KITCHEN), active([4], PRINT)].concat(),
+    );
+    let mut model = TargetModel::new(1, &known, AdmissionOptions::default()).with_busy(9);
+    let (to, _) = handed_on(verdict(&mut model, first_envelope(4, &[1, 2, 4, 3])));
+    assert_eq!(to, TargetId(3));
+}
+
+#[test]
+fn a_flow_that_no_listed_target_can_take_goes_to_another() {
+    let leaving = [1, 2].map(|id| target(id, KITCHEN, TargetState::Leaving));
+    let known = directory(5, [leaving.to_vec(), active([3], KITCHEN)].concat());
+    let mut model = TargetModel::new(1, &known, AdmissionOptions::default());
+    let (to, route) = handed_on(verdict(&mut model, first_envelope(4, &[1, 2])));
+    assert_eq!(to, TargetId(3));
+    assert!(route.last);
+}
+
+#[test]
+fn a_list_of_one_target_does_not_undo_an_earlier_decision() {
+    let mut model = model(1).with_busy(8);
+    let (to, _) = handed_on(verdict(&mut model, first_envelope(5, &[1, 2])));
+    let (again, route) = handed_on(verdict(&mut model, first_envelope(4, &[1])));
+    assert_eq!(again, to);
+    assert!(route.last);
+}
+
+#[test]
+fn a_leaving_target_alone_on_its_list_knows_another() {
+    let mut model = model(1);
+    model.conditions.takes_new_flows = false;
+    let (to, route) = handed_on(verdict(&mut model, first_envelope(5, &[1])));
+    assert_ne!(to, TargetId(1));
+    assert!(route.last);
+}
+
+#[test]
+fn a_moved_service_address_is_not_admitted() {
+    let mut sent = first_envelope(5, &[1]);
+    sent.service_address = service_address(PRINT);
+    let refused = verdict(&mut model(1), sent.clone());
+    assert_eq!(refused, Verdict::Drop(AdmissionDrop::WrongService));
+    sent.sequence = Sequence(6);
+    assert_eq!(verdict(&mut model(1), sent), Verdict::Accept);
+}
+
+#[test]
+fn the_fence_stops_new_flows_and_not_established_ones() {
+    let mut model = model(1);
+    let first = |model: &mut TargetModel, flow: u8, now| {
+        model.handle(first_envelope(4, &[1]), &first_datagram(&[flow; 8]), now)
+    };
+    let within = at(0) + FENCE_GRACE;
+    let beyond = within + Duration::from_millis(1);
+    let decision = first(&mut model, 1, within);
+    assert_eq!((decision.verdict, decision.hint), (Verdict::Accept, None));
+    let decision = first(&mut model, 2, beyond);
+    let stale = Verdict::Drop(AdmissionDrop::StaleSequence);
+    let hint = Some(SequenceHint::SenderIsBehind(Sequence(4)));
+    assert_eq!((decision.verdict, decision.hint), (stale, hint));
+    let token = keys(1).issue(TargetId(1), [0; 7]);
+    let sent = envelope(KITCHEN, 4, Route::Established(TargetId(1)));
+    let decision = model.handle(sent, &short_datagram(&token), beyond);
+    assert_eq!((decision.verdict, decision.hint), (Verdict::Deliver, hint));
+}
+
+#[test]
+fn a_recent_roll_does_not_lift_the_fence_of_the_one_before() {
+    let mut model = model(1);
+    let now = at(60_000);
+    model
+        .admission
+        .adopt(directory(6, active(1..8, KITCHEN)), now);
+    let mut decide = |sequence, flow: u8| {
+        let datagram = first_datagram(&[flow; 8]);
+        model.handle(first_envelope(sequence, &[1]), &datagram, now)
+    };
+    assert_eq!(decide(5, 1).verdict, Verdict::Accept);
+    let stale = Verdict::Drop(AdmissionDrop::StaleSequence);
+    assert_eq!(decide(4, 2).verdict, stale);
+    let hint = Some(SequenceHint::OwnIsBehind(Sequence(7)));
+    assert_eq!(decide(7, 3).hint, hint);
+}
+
+#[test]
+fn relays_go_to_known_targets_of_the_service_only() {
+    let relay = |id: u32, token_of: u32| {
+        let token = keys(1).issue(TargetId(token_of), [0; 7]);
+        let sent = envelope(KITCHEN, 3, Route::Relay(TargetId(id)));
+        model(1)
+            .handle(sent, &short_datagram(&token), at(0))
+            .verdict
+    };
+    let Verdict::Relay(forward) = relay(2, 2) else {
+        panic!("not relayed");
+    };
+    assert_eq!(forward.to, target_address(TargetId(2)));
+    assert_eq!(forward.envelope.route, Route::Established(TargetId(2)));
+    assert_eq!(relay(1, 1), Verdict::Deliver);
+    assert_eq!(relay(2, 3), Verdict::Drop(AdmissionDrop::ForeignToken));
+    assert_eq!(
+        relay(99, 99),
+        Verdict::Drop(AdmissionDrop::UnknownRelayTarget)
+    );
+    assert_eq!(relay(12, 12), Verdict::Drop(AdmissionDrop::WrongService));
+}
+
+#[test]
+fn a_target_that_knows_no_directory_serves_by_its_settings() {
+    let none = Arc::new(Directory::default());
+    let mut model = TargetModel::new(1, &none, AdmissionOptions::default());
+    let decision = model.handle(first_envelope(5, &[1]), &first_datagram(&FLOW), at(0));
+    assert_eq!(decision.verdict, Verdict::Accept);
+    assert_eq!(decision.hint, Some(SequenceHint::OwnIsBehind(Sequence(5))));
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/carrier.rs
@@ -0,0 +1,71 @@
+//! Reading the invariant part of the callers' datagrams.
+
+mod support;
+
+use proptest::prelude::*;
+use woodladder_core::carrier::{CarrierError, MINIMUM_FIRST_DATAGRAM, classify};
+use woodladder_core::token::TOKEN_LENGTH;
+
+use support::{first_datagram, short_datagram};
+
+const VERSION_2: [u8; 4] = [0x6b, 0x33, 0x43, 0xcf];
+
+fn opens_flow(datagram: &[u8]) -> bool {
+    classify(datagram, TOKEN_LENGTH).is_ok_and(|packet| packet.may_open_flow)
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_datagrams_never_panic(datagram: Vec<u8>, token_length in 0..64_usize) {
+        if let Ok(packet) = classify(&datagram, token_length) {
+            prop_assert!(packet.destination.len() <= datagram.len());
+            prop_assert!(!packet.may_open_flow || datagram.len() >= MINIMUM_FIRST_DATAGRAM);
+        }
+    }
+
+    #[test]
+    fn the_connection_identifier_is_found(id in prop::collection::vec(any::<u8>(), 8..=20)) {
+        let datagram = first_datagram(&id);
+        let packet = classify(&datagram, TOKEN_LENGTH).expect("a packet");
+        prop_assert_eq!(packet.destination, id.as_slice());
+        prop_assert!(packet.may_open_flow);
+    }
+
+    #[test]
+    fn a_short_header_opens_no_flow(token: [u8; TOKEN_LENGTH]) {
+        let datagram = short_datagram(&token);
+        let packet = classify(&datagram, TOKEN_LENGTH).expect("a packet");
+        prop_assert_eq!(packet.destination, token.as_slice());
+        prop_assert!(!packet.may_open_flow);
+    }
+
+    #[test]
+    fn an_identifier_of_more_than_twenty_bytes_is_an_error(length in 21_u8..) {
+        let mut datagram = first_datagram(&[0; 20]);
+        datagram[5] = length;
+        let error = classify(&datagram, TOKEN_LENGTH);
+        prop_assert_eq!(error, Err(CarrierError::OversizedConnectionId));
+    }
+}
+
+#[test]
+fn only_an_initial_of_full_size_opens_a_flow() {
+    let initial = first_datagram(&[1; 8]);
+    assert!(opens_flow(&initial));
+    assert!(!opens_flow(&initial[..MINIMUM_FIRST_DATAGRAM - 1]));
+    assert!(!opens_flow(&first_datagram(&[1; 7])));
+    let handshake = [&[0xe0], &initial[1..]].concat();
+    assert!(!opens_flow(&handshake));
+    let negotiation = [&[0xc0, 0, 0, 0, 0], &initial[5..]].concat();
+    assert!(!opens_flow(&negotiation));
+    let unknown_version = [&[0xc0, 0xff, 0, 0, 0x1d], &initial[5..]].concat();
+    assert!(opens_flow(&unknown_version));
+}
+
+#[test]
+fn the_second_version_numbers_its_initial_differently() {
+    let initial = first_datagram(&[1; 8]);
+    let of_type = |first: u8| [&[first][..], &VERSION_2, &initial[5..]].concat();
+    assert!(opens_flow(&of_type(0xd0)));
+    assert!(!opens_flow(&of_type(0xc0)));
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/decoder.rs
@@ -0,0 +1,54 @@
+//! Every stored or received form decodes to a value or an error, never a panic.
+
+mod support;
+
+use borsh::BorshDeserialize;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use woodladder_core::bundle::SignedBundle;
+use woodladder_core::roll_record::{RollRecord, StoredRoll};
+use woodladder_core::snapshot::Snapshot;
+use woodladder_core::snapshot_delta::SnapshotDelta;
+
+use support::{KITCHEN, active, snapshot};
+
+fn decode_all(bytes: &[u8]) {
+    let _ = SignedBundle::try_from_slice(bytes);
+    let _ = Snapshot::try_from_slice(bytes);
+    let _ = SnapshotDelta::try_from_slice(bytes);
+    let _ = RollRecord::try_from_slice(bytes);
+    let _ = StoredRoll::try_from_slice(bytes);
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in vec(any::<u8>(), 0..2000)) {
+        decode_all(&bytes);
+    }
+
+    #[test]
+    fn damaged_snapshots_never_panic(
+        damages in vec((any::<prop::sample::Index>(), any::<u8>()), 1..4),
+        cut: prop::sample::Index,
+    ) {
+        let mut bytes = snapshot(None, active(1..8, KITCHEN)).encode();
+        for (position, value) in damages {
+            let position = position.index(bytes.len());
+            bytes[position] = value;
+        }
+        decode_all(&bytes);
+        decode_all(&bytes[..cut.index(bytes.len())]);
+    }
+
+    #[test]
+    fn a_delta_between_two_snapshots_gives_the_second(
+        before in prop::collection::btree_set(0..30_u32, 0..20),
+        after in prop::collection::btree_set(0..30_u32, 0..20),
+    ) {
+        let before = snapshot(None, active(before, KITCHEN));
+        let after = snapshot(Some(&before), active(after, KITCHEN));
+        let delta = SnapshotDelta::between(&before, &after);
+        let applied = delta.apply(&before, before.digest(), after.digest());
+        prop_assert_eq!(applied, Ok(after));
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/drain.rs
@@ -0,0 +1,139 @@
+//! The drain of a target.
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use woodladder_core::clock::Instant;
+use woodladder_core::drain::{
+    Activity, DEFAULT_GRACE, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason, MAXIMUM_GRACE,
+};
+
+use support::at;
+
+fn activity(requests: u32, connections: u32) -> DrainEvent {
+    DrainEvent::Activity(Activity {
+        requests,
+        connections,
+    })
+}
+
+fn begin(drain: &mut Drain, reason: DrainReason, now: Instant) -> Vec<DrainAction> {
+    drain.handle(DrainEvent::Begin(reason), now)
+}
+
+fn reason() -> impl Strategy<Value = DrainReason> {
+    prop_oneof![
+        Just(DrainReason::Signal),
+        Just(DrainReason::Bundle),
+        Just(DrainReason::MachineList),
+        Just(DrainReason::BackEndHealth),
+    ]
+}
+
+fn event() -> impl Strategy<Value = DrainEvent> {
+    prop_oneof![
+        1 => reason().prop_map(DrainEvent::Begin),
+        1 => reason().prop_map(DrainEvent::Withdraw),
+        2 => (0..3_u32, 0..3_u32).prop_map(|(requests, connections)| activity(requests, connections)),
+        2 => Just(DrainEvent::Tick),
+    ]
+}
+
+proptest! {
+    /// New flows are taken exactly while no reason holds; requests at most for
+    /// the grace after that; drained means that no request is left.
+    #[test]
+    fn a_target_leaves_while_a_reason_holds(
+        grace in 0..10_000_u64,
+        steps in prop::collection::vec((event(), 0..3000_u64), 1..60),
+    ) {
+        let mut drain = Drain::new(Duration::from_millis(grace));
+        let mut held = std::collections::BTreeSet::new();
+        let mut requests = 0;
+        let mut now = at(0);
+        let mut left_at = now;
+        for (event, after) in steps {
+            now = now + Duration::from_millis(after);
+            let was_serving = held.is_empty();
+            match event {
+                DrainEvent::Begin(reason) => {
+                    held.insert(reason);
+                }
+                DrainEvent::Withdraw(reason) if reason != DrainReason::Signal => {
+                    held.remove(&reason);
+                }
+                DrainEvent::Activity(activity) => requests = activity.requests,
+                _ => {}
+            }
+            if was_serving {
+                left_at = now;
+            }
+            let actions = drain.handle(event, now);
+            prop_assert_eq!(drain.takes_new_flows(), held.is_empty());
+            if !held.is_empty() && now.since(left_at) >= MAXIMUM_GRACE {
+                prop_assert!(!drain.takes_new_requests(now));
+            }
+            prop_assert!(held.is_empty() || drain.phase() != DrainPhase::Serving);
+            if actions.contains(&DrainAction::Finish) && !matches!(event, DrainEvent::Begin(_)) {
+                prop_assert_eq!(requests, 0);
+            }
+            let begins = was_serving && !held.is_empty();
+            prop_assert_eq!(actions.contains(&DrainAction::NotifyCallers), begins);
+            prop_assert!(drain.next_wake().is_none_or(|at| at > now));
+        }
+    }
+}
+
+#[test]
+fn requests_are_taken_for_the_grace_and_work_in_progress_ends() {
+    let mut drain = Drain::new(DEFAULT_GRACE);
+    drain.handle(activity(1, 2), at(0));
+    let actions = begin(&mut drain, DrainReason::Signal, at(1000));
+    assert_eq!(actions, [DrainAction::NotifyCallers]);
+    assert!(!drain.takes_new_flows());
+    assert!(drain.takes_new_requests(at(3999)));
+    assert!(!drain.takes_new_requests(at(4000)));
+    let actions = drain.handle(DrainEvent::Tick, at(4000));
+    assert_eq!(actions, [DrainAction::RefuseRequests]);
+    let actions = drain.handle(activity(0, 1), at(9000));
+    assert_eq!(actions, [DrainAction::Finish]);
+}
+
+#[test]
+fn an_idle_target_with_open_connections_waits_for_the_grace() {
+    let mut drain = Drain::new(DEFAULT_GRACE);
+    drain.handle(activity(0, 1), at(0));
+    let actions = begin(&mut drain, DrainReason::Signal, at(0));
+    assert!(!actions.contains(&DrainAction::Finish));
+    let actions = drain.handle(activity(0, 0), at(10));
+    let expected = [DrainAction::RefuseRequests, DrainAction::Finish];
+    assert_eq!(actions, expected);
+}
+
+#[test]
+fn a_withdrawn_reason_brings_the_target_back_and_a_signal_does_not() {
+    let mut drain = Drain::new(DEFAULT_GRACE);
+    drain.handle(activity(1, 1), at(0));
+    begin(&mut drain, DrainReason::BackEndHealth, at(0));
+    begin(&mut drain, DrainReason::Bundle, at(0));
+    let withdraw = |drain: &mut Drain, reason| drain.handle(DrainEvent::Withdraw(reason), at(9000));
+    withdraw(&mut drain, DrainReason::Bundle);
+    assert!(!drain.takes_new_flows());
+    let actions = withdraw(&mut drain, DrainReason::BackEndHealth);
+    assert_eq!(actions, [DrainAction::Resume]);
+    assert!(drain.takes_new_requests(at(9000)));
+    begin(&mut drain, DrainReason::Signal, at(9000));
+    withdraw(&mut drain, DrainReason::Signal);
+    assert!(!drain.takes_new_flows());
+}
+
+#[test]
+fn a_signal_to_a_drained_target_lets_the_process_end() {
+    let mut drain = Drain::new(DEFAULT_GRACE);
+    begin(&mut drain, DrainReason::Bundle, at(0));
+    assert_eq!(drain.phase(), DrainPhase::Drained);
+    let actions = begin(&mut drain, DrainReason::Signal, at(5000));
+    assert_eq!(actions, [DrainAction::Finish]);
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/support/target_model.rs
@@ -0,0 +1,89 @@
+//! One target's admission with the conditions that a test sets.
+
+use std::sync::Arc;
+
+use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Decision, Identity};
+use woodladder_core::carrier::classify;
+use woodladder_core::clock::Instant;
+use woodladder_core::directory::Directory;
+use woodladder_core::envelope::{Envelope, FirstRoute, Route};
+use woodladder_core::hop_list::Hop;
+use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
+use woodladder_core::load::Usage;
+use woodladder_core::slow_start::EffectiveSlots;
+use woodladder_core::token::TOKEN_LENGTH;
+
+use super::{KITCHEN, caller, keys, service_address, target_address};
+
+pub const SLOTS: u16 = 10;
+
+pub struct TargetModel {
+    pub admission: Admission,
+    pub conditions: Conditions,
+}
+
+impl TargetModel {
+    pub fn new(id: u32, directory: &Arc<Directory>, options: AdmissionOptions) -> Self {
+        let identity = Identity {
+            target: TargetId(id),
+            service: KITCHEN,
+        };
+        let mut admission = Admission::new(identity, keys(1), options);
+        admission.adopt(Arc::clone(directory), Instant::ORIGIN);
+        let usage = Usage {
+            busy_slots: 0,
+            queued: 0,
+            slots: EffectiveSlots::all(SLOTS),
+            open_connections: 0,
+            connection_limit: 2000,
+        };
+        let conditions = Conditions {
+            usage,
+            takes_new_flows: true,
+        };
+        Self {
+            admission,
+            conditions,
+        }
+    }
+
+    pub fn with_busy(mut self, busy: u32) -> Self {
+        self.conditions.usage.busy_slots = busy;
+        self
+    }
+
+    pub fn handle(&mut self, envelope: Envelope, datagram: &[u8], now: Instant) -> Decision {
+        let packet = classify(datagram, TOKEN_LENGTH).expect("a packet");
+        let conditions = self.conditions;
+        self.admission.handle(envelope, &packet, &conditions, now)
+    }
+}
+
+pub fn envelope(service: ServiceId, sequence: u64, route: Route) -> Envelope {
+    Envelope {
+        service,
+        sequence: Sequence(sequence),
+        caller: caller(),
+        service_address: service_address(service),
+        route,
+    }
+}
+
+pub fn first_route(targets: &[u32], position: u8, last: bool) -> FirstRoute {
+    let hops = targets.iter().map(|id| Hop {
+        target: TargetId(*id),
+        address: target_address(TargetId(*id)),
+        load: None,
+    });
+    FirstRoute {
+        hops: hops.collect(),
+        position,
+        last,
+    }
+}
+
+/// The envelope of a first packet to the first of these targets.
+pub fn first_envelope(sequence: u64, targets: &[u32]) -> Envelope {
+    let route = first_route(targets, 0, targets.len() == 1);
+    envelope(KITCHEN, sequence, Route::First(route))
+}
--- a/crates/woodladder-lab/src/command.rs
+++ b/crates/woodladder-lab/src/command.rs
@@ -1,5 +1,8 @@
 //! Command line of `woodladder-lab`. Each subcommand has a module of its own.
 
+mod demo;
+mod measure;
+mod product;
 mod simulate;
 mod stand_in;
 mod time_text;
@@ -18,18 +21,27 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
-    /// Run one stand-in until SIGTERM; its first line of output is JSON with the bound addresses.
-    StandIn(stand_in::StandInCommand),
+    /// Run both example deployments on loopback and check every promise.
+    Demo(demo::DemoCommand),
+    /// Measure broken flows, imbalance, the balancer's decision and its packet path.
+    Measure(measure::MeasureCommand),
+    /// Act as the `woodladder` program.
+    Product(product::ProductCommand),
     /// Run seeds of the deterministic simulation and report promises not kept.
     Simulate(simulate::SimulateCommand),
+    /// Run one stand-in until SIGTERM; its first line of output is JSON with the bound addresses.
+    StandIn(stand_in::StandInCommand),
 }
 
 impl CommandLine {
     /// Runs the chosen subcommand.
     pub fn run(self) -> ExitCode {
         match self.command {
-            Command::StandIn(command) => command.run(),
+            Command::Demo(command) => command.run(),
+            Command::Measure(command) => command.run(),
+            Command::Product(command) => command.run(),
             Command::Simulate(command) => command.run(),
+            Command::StandIn(command) => command.run(),
         }
     }
 }
--- a/crates/woodladder-lab/src/demo/cluster.rs
+++ b/crates/woodladder-lab/src/demo/cluster.rs
@@ -206,7 +206,10 @@
         let platform = self.deployment.platform();
         let store = arguments(&["stand-in", "store"])
             .address("--address", platform.at(STORE_PORT))
-            .address("--admin-address", platform.at(STORE_PORT + ADMIN_PORT_OFFSET));
+            .address(
+                "--admin-address",
+                platform.at(STORE_PORT + ADMIN_PORT_OFFSET),
+            );
         self.start_stand_in("store", store)?;
         let mut machines = arguments(&["stand-in", "machine-list"])
             .text("--lag", "1s")
@@ -218,7 +221,10 @@
         let mut fabric = arguments(&["stand-in", "fabric"])
             .address("--egress-address", platform.at(EGRESS_PORT))
             .address("--admin-address", self.fabric_administration())
-            .text("--one-way-delay", &milliseconds(self.deployment.example.caller_delay));
+            .text(
+                "--one-way-delay",
+                &milliseconds(self.deployment.example.caller_delay),
+            );
         for balancer in self.deployment.balancers() {
             machines = machines.address("--balancer", balancer.at(CONTROL_PORT));
             let endpoint = format!("{}/{}", balancer.at(DATA_PORT), balancer.at(HTTP_PORT));
--- a/crates/woodladder-lab/src/lib.rs
+++ b/crates/woodladder-lab/src/lib.rs
@@ -1,5 +1,7 @@
 //! Laboratory: stand-ins, fault proxy, load, simulation and measurements.
 
+pub mod demo;
 pub mod fault_proxy;
+pub mod measure;
 pub mod simulation;
 pub mod stand_in;
--- /dev/null
+++ b/crates/woodladder-lab/src/measure/mod.rs
@@ -0,0 +1,16 @@
+//! Measurements: broken flows and imbalance of the chosen way against
+//! baselines, the cost of a balancer's decision, and its packet path.
+
+pub mod change;
+pub mod deployment;
+pub mod event_queue;
+pub mod experiment;
+pub mod figures;
+pub mod markdown;
+pub mod options;
+pub mod outcome;
+pub mod plot;
+pub mod report;
+pub mod way;
+pub mod workload;
+pub mod world;
--- /dev/null
+++ b/crates/woodladder-lab/src/measure/report.rs
@@ -0,0 +1,101 @@
+//! The whole report: JSON, one Markdown page, and plots beside it.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use serde::Serialize;
+
+use super::figures::Figures;
+use super::{markdown, plot};
+
+/// Name of the page in the report's directory.
+const PAGE: &str = "README.md";
+
+/// Figures of the parts that were measured.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// Broken flows and imbalance.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub balance: Option<Figures>,
+}
+
+/// Why a report could not be written.
+#[derive(Debug)]
+pub enum ReportError {
+    /// The system's error at a file.
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The error.
+        error: std::io::Error,
+    },
+    /// A plot could not be drawn.
+    Plot {
+        /// Its file.
+        path: PathBuf,
+        /// The library's message.
+        message: String,
+    },
+    /// The figures could not be encoded.
+    Encoding(serde_json::Error),
+}
+
+impl Report {
+    /// The report as JSON.
+    ///
+    /// # Errors
+    /// [`ReportError::Encoding`] when the library refuses a figure.
+    pub fn json(&self) -> Result<String, ReportError> {
+        serde_json::to_string_pretty(self).map_err(ReportError::Encoding)
+    }
+
+    /// The report as a Markdown page.
+    #[must_use]
+    pub fn page(&self) -> String {
+        let mut page = "# Measurements\n".to_owned();
+        if let Some(figures) = &self.balance {
+            page.push_str(&markdown::balance(figures));
+        }
+        page
+    }
+
+    /// Writes the page and the plots.
+    ///
+    /// # Errors
+    /// [`ReportError`] at the first file that cannot be written.
+    pub fn write(&self, directory: &Path) -> Result<(), ReportError> {
+        std::fs::create_dir_all(directory).map_err(|error| at(directory, error))?;
+        let mut page = self.page();
+        if let Some(figures) = &self.balance {
+            page.push_str("\n## Plots\n\n");
+            for name in plot::draw_all(figures, directory)? {
+                page.push_str(&format!("![{name}]({name})\n"));
+            }
+        }
+        let path = directory.join(PAGE);
+        std::fs::write(&path, page).map_err(|error| at(&path, error))
+    }
+}
+
+fn at(path: &Path, error: std::io::Error) -> ReportError {
+    ReportError::File {
+        path: path.to_owned(),
+        error,
+    }
+}
+
+impl fmt::Display for ReportError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File { path, error } => {
+                write!(formatter, "{} cannot be written: {error}", path.display())
+            }
+            Self::Plot { path, message } => {
+                write!(formatter, "{} cannot be drawn: {message}", path.display())
+            }
+            Self::Encoding(error) => write!(formatter, "the figures cannot be encoded: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for ReportError {}
--- a/crates/woodladder/src/agent/back_end.rs
+++ b/crates/woodladder/src/agent/back_end.rs
@@ -8,13 +8,24 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Weak;
+use std::time::Duration;
 
 use http::request::Parts;
 use http::{Response, Uri};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::error::ClientError;
 
+use super::request_desk::RequestDesk;
+
+/// How often a back end that took no connection is tried.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// How long a back end may take to take a connection when it is tried.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Why the back end gave no answer.
 #[derive(Debug)]
 pub(super) enum BackEndError {
@@ -41,6 +52,12 @@
         Ok(Self { address, client })
     }
 
+    /// Whether the back end takes a connection.
+    pub(super) async fn is_reachable(&self) -> bool {
+        let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(super) async fn send(
         &self,
@@ -59,6 +76,21 @@
     }
 }
 
+/// Tries a back end that took no connection until it does.
+pub(super) async fn await_recovery(back_end: BackEnd, desk: Weak<RequestDesk>) {
+    loop {
+        sleep(PROBE_INTERVAL).await;
+        let reachable = back_end.is_reachable().await;
+        let Some(desk) = desk.upgrade() else {
+            return;
+        };
+        if reachable {
+            desk.back_end_up();
+            return;
+        }
+    }
+}
+
 /// Tells a connection that was never made from an exchange that broke off.
 ///
 /// The client reports both alike. The first has the socket's error as its
--- a/crates/woodladder/src/agent/config.rs
+++ b/crates/woodladder/src/agent/config.rs
@@ -10,6 +10,7 @@
 use woodladder_core::drain::DEFAULT_GRACE;
 use woodladder_core::identifier::{ServiceId, TargetId};
 use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::slow_start::SlowStartOptions;
 use woodladder_core::token::TokenKeys;
 
 /// All that an agent needs to run beside one back end.
@@ -61,12 +62,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Requests dispatched to the back end at the same time.
-    pub slots: usize,
+    pub slots: u16,
     /// Requests that may wait for a slot.
     pub queue: usize,
     /// Connections that callers may hold, and connections that the back end
     /// holds, each.
-    pub connections: usize,
+    pub connections: u32,
     /// Requests that one caller's connection may have open.
     pub streams_per_connection: u32,
     /// Time without any packet after which a caller's connection ends.
@@ -76,8 +77,10 @@
     /// Time for a whole answer when the request states no deadline. A feed
     /// must only begin within it.
     pub default_deadline: Duration,
-    /// When a caller that got "not run" may ask again.
-    pub retry_after: Duration,
+    /// Shortest time after which a caller that got "not run" may ask again.
+    pub minimum_retry_after: Duration,
+    /// How slots come into use after a start; without it, all at once.
+    pub slow_start: Option<SlowStartOptions>,
     /// How long requests on open connections are taken after leaving begins.
     pub drain_grace: Duration,
 }
@@ -92,7 +95,8 @@
             idle_timeout: Duration::from_secs(30),
             keep_alive: Duration::from_secs(10),
             default_deadline: Duration::from_secs(30),
-            retry_after: Duration::from_secs(1),
+            minimum_retry_after: Duration::from_secs(1),
+            slow_start: Some(SlowStartOptions::default()),
             drain_grace: DEFAULT_GRACE,
         }
     }
--- a/crates/woodladder/src/agent/connection.rs
+++ b/crates/woodladder/src/agent/connection.rs
@@ -13,7 +13,7 @@
 use super::control::Notice;
 use super::counters::{GaugeGuard, RequestEnd};
 use super::outcome::NotRunReason;
-use super::request::{self, CallerRequest};
+use super::request::{self, CallerRequest, Conclusion};
 use super::shared::Shared;
 use super::stream::{CallerConnection, LastAccepted, Stopped};
 
@@ -26,7 +26,7 @@
 const NO_MORE_REQUESTS: usize = 1;
 /// How long a connection without requests stays open after the last GOAWAY,
 /// for the requests that crossed it and must be told that they didn't run.
-const CLOSE_DELAY: Duration = Duration::from_millis(500);
+pub(super) const CLOSE_DELAY: Duration = Duration::from_millis(500);
 
 type Http = server::Connection<CallerConnection, Bytes>;
 type Resolver = RequestResolver<CallerConnection, Bytes>;
@@ -58,6 +58,7 @@
         flow,
         notices: shared.control.notices(),
         told: Notice::Serving,
+        told_first: false,
         close_at: None,
         any_request: false,
         requests: JoinSet::new(),
@@ -73,6 +74,9 @@
     notices: watch::Receiver<Notice>,
     /// What this caller was told; it never goes back.
     told: Notice,
+    /// Whether the first GOAWAY came before any request, and so already
+    /// excludes all of them.
+    told_first: bool,
     close_at: Option<Instant>,
     any_request: bool,
     requests: JoinSet<()>,
@@ -90,8 +94,14 @@
             let close_at = self.close_at.filter(|_| self.requests.is_empty());
             tokio::select! {
                 accepted = self.http.accept() => match accepted {
-                    Ok(Some(resolver)) => self.start(resolver),
-                    Ok(None) | Err(_) => return,
+                    Ok(Some(resolver)) => {
+                        self.start(resolver);
+                        if self.tell().await.is_err() {
+                            return;
+                        }
+                    }
+                    Ok(None) => return self.finish().await,
+                    Err(_) => return,
                 },
                 changed = self.notices.changed() => {
                     if changed.is_err() || self.tell().await.is_err() {
@@ -106,11 +116,16 @@
         }
     }
 
-    /// Brings the caller up to the agent's notice.
+    /// Brings the caller up to the agent's notice. A declined flow is told to
+    /// go after its first request, so that the caller may come back on another.
     async fn tell(&mut self) -> Result<(), ConnectionError> {
-        let notice = *self.notices.borrow_and_update();
+        let mut notice = *self.notices.borrow_and_update();
+        if self.flow.declined && self.any_request {
+            notice = notice.max(Notice::Refusing);
+        }
         if notice >= Notice::Leaving && self.told < Notice::Leaving {
             self.told = Notice::Leaving;
+            self.told_first = !self.any_request;
             self.http.shutdown(ALL_REQUESTS).await?;
         }
         if notice >= Notice::Refusing && self.told < Notice::Refusing {
@@ -121,12 +136,20 @@
         Ok(())
     }
 
+    /// The caller opens no more requests: its last answers are still awaited.
+    async fn finish(mut self) {
+        while self.requests.join_next().await.is_some() {}
+    }
+
     fn start(&mut self, resolver: Resolver) {
         let Some(stopped) = self.last.claim() else {
             return;
         };
         let refusal = self.refusal();
-        self.note_first_request();
+        if refusal.is_none() && !self.any_request {
+            self.shared.control.request_arrived(self.flow.hash);
+        }
+        self.any_request = true;
         let shared = Arc::clone(&self.shared);
         self.requests
             .spawn(serve_stream(resolver, stopped, refusal, shared));
@@ -134,19 +157,10 @@
 
     fn refusal(&self) -> Option<NotRunReason> {
         if self.flow.declined {
-            return Some(NotRunReason::Overloaded);
+            return Some(NotRunReason::FlowDeclined);
         }
         let refusing = self.told >= Notice::Refusing || !self.shared.control.takes_new_requests();
-        // Before any request, the first GOAWAY already names the first one.
-        let excluded = self.told >= Notice::Leaving && !self.any_request;
-        (refusing || excluded).then_some(NotRunReason::Draining)
-    }
-
-    fn note_first_request(&mut self) {
-        if !self.any_request && self.told < Notice::Leaving {
-            self.any_request = true;
-            self.shared.control.request_arrived(self.flow.hash);
-        }
+        (refusing || self.told_first).then_some(NotRunReason::LEAVING)
     }
 }
 
@@ -161,14 +175,14 @@
     let Ok(Ok(request)) = timeout(deadline, resolve(resolver)).await else {
         return;
     };
-    let end = tokio::select! {
+    let conclusion = tokio::select! {
         biased;
-        _ = &mut stopped => RequestEnd::Cancelled,
-        end = request::run(request, refusal, &shared) => end,
+        _ = &mut stopped => Conclusion::reset(RequestEnd::Cancelled),
+        conclusion = request::run(request, refusal, &shared) => conclusion,
     };
-    shared.counters.end_request(end);
-    if matches!(end, RequestEnd::Answered | RequestEnd::NotRun) {
-        // The stream has ended only when the caller has all of it. Without
+    shared.counters.end_request(conclusion.end);
+    if conclusion.finished {
+        // A finished stream has ended when the caller has all of it. Without
         // the connection the outcome no longer matters.
         let _ = stopped.await;
     }
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -3,9 +3,9 @@
 use std::fmt;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant as SystemInstant;
 
 use arc_swap::ArcSwap;
+use slog::{Logger, info};
 use tokio::sync::watch;
 use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Decision, Identity};
 use woodladder_core::carrier::Packet;
@@ -14,11 +14,12 @@
 use woodladder_core::drain::{Activity, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason};
 use woodladder_core::envelope::Envelope;
 use woodladder_core::load::Usage;
-use woodladder_core::slow_start::EffectiveSlots;
+use woodladder_core::request::RequestEvent;
 use woodladder_core::token::TokenKeys;
 
+use super::clock::Clock;
 use super::counters::Counters;
-use super::slots::Slots;
+use super::request_desk::RequestDesk;
 
 /// How far callers are told that the agent leaves.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -36,11 +37,12 @@
 /// State machines of one agent.
 pub(super) struct Control {
     identity: Identity,
-    origin: SystemInstant,
+    clock: Clock,
     directory: Arc<ArcSwap<Directory>>,
-    slots: Arc<Slots>,
+    desk: Arc<RequestDesk>,
     counters: Arc<Counters>,
     connection_limit: u32,
+    logger: Logger,
     machines: Mutex<Machines>,
     notice: watch::Sender<Notice>,
 }
@@ -60,11 +62,12 @@
     ) -> Self {
         Self {
             identity,
-            origin: SystemInstant::now(),
+            clock: shared.clock,
             directory: shared.directory,
-            slots: shared.slots,
+            desk: shared.desk,
             counters: shared.counters,
             connection_limit: shared.connection_limit,
+            logger: shared.logger,
             machines: Mutex::new(Machines {
                 admission: Admission::new(identity, keys, options),
                 drain,
@@ -80,7 +83,7 @@
         self.adopt(&mut machines, now);
         let conditions = Conditions {
             usage: self.usage(),
-            takes_new_flows: machines.drain.takes_new_flows(),
+            takes_new_flows: machines.drain.takes_new_flows() && !self.desk.is_back_end_down(),
         };
         machines
             .admission
@@ -123,6 +126,12 @@
         let now = self.now();
         let actions = self.machines().drain.handle(event, now);
         for action in actions {
+            match action {
+                DrainAction::RefuseRequests => self.desk.handle(RequestEvent::RefuseArrivals),
+                DrainAction::Resume => self.desk.handle(RequestEvent::TakeArrivals),
+                DrainAction::NotifyCallers | DrainAction::Finish => {}
+            }
+            info!(self.logger, "agent: {}", description(action));
             self.notice.send_replace(notice(action));
         }
     }
@@ -171,18 +180,18 @@
     }
 
     fn usage(&self) -> Usage {
-        let slots = u16::try_from(self.slots.count()).unwrap_or(u16::MAX);
+        let counts = self.desk.counts();
         Usage {
-            busy_slots: count(self.slots.busy()),
-            queued: count(self.slots.queued()),
-            slots: EffectiveSlots::all(slots),
+            busy_slots: counts.busy,
+            queued: counts.queued,
+            slots: self.desk.effective_slots(),
             open_connections: count(self.counters.connections.load(Ordering::Acquire)),
             connection_limit: self.connection_limit,
         }
     }
 
     fn now(&self) -> Instant {
-        Instant::from_origin(self.origin.elapsed())
+        self.clock.now()
     }
 
     fn machines(&self) -> MutexGuard<'_, Machines> {
@@ -194,9 +203,11 @@
 /// What the machines look at besides their events.
 pub(super) struct SharedState {
     pub(super) directory: Arc<ArcSwap<Directory>>,
-    pub(super) slots: Arc<Slots>,
+    pub(super) clock: Clock,
+    pub(super) desk: Arc<RequestDesk>,
     pub(super) counters: Arc<Counters>,
     pub(super) connection_limit: u32,
+    pub(super) logger: Logger,
 }
 
 impl fmt::Debug for Control {
@@ -217,6 +228,15 @@
     }
 }
 
+fn description(action: DrainAction) -> &'static str {
+    match action {
+        DrainAction::NotifyCallers => "leaving, no new flows",
+        DrainAction::RefuseRequests => "leaving, no new requests",
+        DrainAction::Resume => "serving again",
+        DrainAction::Finish => "drained",
+    }
+}
+
 fn count(value: usize) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
--- a/crates/woodladder/src/agent/counters.rs
+++ b/crates/woodladder/src/agent/counters.rs
@@ -214,11 +214,13 @@
     /// Dropped datagrams since the start, by reason.
     pub drops: Vec<DropCount>,
     /// Requests that hold a slot now.
-    pub busy_slots: usize,
-    /// Slots in all.
-    pub slots: usize,
+    pub busy_slots: u32,
+    /// Slots of the back end in all.
+    pub slots: u16,
+    /// Slots that may be used now.
+    pub effective_slots: u16,
     /// Requests that wait for a slot now.
-    pub queued: usize,
+    pub queued: u32,
     /// Callers' connections open now.
     pub connections: usize,
     /// Requests open now, feeds included.
--- a/crates/woodladder/src/agent/handle.rs
+++ b/crates/woodladder/src/agent/handle.rs
@@ -8,26 +8,34 @@
 use std::time::Duration;
 
 use quinn::{Endpoint, TokioRuntime, VarInt};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 use volo_http::error::ClientError;
 use woodladder_core::admission::{AdmissionOptions, Identity};
 use woodladder_core::drain::{Drain, DrainEvent, DrainReason};
+use woodladder_core::request::RequestOptions;
+use woodladder_core::slow_start::SlowStart;
 
 use super::acceptor;
 use super::back_end::BackEnd;
-use super::config::AgentConfig;
+use super::clock::Clock;
+use super::config::{AgentConfig, Limits};
+use super::connection::CLOSE_DELAY;
 use super::control::{Control, Notice, SharedState};
 use super::counters::{AgentStatus, Counters};
 use super::egress::Egress;
 use super::gate::Gate;
 use super::quic::{self, QuicConfigError};
+use super::request_desk::{self, RequestDesk};
 use super::shared::Shared;
-use super::slots::Slots;
 use super::socket::AgentSocket;
 
 /// How often the agent looks at the directory and the drain's clock.
 const TICK: Duration = Duration::from_millis(100);
+/// How long a drained agent waits for its callers to know.
+const CLOSE_PATIENCE: Duration = CLOSE_DELAY.saturating_mul(4);
 /// H3_NO_ERROR (RFC 9114, section 8.1).
 const NO_ERROR: VarInt = VarInt::from_u32(0x100);
 
@@ -78,7 +86,8 @@
         let io = UdpSocket::from_std(config.socket).map_err(StartError::Socket)?;
 
         let counters = Arc::new(Counters::default());
-        let slots = Arc::new(Slots::new(limits.slots, limits.queue, limits.connections));
+        let clock = Clock::start();
+        let desk = Arc::new(desk(clock, &limits));
         let control = Arc::new(Control::new(
             Identity {
                 target: config.target,
@@ -89,9 +98,11 @@
             Drain::new(limits.drain_grace),
             SharedState {
                 directory: config.directory,
-                slots: Arc::clone(&slots),
+                clock,
+                desk: Arc::clone(&desk),
                 counters: Arc::clone(&counters),
-                connection_limit: u32::try_from(limits.connections).unwrap_or(u32::MAX),
+                connection_limit: limits.connections,
+                logger: config.logger.clone(),
             },
         ));
         let gate = Arc::new(Gate::new(Arc::clone(&control), Arc::clone(&counters)));
@@ -111,8 +122,9 @@
         .map_err(StartError::Socket)?;
         let shared = Arc::new(Shared {
             limits,
+            clock,
             back_end,
-            slots,
+            desk,
             counters,
             control,
             logger: config.logger,
@@ -147,30 +159,35 @@
         self.shared.control.drain(DrainEvent::Withdraw(reason));
     }
 
-    /// Waits until the agent leaves and its last request has ended.
+    /// Waits until the agent leaves and its last request has ended, and until
+    /// callers know so, which takes a bounded time.
     pub async fn drained(&self) {
         let mut notices = self.shared.control.notices();
         // The sender lives as long as this handle.
         let _ = notices.wait_for(|notice| *notice == Notice::Drained).await;
+        // Connections close by themselves; what is left is closed by the stop.
+        let _ = timeout(CLOSE_PATIENCE, self.endpoint.wait_idle()).await;
     }
 
     /// What the agent does now.
     #[must_use]
     pub fn status(&self) -> AgentStatus {
         let Shared {
-            slots,
+            desk,
             counters,
             control,
             ..
         } = &*self.shared;
+        let counts = desk.counts();
         AgentStatus {
             phase: control.phase(),
             newest_sequence_seen: self.gate.newest_sequence(),
             flows: counters.flows(),
             drops: counters.drops(),
-            busy_slots: slots.busy(),
-            slots: slots.count(),
-            queued: slots.queued(),
+            busy_slots: counts.busy,
+            slots: desk.slots(),
+            effective_slots: desk.effective_slots().whole(),
+            queued: counts.queued,
             connections: counters.connections.load(Ordering::Acquire),
             requests: counters.requests.load(Ordering::Acquire),
             feeds: counters.feeds.load(Ordering::Acquire),
@@ -189,9 +206,25 @@
         let shared = Arc::clone(&self.shared);
         tokio::spawn(acceptor::run(self.endpoint.clone(), gate, shared));
         tokio::spawn(tick(Arc::downgrade(&self.shared.control)));
+        let desk = Arc::downgrade(&self.shared.desk);
+        tokio::spawn(request_desk::watch_clock(desk));
     }
 }
 
+fn desk(clock: Clock, limits: &Limits) -> RequestDesk {
+    let options = RequestOptions {
+        queue_limit: limits.queue,
+        connection_limit: limits.connections,
+        minimum_retry_after: limits.minimum_retry_after,
+        ..RequestOptions::default()
+    };
+    let slow_start = limits
+        .slow_start
+        .map(|options| SlowStart::new(options, clock.now()));
+    let random = ChaCha8Rng::seed_from_u64(rand::random());
+    RequestDesk::new(clock, options, limits.slots, slow_start, random)
+}
+
 async fn tick(control: std::sync::Weak<Control>) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/woodladder/src/agent/headers.rs
+++ b/crates/woodladder/src/agent/headers.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use http::header::{
-    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue, TE,
-    TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HOST, HeaderMap, HeaderName, HeaderValue,
+    RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 
 /// Time that a caller gives for the answer, in milliseconds from now.
@@ -13,9 +14,12 @@
 pub const OUTCOME: HeaderName = HeaderName::from_static("woodladder-outcome");
 /// Why a request has no answer of the back end.
 pub const REASON: HeaderName = HeaderName::from_static("woodladder-reason");
+/// Whether a request that may have run may be asked again.
+pub const REPEATABLE: HeaderName = HeaderName::from_static("woodladder-repeatable");
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+const NOT_RUN: &str = "not-run";
 const EVENT_STREAM: &str = "text/event-stream";
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
 
@@ -83,6 +87,19 @@
     media_type.is_some_and(|value| value.trim().eq_ignore_ascii_case(EVENT_STREAM))
 }
 
+/// Whether an answer is the back end's own statement that it did not run the
+/// request.
+pub(super) fn is_refusal(status: StatusCode, headers: &HeaderMap) -> bool {
+    let outcome = headers.get(OUTCOME);
+    status == StatusCode::SERVICE_UNAVAILABLE && outcome.is_some_and(|value| value == NOT_RUN)
+}
+
+/// When the back end says that it may be asked again.
+pub(super) fn stated_retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
 /// Whether the end of an answer's body can be told from a cut connection.
 pub(super) fn states_its_end(headers: &HeaderMap) -> bool {
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
--- a/crates/woodladder/src/agent/quic.rs
+++ b/crates/woodladder/src/agent/quic.rs
@@ -25,6 +25,12 @@
 const MAXIMUM_PACKET: u16 = 1350;
 /// Unidirectional streams of a caller: control, QPACK's two, and spare ones.
 const UNIDIRECTIONAL_STREAMS: u32 = 8;
+/// Bytes that a caller may send ahead on one request.
+const STREAM_RECEIVE_WINDOW: u32 = 128 * 1024;
+/// Bytes that a caller may send ahead in all.
+const CONNECTION_RECEIVE_WINDOW: u32 = 512 * 1024;
+/// Bytes kept for one caller until it has acknowledged them.
+const SEND_WINDOW: u64 = 512 * 1024;
 /// Shortest time between stateless resets. Only packets with a valid token
 /// get one, so the interval may be short enough to end all flows that a
 /// restarted agent has lost within a second.
@@ -97,6 +103,9 @@
         .keep_alive_interval(Some(limits.keep_alive))
         .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams_per_connection))
         .max_concurrent_uni_streams(VarInt::from_u32(UNIDIRECTIONAL_STREAMS))
+        .stream_receive_window(VarInt::from_u32(STREAM_RECEIVE_WINDOW))
+        .receive_window(VarInt::from_u32(CONNECTION_RECEIVE_WINDOW))
+        .send_window(SEND_WINDOW)
         .mtu_discovery_config(Some(discovery))
         .enable_segmentation_offload(false);
     Ok(config)
--- a/crates/woodladder/src/agent/request.rs
+++ b/crates/woodladder/src/agent/request.rs
@@ -1,28 +1,31 @@
 //! One request: from the caller's stream to the back end and back.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Buf as _, Bytes};
-use futures::{StreamExt as _, TryStreamExt as _, stream};
+use bytes::Bytes;
 use h3::error::{Code, StreamError};
 use h3::server::RequestStream;
 use http::request::Parts;
 use http::{Method, Response};
-use http_body::{Body as _, Frame};
+use http_body::Body as _;
 use http_body_util::BodyExt as _;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout;
 use volo_http::body::Body;
+use woodladder_core::clock::Instant;
+use woodladder_core::request::{RefusalReason, RequestAction, RequestEvent, UnknownReason};
 
 use super::back_end::BackEndError;
 use super::counters::{GaugeGuard, RequestEnd};
 use super::headers;
-use super::outcome::{self, NotRunReason, UnknownReason};
+use super::outcome::{self, NotRunReason};
+use super::permitted_body::PermittedBody;
+use super::request_body::{self, Receiver};
+use super::request_desk::Ticket;
 use super::shared::Shared;
-use super::slots::SlotGuard;
-use super::stream::{AnswerStream, BodyStream};
+use super::stream::AnswerStream;
 
 type Sender = RequestStream<AnswerStream<Bytes>, Bytes>;
-type Receiver = RequestStream<BodyStream, Bytes>;
 
 /// Longest deadline that a caller may state.
 const MAXIMUM_DEADLINE: Duration = Duration::from_secs(3600);
@@ -34,17 +37,35 @@
     pub(super) receiver: Receiver,
 }
 
+/// How a request's run ended.
+pub(super) struct Conclusion {
+    /// What became of the request.
+    pub(super) end: RequestEnd,
+    /// Whether the caller's stream was finished, rather than reset.
+    pub(super) finished: bool,
+}
+
 /// Why a request has no answer of the back end.
 enum Failure {
-    NotRun(NotRunReason),
-    Unknown(UnknownReason),
+    NotRun {
+        reason: NotRunReason,
+        retry_after: Duration,
+    },
+    Unknown {
+        reason: UnknownReason,
+        repeatable: bool,
+    },
+    /// The caller is gone.
+    Cancelled,
 }
 
 /// The head of the back end's answer, its body still to come.
 struct Answer {
     response: Response<Body>,
-    slot: SlotGuard,
-    deadline: Instant,
+    /// Whether the back end says itself that it did not run the request.
+    refusal: bool,
+    begun_at: Instant,
+    ticket: Ticket,
 }
 
 /// Why an answer did not reach the caller whole.
@@ -60,25 +81,30 @@
     request: CallerRequest,
     refusal: Option<NotRunReason>,
     shared: &Shared,
-) -> RequestEnd {
+) -> Conclusion {
     let CallerRequest {
         parts,
         sender,
         receiver,
     } = request;
     let answer = match refusal {
-        Some(reason) => Err(Failure::NotRun(reason)),
+        Some(reason) => Err(shared.not_run(reason)),
         None => dispatch(parts, receiver, shared).await,
     };
     match answer {
         Ok(answer) => relay(sender, answer, shared).await,
-        Err(Failure::NotRun(reason)) => {
-            let response = outcome::not_run(reason, shared.limits.retry_after);
+        Err(Failure::NotRun {
+            reason,
+            retry_after,
+        }) => {
+            let response = outcome::not_run(reason, retry_after);
             conclude(sender, response, RequestEnd::NotRun).await
         }
-        Err(Failure::Unknown(reason)) => {
-            conclude(sender, outcome::unknown(reason), RequestEnd::Unknown).await
+        Err(Failure::Unknown { reason, repeatable }) => {
+            let response = outcome::unknown(reason, repeatable);
+            conclude(sender, response, RequestEnd::Unknown).await
         }
+        Err(Failure::Cancelled) => Conclusion::reset(RequestEnd::Cancelled),
     }
 }
 
@@ -88,112 +114,155 @@
     receiver: Receiver,
     shared: &Shared,
 ) -> Result<Answer, Failure> {
-    let deadline = deadline(&parts, shared)?;
-    let body = request_body(&parts, receiver, deadline).await?;
-    let slot = shared.slots.acquire(deadline).await;
-    let slot = slot.map_err(Failure::NotRun)?;
-    let remaining = deadline.saturating_duration_since(Instant::now());
-    if remaining.is_zero() {
-        return Err(Failure::NotRun(NotRunReason::DeadlinePassed));
-    }
+    let time = stated_time(&parts, shared)?;
+    let deadline = shared.clock.now() + time;
+    let body = timeout(time, request_body::receive(&parts, receiver))
+        .await
+        .map_err(|_| shared.not_run(NotRunReason::Refused(RefusalReason::WaitedTooLong)))?
+        .map_err(|_| Failure::Cancelled)?;
+    let mut ticket = shared.desk.arrive(deadline, parts.method.is_idempotent());
+    await_dispatch(&mut ticket).await?;
+
+    let begun_at = shared.clock.now();
     let authority = parts.uri.authority().map(ToString::to_string);
     headers::prepare_request(&mut parts.headers, authority.as_deref());
-    headers::set_remaining(&mut parts.headers, remaining);
-    let head_request = parts.method == Method::HEAD;
-    let response = timeout_at(deadline, shared.back_end.send(parts, body))
-        .await
-        .map_err(|_| Failure::Unknown(UnknownReason::DeadlinePassed))?
-        .map_err(back_end_failure)?;
-    if !head_request && !ends_visibly(&response) {
-        return Err(Failure::Unknown(UnknownReason::UnframedAnswer));
-    }
-    Ok(Answer {
-        response,
-        slot,
-        deadline,
-    })
+    headers::set_remaining(&mut parts.headers, shared.clock.until(deadline));
+    let framed_by_method = parts.method == Method::HEAD;
+    let body = PermittedBody::new(body, ticket.id(), Arc::clone(&shared.desk));
+    let response = tokio::select! {
+        biased;
+        failure = given_up(&mut ticket) => return Err(failure),
+        response = shared.back_end.send(parts, Body::from_body(body)) => response,
+    };
+    let response = match response {
+        Ok(response) if framed_by_method || ends_visibly(&response) => response,
+        Ok(_) => return Err(fail(ticket, None, shared).await),
+        Err(error) => return Err(fail(ticket, Some(error), shared).await),
+    };
+    Ok(begin_answer(response, begun_at, ticket))
 }
 
-fn deadline(parts: &Parts, shared: &Shared) -> Result<Instant, Failure> {
+fn stated_time(parts: &Parts, shared: &Shared) -> Result<Duration, Failure> {
     let stated = headers::stated_deadline(&parts.headers)
-        .map_err(|_| Failure::NotRun(NotRunReason::InvalidRequest))?;
+        .map_err(|_| shared.not_run(NotRunReason::InvalidRequest))?;
     let time = stated.unwrap_or(shared.limits.default_deadline);
-    if time.is_zero() {
-        return Err(Failure::NotRun(NotRunReason::DeadlinePassed));
-    }
-    Ok(Instant::now() + time.min(MAXIMUM_DEADLINE))
+    Ok(time.min(MAXIMUM_DEADLINE))
 }
 
-fn back_end_failure(error: BackEndError) -> Failure {
-    match error {
-        BackEndError::Unreachable => Failure::NotRun(NotRunReason::BackEndUnreachable),
-        BackEndError::InvalidRequest => Failure::NotRun(NotRunReason::InvalidRequest),
-        BackEndError::Failed => Failure::Unknown(UnknownReason::BackEndFailed),
+/// Waits until the request may go to the back end.
+async fn await_dispatch(ticket: &mut Ticket) -> Result<(), Failure> {
+    match ticket.next().await {
+        Some(RequestAction::Dispatch(_)) => Ok(()),
+        Some(action) => Err(Failure::from(action)),
+        None => Err(Failure::Cancelled),
     }
 }
 
+/// Waits until the request is given up, which may never happen.
+async fn given_up(ticket: &mut Ticket) -> Failure {
+    ticket
+        .outcome()
+        .await
+        .map_or(Failure::Cancelled, Failure::from)
+}
+
+/// Reports a failed exchange; what the caller may be told follows from how far
+/// the request had come.
+async fn fail(mut ticket: Ticket, error: Option<BackEndError>, shared: &Shared) -> Failure {
+    let event = match error {
+        None => RequestEvent::AnswerEnd {
+            id: ticket.id(),
+            complete: false,
+        },
+        Some(BackEndError::InvalidRequest) => return shared.not_run(NotRunReason::InvalidRequest),
+        Some(BackEndError::Unreachable) => {
+            ticket.handle(RequestEvent::BackEndFailed(ticket.id()));
+            shared.back_end_down();
+            return given_up(&mut ticket).await;
+        }
+        Some(BackEndError::Failed) => {
+            // Any failure but that of the connection counts as after the
+            // first byte, also when the client failed before it wrote.
+            let _permit = shared.desk.connected(ticket.id());
+            RequestEvent::BackEndFailed(ticket.id())
+        }
+    };
+    ticket.handle(event);
+    given_up(&mut ticket).await
+}
+
 /// Whether a cut connection cannot pass for the end of the answer.
 fn ends_visibly(response: &Response<Body>) -> bool {
     response.body().is_end_stream() || headers::states_its_end(response.headers())
 }
 
-/// The body for the back end. Methods without one get none; for others the
-/// first part is awaited, so that a slot isn't held for a caller who has yet
-/// to begin.
-async fn request_body(
-    parts: &Parts,
-    mut receiver: Receiver,
-    deadline: Instant,
-) -> Result<Body, Failure> {
-    if matches!(parts.method, Method::GET | Method::HEAD) {
-        return Ok(Body::empty());
-    }
-    let first = timeout_at(deadline, next_chunk(&mut receiver))
-        .await
-        .map_err(|_| Failure::NotRun(NotRunReason::DeadlinePassed))?
-        .map_err(|_| Failure::NotRun(NotRunReason::InvalidRequest))?;
-    let Some(first) = first else {
-        return Ok(Body::empty());
-    };
-    let rest = stream::unfold(receiver, |mut receiver| async move {
-        let chunk = next_chunk(&mut receiver).await.transpose()?;
-        Some((chunk, receiver))
+/// Reports the head of an answer. One in which the back end says that it did
+/// not run the request is passed on as it is.
+fn begin_answer(response: Response<Body>, begun_at: Instant, ticket: Ticket) -> Answer {
+    let refusal = headers::is_refusal(response.status(), response.headers());
+    let id = ticket.id();
+    ticket.handle(if refusal {
+        RequestEvent::BackEndRefused {
+            id,
+            retry_after: headers::stated_retry_after(response.headers()),
+        }
+    } else {
+        RequestEvent::AnswerHead {
+            id,
+            streaming: headers::is_feed(response.headers()),
+        }
     });
-    let chunks = stream::once(std::future::ready(Ok(first))).chain(rest);
-    Ok(Body::from_stream(chunks.map_ok(Frame::data).err_into()))
-}
-
-async fn next_chunk(receiver: &mut Receiver) -> Result<Option<Bytes>, StreamError> {
-    let chunk = receiver.recv_data().await?;
-    Ok(chunk.map(|mut chunk| chunk.copy_to_bytes(chunk.remaining())))
+    Answer {
+        response,
+        refusal,
+        begun_at,
+        ticket,
+    }
 }
 
 /// Passes an answer on. One that breaks off resets the caller's stream.
-async fn relay(mut sender: Sender, answer: Answer, shared: &Shared) -> RequestEnd {
+async fn relay(mut sender: Sender, answer: Answer, shared: &Shared) -> Conclusion {
     let Answer {
         response,
-        mut slot,
-        deadline,
+        refusal,
+        begun_at,
+        mut ticket,
     } = answer;
     let (mut parts, body) = response.into_parts();
     let feed = headers::is_feed(&parts.headers);
+    let _open = feed.then(|| GaugeGuard::new(&shared.counters.feeds));
     headers::remove_hop_by_hop(&mut parts.headers);
     let head = Response::from_parts(parts, ());
-    let relayed = if feed {
-        slot.release_slot();
-        let _open = GaugeGuard::new(&shared.counters.feeds);
+    let relayed = if refusal {
         copy(&mut sender, head, body).await
     } else {
-        timeout_at(deadline, copy(&mut sender, head, body))
-            .await
-            .unwrap_or(Err(RelayError::BackEnd))
+        tokio::select! {
+            biased;
+            _ = ticket.outcome() => Err(RelayError::BackEnd),
+            relayed = copy(&mut sender, head, body) => relayed,
+        }
     };
     match relayed {
-        Ok(()) => RequestEnd::Answered,
-        Err(RelayError::Caller) => RequestEnd::Cancelled,
+        Ok(()) if refusal => Conclusion::finished(RequestEnd::NotRun),
+        Ok(()) => {
+            ticket.handle(RequestEvent::AnswerEnd {
+                id: ticket.id(),
+                complete: true,
+            });
+            if !feed {
+                let service_time = shared.clock.now().since(begun_at);
+                shared.desk.record_service_time(service_time);
+            }
+            Conclusion::finished(RequestEnd::Answered)
+        }
+        Err(RelayError::Caller) => Conclusion::reset(RequestEnd::Cancelled),
         Err(RelayError::BackEnd) => {
+            ticket.handle(RequestEvent::AnswerEnd {
+                id: ticket.id(),
+                complete: false,
+            });
             sender.stop_stream(Code::H3_INTERNAL_ERROR);
-            RequestEnd::Unknown
+            Conclusion::reset(RequestEnd::Unknown)
         }
     }
 }
@@ -216,11 +285,52 @@
 }
 
 /// Ends a request with an answer of the agent's own.
-async fn conclude(mut sender: Sender, response: Response<()>, end: RequestEnd) -> RequestEnd {
+async fn conclude(mut sender: Sender, response: Response<()>, end: RequestEnd) -> Conclusion {
     if sender.send_response(response).await.is_err() || sender.finish().await.is_err() {
-        return RequestEnd::Cancelled;
+        return Conclusion::reset(RequestEnd::Cancelled);
+    }
+    Conclusion::finished(end)
+}
+
+impl Conclusion {
+    fn finished(end: RequestEnd) -> Self {
+        Self {
+            end,
+            finished: true,
+        }
+    }
+
+    pub(super) fn reset(end: RequestEnd) -> Self {
+        Self {
+            end,
+            finished: false,
+        }
+    }
+}
+
+impl Shared {
+    /// A failure of a request that never came to the desk.
+    fn not_run(&self, reason: NotRunReason) -> Failure {
+        Failure::NotRun {
+            reason,
+            retry_after: self.limits.minimum_retry_after,
+        }
+    }
+}
+
+impl From<RequestAction> for Failure {
+    fn from(action: RequestAction) -> Self {
+        match action {
+            RequestAction::Refuse { refusal, .. } => Self::NotRun {
+                reason: NotRunReason::Refused(refusal.reason()),
+                retry_after: refusal.retry_after(),
+            },
+            RequestAction::Fail {
+                reason, repeatable, ..
+            } => Self::Unknown { reason, repeatable },
+            _ => Self::Cancelled,
+        }
     }
-    end
 }
 
 impl From<StreamError> for RelayError {
--- a/crates/woodladder/src/balancer/mod.rs
+++ b/crates/woodladder/src/balancer/mod.rs
@@ -2,7 +2,6 @@
 //! agents. It keeps no state per flow.
 
 mod counters;
-mod daemon;
 mod packet_path;
 mod proxy_header;
 mod receive;
@@ -10,6 +9,5 @@
 mod worker;
 
 pub use counters::{PacketCounts, PacketDrop};
-pub use daemon::run;
 pub use packet_path::{PacketPath, PacketPathConfig};
 pub use proxy_header::{ProxyHeaderError, parse};
--- a/crates/woodladder/src/command/agent.rs
+++ b/crates/woodladder/src/command/agent.rs
@@ -5,8 +5,8 @@
 
 use super::failure::Failure;
 use super::runtime;
-use crate::log;
 use crate::settings::{AgentFlags, AgentSettings};
+use crate::{daemon, log};
 
 pub(super) const HELP: &str = "Examples:
   woodladder agent --settings agent.toml
@@ -28,7 +28,7 @@
         let file = self.flags.node.settings.as_deref();
         let layers = runtime::layers(file, &self.flags, &mut findings);
         let settings = AgentSettings::read(&layers, findings)?;
-        let (_logger, _guard) = log::open(settings.node.log);
-        Err(Failure::Internal("not built yet".to_owned()))
+        let (logger, _guard) = log::open(settings.node.log);
+        runtime::run(settings.worker_threads, daemon::run_agent(settings, logger))
     }
 }
--- a/crates/woodladder/src/command/balancer.rs
+++ b/crates/woodladder/src/command/balancer.rs
@@ -6,7 +6,7 @@
 use super::failure::Failure;
 use super::runtime;
 use crate::settings::{BalancerFlags, BalancerSettings};
-use crate::{balancer, log};
+use crate::{daemon, log};
 
 pub(super) const HELP: &str = "Examples:
   woodladder balancer --settings balancer.toml
@@ -32,6 +32,6 @@
         let layers = runtime::layers(file, &self.flags, &mut findings);
         let settings = BalancerSettings::read(&layers, findings)?;
         let (logger, _guard) = log::open(settings.node.log);
-        runtime::run(CONTROL_THREADS, balancer::run(settings, logger))
+        runtime::run(CONTROL_THREADS, daemon::run_balancer(settings, logger))
     }
 }
--- a/crates/woodladder/src/command/bundle.rs
+++ b/crates/woodladder/src/command/bundle.rs
@@ -13,6 +13,7 @@
 use super::bundle_file::{BundleFile, encode_signed, load, refused};
 use super::failure::Failure;
 use super::key_file::read_key;
+use super::output::print_json;
 use crate::settings::public_key;
 
 pub(super) const HELP: &str = "Examples:
@@ -187,10 +188,3 @@
     print!("{difference}");
     Ok(())
 }
-
-fn print_json(value: &impl serde::Serialize) -> Result<(), Failure> {
-    let text = serde_json::to_string_pretty(value)
-        .map_err(|error| Failure::Internal(error.to_string()))?;
-    println!("{text}");
-    Ok(())
-}
--- a/crates/woodladder/src/command/mod.rs
+++ b/crates/woodladder/src/command/mod.rs
@@ -9,7 +9,12 @@
 mod failure;
 mod key;
 mod key_file;
+mod nodes;
+mod output;
+mod roll;
+mod roll_report;
 mod runtime;
+mod status;
 
 use clap::{Parser, Subcommand};
 
@@ -42,6 +47,12 @@
     /// Make an operator's key
     #[command(subcommand, after_help = key::HELP)]
     Key(key::KeyCommand),
+    /// Put a signed bundle in force
+    #[command(after_help = roll::HELP)]
+    Roll(Box<roll::RollArguments>),
+    /// Show what every node has in force
+    #[command(after_help = status::HELP)]
+    Status(Box<status::StatusArguments>),
     /// Check settings without running anything
     #[command(after_help = check_settings::HELP)]
     CheckSettings(check_settings::CheckSettingsCommand),
@@ -56,6 +67,8 @@
             Command::Agent(command) => command.run(),
             Command::Bundle(command) => command.run(),
             Command::Key(command) => command.run(),
+            Command::Roll(arguments) => arguments.run(),
+            Command::Status(arguments) => arguments.run(),
             Command::CheckSettings(command) => command.run(),
         };
         match result {
--- /dev/null
+++ b/crates/woodladder/src/control/driver.rs
@@ -0,0 +1,154 @@
+//! Feeds events to the replica and carries its actions out.
+
+use std::sync::Arc;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng as _;
+use slog::{Logger, debug, info};
+use tokio::sync::{mpsc, oneshot};
+use woodladder_core::identifier::{NodeId, Sequence};
+use woodladder_core::membership::ListedMachine;
+use woodladder_core::replica::{Action, Event, Installed, Replica, ReplicaSettings};
+use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+
+use super::clock::ProcessClock;
+use super::socket::{ControlSocket, Received};
+use super::{ControlStatus, Install};
+use crate::store::Store;
+
+/// What reaches the driver from other tasks.
+pub(super) enum Input {
+    StoreAnswer(StoreRequestId, StoreAnswer),
+    Machines(Vec<ListedMachine>),
+    SequenceSeen(Sequence),
+    Leaving,
+    Status(oneshot::Sender<ControlStatus>),
+}
+
+/// Owns the replica.
+pub(super) struct Driver {
+    node: NodeId,
+    replica: Replica,
+    clock: ProcessClock,
+    socket: ControlSocket,
+    store: Arc<dyn Store>,
+    install: Install,
+    logger: Logger,
+}
+
+impl Driver {
+    pub(super) fn new(
+        settings: ReplicaSettings,
+        socket: ControlSocket,
+        store: Arc<dyn Store>,
+        install: Install,
+        logger: Logger,
+    ) -> Self {
+        let clock = ProcessClock::new();
+        let random = ChaCha8Rng::from_seed(rand::random());
+        Self {
+            node: settings.node,
+            replica: Replica::new(settings, random, clock.now()),
+            clock,
+            socket,
+            store,
+            install,
+            logger,
+        }
+    }
+
+    /// Runs until the node ends; `answers` is given to the store's tasks.
+    pub(super) async fn run(
+        mut self,
+        answers: mpsc::UnboundedSender<Input>,
+        mut inputs: mpsc::UnboundedReceiver<Input>,
+    ) {
+        loop {
+            let wakeup = self.replica.next_wakeup();
+            let event = tokio::select! {
+                received = self.socket.receive() => Some(message_event(received)),
+                Some(input) = inputs.recv() => self.input_event(input),
+                () = self.clock.sleep_until(wakeup) => Some(Event::Tick),
+            };
+            if let Some(event) = event {
+                self.handle(event, &answers);
+            }
+        }
+    }
+
+    fn input_event(&self, input: Input) -> Option<Event> {
+        match input {
+            Input::StoreAnswer(request, answer) => Some(Event::StoreAnswer { request, answer }),
+            Input::Machines(machines) => Some(Event::Machines(machines)),
+            Input::SequenceSeen(sequence) => Some(Event::SequenceSeen(sequence)),
+            Input::Leaving => Some(Event::Leaving),
+            Input::Status(reply) => {
+                let _ = reply.send(self.status());
+                None
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event, answers: &mpsc::UnboundedSender<Input>) {
+        let was_ready = self.replica.is_ready();
+        for action in self.replica.handle(event, self.clock.now()) {
+            match action {
+                Action::Send { to, message } => self.socket.send(to, &message),
+                Action::Store { request, operation } => self.ask_store(request, operation, answers),
+                Action::Install(installed) => self.install(&installed),
+            }
+        }
+        if self.replica.is_ready() && !was_ready {
+            info!(self.logger, "control: ready"; "sequence" => %self.replica.sequence());
+        }
+    }
+
+    fn ask_store(
+        &self,
+        request: StoreRequestId,
+        operation: StoreOperation,
+        answers: &mpsc::UnboundedSender<Input>,
+    ) {
+        let store = self.store.clone();
+        let answers = answers.clone();
+        tokio::spawn(async move {
+            let answer = store.perform(&operation).await;
+            let _ = answers.send(Input::StoreAnswer(request, answer));
+        });
+    }
+
+    fn install(&self, installed: &Arc<Installed>) {
+        (self.install)(installed);
+        let statement = &installed.record.statement;
+        info!(self.logger, "control: roll in force";
+            "sequence" => %statement.sequence,
+            "bundle_version" => statement.bundle_version,
+            "operator" => &statement.operator);
+        debug!(self.logger, "control: snapshot in force"; "digest" => %statement.snapshot);
+    }
+
+    fn status(&self) -> ControlStatus {
+        let now = self.clock.now();
+        let installed = self.replica.installed();
+        ControlStatus {
+            node: self.node,
+            ready: self.replica.is_ready(),
+            suspect: self.replica.is_suspect(now),
+            sequence: self.replica.sequence(),
+            bundle_version: installed.map(|installed| installed.snapshot.bundle.version),
+            snapshot: installed.map(|installed| installed.digest()),
+            members: self.replica.member_counts(now),
+            counters: *self.replica.counters(),
+        }
+    }
+}
+
+fn message_event(received: Received) -> Event {
+    match received.message {
+        Ok(message) => Event::Message {
+            from: received.from,
+            message,
+        },
+        Err(error) => Event::BadFrame(error),
+    }
+}
--- /dev/null
+++ b/crates/woodladder/src/daemon/agent.rs
@@ -0,0 +1,214 @@
+//! The agent as a process: data path, control, endpoints, planned stop.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use async_trait::async_trait;
+use slog::{Logger, info, warn};
+use socket2::SockRef;
+use tokio::time::{interval, timeout};
+use woodladder_core::directory::Directory;
+use woodladder_core::drain::{DrainPhase, DrainReason};
+use woodladder_core::membership;
+
+use super::status::StatusSource;
+use crate::agent::{Agent, AgentConfig, AgentHandle, AgentKeys, AgentStatus};
+use crate::control::{Control, ControlConfig, Install};
+use crate::endpoint::{Endpoint, NodeStatus, NodeView, NotReady, Role};
+use crate::process::{StartError, StopSignal};
+use crate::settings::AgentSettings;
+
+/// Bytes asked for as the data socket's buffers.
+const SOCKET_BUFFER: usize = 4 * 1024 * 1024;
+/// Interval of looking for sequences that balancers stated.
+const SEQUENCE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What the endpoints tell about an agent.
+struct AgentView {
+    source: StatusSource,
+    agent: AgentHandle,
+}
+
+#[async_trait]
+impl NodeView for AgentView {
+    async fn status(&self) -> NodeStatus {
+        let mut status = self.source.status().await;
+        let agent = self.agent.status();
+        if status.not_ready.is_none() && agent.phase != DrainPhase::Serving {
+            status.not_ready = Some(NotReady::Leaving);
+        }
+        status.counters.extend(figures(&agent));
+        status
+    }
+}
+
+/// Runs an agent until a planned stop has ended.
+///
+/// # Errors
+/// [`StartError`] when it cannot start.
+pub async fn run(settings: AgentSettings, logger: Logger) -> Result<(), StartError> {
+    let mut stop = StopSignal::from_process().map_err(StartError::Signals)?;
+    let view = Arc::new(start(&settings, &stop, &logger).await?);
+    let http_listen = settings.node.http_listen;
+    let endpoint = Endpoint::start(http_listen, view.clone(), stop.clone(), &logger)
+        .map_err(|error| StartError::listen("http_listen", http_listen, error))?;
+    info!(logger, "agent: running";
+        "data" => %view.source.data,
+        "control" => %view.source.control.address(),
+        "http" => %endpoint.address());
+    tokio::select! {
+        () = stop.asked() => {}
+        () = report_sequences(&view) => {}
+        () = follow_machine_list(&view) => {}
+    }
+    view.source.control.leave();
+    drain(&settings, &view.agent, &logger).await;
+    Ok(())
+}
+
+async fn start(
+    settings: &AgentSettings,
+    stop: &StopSignal,
+    logger: &Logger,
+) -> Result<AgentView, StartError> {
+    let directory = Arc::new(ArcSwap::from_pointee(Directory::default()));
+    let (agent, data) = start_agent(settings, directory.clone(), logger)?;
+    let role = membership::Role::Agent;
+    let config = ControlConfig::from_settings(&settings.node, role, install(directory), logger)?;
+    let source = StatusSource {
+        role: Role::Agent,
+        zone: settings.node.zone.clone(),
+        data,
+        started: Instant::now(),
+        stop: stop.clone(),
+        control: Control::start(config).await?,
+    };
+    Ok(AgentView { source, agent })
+}
+
+fn start_agent(
+    settings: &AgentSettings,
+    directory: Arc<ArcSwap<Directory>>,
+    logger: &Logger,
+) -> Result<(AgentHandle, SocketAddr), StartError> {
+    let socket = bind(settings.data_listen)
+        .map_err(|error| StartError::listen("data_listen", settings.data_listen, error))?;
+    let data = socket
+        .local_addr()
+        .map_err(|error| StartError::listen("data_listen", settings.data_listen, error))?;
+    let certificate = settings
+        .certificate
+        .load()
+        .map_err(|error| StartError::Certificate(error.to_string()))?;
+    let keys = settings.node.keys();
+    let agent = Agent::start(AgentConfig {
+        socket,
+        target: settings.target,
+        service: settings.service,
+        back_end: settings.back_end,
+        egress: settings.fabric_egress.clone(),
+        keys: AgentKeys {
+            envelope: keys.envelope,
+            token: settings.node.token_keys,
+            reset: keys.reset,
+        },
+        certificate,
+        limits: settings.limits,
+        directory,
+        logger: logger.clone(),
+    })
+    .map_err(|error| StartError::Agent(error.to_string()))?;
+    Ok((agent, data))
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<UdpSocket> {
+    let socket = UdpSocket::bind(address)?;
+    SockRef::from(&socket).set_recv_buffer_size(SOCKET_BUFFER)?;
+    SockRef::from(&socket).set_send_buffer_size(SOCKET_BUFFER)?;
+    Ok(socket)
+}
+
+fn install(directory: Arc<ArcSwap<Directory>>) -> Install {
+    Box::new(move |installed| directory.store(Arc::new(installed.directory.clone())))
+}
+
+/// Tells the replica of sequences that balancers have and this node has not.
+async fn report_sequences(view: &AgentView) {
+    let mut ticks = interval(SEQUENCE_INTERVAL);
+    let mut reported = view.agent.status().newest_sequence_seen;
+    loop {
+        ticks.tick().await;
+        let seen = view.agent.status().newest_sequence_seen;
+        if seen > reported {
+            view.source.control.sequence_seen(seen);
+            reported = seen;
+        }
+    }
+}
+
+/// Drains while the machine list says that this machine is leaving.
+async fn follow_machine_list(view: &AgentView) {
+    let mut leaving = view.source.control.listed_leaving();
+    while leaving.changed().await.is_ok() {
+        if *leaving.borrow_and_update() {
+            view.agent.begin_drain(DrainReason::MachineList);
+        } else {
+            view.agent.withdraw_drain(DrainReason::MachineList);
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Takes nothing new and waits for the last stream to end.
+async fn drain(settings: &AgentSettings, agent: &AgentHandle, logger: &Logger) {
+    info!(logger, "agent: stopping as planned"; "timeout" => ?settings.drain_timeout);
+    agent.begin_drain(DrainReason::Signal);
+    if timeout(settings.drain_timeout, agent.drained())
+        .await
+        .is_err()
+    {
+        warn!(logger, "agent: stopped with streams still open");
+    }
+    agent.close().await;
+    info!(logger, "agent: stopped");
+}
+
+fn figures(status: &AgentStatus) -> BTreeMap<String, u64> {
+    let mut figures = BTreeMap::new();
+    let number = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
+    let flows = status.flows;
+    let named = [
+        ("busy_slots", u64::from(status.busy_slots)),
+        ("slots", u64::from(status.slots)),
+        ("effective_slots", u64::from(status.effective_slots)),
+        ("queued_requests", u64::from(status.queued)),
+        ("connections", number(status.connections)),
+        ("open_requests", number(status.requests)),
+        ("feeds", number(status.feeds)),
+        ("flows_accepted_total", flows.accepted),
+        ("flows_declined_total", flows.declined),
+        ("flows_refused_total", flows.refused),
+        ("flows_handed_on_total", flows.handed_on),
+        ("packets_relayed_total", flows.relayed),
+    ];
+    for (name, value) in named {
+        figures.insert(name.to_owned(), value);
+    }
+    for drops in &status.drops {
+        let name = format!("packets_dropped_{}_total", word(drops.reason.word()));
+        figures.insert(name, drops.count);
+    }
+    for ends in &status.ends {
+        let name = format!("requests_{}_total", word(ends.end.word()));
+        figures.insert(name, ends.count);
+    }
+    figures
+}
+
+/// A word as the names of figures have it.
+fn word(text: &str) -> String {
+    text.replace('-', "_")
+}
--- a/crates/woodladder/src/balancer/daemon.rs
+++ b/crates/woodladder/src/daemon/balancer.rs
@@ -4,44 +4,81 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwapOption;
+use async_trait::async_trait;
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
+use woodladder_core::membership;
+use woodladder_core::router::Router;
 
-use super::packet_path::{PacketPath, PacketPathConfig};
-use crate::endpoint::{Endpoint, NodeStatus, NodeView, NotReady, Role};
+use super::status::StatusSource;
+use crate::balancer::{PacketPath, PacketPathConfig};
+use crate::control::{Control, ControlConfig, Install};
+use crate::endpoint::{Endpoint, NodeStatus, NodeView, Role};
 use crate::process::{StartError, StopSignal};
 use crate::settings::BalancerSettings;
 
 /// Traffic counts as ceased when no datagram came for this long.
 const QUIET_PERIOD: Duration = Duration::from_millis(500);
 
+/// What the endpoints tell about a balancer.
+struct BalancerView {
+    source: StatusSource,
+    path: PacketPath,
+}
+
+#[async_trait]
+impl NodeView for BalancerView {
+    async fn status(&self) -> NodeStatus {
+        let mut status = self.source.status().await;
+        status.counters.extend(self.path.counts().by_name());
+        status
+    }
+}
+
 /// Runs a balancer until a planned stop has ended.
 ///
 /// # Errors
 /// [`StartError`] when it cannot start.
 pub async fn run(settings: BalancerSettings, logger: Logger) -> Result<(), StartError> {
     let mut stop = StopSignal::from_process().map_err(StartError::Signals)?;
-    let router = Arc::new(ArcSwapOption::empty());
-    let path = start_packet_path(&settings, router, &logger)?;
-    let view = Arc::new(BalancerView {
-        path,
-        zone: settings.node.zone.clone(),
-        started: Instant::now(),
-        stop: stop.clone(),
-    });
+    let view = Arc::new(start(&settings, &stop, &logger).await?);
     let http_listen = settings.node.http_listen;
     let endpoint = Endpoint::start(http_listen, view.clone(), stop.clone(), &logger)
         .map_err(|error| StartError::listen("http_listen", http_listen, error))?;
     info!(logger, "balancer: running";
-        "data" => %view.path.address(), "http" => %endpoint.address());
+        "data" => %view.path.address(),
+        "control" => %view.source.control.address(),
+        "http" => %endpoint.address());
     stop.asked().await;
+    view.source.control.leave();
     drain(&settings, &view.path, &logger).await;
     Ok(())
 }
 
+async fn start(
+    settings: &BalancerSettings,
+    stop: &StopSignal,
+    logger: &Logger,
+) -> Result<BalancerView, StartError> {
+    let router = Arc::new(ArcSwapOption::empty());
+    let path = start_packet_path(settings, router.clone(), logger)?;
+    let install = install(settings, router);
+    let role = membership::Role::Balancer;
+    let config = ControlConfig::from_settings(&settings.node, role, install, logger)?;
+    let source = StatusSource {
+        role: Role::Balancer,
+        zone: settings.node.zone.clone(),
+        data: path.address(),
+        started: Instant::now(),
+        stop: stop.clone(),
+        control: Control::start(config).await?,
+    };
+    Ok(BalancerView { source, path })
+}
+
 fn start_packet_path(
     settings: &BalancerSettings,
-    router: Arc<ArcSwapOption<woodladder_core::router::Router>>,
+    router: Arc<ArcSwapOption<Router>>,
     logger: &Logger,
 ) -> Result<PacketPath, StartError> {
     let config = PacketPathConfig {
@@ -56,6 +93,16 @@
         .map_err(|error| StartError::listen("data_listen", settings.data_listen, error))
 }
 
+/// Builds a router for each roll and hands it to the workers.
+fn install(settings: &BalancerSettings, router: Arc<ArcSwapOption<Router>>) -> Install {
+    let keys = settings.node.token_keys;
+    let hops = settings.hops;
+    Box::new(move |installed| {
+        let directory = Arc::new(installed.directory.clone());
+        router.store(Some(Arc::new(Router::new(directory, keys, hops))));
+    })
+}
+
 /// Forwards on for the grace, during which the fabric learns that the balancer
 /// is not ready, and then until traffic has ceased.
 async fn drain(settings: &BalancerSettings, path: &PacketPath, logger: &Logger) {
@@ -75,28 +122,3 @@
     warn!(logger, "balancer: stopped while datagrams still came";
         "timeout" => ?settings.stop_timeout);
 }
-
-/// What the endpoints tell about a balancer.
-struct BalancerView {
-    path: PacketPath,
-    zone: String,
-    started: Instant,
-    stop: StopSignal,
-}
-
-impl NodeView for BalancerView {
-    fn status(&self) -> NodeStatus {
-        NodeStatus {
-            role: Role::Balancer,
-            node: 0,
-            zone: self.zone.clone(),
-            not_ready: self.stop.is_asked().then_some(NotReady::Stopping),
-            sequence: 0,
-            bundle_version: None,
-            snapshot: None,
-            peers: Vec::new(),
-            uptime_seconds: self.started.elapsed().as_secs(),
-            counters: self.path.counts().by_name(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/woodladder/src/daemon/status.rs
@@ -0,0 +1,87 @@
+//! The part of a node's status that balancers and agents share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use crate::control::{Control, ControlStatus};
+use crate::endpoint::{Listening, NodeStatus, NotReady, Peers, Role};
+use crate::process::StopSignal;
+
+/// What a node's status is made from.
+pub(super) struct StatusSource {
+    pub(super) role: Role,
+    pub(super) zone: String,
+    pub(super) data: SocketAddr,
+    pub(super) started: Instant,
+    pub(super) stop: StopSignal,
+    pub(super) control: Control,
+}
+
+impl StatusSource {
+    /// Status with the counters of the control traffic.
+    pub(super) async fn status(&self) -> NodeStatus {
+        let listening = Listening {
+            data: self.data,
+            control: self.control.address(),
+        };
+        let mut status = NodeStatus {
+            role: self.role,
+            node: 0,
+            zone: self.zone.clone(),
+            listening,
+            not_ready: Some(NotReady::NoBundle),
+            suspect: false,
+            sequence: 0,
+            bundle_version: None,
+            snapshot: None,
+            peers: Peers::default(),
+            uptime_seconds: self.started.elapsed().as_secs(),
+            counters: BTreeMap::new(),
+        };
+        if let Some(control) = self.control.status().await {
+            fill(&mut status, &control);
+        }
+        if self.stop.is_asked() {
+            status.not_ready = Some(NotReady::Stopping);
+        }
+        status
+    }
+}
+
+fn fill(status: &mut NodeStatus, control: &ControlStatus) {
+    status.node = control.node.0;
+    status.not_ready = (!control.ready).then_some(NotReady::NoBundle);
+    status.suspect = control.suspect;
+    status.sequence = control.sequence.0;
+    status.bundle_version = control.bundle_version;
+    status.snapshot = control.snapshot.map(|digest| digest.to_string());
+    status.peers = Peers {
+        known: control.members.known,
+        heard: control.members.heard,
+        silent: control.members.silent,
+        leaving: control.members.leaving,
+        listed: control.members.listed,
+    };
+    let counters = &control.counters;
+    let figures = [
+        ("control_adopted_total", counters.adopted),
+        ("control_adopted_by_delta_total", counters.adopted_by_delta),
+        ("control_messages_sent_total", counters.messages_sent),
+        (
+            "control_messages_received_total",
+            counters.messages_received,
+        ),
+        ("control_copy_bytes_sent_total", counters.copy_bytes_sent),
+        (
+            "control_copy_bytes_received_total",
+            counters.copy_bytes_received,
+        ),
+        ("control_store_reads_total", counters.store_reads),
+        ("control_pauses_total", counters.pauses),
+        ("control_rejections_total", counters.rejections.total()),
+    ];
+    for (name, value) in figures {
+        status.counters.insert(name.to_owned(), value);
+    }
+}
--- a/crates/woodladder/src/endpoint/metrics.rs
+++ b/crates/woodladder/src/endpoint/metrics.rs
@@ -53,7 +53,7 @@
 pub fn render(status: &NodeStatus) -> String {
     let mut gauges = Gauges::new();
     let ready = u64::from(status.not_ready.is_none());
-    let peers = u64::try_from(status.peers.len()).unwrap_or(u64::MAX);
+    let peers = u64::try_from(status.peers.known).unwrap_or(u64::MAX);
     gauges.add("ready", "Whether the node takes traffic.", ready);
     gauges.add("sequence", "Sequence in force.", status.sequence);
     gauges.add(
--- a/crates/woodladder/src/endpoint/mod.rs
+++ b/crates/woodladder/src/endpoint/mod.rs
@@ -13,4 +13,4 @@
 
 pub use metrics::{Gauges, render};
 pub use server::{Endpoint, NodeView};
-pub use status::{NodeStatus, NotReady, Role};
+pub use status::{Listening, NodeStatus, NotReady, Peers, Role};
--- a/crates/woodladder/src/endpoint/server.rs
+++ b/crates/woodladder/src/endpoint/server.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use async_trait::async_trait;
 use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
 use slog::{Logger, error};
 use tokio::task::JoinHandle;
@@ -20,9 +21,10 @@
 const PLAIN_TEXT: &str = "text/plain; charset=utf-8";
 
 /// What the endpoints ask a node for.
+#[async_trait]
 pub trait NodeView: Send + Sync + 'static {
     /// Status at this moment.
-    fn status(&self) -> NodeStatus;
+    async fn status(&self) -> NodeStatus;
 }
 
 /// A running HTTP server.
@@ -93,16 +95,24 @@
     let ready_view = view.clone();
     let status_view = view.clone();
     Router::new()
+        .route("/health", get(async || healthy()))
         .route(
-            "/health",
-            get(async || answer(StatusCode::OK, PLAIN_TEXT, "ok\n".to_owned())),
+            "/ready",
+            get(async move || ready(&ready_view.status().await)),
         )
-        .route("/ready", get(async move || ready(&ready_view.status())))
-        .route("/status", get(async move || status(&status_view.status())))
         .route(
-            "/metrics",
-            get(async move || answer(StatusCode::OK, METRICS_TEXT, render(&view.status()))),
+            "/status",
+            get(async move || status(&status_view.status().await)),
         )
+        .route("/metrics", get(async move || metrics(&view.status().await)))
+}
+
+fn healthy() -> Response<Body> {
+    answer(StatusCode::OK, PLAIN_TEXT, "ok\n".to_owned())
+}
+
+fn metrics(status: &NodeStatus) -> Response<Body> {
+    answer(StatusCode::OK, METRICS_TEXT, render(status))
 }
 
 fn ready(status: &NodeStatus) -> Response<Body> {
--- a/crates/woodladder/src/endpoint/status.rs
+++ b/crates/woodladder/src/endpoint/status.rs
@@ -24,8 +24,32 @@
     NoBundle,
     /// A planned stop has begun.
     Stopping,
-    /// Its back end does not answer, or is not in the bundle.
-    BackEnd,
+    /// Its target takes no new work.
+    Leaving,
+}
+
+/// Addresses that a node listens on.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Listening {
+    /// For datagrams of callers.
+    pub data: SocketAddr,
+    /// For control messages.
+    pub control: SocketAddr,
+}
+
+/// Counts over the nodes that a node knows.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Peers {
+    /// All of them.
+    pub known: usize,
+    /// Heard from lately.
+    pub heard: usize,
+    /// Not answering.
+    pub silent: usize,
+    /// About to go.
+    pub leaving: usize,
+    /// Named by the machine list.
+    pub listed: usize,
 }
 
 /// Status of a node.
@@ -37,16 +61,20 @@
     pub node: u64,
     /// Zone that it is in.
     pub zone: String,
+    /// Addresses that it listens on.
+    pub listening: Listening,
     /// Why it takes no traffic, when it takes none.
     pub not_ready: Option<NotReady>,
+    /// Whether the process was paused and its state is not confirmed since.
+    pub suspect: bool,
     /// Sequence in force; zero before the first.
     pub sequence: u64,
     /// Version of the bundle in force.
     pub bundle_version: Option<u64>,
     /// Digest of the snapshot in force.
     pub snapshot: Option<String>,
-    /// Control addresses of the nodes that it knows.
-    pub peers: Vec<SocketAddr>,
+    /// Counts over the nodes that it knows.
+    pub peers: Peers,
     /// Seconds since the process started.
     pub uptime_seconds: u64,
     /// Figures by name.
@@ -58,7 +86,7 @@
         formatter.write_str(match self {
             Self::NoBundle => "no bundle is in force yet",
             Self::Stopping => "a planned stop has begun",
-            Self::BackEnd => "the back end takes no work",
+            Self::Leaving => "the target takes no new work",
         })
     }
 }
--- a/crates/woodladder/src/lib.rs
+++ b/crates/woodladder/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod agent;
 pub mod balancer;
 pub mod command;
+pub mod control;
+pub mod daemon;
 pub mod endpoint;
 pub mod log;
 pub mod process;
--- a/crates/woodladder/src/process.rs
+++ b/crates/woodladder/src/process.rs
@@ -122,6 +122,8 @@
     Client(String),
     /// The certificate or its key cannot be used.
     Certificate(String),
+    /// The agent's data path cannot start.
+    Agent(String),
 }
 
 impl StartError {
@@ -146,6 +148,7 @@
             } => write!(formatter, "{setting}: cannot listen on {address}: {error}"),
             Self::Signals(error) => write!(formatter, "cannot handle signals: {error}"),
             Self::Client(reason) => write!(formatter, "cannot make a client: {reason}"),
+            Self::Agent(reason) => write!(formatter, "cannot start the agent: {reason}"),
             Self::Certificate(reason) => write!(formatter, "cannot use the certificate: {reason}"),
         }
     }
--- a/crates/woodladder/src/settings/agent.rs
+++ b/crates/woodladder/src/settings/agent.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use woodladder_core::drain::MAXIMUM_GRACE;
 use woodladder_core::finding::Findings;
 use woodladder_core::identifier::{ServiceId, TargetId};
 
@@ -11,17 +12,12 @@
 use super::node::NodeSettings;
 use super::reader::Reader;
 use super::value;
+use crate::agent::{self, CertificateError, Limits};
 
-const DEFAULT_SLOTS: usize = 7;
-const DEFAULT_QUEUE: usize = 32;
-const DEFAULT_CONNECTIONS: usize = 2000;
-const DEFAULT_STREAMS_PER_CONNECTION: usize = 100;
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(10);
-const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+const DEFAULT_WORKERS: usize = 2;
 const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(3600);
 
+const RULE_DRAIN_GRACE: &str = "a leaving target takes no request after 4 seconds";
 const RULE_CERTIFICATE: &str =
     "either tls_certificate and tls_key are both set, or server_names has an entry";
 
@@ -43,7 +39,11 @@
     /// What callers are shown as certificate.
     pub certificate: Certificate,
     /// Bounds on work.
-    pub limits: AgentLimits,
+    pub limits: Limits,
+    /// Threads of the data path and control together.
+    pub worker_threads: usize,
+    /// Longest time that a planned stop waits for open streams.
+    pub drain_timeout: Duration,
 }
 
 /// Certificate that callers are shown.
@@ -60,27 +60,17 @@
     SelfSigned(Vec<String>),
 }
 
-/// Bounds on the work that an agent takes on.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct AgentLimits {
-    /// Requests that the back end runs at the same time.
-    pub slots: usize,
-    /// Requests that may wait for a slot.
-    pub queue: usize,
-    /// Connections of callers, and connections to the back end, each.
-    pub connections: usize,
-    /// Requests that one caller's connection may have open.
-    pub streams_per_connection: usize,
-    /// Time without any packet after which a caller's connection ends.
-    pub idle_timeout: Duration,
-    /// Interval of keep-alive packets towards callers.
-    pub keep_alive: Duration,
-    /// Longest time for a whole answer, when the caller names no deadline.
-    pub request_timeout: Duration,
-    /// When a caller whose request was not run may ask again.
-    pub retry_after: Duration,
-    /// Longest time that a planned stop waits for open streams.
-    pub drain_timeout: Duration,
+impl Certificate {
+    /// Reads the files, or makes the certificate.
+    ///
+    /// # Errors
+    /// [`CertificateError`] when a file or a name cannot be used.
+    pub fn load(&self) -> Result<agent::Certificate, CertificateError> {
+        match self {
+            Self::Files { chain, key } => agent::Certificate::from_pem_files(chain, key),
+            Self::SelfSigned(names) => agent::Certificate::self_signed(names),
+        }
+    }
 }
 
 impl AgentSettings {
@@ -101,6 +91,9 @@
         let fabric_egress = reader.required_list("fabric_egress", value::peer_address);
         let certificate = read_certificate(&mut reader);
         let limits = read_limits(&mut reader);
+        let worker_threads = reader.defaulted("worker_threads", DEFAULT_WORKERS, value::count);
+        let drain_timeout =
+            reader.defaulted("drain_timeout", DEFAULT_DRAIN_TIMEOUT, value::duration);
         let findings = reader.finish();
         let complete = (|| {
             Some(Self {
@@ -112,6 +105,8 @@
                 fabric_egress,
                 certificate: certificate?,
                 limits,
+                worker_threads,
+                drain_timeout,
             })
         })();
         match complete {
@@ -136,22 +131,33 @@
     }
 }
 
-fn read_limits(reader: &mut Reader<'_>) -> AgentLimits {
-    let mut count = |key, default| reader.defaulted(key, default, value::count);
-    let slots = count("slots", DEFAULT_SLOTS);
-    let queue = count("queue", DEFAULT_QUEUE);
-    let connections = count("connections", DEFAULT_CONNECTIONS);
-    let streams_per_connection = count("streams_per_connection", DEFAULT_STREAMS_PER_CONNECTION);
+fn read_limits(reader: &mut Reader<'_>) -> Limits {
+    let default = Limits::default();
+    let slots = reader.defaulted("slots", default.slots, value::count);
+    let queue = reader.defaulted("queue", default.queue, value::count);
+    let connections = reader.defaulted("connections", default.connections, value::count);
+    let streams_per_connection = reader.defaulted(
+        "streams_per_connection",
+        default.streams_per_connection,
+        value::count,
+    );
+    let slow_start = reader.defaulted("slow_start", true, value::switch);
     let mut duration = |key, default| reader.defaulted(key, default, value::duration);
-    AgentLimits {
+    let limits = Limits {
         slots,
         queue,
         connections,
         streams_per_connection,
-        idle_timeout: duration("idle_timeout", DEFAULT_IDLE_TIMEOUT),
-        keep_alive: duration("keep_alive", DEFAULT_KEEP_ALIVE),
-        request_timeout: duration("request_timeout", DEFAULT_REQUEST_TIMEOUT),
-        retry_after: duration("retry_after", DEFAULT_RETRY_AFTER),
-        drain_timeout: duration("drain_timeout", DEFAULT_DRAIN_TIMEOUT),
+        idle_timeout: duration("idle_timeout", default.idle_timeout),
+        keep_alive: duration("keep_alive", default.keep_alive),
+        default_deadline: duration("request_timeout", default.default_deadline),
+        minimum_retry_after: duration("minimum_retry_after", default.minimum_retry_after),
+        slow_start: default.slow_start.filter(|_| slow_start),
+        drain_grace: duration("drain_grace", default.drain_grace),
+    };
+    if limits.drain_grace > MAXIMUM_GRACE {
+        let problem = format!("{:?} is not accepted", limits.drain_grace);
+        reader.fault("drain_grace", problem, RULE_DRAIN_GRACE);
     }
+    limits
 }
--- a/crates/woodladder/src/settings/flags.rs
+++ b/crates/woodladder/src/settings/flags.rs
@@ -125,6 +125,10 @@
     #[command(flatten)]
     #[serde(flatten)]
     pub node: NodeFlags,
+    /// Threads of the data path and control together
+    #[arg(long, value_name = "COUNT")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub worker_threads: Option<String>,
     /// Identifier of the target that the agent stands before
     #[arg(long, value_name = "ID")]
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -181,10 +185,18 @@
     #[arg(long, value_name = "DURATION")]
     #[serde(skip_serializing_if = "Option::is_none")]
     pub request_timeout: Option<String>,
-    /// When a caller whose request was not run may ask again
+    /// Shortest time after which a caller whose request was not run may ask again
     #[arg(long, value_name = "DURATION")]
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub retry_after: Option<String>,
+    pub minimum_retry_after: Option<String>,
+    /// Whether slots come into use one after another after a start
+    #[arg(long, value_name = "BOOL")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slow_start: Option<String>,
+    /// How long requests on open connections are taken after leaving begins
+    #[arg(long, value_name = "DURATION")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub drain_grace: Option<String>,
     /// Longest time that a planned stop waits for open streams
     #[arg(long, value_name = "DURATION")]
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -202,6 +214,14 @@
     #[command(flatten)]
     #[serde(flatten)]
     pub platform: PlatformFlags,
+    /// Public key of an operator to trust; may be given several times
+    #[arg(long = "trusted-key", value_name = "HEX")]
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub trusted_keys: Vec<String>,
+    /// Key shared by all nodes
+    #[arg(long, value_name = "HEX")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cluster_key: Option<String>,
     /// File with the operator's secret key
     #[arg(long, value_name = "FILE")]
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/woodladder/src/settings/mod.rs
+++ b/crates/woodladder/src/settings/mod.rs
@@ -13,7 +13,7 @@
 mod reader;
 mod value;
 
-pub use agent::{AgentLimits, AgentSettings, Certificate};
+pub use agent::{AgentSettings, Certificate};
 pub use balancer::BalancerSettings;
 pub use flags::{AgentFlags, BalancerFlags, LogFlags, NodeFlags, OperatorFlags, PlatformFlags};
 pub use layer::{ENVIRONMENT_PREFIX, Layers};
--- a/crates/woodladder/src/settings/node.rs
+++ b/crates/woodladder/src/settings/node.rs
@@ -95,7 +95,7 @@
         let trusted_keys = reader.required_list("trusted_keys", value::public_key);
         let cluster_key = reader.required("cluster_key", value::tag_key);
         let token_keys = read_token_keys(reader);
-        let log = read_log(reader);
+        let log = read_log(reader, LogLevel::default());
         Some(Self {
             control_listen: control_listen?,
             http_listen: http_listen?,
@@ -110,9 +110,10 @@
     }
 }
 
-pub(super) fn read_log(reader: &mut Reader<'_>) -> LogSettings {
+/// Reads the settings of the log; `level` counts when none is set.
+pub(super) fn read_log(reader: &mut Reader<'_>, level: LogLevel) -> LogSettings {
     LogSettings {
-        level: reader.defaulted("log_level", LogLevel::default(), value::log_level),
+        level: reader.defaulted("log_level", level, value::log_level),
         format: reader.defaulted("log_format", LogFormat::default(), value::log_format),
     }
 }
--- a/crates/woodladder/src/settings/operator.rs
+++ b/crates/woodladder/src/settings/operator.rs
@@ -4,26 +4,33 @@
 use std::time::Duration;
 
 use woodladder_core::finding::Findings;
+use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::signature::TrustedKeys;
 
 use super::layer::Layers;
 use super::node::{PlatformSettings, read_log};
 use super::reader::Reader;
 use super::value;
-use crate::log::LogSettings;
+use crate::log::{LogLevel, LogSettings};
 
 const DEFAULT_POLL: Duration = Duration::from_millis(500);
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+const DEFAULT_OPERATOR: &str = "operator";
 
 /// Settings of the operator's commands.
 #[derive(Clone, Debug)]
 pub struct OperatorSettings {
     /// The platform's services and nodes to ask.
     pub platform: PlatformSettings,
+    /// Operators whose signatures nodes accept.
+    pub trusted_keys: TrustedKeys,
+    /// Key shared by all nodes.
+    pub cluster_key: TagKey,
     /// File that holds the operator's secret key.
     pub signing_key: Option<PathBuf>,
     /// Name of the operator, shown to others who roll at the same time.
     pub operator: String,
-    /// Time between two looks at the nodes.
+    /// Time between two questions to a node that has not answered.
     pub poll: Duration,
     /// Longest time that `roll` waits for the nodes.
     pub timeout: Duration,
@@ -41,14 +48,27 @@
             return Err(findings);
         }
         let mut reader = Reader::new(layers);
-        let settings = Self {
-            platform: PlatformSettings::read(&mut reader),
-            signing_key: reader.optional("signing_key", value::path),
-            operator: reader.defaulted("operator", "operator".to_owned(), value::name),
-            poll: reader.defaulted("poll", DEFAULT_POLL, value::duration),
-            timeout: reader.defaulted("timeout", DEFAULT_TIMEOUT, value::duration),
-            log: read_log(&mut reader),
+        let platform = PlatformSettings::read(&mut reader);
+        let trusted_keys = reader.required_list("trusted_keys", value::public_key);
+        let cluster_key = reader.required("cluster_key", value::tag_key);
+        let signing_key = reader.optional("signing_key", value::path);
+        let operator = reader.defaulted("operator", DEFAULT_OPERATOR.to_owned(), value::name);
+        let poll = reader.defaulted("poll", DEFAULT_POLL, value::duration);
+        let timeout = reader.defaulted("timeout", DEFAULT_TIMEOUT, value::duration);
+        let log = read_log(&mut reader, LogLevel::Warning);
+        let findings = reader.finish();
+        let (Some(cluster_key), true) = (cluster_key, findings.is_empty()) else {
+            return Err(findings);
         };
-        reader.finish().into_result(settings)
+        Ok(Self {
+            platform,
+            trusted_keys: TrustedKeys::new(trusted_keys),
+            cluster_key,
+            signing_key,
+            operator,
+            poll,
+            timeout,
+            log,
+        })
     }
 }
--- a/crates/woodladder/src/settings/value.rs
+++ b/crates/woodladder/src/settings/value.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 use woodladder_core::keyed_tag::{TAG_KEY_LENGTH, TagKey};
@@ -20,10 +21,11 @@
     "a token key is its number from 0 to 15, a colon and 32 hexadecimal digits";
 const RULE_PUBLIC_KEY: &str = "an operator's public key is 64 hexadecimal digits (32 bytes)";
 const RULE_DURATION: &str = "a duration is a number with a unit, such as 250ms or 2s";
-const RULE_COUNT: &str = "a count is a whole number above zero";
+const RULE_COUNT: &str = "a count is a whole number above zero, within its range";
 const RULE_IDENTIFIER: &str = "an identifier is a whole number from 1 to 4294967295";
 const RULE_SERVER_NAME: &str = "a server name is 1 to 253 characters without spaces";
 const RULE_PATH: &str = "a path must not be empty";
+const RULE_SWITCH: &str = "the value is true or false";
 const RULE_LEVEL: &str = "a log level is one of trace, debug, info, warning, error";
 const RULE_FORMAT: &str = "a log format is one of terminal, json";
 
@@ -93,10 +95,10 @@
 }
 
 /// A count above zero.
-pub fn count(text: &str) -> Result<usize, &'static str> {
-    match text.parse() {
-        Ok(0) | Err(_) => Err(RULE_COUNT),
-        Ok(count) => Ok(count),
+pub fn count<T: FromStr + Default + PartialEq>(text: &str) -> Result<T, &'static str> {
+    match text.parse::<T>() {
+        Ok(count) if count != T::default() => Ok(count),
+        _ => Err(RULE_COUNT),
     }
 }
 
@@ -125,6 +127,11 @@
     Ok(PathBuf::from(text))
 }
 
+/// Whether something is on.
+pub fn switch(text: &str) -> Result<bool, &'static str> {
+    text.parse().map_err(|_| RULE_SWITCH)
+}
+
 /// A log level.
 pub fn log_level(text: &str) -> Result<LogLevel, &'static str> {
     LogLevel::named(text).ok_or(RULE_LEVEL)
--- a/crates/woodladder/src/store/machine_list.rs
+++ b/crates/woodladder/src/store/machine_list.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 use volo_http::client::Client;
 
-use super::StoreError;
+use super::ServiceError;
 use super::http::{Ask, client, exchange};
 
 const PATH: &str = "/machines";
@@ -55,8 +55,8 @@
     /// A client of the list at this address.
     ///
     /// # Errors
-    /// [`StoreError::Unreachable`] when the HTTP client cannot be built.
-    pub fn new(address: SocketAddr) -> Result<Self, StoreError> {
+    /// [`ServiceError::Unreachable`] when the HTTP client cannot be built.
+    pub fn new(address: SocketAddr) -> Result<Self, ServiceError> {
         Ok(Self {
             client: client()?,
             address,
@@ -66,8 +66,8 @@
     /// Reads the whole list.
     ///
     /// # Errors
-    /// [`StoreError`] when there is no answer or it cannot be understood.
-    pub async fn read(&self) -> Result<Vec<Machine>, StoreError> {
+    /// [`ServiceError`] when there is no answer or it cannot be understood.
+    pub async fn read(&self) -> Result<Vec<Machine>, ServiceError> {
         let ask = Ask {
             method: Method::GET,
             path: PATH.to_owned(),
@@ -76,8 +76,9 @@
         };
         let answer = exchange(&self.client, self.address, &ask).await?;
         if answer.status != StatusCode::OK {
-            return Err(StoreError::Failed(answer.status.as_u16()));
+            return Err(ServiceError::Status(answer.status.as_u16()));
         }
-        serde_json::from_slice(&answer.body).map_err(|_| StoreError::Malformed("list of machines"))
+        serde_json::from_slice(&answer.body)
+            .map_err(|_| ServiceError::Malformed("list of machines"))
     }
 }
--- a/crates/woodladder/src/store/mod.rs
+++ b/crates/woodladder/src/store/mod.rs
@@ -8,92 +8,50 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use woodladder_core::store_operation::{StoreAnswer, StoreOperation};
 
 pub use consul::ConsulStore;
 pub use machine_list::{Machine, MachineList, MachineRole, MachineState};
 
-/// Counts the changes of an entry; zero means that there is no entry.
-#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
-pub struct ModifyIndex(pub u64);
-
-/// What a read found.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Entry {
-    /// The value, when there is an entry.
-    pub value: Option<Vec<u8>>,
-    /// Index to compare with in a write; zero when there is no entry.
-    pub modify_index: ModifyIndex,
-    /// Index to wait after in the next blocking read.
-    pub watch_index: ModifyIndex,
-}
-
-/// What became of a write.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum SwapOutcome {
-    /// It took effect.
-    Applied,
-    /// It did not take effect: the entry has another index.
-    Conflict,
-    /// It did not take effect: the service was not asked or refused.
-    NotApplied(StoreError),
-    /// It may or may not have taken effect.
-    Unknown(StoreError),
+/// A key-value service with compare-and-swap and blocking reads.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Carries a request out. The answer says of a write whether it took
+    /// effect, did not, or may have.
+    async fn perform(&self, operation: &StoreOperation) -> StoreAnswer;
 }
 
-/// Why the service gave no answer.
+/// Why a service of the platform gave no usable answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum StoreError {
-    /// No connection to any of its addresses.
+pub enum ServiceError {
+    /// No connection; the request never reached it.
     Unreachable(String),
-    /// It asks for a pause.
+    /// It asks for a pause; the request had no effect.
     RateLimited {
-        /// How long to wait.
-        retry_after: Duration,
+        /// How long to wait, when it says so.
+        retry_after: Option<Duration>,
     },
     /// No whole answer in time, or the connection broke.
     NoAnswer(String),
-    /// It answered with a fault of its own.
-    Failed(u16),
+    /// It answered with this HTTP status.
+    Status(u16),
     /// Its answer cannot be understood.
     Malformed(&'static str),
 }
 
-/// A key-value service with compare-and-swap and blocking reads.
-#[async_trait]
-pub trait Store: Send + Sync {
-    /// Reads an entry.
-    async fn read(&self, key: &str) -> Result<Entry, StoreError>;
-
-    /// Reads an entry once its watch index is past `after`, or when `wait` is
-    /// over.
-    async fn read_after(
-        &self,
-        key: &str,
-        after: ModifyIndex,
-        wait: Duration,
-    ) -> Result<Entry, StoreError>;
-
-    /// Writes an entry if its index still is `expected`.
-    async fn compare_and_swap(
-        &self,
-        key: &str,
-        expected: ModifyIndex,
-        value: Vec<u8>,
-    ) -> SwapOutcome;
-}
-
-impl fmt::Display for StoreError {
+impl fmt::Display for ServiceError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable(reason) => write!(formatter, "cannot be reached ({reason})"),
-            Self::RateLimited { retry_after } => {
-                write!(formatter, "asks for a pause of {retry_after:?}")
-            }
+            Self::RateLimited { retry_after: None } => formatter.write_str("asks for a pause"),
+            Self::RateLimited {
+                retry_after: Some(pause),
+            } => write!(formatter, "asks for a pause of {pause:?}"),
             Self::NoAnswer(reason) => write!(formatter, "gave no whole answer ({reason})"),
-            Self::Failed(status) => write!(formatter, "failed with status {status}"),
+            Self::Status(status) => write!(formatter, "answered with status {status}"),
             Self::Malformed(part) => write!(formatter, "gave a malformed {part}"),
         }
     }
 }
 
-impl std::error::Error for StoreError {}
+impl std::error::Error for ServiceError {}
--- a/crates/woodladder/tests/agent_support/caller.rs
+++ b/crates/woodladder/tests/agent_support/caller.rs
@@ -1,6 +1,6 @@
 //! A caller that speaks HTTP/3.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 
 use bytes::{Buf as _, Bytes};
@@ -18,6 +18,7 @@
 
 pub struct Caller {
     pub connection: quinn::Connection,
+    endpoint: quinn::Endpoint,
     sender: SendRequest<h3_quinn::OpenStreams, Bytes>,
     driver: JoinHandle<()>,
 }
@@ -38,6 +39,7 @@
         });
         Ok(Self {
             connection,
+            endpoint,
             sender,
             driver,
         })
@@ -57,6 +59,12 @@
         stream
     }
 
+    /// Goes on from another address, as after a change of network.
+    pub fn change_address(&self) {
+        let socket = UdpSocket::bind(ANY_PORT).unwrap();
+        self.endpoint.rebind(socket).unwrap();
+    }
+
     pub async fn get(&self, path: &str) -> Stream {
         self.send(get(path), "").await
     }
