--- a/crates/woodladder/src/balancer/packet_path.rs
+++ b/crates/woodladder/src/balancer/packet_path.rs
@@ -82,6 +82,12 @@
         self.address
     }
 
+    /// Whether a worker has failed.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.threads.iter().any(JoinHandle::is_finished)
+    }
+
     /// Figures of all workers together.
     #[must_use]
     pub fn counts(&self) -> PacketCounts {
--- a/crates/woodladder/src/daemon/balancer.rs
+++ b/crates/woodladder/src/daemon/balancer.rs
@@ -13,7 +13,7 @@
 use super::status::StatusSource;
 use crate::balancer::{PacketPath, PacketPathConfig};
 use crate::control::{Control, ControlConfig, Install};
-use crate::endpoint::{Endpoint, NodeStatus, NodeView, Role};
+use crate::endpoint::{Endpoint, NodeStatus, NodeView, NotReady, Role};
 use crate::process::{StartError, StopSignal};
 use crate::settings::BalancerSettings;
 
@@ -30,6 +30,9 @@
 impl NodeView for BalancerView {
     async fn status(&self) -> NodeStatus {
         let mut status = self.source.status().await;
+        if self.path.has_failed() {
+            status.not_ready = Some(NotReady::Failed);
+        }
         status.counters.extend(self.path.counts().by_name());
         status
     }
--- a/crates/woodladder/src/endpoint/mod.rs
+++ b/crates/woodladder/src/endpoint/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | path | answer |
 //! | --- | --- |
-//! | `/health` | 200 while the process runs |
+//! | `/health` | 200 while every part of the process runs, otherwise 503 |
 //! | `/ready` | 200 when the node takes traffic, otherwise 503 with the reason |
 //! | `/status` | JSON: role, sequence, bundle, peers, counters |
 //! | `/metrics` | the same figures as Prometheus text |
--- a/crates/woodladder/src/endpoint/server.rs
+++ b/crates/woodladder/src/endpoint/server.rs
@@ -13,7 +13,7 @@
 use volo_http::server::route::{Router, get};
 
 use super::metrics::render;
-use super::status::NodeStatus;
+use super::status::{NodeStatus, NotReady};
 use crate::process::StopSignal;
 
 const JSON: &str = "application/json";
@@ -92,10 +92,14 @@
 }
 
 fn router(view: Arc<dyn NodeView>) -> Router {
+    let health_view = view.clone();
     let ready_view = view.clone();
     let status_view = view.clone();
     Router::new()
-        .route("/health", get(async || healthy()))
+        .route(
+            "/health",
+            get(async move || health(&health_view.status().await)),
+        )
         .route(
             "/ready",
             get(async move || ready(&ready_view.status().await)),
@@ -107,8 +111,11 @@
         .route("/metrics", get(async move || metrics(&view.status().await)))
 }
 
-fn healthy() -> Response<Body> {
-    answer(StatusCode::OK, PLAIN_TEXT, "ok\n".to_owned())
+fn health(status: &NodeStatus) -> Response<Body> {
+    match status.not_ready {
+        Some(reason @ NotReady::Failed) => unavailable(reason),
+        _ => answer(StatusCode::OK, PLAIN_TEXT, "ok\n".to_owned()),
+    }
 }
 
 fn metrics(status: &NodeStatus) -> Response<Body> {
@@ -118,14 +125,15 @@
 fn ready(status: &NodeStatus) -> Response<Body> {
     match status.not_ready {
         None => answer(StatusCode::OK, PLAIN_TEXT, "ready\n".to_owned()),
-        Some(reason) => answer(
-            StatusCode::SERVICE_UNAVAILABLE,
-            PLAIN_TEXT,
-            format!("{reason}\n"),
-        ),
+        Some(reason) => unavailable(reason),
     }
 }
 
+fn unavailable(reason: NotReady) -> Response<Body> {
+    let text = format!("{reason}\n");
+    answer(StatusCode::SERVICE_UNAVAILABLE, PLAIN_TEXT, text)
+}
+
 fn status(status: &NodeStatus) -> Response<Body> {
     match serde_json::to_string(status) {
         Ok(text) => answer(StatusCode::OK, JSON, text),
--- a/crates/woodladder/src/endpoint/status.rs
+++ b/crates/woodladder/src/endpoint/status.rs
@@ -26,6 +26,8 @@
     Stopping,
     /// Its target takes no new work.
     Leaving,
+    /// A part of it has failed.
+    Failed,
 }
 
 /// Addresses that a node listens on.
@@ -86,6 +88,7 @@
         formatter.write_str(match self {
             Self::NoBundle => "no bundle is in force yet",
             Self::Stopping => "a planned stop has begun",
+            Self::Failed => "a part of the node has failed",
             Self::Leaving => "the target takes no new work",
         })
     }
--- a/crates/woodladder/src/log.rs
+++ b/crates/woodladder/src/log.rs
@@ -87,17 +87,18 @@
     }
 }
 
-/// Opens the log on standard error.
+/// Opens the log on standard error. Records that cannot be written, such as
+/// when nobody reads them any more, are lost; the process goes on.
 pub fn open(settings: LogSettings) -> (Logger, LogGuard) {
     match settings.format {
         LogFormat::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             let drain = slog_term::FullFormat::new(decorator).build();
-            detached(drain.fuse(), settings.level)
+            detached(drain.ignore_res(), settings.level)
         }
         LogFormat::Json => {
             let drain = slog_json::Json::default(std::io::stderr());
-            detached(std::sync::Mutex::new(drain).fuse(), settings.level)
+            detached(std::sync::Mutex::new(drain).ignore_res(), settings.level)
         }
     }
 }
@@ -111,10 +112,13 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let filtered = drain.filter_level(level.to_slog()).fuse();
+    let filtered = drain.filter_level(level.to_slog()).ignore_res();
     let (drain, guard) = slog_async::Async::new(filtered)
         .chan_size(QUEUE_LENGTH)
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build_with_guard();
-    (Logger::root(drain.fuse(), o!()), LogGuard { _drain: guard })
+    (
+        Logger::root(drain.ignore_res(), o!()),
+        LogGuard { _drain: guard },
+    )
 }
--- a/crates/woodladder/src/process.rs
+++ b/crates/woodladder/src/process.rs
@@ -64,18 +64,21 @@
         (StopSwitch { asked: sender }, Self { asked: receiver })
     }
 
-    /// A signal that SIGTERM and SIGINT set.
+    /// A signal that SIGTERM, SIGINT and SIGHUP set. SIGHUP is among them
+    /// because volo-http's server stops at each of the three.
     ///
     /// # Errors
     /// The system's error when handlers cannot be installed.
     pub fn from_process() -> std::io::Result<Self> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hang_up = signal(SignalKind::hangup())?;
         let (switch, signal) = Self::new();
         tokio::spawn(async move {
             tokio::select! {
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
+                _ = hang_up.recv() => {}
             }
             switch.stop();
             std::future::pending::<()>().await;
--- a/crates/woodladder/src/store/machine_list.rs
+++ b/crates/woodladder/src/store/machine_list.rs
@@ -63,7 +63,8 @@
         })
     }
 
-    /// Reads the whole list.
+    /// Reads the list. Entries that cannot be understood are left out, so that
+    /// one of them does not hide the others.
     ///
     /// # Errors
     /// [`ServiceError`] when there is no answer or it cannot be understood.
@@ -78,7 +79,9 @@
         if answer.status != StatusCode::OK {
             return Err(ServiceError::Status(answer.status.as_u16()));
         }
-        serde_json::from_slice(&answer.body)
-            .map_err(|_| ServiceError::Malformed("list of machines"))
+        let entries: Vec<serde_json::Value> = serde_json::from_slice(&answer.body)
+            .map_err(|_| ServiceError::Malformed("list of machines"))?;
+        let machines = entries.into_iter().map(serde_json::from_value);
+        Ok(machines.filter_map(Result::ok).collect())
     }
 }
--- /dev/null
+++ b/crates/woodladder/tests/control.rs
@@ -0,0 +1,185 @@
+//! The control traffic over real sockets: who learns of a roll, and from whom.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::time::{sleep, timeout};
+use woodladder::control::{Control, ControlConfig, ControlStatus};
+use woodladder::store::Store;
+use woodladder_core::bundle::{Bundle, Service, SignedBundle, Zone};
+use woodladder_core::identifier::{NodeId, Sequence, ServiceId};
+use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::membership::{Locality, Role};
+use woodladder_core::replica::{ReplicaSettings, ReplicaTuning};
+use woodladder_core::roll_record::{
+    NONCE_LENGTH, RollNonce, RollRecord, RollStatement, StoredRoll,
+};
+use woodladder_core::signature::{OperatorKey, TrustedKeys};
+use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
+use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const STEP: Duration = Duration::from_millis(20);
+const CONTROL_SECRET: [u8; 16] = [5; 16];
+const OTHER_SECRET: [u8; 16] = [6; 16];
+
+/// A store in memory, which may be cut off.
+#[derive(Default)]
+struct MemoryStore {
+    entries: Mutex<BTreeMap<String, Vec<u8>>>,
+    cut_off: bool,
+}
+
+#[async_trait]
+impl Store for MemoryStore {
+    async fn perform(&self, operation: &StoreOperation) -> StoreAnswer {
+        if self.cut_off {
+            return StoreAnswer::Unreachable;
+        }
+        let StoreOperation::Read { key, .. } = operation else {
+            return StoreAnswer::Conflict;
+        };
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        match entries.get(&key.path()) {
+            None => StoreAnswer::NotFound,
+            Some(value) => StoreAnswer::Value {
+                index: StoreIndex(1),
+                value: value.clone(),
+            },
+        }
+    }
+}
+
+fn operator() -> OperatorKey {
+    OperatorKey::from_bytes([3; 32])
+}
+
+/// A store that holds the first roll, signed by this operator.
+fn store_with_roll(key: &OperatorKey) -> Result<MemoryStore, Box<dyn std::error::Error>> {
+    let bundle = Bundle {
+        version: 4,
+        deployment: "test".to_owned(),
+        zones: vec![Zone {
+            name: "a".to_owned(),
+            region: "a".to_owned(),
+        }],
+        services: vec![Service {
+            id: ServiceId(1),
+            name: "kitchen".to_owned(),
+            addresses: vec!["10.0.0.1:4433".parse()?],
+        }],
+        targets: Vec::new(),
+    };
+    let snapshot = Snapshot::following(None, SignedBundle::sign(bundle, key), 0, DEFAULT_LINGER)?;
+    let statement = RollStatement {
+        sequence: Sequence(1),
+        nonce: RollNonce([1; NONCE_LENGTH]),
+        bundle_version: 4,
+        snapshot: snapshot.digest(),
+        snapshot_length: u32::try_from(snapshot.encode().len())?,
+        operator: "lin".to_owned(),
+        rolled_at: 0,
+    };
+    let stored = StoredRoll {
+        record: RollRecord::sign(statement, key),
+        delta: None,
+    };
+    let snapshot_key = StoreKey::Snapshot(snapshot.digest()).path();
+    let entries = BTreeMap::from([
+        (StoreKey::Current.path(), borsh::to_vec(&stored)?),
+        (snapshot_key, snapshot.encode()),
+    ]);
+    Ok(MemoryStore {
+        entries: Mutex::new(entries),
+        cut_off: false,
+    })
+}
+
+async fn node(
+    number: u64,
+    secret: [u8; 16],
+    store: MemoryStore,
+    seeds: Vec<SocketAddr>,
+) -> Result<Control, Box<dyn std::error::Error>> {
+    let listen: SocketAddr = "127.0.0.1:0".parse()?;
+    let config = ControlConfig {
+        listen,
+        key: TagKey::new(secret),
+        replica: ReplicaSettings {
+            node: NodeId(number),
+            role: Role::Balancer,
+            locality: Locality::new("a", "a"),
+            control: listen,
+            seeds,
+            trusted: TrustedKeys::new(vec![operator().public()]),
+            tuning: ReplicaTuning::default(),
+        },
+        store: Arc::new(store),
+        machine_list: None,
+        install: Box::new(|_| {}),
+        logger: woodladder::log::discard(),
+    };
+    Ok(Control::start(config).await?)
+}
+
+fn cut_off() -> MemoryStore {
+    MemoryStore {
+        cut_off: true,
+        ..MemoryStore::default()
+    }
+}
+
+async fn wait_until(
+    control: &Control,
+    condition: impl Fn(&ControlStatus) -> bool,
+) -> Result<ControlStatus, Box<dyn std::error::Error>> {
+    let wait = async {
+        loop {
+            match control.status().await {
+                Some(status) if condition(&status) => return status,
+                _ => sleep(STEP).await,
+            }
+        }
+    };
+    Ok(timeout(PATIENCE, wait).await?)
+}
+
+#[tokio::test]
+async fn a_node_without_the_store_learns_the_roll_from_a_peer()
+-> Result<(), Box<dyn std::error::Error>> {
+    let first = node(1, CONTROL_SECRET, store_with_roll(&operator())?, Vec::new()).await?;
+    wait_until(&first, |status| status.sequence == Sequence(1)).await?;
+    let second = node(2, CONTROL_SECRET, cut_off(), vec![first.address()]).await?;
+    let status = wait_until(&second, |status| status.ready).await?;
+    assert_eq!(status.sequence, Sequence(1));
+    assert_eq!(status.bundle_version, Some(4));
+    Ok(())
+}
+
+#[tokio::test]
+async fn messages_under_another_key_are_refused_and_counted()
+-> Result<(), Box<dyn std::error::Error>> {
+    let alone = node(1, CONTROL_SECRET, cut_off(), Vec::new()).await?;
+    let seeds = vec![alone.address()];
+    let stranger = node(2, OTHER_SECRET, store_with_roll(&operator())?, seeds).await?;
+    wait_until(&stranger, |status| status.sequence == Sequence(1)).await?;
+    let forged = |status: &ControlStatus| status.counters.rejections.frame_forged > 0;
+    let status = wait_until(&alone, forged).await?;
+    assert_eq!(status.sequence, Sequence(0));
+    assert!(!status.ready);
+    Ok(())
+}
+
+#[tokio::test]
+async fn a_roll_by_an_untrusted_operator_is_refused() -> Result<(), Box<dyn std::error::Error>> {
+    let stranger = OperatorKey::from_bytes([4; 32]);
+    let node = node(1, CONTROL_SECRET, store_with_roll(&stranger)?, Vec::new()).await?;
+    let refused = |status: &ControlStatus| status.counters.rejections.record_signature > 0;
+    let status = wait_until(&node, refused).await?;
+    assert_eq!(status.sequence, Sequence(0));
+    assert!(!status.ready);
+    Ok(())
+}
