--- a/crates/woodladder-lab/tests/stand_in_product_clients.rs
+++ b/crates/woodladder-lab/tests/stand_in_product_clients.rs
@@ -1,5 +1,9 @@
 //! The product's clients understand the stand-ins.
 
+mod support;
+
+use support::PATIENCE;
+use tokio::time::timeout;
 use woodladder::store::{ConsulStore, Store as _};
 use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
 use woodladder_lab::stand_in::machine_list::{
@@ -60,6 +64,25 @@
     let (second, value) = found(watched);
     assert!(second > first);
     assert_eq!(value, b"two");
+
+    store.set_fault(StoreFault {
+        down: true,
+        ..StoreFault::default()
+    });
+    let refused = async {
+        while client.perform(&swap(second, b"three")).await != StoreAnswer::Unreachable {}
+    };
+    timeout(PATIENCE, refused).await.expect("never refused");
+    store.set_fault(StoreFault::default());
+    let answered = async {
+        loop {
+            if let StoreAnswer::Value { value, .. } = client.perform(&read(None)).await {
+                return value;
+            }
+        }
+    };
+    let value = timeout(PATIENCE, answered).await.expect("never back");
+    assert_eq!(value, b"two");
 }
 
 #[tokio::test]
