--- a/crates/woodladder-core/src/replica/catch_up.rs
+++ b/crates/woodladder-core/src/replica/catch_up.rs
@@ -218,7 +218,7 @@
 
     fn allow_store_read(&mut self, now: Instant) {
         if let Some(fetch) = &mut self.fetch {
-            fetch.read_store_soon(now, &mut self.random);
+            fetch.store_read().soon(now, &mut self.random);
         }
     }
 
--- a/crates/woodladder-core/src/replica/fetch.rs
+++ b/crates/woodladder-core/src/replica/fetch.rs
@@ -14,7 +14,7 @@
 use crate::digest::Digest;
 use crate::replica::copy_assembly::CopyAssembly;
 use crate::replica::pace::Pace;
-use crate::replica::store_reader::jittered;
+use crate::replica::snapshot_read::SnapshotRead;
 use crate::roll_record::RollRecord;
 use crate::store_operation::StoreRequestId;
 
@@ -24,13 +24,9 @@
 const PROGRESS_TIME_LIMIT: Duration = Duration::from_secs(2);
 const FIRST_REFUSED_PAUSE: Duration = Duration::from_millis(25);
 const LONGEST_REFUSED_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause while nothing comes from anybody.
+const STUCK_REFUSED_PAUSE: Duration = Duration::from_secs(2);
 const FAILURES_BEFORE_STORE: u32 = 3;
-const STORE_TIME_LIMIT: Duration = Duration::from_secs(10);
-/// Mean time that a node waits for others before it reads a snapshot whose
-/// record it read in the key-value service.
-const SOON: Duration = Duration::from_millis(200);
-const FIRST_STORE_BACKOFF: Duration = Duration::from_secs(1);
-const LONGEST_STORE_BACKOFF: Duration = Duration::from_secs(30);
 /// Longest delta worth fetching in chunks.
 const MAXIMUM_DELTA_LENGTH: u32 = 256 * 1024;
 
@@ -56,14 +52,6 @@
     Chunks(usize),
 }
 
-/// Reading the snapshot from the key-value service.
-#[derive(Clone, Copy, Debug)]
-enum StoreStage {
-    NotNeeded,
-    DueAt(Instant),
-    Reading(StoreRequestId, Instant),
-}
-
 /// The fetch of one record's snapshot.
 #[derive(Clone, Debug)]
 pub(super) struct Fetch {
@@ -77,8 +65,7 @@
     refused_pause: Duration,
     failures: u32,
     progress_at: Instant,
-    store: StoreStage,
-    store_backoff: Duration,
+    store_read: SnapshotRead,
 }
 
 impl Fetch {
@@ -96,8 +83,7 @@
             refused_pause: FIRST_REFUSED_PAUSE,
             failures: 0,
             progress_at: now,
-            store: StoreStage::NotNeeded,
-            store_backoff: FIRST_STORE_BACKOFF,
+            store_read: SnapshotRead::new(),
         }
     }
 
@@ -127,13 +113,9 @@
         }
     }
 
-    /// Allows the key-value service to be read soon: the record was read there,
-    /// so only as many nodes know it as may read.
-    pub(super) fn read_store_soon(&mut self, now: Instant, random: &mut impl Rng) {
-        if matches!(self.store, StoreStage::NotNeeded) {
-            let wait = jittered(SOON, random);
-            self.store = StoreStage::DueAt(now + wait);
-        }
+    /// The reading of the snapshot from the key-value service.
+    pub(super) fn store_read(&mut self) -> &mut SnapshotRead {
+        &mut self.store_read
     }
 
     /// Adds a node that has the snapshot or fetches it.
@@ -179,28 +161,20 @@
         if self.question.is_none() && now >= self.resume_at {
             actions.extend(self.ask(pace, now));
         }
-        if self.is_stuck(now) && matches!(self.store, StoreStage::NotNeeded) {
-            let wait = store_spread.mul_f64(random.random_range(0.0..1.0));
-            self.store = StoreStage::DueAt(now + wait);
+        let stuck = self.is_stuck(now);
+        let delivered = self.assembly.is_begun();
+        self.store_read
+            .plan(delivered, stuck, store_spread, now, random);
+        if self.store_read.is_due(now) {
+            let digest = self.record.statement.snapshot;
+            actions.push(FetchAction::ReadStore(digest));
         }
-        actions.extend(self.read_store(now));
         actions
     }
 
-    /// Takes note of the number of the read that was asked for.
-    pub(super) fn store_asked(&mut self, request: StoreRequestId, now: Instant) {
-        self.store = StoreStage::Reading(request, now + STORE_TIME_LIMIT);
-    }
-
     /// Whether this is the number of the read under way.
     pub(super) fn is_reading(&self, request: StoreRequestId) -> bool {
-        matches!(self.store, StoreStage::Reading(known, _) if known == request)
-    }
-
-    /// Takes note that the service did not deliver the snapshot.
-    pub(super) fn store_failed(&mut self, now: Instant, random: &mut impl Rng) {
-        self.store = StoreStage::DueAt(now + jittered(self.store_backoff, random));
-        self.store_backoff = LONGEST_STORE_BACKOFF.min(self.store_backoff * 2);
+        self.store_read.is_reading(request)
     }
 
     /// Takes a chunk; the whole copy once it is complete.
@@ -249,7 +223,11 @@
             CopyRefusal::Busy | CopyRefusal::NotYet => {
                 self.rotate();
                 self.resume_at = now + self.refused_pause;
-                self.refused_pause = LONGEST_REFUSED_PAUSE.min(self.refused_pause * 2);
+                let longest = match self.is_stuck(now) {
+                    true => STUCK_REFUSED_PAUSE,
+                    false => LONGEST_REFUSED_PAUSE,
+                };
+                self.refused_pause = longest.min(self.refused_pause * 2);
             }
             CopyRefusal::NotHeld if self.is_fetching_delta() => self.begin_snapshot(),
             CopyRefusal::NotHeld => self.sources.retain(|source| *source != from),
@@ -265,10 +243,7 @@
     }
 
     pub(super) fn next_wakeup(&self, pace: &Pace) -> Option<Instant> {
-        let store = match self.store {
-            StoreStage::NotNeeded => None,
-            StoreStage::DueAt(at) | StoreStage::Reading(_, at) => Some(at),
-        };
+        let store = self.store_read.next_wakeup();
         let question = match self.question {
             Some((_, limit)) => Some(limit),
             None if self.sources.is_empty() => None,
@@ -277,22 +252,6 @@
         [store, question].into_iter().flatten().min()
     }
 
-    /// The read of the key-value service, unless sources deliver by now.
-    fn read_store(&mut self, now: Instant) -> Option<FetchAction> {
-        let StoreStage::DueAt(due) = self.store else {
-            return None;
-        };
-        if now < due {
-            return None;
-        }
-        if !self.is_stuck(now) && self.assembly.is_begun() {
-            self.store = StoreStage::NotNeeded;
-            return None;
-        }
-        self.store = StoreStage::DueAt(now + STORE_TIME_LIMIT);
-        Some(FetchAction::ReadStore(self.record.statement.snapshot))
-    }
-
     fn pace_allows_at(&self, pace: &Pace) -> Instant {
         pace.available_at(self.next_length())
     }
@@ -333,11 +292,6 @@
                 self.begin_snapshot();
             }
         }
-        if let StoreStage::Reading(_, limit) = self.store
-            && now >= limit
-        {
-            self.store = StoreStage::DueAt(now + self.store_backoff);
-        }
     }
 
     /// Chunks that the next request asks for.
--- a/crates/woodladder-core/src/replica/mod.rs
+++ b/crates/woodladder-core/src/replica/mod.rs
@@ -11,7 +11,7 @@
 //! | interface | [`Replica`], [`ReplicaSettings`], [`Event`], [`Action`], [`Installed`] |
 //! | checks | `adoption`, `install` |
 //! | spreading | `gossip`, `history`, `copy_server` |
-//! | catching up | `catch_up`, `fetch`, `copy_assembly`, `store_access`, `store_reader`, `pace` |
+//! | catching up | `catch_up`, `fetch`, `copy_assembly`, `store_access`, `store_reader`, `snapshot_read`, `pace` |
 //! | confidence | `joining`, `vigilance` |
 
 mod adoption;
@@ -29,6 +29,7 @@
 mod machine;
 mod pace;
 mod settings;
+mod snapshot_read;
 mod store_access;
 mod store_reader;
 mod vigilance;
--- a/crates/woodladder-core/src/replica/store_access.rs
+++ b/crates/woodladder-core/src/replica/store_access.rs
@@ -63,7 +63,7 @@
 
     pub(super) fn read_snapshot(&mut self, fetch: &mut Fetch, digest: Digest, now: Instant) {
         let request = self.take_request_number();
-        fetch.store_asked(request, now);
+        fetch.store_read().asked(request, now);
         self.counters.store_reads += 1;
         let operation = StoreOperation::Read {
             key: StoreKey::Snapshot(digest),
@@ -103,7 +103,7 @@
             self.refuse_fetched(rejection);
         }
         if let Some(fetch) = &mut self.fetch {
-            fetch.store_failed(now, &mut self.random);
+            fetch.store_read().failed(now, &mut self.random);
         }
     }
 }
--- a/crates/woodladder-core/tests/replica_faults.rs
+++ b/crates/woodladder-core/tests/replica_faults.rs
@@ -10,6 +10,7 @@
 use woodladder_core::identifier::Sequence;
 use woodladder_core::replica::{Event, ReplicaTuning};
 use woodladder_core::roll_record::RollRecord;
+use woodladder_core::store_operation::StoreKey;
 
 const LIMIT: Duration = Duration::from_secs(11);
 const EVENING: Duration = Duration::from_secs(4 * 3600);
@@ -135,6 +136,21 @@
     assert!((1500..4500).contains(&reads), "{reads} reads in 600 s");
 }
 
+#[test]
+fn snapshot_that_nobody_has_is_looked_for_within_the_shared_rate() {
+    let mut world = World::listed(300, 12, ReplicaTuning::default());
+    let first = roll(None, bundle(1, 0..100, 4), 1);
+    let record = borsh::to_vec(&first.stored).unwrap();
+    world.store.put(StoreKey::Current, record);
+    world.run_for(Duration::from_secs(60));
+    let before = world.store.requests;
+    world.run_for(Duration::from_secs(100));
+    let reads = world.store.requests - before;
+    assert!((500..1250).contains(&reads), "{reads} reads in 100 s");
+    world.store.put_roll(&first);
+    assert!(world.run_until(LIMIT, |world| world.all_have(Sequence(1))));
+}
+
 #[test]
 fn long_delta_travels_in_chunks() {
     let (mut world, first) = rolled_world(20, 8);
