Bring back the flow-level comparison; measure the balancer's decision

Change: the comparison again, on the simulation's event queue. The bound avoids targets that refuse, load endpoints show leaving, and drains see activity. New: nanoseconds per decision at 6,300 targets behind 1,500 addresses, with random access and the datagram just received.

--- a/crates/woodladder-lab/src/command/measure.rs
+++ b/crates/woodladder-lab/src/command/measure.rs
@@ -8,6 +8,7 @@
 use clap::{Args, ValueEnum};
 
 use woodladder_core::hop_list::Load;
+use woodladder_lab::measure::decision;
 use woodladder_lab::measure::experiment::{Experiment, SeedRange};
 use woodladder_lab::measure::figures::Figures;
 use woodladder_lab::measure::options::Policy;
@@ -63,6 +64,8 @@
 enum Part {
     /// Broken flows and imbalance.
     Balance,
+    /// Cost of the balancer's decision.
+    Decision,
 }
 
 impl MeasureCommand {
@@ -82,6 +85,9 @@
         if self.includes(Part::Balance) {
             report.balance = Some(self.balance());
         }
+        if self.includes(Part::Decision) {
+            report.decision = decision::measure(self.seeds.first);
+        }
         if let Some(directory) = &self.report {
             report.write(directory)?;
         }
--- a/crates/woodladder-lab/src/measure/world/packet.rs
+++ b/crates/woodladder-lab/src/measure/datagram.rs
@@ -3,21 +3,21 @@
 use woodladder_core::carrier::MINIMUM_FIRST_DATAGRAM;
 use woodladder_core::token::TOKEN_LENGTH;
 
-use super::flow::CLIENT_ID_LENGTH;
-
 /// First byte and version of a first packet (RFC 9000, section 17.2.2).
 const INITIAL_HEADER: [u8; 5] = [0xc0, 0, 0, 0, 1];
 /// First byte of a packet of an established flow (section 17.3.1).
 const SHORT_HEADER: u8 = 0x40;
+/// Length of the connection identifier that a caller draws.
+pub(crate) const CLIENT_ID_LENGTH: usize = 8;
 const CLIENT_ID_START: usize = INITIAL_HEADER.len() + 1;
 
 /// Writes datagrams into buffers of its own.
-pub(crate) struct PacketWriter {
+pub(crate) struct DatagramWriter {
     initial: Vec<u8>,
     short: Vec<u8>,
 }
 
-impl PacketWriter {
+impl DatagramWriter {
     pub(crate) fn new(short_length: usize) -> Self {
         let mut initial = vec![0; MINIMUM_FIRST_DATAGRAM];
         initial[..INITIAL_HEADER.len()].copy_from_slice(&INITIAL_HEADER);
--- a/crates/woodladder-lab/src/measure/markdown.rs
+++ b/crates/woodladder-lab/src/measure/markdown.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 
 use super::change::ChangeKind;
+use super::decision::DecisionFigures;
 use super::figures::{AnswerFigure, BrokenFigure, Figures, ImbalanceFigure};
 use super::way::Way;
 use super::workload::Workload;
@@ -17,6 +18,47 @@
     page
 }
 
+/// The table of the balancer's decision.
+#[must_use]
+pub fn decision(figures: &DecisionFigures) -> String {
+    let DecisionFigures {
+        seeds,
+        targets,
+        addresses,
+        decisions,
+        ..
+    } = figures;
+    let mut page = String::new();
+    line(
+        &mut page,
+        &format!("\n## Cost of a balancer's decision (seeds {seeds})\n"),
+    );
+    line(
+        &mut page,
+        &format!(
+            "{targets} targets behind {addresses} addresses, random access; the median round, \
+             each of {decisions} decisions.\n"
+        ),
+    );
+    line(&mut page, "| packet | ns | ns with its envelope written |");
+    line(&mut page, "| --- | ---: | ---: |");
+    line(
+        &mut page,
+        &format!(
+            "| established flow | {:.0} | {:.0} |",
+            figures.established, figures.established_enveloped
+        ),
+    );
+    line(
+        &mut page,
+        &format!(
+            "| first of a new flow | {:.0} | {:.0} |",
+            figures.new_flow, figures.new_flow_enveloped
+        ),
+    );
+    page
+}
+
 fn imbalance_table(page: &mut String, figures: &Figures) {
     heading(page, "Imbalance", figures);
     line(
--- a/crates/woodladder-lab/src/measure/mod.rs
+++ b/crates/woodladder-lab/src/measure/mod.rs
@@ -2,8 +2,9 @@
 //! baselines, the cost of a balancer's decision, and its packet path.
 
 pub mod change;
+mod datagram;
+pub mod decision;
 pub mod deployment;
-pub mod event_queue;
 pub mod experiment;
 pub mod figures;
 pub mod markdown;
--- a/crates/woodladder-lab/src/measure/report.rs
+++ b/crates/woodladder-lab/src/measure/report.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use super::decision::DecisionFigures;
 use super::figures::Figures;
 use super::{markdown, plot};
 
@@ -17,6 +18,9 @@
     /// Broken flows and imbalance.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub balance: Option<Figures>,
+    /// Cost of the balancer's decision.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub decision: Option<DecisionFigures>,
 }
 
 /// Why a report could not be written.
@@ -56,6 +60,9 @@
         if let Some(figures) = &self.balance {
             page.push_str(&markdown::balance(figures));
         }
+        if let Some(figures) = &self.decision {
+            page.push_str(&markdown::decision(figures));
+        }
         page
     }
 
--- a/crates/woodladder-lab/src/measure/world/flow.rs
+++ b/crates/woodladder-lab/src/measure/world/flow.rs
@@ -9,10 +9,9 @@
 use woodladder_core::token::TOKEN_LENGTH;
 
 use super::event::{FlowIndex, RequestIndex, TargetIndex};
+use crate::measure::datagram::CLIENT_ID_LENGTH;
 use crate::measure::workload::FlowKind;
 
-/// Length of the connection identifier that a caller draws.
-pub(super) const CLIENT_ID_LENGTH: usize = 8;
 /// First octet of callers' addresses.
 const CALLER_NETWORK: u8 = 100;
 /// Port of callers.
--- a/crates/woodladder-lab/src/measure/world/mod.rs
+++ b/crates/woodladder-lab/src/measure/world/mod.rs
@@ -8,7 +8,6 @@
 mod event;
 mod flow;
 mod opening;
-mod packet;
 mod placement;
 mod requests;
 mod rolls;
@@ -28,16 +27,17 @@
 use woodladder_core::token::{TokenKey, TokenKeys};
 
 use super::change::{ChangeKind, Schedule};
+use super::datagram::DatagramWriter;
 use super::deployment::Deployment;
-use super::event_queue::EventQueue;
+
 use super::options::Policy;
 use super::outcome::Outcome;
 use super::way::Way;
 use super::workload::{FlowPlan, RUN_END, SURGE_START, Workload};
+use crate::simulation::event_queue::EventQueue;
 use balancer::BalancerModel;
 use event::{BalancerIndex, Event, FlowIndex, TargetIndex};
 use flow::{Flow, Request};
-use packet::PacketWriter;
 use target::TargetModel;
 use versions::Version;
 
@@ -87,7 +87,7 @@
     random: ChaCha8Rng,
     salt: u64,
     keys: TokenKeys,
-    writer: PacketWriter,
+    writer: DatagramWriter,
     versions: Vec<Version>,
     /// The last roll made.
     current: usize,
@@ -133,7 +133,7 @@
             random,
             salt,
             keys: model_keys(),
-            writer: PacketWriter::new(0),
+            writer: DatagramWriter::new(0),
             versions,
             current: 0,
             balancers: Vec::new(),
--- a/crates/woodladder-lab/src/measure/world/placement.rs
+++ b/crates/woodladder-lab/src/measure/world/placement.rs
@@ -114,8 +114,9 @@
         let now = self.queue.now();
         let version = &self.versions[self.current];
         let targets = self.targets.iter_mut().enumerate();
-        let active =
-            targets.filter(|(_, target)| target.service == service && version.is_active(target.id));
+        let active = targets
+            .filter(|(_, target)| target.service == service && version.is_active(target.id))
+            .filter(|(_, target)| target.drain.takes_new_flows());
         let loads = active.map(|(index, target)| (target.true_load(now), index));
         loads.min().map(|(_, index)| index)
     }
--- a/crates/woodladder-lab/src/measure/world/target.rs
+++ b/crates/woodladder-lab/src/measure/world/target.rs
@@ -11,7 +11,7 @@
 use woodladder_core::bundle::Target;
 use woodladder_core::clock::Instant;
 use woodladder_core::directory::Directory;
-use woodladder_core::drain::{DEFAULT_GRACE, Drain, DrainEvent, DrainReason};
+use woodladder_core::drain::{Activity, DEFAULT_GRACE, Drain, DrainEvent, DrainReason};
 use woodladder_core::hop_list::Load;
 use woodladder_core::identifier::{ServiceId, TargetId};
 use woodladder_core::load::Usage;
@@ -105,6 +105,7 @@
         self.admission.adopt(directory.clone(), now);
         let entry = directory.target(self.id);
         let stands = entry.is_some_and(|entry| entry.standing.takes_new_flows());
+        self.note_activity(now);
         let event = if stands {
             DrainEvent::Withdraw(DrainReason::Bundle)
         } else {
@@ -116,12 +117,21 @@
 
     /// Runs the timers.
     pub(super) fn tick(&mut self, now: Instant) -> Vec<RequestAction> {
-        self.drain.handle(DrainEvent::Tick, now);
+        self.note_activity(now);
         let mut actions = self.apply_drain(now);
         actions.extend(self.update_slots(now));
         actions
     }
 
+    fn note_activity(&mut self, now: Instant) {
+        let counts = self.requests.counts();
+        let activity = Activity {
+            requests: counts.queued + counts.busy + counts.streams,
+            connections: self.open_connections,
+        };
+        self.drain.handle(DrainEvent::Activity(activity), now);
+    }
+
     fn apply_drain(&mut self, now: Instant) -> Vec<RequestAction> {
         let event = if self.drain.takes_new_requests(now) {
             RequestEvent::TakeArrivals
