Measure control traffic with hollow nodes on a virtual clock

`woodladder-lab scale` runs the core's replicas and codecs of a whole deployment in one process, through courses of events: start, steady, changes, restarts, a cut region, an outage of the key-value service, a lost zone, and all of them. It counts bytes and messages of each node, the thread's processor time round each event, and the time until a roll is in force.

--- a/crates/woodladder-lab/src/command.rs
+++ b/crates/woodladder-lab/src/command.rs
@@ -4,6 +4,7 @@
 mod measure;
 mod product;
 mod simulate;
+mod scale;
 mod stand_in;
 mod time_text;
 
@@ -29,6 +30,8 @@
     Product(product::ProductCommand),
     /// Run seeds of the deterministic simulation and report promises not kept.
     Simulate(simulate::SimulateCommand),
+    /// Measure the control traffic of many nodes in one process, on a virtual clock.
+    Scale(scale::ScaleCommand),
     /// Run one stand-in until SIGTERM; its first line of output is JSON with the bound addresses.
     StandIn(stand_in::StandInCommand),
 }
@@ -41,6 +44,7 @@
             Command::Measure(command) => command.run(),
             Command::Product(command) => command.run(),
             Command::Simulate(command) => command.run(),
+            Command::Scale(command) => command.run(),
             Command::StandIn(command) => command.run(),
         }
     }
--- a/crates/woodladder-lab/src/lib.rs
+++ b/crates/woodladder-lab/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod fault_proxy;
 pub mod measure;
 pub mod simulation;
+pub mod scale;
 pub mod stand_in;
--- /dev/null
+++ b/crates/woodladder-lab/src/scale/mod.rs
@@ -0,0 +1,48 @@
+//! Cost of the control traffic at scale, with hollow nodes: the replicas and
+//! codecs that the daemons run, many in one process, on a virtual clock.
+
+mod figures;
+mod meter;
+mod network;
+mod node;
+mod queue;
+mod report;
+mod roller;
+mod scenario;
+mod size;
+mod store;
+mod trace;
+mod world;
+
+pub use figures::{DeploymentFigures, ScenarioFigures, Served};
+pub use scenario::{Courses, Scenario};
+pub use size::{DeploymentSize, NodeIndex};
+pub use trace::Spread;
+
+use world::World;
+
+/// Takes a deployment through courses of events and measures each.
+#[must_use]
+pub fn measure(
+    size: DeploymentSize,
+    seed: u64,
+    scenarios: &[Scenario],
+    courses: &Courses,
+) -> DeploymentFigures {
+    let resident_before = meter::resident_memory();
+    let mut world = World::start(size, seed);
+    let start = Scenario::Start.run(&mut world, courses);
+    let resident = meter::resident_memory().saturating_sub(resident_before);
+    let mut figures = DeploymentFigures {
+        size,
+        snapshot_length: world.snapshot_length(),
+        resident_per_node: resident / world.nodes.len().max(1) as u64,
+        scenarios: vec![start],
+    };
+    for scenario in scenarios {
+        if *scenario != Scenario::Start {
+            figures.scenarios.push(scenario.run(&mut world, courses));
+        }
+    }
+    figures
+}
--- /dev/null
+++ b/crates/woodladder-lab/src/scale/report.rs
@@ -0,0 +1,83 @@
+//! Figures as a table.
+
+use std::fmt;
+
+use super::{DeploymentFigures, ScenarioFigures};
+
+impl fmt::Display for DeploymentFigures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{} balancers and {} agents, {} targets behind {} services; snapshot {} bytes; \
+             resident {} KB a node",
+            self.size.balancers,
+            self.size.agents,
+            self.size.targets,
+            self.size.services,
+            self.snapshot_length,
+            self.resident_per_node / 1024,
+        )?;
+        writeln!(
+            formatter,
+            "{:<11} {:>7} {:>5} {:>7} {:>7} {:>6} {:>8} {:>8} {:>6} {:>17} {:>8} {:>17} {:>8} {:>7} {:>9}",
+            "scenario",
+            "seconds",
+            "rolls",
+            "B/s",
+            "max B/s",
+            "msg/s",
+            "core %",
+            "max %",
+            "read/s",
+            "in force s",
+            "caught up",
+            "ready s",
+            "start KB",
+            "settled",
+            "outage",
+        )?;
+        writeln!(
+            formatter,
+            "(in force and ready: median/99th percentile/longest)"
+        )?;
+        for scenario in &self.scenarios {
+            writeln!(formatter, "{scenario}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for ScenarioFigures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let in_force = &self.in_force;
+        let ready = &self.ready;
+        let settled = self
+            .settled_after
+            .map_or("never".to_owned(), |seconds| format!("{seconds:.1}"));
+        let served = self.served_in_outage.map_or(String::new(), |served| {
+            format!("{}/{}", served.ready, served.up)
+        });
+        write!(
+            formatter,
+            "{:<11} {:>7.0} {:>5} {:>7.0} {:>7.0} {:>6.1} {:>8.4} {:>8.4} {:>6.2} {:>17} {:>8.2} {:>17} {:>8.0} {:>7} {:>9}",
+            format!("{:?}", self.scenario),
+            self.virtual_seconds,
+            self.rolls,
+            self.bytes_per_second,
+            self.greatest_bytes_per_second,
+            self.messages_per_second,
+            self.processor_share * 100.0,
+            self.greatest_processor_share * 100.0,
+            self.store_reads_per_second,
+            format!(
+                "{:.2}/{:.2}/{:.2}",
+                in_force.median, in_force.p99, in_force.longest
+            ),
+            self.caught_up.longest,
+            format!("{:.2}/{:.2}/{:.2}", ready.median, ready.p99, ready.longest),
+            self.bytes_until_ready / 1024.0,
+            settled,
+            served,
+        )
+    }
+}
