Let the bundle's slots and connections govern the agent

A planned stop also gave up on open streams after an hour, while a stream may last a week. Ruled out: dropping the settings, which bound the process until a bundle names its target. In the demo one deployment's streams stay where they are to their end, the other's move. Test: slots_follow_the_bundle; it needs the second slot that only the bundle gives. The test world's bundle now states the slots that a test asks for.

--- a/crates/woodladder-core/src/directory.rs
+++ b/crates/woodladder-core/src/directory.rs
@@ -35,6 +35,17 @@
     pub address: SocketAddr,
     /// Whether it takes new work.
     pub standing: Standing,
+    /// What its back end takes at the same time; `None` once it is retired.
+    pub limits: Option<TargetLimits>,
+}
+
+/// What a back end takes at the same time, by the bundle.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetLimits {
+    /// Requests that it runs.
+    pub slots: u16,
+    /// Connections that it holds.
+    pub connections: u32,
 }
 
 /// Standing of a target in the snapshot.
@@ -107,6 +118,10 @@
                 service: target.service,
                 address: target.address,
                 standing: Standing::InBundle(target.state),
+                limits: Some(TargetLimits {
+                    slots: target.slots,
+                    connections: target.connections,
+                }),
             };
             self.targets.insert(target.id, entry);
         }
@@ -140,6 +155,7 @@
                 service: target.service,
                 address: target.address,
                 standing: Standing::Retired,
+                limits: None,
             };
             self.targets.entry(target.id).or_insert(entry);
         }
--- a/crates/woodladder-lab/src/demo/plan.rs
+++ b/crates/woodladder-lab/src/demo/plan.rs
@@ -66,6 +66,9 @@
     pub service: &'static str,
     /// Event streams held open.
     pub feeds: usize,
+    /// Whether these move to another connection when their server is going
+    /// away; otherwise they stay to their end.
+    pub feeds_move: bool,
     /// Whether requests are operations that may run at most once.
     pub changes: bool,
     /// Requests a second during the surge, each on a connection of its own.
@@ -91,6 +94,7 @@
             Load {
                 service: "kitchen",
                 feeds: 140,
+                feeds_move: false,
                 changes: true,
                 rate: 60,
                 service_time: Duration::from_millis(100),
@@ -98,6 +102,7 @@
             Load {
                 service: "print",
                 feeds: 0,
+                feeds_move: false,
                 changes: false,
                 rate: 80,
                 service_time: Duration::from_millis(150),
@@ -126,6 +131,7 @@
             Load {
                 service: "donation-desk",
                 feeds: 120,
+                feeds_move: true,
                 changes: true,
                 rate: 160,
                 service_time: Duration::from_millis(100),
@@ -133,6 +139,7 @@
             Load {
                 service: "receipt-archive",
                 feeds: 0,
+                feeds_move: false,
                 changes: false,
                 rate: 50,
                 service_time: Duration::from_millis(150),
--- a/crates/woodladder-lab/src/demo/surge.rs
+++ b/crates/woodladder-lab/src/demo/surge.rs
@@ -173,5 +173,6 @@
     let address = *service.addresses.first()?;
     let mut config = CallerConfig::new(address, load.service);
     config.server_name = SERVER_NAME.to_owned();
+    config.feeds_move = load.feeds_move;
     Some(config)
 }
--- a/crates/woodladder-lab/src/stand_in/caller/feed.rs
+++ b/crates/woodladder-lab/src/stand_in/caller/feed.rs
@@ -143,6 +143,7 @@
     async fn follow(&mut self, mut feed: FeedStream) -> FeedEnd {
         let mut replacement: Option<Opening> = None;
         let mut stopped = self.stopped.clone();
+        let moves = self.caller.config().feeds_move;
         loop {
             let connection = feed.connection();
             tokio::select! {
@@ -155,7 +156,7 @@
                     Ok(tick) => self.note(&tick),
                     Err(reason) => return FeedEnd::Broken { reason },
                 },
-                () = connection.wait_going_away(), if replacement.is_none() => {
+                () = connection.wait_going_away(), if moves && replacement.is_none() => {
                     replacement = Some(open_now(self.caller.clone()));
                 }
                 opened = wait_opening(&mut replacement) => match opened {
--- a/crates/woodladder-lab/src/stand_in/caller/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/caller/mod.rs
@@ -52,6 +52,9 @@
     pub attempts: u32,
     /// Wait before another attempt when the answer names no time.
     pub retry_delay: Duration,
+    /// Whether a feed moves to another connection when its server is going
+    /// away; otherwise it stays where it is to its end.
+    pub feeds_move: bool,
 }
 
 impl CallerConfig {
@@ -66,6 +69,7 @@
             request_timeout: Duration::from_secs(10),
             attempts: 5,
             retry_delay: Duration::from_millis(100),
+            feeds_move: true,
         }
     }
 }
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -1,7 +1,7 @@
 //! The core's state machines of one agent, driven by the real clock.
 
 use std::fmt;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -41,7 +41,7 @@
     directory: Arc<ArcSwap<Directory>>,
     desk: Arc<RequestDesk>,
     counters: Arc<Counters>,
-    connection_limit: u32,
+    connection_limit: AtomicU32,
     logger: Logger,
     machines: Mutex<Machines>,
     notice: watch::Sender<Notice>,
@@ -66,7 +66,7 @@
             directory: shared.directory,
             desk: shared.desk,
             counters: shared.counters,
-            connection_limit: shared.connection_limit,
+            connection_limit: AtomicU32::new(shared.connection_limit),
             logger: shared.logger,
             machines: Mutex::new(Machines {
                 admission: Admission::new(identity, keys, options),
@@ -140,6 +140,7 @@
     pub(super) fn tick(&self) {
         let now = self.now();
         self.adopt(&mut self.machines(), now);
+        self.follow_limits();
         if let Some(event) = self.bundle_event() {
             self.drain(event);
         }
@@ -163,6 +164,18 @@
         }
     }
 
+    /// Takes over what the bundle says the back end takes at the same time.
+    /// Until a bundle names the target the settings hold.
+    fn follow_limits(&self) {
+        let directory = self.directory.load();
+        let entry = directory.target(self.identity.target);
+        if let Some(limits) = entry.and_then(|entry| entry.limits) {
+            self.desk.set_slots(limits.slots);
+            self.connection_limit
+                .store(limits.connections, Ordering::Relaxed);
+        }
+    }
+
     /// What the directory says about this target's leaving. A directory that
     /// never held the target says nothing: the target's roll is still to come.
     fn bundle_event(&self) -> Option<DrainEvent> {
@@ -186,7 +199,7 @@
             queued: counts.queued,
             slots: self.desk.effective_slots(),
             open_connections: count(self.counters.connections.load(Ordering::Acquire)),
-            connection_limit: self.connection_limit,
+            connection_limit: self.connection_limit.load(Ordering::Relaxed),
         }
     }
 
--- a/crates/woodladder/src/agent/request_desk.rs
+++ b/crates/woodladder/src/agent/request_desk.rs
@@ -149,6 +149,18 @@
         self.state().slots
     }
 
+    /// Sets how many requests the back end runs at the same time.
+    pub(super) fn set_slots(&self, slots: u16) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.slots != slots {
+            state.slots = slots;
+            state.update_slots(now);
+            drop(state);
+            self.limits_changed.notify_one();
+        }
+    }
+
     /// Slots that may be used now.
     pub(super) fn effective_slots(&self) -> EffectiveSlots {
         let now = self.clock.now();
--- a/crates/woodladder/src/settings/agent.rs
+++ b/crates/woodladder/src/settings/agent.rs
@@ -7,6 +7,7 @@
 use woodladder_core::drain::MAXIMUM_GRACE;
 use woodladder_core::finding::Findings;
 use woodladder_core::identifier::{ServiceId, TargetId};
+use woodladder_core::snapshot::DEFAULT_LINGER;
 
 use super::layer::Layers;
 use super::node::NodeSettings;
@@ -15,7 +16,9 @@
 use crate::agent::{self, CertificateError, Limits};
 
 const DEFAULT_WORKERS: usize = 2;
-const DEFAULT_DRAIN_TIMEOUT: Duration = Duration::from_secs(3600);
+/// As long as a removed target stays resolvable: a stream may last a week, and
+/// a planned stop must not cut it.
+const DEFAULT_DRAIN_TIMEOUT: Duration = DEFAULT_LINGER;
 
 const RULE_DRAIN_GRACE: &str = "a leaving target takes no request after 4 seconds";
 const RULE_CERTIFICATE: &str =
--- a/crates/woodladder/tests/agent_requests.rs
+++ b/crates/woodladder/tests/agent_requests.rs
@@ -145,6 +145,19 @@
     assert_eq!(head(&mut queued).await.status(), StatusCode::OK);
 }
 
+#[tokio::test]
+async fn slots_follow_the_bundle() {
+    let mut world = World::start(limits(1, 1)).await;
+    let caller = world.caller().await;
+    let _running = caller.get("/running").await;
+    let _first = world.back_end().next().await;
+    let _waiting = caller.get("/waiting").await;
+    let agent = world.agent().clone();
+    eventually("the request waits", || agent.status().queued == 1).await;
+    world.roll_slots(2);
+    world.back_end().next().await.answer("second").await;
+}
+
 #[tokio::test]
 async fn cancelled_request_closes_the_back_ends_connection() {
     let mut world = World::start(Limits::default()).await;
--- a/crates/woodladder/tests/agent_support/mod.rs
+++ b/crates/woodladder/tests/agent_support/mod.rs
@@ -29,6 +29,7 @@
 pub const SERVICE: ServiceId = ServiceId(1);
 
 const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+const SLOTS: u16 = 7;
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// Agents of one service with all that is round them.
@@ -53,6 +54,8 @@
 
     pub async fn with_back_ends(limits: Limits, back_ends: Vec<BackEnd>) -> Self {
         let (mut world, sockets) = Self::without_agents(back_ends.len()).await;
+        let addresses = sockets.iter().map(|socket| socket.local_addr().unwrap());
+        world.roll(targets(addresses, limits.slots));
         for (back_end, socket) in back_ends.into_iter().zip(sockets) {
             let address = socket.local_addr().unwrap();
             let config = world.config(world.peers.len(), back_end.address, socket, limits);
@@ -70,7 +73,7 @@
         let bind = |_| UdpSocket::bind(ANY_PORT).unwrap();
         let sockets: Vec<UdpSocket> = (0..count).map(bind).collect();
         let addresses = sockets.iter().map(|socket| socket.local_addr().unwrap());
-        let targets = targets(addresses);
+        let targets = targets(addresses, SLOTS);
         let fabric = Fabric::start(keys()).await;
         let layout = directory(Sequence(1), fabric.service_address, targets);
         let world = Self {
@@ -126,7 +129,7 @@
 
     /// What a balancer has whose bundle holds only the target at `position`.
     pub fn older_layout(&self, position: usize) -> Arc<ArcSwap<Directory>> {
-        let mut targets = targets(self.peers.iter().map(|peer| peer.address));
+        let mut targets = targets(self.addresses(), SLOTS);
         let target = targets.swap_remove(position);
         let layout = directory(Sequence(1), self.fabric.service_address, vec![target]);
         Arc::new(ArcSwap::from_pointee(layout))
@@ -134,8 +137,21 @@
 
     /// Puts a bundle in force in which the first target leaves.
     pub fn roll_first_leaving(&self) {
-        let mut targets = targets(self.peers.iter().map(|peer| peer.address));
+        let mut targets = targets(self.addresses(), SLOTS);
         targets[0].state = TargetState::Leaving;
+        self.roll(targets);
+    }
+
+    /// Puts a bundle in force whose targets have so many slots.
+    pub fn roll_slots(&self, slots: u16) {
+        self.roll(targets(self.addresses(), slots));
+    }
+
+    fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.peers.iter().map(|peer| peer.address)
+    }
+
+    fn roll(&self, targets: Vec<Target>) {
         let sequence = self.directory.load().sequence().next();
         let layout = directory(sequence, self.fabric.service_address, targets);
         self.directory.store(Arc::new(layout));
@@ -146,13 +162,13 @@
     TargetId(11 + u32::try_from(position).unwrap())
 }
 
-fn targets(addresses: impl Iterator<Item = SocketAddr>) -> Vec<Target> {
+fn targets(addresses: impl Iterator<Item = SocketAddr>, slots: u16) -> Vec<Target> {
     let target = |(position, address)| Target {
         id: target_id(position),
         service: SERVICE,
         address,
         zone: ZoneIndex(0),
-        slots: 7,
+        slots,
         connections: 2000,
         state: TargetState::Active,
     };
