--- a/crates/woodladder-lab/src/command/measure.rs
+++ b/crates/woodladder-lab/src/command/measure.rs
@@ -7,6 +7,7 @@
 
 use clap::{Args, ValueEnum};
 
+use super::scale::ScaleCommand;
 use woodladder_core::hop_list::Load;
 use woodladder_lab::measure::decision;
 use woodladder_lab::measure::experiment::{Experiment, SeedRange};
@@ -66,11 +67,16 @@
     Balance,
     /// Cost of the balancer's decision.
     Decision,
+    /// Cost of the control traffic, as `scale` measures it; on its own only.
+    Control,
 }
 
 impl MeasureCommand {
     /// Measures and reports.
     pub fn run(self) -> ExitCode {
+        if self.only == Some(Part::Control) {
+            return ScaleCommand::standard(self.json).run();
+        }
         match self.measure() {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
--- a/crates/woodladder-lab/src/command/scale.rs
+++ b/crates/woodladder-lab/src/command/scale.rs
@@ -1,13 +1,34 @@
 //! `woodladder-lab scale`.
 
+use std::fmt;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::Args;
-use woodladder_lab::scale::{Courses, DeploymentFigures, DeploymentSize, Scenario, measure};
+use serde::Serialize;
+use woodladder_lab::scale::{
+    Courses, DeploymentFigures, DeploymentSize, Scenario, Slopes, measure, measure_sockets,
+};
 
 use super::time_text;
 
+/// Sizes that the design is measured at.
+const STANDARD_NODES: [usize; 3] = [100, 300, 680];
+const STANDARD_TARGETS: u32 = 6_300;
+const STANDARD_SERVICES: u32 = 1_500;
+/// Time that a region is cut when nothing else is asked for.
+const STANDARD_CUT: &str = "600s";
+const STANDARD_CUT_TIME: Duration = Duration::from_secs(600);
+const SOCKET_ROLLS: u32 = 10;
+const STEADY: Duration = Duration::from_secs(10);
+
+/// Figures of one deployment, as printed.
+#[derive(Serialize)]
+struct Measured {
+    figures: DeploymentFigures,
+    slopes: Option<Slopes>,
+}
+
 /// Options of `scale`.
 #[derive(Args, Debug)]
 #[command(after_help = "Example:\n  \
@@ -15,16 +36,16 @@
     woodladder-lab scale --nodes 680 --agents 2320 --cut 10m --json")]
 pub struct ScaleCommand {
     /// Balancers, one deployment each.
-    #[arg(long, value_delimiter = ',', default_value = "100,300,680")]
+    #[arg(long, value_delimiter = ',', default_values_t = STANDARD_NODES)]
     nodes: Vec<usize>,
     /// Agents that take part in the control traffic beside the balancers.
     #[arg(long, default_value_t = 0)]
     agents: usize,
     /// Targets in the bundle.
-    #[arg(long, default_value_t = 6300)]
+    #[arg(long, default_value_t = STANDARD_TARGETS)]
     targets: u32,
     /// Services in the bundle.
-    #[arg(long, default_value_t = 1500)]
+    #[arg(long, default_value_t = STANDARD_SERVICES)]
     services: u32,
     /// Seed of all random choices.
     #[arg(long, default_value_t = 1)]
@@ -33,8 +54,11 @@
     #[arg(long = "scenario", value_enum)]
     scenarios: Vec<Scenario>,
     /// Virtual time that a region is cut or the key-value service down.
-    #[arg(long, default_value = "3600s", value_parser = time_text::parse)]
+    #[arg(long, default_value = STANDARD_CUT, value_parser = time_text::parse)]
     cut: Duration,
+    /// Instead of hollow nodes run so many nodes over real loopback sockets.
+    #[arg(long, value_name = "NODES")]
+    sockets: Option<usize>,
     /// Print JSON instead of a table.
     #[arg(long)]
     json: bool,
@@ -43,6 +67,53 @@
 impl ScaleCommand {
     /// Measures and prints.
     pub fn run(self) -> ExitCode {
+        match self.sockets {
+            Some(nodes) => self.run_sockets(nodes),
+            None => self.run_hollow(),
+        }
+    }
+
+    /// The standard sizes with all courses.
+    pub fn standard(json: bool) -> Self {
+        Self {
+            nodes: STANDARD_NODES.to_vec(),
+            agents: 0,
+            targets: STANDARD_TARGETS,
+            services: STANDARD_SERVICES,
+            seed: 1,
+            scenarios: Vec::new(),
+            cut: STANDARD_CUT_TIME,
+            sockets: None,
+            json,
+        }
+    }
+
+    fn run_sockets(&self, nodes: usize) -> ExitCode {
+        let size = self.size(nodes, 0);
+        let measured = tokio::runtime::Runtime::new()
+            .and_then(|runtime| runtime.block_on(measure_sockets(size, SOCKET_ROLLS, STEADY)));
+        match measured {
+            Ok(figures) => {
+                self.print(&figures);
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("scale: {error}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn size(&self, balancers: usize, agents: usize) -> DeploymentSize {
+        DeploymentSize {
+            balancers,
+            agents,
+            targets: self.targets,
+            services: self.services,
+        }
+    }
+
+    fn run_hollow(&self) -> ExitCode {
         let scenarios = if self.scenarios.is_empty() {
             Scenario::ALL.to_vec()
         } else {
@@ -53,19 +124,17 @@
             ..Courses::default()
         };
         for balancers in &self.nodes {
-            let size = DeploymentSize {
-                balancers: *balancers,
-                agents: self.agents,
-                targets: self.targets,
-                services: self.services,
-            };
+            let size = self.size(*balancers, self.agents);
             let figures = measure(size, self.seed, &scenarios, &courses);
-            self.print(&figures);
+            self.print(&Measured {
+                slopes: Slopes::of(&figures),
+                figures,
+            });
         }
         ExitCode::SUCCESS
     }
 
-    fn print(&self, figures: &DeploymentFigures) {
+    fn print<T: fmt::Display + Serialize>(&self, figures: &T) {
         if self.json {
             match serde_json::to_string(figures) {
                 Ok(text) => println!("{text}"),
@@ -76,3 +145,9 @@
         }
     }
 }
+
+impl fmt::Display for Measured {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.figures.fmt(formatter)
+    }
+}
--- a/crates/woodladder-lab/src/scale/figures.rs
+++ b/crates/woodladder-lab/src/scale/figures.rs
@@ -66,8 +66,11 @@
     pub size: DeploymentSize,
     /// Length of a snapshot's encoding in bytes.
     pub snapshot_length: u32,
-    /// Resident memory of a node in bytes: the process's growth over all.
+    /// Resident memory of a node in bytes after the start: the process's
+    /// growth, over all nodes.
     pub resident_per_node: u64,
+    /// The same after all courses.
+    pub resident_per_node_at_end: u64,
     /// Figures by course.
     pub scenarios: Vec<ScenarioFigures>,
 }
--- a/crates/woodladder-lab/src/scale/mod.rs
+++ b/crates/woodladder-lab/src/scale/mod.rs
@@ -10,6 +10,8 @@
 mod roller;
 mod scenario;
 mod size;
+mod slopes;
+mod sockets;
 mod store;
 mod trace;
 mod world;
@@ -17,6 +19,8 @@
 pub use figures::{DeploymentFigures, ScenarioFigures, Served};
 pub use scenario::{Courses, Scenario};
 pub use size::{DeploymentSize, NodeIndex};
+pub use slopes::Slopes;
+pub use sockets::{SocketFigures, measure_sockets};
 pub use trace::Spread;
 
 use world::World;
@@ -37,6 +41,7 @@
         size,
         snapshot_length: world.snapshot_length(),
         resident_per_node: resident / world.nodes.len().max(1) as u64,
+        resident_per_node_at_end: 0,
         scenarios: vec![start],
     };
     for scenario in scenarios {
@@ -44,5 +49,7 @@
             figures.scenarios.push(scenario.run(&mut world, courses));
         }
     }
+    let resident = meter::resident_memory().saturating_sub(resident_before);
+    figures.resident_per_node_at_end = resident / world.nodes.len().max(1) as u64;
     figures
 }
--- a/crates/woodladder-lab/src/scale/report.rs
+++ b/crates/woodladder-lab/src/scale/report.rs
@@ -2,20 +2,21 @@
 
 use std::fmt;
 
-use super::{DeploymentFigures, ScenarioFigures};
+use super::{DeploymentFigures, ScenarioFigures, Slopes, SocketFigures};
 
 impl fmt::Display for DeploymentFigures {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
             "{} balancers and {} agents, {} targets behind {} services; snapshot {} bytes; \
-             resident {} KB a node",
+             resident {} KB a node, {} KB after all courses",
             self.size.balancers,
             self.size.agents,
             self.size.targets,
             self.size.services,
             self.snapshot_length,
             self.resident_per_node / 1024,
+            self.resident_per_node_at_end / 1024,
         )?;
         writeln!(
             formatter,
@@ -43,6 +44,9 @@
         for scenario in &self.scenarios {
             writeln!(formatter, "{scenario}")?;
         }
+        if let Some(slopes) = Slopes::of(self) {
+            writeln!(formatter, "{slopes}")?;
+        }
         Ok(())
     }
 }
@@ -81,3 +85,22 @@
         )
     }
 }
+
+impl fmt::Display for SocketFigures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} nodes over loopback sockets, {} targets: started after {:.2} s; steady {:.4}% of \
+             a core a node; a roll {:.2} ms of a core a node, in force after \
+             {:.2}/{:.2}/{:.2} s (median/99th percentile/longest)",
+            self.nodes,
+            self.targets,
+            self.started_after,
+            self.steady_processor_share * 100.0,
+            self.processor_seconds_per_roll * 1000.0,
+            self.in_force.median,
+            self.in_force.p99,
+            self.in_force.longest,
+        )
+    }
+}
--- a/crates/woodladder-lab/tests/scale.rs
+++ b/crates/woodladder-lab/tests/scale.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use woodladder_lab::scale::{
-    Courses, DeploymentFigures, DeploymentSize, Scenario, ScenarioFigures, measure,
+    Courses, DeploymentFigures, DeploymentSize, Scenario, ScenarioFigures, measure, measure_sockets,
 };
 
 /// Time in which a roll is to be in force everywhere.
@@ -79,3 +79,15 @@
     };
     assert_eq!(traffic(figures(4)), traffic(figures(4)));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rolls_get_everywhere_over_real_sockets() {
+    let small = DeploymentSize {
+        balancers: 3,
+        agents: 4,
+        ..size()
+    };
+    let steady = Duration::from_millis(100);
+    let figures = measure_sockets(small, 1, steady).await.unwrap();
+    assert_eq!(figures.in_force.count, 7);
+}
