Rank candidates of equal weight without logarithms

Cause: the decision about a new flow took 217 to 256 ns, above its aim of 200 ns.

Change: the order of draws is that of the ranks when all weights are equal, so the logarithm is left out; ranks are compared as integers.

--- a/crates/woodladder-core/src/hop_list.rs
+++ b/crates/woodladder-core/src/hop_list.rs
@@ -93,14 +93,15 @@
 #[must_use]
 pub fn choose(candidates: &[Candidate], flow: u64, count: usize) -> Vec<Hop> {
     let count = count.min(MAXIMUM_HOPS);
-    let mut best: [(f64, usize); MAXIMUM_HOPS] = [(f64::INFINITY, usize::MAX); MAXIMUM_HOPS];
+    let weighting = Weighting::of(candidates);
+    let mut best = [Ranked::LAST; MAXIMUM_HOPS];
     for (index, candidate) in candidates.iter().enumerate() {
-        let rank = rank(candidate, flow);
-        insert(&mut best[..count], rank, index);
+        let rank = weighting.rank(candidate, flow);
+        insert(&mut best[..count], Ranked { rank, index });
     }
     best[..count]
         .iter()
-        .filter_map(|(_, index)| candidates.get(*index))
+        .filter_map(|ranked| candidates.get(ranked.index))
         .map(Candidate::hop)
         .collect()
 }
@@ -108,24 +109,71 @@
 /// The candidate that ranks first for a flow.
 #[must_use]
 pub fn choose_one(candidates: &[Candidate], flow: u64) -> Option<&Candidate> {
+    let weighting = Weighting::of(candidates);
     candidates
         .iter()
-        .min_by(|left, right| rank(left, flow).total_cmp(&rank(right, flow)))
+        .min_by_key(|candidate| weighting.rank(candidate, flow))
 }
 
-/// Rank of a candidate for a flow; exponentially distributed with the weight
-/// as its rate, so the least rank falls on a candidate in proportion to it.
-fn rank(candidate: &Candidate, flow: u64) -> f64 {
-    let uniform = unit_interval(mix(flow ^ candidate.salt));
-    -uniform.ln() / candidate.weight
+/// A candidate's place in the order of asking.
+#[derive(Clone, Copy)]
+struct Ranked {
+    rank: u64,
+    index: usize,
 }
 
-fn insert(best: &mut [(f64, usize)], rank: f64, index: usize) {
-    let Some(position) = best.iter().position(|(known, _)| rank < *known) else {
+impl Ranked {
+    /// After every candidate.
+    const LAST: Self = Self {
+        rank: u64::MAX,
+        index: usize::MAX,
+    };
+}
+
+/// How candidates are ranked.
+#[derive(Clone, Copy)]
+enum Weighting {
+    /// All weights are equal: the order of the draws is that of the ranks, and
+    /// no logarithm is needed.
+    Equal,
+    /// Weights differ.
+    Logarithmic,
+}
+
+impl Weighting {
+    fn of(candidates: &[Candidate]) -> Self {
+        let differ = candidates
+            .windows(2)
+            .any(|pair| pair[0].weight.to_bits() != pair[1].weight.to_bits());
+        if differ {
+            Self::Logarithmic
+        } else {
+            Self::Equal
+        }
+    }
+
+    /// Rank of a candidate for a flow: the lower, the better. Exponentially
+    /// distributed with the weight as its rate, so the least rank falls on a
+    /// candidate in proportion to its weight.
+    fn rank(self, candidate: &Candidate, flow: u64) -> u64 {
+        let draw = mix(flow ^ candidate.salt);
+        match self {
+            Self::Equal => !draw,
+            Self::Logarithmic => {
+                let rank = -unit_interval(draw).ln() / candidate.weight;
+                // The bits of floats that are not negative are in their order.
+                rank.abs().to_bits()
+            }
+        }
+    }
+}
+
+fn insert(best: &mut [Ranked], ranked: Ranked) {
+    let Some(position) = best.iter().position(|known| ranked.rank < known.rank) else {
         return;
     };
     best[position..].rotate_right(1);
-    best[position] = (rank, index);
+    best[position] = ranked;
 }
 
 /// A number in (0, 1] from the upper 53 bits.
