--- a/crates/woodladder/src/command/bundle.rs
+++ b/crates/woodladder/src/command/bundle.rs
@@ -17,11 +17,11 @@
 use crate::settings::public_key;
 
 pub(super) const HELP: &str = "Examples:
-  woodladder bundle new --out menu.toml
-  woodladder bundle check menu.toml
-  woodladder bundle sign menu.toml --key operator.key --out menu.signed
-  woodladder bundle show menu.signed
-  woodladder bundle diff old.signed menu.signed --json";
+  woodladder bundle new --out bundle.toml
+  woodladder bundle check bundle.toml
+  woodladder bundle sign bundle.toml --key operator.key --out bundle.signed
+  woodladder bundle show bundle.signed
+  woodladder bundle diff old.signed new.signed --json";
 
 const RULE_SIGN_OFF: &str = "a signed bundle bears the signature of a trusted operator";
 
--- a/crates/woodladder/src/command/roll.rs
+++ b/crates/woodladder/src/command/roll.rs
@@ -24,8 +24,8 @@
 use crate::store::{ConsulStore, Store};
 
 pub(super) const HELP: &str = "Examples:
-  woodladder roll menu.signed --settings operator.toml
-  woodladder roll menu.signed --settings operator.toml --timeout 60s --json
+  woodladder roll bundle.signed --settings operator.toml
+  woodladder roll bundle.signed --settings operator.toml --timeout 60s --json
 
 An older bundle is rolled forward in the same way: it gets a new sequence, and
 no node goes back. When two operators roll at the same time one wins, and the
