--- a/crates/woodladder-lab/src/simulation/agent.rs
+++ b/crates/woodladder-lab/src/simulation/agent.rs
@@ -34,6 +34,7 @@
 use super::node::{Node, Start, Surroundings};
 use super::output::Output;
 use super::random::Random;
+use super::seen::Seen;
 
 /// Time between two looks at the transport's timers.
 const TRANSPORT_TICK: Duration = Duration::from_millis(25);
@@ -150,6 +151,7 @@
         around: &mut Surroundings<'_>,
     ) {
         let Ok((envelope, datagram)) = Envelope::decode(&self.envelope_key, bytes) else {
+            around.log.see(Seen::BadEnvelope);
             return;
         };
         let Ok(packet) = carrier::classify(datagram, TOKEN_LENGTH) else {
@@ -167,6 +169,7 @@
         if let Some(SequenceHint::OwnIsBehind(sequence)) = decision.hint {
             self.handle(Event::SequenceSeen(sequence), back_end, around);
         }
+        around.log.see(situation(&decision.verdict));
         match decision.verdict {
             Verdict::Deliver => self.deliver(&payload, from, back_end, around),
             Verdict::Accept => self.accept(&payload, caller, hash, around),
@@ -426,7 +429,7 @@
 
     fn activity_changed(&mut self, back_end: &mut BackEnd, around: &mut Surroundings<'_>) {
         let activity = Activity {
-            requests: count(self.requests.len()),
+            requests: count(self.requests.len() + self.flows.unsettled()),
             connections: count(self.flows.len()),
         };
         self.drain(DrainEvent::Activity(activity), back_end, around);
@@ -457,6 +460,16 @@
     }
 }
 
+fn situation(verdict: &Verdict) -> Option<Seen> {
+    match verdict {
+        Verdict::Deliver | Verdict::Accept => None,
+        Verdict::AcceptToDecline | Verdict::Refuse(_) => Some(Seen::FlowRefused),
+        Verdict::HandOn(_) => Some(Seen::HandedOn),
+        Verdict::Relay(_) => Some(Seen::Relayed),
+        Verdict::Drop(reason) => Seen::agent_drop(*reason),
+    }
+}
+
 /// Whether the directory keeps the target; `None` when it never held it.
 fn stays(directory: &Directory, identity: Identity) -> Option<bool> {
     let entry = directory.target(identity.target)?;
--- a/crates/woodladder-lab/src/simulation/agent_flows.rs
+++ b/crates/woodladder-lab/src/simulation/agent_flows.rs
@@ -61,6 +61,14 @@
         self.flows.is_empty()
     }
 
+    /// Flows with frames that the caller has not acknowledged; their answers
+    /// have not ended until it has.
+    #[must_use]
+    pub fn unsettled(&self) -> usize {
+        let flows = self.flows.values();
+        flows.filter(|flow| !flow.channel.is_settled()).count()
+    }
+
     /// Identifiers of all flows.
     #[must_use]
     pub fn identifiers(&self) -> Vec<FirstIdentifier> {
--- a/crates/woodladder-lab/src/simulation/agent_requests.rs
+++ b/crates/woodladder-lab/src/simulation/agent_requests.rs
@@ -18,6 +18,7 @@
 use super::node::Surroundings;
 use super::output::Output;
 use super::random::Random;
+use super::seen::Seen;
 
 const HELD_BACK: Duration = Duration::from_millis(300);
 const FALSE_RETRY: u32 = 1000;
@@ -221,12 +222,23 @@
                 RequestAction::Send(permit) => self.send(permit.id(), means),
                 RequestAction::CloseBackEnd(id) => self.close_back_end(id, means),
                 RequestAction::Refuse { id, refusal } => self.refuse(id, &refusal, means),
-                RequestAction::Fail { id, .. } => self.fail(id, means),
-                RequestAction::ResetCaller { id, .. } => self.reset(id, means),
+                RequestAction::Fail { id, reason, .. } => {
+                    means.around.log.see(Seen::unknown(reason));
+                    self.fail(id, means);
+                }
+                RequestAction::ResetCaller { id, .. } => {
+                    means.around.log.see(Seen::ResetInAnswer);
+                    self.reset(id, means);
+                }
                 RequestAction::Complete(id) => {
                     self.conclude(id, |attempt| Frame::End { attempt }, means);
                 }
-                RequestAction::Forget { id, .. } => {
+                RequestAction::Forget { id, may_have_run } => {
+                    means.around.log.see(if may_have_run {
+                        Seen::CancelledAfter
+                    } else {
+                        Seen::CancelledBefore
+                    });
                     self.finish(id, means);
                 }
             }
@@ -287,6 +299,7 @@
         let Some(served) = self.finish(id, means) else {
             return;
         };
+        means.around.log.see(Seen::refusal(refusal.reason()));
         let now = means.around.now;
         let decided = if is_decided_on_arrival(refusal.reason()) {
             served.arrived
--- a/crates/woodladder-lab/src/simulation/back_end.rs
+++ b/crates/woodladder-lab/src/simulation/back_end.rs
@@ -263,7 +263,7 @@
         let attempt = AttemptId(request.attempt);
         log.add(now, Entry::Spoiled { attempt });
         let kept = self.random.below(schedule.len() - 1);
-        schedule.truncate(if half { kept.max(2) } else { kept });
+        schedule.truncate(kept);
         let step = if half {
             BackEndStep::End { complete: false }
         } else {
--- a/crates/woodladder-lab/src/simulation/balancer.rs
+++ b/crates/woodladder-lab/src/simulation/balancer.rs
@@ -18,6 +18,7 @@
 use super::mutation::Mutation;
 use super::node::{Node, Start, Surroundings};
 use super::output::Output;
+use super::seen::Seen;
 
 /// A balancer process.
 #[derive(Debug)]
@@ -109,13 +110,20 @@
         around.outputs.push(Output::ToAgent { to, bytes });
     }
 
-    fn forward(&self, inbound: &Inbound<'_>, around: &Surroundings<'_>) -> Option<Forward> {
+    fn forward(&self, inbound: &Inbound<'_>, around: &mut Surroundings<'_>) -> Option<Forward> {
         let router = self.router.as_ref()?;
         let packet = carrier::classify(inbound.datagram, TOKEN_LENGTH).ok()?;
         if packet.may_open_flow && self.node.is_suspect(around.now) {
+            around.log.see(Seen::SuspectBalancer);
             return None;
         }
-        let forward = router.route(inbound).ok()?;
+        let forward = match router.route(inbound) {
+            Ok(forward) => forward,
+            Err(reason) => {
+                around.log.see(Seen::balancer_drop(reason));
+                return None;
+            }
+        };
         if around.mutation == Some(Mutation::RouteByHash) && !packet.may_open_flow {
             return hashed(router.directory(), inbound, forward);
         }
--- a/crates/woodladder-lab/src/simulation/caller.rs
+++ b/crates/woodladder-lab/src/simulation/caller/mod.rs
@@ -1,6 +1,8 @@
 //! The caller model: opens flows, asks, waits, gives up, and asks again as the
 //! outcome allows.
 
+mod answers;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -9,12 +11,14 @@
 use woodladder_core::identifier::{ServiceId, TargetId};
 use woodladder_core::token::TOKEN_LENGTH;
 
-use super::channel::Channel;
-use super::frame::{Content, FirstIdentifier, Frame, FrameDatagram, Payload, RequestFrame, Token};
-use super::log::{AttemptId, Entry, Log, Outcome};
-use super::operation::{Numbers, Operation, Pending, draw_operation};
-use super::random::Random;
-use super::topology::Machine;
+use crate::simulation::channel::Channel;
+use crate::simulation::frame::{
+    Content, FirstIdentifier, Frame, FrameDatagram, Payload, RequestFrame, Token,
+};
+use crate::simulation::log::{AttemptId, Entry, Log, Outcome};
+use crate::simulation::operation::{Numbers, Operation, Pending, draw_operation};
+use crate::simulation::random::Random;
+use crate::simulation::topology::Machine;
 
 /// Time between two looks at a caller's timers.
 pub const CALLER_TICK: Duration = Duration::from_millis(25);
@@ -39,6 +43,9 @@
     pub parallel: usize,
     /// Probability, in thousandths, that it gives an operation up early.
     pub gives_up: u32,
+    /// Whether it goes on asking on a flow after the notice that its target is
+    /// to leave, until a request is refused.
+    pub ignores_notice: bool,
     /// When it stops to ask.
     pub until: Instant,
 }
@@ -79,6 +86,7 @@
     channel: Channel,
     last_heard: Instant,
     last_sent: Instant,
+    noticed: bool,
     leaving: bool,
 }
 
@@ -197,6 +205,7 @@
             channel: Channel::default(),
             last_heard: around.now,
             last_sent: around.now,
+            noticed: false,
             leaving: false,
         }));
         if self.habits.feed {
@@ -245,10 +254,9 @@
         };
         let target = target_of(&flow.token);
         let last_heard = flow.last_heard;
-        let feed = self.pending.values().any(|pending| pending.operation.feed);
         let entry = Entry::FlowBroken {
             target,
-            feed,
+            feed: false,
             last_heard,
         };
         around.log.add(around.now, entry);
@@ -336,127 +344,6 @@
         self.end(attempt, Outcome::GivenUp, around);
     }
 
-    fn frames(
-        &mut self,
-        identifier: FirstIdentifier,
-        datagram: &FrameDatagram,
-        around: &mut Surroundings<'_>,
-    ) {
-        let FlowState::Open(flow) = &mut self.flow else {
-            return;
-        };
-        if flow.identifier != identifier {
-            return;
-        }
-        flow.last_heard = around.now;
-        let frames = flow.channel.receive(datagram);
-        if datagram.frame.is_some() {
-            let acknowledgement = flow.channel.acknowledgement();
-            self.send_datagram(acknowledgement, around);
-        }
-        for frame in frames {
-            self.frame(frame, around);
-        }
-    }
-
-    fn frame(&mut self, frame: Frame, around: &mut Surroundings<'_>) {
-        match frame {
-            Frame::Part {
-                attempt,
-                made_for,
-                length,
-            } => self.part(attempt, made_for, length),
-            Frame::End { attempt } => self.answered(AttemptId(attempt), around),
-            Frame::NotRun {
-                attempt,
-                retry_after,
-            } => self.not_run(AttemptId(attempt), retry_after, around),
-            Frame::Unknown { attempt } => self.end(AttemptId(attempt), Outcome::Unknown, around),
-            Frame::Reset { attempt } => self.end(AttemptId(attempt), Outcome::Cut, around),
-            Frame::GoAway => self.set_leaving(),
-            Frame::Close => self.closed(around),
-            Frame::Ping | Frame::Request(_) | Frame::Cancel { .. } => {}
-        }
-    }
-
-    fn part(&mut self, attempt: u64, made_for: u64, length: u32) {
-        if let Some(pending) = self.pending.get_mut(&AttemptId(attempt)) {
-            pending.received += length;
-            pending.own &= made_for == attempt;
-        }
-    }
-
-    fn answered(&mut self, attempt: AttemptId, around: &mut Surroundings<'_>) {
-        if let Some(pending) = self.pending.get(&attempt) {
-            let outcome = Outcome::Answered {
-                length: pending.received,
-                own: pending.own,
-            };
-            self.end(attempt, outcome, around);
-        }
-    }
-
-    fn not_run(&mut self, attempt: AttemptId, retry_after: u32, around: &mut Surroundings<'_>) {
-        let Some(pending) = self.pending.get(&attempt) else {
-            return;
-        };
-        let operation = pending.operation;
-        self.end(attempt, Outcome::NotRun, around);
-        self.ask_again(operation, around.now + milliseconds(retry_after));
-    }
-
-    fn ask_again(&mut self, mut operation: Operation, at: Instant) {
-        operation.attempts += 1;
-        if operation.attempts < ATTEMPT_LIMIT && !operation.feed {
-            self.waiting.push((at, operation));
-        }
-    }
-
-    fn set_leaving(&mut self) {
-        if let FlowState::Open(flow) = &mut self.flow {
-            flow.leaving = true;
-        }
-    }
-
-    /// The agent has ended the flow: in order when nothing is pending.
-    fn closed(&mut self, around: &mut Surroundings<'_>) {
-        if self.pending.is_empty() {
-            self.flow = FlowState::Idle { until: around.now };
-        } else {
-            self.break_flow(around);
-        }
-    }
-
-    /// Ends an attempt; a repeatable operation is asked again after a result
-    /// that is not known.
-    fn end(&mut self, attempt: AttemptId, outcome: Outcome, around: &mut Surroundings<'_>) {
-        let Some(pending) = self.pending.remove(&attempt) else {
-            return;
-        };
-        around
-            .log
-            .add(around.now, Entry::Ended { attempt, outcome });
-        let lost = matches!(outcome, Outcome::Unknown | Outcome::Cut);
-        if lost && pending.operation.repeatable {
-            self.ask_again(pending.operation, around.now);
-        }
-        if lost && pending.operation.feed {
-            self.feed_lost(around);
-        }
-    }
-
-    fn feed_lost(&mut self, around: &mut Surroundings<'_>) {
-        let FlowState::Open(flow) = &self.flow else {
-            return;
-        };
-        let entry = Entry::FlowBroken {
-            target: target_of(&flow.token),
-            feed: true,
-            last_heard: flow.last_heard,
-        };
-        around.log.add(around.now, entry);
-    }
-
     fn send(&mut self, frame: Frame, around: &mut Surroundings<'_>) {
         let FlowState::Open(flow) = &mut self.flow else {
             return;
--- a/crates/woodladder-lab/src/simulation/fault.rs
+++ b/crates/woodladder-lab/src/simulation/fault.rs
@@ -65,6 +65,13 @@
     ControlLinks(LinkFaults),
     /// Nothing passes from one machine to another.
     Cut(Machine, Machine),
+    /// Control traffic of a machine passes to and from one other only.
+    Isolate {
+        /// The machine.
+        machine: Machine,
+        /// The other.
+        except: Machine,
+    },
     /// All links of a machine work again.
     Mend(Machine),
     /// The machine list misleads like this from now on.
--- a/crates/woodladder-lab/src/simulation/log.rs
+++ b/crates/woodladder-lab/src/simulation/log.rs
@@ -1,11 +1,15 @@
 //! The logs of a run: what back ends executed, what callers were told, and
 //! what the world did to machines. The oracle reads nothing else.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
+use woodladder_core::digest::Digest;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
+use woodladder_core::roll_record::RollNonce;
 
+use super::seen::Seen;
 use super::topology::Machine;
 
 /// Identifies one operation of a caller, over all its attempts.
@@ -62,6 +66,17 @@
     GivenUp,
 }
 
+/// What an operator is told of a roll.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RollVerdict {
+    /// It was accepted.
+    Accepted,
+    /// It was not accepted and never will be.
+    NotAccepted,
+    /// Neither is known.
+    MayBeAccepted,
+}
+
 /// One line of the log.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -91,6 +106,8 @@
         attempt: AttemptId,
         /// How it ended.
         outcome: Outcome,
+        /// Target of the flow that it was made on.
+        target: TargetId,
     },
     /// A fault was done to one attempt at the back end.
     Spoiled {
@@ -155,6 +172,17 @@
     RollAccepted {
         /// Its sequence.
         sequence: Sequence,
+        /// Its nonce.
+        nonce: RollNonce,
+        /// Digest of its snapshot.
+        snapshot: Digest,
+    },
+    /// An operator was told what came of a roll.
+    RollJudged {
+        /// The roll's nonce.
+        nonce: RollNonce,
+        /// What the operator was told.
+        verdict: RollVerdict,
     },
     /// A node put a roll in force.
     InForce {
@@ -162,6 +190,8 @@
         node: ProcessRun,
         /// The roll's sequence.
         sequence: Sequence,
+        /// Digest of its snapshot.
+        snapshot: Digest,
     },
     /// A node is up, neither frozen nor cut off, from here on; or it is not.
     NodeHealth {
@@ -181,6 +211,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Log {
     records: Vec<Record>,
+    seen: BTreeMap<Seen, u64>,
 }
 
 impl Log {
@@ -195,10 +226,16 @@
         &self.records
     }
 
-    /// When the last entry was made, after the origin.
+    /// Counts a situation.
+    pub fn see(&mut self, seen: impl Into<Option<Seen>>) {
+        if let Some(seen) = seen.into() {
+            *self.seen.entry(seen).or_default() += 1;
+        }
+    }
+
+    /// How often each situation was seen.
     #[must_use]
-    pub fn length(&self) -> Duration {
-        let last = self.records.last();
-        last.map_or(Duration::ZERO, |record| record.at.since_origin())
+    pub fn seen(&self) -> &BTreeMap<Seen, u64> {
+        &self.seen
     }
 }
--- a/crates/woodladder-lab/src/simulation/mod.rs
+++ b/crates/woodladder-lab/src/simulation/mod.rs
@@ -9,8 +9,8 @@
 //! | callers' transport | [`frame`], [`channel`] |
 //! | processes of the product | [`node`], [`balancer`], [`agent`], [`agent_flows`], [`agent_requests`], [`operator`] |
 //! | what the platform gives | [`back_end`], [`store`], [`machine_list`], [`caller`], [`operation`] |
-//! | schedules | [`deployment`], [`fault`], [`scenario`] |
-//! | judgement | [`log`], [`oracle`], [`roll_oracle`], [`promise`], [`mutation`] |
+//! | schedules | [`deployment`], [`fault`], [`forgery`], [`scenario`] |
+//! | judgement | [`log`], [`oracle`], [`roll_oracle`], [`promise`], [`seen`], [`mutation`] |
 //! | running | [`world`], [`runner`], [`report`] |
 
 pub mod agent;
@@ -23,6 +23,7 @@
 pub mod deployment;
 pub mod event_queue;
 pub mod fault;
+pub mod forgery;
 pub mod frame;
 pub mod log;
 pub mod machine_list;
@@ -40,6 +41,7 @@
 pub mod runner;
 pub mod scenario;
 pub mod secrets;
+pub mod seen;
 pub mod store;
 pub mod topology;
 pub mod world;
--- a/crates/woodladder-lab/src/simulation/mutation.rs
+++ b/crates/woodladder-lab/src/simulation/mutation.rs
@@ -32,10 +32,14 @@
     KeepFirstRoll,
     /// Agents hold refusals back.
     HoldRefusals,
+    /// Nodes trust the key of a stranger.
+    TrustStranger,
+    /// Operators are told that a roll failed when its answer was lost.
+    DenyRoll,
 }
 
 /// Every mutation.
-pub const MUTATIONS: [Mutation; 12] = [
+pub const MUTATIONS: [Mutation; 14] = [
     Mutation::NotRunAfterSend,
     Mutation::ResendAfterUnknown,
     Mutation::ReuseConnection,
@@ -48,6 +52,8 @@
     Mutation::AdoptLower,
     Mutation::KeepFirstRoll,
     Mutation::HoldRefusals,
+    Mutation::TrustStranger,
+    Mutation::DenyRoll,
 ];
 
 impl Mutation {
@@ -62,9 +68,10 @@
             Self::KeepTakingWork => Promise::LeavingGetsNoWork,
             Self::StopAtOnce => Promise::PlannedStopKeepsRequests,
             Self::RouteByHash | Self::StopCutsFlows => Promise::PlannedChangeKeepsFeeds,
-            Self::AdoptLower => Promise::NeverReverts,
+            Self::AdoptLower | Self::TrustStranger => Promise::NeverReverts,
             Self::KeepFirstRoll => Promise::SoonInForce,
             Self::HoldRefusals => Promise::ImmediateRefusal,
+            Self::DenyRoll => Promise::TrueRollVerdict,
         }
     }
 
@@ -100,6 +107,8 @@
             Self::AdoptLower => "older-bundle",
             Self::KeepFirstRoll => "store-watches",
             Self::HoldRefusals => "shedding",
+            Self::TrustStranger => "control-traffic",
+            Self::DenyRoll => "operators-race",
         }
     }
 }
--- a/crates/woodladder-lab/src/simulation/network.rs
+++ b/crates/woodladder-lab/src/simulation/network.rs
@@ -1,7 +1,7 @@
 //! The network between machines: delay, loss, duplication, reordering and
 //! links cut in one direction.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::random::Random;
@@ -41,6 +41,7 @@
     /// Faults of traffic among nodes.
     pub control: LinkFaults,
     cuts: BTreeSet<(Machine, Machine)>,
+    isolated: BTreeMap<Machine, Machine>,
     random: Random,
 }
 
@@ -53,6 +54,7 @@
             data: LinkFaults::default(),
             control: LinkFaults::default(),
             cuts: BTreeSet::new(),
+            isolated: BTreeMap::new(),
             random,
         }
     }
@@ -62,6 +64,11 @@
         self.cuts.insert((from, to));
     }
 
+    /// Lets control traffic of a machine pass to and from one other only.
+    pub fn isolate(&mut self, machine: Machine, except: Machine) {
+        self.isolated.insert(machine, except);
+    }
+
     /// Mends every link of a machine, and gives the machines at the other ends.
     pub fn mend(&mut self, machine: Machine) -> BTreeSet<Machine> {
         let (mended, kept) = self
@@ -69,16 +76,29 @@
             .iter()
             .partition(|(from, to)| *from == machine || *to == machine);
         self.cuts = kept;
+        self.isolated.remove(&machine);
         let mended: BTreeSet<(Machine, Machine)> = mended;
         let ends = mended.into_iter().flat_map(|(from, to)| [from, to]);
         ends.filter(|end| *end != machine).collect()
     }
 
+    /// Whether control traffic between two machines is kept from passing.
+    #[must_use]
+    pub fn is_isolated(&self, from: Machine, to: Machine) -> bool {
+        let keeps = |one: &Machine, other: Machine| {
+            self.isolated
+                .get(one)
+                .is_some_and(|except| *except != other)
+        };
+        keeps(&from, to) || keeps(&to, from)
+    }
+
     /// Whether any link of a machine is cut.
     #[must_use]
     pub fn is_cut_anywhere(&self, machine: Machine) -> bool {
         let mut cuts = self.cuts.iter();
-        cuts.any(|(from, to)| *from == machine || *to == machine)
+        let cut = cuts.any(|(from, to)| *from == machine || *to == machine);
+        cut || self.isolated.contains_key(&machine)
     }
 
     /// Whether the link is cut in this direction.
@@ -93,6 +113,9 @@
             Traffic::Data => self.data,
             Traffic::Control => self.control,
         };
+        if traffic == Traffic::Control && self.is_isolated(from, to) {
+            return Vec::new();
+        }
         if self.is_cut(from, to) || self.random.chance(faults.loss) {
             return Vec::new();
         }
--- a/crates/woodladder-lab/src/simulation/node.rs
+++ b/crates/woodladder-lab/src/simulation/node.rs
@@ -15,6 +15,7 @@
 use super::output::Output;
 use super::random::Random;
 use super::secrets::Secrets;
+use super::seen::Seen;
 use super::topology::{Machine, Site};
 
 /// What a process may use while it handles an event.
@@ -136,7 +137,10 @@
                 }
                 Event::Message { from, message }
             }
-            Err(error) => Event::BadFrame(error),
+            Err(error) => {
+                around.log.see(Seen::BadFrame);
+                Event::BadFrame(error)
+            }
         };
         self.handle(event, around)
     }
@@ -176,6 +180,7 @@
         let entry = Entry::InForce {
             node: self.process,
             sequence: roll.sequence(),
+            snapshot: roll.digest(),
         };
         around.log.add(around.now, entry);
         self.in_force = Some(roll);
--- a/crates/woodladder-lab/src/simulation/operator.rs
+++ b/crates/woodladder-lab/src/simulation/operator.rs
@@ -1,55 +1,34 @@
-//! A modelled operator who rolls bundles, one at a time.
+//! A modelled operator, who rolls bundles with the core's roll command.
 
-use std::time::Duration;
+use std::net::SocketAddr;
 
-use borsh::BorshDeserialize as _;
 use woodladder_core::bundle::{Bundle, SignedBundle};
 use woodladder_core::clock::Instant;
-use woodladder_core::identifier::Sequence;
-use woodladder_core::roll_record::{RollNonce, RollRecord, RollStatement, StoredRoll};
-use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
-use woodladder_core::snapshot_delta::SnapshotDelta;
-use woodladder_core::store_operation::{
-    StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId,
-};
-
+use woodladder_core::control_message::ControlMessage;
+use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::roll_command::{RollAction, RollCommand, RollError, RollEvent, RollRequest};
+use woodladder_core::roll_record::RollNonce;
+use woodladder_core::signature::TrustedKeys;
+use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+
+use super::log::{Entry, Log, RollVerdict};
+use super::mutation::Mutation;
 use super::random::Random;
-use super::secrets::operator_key;
-
-const RETRY: Duration = Duration::from_millis(700);
-const ATTEMPTS: u32 = 8;
-
-/// What the operator's command waits for.
-#[derive(Clone, Debug)]
-enum Stage {
-    Idle,
-    ReadCurrent,
-    ReadSnapshot {
-        current: Box<StoredRoll>,
-        index: StoreIndex,
-    },
-    WriteSnapshot(Box<Write>),
-    WriteCurrent,
-}
+use super::secrets::{Secrets, operator_key};
+use super::seen::Seen;
 
-#[derive(Clone, Debug)]
-struct Write {
-    expected: StoreIndex,
-    stored: StoredRoll,
-}
+/// Seconds since the Unix epoch at the origin of the virtual clock.
+const ORIGIN_UNIX_TIME: u64 = 1_800_000_000;
 
 /// An operator.
-#[derive(Debug)]
 pub struct Operator {
     number: u8,
     run: u32,
     random: Random,
-    bundle: Option<Bundle>,
-    nonce: RollNonce,
-    stage: Stage,
-    request: StoreRequestId,
-    attempts: u32,
-    retry_at: Option<Instant>,
+    control_key: TagKey,
+    trusted: TrustedKeys,
+    nodes: Vec<SocketAddr>,
+    command: Option<RollCommand>,
     /// Until when the operator's machine does not run.
     pub frozen_until: Option<Instant>,
 }
@@ -58,24 +37,28 @@
 pub struct Surroundings<'a> {
     /// The present instant.
     pub now: Instant,
+    /// The log.
+    pub log: &'a mut Log,
     /// Requests to the key-value service.
     pub requests: &'a mut Vec<(StoreRequestId, StoreOperation)>,
+    /// Control datagrams to send.
+    pub datagrams: &'a mut Vec<(SocketAddr, Vec<u8>)>,
+    /// Fault put into the models.
+    pub mutation: Option<Mutation>,
 }
 
 impl Operator {
-    /// An operator with nothing to do.
+    /// An operator with nothing to do, who reports on these nodes.
     #[must_use]
-    pub fn new(number: u8, random: Random) -> Self {
+    pub fn new(number: u8, secrets: &Secrets, nodes: Vec<SocketAddr>, random: Random) -> Self {
         Self {
             number,
             run: 0,
             random,
-            bundle: None,
-            nonce: RollNonce([0; 16]),
-            stage: Stage::Idle,
-            request: StoreRequestId(0),
-            attempts: 0,
-            retry_at: None,
+            control_key: secrets.control,
+            trusted: secrets.trusted.clone(),
+            nodes,
+            command: None,
             frozen_until: None,
         }
     }
@@ -89,23 +72,27 @@
     /// When the command wants to be called again.
     #[must_use]
     pub fn next_wake(&self) -> Option<Instant> {
-        self.retry_at
+        self.command.as_ref().and_then(RollCommand::next_wakeup)
     }
 
-    /// Begins to roll a bundle; an unfinished roll is given up.
+    /// Begins to roll a bundle; an unfinished command is killed.
     pub fn roll(&mut self, bundle: Bundle, around: &mut Surroundings<'_>) {
         self.run += 1;
-        self.bundle = Some(bundle);
-        self.nonce = RollNonce(self.random.bytes());
-        self.attempts = 0;
-        self.read_current(around);
+        let key = operator_key(self.number);
+        let signed = SignedBundle::sign(bundle, &key);
+        let rolled_at = ORIGIN_UNIX_TIME + around.now.since_origin().as_secs();
+        let name = format!("operator-{}", self.number);
+        let mut request = RollRequest::new(signed, name, key, self.trusted.clone(), rolled_at);
+        request.nodes.clone_from(&self.nodes);
+        let random = self.random.generator();
+        self.command = Some(RollCommand::new(request, random, around.now));
+        self.handle(RollEvent::Tick, around);
     }
 
     /// Sees to what is due.
     pub fn tick(&mut self, around: &mut Surroundings<'_>) {
-        if self.retry_at.is_some_and(|at| at <= around.now) {
-            self.retry_at = None;
-            self.read_current(around);
+        if self.next_wake().is_some_and(|due| due <= around.now) {
+            self.handle(RollEvent::Tick, around);
         }
     }
 
@@ -117,124 +104,84 @@
         answer: StoreAnswer,
         around: &mut Surroundings<'_>,
     ) {
-        if run != self.run || request != self.request {
+        if run != self.run {
             return;
         }
-        match (std::mem::replace(&mut self.stage, Stage::Idle), answer) {
-            (Stage::ReadCurrent, StoreAnswer::Value { index, value }) => {
-                self.have_current(index, &value, around);
-            }
-            (Stage::ReadCurrent, StoreAnswer::NotFound) => {
-                self.write_snapshot(None, StoreIndex::default(), around);
-            }
-            (Stage::ReadSnapshot { current, index }, StoreAnswer::Value { value, .. }) => {
-                let snapshot = Snapshot::try_from_slice(&value).ok();
-                let previous = snapshot.map(|snapshot| (current, snapshot));
-                self.write_snapshot(previous, index, around);
-            }
-            (
-                Stage::WriteSnapshot(write),
-                StoreAnswer::Written | StoreAnswer::Conflict | StoreAnswer::Unknown,
-            ) => self.write_current(&write, around),
-            (Stage::WriteCurrent, StoreAnswer::Written | StoreAnswer::Conflict)
-            | (Stage::Idle, _) => {}
-            _ => self.try_again(around),
+        if around.mutation == Some(Mutation::DenyRoll) && answer == StoreAnswer::Unknown {
+            self.deny(around);
+        } else {
+            self.handle(RollEvent::StoreAnswer { request, answer }, around);
         }
     }
 
-    fn try_again(&mut self, around: &Surroundings<'_>) {
-        self.attempts += 1;
-        if self.attempts < ATTEMPTS {
-            self.retry_at = Some(around.now + RETRY);
+    /// Takes a control datagram in.
+    pub fn receive(&mut self, from: SocketAddr, bytes: &[u8], around: &mut Surroundings<'_>) {
+        if let Ok(message) = ControlMessage::decode(&self.control_key, bytes) {
+            self.handle(RollEvent::Message { from, message }, around);
         }
     }
 
-    fn read_current(&mut self, around: &mut Surroundings<'_>) {
-        self.stage = Stage::ReadCurrent;
-        self.read(StoreKey::Current, around);
-    }
-
-    fn have_current(&mut self, index: StoreIndex, value: &[u8], around: &mut Surroundings<'_>) {
-        let Ok(current) = StoredRoll::try_from_slice(value) else {
-            return;
-        };
-        if current.record.statement.nonce == self.nonce {
-            return;
+    /// The mutation that takes a lost answer for a refusal.
+    fn deny(&mut self, around: &mut Surroundings<'_>) {
+        if let Some(command) = self.command.take() {
+            log_verdict(command.nonce(), RollVerdict::NotAccepted, around);
         }
-        let key = StoreKey::Snapshot(current.record.statement.snapshot);
-        let current = Box::new(current);
-        self.stage = Stage::ReadSnapshot { current, index };
-        self.read(key, around);
     }
 
-    fn write_snapshot(
-        &mut self,
-        previous: Option<(Box<StoredRoll>, Snapshot)>,
-        expected: StoreIndex,
-        around: &mut Surroundings<'_>,
-    ) {
-        let Some(bundle) = self.bundle.clone() else {
+    fn handle(&mut self, event: RollEvent, around: &mut Surroundings<'_>) {
+        let Some(command) = &mut self.command else {
             return;
         };
-        let key = operator_key(self.number);
-        let signed = SignedBundle::sign(bundle, &key);
-        let unix_time = around.now.since_origin().as_secs();
-        let base = previous.as_ref().map(|(_, snapshot)| snapshot);
-        let Ok(snapshot) = Snapshot::following(base, signed, unix_time, DEFAULT_LINGER) else {
-            return;
-        };
-        let sequence = previous
-            .as_ref()
-            .map_or(Sequence::default(), |(roll, _)| roll.record.sequence());
-        let stored = self.stored_roll(sequence.next(), base, &snapshot, unix_time);
-        let operation = StoreOperation::CompareAndSwap {
-            key: StoreKey::Snapshot(snapshot.digest()),
-            expected: StoreIndex::default(),
-            value: snapshot.encode(),
-        };
-        self.stage = Stage::WriteSnapshot(Box::new(Write { expected, stored }));
-        self.ask(operation, around);
-    }
-
-    fn stored_roll(
-        &self,
-        sequence: Sequence,
-        base: Option<&Snapshot>,
-        snapshot: &Snapshot,
-        unix_time: u64,
-    ) -> StoredRoll {
-        let length = snapshot.encode().len();
-        let statement = RollStatement {
-            sequence,
-            nonce: self.nonce,
-            bundle_version: snapshot.bundle.version,
-            snapshot: snapshot.digest(),
-            snapshot_length: u32::try_from(length).unwrap_or(u32::MAX),
-            operator: format!("operator-{}", self.number),
-            rolled_at: unix_time,
-        };
-        StoredRoll {
-            record: RollRecord::sign(statement, &operator_key(self.number)),
-            delta: base.map(|base| SnapshotDelta::between(base, snapshot)),
+        let nonce = command.nonce();
+        for action in command.handle(event, around.now) {
+            match action {
+                RollAction::Store { request, operation } => {
+                    around.requests.push((request, operation));
+                }
+                RollAction::Send { to, message } => {
+                    if let Ok(bytes) = message.encode(&self.control_key) {
+                        around.datagrams.push((to, bytes));
+                    }
+                }
+                RollAction::Accepted(_) => log_verdict(nonce, RollVerdict::Accepted, around),
+                RollAction::Finished(Err(error)) => {
+                    let verdict = verdict_of(&error);
+                    around.log.see(situation(&error));
+                    log_verdict(nonce, verdict, around);
+                }
+                RollAction::Progress(_) | RollAction::Finished(Ok(_)) => {}
+            }
         }
     }
+}
 
-    fn write_current(&mut self, write: &Write, around: &mut Surroundings<'_>) {
-        let operation = StoreOperation::CompareAndSwap {
-            key: StoreKey::Current,
-            expected: write.expected,
-            value: borsh::to_vec(&write.stored).unwrap_or_default(),
-        };
-        self.stage = Stage::WriteCurrent;
-        self.ask(operation, around);
+impl std::fmt::Debug for Operator {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("Operator")
+            .field("number", &self.number)
+            .field("run", &self.run)
+            .finish_non_exhaustive()
     }
+}
 
-    fn read(&mut self, key: StoreKey, around: &mut Surroundings<'_>) {
-        self.ask(StoreOperation::Read { key, wait: None }, around);
+fn situation(error: &RollError) -> Seen {
+    match error {
+        RollError::OtherWon { .. } => Seen::RollLost,
+        RollError::OutcomeUnknown { .. } => Seen::RollInDoubt,
+        _ => Seen::RollNotTaken,
     }
+}
 
-    fn ask(&mut self, operation: StoreOperation, around: &mut Surroundings<'_>) {
-        self.request.0 += 1;
-        around.requests.push((self.request, operation));
+fn verdict_of(error: &RollError) -> RollVerdict {
+    if error.may_have_taken_effect() {
+        RollVerdict::MayBeAccepted
+    } else {
+        RollVerdict::NotAccepted
     }
 }
+
+fn log_verdict(nonce: RollNonce, verdict: RollVerdict, around: &mut Surroundings<'_>) {
+    let entry = Entry::RollJudged { nonce, verdict };
+    around.log.add(around.now, entry);
+}
--- a/crates/woodladder-lab/src/simulation/oracle.rs
+++ b/crates/woodladder-lab/src/simulation/oracle.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
-use woodladder_core::identifier::{Sequence, TargetId};
+use woodladder_core::identifier::TargetId;
 
-use super::log::{Asked, AttemptId, Entry, OperationId, Outcome, ProcessRun, Record};
+use super::log::{Asked, AttemptId, Entry, OperationId, Outcome, Record};
 use super::promise::{Promise, Violation};
 use super::roll_oracle;
 
@@ -16,14 +16,22 @@
 /// Longest silence that one failure of a target explains.
 const FAILURE_EXPLAINS: Duration = Duration::from_secs(12);
 
+/// How an attempt ended for its caller.
+#[derive(Clone, Copy, Debug)]
+struct Ending {
+    at: Instant,
+    outcome: Outcome,
+    /// Target of the flow that it was made on.
+    target: TargetId,
+}
+
 /// What the log says about one attempt.
 #[derive(Clone, Copy, Debug)]
 struct AttemptStory {
     asked: Asked,
     asked_at: Instant,
-    executed: Option<(Instant, TargetId)>,
-    admitted_at: Option<TargetId>,
-    ended: Option<(Instant, Outcome)>,
+    executed: Option<Instant>,
+    ended: Option<Ending>,
     spoiled: bool,
 }
 
@@ -46,7 +54,6 @@
     for record in records {
         stories.judge_record(record, &mut violations);
     }
-    judge_reversions(records, &mut violations);
     roll_oracle::judge(records, &mut violations);
     violations.sort_by_key(|violation| (violation.promise, violation.at));
     violations
@@ -65,21 +72,25 @@
         match record.entry {
             Entry::Asked(asked) => self.add_attempt(asked, record.at),
             Entry::Executed {
-                attempt,
-                operation,
-                target,
+                attempt, operation, ..
             } => {
                 self.executions
                     .entry(operation)
                     .or_default()
                     .push(record.at);
-                self.with(attempt, |story| story.executed = Some((record.at, target)));
+                self.with(attempt, |story| story.executed = Some(record.at));
             }
-            Entry::RequestAdmitted { target, attempt } => {
-                self.with(attempt, |story| story.admitted_at = Some(target));
-            }
-            Entry::Ended { attempt, outcome } => {
-                self.with(attempt, |story| story.ended = Some((record.at, outcome)));
+            Entry::Ended {
+                attempt,
+                outcome,
+                target,
+            } => {
+                let ending = Ending {
+                    at: record.at,
+                    outcome,
+                    target,
+                };
+                self.with(attempt, |story| story.ended = Some(ending));
             }
             Entry::Spoiled { attempt } => self.with(attempt, |story| story.spoiled = true),
             Entry::ToldToLeave { target } => {
@@ -103,7 +114,6 @@
             asked,
             asked_at,
             executed: None,
-            admitted_at: None,
             ended: None,
             spoiled: false,
         };
@@ -118,8 +128,8 @@
 
     fn judge_attempts(&self, violations: &mut Vec<Violation>) {
         for story in self.attempts.values() {
-            if let Some((at, outcome)) = story.ended {
-                self.judge_outcome(story, at, outcome, violations);
+            if let Some(ending) = &story.ended {
+                self.judge_outcome(story, ending, violations);
             }
         }
     }
@@ -127,12 +137,12 @@
     fn judge_outcome(
         &self,
         story: &AttemptStory,
-        at: Instant,
-        outcome: Outcome,
+        ending: &Ending,
         violations: &mut Vec<Violation>,
     ) {
+        let at = ending.at;
         let attempt = story.asked.attempt.0;
-        match outcome {
+        match ending.outcome {
             Outcome::NotRun if story.executed.is_some() => violations.push(Violation {
                 promise: Promise::NotRunMeansNotRun,
                 at,
@@ -147,17 +157,15 @@
                     });
                 }
             }
-            Outcome::Unknown | Outcome::Cut => self.judge_cut(story, at, violations),
+            Outcome::Unknown | Outcome::Cut => self.judge_cut(story, ending, violations),
             Outcome::NotRun | Outcome::GivenUp => {}
         }
     }
 
-    /// A request in progress may only be cut by a fault at its target.
-    fn judge_cut(&self, story: &AttemptStory, at: Instant, violations: &mut Vec<Violation>) {
-        let executed_at = story.executed.map(|(_, target)| target);
-        let Some(target) = executed_at.or(story.admitted_at) else {
-            return;
-        };
+    /// A request may only be cut by a fault at its target, whether it had
+    /// reached the target or not.
+    fn judge_cut(&self, story: &AttemptStory, ending: &Ending, violations: &mut Vec<Violation>) {
+        let Ending { at, target, .. } = *ending;
         let past_deadline = story
             .asked
             .deadline
@@ -185,7 +193,7 @@
             let Some(second) = executions.get(1) else {
                 continue;
             };
-            let last = story.executed.is_some_and(|(at, _)| at == *second);
+            let last = story.executed == Some(*second);
             if !asked.repeatable && last {
                 violations.push(Violation {
                     promise: Promise::AtMostOnce,
@@ -278,20 +286,3 @@
         format!("attempt {attempt} took another attempt's answer")
     }
 }
-
-fn judge_reversions(records: &[Record], violations: &mut Vec<Violation>) {
-    let mut in_force: BTreeMap<ProcessRun, Sequence> = BTreeMap::new();
-    for record in records {
-        let Entry::InForce { node, sequence } = record.entry else {
-            continue;
-        };
-        let before = in_force.insert(node, sequence).unwrap_or_default();
-        if sequence < before {
-            violations.push(Violation {
-                promise: Promise::NeverReverts,
-                at: record.at,
-                detail: format!("{:?} went from roll {before} to {sequence}", node.machine),
-            });
-        }
-    }
-}
--- a/crates/woodladder-lab/src/simulation/promise.rs
+++ b/crates/woodladder-lab/src/simulation/promise.rs
@@ -23,16 +23,18 @@
     PlannedStopKeepsRequests,
     /// A planned change cuts no feed.
     PlannedChangeKeepsFeeds,
-    /// A node never goes back to an earlier roll.
+    /// A node never goes back to an earlier roll, nor to one not accepted.
     NeverReverts,
     /// An accepted roll is soon in force at every sound node.
     SoonInForce,
     /// A refusal is sent in the instant in which it is decided.
     ImmediateRefusal,
+    /// An operator is told the truth about a roll.
+    TrueRollVerdict,
 }
 
 /// Every promise, in the order of reports.
-pub const PROMISES: [Promise; 10] = [
+pub const PROMISES: [Promise; 11] = [
     Promise::NotRunMeansNotRun,
     Promise::AtMostOnce,
     Promise::WholeOwnAnswer,
@@ -43,6 +45,7 @@
     Promise::NeverReverts,
     Promise::SoonInForce,
     Promise::ImmediateRefusal,
+    Promise::TrueRollVerdict,
 ];
 
 /// A promise that a run did not keep.
@@ -71,6 +74,7 @@
             Self::NeverReverts => "never-reverts",
             Self::SoonInForce => "soon-in-force",
             Self::ImmediateRefusal => "immediate-refusal",
+            Self::TrueRollVerdict => "true-roll-verdict",
         }
     }
 }
--- a/crates/woodladder-lab/src/simulation/report.rs
+++ b/crates/woodladder-lab/src/simulation/report.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use super::promise::{PROMISES, Violation};
+use super::seen::{SITUATIONS, Seen};
 
 /// What happened in one run.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
@@ -42,6 +43,8 @@
     pub counts: Counts,
     /// Greatest load of a service's targets over their mean load.
     pub imbalance: f64,
+    /// Situations that the run came into.
+    pub seen: BTreeMap<Seen, u64>,
     /// The events, when they were traced.
     pub trace: Option<Vec<String>>,
 }
@@ -53,6 +56,7 @@
     failed_runs: u64,
     violations: BTreeMap<&'static str, u64>,
     scenarios: BTreeMap<&'static str, ScenarioSummary>,
+    seen: BTreeMap<&'static str, u64>,
     failures: Vec<Failure>,
 }
 
@@ -105,6 +109,9 @@
                 detail: violation.detail.clone(),
             });
         }
+        for (seen, count) in &report.seen {
+            *self.seen.entry(seen.name()).or_default() += count;
+        }
         let scenario = self.scenarios.entry(report.scenario).or_default();
         scenario.add(report);
     }
@@ -121,6 +128,12 @@
         self.violations.get(promise).copied().unwrap_or_default()
     }
 
+    /// How often a situation was seen.
+    #[must_use]
+    pub fn times_seen(&self, seen: Seen) -> u64 {
+        self.seen.get(seen.name()).copied().unwrap_or_default()
+    }
+
     /// The report as JSON.
     ///
     /// # Errors
@@ -142,6 +155,11 @@
         for (name, scenario) in &self.scenarios {
             lines.push(scenario.line(name));
         }
+        lines.push("situations seen:".to_owned());
+        for seen in SITUATIONS {
+            let count = self.times_seen(*seen);
+            lines.push(format!("  {:<40} {count:>8}", seen.name()));
+        }
         for failure in &self.failures {
             lines.push(format!(
                 "failure: --seeds {}..{} --scenario {}: {:.6} s: {}: {}",
--- a/crates/woodladder-lab/src/simulation/scenario/balancers.rs
+++ b/crates/woodladder-lab/src/simulation/scenario/balancers.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use woodladder_core::bundle::Bundle;
+
 use super::{Draft, FAULTS_START};
 use crate::simulation::deployment::{
     BALANCERS, Deployment, FIRST_AGENTS, FIRST_SERVICE, SPARE_AGENT, SPARE_BALANCER, target_of,
@@ -70,39 +72,37 @@
     );
 }
 
-/// Balancers hold three different bundles at one time.
+/// Balancers hold three different bundles at one time: one hears of neither
+/// roll, one of the first only. Callers' packets go through all of them.
 pub fn three_bundles(draft: &mut Draft) {
     let site = draft.plan.site;
-    let at = FAULTS_START + draft.random.milliseconds(0, 3_000);
-    let time = Duration::from_secs(9);
-    draft.at(at, Fault::Freeze(Machine::Balancer(1), time));
+    let at = FAULTS_START + draft.random.milliseconds(0, 2_000);
+    let unaware = Machine::Balancer(1);
+    let behind = Machine::Balancer(2);
+    isolate(draft, at, unaware);
     draft.at(at, Fault::Start(Machine::Agent(SPARE_AGENT)));
-    let second = Deployment::initial(site)
-        .with(SPARE_AGENT, target_of(SPARE_AGENT), FIRST_SERVICE)
-        .bundle(2);
+    let second = Deployment::initial(site).with(SPARE_AGENT, target_of(SPARE_AGENT), FIRST_SERVICE);
     let rolled = at + Duration::from_secs(1);
-    draft.at(
-        rolled,
-        Fault::Roll {
-            operator: 0,
-            bundle: second,
-        },
-    );
-    let frozen = rolled + Duration::from_secs(2);
-    draft.at(frozen, Fault::Freeze(Machine::Balancer(2), time));
+    roll(draft, rolled, 0, second.bundle(2));
+    let isolated = rolled + Duration::from_secs(2);
+    isolate(draft, isolated, behind);
     let leaving = target_of(draft.random.pick(&FIRST_AGENTS).unwrap_or(1));
-    let third = Deployment::initial(site)
-        .with(SPARE_AGENT, target_of(SPARE_AGENT), FIRST_SERVICE)
-        .without(leaving)
-        .bundle(3);
-    let rolled = frozen + draft.random.milliseconds(500, 2_000);
-    draft.at(
-        rolled,
-        Fault::Roll {
-            operator: 1,
-            bundle: third,
-        },
-    );
+    let third = second.without(leaving);
+    let rolled = isolated + draft.random.milliseconds(500, 2_000);
+    roll(draft, rolled, 1, third.bundle(3));
+    // Long enough for agents to fence off what the first two still route by.
+    let mended = rolled + draft.random.milliseconds(2_000, 16_000);
+    draft.at(mended, Fault::Mend(unaware));
+    draft.at(mended, Fault::Mend(behind));
+}
+
+fn isolate(draft: &mut Draft, at: Duration, machine: Machine) {
+    let except = Machine::MachineList;
+    draft.at(at, Fault::Isolate { machine, except });
+}
+
+fn roll(draft: &mut Draft, at: Duration, operator: u8, bundle: Bundle) {
+    draft.at(at, Fault::Roll { operator, bundle });
 }
 
 /// Links from balancers to agents are cut in one direction.
--- a/crates/woodladder-lab/src/simulation/scenario/mod.rs
+++ b/crates/woodladder-lab/src/simulation/scenario/mod.rs
@@ -125,7 +125,7 @@
     },
     Scenario {
         name: "address-moves",
-        summary: "an address moves to another service while a balancer is frozen",
+        summary: "an address moves to another service or target while a balancer lags",
         draw: targets::address_moves,
     },
     Scenario {
@@ -262,6 +262,7 @@
                 pace: USUAL_PACE,
                 parallel: 2,
                 gives_up: 20,
+                ignores_notice: index % 5 == 4,
                 until: Instant::from_origin(CALLERS_END),
             });
         }
--- a/crates/woodladder-lab/src/simulation/scenario/rolls.rs
+++ b/crates/woodladder-lab/src/simulation/scenario/rolls.rs
@@ -33,6 +33,16 @@
         if draft.random.chance(500) {
             draft.at(frozen_at, Fault::Freeze(Machine::Operator(1), time));
         }
+        if round == 0 && draft.random.chance(300) {
+            // The service stays away for longer than a command tries to find
+            // out what came of its write.
+            let gone = StoreFaults {
+                down_at_swap: Some(draft.random.chance(500)),
+                ..StoreFaults::default()
+            };
+            draft.at(at, Fault::Store(gone));
+            return;
+        }
         at += draft.random.milliseconds(1_000, 8_000);
     }
 }
@@ -61,10 +71,31 @@
     );
     let joins = again - Duration::from_millis(50) + draft.random.milliseconds(0, 300);
     draft.at(joins, Fault::Start(Machine::Balancer(SPARE_BALANCER)));
-    // A node that lags behind is among those that the joiner asks.
-    let frozen = at - Duration::from_millis(500);
+    // One node lags behind, because only the joiner's traffic reaches it, and
+    // another, because it is frozen until the joiner is there.
+    let lagging = Machine::Agent(FIRST_AGENTS[0]);
+    let isolated = at - Duration::from_millis(500);
+    let joiner = Machine::Balancer(SPARE_BALANCER);
+    draft.at(
+        isolated,
+        Fault::Isolate {
+            machine: lagging,
+            except: joiner,
+        },
+    );
+    let mended = joins + draft.random.milliseconds(500, 4_000);
+    draft.at(mended, Fault::Mend(lagging));
     let time = draft.random.milliseconds(2_000, 9_000);
-    draft.at(frozen, Fault::Freeze(Machine::Balancer(1), time));
+    draft.at(isolated, Fault::Freeze(Machine::Balancer(1), time));
+    if draft.random.chance(500) {
+        let down = StoreFaults {
+            down: true,
+            ..StoreFaults::default()
+        };
+        let late = Duration::from_millis(40);
+        draft.at(joins.max(again + late), Fault::Store(down));
+        draft.at(mended, Fault::Store(StoreFaults::default()));
+    }
 }
 
 /// The machine list lags, names dead machines and omits live ones.
--- a/crates/woodladder-lab/src/simulation/scenario/store.rs
+++ b/crates/woodladder-lab/src/simulation/scenario/store.rs
@@ -45,6 +45,7 @@
         slow: draft.random.milliseconds(50, 900),
         rate_limit: 300,
         lost_write: 400,
+        lost_request: 100,
         ..StoreFaults::default()
     };
     draft.at(FAULTS_START, Fault::Store(faults));
--- a/crates/woodladder-lab/src/simulation/scenario/targets.rs
+++ b/crates/woodladder-lab/src/simulation/scenario/targets.rs
@@ -96,13 +96,27 @@
     draft.at(at, Fault::BackEnd(agent, faults));
 }
 
-/// An address moves to another service while a balancer is frozen.
+/// An address moves to another service, or to another target of its own,
+/// while a balancer is frozen or hears of no roll.
 pub fn address_moves(draft: &mut Draft) {
     let site = draft.plan.site;
     let moved = draft.random.pick(&FIRST_AGENTS).unwrap_or(1);
     let at = FAULTS_START + draft.random.milliseconds(0, 2_000);
     let frozen_for = draft.random.milliseconds(9_000, 16_000);
-    draft.at(at, Fault::Freeze(Machine::Balancer(1), frozen_for));
+    let balancer = Machine::Balancer(1);
+    if draft.random.chance(500) {
+        draft.at(at, Fault::Freeze(balancer, frozen_for));
+    } else {
+        let except = Machine::MachineList;
+        let machine = balancer;
+        draft.at(at, Fault::Isolate { machine, except });
+        draft.at(at + frozen_for, Fault::Mend(balancer));
+    }
+    let service = if draft.random.chance(300) {
+        FIRST_SERVICE
+    } else {
+        SECOND_SERVICE
+    };
     let stop_at = at + Duration::from_millis(300);
     draft.at(stop_at, Fault::Stop(Machine::Agent(moved)));
     let replaced_at = at + draft.random.milliseconds(2_000, 5_000);
@@ -113,12 +127,12 @@
         Fault::Replace {
             agent: moved,
             target: MOVED_TARGET,
-            service: SECOND_SERVICE,
+            service,
         },
     );
     let bundle = Deployment::initial(site)
         .without(target_of(moved))
-        .with(moved, MOVED_TARGET, SECOND_SERVICE)
+        .with(moved, MOVED_TARGET, service)
         .bundle(2);
     let early = draft.random.milliseconds(0, 3_000);
     let rolled_at = replaced_at + early - Duration::from_secs(1);
--- a/crates/woodladder-lab/src/simulation/secrets.rs
+++ b/crates/woodladder-lab/src/simulation/secrets.rs
@@ -1,5 +1,7 @@
 //! Keys that all nodes of a world share, and the operators' keys.
 
+use super::forgery::forger_key;
+use super::mutation::Mutation;
 use woodladder_core::keyed_tag::TagKey;
 use woodladder_core::signature::{OperatorKey, TrustedKeys};
 use woodladder_core::token::{TokenKey, TokenKeys};
@@ -20,13 +22,16 @@
     pub trusted: TrustedKeys,
 }
 
-impl Default for Secrets {
-    fn default() -> Self {
+impl Secrets {
+    /// The keys of a world.
+    #[must_use]
+    pub fn new(mutation: Option<Mutation>) -> Self {
         let current = TokenKey {
             number: 1,
             key: TagKey::new([1; 16]),
         };
         let operators = (0..OPERATORS).map(|number| operator_key(number).public());
+        let stranger = (mutation == Some(Mutation::TrustStranger)).then(|| forger_key().public());
         Self {
             tokens: TokenKeys {
                 current,
@@ -34,7 +39,7 @@
             },
             envelope: TagKey::new([2; 16]),
             control: TagKey::new([3; 16]),
-            trusted: TrustedKeys::new(operators.collect()),
+            trusted: TrustedKeys::new(operators.chain(stranger).collect()),
         }
     }
 }
--- a/crates/woodladder-lab/src/simulation/store.rs
+++ b/crates/woodladder-lab/src/simulation/store.rs
@@ -6,8 +6,7 @@
 
 use borsh::BorshDeserialize as _;
 use woodladder_core::clock::Instant;
-use woodladder_core::identifier::Sequence;
-use woodladder_core::roll_record::StoredRoll;
+use woodladder_core::roll_record::{RollStatement, StoredRoll};
 use woodladder_core::store_operation::{
     StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId,
 };
@@ -33,6 +32,11 @@
     pub rate_limit: u32,
     /// It executes a write and loses the answer.
     pub lost_write: u32,
+    /// It loses a request before it executes it.
+    pub lost_request: u32,
+    /// It goes down at the next swap of the roll in force: with its effect or
+    /// without.
+    pub down_at_swap: Option<bool>,
     /// It answers a blocking read late.
     pub watch_late: u32,
     /// It answers a blocking read twice.
@@ -69,7 +73,9 @@
     /// Answers.
     pub replies: Vec<Reply>,
     /// The roll that was accepted, if one was.
-    pub accepted: Option<Sequence>,
+    pub accepted: Option<RollStatement>,
+    /// Whether the answer to a write was lost.
+    pub lost: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -119,6 +125,9 @@
             let retry_after = Some(RETRY_AFTER);
             return self.only(client, StoreAnswer::RateLimited { retry_after });
         }
+        if self.random.chance(self.faults.lost_request) {
+            return self.only(client, StoreAnswer::Unknown);
+        }
         match operation {
             StoreOperation::Read { key, wait } => self.read(client, key, wait, now),
             StoreOperation::CompareAndSwap {
@@ -183,17 +192,29 @@
         if self.index_of(key) != expected {
             return self.only(client, StoreAnswer::Conflict);
         }
-        let accepted = accepted_sequence(key, &value);
+        let accepted = accepted_roll(key, &value);
+        let goes_down = self.faults.down_at_swap.filter(|_| accepted.is_some());
+        if let Some(effect) = goes_down {
+            self.faults.down = true;
+            if !effect {
+                return self.only(client, StoreAnswer::Unknown);
+            }
+        }
         self.last_index += 1;
         let index = StoreIndex(self.last_index);
         self.entries.insert(key, StoredEntry { index, value });
         let mut replies = self.fire_watches(key);
-        if self.random.chance(self.faults.lost_write) {
+        let lost = goes_down.is_some() || self.random.chance(self.faults.lost_write);
+        if lost {
             replies.push(self.reply(client, StoreAnswer::Unknown));
         } else {
             replies.push(self.reply(client, StoreAnswer::Written));
         }
-        Handled { replies, accepted }
+        Handled {
+            replies,
+            accepted,
+            lost,
+        }
     }
 
     fn fire_watches(&mut self, key: StoreKey) -> Vec<Reply> {
@@ -244,6 +265,7 @@
         Handled {
             replies: vec![self.reply(client, answer)],
             accepted: None,
+            lost: false,
         }
     }
 
@@ -256,11 +278,11 @@
     }
 }
 
-/// Sequence of the roll that a write accepts.
-fn accepted_sequence(key: StoreKey, value: &[u8]) -> Option<Sequence> {
+/// The roll that a write accepts.
+fn accepted_roll(key: StoreKey, value: &[u8]) -> Option<RollStatement> {
     if key != StoreKey::Current {
         return None;
     }
     let stored = StoredRoll::try_from_slice(value).ok()?;
-    Some(stored.record.sequence())
+    Some(stored.record.statement)
 }
--- a/crates/woodladder-lab/src/simulation/world/build.rs
+++ b/crates/woodladder-lab/src/simulation/world/build.rs
@@ -1,5 +1,6 @@
 //! Sets a world up from a plan.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use woodladder_core::admission::Identity;
@@ -41,7 +42,7 @@
             queue: EventQueue::default(),
             log: Log::default(),
             numbers: Numbers::default(),
-            secrets: Secrets::default(),
+            secrets: Secrets::new(options.mutation),
             mutation: options.mutation,
             network: Network::new(plan.site, random.fork()),
             fabric: Fabric::new(1..=SPARE_BALANCER, random.fork()),
@@ -72,9 +73,14 @@
     }
 
     fn add_operators(&mut self) {
+        let balancers = (1..=BALANCERS).map(Machine::Balancer);
+        let agents = FIRST_AGENTS.into_iter().chain(SECOND_AGENTS);
+        let nodes = balancers.chain(agents.map(Machine::Agent));
+        let nodes: Vec<SocketAddr> = nodes.map(Machine::control_address).collect();
         for number in 0..OPERATORS {
             let random = self.random.fork();
-            self.operators.push(Operator::new(number, random));
+            let operator = Operator::new(number, &self.secrets, nodes.clone(), random);
+            self.operators.push(operator);
         }
     }
 
--- a/crates/woodladder-lab/src/simulation/world/faults.rs
+++ b/crates/woodladder-lab/src/simulation/world/faults.rs
@@ -5,7 +5,6 @@
 
 use woodladder_core::admission::Identity;
 use woodladder_core::bundle::Bundle;
-use woodladder_core::control_message::{FRAME_VERSION, MAXIMUM_DATAGRAM};
 use woodladder_core::identifier::TargetId;
 
 use super::World;
@@ -18,6 +17,7 @@
 use crate::simulation::log::{Entry, ProcessRun};
 use crate::simulation::mutation::Mutation;
 use crate::simulation::node::Start;
+use crate::simulation::seen::Seen;
 use crate::simulation::store::StoreFaults;
 use crate::simulation::topology::Machine;
 
@@ -27,7 +27,6 @@
 const COLD_TIME: Duration = Duration::from_secs(5);
 /// Slowness above which the key-value service counts as out of reach.
 const SLOW_LIMIT: Duration = Duration::from_secs(1);
-const FORGED_DATAGRAMS: usize = 12;
 
 impl World {
     pub(super) fn apply(&mut self, fault: Fault) {
@@ -61,6 +60,7 @@
             Fault::DataLinks(faults) => self.network.data = faults,
             Fault::ControlLinks(faults) => self.network.control = faults,
             Fault::Cut(from, to) => self.cut(from, to),
+            Fault::Isolate { machine, except } => self.isolate(machine, except),
             Fault::Mend(machine) => self.mend(machine),
             Fault::List(faults) => self.list_faults = faults,
             Fault::Pace(pace) => {
@@ -130,7 +130,11 @@
     fn started(&mut self, process: ProcessRun) {
         let now = self.queue.now();
         self.list.changed(process.machine, true, now);
-        self.set_sound(process, true);
+        let sound = !self.network.is_cut_anywhere(process.machine);
+        self.set_sound(process, sound);
+        if self.store.faults.down {
+            self.log.see(Seen::JoinedInOutage);
+        }
         self.queue.after(Duration::ZERO, Event::ReadList(process));
         self.wake_later(process, now);
     }
@@ -320,6 +324,13 @@
         }
     }
 
+    fn isolate(&mut self, machine: Machine, except: Machine) {
+        self.network.isolate(machine, except);
+        if let Some(process) = self.process_on(machine) {
+            self.set_sound(process, false);
+        }
+    }
+
     fn mend(&mut self, machine: Machine) {
         let peers = self.network.mend(machine);
         let now = self.queue.now();
@@ -359,24 +370,4 @@
         };
         self.is_current(process).then_some(process)
     }
-
-    /// Sends bytes that bear no valid tag, an unknown version or are too long.
-    fn forge(&mut self) {
-        let machines: Vec<Machine> = (1..=BALANCERS)
-            .map(Machine::Balancer)
-            .chain(self.agents.keys().copied().map(Machine::Agent))
-            .collect();
-        for _ in 0..FORGED_DATAGRAMS {
-            let Some(to) = self.random.pick(&machines) else {
-                return;
-            };
-            let length = 1 + self.random.below(MAXIMUM_DATAGRAM + 200);
-            let mut bytes = vec![0; length];
-            bytes[0] = FRAME_VERSION + u8::from(self.random.chance(300));
-            for byte in bytes.iter_mut().skip(1) {
-                *byte = u8::try_from(self.random.below(256)).unwrap_or_default();
-            }
-            self.send_control(Machine::Operator(1), to.control_address(), &bytes);
-        }
-    }
 }
--- a/crates/woodladder-lab/src/simulation/world/handling.rs
+++ b/crates/woodladder-lab/src/simulation/world/handling.rs
@@ -196,6 +196,9 @@
             Machine::Agent(number) => self.with_agent(number, |process, back_end, around| {
                 process.receive_control(from, bytes, back_end, around);
             }),
+            Machine::Operator(number) => self.with_operator(number, |command, around| {
+                command.receive(from, bytes, around);
+            }),
             _ => {}
         }
     }
--- a/crates/woodladder-lab/src/simulation/world/measure.rs
+++ b/crates/woodladder-lab/src/simulation/world/measure.rs
@@ -1,15 +1,16 @@
 //! What is measured besides promises: broken flows and imbalance.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use woodladder_core::identifier::ServiceId;
+use woodladder_core::identifier::{Sequence, ServiceId};
 
 use super::World;
 use super::event::Event;
-use crate::simulation::log::{Entry, Outcome};
+use crate::simulation::log::{Entry, Log, Outcome, ProcessRun};
 use crate::simulation::promise::Violation;
 use crate::simulation::report::{Counts, RunReport};
+use crate::simulation::seen::Seen;
 
 /// Time between two samples of load.
 pub const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -22,8 +23,10 @@
 }
 
 impl World {
-    /// Samples the shares of busy slots at each service's targets.
+    /// Samples rolls in force, and the shares of busy slots at each service's
+    /// targets.
     pub(super) fn sample(&mut self) {
+        self.sample_rolls();
         let mut shares: BTreeMap<ServiceId, Vec<f64>> = BTreeMap::new();
         for machine in self.agents.values() {
             if machine.host.process.is_none() || !machine.back_end.is_up() {
@@ -40,8 +43,21 @@
         self.queue.after(SAMPLE_INTERVAL, Event::Sample);
     }
 
+    fn sample_rolls(&mut self) {
+        let running = self.balancers.values();
+        let running = running.filter_map(|host| host.process.as_ref());
+        let rolls: BTreeSet<Sequence> =
+            running.map(|balancer| balancer.node().sequence()).collect();
+        let rolls = rolls
+            .into_iter()
+            .filter(|sequence| *sequence > Sequence::default());
+        if rolls.count() >= 3 {
+            self.log.see(Seen::ThreeRolls);
+        }
+    }
+
     pub(super) fn report(
-        self,
+        mut self,
         scenario: &'static str,
         seed: u64,
         violations: Vec<Violation>,
@@ -57,12 +73,16 @@
         for record in self.log.records() {
             count(&record.entry, &mut counts);
         }
+        for _ in 0..older_first(&self.log) {
+            self.log.see(Seen::OlderFirst);
+        }
         RunReport {
             scenario,
             seed,
             violations,
             counts,
             imbalance: self.measures.imbalance(),
+            seen: self.log.seen().clone(),
             trace: self.trace,
         }
     }
@@ -87,6 +107,24 @@
     }
 }
 
+/// Nodes whose first roll was not the latest one accepted by then.
+fn older_first(log: &Log) -> usize {
+    let mut latest = Sequence::default();
+    let mut started: BTreeSet<ProcessRun> = BTreeSet::new();
+    let mut older = 0;
+    for record in log.records() {
+        match record.entry {
+            Entry::RollAccepted { sequence, .. } => latest = latest.max(sequence),
+            Entry::InForce { node, sequence, .. } => {
+                let first = started.insert(node);
+                older += usize::from(first && sequence < latest);
+            }
+            _ => {}
+        }
+    }
+    older
+}
+
 fn count(entry: &Entry, counts: &mut Counts) {
     match entry {
         Entry::Asked(_) => counts.attempts += 1,
--- a/crates/woodladder-lab/src/simulation/world/mod.rs
+++ b/crates/woodladder-lab/src/simulation/world/mod.rs
@@ -5,6 +5,7 @@
 mod event;
 mod fabric;
 mod faults;
+mod forging;
 mod handling;
 mod host;
 mod measure;
--- a/crates/woodladder-lab/src/simulation/world/outputs.rs
+++ b/crates/woodladder-lab/src/simulation/world/outputs.rs
@@ -14,6 +14,7 @@
 use crate::simulation::network::Traffic;
 use crate::simulation::operator::{self, Operator};
 use crate::simulation::output::Output;
+use crate::simulation::seen::Seen;
 use crate::simulation::store::{Client, Handled, Reply};
 use crate::simulation::topology::Machine;
 
@@ -89,7 +90,7 @@
         operation: woodladder_core::store_operation::StoreOperation,
     ) {
         let from = client.machine;
-        if self.network.is_cut(from, Machine::Store) || self.network.is_cut(Machine::Store, from) {
+        if self.is_cut_off_from_store(from) {
             let answer = StoreAnswer::Unknown;
             self.queue
                 .after(CUT_TIMEOUT, Event::StoreReply { client, answer });
@@ -100,10 +101,27 @@
             .after(delay, Event::StoreRequest { client, operation });
     }
 
+    fn is_cut_off_from_store(&self, machine: Machine) -> bool {
+        self.network.is_cut(machine, Machine::Store)
+            || self.network.is_cut(Machine::Store, machine)
+            || self.network.is_isolated(machine, Machine::Store)
+    }
+
     pub(super) fn store_handled(&mut self, handled: Handled) {
-        if let Some(sequence) = handled.accepted {
-            self.log
-                .add(self.queue.now(), Entry::RollAccepted { sequence });
+        if handled.lost {
+            self.log.see(Seen::LostWrite);
+        }
+        if self.store.faults.down {
+            let entry = Entry::StoreHealth { reachable: false };
+            self.log.add(self.queue.now(), entry);
+        }
+        if let Some(roll) = handled.accepted {
+            let entry = Entry::RollAccepted {
+                sequence: roll.sequence,
+                nonce: roll.nonce,
+                snapshot: roll.snapshot,
+            };
+            self.log.add(self.queue.now(), entry);
         }
         for reply in handled.replies {
             self.send_store_reply(reply);
@@ -112,6 +130,9 @@
 
     pub(super) fn send_store_reply(&mut self, reply: Reply) {
         let to = reply.client.machine;
+        if self.is_cut_off_from_store(to) {
+            return;
+        }
         let delay = reply.after + self.network.stream_delay(Machine::Store, to);
         let event = Event::StoreReply {
             client: reply.client,
@@ -196,9 +217,13 @@
             return;
         };
         let mut requests = Vec::new();
+        let mut datagrams = Vec::new();
         let mut around = operator::Surroundings {
             now,
+            log: &mut self.log,
             requests: &mut requests,
+            datagrams: &mut datagrams,
+            mutation: self.mutation,
         };
         act(operator, &mut around);
         let run = operator.run();
@@ -212,6 +237,9 @@
             };
             self.ask_store(client, operation);
         }
+        for (to, bytes) in datagrams {
+            self.send_control(machine, to, &bytes);
+        }
         if let Some(at) = next {
             let at = at.max(now + SHORTEST_WAKE);
             self.queue.at(at, Event::OperatorWake(number));
