--- a/crates/woodladder-core/tests/admission.rs
+++ b/crates/woodladder-core/tests/admission.rs
@@ -17,22 +17,22 @@
 
 use support::target_model::{TargetModel, envelope, first_envelope, first_route};
 use support::{
-    KITCHEN, PRINT, active, at, directory, first_datagram, keys, service_address, short_datagram,
+    ARCHIVE, ORDERS, active, at, directory, first_datagram, keys, service_address, short_datagram,
     target, target_address,
 };
 
 const FLOW: [u8; 8] = [7; 8];
 
-fn kitchen() -> Arc<Directory> {
-    directory(5, [active(1..8, KITCHEN), active(11..14, PRINT)].concat())
+fn orders() -> Arc<Directory> {
+    directory(5, [active(1..8, ORDERS), active(11..14, ARCHIVE)].concat())
 }
 
 fn only_target() -> Arc<Directory> {
-    directory(5, active([1], KITCHEN))
+    directory(5, active([1], ORDERS))
 }
 
 fn model(id: u32) -> TargetModel {
-    TargetModel::new(id, &kitchen(), AdmissionOptions::default())
+    TargetModel::new(id, &orders(), AdmissionOptions::default())
 }
 
 fn verdict(model: &mut TargetModel, envelope: Envelope) -> Verdict {
@@ -78,7 +78,7 @@
     /// Whatever comes, only packets of the own service and target pass.
     #[test]
     fn nothing_of_another_service_or_target_reaches_the_transport(
-        to_print: bool,
+        to_archive: bool,
         sequence in 0..9_u64,
         route in any_route(),
         named in prop::option::of(any_target()),
@@ -86,7 +86,7 @@
         key_number in 1..3_u8,
         busy in 0..20_u32,
     ) {
-        let service = if to_print { PRINT } else { KITCHEN };
+        let service = if to_archive { ARCHIVE } else { ORDERS };
         let id = named.map_or(vec![9; 20], |target| {
             keys(key_number).issue(target, [3; 7]).to_vec()
         });
@@ -100,7 +100,7 @@
                 Route::Established(target) | Route::Relay(target) => Some(*target),
                 Route::First(first) => first.current().map(|hop| hop.target),
             };
-            prop_assert!(!to_print);
+            prop_assert!(!to_archive);
             prop_assert_eq!(meant_for, own);
             prop_assert!(verified == own || (verified.is_none() && is_first));
             let opens = decision.verdict != Verdict::Deliver;
@@ -121,14 +121,14 @@
         targets.retain(|id| *id != 1);
         targets.insert(0, 1);
         let state = if by_bundle { TargetState::Leaving } else { TargetState::Active };
-        let known = directory(5, [vec![target(1, KITCHEN, state)], active(2..8, KITCHEN)].concat());
+        let known = directory(5, [vec![target(1, ORDERS, state)], active(2..8, ORDERS)].concat());
         let mut model = TargetModel::new(1, &known, AdmissionOptions::default()).with_busy(busy);
         model.conditions.takes_new_flows = by_bundle;
         let mut route = first_route(&targets, 0, last);
         if last {
             route.hops[0].load = Some(Load(500));
         }
-        let sent = envelope(KITCHEN, 5, Route::First(route));
+        let sent = envelope(ORDERS, 5, Route::First(route));
         let verdict = model.handle(sent, &first_datagram(&flow), at(0)).verdict;
         if last {
             prop_assert_eq!(verdict, Verdict::AcceptToDecline);
@@ -180,14 +180,14 @@
         let mut route = first_route(&[1, 2, 3], 2, false);
         route.hops[0].load = Some(Load(900));
         route.hops[1].load = Some(Load(load));
-        envelope(KITCHEN, 5, Route::First(route))
+        envelope(ORDERS, 5, Route::First(route))
     };
     let equal = verdict(&mut model(3).with_busy(8), stated(800));
     assert_eq!(equal, Verdict::Accept);
     let (to, route) = handed_on(verdict(&mut model(3).with_busy(8), stated(799)));
     assert_eq!(to, TargetId(2));
     assert!(route.last);
-    let sent_back = envelope(KITCHEN, 5, Route::First(route));
+    let sent_back = envelope(ORDERS, 5, Route::First(route));
     let taken = verdict(&mut model(2).with_busy(30), sent_back);
     assert_eq!(taken, Verdict::Accept);
 }
@@ -200,8 +200,8 @@
     };
     let mut route = first_route(&[1, 2], 1, false);
     route.hops[0].load = Some(Load(700));
-    let sent = envelope(KITCHEN, 5, Route::First(route));
-    let mut model = TargetModel::new(2, &kitchen(), options).with_busy(8);
+    let sent = envelope(ORDERS, 5, Route::First(route));
+    let mut model = TargetModel::new(2, &orders(), options).with_busy(8);
     assert_eq!(verdict(&mut model, sent), Verdict::Accept);
 }
 
@@ -264,10 +264,10 @@
 
 #[test]
 fn targets_that_the_own_directory_rules_out_are_not_asked() {
-    let leaving = target(2, KITCHEN, TargetState::Leaving);
+    let leaving = target(2, ORDERS, TargetState::Leaving);
     let known = directory(
         5,
-        [vec![leaving], active([1, 3], KITCHEN), active([4], PRINT)].concat(),
+        [vec![leaving], active([1, 3], ORDERS), active([4], ARCHIVE)].concat(),
     );
     let mut model = TargetModel::new(1, &known, AdmissionOptions::default()).with_busy(9);
     let (to, _) = handed_on(verdict(&mut model, first_envelope(4, &[1, 2, 4, 3])));
@@ -276,8 +276,8 @@
 
 #[test]
 fn a_flow_that_no_listed_target_can_take_goes_to_another() {
-    let leaving = [1, 2].map(|id| target(id, KITCHEN, TargetState::Leaving));
-    let known = directory(5, [leaving.to_vec(), active([3], KITCHEN)].concat());
+    let leaving = [1, 2].map(|id| target(id, ORDERS, TargetState::Leaving));
+    let known = directory(5, [leaving.to_vec(), active([3], ORDERS)].concat());
     let mut model = TargetModel::new(1, &known, AdmissionOptions::default());
     let (to, route) = handed_on(verdict(&mut model, first_envelope(4, &[1, 2])));
     assert_eq!(to, TargetId(3));
@@ -305,7 +305,7 @@
 #[test]
 fn a_moved_service_address_is_not_admitted() {
     let mut sent = first_envelope(5, &[1]);
-    sent.service_address = service_address(PRINT);
+    sent.service_address = service_address(ARCHIVE);
     let refused = verdict(&mut model(1), sent.clone());
     assert_eq!(refused, Verdict::Drop(AdmissionDrop::WrongService));
     sent.sequence = Sequence(6);
@@ -327,7 +327,7 @@
     let hint = Some(SequenceHint::SenderIsBehind(Sequence(4)));
     assert_eq!((decision.verdict, decision.hint), (stale, hint));
     let token = keys(1).issue(TargetId(1), [0; 7]);
-    let sent = envelope(KITCHEN, 4, Route::Established(TargetId(1)));
+    let sent = envelope(ORDERS, 4, Route::Established(TargetId(1)));
     let decision = model.handle(sent, &short_datagram(&token), beyond);
     assert_eq!((decision.verdict, decision.hint), (Verdict::Deliver, hint));
 }
@@ -338,7 +338,7 @@
     let now = at(60_000);
     model
         .admission
-        .adopt(directory(6, active(1..8, KITCHEN)), now);
+        .adopt(directory(6, active(1..8, ORDERS)), now);
     let mut decide = |sequence, flow: u8| {
         let datagram = first_datagram(&[flow; 8]);
         model.handle(first_envelope(sequence, &[1]), &datagram, now)
@@ -354,7 +354,7 @@
 fn relays_go_to_known_targets_of_the_service_only() {
     let relay = |id: u32, token_of: u32| {
         let token = keys(1).issue(TargetId(token_of), [0; 7]);
-        let sent = envelope(KITCHEN, 3, Route::Relay(TargetId(id)));
+        let sent = envelope(ORDERS, 3, Route::Relay(TargetId(id)));
         model(1)
             .handle(sent, &short_datagram(&token), at(0))
             .verdict
--- a/crates/woodladder-core/tests/admission_network.rs
+++ b/crates/woodladder-core/tests/admission_network.rs
@@ -12,7 +12,7 @@
 use woodladder_core::router::DEFAULT_HOPS;
 
 use support::target_model::{TargetModel, first_envelope};
-use support::{KITCHEN, active, at, directory, first_datagram};
+use support::{ORDERS, active, at, directory, first_datagram};
 
 const TARGETS: u32 = 6;
 /// Once along the list, and once along decisions on earlier copies, which
@@ -42,7 +42,7 @@
 
 impl Network {
     fn new(targets: &[Target]) -> Self {
-        let known = directory(1, active(1..=TARGETS, KITCHEN));
+        let known = directory(1, active(1..=TARGETS, ORDERS));
         let models = (1..).zip(targets).map(|(id, target)| {
             let options = AdmissionOptions::default();
             let mut model = TargetModel::new(id, &known, options).with_busy(target.busy);
--- a/crates/woodladder-core/tests/decoder.rs
+++ b/crates/woodladder-core/tests/decoder.rs
@@ -10,7 +10,7 @@
 use woodladder_core::snapshot::Snapshot;
 use woodladder_core::snapshot_delta::SnapshotDelta;
 
-use support::{KITCHEN, active, snapshot};
+use support::{ORDERS, active, snapshot};
 
 fn decode_all(bytes: &[u8]) {
     let _ = SignedBundle::try_from_slice(bytes);
@@ -31,7 +31,7 @@
         damages in vec((any::<prop::sample::Index>(), any::<u8>()), 1..4),
         cut: prop::sample::Index,
     ) {
-        let mut bytes = snapshot(None, active(1..8, KITCHEN)).encode();
+        let mut bytes = snapshot(None, active(1..8, ORDERS)).encode();
         for (position, value) in damages {
             let position = position.index(bytes.len());
             bytes[position] = value;
@@ -45,8 +45,8 @@
         before in prop::collection::btree_set(0..30_u32, 0..20),
         after in prop::collection::btree_set(0..30_u32, 0..20),
     ) {
-        let before = snapshot(None, active(before, KITCHEN));
-        let after = snapshot(Some(&before), active(after, KITCHEN));
+        let before = snapshot(None, active(before, ORDERS));
+        let after = snapshot(Some(&before), active(after, ORDERS));
         let delta = SnapshotDelta::between(&before, &after);
         let applied = delta.apply(&before, before.digest(), after.digest());
         prop_assert_eq!(applied, Ok(after));
--- a/crates/woodladder-core/tests/router.rs
+++ b/crates/woodladder-core/tests/router.rs
@@ -12,7 +12,7 @@
 use woodladder_core::router::{DEFAULT_HOPS, DropReason, Forward, Inbound, Router};
 
 use support::{
-    KITCHEN, PRINT, active, caller, directory, first_datagram, keys, service_address,
+    ARCHIVE, ORDERS, active, caller, directory, first_datagram, keys, service_address,
     short_datagram, snapshot, target, target_address,
 };
 
@@ -30,18 +30,18 @@
 }
 
 fn both_services() -> Arc<Directory> {
-    directory(5, [active(1..8, KITCHEN), active(11..14, PRINT)].concat())
+    directory(5, [active(1..8, ORDERS), active(11..14, ARCHIVE)].concat())
 }
 
 proptest! {
     #[test]
     fn arbitrary_datagrams_never_panic(datagram: Vec<u8>) {
-        let _ = route(&both_services(), KITCHEN, &datagram);
+        let _ = route(&both_services(), ORDERS, &datagram);
     }
 
     #[test]
-    fn a_first_packet_goes_to_targets_of_its_service(id: [u8; 12], to_print: bool) {
-        let service = if to_print { PRINT } else { KITCHEN };
+    fn a_first_packet_goes_to_targets_of_its_service(id: [u8; 12], to_archive: bool) {
+        let service = if to_archive { ARCHIVE } else { ORDERS };
         let directory = both_services();
         let forward = route(&directory, service, &first_datagram(&id)).expect("a target");
         let Route::First(first) = &forward.envelope.route else {
@@ -60,28 +60,28 @@
     #[test]
     fn a_token_of_another_service_goes_nowhere(nonce: [u8; 7]) {
         let token = keys(1).issue(TargetId(12), nonce);
-        let routed = route(&both_services(), KITCHEN, &short_datagram(&token));
+        let routed = route(&both_services(), ORDERS, &short_datagram(&token));
         prop_assert_eq!(routed, Err(DropReason::WrongService));
     }
 
     #[test]
     fn a_forged_token_goes_nowhere(token: [u8; 20]) {
-        let routed = route(&both_services(), KITCHEN, &short_datagram(&token));
+        let routed = route(&both_services(), ORDERS, &short_datagram(&token));
         prop_assert_eq!(routed, Err(DropReason::InvalidToken));
     }
 }
 
 #[test]
 fn established_flows_reach_removed_targets_and_new_ones_do_not() {
-    let before = snapshot(None, active(1..4, KITCHEN));
-    let after = snapshot(Some(&before), active(2..4, KITCHEN));
+    let before = snapshot(None, active(1..4, ORDERS));
+    let after = snapshot(Some(&before), active(2..4, ORDERS));
     let directory = Arc::new(Directory::new(Sequence(2), &after));
     let token = keys(1).issue(TargetId(1), [0; 7]);
-    let forward = route(&directory, KITCHEN, &short_datagram(&token)).expect("a lingering target");
+    let forward = route(&directory, ORDERS, &short_datagram(&token)).expect("a lingering target");
     assert_eq!(forward.to, target_address(TargetId(1)));
     for id in 0..100_u64 {
         let datagram = first_datagram(&id.to_be_bytes());
-        let forward = route(&directory, KITCHEN, &datagram).expect("a target");
+        let forward = route(&directory, ORDERS, &datagram).expect("a target");
         assert_ne!(forward.to, target_address(TargetId(1)));
     }
 }
@@ -89,18 +89,18 @@
 #[test]
 fn a_target_not_known_yet_is_reached_by_way_of_another() {
     let token = keys(1).issue(TargetId(99), [0; 7]);
-    let forward = route(&both_services(), KITCHEN, &short_datagram(&token)).expect("a relay");
+    let forward = route(&both_services(), ORDERS, &short_datagram(&token)).expect("a relay");
     assert_eq!(forward.envelope.route, Route::Relay(TargetId(99)));
 }
 
 #[test]
 fn leaving_targets_are_asked_only_when_there_are_no_others() {
-    let leaving = |id| target(id, KITCHEN, TargetState::Leaving);
-    let mixed = directory(1, [vec![leaving(1)], active(2..3, KITCHEN)].concat());
+    let leaving = |id| target(id, ORDERS, TargetState::Leaving);
+    let mixed = directory(1, [vec![leaving(1)], active(2..3, ORDERS)].concat());
     let all_leaving = directory(1, vec![leaving(1), leaving(2)]);
     let datagram = first_datagram(&[7; 8]);
-    let forward = route(&mixed, KITCHEN, &datagram).expect("a target");
+    let forward = route(&mixed, ORDERS, &datagram).expect("a target");
     assert_eq!(forward.to, target_address(TargetId(2)));
-    assert!(route(&all_leaving, KITCHEN, &datagram).is_ok());
-    assert_eq!(route(&mixed, PRINT, &datagram), Err(DropReason::NoTarget));
+    assert!(route(&all_leaving, ORDERS, &datagram).is_ok());
+    assert_eq!(route(&mixed, ARCHIVE, &datagram), Err(DropReason::NoTarget));
 }
--- a/crates/woodladder-core/tests/support/mod.rs
+++ b/crates/woodladder-core/tests/support/mod.rs
@@ -18,8 +18,8 @@
 use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
 use woodladder_core::token::{TokenKey, TokenKeys};
 
-pub const KITCHEN: ServiceId = ServiceId(1);
-pub const PRINT: ServiceId = ServiceId(2);
+pub const ORDERS: ServiceId = ServiceId(1);
+pub const ARCHIVE: ServiceId = ServiceId(2);
 
 pub fn at(milliseconds: u64) -> Instant {
     Instant::from_origin(Duration::from_millis(milliseconds))
@@ -65,7 +65,7 @@
 }
 
 pub fn snapshot(previous: Option<&Snapshot>, targets: Vec<Target>) -> Snapshot {
-    let services = [KITCHEN, PRINT].map(|id| Service {
+    let services = [ORDERS, ARCHIVE].map(|id| Service {
         id,
         name: format!("service-{id}"),
         addresses: vec![service_address(id)],
--- a/crates/woodladder-core/tests/support/target_model.rs
+++ b/crates/woodladder-core/tests/support/target_model.rs
@@ -13,7 +13,7 @@
 use woodladder_core::slow_start::EffectiveSlots;
 use woodladder_core::token::TOKEN_LENGTH;
 
-use super::{KITCHEN, caller, keys, service_address, target_address};
+use super::{ORDERS, caller, keys, service_address, target_address};
 
 pub const SLOTS: u16 = 10;
 
@@ -26,7 +26,7 @@
     pub fn new(id: u32, directory: &Arc<Directory>, options: AdmissionOptions) -> Self {
         let identity = Identity {
             target: TargetId(id),
-            service: KITCHEN,
+            service: ORDERS,
         };
         let mut admission = Admission::new(identity, keys(1), options);
         admission.adopt(Arc::clone(directory), Instant::ORIGIN);
@@ -85,5 +85,5 @@
 /// The envelope of a first packet to the first of these targets.
 pub fn first_envelope(sequence: u64, targets: &[u32]) -> Envelope {
     let route = first_route(targets, 0, targets.len() == 1);
-    envelope(KITCHEN, sequence, Route::First(route))
+    envelope(ORDERS, sequence, Route::First(route))
 }
