--- a/crates/woodladder-lab/src/demo/story.rs
+++ b/crates/woodladder-lab/src/demo/story.rs
@@ -1,5 +1,6 @@
 //! What happens in one deployment during the demo, step by step.
 
+use std::io;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep_until};
@@ -9,7 +10,7 @@
 use super::cluster::{Cluster, ClusterError};
 use super::evidence::{self, Times};
 use super::plan::{BACK_END_ADMIN_PORT, Machine};
-use super::process::StopResult;
+use super::process::{DemoProcess, StopResult};
 use super::report::DeploymentReport;
 use super::surge::Callers;
 use crate::stand_in::clock::unix_milliseconds;
@@ -57,113 +58,168 @@
 /// # Errors
 /// [`ClusterError`] when the deployment cannot be brought up.
 pub async fn run(
-    mut cluster: Cluster,
+    cluster: Cluster,
     surge: Duration,
     progress: Progress,
 ) -> Result<DeploymentReport, ClusterError> {
-    let client = administration()?;
-    let mut failures = Vec::new();
-    let mut times = Times::default();
-
-    progress.say("waiting for the processes");
-    cluster.wait_started(&client).await?;
-    cluster.sign_and_roll(1).await?;
-    cluster.wait_ready(&client).await?;
-    progress.say("bundle 1 is in force");
-
-    let mut callers = open_callers(&cluster)?;
-    let feeds = callers.open_feeds(&cluster).await;
-    progress.say(&format!(
-        "{} of {} feeds are open",
-        feeds.open, feeds.wanted
-    ));
-
-    times.surge_started = unix_milliseconds();
-    let start = Instant::now();
-    let mut requests = callers.start_surge(&cluster, start + surge);
-    progress.say("the surge has started");
-
-    sleep_until(start + surge.mul_f64(ROLL_AT)).await;
-    if let Err(error) = cluster.sign_and_roll(2).await {
-        failures.push(error.to_string());
+    let mut story = Story::new(cluster, surge, progress)?;
+    story.bring_up().await?;
+    story.open_feeds().await;
+    story.run_surge().await;
+    story.callers.end_feeds().await;
+    story.check_processes().await;
+    Ok(story.report().await)
+}
+
+/// A deployment on its way through the demo.
+struct Story {
+    cluster: Cluster,
+    client: Administration,
+    callers: Callers,
+    surge: Duration,
+    progress: Progress,
+    times: Times,
+    failures: Vec<String>,
+}
+
+impl Story {
+    fn new(cluster: Cluster, surge: Duration, progress: Progress) -> Result<Self, ClusterError> {
+        let client = Administration::new().map_err(io::Error::other)?;
+        let callers = Callers::new(&cluster).map_err(io::Error::other)?;
+        Ok(Self {
+            cluster,
+            client,
+            callers,
+            surge,
+            progress,
+            times: Times::default(),
+            failures: Vec::new(),
+        })
     }
-    let leaving = cluster.deployment.example.leaving_target;
-    leave(&cluster, &client, leaving, &mut times, &mut failures).await;
-    progress.say(&format!("bundle 2 is in force; target {leaving} leaves"));
-
-    sleep_until(start + surge.mul_f64(BALANCER_STOP_AT)).await;
-    cluster.balancers[STOPPED_BALANCER].terminate();
-    progress.say("balancer 1 was asked to stop");
-
-    sleep_until(start + surge.mul_f64(BACK_END_STOP_AT)).await;
-    let stopped = cluster.deployment.example.stopped_target;
-    leave(&cluster, &client, stopped, &mut times, &mut failures).await;
-    let agent = agent_position(&cluster, stopped);
-    if let Some(agent) = agent {
-        cluster.agents[agent].terminate();
+
+    /// Waits for the processes and rolls the first bundle.
+    async fn bring_up(&mut self) -> Result<(), ClusterError> {
+        self.progress.say("waiting for the processes");
+        self.cluster.wait_started(&self.client).await?;
+        self.cluster.sign_and_roll(1).await?;
+        self.cluster.wait_ready(&self.client).await?;
+        self.progress.say("bundle 1 is in force");
+        Ok(())
     }
-    progress.say(&format!(
-        "target {stopped} and its agent were asked to stop"
-    ));
-
-    while requests.join_next().await.is_some() {}
-    times.surge_ended = unix_milliseconds();
-    let feeds = callers.feed_count();
-    progress.say(&format!(
-        "the surge is over; {} of {} feeds are open",
-        feeds.open, feeds.wanted
-    ));
-    callers.end_feeds().await;
-
-    check_stops(&mut cluster, agent, &mut failures).await;
-    let logs = evidence::execution_logs(&cluster, &client).await;
-    let logs = logs.unwrap_or_else(|error| {
-        failures.push(format!("a back end's log cannot be read: {error}"));
-        Vec::new()
-    });
-    cluster.terminate();
-    progress.say("the logs are joined");
-    let report = evidence::report(&cluster, logs, callers.log(), &times, failures);
-    Ok(report)
-}
 
-/// Tells a back end to leave, and notes when.
-async fn leave(
-    cluster: &Cluster,
-    client: &Administration,
-    target: u32,
-    times: &mut Times,
-    failures: &mut Vec<String>,
-) {
-    let id = TargetId(target);
-    let Some(entry) = cluster.deployment.bundle.target(id) else {
-        failures.push(format!("target {target} is not in the bundle"));
-        return;
-    };
-    let address = Machine::of(entry.address).at(BACK_END_ADMIN_PORT);
-    times.leaving.insert(id, unix_milliseconds());
-    if let Err(error) = client.command(address, "/drain").await {
-        failures.push(format!("back end {target} was not told to leave: {error}"));
+    async fn open_feeds(&mut self) {
+        let feeds = self.callers.open_feeds(&self.cluster).await;
+        self.progress.say(&format!(
+            "{} of {} feeds are open",
+            feeds.open, feeds.wanted
+        ));
+    }
+
+    /// Runs the surge, with the planned changes in its middle.
+    async fn run_surge(&mut self) {
+        self.times.surge_started = unix_milliseconds();
+        let start = Instant::now();
+        let end = start + self.surge;
+        let mut requests = self.callers.start_surge(&self.cluster, end);
+        self.progress.say("the surge has started");
+
+        sleep_until(start + self.surge.mul_f64(ROLL_AT)).await;
+        self.roll_second_bundle().await;
+        sleep_until(start + self.surge.mul_f64(BALANCER_STOP_AT)).await;
+        self.cluster.balancers[STOPPED_BALANCER].terminate();
+        self.progress.say("balancer 1 was asked to stop");
+        sleep_until(start + self.surge.mul_f64(BACK_END_STOP_AT)).await;
+        self.stop_back_end().await;
+
+        while requests.join_next().await.is_some() {}
+        self.times.surge_ended = unix_milliseconds();
+        let feeds = self.callers.feed_count();
+        self.progress.say(&format!(
+            "the surge is over; {} of {} feeds are open",
+            feeds.open, feeds.wanted
+        ));
     }
-}
 
-/// Checks that the processes which were asked to stop ended by themselves.
-async fn check_stops(cluster: &mut Cluster, agent: Option<usize>, failures: &mut Vec<String>) {
-    let result = cluster.balancers[STOPPED_BALANCER].wait(STOP_LIMIT).await;
-    check_stop("balancer 1", result, failures);
-    if let Some(agent) = agent {
-        let result = cluster.agents[agent].wait(STOP_LIMIT).await;
-        check_stop("the stopped agent", result, failures);
+    async fn roll_second_bundle(&mut self) {
+        if let Err(error) = self.cluster.sign_and_roll(2).await {
+            self.failures.push(error.to_string());
+        }
+        let leaving = self.cluster.deployment.example.leaving_target;
+        self.tell_back_end_to_leave(leaving).await;
+        self.progress
+            .say(&format!("bundle 2 is in force; target {leaving} leaves"));
+    }
+
+    /// Stops a back end and the agent beside it as planned.
+    async fn stop_back_end(&mut self) {
+        let stopped = self.cluster.deployment.example.stopped_target;
+        self.tell_back_end_to_leave(stopped).await;
+        if let Some(agent) = self.stopped_agent() {
+            self.cluster.agents[agent].terminate();
+        }
+        self.progress.say(&format!(
+            "target {stopped} and its agent were asked to stop"
+        ));
     }
-    let nodes = cluster.balancers.iter_mut().enumerate();
-    let others = nodes.filter(|(index, _)| *index != STOPPED_BALANCER);
-    for (_, balancer) in others {
-        check_running(balancer, failures);
+
+    async fn tell_back_end_to_leave(&mut self, target: u32) {
+        let id = TargetId(target);
+        let Some(entry) = self.cluster.deployment.bundle.target(id) else {
+            self.failures
+                .push(format!("target {target} is not in the bundle"));
+            return;
+        };
+        let address = Machine::of(entry.address).at(BACK_END_ADMIN_PORT);
+        self.times.leaving.insert(id, unix_milliseconds());
+        if let Err(error) = self.client.command(address, "/drain").await {
+            self.failures
+                .push(format!("back end {target} was not told to leave: {error}"));
+        }
     }
-    for (index, running) in cluster.agents.iter_mut().enumerate() {
-        if Some(index) != agent {
-            check_running(running, failures);
+
+    /// Checks that the processes which were asked to stop ended by themselves,
+    /// and that no other has ended.
+    async fn check_processes(&mut self) {
+        let stopped = self.stopped_agent();
+        let balancer = &mut self.cluster.balancers[STOPPED_BALANCER];
+        let result = balancer.wait(STOP_LIMIT).await;
+        check_stop("balancer 1", result, &mut self.failures);
+        if let Some(agent) = stopped {
+            let result = self.cluster.agents[agent].wait(STOP_LIMIT).await;
+            check_stop("the stopped agent", result, &mut self.failures);
+        }
+        for (index, balancer) in self.cluster.balancers.iter_mut().enumerate() {
+            if index != STOPPED_BALANCER {
+                check_running(balancer, &mut self.failures);
+            }
         }
+        for (index, agent) in self.cluster.agents.iter_mut().enumerate() {
+            if Some(index) != stopped {
+                check_running(agent, &mut self.failures);
+            }
+        }
+    }
+
+    /// Stops everything and joins the logs.
+    async fn report(mut self) -> DeploymentReport {
+        let logs = evidence::execution_logs(&self.cluster, &self.client).await;
+        let logs = logs.unwrap_or_else(|error| {
+            self.failures
+                .push(format!("a back end's log cannot be read: {error}"));
+            Vec::new()
+        });
+        self.cluster.terminate();
+        self.progress.say("the logs are joined");
+        let callers = self.callers.log();
+        evidence::report(&self.cluster, logs, callers, &self.times, self.failures)
+    }
+
+    /// Position of the agent that is stopped.
+    fn stopped_agent(&self) -> Option<usize> {
+        let deployment = &self.cluster.deployment;
+        let stopped = TargetId(deployment.example.stopped_target);
+        let mut targets = deployment.bundle.targets.iter();
+        targets.position(|entry| entry.id == stopped)
     }
 }
 
@@ -175,21 +231,8 @@
     }
 }
 
-fn check_running(process: &mut super::process::DemoProcess, failures: &mut Vec<String>) {
+fn check_running(process: &mut DemoProcess, failures: &mut Vec<String>) {
     if let Ok(Some(status)) = process.ended() {
         failures.push(format!("{} ended too early: {status}", process.name));
     }
 }
-
-fn agent_position(cluster: &Cluster, target: u32) -> Option<usize> {
-    let mut targets = cluster.deployment.bundle.targets.iter();
-    targets.position(|entry| entry.id == TargetId(target))
-}
-
-fn administration() -> Result<Administration, ClusterError> {
-    Administration::new().map_err(|error| ClusterError::System(std::io::Error::other(error)))
-}
-
-fn open_callers(cluster: &Cluster) -> Result<Callers, ClusterError> {
-    Callers::new(cluster).map_err(|error| ClusterError::System(std::io::Error::other(error)))
-}
