Measure the memory of open flows at agents; limit the store's rate at scale

The key-value service of the hollow deployment refuses reads beyond 50 a second, and a first reading of the machine list is followed by one at a random phase: before, a window of 120 s held no reading of a list that is read every 490 s, so the bytes of 6,980 nodes came out too small.

--- a/crates/woodladder-lab/src/command/scale.rs
+++ b/crates/woodladder-lab/src/command/scale.rs
@@ -1,13 +1,15 @@
 //! `woodladder-lab scale`.
 
 use std::fmt;
+use std::io;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::Args;
 use serde::Serialize;
 use woodladder_lab::scale::{
-    Courses, DeploymentFigures, DeploymentSize, Scenario, Slopes, measure, measure_sockets,
+    Courses, DeploymentFigures, DeploymentSize, Scenario, Slopes, measure, measure_flows,
+    measure_sockets,
 };
 
 use super::time_text;
@@ -59,6 +61,9 @@
     /// Instead of hollow nodes run so many nodes over real loopback sockets.
     #[arg(long, value_name = "NODES")]
     sockets: Option<usize>,
+    /// Instead measure what so many open flows take at real agents.
+    #[arg(long, value_name = "FLOWS", conflicts_with = "sockets")]
+    flows: Option<usize>,
     /// Print JSON instead of a table.
     #[arg(long)]
     json: bool,
@@ -67,12 +72,20 @@
 impl ScaleCommand {
     /// Measures and prints.
     pub fn run(self) -> ExitCode {
-        match self.sockets {
-            Some(nodes) => self.run_sockets(nodes),
-            None => self.run_hollow(),
+        match (self.sockets, self.flows) {
+            (Some(nodes), _) => self.run_sockets(nodes),
+            (None, Some(count)) => self.run_flows(count),
+            (None, None) => self.run_hollow(),
         }
     }
 
+    fn run_flows(&self, count: usize) -> ExitCode {
+        self.report(wait_for(async {
+            let measured = measure_flows(count).await;
+            measured.map_err(|error| io::Error::other(error.to_string()))
+        }))
+    }
+
     /// The standard sizes with all courses.
     pub fn standard(json: bool) -> Self {
         Self {
@@ -84,14 +97,17 @@
             scenarios: Vec::new(),
             cut: STANDARD_CUT_TIME,
             sockets: None,
+            flows: None,
             json,
         }
     }
 
     fn run_sockets(&self, nodes: usize) -> ExitCode {
         let size = self.size(nodes, 0);
-        let measured = tokio::runtime::Runtime::new()
-            .and_then(|runtime| runtime.block_on(measure_sockets(size, SOCKET_ROLLS, STEADY)));
+        self.report(wait_for(measure_sockets(size, SOCKET_ROLLS, STEADY)))
+    }
+
+    fn report<T: fmt::Display + Serialize>(&self, measured: io::Result<T>) -> ExitCode {
         match measured {
             Ok(figures) => {
                 self.print(&figures);
@@ -146,6 +162,11 @@
     }
 }
 
+/// Runs a measurement on a runtime of its own.
+fn wait_for<T>(measurement: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    tokio::runtime::Runtime::new()?.block_on(measurement)
+}
+
 impl fmt::Display for Measured {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.figures.fmt(formatter)
--- a/crates/woodladder-lab/src/demo/process.rs
+++ b/crates/woodladder-lab/src/demo/process.rs
@@ -70,6 +70,12 @@
         self.child.try_wait()
     }
 
+    /// Identifier of the process while it runs.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Asks for a planned stop.
     pub fn terminate(&self) {
         self.signal(Signal::SIGTERM);
--- a/crates/woodladder-lab/src/scale/figures.rs
+++ b/crates/woodladder-lab/src/scale/figures.rs
@@ -30,8 +30,10 @@
     pub processor_share: f64,
     /// Share of a core of the node with most.
     pub greatest_processor_share: f64,
-    /// Reads a second of the key-value service by all nodes.
+    /// Reads a second of the key-value service by all nodes that it answered.
     pub store_reads_per_second: f64,
+    /// Reads that the key-value service refused for its rate limit.
+    pub store_reads_refused: u64,
     /// Seconds from a roll's acceptance until it is in force, over all nodes
     /// that ran and rolls; rolls from before the end of a cut only at nodes
     /// that had them before it.
@@ -80,6 +82,7 @@
     begin: Instant,
     rolls: u64,
     reads: u64,
+    refused: u64,
     settled_after: Option<Duration>,
     served: Option<Served>,
 }
@@ -97,6 +100,7 @@
             begin: world.now,
             rolls: world.last_sequence().0,
             reads: world.store.reads,
+            refused: world.store.refused,
             settled_after: None,
             served: None,
         }
@@ -133,6 +137,7 @@
             processor_share: processor.clone().sum::<f64>() / count / seconds,
             greatest_processor_share: processor.fold(0.0, f64::max) / seconds,
             store_reads_per_second: (world.store.reads - self.reads) as f64 / seconds,
+            store_reads_refused: world.store.refused - self.refused,
             in_force: world.in_force.spread(),
             caught_up: world.caught_up.spread(),
             ready: world.ready.spread(),
--- a/crates/woodladder-lab/src/scale/meter.rs
+++ b/crates/woodladder-lab/src/scale/meter.rs
@@ -33,7 +33,12 @@
 
 /// Resident memory of this process in bytes; zero when it cannot be read.
 pub(super) fn resident_memory() -> u64 {
-    let pages = std::fs::read_to_string("/proc/self/statm")
+    resident_memory_of(std::process::id())
+}
+
+/// Resident memory of a process in bytes; zero when it cannot be read.
+pub(super) fn resident_memory_of(process: u32) -> u64 {
+    let pages = std::fs::read_to_string(format!("/proc/{process}/statm"))
         .ok()
         .and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok())
         .unwrap_or_default();
--- a/crates/woodladder-lab/src/scale/mod.rs
+++ b/crates/woodladder-lab/src/scale/mod.rs
@@ -2,6 +2,7 @@
 //! codecs that the daemons run, many in one process, on a virtual clock.
 
 mod figures;
+mod flows;
 mod meter;
 mod network;
 mod node;
@@ -17,6 +18,7 @@
 mod world;
 
 pub use figures::{DeploymentFigures, ScenarioFigures, Served};
+pub use flows::{FlowFigures, measure_flows};
 pub use scenario::{Courses, Scenario};
 pub use size::{DeploymentSize, NodeIndex};
 pub use slopes::Slopes;
--- a/crates/woodladder-lab/src/scale/report.rs
+++ b/crates/woodladder-lab/src/scale/report.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::{DeploymentFigures, ScenarioFigures, Slopes, SocketFigures};
+use super::{DeploymentFigures, FlowFigures, ScenarioFigures, Slopes, SocketFigures};
 
 impl fmt::Display for DeploymentFigures {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -20,7 +20,7 @@
         )?;
         writeln!(
             formatter,
-            "{:<11} {:>7} {:>5} {:>7} {:>7} {:>6} {:>8} {:>8} {:>6} {:>17} {:>8} {:>17} {:>8} {:>7} {:>9}",
+            "{:<11} {:>7} {:>5} {:>7} {:>7} {:>6} {:>8} {:>8} {:>6} {:>7} {:>17} {:>8} {:>17} {:>8} {:>7} {:>9}",
             "scenario",
             "seconds",
             "rolls",
@@ -30,6 +30,7 @@
             "core %",
             "max %",
             "read/s",
+            "refused",
             "in force s",
             "caught up",
             "ready s",
@@ -63,7 +64,7 @@
         });
         write!(
             formatter,
-            "{:<11} {:>7.0} {:>5} {:>7.0} {:>7.0} {:>6.1} {:>8.4} {:>8.4} {:>6.2} {:>17} {:>8.2} {:>17} {:>8.0} {:>7} {:>9}",
+            "{:<11} {:>7.0} {:>5} {:>7.0} {:>7.0} {:>6.1} {:>8.4} {:>8.4} {:>6.2} {:>7} {:>17} {:>8.2} {:>17} {:>8.0} {:>7} {:>9}",
             format!("{:?}", self.scenario),
             self.virtual_seconds,
             self.rolls,
@@ -73,6 +74,7 @@
             self.processor_share * 100.0,
             self.greatest_processor_share * 100.0,
             self.store_reads_per_second,
+            self.store_reads_refused,
             format!(
                 "{:.2}/{:.2}/{:.2}",
                 in_force.median, in_force.p99, in_force.longest
@@ -104,3 +106,17 @@
         )
     }
 }
+
+impl fmt::Display for FlowFigures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{} flows with an open event stream at {} agents: {} bytes of resident memory a \
+             flow; an agent takes {} KB before them",
+            self.flows,
+            self.agents,
+            self.resident_bytes_per_flow,
+            self.resident_before / 1024,
+        )
+    }
+}
--- a/crates/woodladder-lab/src/scale/store.rs
+++ b/crates/woodladder-lab/src/scale/store.rs
@@ -1,5 +1,7 @@
 //! The key-value service of a run: the stand-in's contents, on the virtual
-//! clock, with an outage.
+//! clock, with a rate limit and an outage.
+
+use std::time::Duration;
 
 use woodladder_core::clock::Instant;
 use woodladder_core::store_operation::{
@@ -12,11 +14,22 @@
 /// Bytes of HTTP around each request and answer, nearly.
 const HTTP_OVERHEAD: u64 = 400;
 
+/// Requests a second that the service takes, and as many at once; an
+/// assumption.
+const REQUESTS_PER_SECOND: f64 = 50.0;
+/// How long the service asks a refused node to wait.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// The service.
 pub(super) struct ControlStore {
     state: StoreState,
     pub(super) down: bool,
+    /// Reads that were answered.
     pub(super) reads: u64,
+    /// Reads that were refused for the rate.
+    pub(super) refused: u64,
+    allowance: f64,
+    allowed_at: Instant,
 }
 
 impl ControlStore {
@@ -25,6 +38,9 @@
             state: StoreState::new(MAXIMUM_STORED_VALUE),
             down: false,
             reads: 0,
+            refused: 0,
+            allowance: REQUESTS_PER_SECOND,
+            allowed_at: Instant::ORIGIN,
         }
     }
 
@@ -49,6 +65,12 @@
         let StoreOperation::Read { key, .. } = operation else {
             return StoreAnswer::Conflict;
         };
+        if !self.allows(now) {
+            self.refused += 1;
+            return StoreAnswer::RateLimited {
+                retry_after: Some(RETRY_AFTER),
+            };
+        }
         self.reads += 1;
         let request = Request::Get { key: key.path() };
         match self.state.apply(request, now) {
@@ -62,6 +84,17 @@
         }
     }
 
+    fn allows(&mut self, now: Instant) -> bool {
+        let gained = now.since(self.allowed_at).as_secs_f64() * REQUESTS_PER_SECOND;
+        self.allowed_at = now;
+        self.allowance = (self.allowance + gained).min(REQUESTS_PER_SECOND);
+        let allowed = self.allowance >= 1.0;
+        if allowed {
+            self.allowance -= 1.0;
+        }
+        allowed
+    }
+
     fn put(&mut self, key: StoreKey, value: Vec<u8>, now: Instant) {
         let request = Request::Put {
             key: key.path(),
--- a/crates/woodladder-lab/src/scale/world.rs
+++ b/crates/woodladder-lab/src/scale/world.rs
@@ -270,7 +270,11 @@
         } else {
             LIST_PAUSE
         };
-        let wait = pause.mul_f64(self.random.random_range(0.75..1.25));
+        let first = self.now.since(self.nodes[index.0].started_at) <= SERVICE_DELAY;
+        // Nodes that started together would read the list together once more;
+        // measured is a deployment that has run for long.
+        let least = if first { 0.0 } else { 0.75 };
+        let wait = pause.mul_f64(self.random.random_range(least..1.25));
         self.push(self.now + wait, index, Delivery::ReadList);
         if !reachable {
             return;
