Turn new flows away from a back end whose health says that it leaves

Cause: a back end may begin to leave without a bundle or a signal; its health endpoint said so and nobody asked it, so it went on getting new flows. Not covered: requests on connections that are already open.

--- a/crates/woodladder-core/src/admission/mod.rs
+++ b/crates/woodladder-core/src/admission/mod.rs
@@ -65,8 +65,12 @@
     memory: FlowMemory,
     pending: PendingFlows,
     declines: DeclineWindow,
+    reluctant: bool,
 }
 
+/// Load added to that of a reluctant target: more than any real one.
+const RELUCTANT_LOAD: u32 = 1_000_000;
+
 impl Admission {
     /// Admission of a target that knows no directory yet.
     #[must_use]
@@ -80,9 +84,17 @@
             memory: FlowMemory::new(options.memory_time, options.memory_limit),
             pending: PendingFlows::new(options.pending_window),
             declines: DeclineWindow::new(options.decline_window),
+            reluctant: false,
         }
     }
 
+    /// Sets whether new flows are to go to other targets as long as one takes
+    /// them. Unlike a drain it refuses nothing, so a false alarm on every
+    /// target of a service costs no flow.
+    pub fn set_reluctant(&mut self, reluctant: bool) {
+        self.reluctant = reluctant;
+    }
+
     /// Takes a directory in; one that is not later than the one in force is
     /// ignored.
     pub fn adopt(&mut self, directory: Arc<Directory>, now: Instant) {
@@ -101,7 +113,12 @@
     /// Load of the target, flows whose first request is still to come included.
     pub fn load(&mut self, usage: &Usage, now: Instant) -> Load {
         let pending = self.pending.waiting(now);
-        usage.load(pending, self.options.connection_weight)
+        let load = usage.load(pending, self.options.connection_weight);
+        if self.reluctant {
+            Load(load.0.saturating_add(RELUCTANT_LOAD))
+        } else {
+            load
+        }
     }
 
     /// The transport has opened the flow's connection, and the usage counts it.
--- a/crates/woodladder-core/tests/admission.rs
+++ b/crates/woodladder-core/tests/admission.rs
@@ -192,6 +192,22 @@
     assert_eq!(taken, Verdict::Accept);
 }
 
+#[test]
+fn a_reluctant_target_takes_a_flow_only_when_no_other_does() {
+    let mut reluctant = model(1);
+    reluctant.admission.set_reluctant(true);
+    let (to, route) = handed_on(verdict(&mut reluctant, first_envelope(5, &[1, 2])));
+    assert_eq!(to, TargetId(2));
+
+    let mut also_reluctant = model(2).with_busy(1);
+    also_reluctant.admission.set_reluctant(true);
+    let sent = envelope(ORDERS, 5, Route::First(route));
+    let (to, route) = handed_on(verdict(&mut also_reluctant, sent));
+    assert_eq!(to, TargetId(1));
+    let sent_back = envelope(ORDERS, 5, Route::First(route));
+    assert_eq!(verdict(&mut reluctant, sent_back), Verdict::Accept);
+}
+
 #[test]
 fn a_margin_keeps_small_differences_from_a_return() {
     let options = AdmissionOptions {
--- a/crates/woodladder-lab/tests/stand_in_whole_path.rs
+++ b/crates/woodladder-lab/tests/stand_in_whole_path.rs
@@ -145,6 +145,7 @@
             target: target_id(position),
             service: SERVICE,
             back_end: back_end.address(),
+            health_path: Some("/health".to_owned()),
             egress: vec![self.fabric.egress_address()],
             keys: keys(),
             certificate: Certificate {
@@ -212,3 +213,37 @@
     let report = judge(&evidence, &settings);
     assert_eq!(report.violations, [], "{:?}", report.totals);
 }
+
+/// New flows in a row that must go to the other back end.
+const STEADY_FLOWS: u64 = 24;
+/// New flows after which the test gives up.
+const MOST_FLOWS: u64 = 2_000;
+
+#[tokio::test]
+async fn new_flows_leave_a_back_end_whose_health_says_that_it_leaves() {
+    let world = World::start().await;
+    let trust = EndpointsConfig::new(world.certificate.chain[0].clone());
+    let endpoints = CallerEndpoints::open(&trust).expect("endpoints");
+    let recorder = Arc::new(OutcomeRecorder::default());
+    let config = CallerConfig::new(world.fabric.service_addresses()[0], SERVICE_NAME);
+    world.back_ends[0].drain();
+
+    let ran_there = || world.back_ends[0].execution_log().executions.len();
+    let mut elsewhere = 0;
+    for id in 1..MOST_FLOWS {
+        let before = ran_there();
+        let caller = Caller::new(config.clone(), endpoints.clone(), Arc::clone(&recorder));
+        let outcome = caller.ask_once(Operation::change(id), 1).await;
+        assert_eq!(outcome, Outcome::Answered { defect: None });
+        elsewhere = if ran_there() == before {
+            elsewhere + 1
+        } else {
+            0
+        };
+        if elsewhere == STEADY_FLOWS {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("new flows kept going to the back end that leaves");
+}
--- a/crates/woodladder/src/agent/back_end.rs
+++ b/crates/woodladder/src/agent/back_end.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use http::request::Parts;
-use http::{Response, Uri};
+use http::{Response, StatusCode, Uri};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use volo_http::body::Body;
@@ -58,6 +58,14 @@
         matches!(connected, Ok(Ok(_)))
     }
 
+    /// Status of the answer to a `GET`, if one comes.
+    pub(super) async fn status_of(&self, path: &str) -> Option<StatusCode> {
+        let uri: Uri = path.parse().ok()?;
+        let request = self.client.get(uri).address(self.address);
+        let answer = request.send().await.ok()?;
+        Some(answer.status())
+    }
+
     /// Sends a request and waits for the head of its answer.
     pub(super) async fn send(
         &self,
--- a/crates/woodladder/src/agent/config.rs
+++ b/crates/woodladder/src/agent/config.rs
@@ -23,6 +23,9 @@
     pub service: ServiceId,
     /// Address where the back end answers HTTP/1.1.
     pub back_end: SocketAddr,
+    /// Path of the back end's health endpoint, where 503 means that it is
+    /// leaving; not asked when there is none.
+    pub health_path: Option<String>,
     /// Addresses of the fabric that take datagrams for callers; not empty.
     pub egress: Vec<SocketAddr>,
     /// Secrets shared with the other nodes.
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    /// The back end says whether it is leaving. Its word may be late or false,
+    /// so it only turns new flows to other targets.
+    pub(super) fn back_end_leaving(&self, leaving: bool) {
+        self.machines().admission.set_reluctant(leaving);
+    }
+
     /// Looks at the clock and at the directory in force.
     pub(super) fn tick(&self) {
         let now = self.now();
--- a/crates/woodladder/src/agent/handle.rs
+++ b/crates/woodladder/src/agent/handle.rs
@@ -27,6 +27,7 @@
 use super::counters::{AgentStatus, Counters};
 use super::egress::Egress;
 use super::gate::Gate;
+use super::health;
 use super::quic::{self, QuicConfigError};
 use super::request_desk::{self, RequestDesk};
 use super::shared::Shared;
@@ -134,7 +135,7 @@
             gate,
             shared,
         };
-        handle.spawn();
+        handle.spawn(config.health_path);
         Ok(handle)
     }
 }
@@ -201,13 +202,17 @@
         self.endpoint.wait_idle().await;
     }
 
-    fn spawn(&self) {
+    fn spawn(&self, health_path: Option<String>) {
         let gate = Arc::clone(&self.gate);
         let shared = Arc::clone(&self.shared);
         tokio::spawn(acceptor::run(self.endpoint.clone(), gate, shared));
         tokio::spawn(tick(Arc::downgrade(&self.shared.control)));
         let desk = Arc::downgrade(&self.shared.desk);
         tokio::spawn(request_desk::watch_clock(desk));
+        if let Some(path) = health_path {
+            let control = Arc::downgrade(&self.shared.control);
+            tokio::spawn(health::follow(self.shared.back_end.clone(), path, control));
+        }
     }
 }
 
--- a/crates/woodladder/src/agent/mod.rs
+++ b/crates/woodladder/src/agent/mod.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod handle;
 mod headers;
+mod health;
 mod marked_flows;
 mod outcome;
 mod permitted_body;
--- a/crates/woodladder/src/daemon/agent.rs
+++ b/crates/woodladder/src/daemon/agent.rs
@@ -108,6 +108,7 @@
         target: settings.target,
         service: settings.service,
         back_end: settings.back_end,
+        health_path: settings.health_path.clone(),
         egress: settings.fabric_egress.clone(),
         keys: AgentKeys {
             envelope: keys.envelope,
--- a/crates/woodladder/src/settings/agent.rs
+++ b/crates/woodladder/src/settings/agent.rs
@@ -37,6 +37,8 @@
     pub service: ServiceId,
     /// Address of the back end, for HTTP/1.1.
     pub back_end: SocketAddr,
+    /// Path of the back end's health endpoint, if it is to be asked.
+    pub health_path: Option<String>,
     /// Addresses of the fabric that take datagrams towards callers.
     pub fabric_egress: Vec<SocketAddr>,
     /// What callers are shown as certificate.
@@ -91,6 +93,7 @@
         let target = reader.required("target", value::identifier);
         let service = reader.required("service", value::identifier);
         let back_end = reader.required("back_end", value::peer_address);
+        let health_path = reader.optional("health_path", value::url_path);
         let fabric_egress = reader.required_list("fabric_egress", value::peer_address);
         let certificate = read_certificate(&mut reader);
         let limits = read_limits(&mut reader);
@@ -105,6 +108,7 @@
                 target: TargetId(target?),
                 service: ServiceId(service?),
                 back_end: back_end?,
+                health_path,
                 fabric_egress,
                 certificate: certificate?,
                 limits,
--- a/crates/woodladder/src/settings/flags.rs
+++ b/crates/woodladder/src/settings/flags.rs
@@ -141,6 +141,10 @@
     #[arg(long, value_name = "IP:PORT")]
     #[serde(skip_serializing_if = "Option::is_none")]
     pub back_end: Option<String>,
+    /// Path of the back end's health endpoint; 503 there means leaving
+    #[arg(long, value_name = "PATH")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
     /// Address of the fabric towards callers; may be given several times
     #[arg(long, value_name = "IP:PORT")]
     #[serde(skip_serializing_if = "Vec::is_empty")]
--- a/crates/woodladder/src/settings/value.rs
+++ b/crates/woodladder/src/settings/value.rs
@@ -24,6 +24,7 @@
 const RULE_COUNT: &str = "a count is a whole number above zero, within its range";
 const RULE_IDENTIFIER: &str = "an identifier is a whole number from 1 to 4294967295";
 const RULE_SERVER_NAME: &str = "a server name is 1 to 253 characters without spaces";
+const RULE_URL_PATH: &str = "a path of a URL begins with / and has no spaces";
 const RULE_PATH: &str = "a path must not be empty";
 const RULE_SWITCH: &str = "the value is true or false";
 const RULE_LEVEL: &str = "a log level is one of trace, debug, info, warning, error";
@@ -127,6 +128,16 @@
     Ok(PathBuf::from(text))
 }
 
+/// A path of a URL.
+pub fn url_path(text: &str) -> Result<String, &'static str> {
+    let plain = text.chars().all(|letter| letter.is_ascii_graphic());
+    if text.starts_with('/') && plain {
+        Ok(text.to_owned())
+    } else {
+        Err(RULE_URL_PATH)
+    }
+}
+
 /// Whether something is on.
 pub fn switch(text: &str) -> Result<bool, &'static str> {
     text.parse().map_err(|_| RULE_SWITCH)
--- a/crates/woodladder/tests/agent_support/mod.rs
+++ b/crates/woodladder/tests/agent_support/mod.rs
@@ -99,6 +99,7 @@
             target: target_id(position),
             service: SERVICE,
             back_end,
+            health_path: None,
             egress: vec![self.fabric.egress_address],
             keys: keys(),
             certificate: Certificate {
