--- a/crates/woodladder-core/src/admission/mod.rs
+++ b/crates/woodladder-core/src/admission/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::carrier::Packet;
 use crate::clock::Instant;
-use crate::directory::Directory;
+use crate::directory::{Directory, Standing};
 use crate::envelope::{Envelope, FirstRoute, Route};
 use crate::hop_list::{Load, flow_hash};
 use crate::identifier::{ServiceId, TargetId};
@@ -104,6 +104,16 @@
         }
     }
 
+    /// Takes a directory in that may be of the sequence in force, with other
+    /// targets available.
+    pub fn refresh(&mut self, directory: Arc<Directory>, now: Instant) {
+        if directory.sequence() == self.directory.sequence() {
+            self.directory = directory;
+        } else {
+            self.adopt(directory, now);
+        }
+    }
+
     /// The directory in force.
     #[must_use]
     pub fn directory(&self) -> &Arc<Directory> {
@@ -308,6 +318,7 @@
             Remembered::Accepted => Some(Verdict::Accept),
             Remembered::Declined => Some(Verdict::AcceptToDecline),
             Remembered::Refused(reason) => Some(Verdict::Refuse(reason)),
+            Remembered::HandedOn { to, .. } if self.is_unavailable(to.target) => None,
             Remembered::HandedOn { to, last } => {
                 let route = position.repeat(&to, last)?;
                 Some(hand_on(envelope, to.address, route))
@@ -315,6 +326,13 @@
         }
     }
 
+    /// Whether a target is known to take no new flows at the moment. A flow
+    /// that was handed on to it goes elsewhere when its packets come again.
+    fn is_unavailable(&self, target: TargetId) -> bool {
+        let entry = self.directory.target(target);
+        entry.is_some_and(|entry| matches!(entry.standing, Standing::Unavailable(_)))
+    }
+
     fn carry_out(
         &mut self,
         choice: Choice,
--- a/crates/woodladder-core/src/control_message.rs
+++ b/crates/woodladder-core/src/control_message.rs
@@ -8,8 +8,11 @@
 //! | 3..11 | SipHash-2-4 tag over the payload |
 //! | 11.. | payload (borsh) |
 
+use std::net::SocketAddr;
+
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use crate::availability::Report;
 use crate::chunk_set::ChunkSet;
 use crate::digest::Digest;
 use crate::identifier::Sequence;
@@ -33,6 +36,9 @@
 /// Peers that one digest message names at most.
 pub const MAXIMUM_SAMPLE: usize = 4;
 
+/// Reports that one message carries at most.
+pub const MAXIMUM_REPORTS: usize = 32;
+
 /// Bytes of the payload that tell which message it is.
 const VARIANT_LENGTH: usize = 1;
 const LENGTH_START: usize = 1;
@@ -57,6 +63,12 @@
     StatusRequest(StatusRequest),
     /// The sender's status.
     StatusReply(StatusReply),
+    /// What the sender knows of targets' agents.
+    Reports(Reports),
+    /// Asks the receiver to probe a node that does not answer the sender.
+    ProbeRequest(ProbeRequest),
+    /// The node that the receiver asked about answers the sender.
+    ProbeConfirmed(ProbeConfirmed),
 }
 
 /// What a node has in force, and some of the nodes that it hears from.
@@ -72,6 +84,10 @@
     pub snapshot: Digest,
     /// Whether the message asks for an answer or is one.
     pub exchange: Exchange,
+    /// What the sender says of its target; none when it is no agent.
+    pub own: Option<Report>,
+    /// Fingerprint of the marked targets at the sender.
+    pub marks: u64,
     /// Nodes that the sender heard from lately, at most [`MAXIMUM_SAMPLE`].
     pub sample: Vec<Peer>,
 }
@@ -227,6 +243,27 @@
     pub rejections: u64,
 }
 
+/// What a node knows of targets' agents, in part.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub struct Reports {
+    /// At most [`MAXIMUM_REPORTS`].
+    pub reports: Vec<Report>,
+}
+
+/// Asks a node to probe another.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ProbeRequest {
+    /// Control address of the node to be probed.
+    pub control: SocketAddr,
+}
+
+/// Says that a node answered which the receiver asked to have probed.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ProbeConfirmed {
+    /// Control address of the node that answered.
+    pub control: SocketAddr,
+}
+
 /// Why bytes are not a control message.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum FrameError {
@@ -289,6 +326,7 @@
                 request.limit <= MAXIMUM_CHUNKS_PER_REQUEST && request.wanted.is_within_limits()
             }
             Self::CopyChunk(chunk) => chunk.bytes.len() <= CHUNK_LENGTH,
+            Self::Reports(batch) => batch.reports.len() <= MAXIMUM_REPORTS,
             _ => true,
         }
     }
--- a/crates/woodladder-core/src/directory.rs
+++ b/crates/woodladder-core/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::bundle::TargetState;
 use crate::hop_list::Candidate;
@@ -55,6 +55,9 @@
     InBundle(TargetState),
     /// Removed by an earlier roll; takes no new work.
     Retired,
+    /// In the bundle with this state, but its agent is known to take no new
+    /// flows at the moment.
+    Unavailable(TargetState),
 }
 
 impl Standing {
@@ -63,6 +66,13 @@
     pub fn takes_new_flows(self) -> bool {
         self == Self::InBundle(TargetState::Active)
     }
+
+    fn unavailable(self) -> Self {
+        match self {
+            Self::InBundle(state) => Self::Unavailable(state),
+            Self::Retired | Self::Unavailable(_) => self,
+        }
+    }
 }
 
 impl Directory {
@@ -79,6 +89,32 @@
         directory
     }
 
+    /// The same directory with some targets marked as unavailable. Marks are
+    /// ignored in a service that would keep no candidate. The standing of the
+    /// node's own target stays as it is.
+    #[must_use]
+    pub fn with_unavailable(
+        &self,
+        unavailable: &FxHashSet<TargetId>,
+        own: Option<TargetId>,
+    ) -> Self {
+        let mut marked = self.clone();
+        for entry in marked.services.values_mut() {
+            let is_available = |one: &Candidate| !unavailable.contains(&one.target);
+            if !entry.candidates.iter().any(is_available) {
+                continue;
+            }
+            let lost = entry.candidates.iter().filter(|one| !is_available(one));
+            for candidate in lost.filter(|one| Some(one.target) != own) {
+                if let Some(target) = marked.targets.get_mut(&candidate.target) {
+                    target.standing = target.standing.unavailable();
+                }
+            }
+            entry.candidates.retain(is_available);
+        }
+        marked
+    }
+
     /// Sequence of the roll that put the snapshot in force.
     #[must_use]
     pub fn sequence(&self) -> Sequence {
--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -8,11 +8,12 @@
 //! | --- | --- |
 //! | identity and time | [`identifier`], [`clock`], [`finding`], [`digest`], [`signature`] |
 //! | configuration | [`bundle`], [`bundle_source`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
-//! | control plane | [`control_message`], [`chunk_set`], [`membership`], [`replica`], [`store_operation`], [`roll_command`] |
+//! | control plane | [`control_message`], [`chunk_set`], [`membership`], [`replica`], [`store_operation`], [`availability`], [`roll_command`] |
 //! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
 //! | work of a target | [`admission`], [`request`], [`drain`], [`load`], [`slow_start`] |
 
 pub mod admission;
+pub mod availability;
 pub mod bundle;
 pub mod bundle_source;
 pub mod carrier;
--- /dev/null
+++ b/crates/woodladder-core/src/replica/availability.rs
@@ -0,0 +1,337 @@
+//! Spreads what is known of targets' agents, and tells the data path which
+//! targets are to get no new flows.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng as _;
+use rustc_hash::FxHashSet;
+
+use crate::availability::{
+    Availability, AvailabilityTable, Hearing, Learned, OwnAvailability, Report, Rumors,
+};
+use crate::clock::Instant;
+use crate::control_message::{ControlMessage, DigestMessage, MAXIMUM_REPORTS, Reports};
+use crate::directory::Standing;
+use crate::identifier::TargetId;
+use crate::replica::pace::Pace;
+use crate::replica::probing::Probing;
+use crate::replica::store_reader::jittered;
+use crate::replica::{Action, Replica, ReplicaSettings};
+
+/// Times that a node passes on what it learned from others.
+const RELAY_SENDS: u8 = 2;
+/// Times that a node passes on what it says itself.
+const ANNOUNCEMENT_SENDS: u8 = 4;
+/// Nodes that each of these goes to.
+const FANOUT: usize = 4;
+/// Longest time for which a node gathers news before it passes them on.
+const GATHERING_TIME: Duration = Duration::from_millis(50);
+/// Mean time until the same news are passed on again.
+const REPEAT_TIME: Duration = Duration::from_millis(400);
+/// Time until news are tried again that could not be passed on.
+const RETRY_TIME: Duration = Duration::from_millis(300);
+/// Least time between two directories for the data path.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a marked target's agent is probed again: between this and
+/// this with the spread.
+const RECHECK_TIME: Duration = Duration::from_secs(20);
+const RECHECK_SPREAD: Duration = Duration::from_secs(10);
+
+/// What a replica knows of targets' agents.
+#[derive(Clone, Debug)]
+pub(super) struct AvailabilityState {
+    pub(super) own: Option<OwnAvailability>,
+    pub(super) table: AvailabilityTable,
+    pub(super) probing: Probing,
+    pub(super) pace: Pace,
+    rumors: Rumors,
+    refreshed: Instant,
+    refresh_at: Option<Instant>,
+}
+
+impl AvailabilityState {
+    pub(super) fn new(settings: &ReplicaSettings, now: Instant) -> Self {
+        let own = settings.served;
+        let own = own.map(|served| OwnAvailability::new(served, settings.control));
+        let mut rumors = Rumors::default();
+        if let Some(own) = &own {
+            rumors.add(own.report().target, ANNOUNCEMENT_SENDS, now);
+        }
+        Self {
+            own,
+            table: AvailabilityTable::default(),
+            probing: Probing::default(),
+            pace: Pace::new(settings.tuning.report_bytes_per_second, now),
+            rumors,
+            refreshed: now,
+            refresh_at: None,
+        }
+    }
+
+    pub(super) fn next_wakeup(&self) -> Option<Instant> {
+        let wakeups = [
+            self.rumors.next(),
+            self.table.next_recheck(),
+            self.probing.next_wakeup(),
+            self.refresh_at,
+        ];
+        wakeups.into_iter().flatten().min()
+    }
+
+    /// Fingerprint of the marks, the own one included.
+    pub(super) fn fingerprint(&self) -> u64 {
+        let own = self.own.as_ref();
+        self.table.fingerprint() ^ own.map_or(0, |own| own.report().fingerprint())
+    }
+
+    /// Targets that are to get no new flows.
+    fn marked(&self) -> impl Iterator<Item = TargetId> {
+        let own = self.own.iter().map(OwnAvailability::report);
+        let own = own.filter(|own| own.availability.diverts());
+        self.table.marked().chain(own.map(|own| own.target))
+    }
+
+    fn report(&self, target: TargetId) -> Option<Report> {
+        let own = self.own.iter().map(OwnAvailability::report);
+        let mut own = own.filter(|own| own.target == target);
+        own.next().or_else(|| self.table.report(target)).copied()
+    }
+
+    fn marks_changed(&mut self, now: Instant) {
+        let at = now.max(self.refreshed + REFRESH_INTERVAL);
+        self.refresh_at.get_or_insert(at);
+    }
+}
+
+impl Replica {
+    /// Targets that are known to take no new flows, the own one included.
+    #[must_use]
+    pub fn marked_targets(&self) -> usize {
+        self.availability.marked().count()
+    }
+
+    /// Whether a target is known to take no new flows.
+    #[must_use]
+    pub fn is_marked(&self, target: TargetId) -> bool {
+        self.availability.marked().any(|marked| marked == target)
+    }
+
+    /// Says of the own target whether it takes new flows.
+    pub(super) fn announce(&mut self, availability: Availability, now: Instant) {
+        let Some(own) = &mut self.availability.own else {
+            return;
+        };
+        if !own.set(availability) {
+            return;
+        }
+        let target = own.report().target;
+        self.availability
+            .rumors
+            .add(target, ANNOUNCEMENT_SENDS, now);
+        self.availability.marks_changed(now);
+    }
+
+    /// Takes reports that another node passed on.
+    pub(super) fn handle_reports(&mut self, from: SocketAddr, batch: &Reports, now: Instant) {
+        let reports = batch.reports.iter();
+        let newer: Vec<Report> = reports
+            .filter_map(|report| self.take_report(*report, now))
+            .collect();
+        self.send_reports(from, newer, now);
+    }
+
+    /// Takes what a digest message says of its sender's target and marks.
+    pub(super) fn compare_marks(&mut self, from: SocketAddr, digest: &DigestMessage, now: Instant) {
+        let own = digest.own;
+        let own = own.filter(|own| own.control == digest.sender.control);
+        let mut differing: Vec<Report> = own
+            .and_then(|own| self.take_report(own, now))
+            .into_iter()
+            .collect();
+        if digest.marks != self.availability.fingerprint() {
+            differing.extend(self.some_marks());
+            differing.truncate(MAXIMUM_REPORTS);
+        }
+        self.send_reports(from, differing, now);
+    }
+
+    /// Calls a target's agent unreachable.
+    pub(super) fn accuse(&mut self, target: TargetId, now: Instant) {
+        let Some(known) = self.availability.table.report(target) else {
+            return;
+        };
+        let report = Report {
+            availability: Availability::Unreachable,
+            ..*known
+        };
+        self.counters.accusations += 1;
+        self.learn(report, ANNOUNCEMENT_SENDS, now);
+    }
+
+    /// Forgets what is known of targets that the roll in force removed.
+    pub(super) fn forget_removed_targets(&mut self) {
+        let Some(installed) = &self.installed else {
+            return;
+        };
+        let directory = &installed.directory;
+        let table = &mut self.availability.table;
+        let marked: FxHashSet<TargetId> = table.marked().collect();
+        let full = table.is_full();
+        table.retain(|target| match directory.target(target) {
+            Some(entry) => entry.standing != Standing::Retired,
+            None => !full && !marked.contains(&target),
+        });
+    }
+
+    /// Does what is due.
+    pub(super) fn run_availability(&mut self, now: Instant) {
+        self.run_probing(now);
+        self.run_rechecks(now);
+        self.run_rumors(now);
+        if self.availability.refresh_at.is_some_and(|at| at <= now) {
+            self.refresh(now);
+        }
+    }
+
+    /// Gives the data path a directory with the marks as they are.
+    pub(super) fn refresh(&mut self, now: Instant) {
+        self.availability.refresh_at = None;
+        self.availability.refreshed = now;
+        let Some(installed) = &self.installed else {
+            return;
+        };
+        let marked: FxHashSet<TargetId> = self.availability.marked().collect();
+        let own = self.settings.served.map(|served| served.target);
+        let directory = installed.directory.with_unavailable(&marked, own);
+        self.actions.push(Action::Refresh(Arc::new(directory)));
+    }
+
+    /// Takes a report; returns a newer one when there is one.
+    fn take_report(&mut self, report: Report, now: Instant) -> Option<Report> {
+        if let Some(own) = &mut self.availability.own
+            && own.report().target == report.target
+        {
+            let hearing = own.hear(&report);
+            let own = *own.report();
+            return self.answer_hearing(hearing, own, now);
+        }
+        if report.availability.diverts() && !self.may_be_marked(report.target) {
+            return None;
+        }
+        match self.learn(report, RELAY_SENDS, now) {
+            Learned::Outdated(known) => Some(known),
+            Learned::New { .. } | Learned::Known | Learned::Full => None,
+        }
+    }
+
+    fn answer_hearing(&mut self, hearing: Hearing, own: Report, now: Instant) -> Option<Report> {
+        match hearing {
+            Hearing::Known | Hearing::Replaced => None,
+            Hearing::Outdated => Some(own),
+            Hearing::Refuted => {
+                self.counters.refutations += 1;
+                self.availability
+                    .rumors
+                    .add(own.target, ANNOUNCEMENT_SENDS, now);
+                Some(own)
+            }
+        }
+    }
+
+    /// Marks matter only for targets of the bundle in force.
+    fn may_be_marked(&self, target: TargetId) -> bool {
+        let Some(installed) = &self.installed else {
+            return true;
+        };
+        let entry = installed.directory.target(target);
+        entry.is_some_and(|entry| entry.standing != Standing::Retired)
+    }
+
+    fn learn(&mut self, report: Report, sends: u8, now: Instant) -> Learned {
+        if self.availability.table.is_full() {
+            self.forget_removed_targets();
+        }
+        let recheck = now + self.recheck_time();
+        let learned = self.availability.table.learn(report, recheck);
+        if let Learned::New { marks_changed } = learned {
+            let due = now + jittered(GATHERING_TIME / 2, &mut self.random);
+            self.availability.rumors.add(report.target, sends, due);
+            if marks_changed {
+                self.availability.marks_changed(now);
+            }
+        }
+        learned
+    }
+
+    fn run_rechecks(&mut self, now: Instant) {
+        loop {
+            let again = now + self.recheck_time();
+            let Some(report) = self.availability.table.take_recheck(now, again) else {
+                return;
+            };
+            self.probe_again(report.control, now);
+        }
+    }
+
+    fn run_rumors(&mut self, now: Instant) {
+        if self
+            .availability
+            .rumors
+            .next()
+            .is_none_or(|next| next > now)
+        {
+            return;
+        }
+        let due = self.availability.rumors.take_due(MAXIMUM_REPORTS, now);
+        let reports = due.iter();
+        let reports: Vec<Report> = reports
+            .filter_map(|target| self.availability.report(*target))
+            .collect();
+        let mut sent = false;
+        for control in self.members.pick(FANOUT, &mut self.random) {
+            sent |= self.send_reports(control, reports.clone(), now);
+        }
+        for target in due {
+            if sent {
+                let again = now + jittered(REPEAT_TIME, &mut self.random);
+                self.availability.rumors.sent(target, again);
+            } else {
+                self.availability.rumors.postpone(target, now + RETRY_TIME);
+            }
+        }
+    }
+
+    /// Sends reports if there are any and the rate allows for it.
+    fn send_reports(&mut self, to: SocketAddr, reports: Vec<Report>, now: Instant) -> bool {
+        if reports.is_empty() {
+            return false;
+        }
+        let message = ControlMessage::Reports(Reports { reports });
+        let length = message.datagram_length();
+        if !self.availability.pace.take(length, now) {
+            return false;
+        }
+        self.counters.report_bytes_sent += length as u64;
+        self.send(to, message);
+        true
+    }
+
+    /// Marks from a random place in their order, as many as a message carries.
+    fn some_marks(&mut self) -> Vec<Report> {
+        let marked: Vec<TargetId> = self.availability.marked().collect();
+        if marked.is_empty() {
+            return Vec::new();
+        }
+        let start = self.random.random_range(0..marked.len());
+        let from_start = marked[start..].iter().chain(&marked[..start]);
+        let some = from_start.take(MAXIMUM_REPORTS);
+        some.filter_map(|target| self.availability.report(*target))
+            .collect()
+    }
+
+    fn recheck_time(&mut self) -> Duration {
+        RECHECK_TIME + RECHECK_SPREAD.mul_f64(self.random.random_range(0.0..1.0))
+    }
+}
--- a/crates/woodladder-core/src/replica/counters.rs
+++ b/crates/woodladder-core/src/replica/counters.rs
@@ -20,6 +20,12 @@
     pub copy_bytes_received: u64,
     /// Reads of the key-value service.
     pub store_reads: u64,
+    /// Bytes of reports about targets' availability sent to others.
+    pub report_bytes_sent: u64,
+    /// Agents that this node found unreachable.
+    pub accusations: u64,
+    /// Reports about the own target that were wrong.
+    pub refutations: u64,
     /// Pauses that were noticed.
     pub pauses: u64,
     /// Refusals by reason.
--- a/crates/woodladder-core/src/replica/event.rs
+++ b/crates/woodladder-core/src/replica/event.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::control_message::{ControlMessage, FrameError};
+use crate::directory::Directory;
 use crate::identifier::Sequence;
 use crate::membership::ListedMachine;
 use crate::replica::Installed;
@@ -37,6 +38,8 @@
     SequenceSeen(Sequence),
     /// The node begins a planned stop.
     Leaving,
+    /// The agent's drain lets new flows in, or lets them in no longer.
+    TakesNewFlows(bool),
 }
 
 /// Something to be done.
@@ -58,4 +61,7 @@
     },
     /// Put a roll in force.
     Install(Arc<Installed>),
+    /// Use this directory from now on: the one of the roll in force, with the
+    /// targets that take no new flows at the moment left out.
+    Refresh(Arc<Directory>),
 }
--- a/crates/woodladder-core/src/replica/gossip.rs
+++ b/crates/woodladder-core/src/replica/gossip.rs
@@ -92,6 +92,7 @@
         self.gossip.probe = ProbeNumber(number.0.wrapping_add(1));
         for control in self.members.pick(fanout, &mut self.random) {
             self.members.asked(control);
+            self.watch(control, now);
             let message = self.digest_message(Exchange::Probe(number), now);
             self.send(control, message);
         }
@@ -108,6 +109,8 @@
         for peer in &digest.sample {
             self.members.named_by_other(*peer);
         }
+        self.note_alive(digest, now);
+        self.compare_marks(from, digest, now);
         match digest.exchange {
             Exchange::Probe(number) => {
                 let answer = self.digest_message(Exchange::Answer(number), now);
@@ -252,13 +255,15 @@
         Some(Offer::fitting(record, delta))
     }
 
-    fn digest_message(&mut self, exchange: Exchange, now: Instant) -> ControlMessage {
+    pub(super) fn digest_message(&mut self, exchange: Exchange, now: Instant) -> ControlMessage {
         ControlMessage::Digest(DigestMessage {
             sender: self.settings.peer(),
             leaving: self.leaving,
             sequence: self.sequence(),
             snapshot: self.digest(),
             exchange,
+            own: self.availability.own.as_ref().map(|own| *own.report()),
+            marks: self.availability.fingerprint(),
             sample: self.members.sample(MAXIMUM_SAMPLE, now, &mut self.random),
         })
     }
--- a/crates/woodladder-core/src/replica/install.rs
+++ b/crates/woodladder-core/src/replica/install.rs
@@ -48,6 +48,10 @@
             self.gossip.round_soon(now);
         }
         self.actions.push(Action::Install(next));
+        self.forget_removed_targets();
+        if self.marked_targets() > 0 {
+            self.refresh(now);
+        }
         self.spread();
         self.resume_deferred(now);
     }
--- a/crates/woodladder-core/src/replica/machine.rs
+++ b/crates/woodladder-core/src/replica/machine.rs
@@ -4,11 +4,13 @@
 
 use rand_chacha::ChaCha8Rng;
 
+use crate::availability::Availability;
 use crate::clock::Instant;
 use crate::control_message::{ControlMessage, ProbeNumber, StatusReply, StatusRequest};
 use crate::digest::Digest;
 use crate::identifier::Sequence;
 use crate::membership::{MemberCounts, Membership};
+use crate::replica::availability::AvailabilityState;
 use crate::replica::copy_server::CopyServer;
 use crate::replica::fetch::Fetch;
 use crate::replica::gossip::Gossip;
@@ -39,6 +41,7 @@
     pub(super) next_request: StoreRequestId,
     pub(super) joining: Joining,
     pub(super) vigilance: Vigilance,
+    pub(super) availability: AvailabilityState,
     pub(super) greatest_heard: Sequence,
     pub(super) unacceptable: Vec<Digest>,
     pub(super) leaving: bool,
@@ -70,6 +73,7 @@
             next_request: StoreRequestId(1),
             joining: Joining::new(&tuning),
             vigilance: Vigilance::new(tuning.suspect_time, now),
+            availability: AvailabilityState::new(&settings, now),
             greatest_heard: Sequence::default(),
             unacceptable: Vec::new(),
             leaving: false,
@@ -96,8 +100,13 @@
             Event::SequenceSeen(sequence) => self.handle_sequence_seen(sequence, now),
             Event::Leaving => {
                 self.leaving = true;
+                self.announce(Availability::Leaving, now);
                 self.gossip.round_soon(now);
             }
+            Event::TakesNewFlows(true) if !self.leaving => {
+                self.announce(Availability::Serving, now);
+            }
+            Event::TakesNewFlows(_) => self.announce(Availability::Leaving, now),
         }
         self.run_due(now);
         std::mem::take(&mut self.actions)
@@ -112,6 +121,7 @@
             fetch.and_then(|fetch| fetch.next_wakeup(&self.fetch_pace)),
             self.joining.next_wakeup(fetching),
             self.vigilance.next_wakeup(),
+            self.availability.next_wakeup(),
         ];
         let regular = self.gossip.next_round().min(self.store.next_wakeup());
         optional.into_iter().flatten().fold(regular, Instant::min)
@@ -216,6 +226,11 @@
             ControlMessage::CopyRefused(refused) => self.handle_copy_refused(from, &refused, now),
             ControlMessage::StatusRequest(request) => self.answer_status(from, request, now),
             ControlMessage::StatusReply(_) => {}
+            ControlMessage::Reports(batch) => self.handle_reports(from, &batch, now),
+            ControlMessage::ProbeRequest(request) => self.handle_probe_request(from, request, now),
+            ControlMessage::ProbeConfirmed(confirmed) => {
+                self.handle_probe_confirmed(confirmed, now);
+            }
         }
     }
 
@@ -230,6 +245,7 @@
         self.vigilance.suspect(probe, self.next_request, now);
         self.gossip.round_soon(now);
         self.store.read_soon(now);
+        self.availability.probing.forget();
     }
 
     fn run_due(&mut self, now: Instant) {
@@ -237,5 +253,6 @@
         self.run_store(now);
         self.run_fetch(now);
         self.update_joining(now);
+        self.run_availability(now);
     }
 }
--- a/crates/woodladder-core/src/replica/mod.rs
+++ b/crates/woodladder-core/src/replica/mod.rs
@@ -13,8 +13,10 @@
 //! | spreading | `gossip`, `history`, `copy_server` |
 //! | catching up | `catch_up`, `fetch`, `copy_assembly`, `store_access`, `store_reader`, `snapshot_read`, `pace` |
 //! | confidence | `joining`, `vigilance` |
+//! | availability of targets | `availability`, `probing` |
 
 mod adoption;
+mod availability;
 mod catch_up;
 mod copy_assembly;
 mod copy_server;
@@ -28,6 +30,7 @@
 mod joining;
 mod machine;
 mod pace;
+mod probing;
 mod settings;
 mod snapshot_read;
 mod store_access;
--- /dev/null
+++ b/crates/woodladder-core/src/replica/probing.rs
@@ -0,0 +1,149 @@
+//! Finds agents that do not answer: watches the probes that rounds send,
+//! repeats them, and asks other nodes to probe as well.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::availability::{Availability, Schedule, WatchStep, Watches};
+use crate::clock::Instant;
+use crate::control_message::{
+    ControlMessage, DigestMessage, Exchange, ProbeConfirmed, ProbeRequest,
+};
+use crate::identifier::TargetId;
+use crate::replica::Replica;
+
+/// Time for which a node does not call an agent unreachable a second time, so
+/// that a path between just the two does not divert flows again and again.
+const SECOND_ACCUSATION_AFTER: Duration = Duration::from_secs(30);
+/// Time for which a node that probes on request waits for the answer.
+const REQUEST_TIME: Duration = Duration::from_secs(2);
+/// Requests of others that a node sees to at the same time.
+const MAXIMUM_REQUESTS: usize = 32;
+
+/// A probe that another node asked for.
+#[derive(Clone, Copy, Debug)]
+struct Requested {
+    control: SocketAddr,
+    by: SocketAddr,
+    until: Instant,
+}
+
+/// Probes that wait for answers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Probing {
+    watches: Watches,
+    requested: Vec<Requested>,
+    accused: Schedule,
+}
+
+impl Probing {
+    pub(super) fn next_wakeup(&self) -> Option<Instant> {
+        self.watches.next()
+    }
+
+    /// A paused process cannot tell who was silent meanwhile.
+    pub(super) fn forget(&mut self) {
+        self.watches.clear();
+    }
+}
+
+impl Replica {
+    /// Takes note of a probe that a round sends.
+    pub(super) fn watch(&mut self, control: SocketAddr, now: Instant) {
+        let report = self.availability.table.report_at(control).copied();
+        let serving = report.filter(|report| report.availability == Availability::Serving);
+        if let Some(report) = serving {
+            let watches = &mut self.availability.probing.watches;
+            watches.probed(report.target, control, now);
+        }
+    }
+
+    /// Takes note of a digest message from a node itself.
+    pub(super) fn note_alive(&mut self, digest: &DigestMessage, now: Instant) {
+        let control = digest.sender.control;
+        let probing = &mut self.availability.probing;
+        probing.watches.alive(control);
+        let Exchange::Answer(_) = digest.exchange else {
+            return;
+        };
+        probing.watches.answered(now);
+        let (answered, waiting): (Vec<Requested>, Vec<Requested>) = probing
+            .requested
+            .iter()
+            .partition(|requested| requested.control == control);
+        probing.requested = waiting;
+        for requested in answered {
+            let confirmed = ProbeConfirmed { control };
+            self.send(requested.by, ControlMessage::ProbeConfirmed(confirmed));
+        }
+    }
+
+    /// Probes a node for another.
+    pub(super) fn handle_probe_request(
+        &mut self,
+        from: SocketAddr,
+        request: ProbeRequest,
+        now: Instant,
+    ) {
+        let requested = &mut self.availability.probing.requested;
+        requested.retain(|known| known.until > now);
+        if requested.len() >= MAXIMUM_REQUESTS || request.control == self.settings.control {
+            return;
+        }
+        requested.push(Requested {
+            control: request.control,
+            by: from,
+            until: now + REQUEST_TIME,
+        });
+        self.probe_again(request.control, now);
+    }
+
+    /// A node answered to another that probed it on request.
+    pub(super) fn handle_probe_confirmed(&mut self, confirmed: ProbeConfirmed, now: Instant) {
+        let watches = &mut self.availability.probing.watches;
+        watches.alive(confirmed.control);
+        watches.answered(now);
+    }
+
+    /// Probes a node outside the rounds, if the rate allows for it.
+    pub(super) fn probe_again(&mut self, control: SocketAddr, now: Instant) {
+        let probe = Exchange::Probe(self.gossip.next_probe());
+        let message = self.digest_message(probe, now);
+        if self.availability.pace.take(message.datagram_length(), now) {
+            self.send(control, message);
+        }
+    }
+
+    pub(super) fn run_probing(&mut self, now: Instant) {
+        let probing = &mut self.availability.probing;
+        while probing.accused.take_due(now).is_some() {}
+        for step in probing.watches.take_due(now) {
+            match step {
+                WatchStep::Repeat(control) => self.probe_again(control, now),
+                WatchStep::Assist(control) => {
+                    self.probe_again(control, now);
+                    self.ask_to_probe(control);
+                }
+                WatchStep::Unreachable(target) => self.judge(target, now),
+            }
+        }
+    }
+
+    fn ask_to_probe(&mut self, control: SocketAddr) {
+        let picked = self.members.pick(2, &mut self.random);
+        let helper = picked.into_iter().find(|picked| *picked != control);
+        if let Some(helper) = helper {
+            let request = ProbeRequest { control };
+            self.send(helper, ControlMessage::ProbeRequest(request));
+        }
+    }
+
+    fn judge(&mut self, target: TargetId, now: Instant) {
+        let accused = &mut self.availability.probing.accused;
+        if accused.contains(target) || self.vigilance.is_suspect(now) {
+            return;
+        }
+        accused.set(target, now + SECOND_ACCUSATION_AFTER);
+        self.accuse(target, now);
+    }
+}
--- a/crates/woodladder-core/src/replica/settings.rs
+++ b/crates/woodladder-core/src/replica/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::availability::ServedTarget;
 use crate::identifier::NodeId;
 use crate::membership::{DEFAULT_CAPACITY, Locality, Peer, Role};
 use crate::signature::TrustedKeys;
@@ -22,6 +23,8 @@
     pub locality: Locality,
     /// Address that other nodes send control messages to.
     pub control: SocketAddr,
+    /// Target that the node stands beside, when it is an agent.
+    pub served: Option<ServedTarget>,
     /// Addresses of other nodes from the settings file, if any.
     pub seeds: Vec<SocketAddr>,
     /// Operators whose signatures are accepted.
@@ -41,6 +44,8 @@
     pub rumor_fanout: usize,
     /// Bytes a second that the node fetches of copies, and that it sends.
     pub copy_bytes_per_second: u32,
+    /// Bytes a second that the node sends about targets' availability.
+    pub report_bytes_per_second: u32,
     /// Reads a second of the key-value service by all nodes together.
     pub store_reads_per_second: u32,
     /// Nodes up to which each node watches the key-value service instead of
@@ -63,6 +68,7 @@
             digest_fanout: 2,
             rumor_fanout: 4,
             copy_bytes_per_second: 64 * 1024,
+            report_bytes_per_second: 16 * 1024,
             store_reads_per_second: 5,
             watch_limit: 16,
             join_time: Duration::from_secs(3),
--- /dev/null
+++ b/crates/woodladder-core/tests/availability.rs
@@ -0,0 +1,282 @@
+//! Marks of unavailable targets: they spread, are refuted and go away.
+
+mod control_world;
+
+use std::time::Duration;
+
+use control_world::fixture::{bundle, roll};
+use control_world::network::{Faults, World, address, target_of};
+use proptest::prelude::*;
+use woodladder_core::availability::{Availability, Report, ReportVersion, RunNumber};
+use woodladder_core::control_message::{
+    ControlMessage, FrameError, MAXIMUM_DATAGRAM, MAXIMUM_REPORTS, Reports,
+};
+use woodladder_core::identifier::ServiceId;
+use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::replica::{Event, ReplicaTuning};
+
+const NODES: usize = 100;
+const DEAD: usize = 37;
+/// Until nearly all nodes have exchanged messages with each other.
+const WARM_UP: Duration = Duration::from_secs(60);
+/// A marked target's agent is probed again within this time.
+const RECHECK: Duration = Duration::from_secs(40);
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn world(nodes: usize, seed: u64) -> World {
+    let mut world = World::serving(nodes, seed);
+    world.run_for(WARM_UP);
+    world
+}
+
+/// Whether all other nodes that run mark a target, or none does.
+fn marked(world: &World, index: usize, wanted: bool) -> bool {
+    let nodes = world.nodes.iter().enumerate();
+    nodes
+        .filter(|(other, node)| *other != index && !node.down)
+        .all(|(_, node)| node.replica.is_marked(target_of(index)) == wanted)
+}
+
+fn unmarked(world: &World) -> bool {
+    let mut nodes = world.nodes.iter();
+    nodes.all(|node| node.down || node.replica.marked_targets() == 0)
+}
+
+fn accusations(world: &World) -> u64 {
+    let nodes = world.nodes.iter();
+    nodes.map(|node| node.replica.counters().accusations).sum()
+}
+
+fn report(index: usize, run: u64, version: u32, availability: Availability) -> Report {
+    Report {
+        target: target_of(index),
+        control: address(index),
+        run: RunNumber(run),
+        version: ReportVersion(version),
+        availability,
+    }
+}
+
+fn tell(world: &mut World, to: usize, reports: Vec<Report>) {
+    let from = address(1);
+    let message = ControlMessage::Reports(Reports { reports });
+    world.event(to, Event::Message { from, message });
+}
+
+#[test]
+fn a_dead_agent_is_marked_everywhere() {
+    let mut world = world(NODES, 1);
+    assert!(unmarked(&world));
+    world.nodes[DEAD].down = true;
+    assert!(world.run_until(seconds(5), |world| marked(world, DEAD, true)));
+    world.run_for(seconds(120));
+    assert!(marked(&world, DEAD, true));
+}
+
+#[test]
+fn a_planned_leave_spreads_and_lasts() {
+    let mut world = world(NODES, 2);
+    world.event(DEAD, Event::Leaving);
+    assert!(world.run_until(seconds(1), |world| marked(world, DEAD, true)));
+    world.run_for(seconds(60));
+    assert!(marked(&world, DEAD, true));
+    assert_eq!(accusations(&world), 0);
+}
+
+#[test]
+fn a_drain_that_is_withdrawn_clears_the_mark() {
+    let mut world = world(NODES, 3);
+    world.event(DEAD, Event::TakesNewFlows(false));
+    assert!(world.run_until(seconds(1), |world| marked(world, DEAD, true)));
+    world.event(DEAD, Event::TakesNewFlows(true));
+    assert!(world.run_until(seconds(1), unmarked));
+}
+
+#[test]
+fn a_restart_clears_the_mark() {
+    let mut world = world(NODES, 4);
+    world.nodes[DEAD].down = true;
+    assert!(world.run_until(seconds(5), |world| marked(world, DEAD, true)));
+    world.restart(DEAD, ReplicaTuning::default());
+    world.read_list(DEAD, 0..NODES);
+    assert!(world.run_until(seconds(2), unmarked));
+}
+
+#[test]
+fn marks_of_a_partition_go_away_after_it() {
+    let mut world = world(NODES, 5);
+    world.cut_at = Some(NODES / 2);
+    world.run_for(seconds(60));
+    assert!(marked_across_the_cut(&world));
+    world.cut_at = None;
+    assert!(world.run_until(RECHECK, unmarked));
+}
+
+fn marked_across_the_cut(world: &World) -> bool {
+    let first_half = &world.nodes[..NODES / 2];
+    let others = (NODES / 2..NODES).filter(|index| !index.is_multiple_of(10));
+    let mut pairs = others.flat_map(|index| first_half.iter().map(move |node| (node, index)));
+    pairs.all(|(node, index)| node.replica.is_marked(target_of(index)))
+}
+
+#[test]
+fn a_frozen_node_that_wakes_accuses_nobody() {
+    for (seed, pause) in [(6, 2), (7, 4), (8, 30), (9, 300)] {
+        let mut world = world(NODES, seed);
+        let frozen = NODES - 10;
+        world.nodes[frozen].frozen_until = world.now + seconds(pause);
+        world.run_for(seconds(pause + 30));
+        assert_eq!(accusations_by(&world, frozen), 0, "pause of {pause} s");
+        assert!(world.run_until(RECHECK, unmarked));
+    }
+}
+
+#[test]
+fn a_node_that_is_cut_off_accuses_nobody() {
+    let mut world = world(NODES, 10);
+    world.cut_at = Some(1);
+    world.run_for(seconds(60));
+    assert_eq!(accusations_by(&world, 0), 0);
+}
+
+fn accusations_by(world: &World, index: usize) -> u64 {
+    world.nodes[index].replica.counters().accusations
+}
+
+#[test]
+fn a_joining_node_learns_the_marks() {
+    let mut world = world(NODES, 11);
+    world.event(DEAD, Event::Leaving);
+    world.run_for(seconds(5));
+    world.nodes[DEAD].down = true;
+    let joining = NODES - 10;
+    world.restart(joining, ReplicaTuning::default());
+    world.read_list(joining, 0..NODES);
+    assert!(world.run_until(seconds(1), |world| marked(world, DEAD, true)));
+}
+
+#[test]
+fn a_target_of_a_later_process_is_not_claimed_back() {
+    let mut world = world(20, 12);
+    let mut moved = report(7, u64::MAX, 0, Availability::Serving);
+    moved.control = address(400);
+    tell(&mut world, 7, vec![moved]);
+    world.run_for(seconds(5));
+    let refutations = world.nodes[7].replica.counters().refutations;
+    assert_eq!(refutations, 0);
+}
+
+#[test]
+fn batches_that_are_too_long_or_forged_are_refused() {
+    let key = TagKey::new([1; 16]);
+    let batch = |count: usize| {
+        let one = report(3, 1, 0, Availability::Unreachable);
+        let reports = vec![one; count];
+        ControlMessage::Reports(Reports { reports })
+    };
+    let longest = batch(MAXIMUM_REPORTS).encode(&key).unwrap();
+    assert!(longest.len() <= MAXIMUM_DATAGRAM);
+    assert!(ControlMessage::decode(&key, &longest).is_ok());
+    let forged = ControlMessage::decode(&TagKey::new([2; 16]), &longest);
+    assert_eq!(forged, Err(FrameError::Forged));
+    let too_long = batch(MAXIMUM_REPORTS + 1).encode(&key).unwrap();
+    let refused = ControlMessage::decode(&key, &too_long);
+    assert_eq!(refused, Err(FrameError::Malformed));
+}
+
+#[test]
+fn marks_reach_the_data_path_and_survive_a_roll() {
+    let mut world = world(NODES, 13);
+    let agents: Vec<u32> = (1..30).filter(|id| id % 10 != 0).collect();
+    let first = roll(None, bundle(1, agents.clone(), 4), 1);
+    world.store.put_roll(&first);
+    assert!(world.run_until(seconds(30), |world| {
+        world.all_have(first.stored.record.sequence())
+    }));
+    world.nodes[7].down = true;
+    assert!(world.run_until(seconds(10), |world| marked(world, 7, true)));
+    world.run_for(seconds(1));
+    assert!(!names(&world, 0, 7));
+    let second = roll(Some(&first), bundle(2, agents, 5), 2);
+    world.store.put_roll(&second);
+    assert!(world.run_until(seconds(30), |world| {
+        world.all_have(second.stored.record.sequence())
+    }));
+    assert!(!names(&world, 0, 7));
+    assert!(names(&world, 0, 9));
+}
+
+/// Whether the directory at a node's data path has a target as a candidate.
+fn names(world: &World, node: usize, target: usize) -> bool {
+    let node = &world.nodes[node];
+    let installed = &node.replica.installed().unwrap().directory;
+    let directory = node.refreshed.as_deref().unwrap_or(installed);
+    let service = ServiceId(u32::try_from(target % 2).unwrap());
+    let mut candidates = directory.service(service).unwrap().candidates.iter();
+    candidates.any(|candidate| candidate.target == target_of(target))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Whatever is said of agents that live, and however messages fare, they
+    /// are served again once the network is whole.
+    #[test]
+    fn agents_that_live_refute_what_is_said_of_them(
+        seed in any::<u64>(),
+        loss in 0.0..0.4_f64,
+        duplication in 0.0..0.4_f64,
+        said in prop::collection::vec((1..9_usize, 0..20_usize, 0..40_u32, any::<bool>()), 1..12),
+    ) {
+        let mut world = World::serving(20, seed);
+        world.run_for(seconds(10));
+        world.faults = Faults {
+            loss,
+            duplication,
+            shortest_delay: Duration::from_millis(1),
+            longest_delay: Duration::from_millis(200),
+        };
+        for (about, to, version, leaving) in said {
+            let availability = match leaving {
+                true => Availability::Leaving,
+                false => Availability::Unreachable,
+            };
+            let run = about as u64;
+            tell(&mut world, to, vec![report(about, run, version, availability)]);
+            world.run_for(Duration::from_millis(100));
+        }
+        world.run_for(seconds(20));
+        world.faults = Faults::NONE;
+        prop_assert!(world.run_until(RECHECK, unmarked));
+    }
+}
+
+/// Prints what one leave and one failure cost each node.
+#[test]
+fn an_event_costs_each_node_little() {
+    for nodes in [100, 300] {
+        let mut world = world(nodes, 14);
+        let quiet = bytes_of(&mut world, |_| {});
+        let leave = bytes_of(&mut world, |world| world.event(DEAD, Event::Leaving));
+        let failure = bytes_of(&mut world, |world| world.nodes[DEAD + 1].down = true);
+        println!("{nodes} nodes: quiet {quiet} B, leave {leave} B, failure {failure} B a node");
+        assert!(leave < 2_000 && failure < 2_000);
+    }
+}
+
+/// Bytes of reports that each node sends on average in ten seconds.
+fn bytes_of(world: &mut World, event: impl FnOnce(&mut World)) -> u64 {
+    let total = |world: &World| -> u64 {
+        let nodes = world.nodes.iter();
+        nodes
+            .map(|node| node.replica.counters().report_bytes_sent)
+            .sum()
+    };
+    let before = total(world);
+    event(world);
+    world.run_for(seconds(10));
+    (total(world) - before) / world.nodes.len() as u64
+}
--- a/crates/woodladder-core/tests/control_message.rs
+++ b/crates/woodladder-core/tests/control_message.rs
@@ -51,6 +51,8 @@
     (peers(), any::<(bool, u64, u32)>(), digests(), sample).prop_map(
         |(sender, (leaving, sequence, number), snapshot, sample)| {
             ControlMessage::Digest(DigestMessage {
+                own: None,
+                marks: 0,
                 sender,
                 leaving,
                 sequence: Sequence(sequence),
--- a/crates/woodladder-core/tests/control_world/network.rs
+++ b/crates/woodladder-core/tests/control_world/network.rs
@@ -3,13 +3,16 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::clock::Instant;
 use woodladder_core::control_message::ControlMessage;
-use woodladder_core::identifier::{NodeId, Sequence};
+use woodladder_core::directory::Directory;
+use woodladder_core::identifier::{NodeId, Sequence, TargetId};
 use woodladder_core::keyed_tag::TagKey;
 use woodladder_core::membership::{ListedMachine, ListedStanding, Locality, Role};
 use woodladder_core::replica::{Action, Event, Replica, ReplicaSettings, ReplicaTuning};
@@ -40,6 +43,8 @@
     pub replica: Replica,
     pub down: bool,
     pub installed: Vec<Sequence>,
+    /// What the data path uses, when that is not the installed directory.
+    pub refreshed: Option<Arc<Directory>>,
     pub frozen_until: Instant,
     wake_at: Instant,
 }
@@ -67,6 +72,9 @@
     pub bytes: u64,
     /// Messages between these two halves of the nodes are lost.
     pub cut_at: Option<usize>,
+    /// Whether agents announce their targets.
+    pub with_targets: bool,
+    runs: u64,
     random: ChaCha8Rng,
     queue: BinaryHeap<Reverse<Due>>,
     order: u64,
@@ -77,6 +85,11 @@
     SocketAddr::from((Ipv4Addr::new(10, high, middle, low), 7000))
 }
 
+/// The target that the agent at this position stands beside.
+pub fn target_of(index: usize) -> TargetId {
+    TargetId(u32::try_from(index).unwrap())
+}
+
 pub fn settings(index: usize, tuning: ReplicaTuning) -> ReplicaSettings {
     let region = if index.is_multiple_of(2) {
         "north"
@@ -92,6 +105,7 @@
         },
         locality: Locality::new(region, "a"),
         control: address(index),
+        served: None,
         seeds: Vec::new(),
         trusted: fixture::trusted(),
         tuning,
@@ -108,6 +122,8 @@
             messages: 0,
             bytes: 0,
             cut_at: None,
+            with_targets: false,
+            runs: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
             order: 0,
@@ -116,14 +132,25 @@
 
     /// Nodes that all know each other by the machine list.
     pub fn listed(count: usize, seed: u64, tuning: ReplicaTuning) -> Self {
+        Self::new(seed).with_listed(count, tuning)
+    }
+
+    /// The same, with agents that announce their targets.
+    pub fn serving(count: usize, seed: u64) -> Self {
         let mut world = Self::new(seed);
+        world.with_targets = true;
+        world.with_listed(count, ReplicaTuning::default())
+    }
+
+    fn with_listed(mut self, count: usize, tuning: ReplicaTuning) -> Self {
+        let world = &mut self;
         for _ in 0..count {
             world.add(tuning);
         }
         for index in 0..count {
             world.read_list(index, 0..count);
         }
-        world
+        self
     }
 
     pub fn add(&mut self, tuning: ReplicaTuning) -> usize {
@@ -133,6 +160,7 @@
             replica,
             down: false,
             installed: Vec::new(),
+            refreshed: None,
             frozen_until: Instant::ORIGIN,
             wake_at: Instant::ORIGIN,
         });
@@ -203,9 +231,19 @@
         }
     }
 
+    fn serves(&self, index: usize) -> bool {
+        self.with_targets && settings(index, ReplicaTuning::default()).role == Role::Agent
+    }
+
     fn replica(&mut self, index: usize, tuning: ReplicaTuning) -> Replica {
         let random = ChaCha8Rng::seed_from_u64(self.random.random());
-        Replica::new(settings(index, tuning), random, self.now)
+        let mut settings = settings(index, tuning);
+        settings.served = self.serves(index).then(|| ServedTarget {
+            target: target_of(index),
+            run: RunNumber(self.runs),
+        });
+        self.runs += 1;
+        Replica::new(settings, random, self.now)
     }
 
     fn step(&mut self, end: Instant) -> bool {
@@ -253,7 +291,11 @@
         match action {
             Action::Send { to, message } => self.send(index, to, message),
             Action::Store { request, operation } => self.ask_store(index, request, operation),
-            Action::Install(installed) => self.nodes[index].installed.push(installed.sequence()),
+            Action::Install(installed) => {
+                self.nodes[index].installed.push(installed.sequence());
+                self.nodes[index].refreshed = None;
+            }
+            Action::Refresh(directory) => self.nodes[index].refreshed = Some(directory),
         }
     }
 
--- a/crates/woodladder-core/tests/replica_adoption.rs
+++ b/crates/woodladder-core/tests/replica_adoption.rs
@@ -99,6 +99,7 @@
         self.now = self.now + Duration::from_millis(1);
         for action in self.replica.handle(event, self.now) {
             match action {
+                Action::Refresh(_) => {}
                 Action::Install(installed) => {
                     let expected = &CHAIN[installed.sequence().0 as usize - 1];
                     assert!(installed.sequence() > self.installed);
--- a/crates/woodladder-lab/src/scale/node.rs
+++ b/crates/woodladder-lab/src/scale/node.rs
@@ -47,6 +47,7 @@
             role: template.size.role(index),
             locality: index.locality(),
             control: index.control(),
+            served: None,
             seeds: Vec::new(),
             trusted: template.trusted.clone(),
             tuning: ReplicaTuning::default(),
--- a/crates/woodladder-lab/src/scale/sockets.rs
+++ b/crates/woodladder-lab/src/scale/sockets.rs
@@ -218,6 +218,7 @@
         role: size.role(index),
         locality: index.locality(),
         control: index.control(),
+        served: None,
         seeds,
         trusted,
         tuning: ReplicaTuning::default(),
--- a/crates/woodladder-lab/src/scale/world.rs
+++ b/crates/woodladder-lab/src/scale/world.rs
@@ -303,7 +303,7 @@
                     frames.extend(message.encode(&self.key).map(|frame| (to, frame)));
                 }
                 Action::Store { request, operation } => requests.push((request, operation)),
-                Action::Install(_) => {}
+                Action::Install(_) | Action::Refresh(_) => {}
             }
         }
         node.meter.processor += processor_time().saturating_sub(begin);
--- a/crates/woodladder-lab/src/simulation/agent.rs
+++ b/crates/woodladder-lab/src/simulation/agent.rs
@@ -71,7 +71,7 @@
         let effective = slow_start.effective_slots(slots, start.now);
         Self {
             identity,
-            node: Node::new(start, Role::Agent),
+            node: Node::new(start, Role::Agent, Some(identity.target)),
             tokens: start.secrets.tokens,
             envelope_key: start.secrets.envelope,
             admission: Admission::new(identity, start.secrets.tokens, options),
@@ -341,13 +341,12 @@
 
     /// Follows the roll that has come into force.
     fn adopt(&mut self, back_end: &mut BackEnd, around: &mut Surroundings<'_>) {
-        let Some(roll) = self.node.in_force() else {
+        let Some(directory) = self.node.directory().map(Arc::clone) else {
             return;
         };
-        let directory = Arc::new(roll.directory.clone());
         let stays = stays(&directory, self.identity);
         if around.mutation != Some(Mutation::KeepTakingWork) || stays != Some(false) {
-            self.admission.adopt(directory, around.now);
+            self.admission.refresh(directory, around.now);
         }
         let Some(stays) = stays else {
             return;
--- a/crates/woodladder-lab/src/simulation/balancer.rs
+++ b/crates/woodladder-lab/src/simulation/balancer.rs
@@ -35,7 +35,7 @@
     #[must_use]
     pub fn new(start: &mut Start<'_>) -> Self {
         Self {
-            node: Node::new(start, Role::Balancer),
+            node: Node::new(start, Role::Balancer, None),
             tokens: start.secrets.tokens,
             envelope_key: start.secrets.envelope,
             router: None,
@@ -131,8 +131,8 @@
     }
 
     fn adopt(&mut self) {
-        if let Some(roll) = self.node.in_force() {
-            let directory = Arc::new(roll.directory.clone());
+        if let Some(directory) = self.node.directory() {
+            let directory = Arc::clone(directory);
             self.router = Some(Router::new(directory, self.tokens, DEFAULT_HOPS));
         }
     }
--- a/crates/woodladder-lab/src/simulation/node.rs
+++ b/crates/woodladder-lab/src/simulation/node.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::clock::Instant;
 use woodladder_core::control_message::ControlMessage;
-use woodladder_core::identifier::{NodeId, Sequence};
+use woodladder_core::directory::Directory;
+use woodladder_core::identifier::{NodeId, Sequence, TargetId};
 use woodladder_core::keyed_tag::TagKey;
 use woodladder_core::membership::{Locality, Role};
 use woodladder_core::replica::{Action, Event, Installed, Replica, ReplicaSettings, ReplicaTuning};
@@ -53,13 +55,15 @@
     key: TagKey,
     replica: Replica,
     in_force: Option<Arc<Installed>>,
+    directory: Option<Arc<Directory>>,
     earlier: Vec<Arc<Installed>>,
 }
 
 impl Node {
     /// The replica of a process that has just started.
     #[must_use]
-    pub fn new(start: &mut Start<'_>, role: Role) -> Self {
+    pub fn new(start: &mut Start<'_>, role: Role, target: Option<TargetId>) -> Self {
+        let run = RunNumber(u64::from(start.process.run));
         let machine = start.process.machine;
         let zone = machine.zone(start.site);
         let settings = ReplicaSettings {
@@ -67,6 +71,7 @@
             role,
             locality: Locality::new("region", &zone.to_string()),
             control: machine.control_address(),
+            served: target.map(|target| ServedTarget { target, run }),
             seeds: start.seeds.clone(),
             trusted: start.secrets.trusted.clone(),
             tuning: ReplicaTuning::default(),
@@ -76,6 +81,7 @@
             key: start.secrets.control,
             replica: Replica::new(settings, start.random.generator(), start.now),
             in_force: None,
+            directory: None,
             earlier: Vec::new(),
         }
     }
@@ -98,6 +104,12 @@
         self.in_force.as_ref()
     }
 
+    /// The directory in force, without targets that are unavailable.
+    #[must_use]
+    pub fn directory(&self) -> Option<&Arc<Directory>> {
+        self.directory.as_ref()
+    }
+
     /// Sequence in force; zero when none is.
     #[must_use]
     pub fn sequence(&self) -> Sequence {
@@ -155,6 +167,7 @@
                     around.outputs.push(Output::Store { request, operation });
                 }
                 Action::Install(roll) => installed |= self.install(roll, around),
+                Action::Refresh(directory) => installed |= self.refresh(directory),
             }
         }
         installed
@@ -176,6 +189,15 @@
         true
     }
 
+    /// The replica may be ahead of a mutated node.
+    fn refresh(&mut self, directory: Arc<Directory>) -> bool {
+        let is_in_force = directory.sequence() == self.sequence();
+        if is_in_force {
+            self.directory = Some(directory);
+        }
+        is_in_force
+    }
+
     fn put_in_force(&mut self, roll: Arc<Installed>, around: &mut Surroundings<'_>) {
         let entry = Entry::InForce {
             node: self.process,
@@ -183,6 +205,7 @@
             snapshot: roll.digest(),
         };
         around.log.add(around.now, entry);
+        self.directory = Some(Arc::new(roll.directory.clone()));
         self.in_force = Some(roll);
     }
 
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -8,6 +8,7 @@
 use slog::{Logger, info};
 use tokio::sync::watch;
 use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Decision, Identity};
+use woodladder_core::bundle::TargetState;
 use woodladder_core::carrier::Packet;
 use woodladder_core::clock::Instant;
 use woodladder_core::directory::{Directory, Standing};
@@ -165,8 +166,8 @@
 
     fn adopt(&self, machines: &mut Machines, now: Instant) {
         let directory = self.directory.load();
-        if directory.sequence() > machines.admission.directory().sequence() {
-            machines.admission.adopt(Arc::clone(&directory), now);
+        if !Arc::ptr_eq(&directory, machines.admission.directory()) {
+            machines.admission.refresh(Arc::clone(&directory), now);
         }
     }
 
@@ -188,7 +189,9 @@
         let directory = self.directory.load();
         let entry = directory.target(self.identity.target)?;
         let stays = match entry.standing {
-            Standing::InBundle(_) => entry.standing.takes_new_flows(),
+            Standing::InBundle(state) | Standing::Unavailable(state) => {
+                state == TargetState::Active
+            }
             Standing::Retired => false,
         };
         Some(if stays {
--- a/crates/woodladder/src/control/driver.rs
+++ b/crates/woodladder/src/control/driver.rs
@@ -6,6 +6,7 @@
 use rand_chacha::rand_core::SeedableRng as _;
 use slog::{Logger, debug, info};
 use tokio::sync::{mpsc, oneshot};
+use woodladder_core::directory::Directory;
 use woodladder_core::identifier::{NodeId, Sequence};
 use woodladder_core::membership::ListedMachine;
 use woodladder_core::replica::{Action, Event, Installed, Replica, ReplicaSettings};
@@ -22,6 +23,7 @@
     Machines(Vec<ListedMachine>),
     SequenceSeen(Sequence),
     Leaving,
+    TakesNewFlows(bool),
     Status(oneshot::Sender<ControlStatus>),
 }
 
@@ -82,6 +84,7 @@
             Input::Machines(machines) => Some(Event::Machines(machines)),
             Input::SequenceSeen(sequence) => Some(Event::SequenceSeen(sequence)),
             Input::Leaving => Some(Event::Leaving),
+            Input::TakesNewFlows(takes) => Some(Event::TakesNewFlows(takes)),
             Input::Status(reply) => {
                 let _ = reply.send(self.status());
                 None
@@ -96,6 +99,7 @@
                 Action::Send { to, message } => self.socket.send(to, &message),
                 Action::Store { request, operation } => self.ask_store(request, operation, answers),
                 Action::Install(installed) => self.install(&installed),
+                Action::Refresh(directory) => self.refresh(&directory),
             }
         }
         if self.replica.is_ready() && !was_ready {
@@ -118,7 +122,7 @@
     }
 
     fn install(&self, installed: &Arc<Installed>) {
-        (self.install)(installed);
+        (self.install)(&Arc::new(installed.directory.clone()));
         let statement = &installed.record.statement;
         info!(self.logger, "control: roll in force";
             "sequence" => %statement.sequence,
@@ -127,6 +131,12 @@
         debug!(self.logger, "control: snapshot in force"; "digest" => %statement.snapshot);
     }
 
+    fn refresh(&self, directory: &Arc<Directory>) {
+        (self.install)(directory);
+        let marked = self.replica.marked_targets();
+        info!(self.logger, "control: available targets changed"; "marked" => marked);
+    }
+
     fn status(&self) -> ControlStatus {
         let now = self.clock.now();
         let installed = self.replica.installed();
@@ -138,6 +148,7 @@
             bundle_version: installed.map(|installed| installed.snapshot.bundle.version),
             snapshot: installed.map(|installed| installed.digest()),
             members: self.replica.member_counts(now),
+            marked_targets: self.replica.marked_targets(),
             counters: *self.replica.counters(),
         }
     }
--- a/crates/woodladder/src/control/mod.rs
+++ b/crates/woodladder/src/control/mod.rs
@@ -13,11 +13,13 @@
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
+use woodladder_core::availability::ServedTarget;
 use woodladder_core::digest::Digest;
+use woodladder_core::directory::Directory;
 use woodladder_core::identifier::{NodeId, Sequence};
 use woodladder_core::keyed_tag::TagKey;
 use woodladder_core::membership::{Locality, MemberCounts, Role};
-use woodladder_core::replica::{Installed, ReplicaCounters, ReplicaSettings, ReplicaTuning};
+use woodladder_core::replica::{ReplicaCounters, ReplicaSettings, ReplicaTuning};
 
 use crate::process::StartError;
 use crate::settings::NodeSettings;
@@ -28,8 +30,9 @@
 
 use driver::{Driver, Input};
 
-/// Puts a roll in force at the data path; called before anybody is told.
-pub type Install = Box<dyn Fn(&Arc<Installed>) + Send>;
+/// Gives the data path a directory: that of a roll that comes into force, or
+/// one of the same roll with other targets available.
+pub type Install = Box<dyn Fn(&Arc<Directory>) + Send>;
 
 /// What the control traffic is started with.
 pub struct ControlConfig {
@@ -43,7 +46,7 @@
     pub store: Arc<dyn Store>,
     /// The list of machines, if there is one.
     pub machine_list: Option<MachineList>,
-    /// Puts a roll in force.
+    /// Gives the data path a directory.
     pub install: Install,
     /// Where events are logged.
     pub logger: Logger,
@@ -66,6 +69,8 @@
     pub snapshot: Option<Digest>,
     /// Counts over the nodes that are known.
     pub members: MemberCounts,
+    /// Targets that are known to take no new flows.
+    pub marked_targets: usize,
     /// Counts since the start.
     pub counters: ReplicaCounters,
 }
@@ -86,6 +91,7 @@
     pub fn from_settings(
         node: &NodeSettings,
         role: Role,
+        served: Option<ServedTarget>,
         install: Install,
         logger: &Logger,
     ) -> Result<Self, StartError> {
@@ -100,6 +106,7 @@
                 role,
                 locality: Locality::new(&node.region, &node.zone),
                 control: node.control_listen,
+                served,
                 seeds: node.platform.seeds.clone(),
                 trusted: node.trusted_keys.clone(),
                 tuning: ReplicaTuning::default(),
@@ -170,6 +177,11 @@
         let _ = self.inputs.send(Input::Leaving);
     }
 
+    /// Tells other nodes whether the own target takes new flows.
+    pub fn takes_new_flows(&self, takes: bool) {
+        let _ = self.inputs.send(Input::TakesNewFlows(takes));
+    }
+
     /// Tells the replica that the data path saw this sequence.
     pub fn sequence_seen(&self, sequence: Sequence) {
         let _ = self.inputs.send(Input::SequenceSeen(sequence));
--- a/crates/woodladder/src/daemon/agent.rs
+++ b/crates/woodladder/src/daemon/agent.rs
@@ -2,13 +2,14 @@
 
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
 use slog::{Logger, info, warn};
 use socket2::SockRef;
-use tokio::time::{interval, timeout};
+use tokio::time::{interval, sleep_until, timeout};
+use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::directory::Directory;
 use woodladder_core::drain::{DrainPhase, DrainReason};
 use woodladder_core::membership;
@@ -22,6 +23,8 @@
 
 /// Bytes asked for as the data socket's buffers.
 const SOCKET_BUFFER: usize = 4 * 1024 * 1024;
+/// Time from the announcement that the agent leaves until it may end.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(2);
 /// Interval of looking for sequences that balancers stated.
 const SEQUENCE_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -76,7 +79,12 @@
     let directory = Arc::new(ArcSwap::from_pointee(Directory::default()));
     let (agent, data) = start_agent(settings, directory.clone(), logger)?;
     let role = membership::Role::Agent;
-    let config = ControlConfig::from_settings(&settings.node, role, install(directory), logger)?;
+    let served = Some(ServedTarget {
+        target: settings.target,
+        run: run_number(),
+    });
+    let install = install(directory);
+    let config = ControlConfig::from_settings(&settings.node, role, served, install, logger)?;
     let source = StatusSource {
         role: Role::Agent,
         zone: settings.node.zone.clone(),
@@ -132,7 +140,15 @@
 }
 
 fn install(directory: Arc<ArcSwap<Directory>>) -> Install {
-    Box::new(move |installed| directory.store(Arc::new(installed.directory.clone())))
+    Box::new(move |latest| directory.store(Arc::clone(latest)))
+}
+
+/// Milliseconds since the Unix epoch: a later start has a greater number. The
+/// protocol bears a clock that was set back.
+fn run_number() -> RunNumber {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let milliseconds = since_epoch.unwrap_or_default().as_millis();
+    RunNumber(u64::try_from(milliseconds).unwrap_or_default())
 }
 
 /// Tells the replica of sequences that balancers have and this node has not.
@@ -154,17 +170,21 @@
     let mut leaving = view.source.control.listed_leaving();
     while leaving.changed().await.is_ok() {
         if *leaving.borrow_and_update() {
+            view.source.control.takes_new_flows(false);
             view.agent.begin_drain(DrainReason::MachineList);
         } else {
             view.agent.withdraw_drain(DrainReason::MachineList);
+            view.source.control.takes_new_flows(true);
         }
     }
     std::future::pending::<()>().await;
 }
 
-/// Takes nothing new and waits for the last stream to end.
+/// Takes nothing new and waits for the last stream to end, and until other
+/// nodes know: flows that they still send here are handed on meanwhile.
 async fn drain(settings: &AgentSettings, agent: &AgentHandle, logger: &Logger) {
     info!(logger, "agent: stopping as planned"; "timeout" => ?settings.drain_timeout);
+    let announced = tokio::time::Instant::now();
     agent.begin_drain(DrainReason::Signal);
     if timeout(settings.drain_timeout, agent.drained())
         .await
@@ -172,6 +192,7 @@
     {
         warn!(logger, "agent: stopped with streams still open");
     }
+    sleep_until(announced + ANNOUNCEMENT_TIME).await;
     agent.close().await;
     info!(logger, "agent: stopped");
 }
--- a/crates/woodladder/src/daemon/balancer.rs
+++ b/crates/woodladder/src/daemon/balancer.rs
@@ -67,7 +67,7 @@
     let path = start_packet_path(settings, router.clone(), logger)?;
     let install = install(settings, router);
     let role = membership::Role::Balancer;
-    let config = ControlConfig::from_settings(&settings.node, role, install, logger)?;
+    let config = ControlConfig::from_settings(&settings.node, role, None, install, logger)?;
     let source = StatusSource {
         role: Role::Balancer,
         zone: settings.node.zone.clone(),
@@ -96,12 +96,12 @@
         .map_err(|error| StartError::listen("data_listen", settings.data_listen, error))
 }
 
-/// Builds a router for each roll and hands it to the workers.
+/// Builds a router for each directory and hands it to the workers.
 fn install(settings: &BalancerSettings, router: Arc<ArcSwapOption<Router>>) -> Install {
     let keys = settings.node.token_keys;
     let hops = settings.hops;
-    Box::new(move |installed| {
-        let directory = Arc::new(installed.directory.clone());
+    Box::new(move |directory| {
+        let directory = Arc::clone(directory);
         router.store(Some(Arc::new(Router::new(directory, keys, hops))));
     })
 }
--- a/crates/woodladder/src/daemon/status.rs
+++ b/crates/woodladder/src/daemon/status.rs
@@ -65,6 +65,8 @@
         listed: control.members.listed,
     };
     status.figures.append(figures(&control.counters));
+    let marked = u64::try_from(control.marked_targets).unwrap_or(u64::MAX);
+    status.figures.add("control_marked_targets", marked);
 }
 
 fn figures(counters: &ReplicaCounters) -> Figures {
@@ -82,6 +84,12 @@
         counters.copy_bytes_received,
     );
     figures.add("control_store_reads_total", counters.store_reads);
+    figures.add(
+        "control_report_bytes_sent_total",
+        counters.report_bytes_sent,
+    );
+    figures.add("control_accusations_total", counters.accusations);
+    figures.add("control_refutations_total", counters.refutations);
     figures.add("control_pauses_total", counters.pauses);
     figures.add("control_rejections_total", counters.rejections.total());
     figures
--- a/crates/woodladder/tests/control.rs
+++ b/crates/woodladder/tests/control.rs
@@ -113,6 +113,7 @@
             role: Role::Balancer,
             locality: Locality::new("a", "a"),
             control: listen,
+            served: None,
             seeds,
             trusted: TrustedKeys::new(vec![operator().public()]),
             tuning: ReplicaTuning::default(),
