Measure the packet path of a balancer process against a bare relay

Cause: what forwarding costs beyond receiving and sending was not known.

Processor time is utime + stime from /proc; packets are what each says it forwarded.

--- a/crates/woodladder-lab/src/command/measure.rs
+++ b/crates/woodladder-lab/src/command/measure.rs
@@ -13,6 +13,7 @@
 use woodladder_lab::measure::experiment::{Experiment, SeedRange};
 use woodladder_lab::measure::figures::Figures;
 use woodladder_lab::measure::options::Policy;
+use woodladder_lab::measure::packets;
 use woodladder_lab::measure::report::{Report, ReportError};
 
 /// Seeds unless others are asked for.
@@ -67,6 +68,8 @@
     Balance,
     /// Cost of the balancer's decision.
     Decision,
+    /// The packet path through one balancer process.
+    Packets,
     /// Cost of the control traffic, as `scale` measures it; on its own only.
     Control,
 }
@@ -94,6 +97,10 @@
         if self.includes(Part::Decision) {
             report.decision = decision::measure(self.seeds.first);
         }
+        if self.includes(Part::Packets) {
+            let figures = packets::measure(self.seeds.first).map_err(ReportError::Packets)?;
+            report.packets = Some(figures);
+        }
         if let Some(directory) = &self.report {
             report.write(directory)?;
         }
--- a/crates/woodladder-lab/src/measure/markdown.rs
+++ b/crates/woodladder-lab/src/measure/markdown.rs
@@ -5,6 +5,7 @@
 use super::change::ChangeKind;
 use super::decision::DecisionFigures;
 use super::figures::{AnswerFigure, BrokenFigure, Figures, ImbalanceFigure};
+use super::packets::PacketFigures;
 use super::way::Way;
 use super::workload::Workload;
 
@@ -59,6 +60,40 @@
     page
 }
 
+/// The table of the packet path.
+#[must_use]
+pub fn packets(figures: &PacketFigures) -> String {
+    let mut page = String::new();
+    let (least, most) = figures.ratio_range;
+    line(
+        &mut page,
+        &format!(
+            "\n## Packet path of one balancer process (seeds {})\n",
+            figures.seeds
+        ),
+    );
+    line(
+        &mut page,
+        &format!(
+            "Datagrams of {} bytes of established flows on loopback; medians of {} rounds each, \
+             alternating with a bare relay.\n",
+            figures.datagram_length, figures.rounds
+        ),
+    );
+    line(&mut page, "| | packets per second of processor time |");
+    line(&mut page, "| --- | ---: |");
+    line(
+        &mut page,
+        &format!("| balancer | {:.0} |", figures.balancer),
+    );
+    line(&mut page, &format!("| bare relay | {:.0} |", figures.relay));
+    line(
+        &mut page,
+        &format!("| ratio | {:.2} ({least:.2} to {most:.2}) |", figures.ratio),
+    );
+    page
+}
+
 fn imbalance_table(page: &mut String, figures: &Figures) {
     heading(page, "Imbalance", figures);
     line(
--- a/crates/woodladder-lab/src/measure/mod.rs
+++ b/crates/woodladder-lab/src/measure/mod.rs
@@ -10,6 +10,7 @@
 pub mod markdown;
 pub mod options;
 pub mod outcome;
+pub mod packets;
 pub mod plot;
 pub mod report;
 pub mod way;
--- a/crates/woodladder-lab/src/measure/report.rs
+++ b/crates/woodladder-lab/src/measure/report.rs
@@ -7,6 +7,7 @@
 
 use super::decision::DecisionFigures;
 use super::figures::Figures;
+use super::packets::{PacketError, PacketFigures};
 use super::{markdown, plot};
 
 /// Name of the page in the report's directory.
@@ -21,6 +22,9 @@
     /// Cost of the balancer's decision.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub decision: Option<DecisionFigures>,
+    /// The packet path through a balancer.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub packets: Option<PacketFigures>,
 }
 
 /// Why a report could not be written.
@@ -42,6 +46,8 @@
     },
     /// The figures could not be encoded.
     Encoding(serde_json::Error),
+    /// The packet path could not be measured.
+    Packets(PacketError),
 }
 
 impl Report {
@@ -63,6 +69,9 @@
         if let Some(figures) = &self.decision {
             page.push_str(&markdown::decision(figures));
         }
+        if let Some(figures) = &self.packets {
+            page.push_str(&markdown::packets(figures));
+        }
         page
     }
 
@@ -100,6 +109,7 @@
             Self::Plot { path, message } => {
                 write!(formatter, "{} cannot be drawn: {message}", path.display())
             }
+            Self::Packets(error) => error.fmt(formatter),
             Self::Encoding(error) => write!(formatter, "the figures cannot be encoded: {error}"),
         }
     }
