--- a/crates/woodladder-lab/src/demo/administration.rs
+++ b/crates/woodladder-lab/src/demo/administration.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, sleep, timeout};
 use volo_http::body::BodyConversion;
@@ -52,7 +53,7 @@
         address: SocketAddr,
         path: &str,
     ) -> Result<T, AdministrationError> {
-        let answer = self.send(Method::GET, address, path).await?;
+        let answer = self.send(Method::GET, address, path, String::new()).await?;
         let text = answer
             .into_string()
             .await
@@ -69,14 +70,32 @@
         address: SocketAddr,
         path: &str,
     ) -> Result<(), AdministrationError> {
-        self.send(Method::PUT, address, path).await.map(|_| ())
+        let sent = self.send(Method::PUT, address, path, String::new());
+        sent.await.map(|_| ())
+    }
+
+    /// Writes a JSON value.
+    ///
+    /// # Errors
+    /// [`AdministrationError`] when it was not taken.
+    pub async fn write<T: Serialize>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        value: &T,
+    ) -> Result<(), AdministrationError> {
+        let text = serde_json::to_string(value)
+            .map_err(|error| AdministrationError::Body(error.to_string()))?;
+        let sent = self.send(Method::PUT, address, path, text);
+        sent.await.map(|_| ())
     }
 
     /// Waits until a path answers with success; `false` when it does not in time.
     pub async fn wait_ready(&self, address: SocketAddr, path: &str, limit: Duration) -> bool {
         let end = Instant::now() + limit;
         while Instant::now() < end {
-            if self.send(Method::GET, address, path).await.is_ok() {
+            let answer = self.send(Method::GET, address, path, String::new());
+            if answer.await.is_ok() {
                 return true;
             }
             sleep(POLL_PERIOD).await;
@@ -89,9 +108,10 @@
         method: Method,
         address: SocketAddr,
         path: &str,
+        body: String,
     ) -> Result<Response, AdministrationError> {
         let uri = format!("http://{address}{path}");
-        let request = self.client.request(method, uri).send();
+        let request = self.client.request(method, uri).data(body).send();
         match timeout(REQUEST_LIMIT, request).await {
             Ok(Ok(answer)) if answer.status().is_success() => Ok(answer),
             Ok(Ok(answer)) => Err(AdministrationError::Status(answer.status())),
--- a/crates/woodladder-lab/src/demo/cluster.rs
+++ b/crates/woodladder-lab/src/demo/cluster.rs
@@ -1,28 +1,29 @@
 //! The processes of one deployment: starting them and waiting until they are ready.
 
-use std::ffi::OsString;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use rcgen::{CertifiedKey, generate_simple_self_signed};
 use rustls::pki_types::CertificateDer;
-use woodladder_core::bundle::Target;
 
 use super::administration::Administration;
+use super::arguments::{Arguments, Flag};
+use super::files::Files;
 use super::plan::{
-    ADMIN_PORT_OFFSET, BACK_END_ADMIN_PORT, BACK_END_PORT, CONTROL_PORT, DATA_PORT, Deployment,
-    EGRESS_PORT, HTTP_PORT, MACHINE_LIST_PORT, Machine, STORE_PORT,
+    ADMIN_PORT_OFFSET, BACK_END_ADMIN_PORT, Deployment, EGRESS_PORT, HTTP_PORT, MACHINE_LIST_PORT,
+    Machine,
 };
-use super::process::{DemoProcess, ProcessPlan};
+use super::process::{DemoProcess, StopResult};
+use super::wiring::Wiring;
 
 /// Name that the agents' certificate carries.
 pub const SERVER_NAME: &str = "woodladder.test";
-/// Example key files, by deployment.
-const ANKANG_KEY: &str = include_str!("../../../../examples/ankang/operator.key");
-const ALMATY_KEY: &str = include_str!("../../../../examples/almaty/operator.key");
+const DEFAULT_FEED_INTERVAL: Duration = Duration::from_millis(500);
+/// Tells apart the log files of commands.
+static COMMANDS: AtomicU64 = AtomicU64::new(1);
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const COMMAND_LIMIT: Duration = Duration::from_secs(30);
 
@@ -47,10 +48,32 @@
     },
 }
 
-/// Files that the processes of a deployment read and write.
-#[derive(Debug)]
-struct Files {
-    directory: PathBuf,
+/// How a deployment is started.
+#[derive(Clone, Debug)]
+pub struct ClusterOptions {
+    /// The laboratory's program, which also acts as the product's.
+    pub program: PathBuf,
+    /// Where logs and settings go.
+    pub directory: PathBuf,
+    /// Which paths lie behind fault proxies.
+    pub wiring: Wiring,
+    /// Balancers started at first; the others are started later or never.
+    pub balancers: usize,
+    /// Time between the ticks of back ends' event streams.
+    pub feed_interval: Duration,
+    /// Flags of each balancer.
+    pub balancer_flags: Vec<Flag>,
+    /// Flags of each agent.
+    pub agent_flags: Vec<Flag>,
+}
+
+/// How a command of the operator ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CommandEnd {
+    /// How its process ended.
+    pub result: StopResult,
+    /// What it printed.
+    pub output: String,
 }
 
 /// The running processes of one deployment.
@@ -64,9 +87,27 @@
     pub balancers: Vec<DemoProcess>,
     /// Agents, in the order of the bundle's targets.
     pub agents: Vec<DemoProcess>,
-    stand_ins: Vec<DemoProcess>,
-    program: PathBuf,
-    files: Files,
+    /// Back ends, in the order of the bundle's targets.
+    pub back_ends: Vec<DemoProcess>,
+    pub(super) stand_ins: Vec<DemoProcess>,
+    pub(super) options: ClusterOptions,
+    pub(super) files: Files,
+}
+
+impl ClusterOptions {
+    /// All processes of a deployment, without fault proxies.
+    #[must_use]
+    pub fn new(program: PathBuf, directory: &Path) -> Self {
+        Self {
+            program,
+            directory: directory.to_owned(),
+            wiring: Wiring::default(),
+            balancers: usize::MAX,
+            feed_interval: DEFAULT_FEED_INTERVAL,
+            balancer_flags: Vec::new(),
+            agent_flags: Vec::new(),
+        }
+    }
 }
 
 impl Cluster {
@@ -74,24 +115,20 @@
     ///
     /// # Errors
     /// [`ClusterError`] when a file or process cannot be made.
-    pub fn start(deployment: Deployment, directory: &Path) -> Result<Self, ClusterError> {
-        let files = Files {
-            directory: directory.join(deployment.example.name),
-        };
+    pub fn start(deployment: Deployment, options: ClusterOptions) -> Result<Self, ClusterError> {
+        let files = Files::new(&options.directory);
         let certificate = files.write(&deployment)?;
         let mut cluster = Self {
             deployment,
             certificate,
             balancers: Vec::new(),
             agents: Vec::new(),
+            back_ends: Vec::new(),
             stand_ins: Vec::new(),
-            program: std::env::current_exe()?,
+            options,
             files,
         };
-        cluster.start_platform()?;
-        cluster.start_back_ends()?;
-        cluster.start_balancers()?;
-        cluster.start_agents()?;
+        cluster.start_all()?;
         Ok(cluster)
     }
 
@@ -128,27 +165,55 @@
         Ok(())
     }
 
-    /// Signs a bundle of the example and rolls it; returns what `roll` printed.
+    /// Writes a bundle, in which addresses are the example's.
+    ///
+    /// # Errors
+    /// [`ClusterError::System`] when the file cannot be written.
+    pub fn write_bundle(&self, version: u64, text: &str) -> Result<(), ClusterError> {
+        let text = self.deployment.network.text(text);
+        self.files
+            .write_text(&format!("bundle-{version}.toml"), &text)
+    }
+
+    /// Signs a bundle and rolls it; returns what `roll` printed.
     ///
     /// # Errors
     /// [`ClusterError::Command`] when a command ends with another code than zero.
     pub async fn sign_and_roll(&self, version: u64) -> Result<String, ClusterError> {
+        self.sign(version).await?;
+        let end = self.roll(version, &[]).await?;
+        self.succeeded("roll", end)
+    }
+
+    /// Signs a bundle.
+    ///
+    /// # Errors
+    /// [`ClusterError::Command`] when the command ends with another code than zero.
+    pub async fn sign(&self, version: u64) -> Result<(), ClusterError> {
         let written = self.files.path(&format!("bundle-{version}.toml"));
-        let signed = self.files.path(&format!("bundle-{version}.signed"));
-        let key = self.files.path("operator.key");
-        let sign = arguments(&["bundle", "sign"])
-            .path("--key", &key)
-            .path("--out", &signed)
+        let sign = Arguments::new(&["bundle", "sign"])
+            .path("--key", &self.files.path("operator.key"))
+            .path("--out", &self.signed_bundle(version))
             .value(written.as_os_str());
-        self.command("bundle sign", sign).await?;
-        let roll = arguments(&["roll"])
-            .value(signed.as_os_str())
+        let end = self.command("bundle-sign", sign).await?;
+        self.succeeded("bundle sign", end).map(|_| ())
+    }
+
+    /// Rolls a signed bundle and tells how that ended.
+    ///
+    /// # Errors
+    /// [`ClusterError::System`] when the process cannot be started.
+    pub async fn roll(&self, version: u64, flags: &[Flag]) -> Result<CommandEnd, ClusterError> {
+        let key = self.files.path("operator.key");
+        let roll = Arguments::new(&["roll"])
+            .value(self.signed_bundle(version).as_os_str())
             .path("--settings", &self.files.path("operator.toml"))
-            .text("--signing-key", &key.to_string_lossy());
+            .path("--signing-key", &key)
+            .flags(flags);
         self.command("roll", roll).await
     }
 
-    /// Addresses of the fabric's administrative interface.
+    /// Address of the fabric's administrative interface.
     #[must_use]
     pub fn fabric_administration(&self) -> SocketAddr {
         let platform = self.deployment.platform();
@@ -158,14 +223,20 @@
     /// Asks all remaining processes to stop.
     pub fn terminate(&self) {
         let nodes = self.balancers.iter().chain(&self.agents);
-        for process in nodes.chain(&self.stand_ins) {
+        let others = self.back_ends.iter().chain(&self.stand_ins);
+        for process in nodes.chain(others) {
             process.terminate();
         }
     }
 
+    fn signed_bundle(&self, version: u64) -> PathBuf {
+        self.files.path(&format!("bundle-{version}.signed"))
+    }
+
     fn nodes(&self) -> Vec<(String, Machine)> {
         let mut nodes = Vec::new();
-        for (index, machine) in self.deployment.balancers().into_iter().enumerate() {
+        let balancers = self.deployment.balancers().into_iter();
+        for (index, machine) in balancers.enumerate().take(self.balancers.len()) {
             nodes.push((format!("balancer {}", index + 1), machine));
         }
         for target in &self.deployment.bundle.targets {
@@ -188,217 +259,38 @@
         Err(ClusterError::NotReady { name })
     }
 
-    async fn command(&self, name: &str, arguments: Arguments) -> Result<String, ClusterError> {
-        let plan = self.plan(&name.replace(' ', "-"), arguments.product());
-        let mut process = DemoProcess::start(&self.program, &plan)?;
+    async fn command(&self, name: &str, arguments: Arguments) -> Result<CommandEnd, ClusterError> {
+        let number = COMMANDS.fetch_add(1, Ordering::Relaxed);
+        let plan = self.plan(&format!("{name}-{number}"), arguments.product());
+        let mut process = DemoProcess::start(&self.options.program, &plan)?;
         let result = process.wait(COMMAND_LIMIT).await;
         let output = std::fs::read_to_string(&plan.log)?;
-        if result == super::process::StopResult::Clean {
-            return Ok(output);
-        }
-        Err(ClusterError::Command {
-            name: format!("{} {name}", self.deployment.example.name),
-            output,
-        })
+        Ok(CommandEnd { result, output })
     }
 
-    fn start_platform(&mut self) -> Result<(), ClusterError> {
-        let platform = self.deployment.platform();
-        let store = arguments(&["stand-in", "store"])
-            .address("--address", platform.at(STORE_PORT))
-            .address(
-                "--admin-address",
-                platform.at(STORE_PORT + ADMIN_PORT_OFFSET),
-            );
-        self.start_stand_in("store", store)?;
-        let mut machines = arguments(&["stand-in", "machine-list"])
-            .text("--lag", "1s")
-            .address("--address", platform.at(MACHINE_LIST_PORT))
-            .address(
-                "--admin-address",
-                platform.at(MACHINE_LIST_PORT + ADMIN_PORT_OFFSET),
-            );
-        let mut fabric = arguments(&["stand-in", "fabric"])
-            .address("--egress-address", platform.at(EGRESS_PORT))
-            .address("--admin-address", self.fabric_administration())
-            .text(
-                "--one-way-delay",
-                &milliseconds(self.deployment.example.caller_delay),
-            );
-        for balancer in self.deployment.balancers() {
-            machines = machines.address("--balancer", balancer.at(CONTROL_PORT));
-            let endpoint = format!("{}/{}", balancer.at(DATA_PORT), balancer.at(HTTP_PORT));
-            fabric = fabric.text("--balancer", &endpoint);
-        }
-        for target in &self.deployment.bundle.targets {
-            let machine = Machine::of(target.address);
-            machines = machines.address("--agent", machine.at(CONTROL_PORT));
+    fn succeeded(&self, name: &str, end: CommandEnd) -> Result<String, ClusterError> {
+        if end.result == StopResult::Clean {
+            return Ok(end.output);
         }
-        let services = self.deployment.bundle.services.iter();
-        for address in services.flat_map(|service| &service.addresses) {
-            fabric = fabric.address("--service-address", *address);
-        }
-        self.start_stand_in("machine-list", machines)?;
-        self.start_stand_in("fabric", fabric)
-    }
-
-    fn start_back_ends(&mut self) -> Result<(), ClusterError> {
-        for target in self.deployment.bundle.targets.clone() {
-            let machine = Machine::of(target.address);
-            let service = self.deployment.service_of(&target);
-            let service = service.map_or_else(String::new, |service| service.name.clone());
-            let load = self.deployment.load(&service);
-            let service_time = load.map_or(Duration::ZERO, |load| load.service_time);
-            let back_end = arguments(&["stand-in", "back-end"])
-                .address("--address", machine.at(BACK_END_PORT))
-                .address("--admin-address", machine.at(BACK_END_ADMIN_PORT))
-                .text("--service", &service)
-                .text("--name", &target.id.to_string())
-                .text("--slots", &target.slots.to_string())
-                .text("--connection-limit", &target.connections.to_string())
-                .text("--service-time", &milliseconds(service_time));
-            self.start_stand_in(&format!("back-end-{}", target.id), back_end)?;
-        }
-        Ok(())
-    }
-
-    fn start_balancers(&mut self) -> Result<(), ClusterError> {
-        let settings = self.files.path("balancer.toml");
-        let zones = self.deployment.bundle.zones.clone();
-        let machines = self.deployment.balancers();
-        for (index, machine) in machines.into_iter().enumerate() {
-            let arguments = arguments(&["balancer"])
-                .path("--settings", &settings)
-                .listen(machine)
-                .text("--zone", &zones[index % zones.len()].name);
-            let plan = self.plan(&format!("balancer-{}", index + 1), arguments.product());
-            self.balancers
-                .push(DemoProcess::start(&self.program, &plan)?);
-        }
-        Ok(())
-    }
-
-    fn start_agents(&mut self) -> Result<(), ClusterError> {
-        for target in self.deployment.bundle.targets.clone() {
-            let arguments = self.agent_arguments(&target);
-            let plan = self.plan(&format!("agent-{}", target.id), arguments.product());
-            self.agents.push(DemoProcess::start(&self.program, &plan)?);
-        }
-        Ok(())
-    }
-
-    fn agent_arguments(&self, target: &Target) -> Arguments {
-        let machine = Machine::of(target.address);
-        let zone = &self.deployment.bundle.zones[usize::from(target.zone.0)];
-        arguments(&["agent"])
-            .path("--settings", &self.files.path("agent.toml"))
-            .path("--tls-certificate", &self.files.path("agent.crt"))
-            .path("--tls-key", &self.files.path("agent.key"))
-            .listen(machine)
-            .address("--back-end", machine.at(BACK_END_PORT))
-            .text("--target", &target.id.to_string())
-            .text("--service", &target.service.to_string())
-            .text("--zone", &zone.name)
-    }
-
-    fn start_stand_in(&mut self, name: &str, arguments: Arguments) -> Result<(), ClusterError> {
-        let plan = self.plan(name, arguments.list);
-        self.stand_ins
-            .push(DemoProcess::start(&self.program, &plan)?);
-        Ok(())
-    }
-
-    fn plan(&self, name: &str, arguments: Vec<OsString>) -> ProcessPlan {
-        ProcessPlan {
+        Err(ClusterError::Command {
             name: format!("{} {name}", self.deployment.example.name),
-            arguments,
-            log: self.files.path(&format!("{name}.log")),
-        }
+            output: end.output,
+        })
     }
 }
 
-impl Files {
-    /// Writes settings, bundles, keys and the certificate.
-    fn write(&self, deployment: &Deployment) -> Result<CertificateDer<'static>, ClusterError> {
-        std::fs::create_dir_all(&self.directory)?;
-        let example = deployment.example;
-        let texts = [
-            ("bundle-1.toml", example.first_bundle),
-            ("bundle-2.toml", example.second_bundle),
-            ("balancer.toml", example.balancer_settings),
-            ("agent.toml", example.agent_settings),
-            ("operator.toml", example.operator_settings),
-        ];
-        for (name, text) in texts {
-            std::fs::write(self.path(name), deployment.network.text(text))?;
+impl fmt::Display for ClusterError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::System(error) => write!(formatter, "the system refused: {error}"),
+            Self::Certificate(error) => write!(formatter, "no certificate: {error}"),
+            Self::NotReady { name } => write!(formatter, "{name} did not become ready"),
+            Self::Command { name, output } => write!(formatter, "{name} failed:\n{output}"),
         }
-        let key = match example.name {
-            "ankang" => ANKANG_KEY,
-            _ => ALMATY_KEY,
-        };
-        std::fs::write(self.path("operator.key"), key)?;
-        self.write_certificate()
-    }
-
-    fn write_certificate(&self) -> Result<CertificateDer<'static>, ClusterError> {
-        let CertifiedKey { cert, signing_key } =
-            generate_simple_self_signed(vec![SERVER_NAME.to_owned()])?;
-        std::fs::write(self.path("agent.crt"), cert.pem())?;
-        std::fs::write(self.path("agent.key"), signing_key.serialize_pem())?;
-        Ok(cert.der().clone())
-    }
-
-    fn path(&self, name: &str) -> PathBuf {
-        self.directory.join(name)
-    }
-}
-
-/// Arguments of a process, put together one after another.
-struct Arguments {
-    list: Vec<OsString>,
-}
-
-fn arguments(first: &[&str]) -> Arguments {
-    Arguments {
-        list: first.iter().map(OsString::from).collect(),
-    }
-}
-
-impl Arguments {
-    fn value(mut self, value: &std::ffi::OsStr) -> Self {
-        self.list.push(value.to_owned());
-        self
-    }
-
-    fn text(self, flag: &str, value: &str) -> Self {
-        self.value(flag.as_ref()).value(value.as_ref())
-    }
-
-    fn path(self, flag: &str, value: &Path) -> Self {
-        self.value(flag.as_ref()).value(value.as_os_str())
-    }
-
-    fn address(self, flag: &str, value: SocketAddr) -> Self {
-        self.text(flag, &value.to_string())
-    }
-
-    fn listen(self, machine: Machine) -> Self {
-        self.address("--data-listen", machine.at(DATA_PORT))
-            .address("--control-listen", machine.at(CONTROL_PORT))
-            .address("--http-listen", machine.at(HTTP_PORT))
-    }
-
-    /// Arguments that make the laboratory's program act as the product's.
-    fn product(self) -> Vec<OsString> {
-        let mut list = vec![OsString::from("product")];
-        list.extend(self.list);
-        list
     }
 }
 
-fn milliseconds(duration: Duration) -> String {
-    format!("{}ms", duration.as_millis())
-}
+impl std::error::Error for ClusterError {}
 
 impl From<io::Error> for ClusterError {
     fn from(error: io::Error) -> Self {
@@ -411,16 +303,3 @@
         Self::Certificate(error)
     }
 }
-
-impl fmt::Display for ClusterError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::System(error) => write!(formatter, "the system refused: {error}"),
-            Self::Certificate(error) => write!(formatter, "no certificate: {error}"),
-            Self::NotReady { name } => write!(formatter, "{name} did not become ready"),
-            Self::Command { name, output } => write!(formatter, "{name} failed:\n{output}"),
-        }
-    }
-}
-
-impl std::error::Error for ClusterError {}
--- a/crates/woodladder-lab/src/demo/mod.rs
+++ b/crates/woodladder-lab/src/demo/mod.rs
@@ -9,30 +9,40 @@
 //! between its zones is not modelled here, but in the simulation.
 
 mod administration;
+mod arguments;
 mod cluster;
 mod evidence;
+mod files;
 mod imbalance;
+mod launch;
 mod loopback;
 mod plan;
 mod process;
 mod report;
 mod story;
 mod surge;
+mod wiring;
 
 use std::io;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use tokio::time::Instant;
-use woodladder_core::bundle_source;
+use woodladder_core::finding::Findings;
 
 pub use administration::{Administration, AdministrationError};
-pub use cluster::{Cluster, ClusterError};
+pub use arguments::Flag;
+pub use cluster::{Cluster, ClusterError, ClusterOptions, CommandEnd, SERVER_NAME};
+pub use evidence::execution_logs;
 pub use imbalance::{BackEndLoad, Imbalance, imbalance};
-pub use loopback::LoopbackNetwork;
-pub use plan::{Deployment, EXAMPLES, Example, Load, Machine};
+pub use loopback::{LoopbackNetwork, NetworkReservation};
+pub use plan::{
+    ADMIN_PORT_OFFSET, BACK_END_ADMIN_PORT, BACK_END_PORT, CONTROL_PORT, DATA_PORT, Deployment,
+    EGRESS_PORT, EXAMPLES, Example, HTTP_PORT, Load, MACHINE_LIST_PORT, Machine, STORE_PORT,
+};
 pub use process::{DemoProcess, ProcessPlan, StopResult};
 pub use report::{DemoReport, DeploymentReport, ServiceReport};
+pub use wiring::{FaultPath, FaultProxies, Wiring};
 
 use story::Progress;
 
@@ -60,7 +70,9 @@
     };
     let mut stories = Vec::new();
     for example in &EXAMPLES {
-        let cluster = Cluster::start(place(example)?, &directory)?;
+        let program = std::env::current_exe()?;
+        let started = ClusterOptions::new(program, &directory.join(example.name));
+        let cluster = Cluster::start(place(example)?, started)?;
         let progress = Progress::new(example.name, options.progress);
         stories.push(story::run(cluster, options.surge, progress));
     }
@@ -73,21 +85,16 @@
     Ok(report)
 }
 
-/// Puts an example on a part of the loopback network that is free.
-fn place(example: &'static Example) -> Result<Deployment, ClusterError> {
-    let refused = |findings: woodladder_core::finding::Findings| {
-        ClusterError::System(io::Error::new(
-            io::ErrorKind::InvalidData,
-            findings.to_string(),
-        ))
+/// Puts an example on a part of the loopback network that no other uses.
+///
+/// # Errors
+/// [`ClusterError`] when no network is free or a bundle has findings.
+pub fn place(example: &'static Example) -> Result<Deployment, ClusterError> {
+    let reservation = NetworkReservation::draw(&mut rand::rng());
+    let reservation = reservation.ok_or(io::Error::from(io::ErrorKind::AddrInUse))?;
+    let refused = |findings: Findings| {
+        let reason = findings.to_string();
+        ClusterError::System(io::Error::new(io::ErrorKind::InvalidData, reason))
     };
-    let bundle = bundle_source::parse(example.name, example.first_bundle).map_err(refused)?;
-    let services = bundle.services.iter();
-    let address = services
-        .flat_map(|service| service.addresses.first())
-        .next()
-        .copied();
-    let network = address.and_then(|address| LoopbackNetwork::draw(&mut rand::rng(), address));
-    let network = network.ok_or(io::Error::from(io::ErrorKind::AddrInUse))?;
-    Deployment::new(example, network).map_err(refused)
+    Deployment::new(example, reservation).map_err(refused)
 }
--- a/crates/woodladder-lab/src/demo/plan.rs
+++ b/crates/woodladder-lab/src/demo/plan.rs
@@ -7,7 +7,7 @@
 use woodladder_core::bundle_source;
 use woodladder_core::finding::Findings;
 
-use super::loopback::LoopbackNetwork;
+use super::loopback::{LoopbackNetwork, NetworkReservation};
 
 /// Port of the data socket of balancers and agents in the examples.
 pub const DATA_PORT: u16 = 7001;
@@ -43,6 +43,8 @@
     pub agent_settings: &'static str,
     /// Settings of the operator's commands.
     pub operator_settings: &'static str,
+    /// Secret key of the operator.
+    pub operator_key: &'static str,
     /// Addresses of the balancers.
     pub balancers: &'static [[u8; 4]],
     /// Address of the store, the machine list and the fabric.
@@ -86,6 +88,7 @@
         balancer_settings: include_str!("../../../../examples/ankang/balancer.toml"),
         agent_settings: include_str!("../../../../examples/ankang/agent.toml"),
         operator_settings: include_str!("../../../../examples/ankang/operator.toml"),
+        operator_key: include_str!("../../../../examples/ankang/operator.key"),
         balancers: &[[10, 0, 21, 1], [10, 0, 21, 2], [10, 0, 21, 3]],
         platform: [10, 0, 51, 1],
         caller_delay: Duration::from_millis(1),
@@ -118,6 +121,7 @@
         balancer_settings: include_str!("../../../../examples/almaty/balancer.toml"),
         agent_settings: include_str!("../../../../examples/almaty/agent.toml"),
         operator_settings: include_str!("../../../../examples/almaty/operator.toml"),
+        operator_key: include_str!("../../../../examples/almaty/operator.key"),
         balancers: &[
             [10, 0, 41, 1],
             [10, 0, 41, 2],
@@ -161,6 +165,8 @@
     pub bundle: Bundle,
     /// Its second bundle.
     pub second_bundle: Bundle,
+    /// Keeps other deployments off the network.
+    _reservation: NetworkReservation,
 }
 
 /// Addresses of one machine, by their port.
@@ -174,13 +180,18 @@
     ///
     /// # Errors
     /// The findings of its bundles.
-    pub fn new(example: &'static Example, network: LoopbackNetwork) -> Result<Self, Findings> {
+    pub fn new(
+        example: &'static Example,
+        reservation: NetworkReservation,
+    ) -> Result<Self, Findings> {
+        let network = reservation.network();
         let parse = |text: &str| bundle_source::parse(example.name, &network.text(text));
         Ok(Self {
             example,
             network,
             bundle: parse(example.first_bundle)?,
             second_bundle: parse(example.second_bundle)?,
+            _reservation: reservation,
         })
     }
 
@@ -197,6 +208,13 @@
         addresses.map(|address| self.machine(*address)).collect()
     }
 
+    /// The machines of the agents, in the order of the first bundle's targets.
+    #[must_use]
+    pub fn agents(&self) -> Vec<Machine> {
+        let targets = self.bundle.targets.iter();
+        targets.map(|target| Machine::of(target.address)).collect()
+    }
+
     /// The service of a target.
     #[must_use]
     pub fn service_of(&self, target: &Target) -> Option<&Service> {
--- a/crates/woodladder-lab/src/demo/process.rs
+++ b/crates/woodladder-lab/src/demo/process.rs
@@ -47,7 +47,10 @@
     /// # Errors
     /// When the log file or the process cannot be made.
     pub fn start(program: &Path, plan: &ProcessPlan) -> io::Result<Self> {
-        let output = std::fs::File::create(&plan.log)?;
+        let output = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&plan.log)?;
         let errors = output.try_clone()?;
         let child = Command::new(program)
             .args(&plan.arguments)
--- a/crates/woodladder-lab/src/scale/flows.rs
+++ b/crates/woodladder-lab/src/scale/flows.rs
@@ -7,11 +7,10 @@
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
-use woodladder_core::bundle_source;
 
 use super::meter::resident_memory_of;
 use crate::demo::{
-    Administration, Cluster, ClusterError, Deployment, EXAMPLES, Example, LoopbackNetwork,
+    Administration, Cluster, ClusterError, ClusterOptions, EXAMPLES, Example, place,
 };
 use crate::stand_in::caller::{
     Caller, CallerConfig, CallerEndpoints, EndpointsConfig, FeedWatch, OutcomeRecorder,
@@ -133,15 +132,8 @@
 }
 
 async fn start(example: &'static Example, directory: &Path) -> Result<Cluster, ClusterError> {
-    let bundle = bundle_source::parse(example.name, example.first_bundle)
-        .map_err(|findings| io::Error::other(findings.to_string()))?;
-    let mut addresses = bundle.services.iter().flat_map(|known| &known.addresses);
-    let first = addresses.next().copied();
-    let network = first.and_then(|address| LoopbackNetwork::draw(&mut rand::rng(), address));
-    let network = network.ok_or(io::Error::from(io::ErrorKind::AddrInUse))?;
-    let deployment = Deployment::new(example, network)
-        .map_err(|findings| io::Error::other(findings.to_string()))?;
-    let cluster = Cluster::start(deployment, directory)?;
+    let options = ClusterOptions::new(std::env::current_exe()?, directory);
+    let cluster = Cluster::start(place(example)?, options)?;
     let client = Administration::new().map_err(|error| io::Error::other(error.to_string()))?;
     cluster.wait_started(&client).await?;
     cluster.sign_and_roll(1).await?;
--- a/crates/woodladder-lab/src/scale/sockets.rs
+++ b/crates/woodladder-lab/src/scale/sockets.rs
@@ -121,6 +121,7 @@
             let reporter = reporter.clone();
             let config = ControlConfig {
                 listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+                advertise: None,
                 key: TagKey::new(CONTROL_KEY),
                 replica: settings(&size, NodeIndex(index), seeds, roller.trusted()),
                 store: Arc::clone(&store) as Arc<dyn Store>,
--- /dev/null
+++ b/crates/woodladder-lab/tests/promise_planned_stop.rs
@@ -0,0 +1,107 @@
+//! A planned stop of a balancer or an agent cuts no request in progress.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+
+use cluster::{DESK, PATIENCE, Setup, World, eventually_async};
+use tokio::task::JoinHandle;
+use woodladder_lab::demo::{Flag, StopResult};
+use woodladder_lab::stand_in::back_end::BackEndFault;
+use woodladder_lab::stand_in::caller::{Operation, Outcome};
+use woodladder_lab::stand_in::oracle::{OracleSettings, Violation};
+
+const REQUESTS: u64 = 15;
+const PLANNED: OracleSettings = OracleSettings {
+    leaving_limit_ms: 5_000,
+    refusal_limit_ms: None,
+    planned_changes_only: true,
+    all_logs_present: true,
+};
+
+/// Every slot is in use from the start.
+async fn started() -> World {
+    let mut setup = Setup::with_faults_on(&[]);
+    setup.options.agent_flags = vec![Flag::new("--slow-start", "false")];
+    setup.start().await
+}
+
+/// Requests that run for several seconds, all of them started.
+async fn long_requests(world: &World) -> Vec<JoinHandle<Outcome>> {
+    for place in 0..3 {
+        let fault = BackEndFault {
+            answer_delay_ms: 6_000,
+            ..BackEndFault::default()
+        };
+        world.set_fault(place, fault).await;
+    }
+    let asked = (1..=REQUESTS)
+        .map(|id| {
+            let caller = world.caller(DESK);
+            tokio::spawn(async move { caller.ask(Operation::change(id)).await })
+        })
+        .collect();
+    eventually_async("requests run", async || {
+        let mut running = 0;
+        for place in 0..3 {
+            running += world.log(place).await.executions.len();
+        }
+        running == usize::try_from(REQUESTS).expect("few")
+    })
+    .await;
+    asked
+}
+
+/// The place of a target that runs some of the requests.
+async fn busy_target(world: &World) -> usize {
+    for place in 0..3 {
+        if !world.log(place).await.executions.is_empty() {
+            return place;
+        }
+    }
+    panic!("no target runs a request");
+}
+
+async fn answered(asked: Vec<JoinHandle<Outcome>>) -> usize {
+    let mut answered = 0;
+    for request in asked {
+        let outcome = request.await.expect("outcome");
+        answered += usize::from(outcome == Outcome::Answered { defect: None });
+    }
+    answered
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_end_although_balancers_and_an_agent_stop() {
+    let mut world = started().await;
+    let asked = long_requests(&world).await;
+    let busy = busy_target(&world).await;
+    world.cluster.balancers[0].terminate();
+    world.cluster.balancers[1].terminate();
+    world.cluster.agents[busy].terminate();
+
+    let answered = answered(asked).await;
+    assert_eq!(answered, 15, "{:?}", world.recorder.snapshot());
+    let balancers = &mut world.cluster.balancers;
+    assert_eq!(balancers[0].wait(PATIENCE).await, StopResult::Clean);
+    assert_eq!(balancers[1].wait(PATIENCE).await, StopResult::Clean);
+    let agent = &mut world.cluster.agents[busy];
+    assert_eq!(agent.wait(PATIENCE).await, StopResult::Clean);
+    let report = world.judge(&PLANNED).await;
+    assert_eq!(report.violations, [], "{:?}", report.totals);
+}
+
+/// The same stop without the drain cuts the requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_cut_by_an_agent_that_does_not_drain() {
+    let mut world = started().await;
+    let asked = long_requests(&world).await;
+    let busy = busy_target(&world).await;
+    world.cluster.agents[busy].kill();
+
+    let answered = answered(asked).await;
+    assert!(answered < 15);
+    let report = world.judge(&PLANNED).await;
+    let seen = |violation: &&Violation| matches!(violation, Violation::RequestCut { .. });
+    let cut = report.violations.iter().filter(seen).count();
+    assert_eq!(cut, 15 - answered, "{:?}", report.violations);
+}
--- a/crates/woodladder/src/control/mod.rs
+++ b/crates/woodladder/src/control/mod.rs
@@ -38,9 +38,11 @@
 pub struct ControlConfig {
     /// Address for control datagrams.
     pub listen: SocketAddr,
+    /// Address that other nodes send to; the socket's own when not set.
+    pub advertise: Option<SocketAddr>,
     /// Key of control messages.
     pub key: TagKey,
-    /// Identity of the node; `control` is replaced by the socket's address.
+    /// Identity of the node; `control` is replaced by the address advertised.
     pub replica: ReplicaSettings,
     /// The key-value service.
     pub store: Arc<dyn Store>,
@@ -100,6 +102,7 @@
         let machine_list = node.platform.machine_list.map(MachineList::new);
         Ok(Self {
             listen: node.control_listen,
+            advertise: node.control_advertise,
             key: node.keys().control,
             replica: ReplicaSettings {
                 node: NodeId(rand::random()),
@@ -130,17 +133,18 @@
             .await
             .map_err(|error| StartError::listen("control_listen", listen, error))?;
         let address = socket.address();
+        let advertised = config.advertise.unwrap_or(address);
         let (inputs, received) = mpsc::unbounded_channel();
         let (leaving, listed_leaving) = watch::channel(false);
         let mut tasks = Vec::new();
         if let Some(list) = config.machine_list {
             let logger = config.logger.clone();
             let inputs = inputs.clone();
-            let poll = machines::poll(list, address, inputs, leaving, logger);
+            let poll = machines::poll(list, advertised, inputs, leaving, logger);
             tasks.push(tokio::spawn(poll));
         }
         let settings = ReplicaSettings {
-            control: address,
+            control: advertised,
             ..config.replica
         };
         let driver = Driver::new(
--- a/crates/woodladder/src/settings/flags.rs
+++ b/crates/woodladder/src/settings/flags.rs
@@ -47,6 +47,10 @@
     #[arg(long, value_name = "IP:PORT")]
     #[serde(skip_serializing_if = "Option::is_none")]
     pub control_listen: Option<String>,
+    /// Address that other nodes send control datagrams to, when it is another
+    #[arg(long, value_name = "IP:PORT")]
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub control_advertise: Option<String>,
     /// Address for status, health and metrics over HTTP
     #[arg(long, value_name = "IP:PORT")]
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/woodladder/src/settings/node.rs
+++ b/crates/woodladder/src/settings/node.rs
@@ -28,6 +28,9 @@
 pub struct NodeSettings {
     /// Address for control datagrams among nodes.
     pub control_listen: SocketAddr,
+    /// Address that other nodes send control datagrams to, when it is another
+    /// than `control_listen`, as behind a relay.
+    pub control_advertise: Option<SocketAddr>,
     /// Address for status, health and metrics over HTTP.
     pub http_listen: SocketAddr,
     /// Zone that the node is in.
@@ -88,6 +91,7 @@
 
     pub(super) fn read(reader: &mut Reader<'_>) -> Option<Self> {
         let control_listen = reader.required("control_listen", value::reachable_listen_address);
+        let control_advertise = reader.optional("control_advertise", value::peer_address);
         let http_listen = reader.required("http_listen", value::listen_address);
         let zone = reader.required("zone", value::name);
         let region = reader.optional("region", value::name);
@@ -98,6 +102,7 @@
         let log = read_log(reader, LogLevel::default());
         Some(Self {
             control_listen: control_listen?,
+            control_advertise,
             http_listen: http_listen?,
             region: region.or_else(|| zone.clone())?,
             zone: zone?,
--- a/crates/woodladder/tests/control.rs
+++ b/crates/woodladder/tests/control.rs
@@ -107,6 +107,7 @@
     let listen: SocketAddr = "127.0.0.1:0".parse()?;
     let config = ControlConfig {
         listen,
+        advertise: None,
         key: TagKey::new(secret),
         replica: ReplicaSettings {
             node: NodeId(number),
