Count readings of the machine list apart from a change's bytes, and retired targets

A window that held a reading of the list gave a change 21,779 bytes at 3,000 nodes, one that held none 3,580 at 6,980: the list, not the change.

--- a/crates/woodladder-lab/src/command/scale.rs
+++ b/crates/woodladder-lab/src/command/scale.rs
@@ -49,6 +49,9 @@
     /// Services in the bundle.
     #[arg(long, default_value_t = STANDARD_SERVICES)]
     services: u32,
+    /// Removed targets that linger in the snapshot.
+    #[arg(long, default_value_t = 0)]
+    retired: u32,
     /// Seed of all random choices.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -93,6 +96,7 @@
             agents: 0,
             targets: STANDARD_TARGETS,
             services: STANDARD_SERVICES,
+            retired: 0,
             seed: 1,
             scenarios: Vec::new(),
             cut: STANDARD_CUT_TIME,
@@ -126,6 +130,7 @@
             agents,
             targets: self.targets,
             services: self.services,
+            retired: self.retired,
         }
     }
 
--- a/crates/woodladder-lab/src/scale/figures.rs
+++ b/crates/woodladder-lab/src/scale/figures.rs
@@ -22,6 +22,8 @@
     pub rolls: u64,
     /// Bytes a second of the mean node, sent and received, headers included.
     pub bytes_per_second: f64,
+    /// Bytes a second among them of readings of the machine list.
+    pub list_bytes_per_second: f64,
     /// Bytes a second of the node with most.
     pub greatest_bytes_per_second: f64,
     /// Datagrams a second of the mean node, sent and received.
@@ -125,6 +127,7 @@
         let meters: Vec<NodeMeter> = world.up().map(|node| node.meter).collect();
         let count = meters.len().max(1) as f64;
         let bytes = meters.iter().map(|meter| meter.bytes as f64);
+        let list_bytes = meters.iter().map(|meter| meter.list_bytes as f64);
         let processor = meters.iter().map(|meter| meter.processor.as_secs_f64());
         let messages = meters.iter().map(|meter| meter.messages as f64);
         ScenarioFigures {
@@ -132,6 +135,7 @@
             virtual_seconds: seconds,
             rolls: world.last_sequence().0 - self.rolls,
             bytes_per_second: bytes.clone().sum::<f64>() / count / seconds,
+            list_bytes_per_second: list_bytes.sum::<f64>() / count / seconds,
             greatest_bytes_per_second: bytes.fold(0.0, f64::max) / seconds,
             messages_per_second: messages.sum::<f64>() / count / seconds,
             processor_share: processor.clone().sum::<f64>() / count / seconds,
--- a/crates/woodladder-lab/src/scale/meter.rs
+++ b/crates/woodladder-lab/src/scale/meter.rs
@@ -11,7 +11,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct NodeMeter {
     pub(super) messages: u64,
+    /// All bytes, those of the machine list included.
     pub(super) bytes: u64,
+    pub(super) list_bytes: u64,
     pub(super) processor: Duration,
 }
 
--- a/crates/woodladder-lab/src/scale/report.rs
+++ b/crates/woodladder-lab/src/scale/report.rs
@@ -20,11 +20,12 @@
         )?;
         writeln!(
             formatter,
-            "{:<11} {:>7} {:>5} {:>7} {:>7} {:>6} {:>8} {:>8} {:>6} {:>7} {:>17} {:>8} {:>17} {:>8} {:>7} {:>9}",
+            "{:<11} {:>7} {:>5} {:>7} {:>8} {:>7} {:>6} {:>8} {:>8} {:>6} {:>7} {:>17} {:>8} {:>17} {:>8} {:>7} {:>9}",
             "scenario",
             "seconds",
             "rolls",
             "B/s",
+            "list B/s",
             "max B/s",
             "msg/s",
             "core %",
@@ -64,11 +65,12 @@
         });
         write!(
             formatter,
-            "{:<11} {:>7.0} {:>5} {:>7.0} {:>7.0} {:>6.1} {:>8.4} {:>8.4} {:>6.2} {:>7} {:>17} {:>8.2} {:>17} {:>8.0} {:>7} {:>9}",
+            "{:<11} {:>7.0} {:>5} {:>7.0} {:>8.0} {:>7.0} {:>6.1} {:>8.4} {:>8.4} {:>6.2} {:>7} {:>17} {:>8.2} {:>17} {:>8.0} {:>7} {:>9}",
             format!("{:?}", self.scenario),
             self.virtual_seconds,
             self.rolls,
             self.bytes_per_second,
+            self.list_bytes_per_second,
             self.greatest_bytes_per_second,
             self.messages_per_second,
             self.processor_share * 100.0,
--- a/crates/woodladder-lab/src/scale/roller.rs
+++ b/crates/woodladder-lab/src/scale/roller.rs
@@ -8,7 +8,7 @@
     NONCE_LENGTH, RollNonce, RollRecord, RollStatement, StoredRoll,
 };
 use woodladder_core::signature::{OperatorKey, TrustedKeys};
-use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
+use woodladder_core::snapshot::{DEFAULT_LINGER, RetiredTarget, Snapshot};
 use woodladder_core::snapshot_delta::SnapshotDelta;
 
 use super::size::{DeploymentSize, bundle_zones};
@@ -31,6 +31,8 @@
     snapshot: Option<Snapshot>,
     sequence: Sequence,
     next_target: u32,
+    /// Targets that were removed before the first roll.
+    retired: Vec<RetiredTarget>,
 }
 
 /// A roll that the key-value service accepts.
@@ -46,7 +48,8 @@
             bundle: first_bundle(size),
             snapshot: None,
             sequence: Sequence::default(),
-            next_target: size.targets,
+            next_target: size.targets + size.retired,
+            retired: retired(size),
         }
     }
 
@@ -64,7 +67,10 @@
         let signed = SignedBundle::sign(self.bundle.clone(), &self.key);
         let rolled_at = FIRST_ROLLED_AT + self.sequence.0 * SECONDS_BETWEEN_ROLLS;
         let base = self.snapshot.as_ref();
-        let snapshot = Snapshot::following(base, signed, rolled_at, DEFAULT_LINGER).ok()?;
+        let mut snapshot = Snapshot::following(base, signed, rolled_at, DEFAULT_LINGER).ok()?;
+        if base.is_none() {
+            snapshot.retired = std::mem::take(&mut self.retired);
+        }
         let delta = base.map(|base| SnapshotDelta::between(base, &snapshot));
         self.sequence = self.sequence.next();
         let copy = snapshot.encode();
@@ -155,6 +161,20 @@
     }
 }
 
+/// Removed targets with the identifiers that follow those of the bundle.
+fn retired(size: &DeploymentSize) -> Vec<RetiredTarget> {
+    let services = size.services.max(1);
+    let identifiers = size.targets..size.targets + size.retired;
+    identifiers
+        .map(|id| RetiredTarget {
+            id: TargetId(id),
+            service: ServiceId(id % services),
+            address: target_address(id),
+            retired_at: FIRST_ROLLED_AT,
+        })
+        .collect()
+}
+
 fn target_address(id: u32) -> SocketAddr {
     let [_, high, middle, low] = id.to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(10, 128 | high, middle, low), DATA_PORT))
--- a/crates/woodladder-lab/src/scale/size.rs
+++ b/crates/woodladder-lab/src/scale/size.rs
@@ -29,6 +29,8 @@
     pub targets: u32,
     /// Services in the bundle, one address each.
     pub services: u32,
+    /// Targets that earlier rolls removed and that linger.
+    pub retired: u32,
 }
 
 /// Position of a node among all nodes ever started.
--- a/crates/woodladder-lab/src/scale/slopes.rs
+++ b/crates/woodladder-lab/src/scale/slopes.rs
@@ -60,7 +60,9 @@
         let rolls = changes.rolls.max(1) as f64;
         let per_change =
             |with: f64, without: f64| (with - without) * changes.virtual_seconds / rolls;
-        let bytes_per_change = per_change(changes.bytes_per_second, steady.bytes_per_second);
+        let without_list =
+            |course: &ScenarioFigures| course.bytes_per_second - course.list_bytes_per_second;
+        let bytes_per_change = per_change(without_list(changes), without_list(steady));
         let processor_seconds_per_change =
             per_change(changes.processor_share, steady.processor_share);
         let bytes_per_restart = restarts.bytes_until_ready;
--- a/crates/woodladder-lab/src/scale/world.rs
+++ b/crates/woodladder-lab/src/scale/world.rs
@@ -279,7 +279,9 @@
         if !reachable {
             return;
         }
-        self.nodes[index.0].meter.bytes += length;
+        let meter = &mut self.nodes[index.0].meter;
+        meter.bytes += length;
+        meter.list_bytes += length;
         let count = self.nodes.len();
         let machines = (0..count).map(|named| ListedMachine {
             control: NodeIndex(named).control(),
--- a/crates/woodladder-lab/tests/scale.rs
+++ b/crates/woodladder-lab/tests/scale.rs
@@ -15,6 +15,7 @@
         agents: 21,
         targets: 60,
         services: 12,
+        retired: 30,
     }
 }
 
