Let hollow nodes share the roll in force; let hollow agents serve targets

Each still applies, checks and lays out its own; `Replica::share_installed` then swaps it for an equal one. The traffic is the same bit by bit, which a test shows. Hollow agents stand beside targets and so announce themselves.

--- a/crates/woodladder-core/src/replica/machine.rs
+++ b/crates/woodladder-core/src/replica/machine.rs
@@ -133,6 +133,15 @@
         self.installed.as_ref()
     }
 
+    /// Keeps `same` in place of its own copy of the roll in force, so that many
+    /// replicas of one process hold it once. Ignored when it is another roll.
+    pub fn share_installed(&mut self, same: &Arc<Installed>) {
+        let own = self.installed.as_ref();
+        if own.is_some_and(|own| own.record == same.record) {
+            self.installed = Some(Arc::clone(same));
+        }
+    }
+
     /// Sequence in force; zero when none is.
     #[must_use]
     pub fn sequence(&self) -> Sequence {
--- a/crates/woodladder-lab/src/command/scale.rs
+++ b/crates/woodladder-lab/src/command/scale.rs
@@ -52,6 +52,9 @@
     /// Removed targets that linger in the snapshot.
     #[arg(long, default_value_t = 0)]
     retired: u32,
+    /// Let all hollow nodes hold one copy of the roll in force, so that more fit.
+    #[arg(long)]
+    shared: bool,
     /// Seed of all random choices.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -97,6 +100,7 @@
             targets: STANDARD_TARGETS,
             services: STANDARD_SERVICES,
             retired: 0,
+            shared: false,
             seed: 1,
             scenarios: Vec::new(),
             cut: STANDARD_CUT_TIME,
@@ -131,6 +135,7 @@
             targets: self.targets,
             services: self.services,
             retired: self.retired,
+            shared: self.shared,
         }
     }
 
--- a/crates/woodladder-lab/src/scale/node.rs
+++ b/crates/woodladder-lab/src/scale/node.rs
@@ -1,6 +1,7 @@
 //! A hollow node: the replica that a daemon runs, without the data path.
 
 use rand_chacha::ChaCha8Rng;
+use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::clock::Instant;
 use woodladder_core::identifier::NodeId;
 use woodladder_core::replica::{Replica, ReplicaSettings, ReplicaTuning};
@@ -47,7 +48,10 @@
             role: template.size.role(index),
             locality: index.locality(),
             control: index.control(),
-            served: None,
+            served: template.size.target(index).map(|target| ServedTarget {
+                target,
+                run: RunNumber(u64::from(run) + 1),
+            }),
             seeds: Vec::new(),
             trusted: template.trusted.clone(),
             tuning: ReplicaTuning::default(),
--- a/crates/woodladder-lab/src/scale/size.rs
+++ b/crates/woodladder-lab/src/scale/size.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use woodladder_core::bundle::Zone;
+use woodladder_core::identifier::TargetId;
 use woodladder_core::membership::{Locality, Role};
 
 /// Zones of the deployment, by region.
@@ -31,6 +32,9 @@
     pub services: u32,
     /// Targets that earlier rolls removed and that linger.
     pub retired: u32,
+    /// Whether all nodes hold one copy of the roll in force, so that more of
+    /// them fit; each still makes and checks its own.
+    pub shared: bool,
 }
 
 /// Position of a node among all nodes ever started.
@@ -44,6 +48,13 @@
         self.balancers + self.agents
     }
 
+    /// Target that a node stands beside: agents one each, in the order of both.
+    pub(super) fn target(&self, node: NodeIndex) -> Option<TargetId> {
+        let position = node.0.checked_sub(self.balancers)?;
+        let target = u32::try_from(position).ok()?;
+        (target < self.targets).then_some(TargetId(target))
+    }
+
     pub(super) fn role(&self, node: NodeIndex) -> Role {
         if node.0 < self.balancers {
             Role::Balancer
--- a/crates/woodladder-lab/src/scale/world.rs
+++ b/crates/woodladder-lab/src/scale/world.rs
@@ -4,6 +4,7 @@
 //! processor time of a node is the thread's processor time from before a
 //! message is decoded until all answers to it are encoded.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::{Rng as _, SeedableRng as _};
@@ -13,7 +14,7 @@
 use woodladder_core::identifier::Sequence;
 use woodladder_core::keyed_tag::TagKey;
 use woodladder_core::membership::{ListedMachine, ListedStanding};
-use woodladder_core::replica::{Action, Event};
+use woodladder_core::replica::{Action, Event, Installed};
 use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
 
 use super::meter::processor_time;
@@ -66,6 +67,7 @@
     roller: Roller,
     accepted: Vec<AcceptedRoll>,
     reconnected_at: Instant,
+    shared: Option<Arc<Installed>>,
     queue: EventQueue<Addressed>,
     key: TagKey,
     random: ChaCha8Rng,
@@ -92,6 +94,7 @@
             roller,
             accepted: Vec::new(),
             reconnected_at: Instant::ORIGIN,
+            shared: None,
             queue: EventQueue::new(),
             key: TagKey::new(CONTROL_KEY),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -293,6 +296,7 @@
 
     fn handle(&mut self, index: NodeIndex, event: impl FnOnce(&TagKey, Instant) -> Event) {
         let node = &mut self.nodes[index.0];
+        let shares = self.template.size.shared;
         let before = node.replica.sequence();
         let begin = processor_time();
         let event = event(&self.key, self.now);
@@ -305,6 +309,9 @@
                     frames.extend(message.encode(&self.key).map(|frame| (to, frame)));
                 }
                 Action::Store { request, operation } => requests.push((request, operation)),
+                Action::Install(installed) if shares => {
+                    share_installed(&mut self.shared, node, installed);
+                }
                 Action::Install(_) | Action::Refresh(_) => {}
             }
         }
@@ -376,3 +383,16 @@
         }
     }
 }
+
+/// Lets a node hold the newest copy in place of its own.
+fn share_installed(
+    shared: &mut Option<Arc<Installed>>,
+    node: &mut HollowNode,
+    installed: Arc<Installed>,
+) {
+    let newest = shared.get_or_insert_with(|| Arc::clone(&installed));
+    if installed.sequence() > newest.sequence() {
+        *newest = installed;
+    }
+    node.replica.share_installed(newest);
+}
--- a/crates/woodladder-lab/tests/scale.rs
+++ b/crates/woodladder-lab/tests/scale.rs
@@ -16,6 +16,7 @@
         targets: 60,
         services: 12,
         retired: 30,
+        shared: false,
     }
 }
 
@@ -33,6 +34,17 @@
     measure(size(), seed, &Scenario::ALL, &courses())
 }
 
+/// Traffic of each course, bit by bit.
+fn traffic(figures: &DeploymentFigures) -> Vec<(u64, u64)> {
+    let bits = |known: &ScenarioFigures| {
+        (
+            known.bytes_per_second.to_bits(),
+            known.messages_per_second.to_bits(),
+        )
+    };
+    figures.scenarios.iter().map(bits).collect()
+}
+
 fn course(figures: &DeploymentFigures, scenario: Scenario) -> &ScenarioFigures {
     let mut known = figures.scenarios.iter();
     known.find(|known| known.scenario == scenario).unwrap()
@@ -69,16 +81,17 @@
 
 #[test]
 fn same_seed_gives_the_same_traffic() {
-    let traffic = |figures: DeploymentFigures| -> Vec<(u64, u64)> {
-        let bits = |known: &ScenarioFigures| {
-            (
-                known.bytes_per_second.to_bits(),
-                known.messages_per_second.to_bits(),
-            )
-        };
-        figures.scenarios.iter().map(bits).collect()
+    assert_eq!(traffic(&figures(4)), traffic(&figures(4)));
+}
+
+#[test]
+fn nodes_that_share_a_copy_send_the_same_traffic() {
+    let shared = DeploymentSize {
+        shared: true,
+        ..size()
     };
-    assert_eq!(traffic(figures(4)), traffic(figures(4)));
+    let shared = measure(shared, 5, &Scenario::ALL, &courses());
+    assert_eq!(traffic(&shared), traffic(&figures(5)));
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
