--- a/crates/woodladder/tests/control.rs
+++ b/crates/woodladder/tests/control.rs
@@ -9,8 +9,9 @@
 use tokio::time::{sleep, timeout};
 use woodladder::control::{Control, ControlConfig, ControlStatus};
 use woodladder::store::Store;
+use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::bundle::{Bundle, Service, SignedBundle, Zone};
-use woodladder_core::identifier::{NodeId, Sequence, ServiceId};
+use woodladder_core::identifier::{NodeId, Sequence, ServiceId, TargetId};
 use woodladder_core::keyed_tag::TagKey;
 use woodladder_core::membership::{Locality, Role};
 use woodladder_core::replica::{ReplicaSettings, ReplicaTuning};
@@ -104,8 +105,30 @@
     store: MemoryStore,
     seeds: Vec<SocketAddr>,
 ) -> Result<Control, Box<dyn std::error::Error>> {
+    Control::start(config(number, secret, store, seeds)?)
+        .await
+        .map_err(Into::into)
+}
+
+/// A node that stands beside the target of its number.
+async fn agent(number: u32, seeds: Vec<SocketAddr>) -> Result<Control, Box<dyn std::error::Error>> {
+    let mut config = config(number.into(), CONTROL_SECRET, cut_off(), seeds)?;
+    config.replica.role = Role::Agent;
+    config.replica.served = Some(ServedTarget {
+        target: TargetId(number),
+        run: RunNumber(1),
+    });
+    Ok(Control::start(config).await?)
+}
+
+fn config(
+    number: u64,
+    secret: [u8; 16],
+    store: MemoryStore,
+    seeds: Vec<SocketAddr>,
+) -> Result<ControlConfig, Box<dyn std::error::Error>> {
     let listen: SocketAddr = "127.0.0.1:0".parse()?;
-    let config = ControlConfig {
+    Ok(ControlConfig {
         listen,
         advertise: None,
         key: TagKey::new(secret),
@@ -123,8 +146,7 @@
         machine_list: None,
         install: Box::new(|_| {}),
         logger: woodladder::log::discard(),
-    };
-    Ok(Control::start(config).await?)
+    })
 }
 
 fn cut_off() -> MemoryStore {
@@ -185,3 +207,30 @@
     assert!(!status.ready);
     Ok(())
 }
+
+#[tokio::test]
+async fn agents_that_end_without_a_word_or_leave_are_marked()
+-> Result<(), Box<dyn std::error::Error>> {
+    let first = agent(1, Vec::new()).await?;
+    let seeds = vec![first.address()];
+    let second = agent(2, seeds.clone()).await?;
+    let third = agent(3, seeds.clone()).await?;
+    let fourth = agent(4, seeds).await?;
+    let knows_all = |status: &ControlStatus| status.members.heard == 3;
+    for node in [&first, &second, &third, &fourth] {
+        wait_until(node, knows_all).await?;
+    }
+    drop(fourth);
+    for node in [&first, &second, &third] {
+        wait_until(node, |status| status.marked_targets == 1).await?;
+    }
+    third.takes_new_flows(false);
+    for node in [&first, &second, &third] {
+        wait_until(node, |status| status.marked_targets == 2).await?;
+    }
+    third.takes_new_flows(true);
+    for node in [&first, &second, &third] {
+        wait_until(node, |status| status.marked_targets == 1).await?;
+    }
+    Ok(())
+}
