Mix more faults, and tell a request never taken from one cut

Ruled out: excusing requests that no agent admitted, which would also hide requests that a stop loses on their way.

Change: an agent's close names the greatest attempt taken on the flow, and greater ones count as not run, which the oracle checks like any refusal. Times without any balancer are logged, only while one has failed without a plan. A balancer is also frozen while flows are opened, so that it wakes with first packets before it.

--- a/crates/woodladder-lab/src/simulation/agent_flows.rs
+++ b/crates/woodladder-lab/src/simulation/agent_flows.rs
@@ -30,6 +30,7 @@
     channel: Channel,
     last_heard: Instant,
     confirmed: bool,
+    last_taken: u64,
 }
 
 /// All flows of an agent.
@@ -98,6 +99,7 @@
             channel: Channel::default(),
             last_heard: now,
             confirmed: false,
+            last_taken: 0,
         };
         self.flows.insert(identifier, flow);
     }
@@ -142,6 +144,11 @@
         flow.confirmed = true;
         flow.carried_by = carried_by;
         let frames = flow.channel.receive(datagram);
+        for frame in &frames {
+            if let Frame::Request(request) = frame {
+                flow.last_taken = flow.last_taken.max(request.attempt);
+            }
+        }
         if datagram.frame.is_some() {
             let content = Content::Frames(flow.channel.acknowledgement());
             let caller = flow.caller;
@@ -165,6 +172,14 @@
         self.reply(caller, *identifier, content, around);
     }
 
+    /// Tells the caller that the flow ends, and what was taken on it.
+    pub fn close(&mut self, identifier: &FirstIdentifier, around: &mut Surroundings<'_>) {
+        if let Some(flow) = self.flows.get(identifier) {
+            let last_taken = flow.last_taken;
+            self.send(identifier, Frame::Close { last_taken }, around);
+        }
+    }
+
     /// Sends lost frames again.
     pub fn resend(&mut self, around: &mut Surroundings<'_>) {
         let mut again = Vec::new();
--- a/crates/woodladder-lab/src/simulation/caller/mod.rs
+++ b/crates/woodladder-lab/src/simulation/caller/mod.rs
@@ -304,7 +304,7 @@
         }
         let leaves = flow_leaves(&self.flow) || over || self.habits.feed;
         if leaves && self.pending.is_empty() {
-            self.send(Frame::Close, around);
+            self.send(Frame::Close { last_taken: 0 }, around);
             self.flow = FlowState::Idle { until: around.now };
         }
     }
--- a/crates/woodladder-lab/src/simulation/frame.rs
+++ b/crates/woodladder-lab/src/simulation/frame.rs
@@ -83,8 +83,12 @@
     GoAway,
     /// Asks the other end for a sign of life.
     Ping,
-    /// The flow ends.
-    Close,
+    /// The flow ends. An agent names the greatest attempt that it took on the
+    /// flow, as the last notice of HTTP/3 does: greater ones were not run.
+    Close {
+        /// The greatest attempt taken; zero from callers.
+        last_taken: u64,
+    },
 }
 
 /// Content of a datagram.
--- a/crates/woodladder-lab/src/simulation/log.rs
+++ b/crates/woodladder-lab/src/simulation/log.rs
@@ -159,6 +159,8 @@
         /// The target.
         target: TargetId,
     },
+    /// No balancer serves, and at least one has failed without a plan.
+    NoBalancer,
     /// An established flow ended against its caller's will.
     FlowBroken {
         /// Target that held it.
--- a/crates/woodladder-lab/src/simulation/mutation.rs
+++ b/crates/woodladder-lab/src/simulation/mutation.rs
@@ -81,8 +81,8 @@
         match self {
             // The caller rightly asks again.
             Self::NotRunAfterSend => &[Promise::AtMostOnce],
-            // The stale exchange ends another request.
-            Self::ReuseConnection => &[
+            // The stale exchange ends another request; a stray flow leads nowhere.
+            Self::ReuseConnection | Self::IgnoreService => &[
                 Promise::PlannedStopKeepsRequests,
                 Promise::PlannedChangeKeepsFeeds,
             ],
--- a/crates/woodladder-lab/src/simulation/oracle.rs
+++ b/crates/woodladder-lab/src/simulation/oracle.rs
@@ -13,7 +13,7 @@
 
 /// Longest time after which a leaving target still gets new work.
 pub const LEAVING_LIMIT: Duration = Duration::from_secs(5);
-/// Longest silence that one failure of a target explains.
+/// Longest silence that one failure of a target, or of all balancers, explains.
 const FAILURE_EXPLAINS: Duration = Duration::from_secs(12);
 
 /// How an attempt ended for its caller.
@@ -42,6 +42,8 @@
     executions: BTreeMap<OperationId, Vec<Instant>>,
     told: BTreeMap<TargetId, Vec<(Instant, bool)>>,
     failures: BTreeMap<TargetId, Vec<Instant>>,
+    /// Times at which no balancer served.
+    outages: Vec<Instant>,
 }
 
 /// Judges a run by its log.
@@ -102,6 +104,7 @@
                     .or_default()
                     .push((record.at, false));
             }
+            Entry::NoBalancer => self.outages.push(record.at),
             Entry::TargetFailed { target } => {
                 self.failures.entry(target).or_default().push(record.at);
             }
@@ -267,8 +270,9 @@
     }
 
     fn failed_between(&self, target: TargetId, from: Instant, until: Instant) -> bool {
-        let failures = self.failures.get(&target);
-        failures.is_some_and(|list| list.iter().any(|at| (from..=until).contains(at)))
+        let failures = self.failures.get(&target).into_iter().flatten();
+        let mut failures = failures.chain(&self.outages);
+        failures.any(|at| (from..=until).contains(at))
     }
 }
 
--- a/crates/woodladder-lab/src/simulation/scenario/balancers.rs
+++ b/crates/woodladder-lab/src/simulation/scenario/balancers.rs
@@ -4,7 +4,7 @@
 
 use woodladder_core::bundle::Bundle;
 
-use super::{Draft, FAULTS_START};
+use super::{CALLERS_START, Draft, FAULTS_START};
 use crate::simulation::deployment::{
     BALANCERS, Deployment, FIRST_AGENTS, FIRST_SERVICE, SPARE_AGENT, SPARE_BALANCER, target_of,
 };
@@ -53,7 +53,13 @@
 }
 
 /// A balancer is frozen for longer than a lease and wakes during a roll.
+/// Another is frozen while flows are opened, and wakes with their first packets
+/// before it.
 pub fn freeze(draft: &mut Draft) {
+    let at = CALLERS_START + draft.random.milliseconds(0, 1_000);
+    let time = draft.random.milliseconds(LEAST_FREEZE, MOST_FREEZE);
+    let sleeper = any_balancer(draft);
+    draft.at(at, Fault::Freeze(sleeper, time));
     let balancer = any_balancer(draft);
     let at = draft.moment().min(Duration::from_secs(15));
     let time = draft.random.milliseconds(LEAST_FREEZE, MOST_FREEZE);
--- a/crates/woodladder-lab/src/simulation/topology.rs
+++ b/crates/woodladder-lab/src/simulation/topology.rs
@@ -15,9 +15,9 @@
 /// The two deployments that worlds are laid out as.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Site {
-    /// Three zones.
+    /// Three zones, far from each other and close to callers.
     Taiwan,
-    /// Four halls.
+    /// Four zones, close to each other and far from callers.
     Almaty,
 }
 
--- a/crates/woodladder-lab/src/simulation/world/faults.rs
+++ b/crates/woodladder-lab/src/simulation/world/faults.rs
@@ -182,6 +182,7 @@
             return;
         }
         let run = host.run();
+        host.failed = !host.stopping;
         host.end();
         self.list.changed(run.machine, false, now);
         self.set_sound(run, false);
@@ -235,6 +236,7 @@
         match machine {
             Machine::Balancer(number) => {
                 if let Some(host) = self.balancers.get_mut(&number) {
+                    host.failed = host.process.is_some();
                     host.frozen_until = Some(until);
                     let run = host.run();
                     self.frozen(run, until);
--- a/crates/woodladder-lab/src/simulation/world/host.rs
+++ b/crates/woodladder-lab/src/simulation/world/host.rs
@@ -18,6 +18,8 @@
     pub wake_at: Option<Instant>,
     /// Whether a planned stop was begun.
     pub stopping: bool,
+    /// Whether it failed without a plan and has not served since.
+    pub failed: bool,
 }
 
 impl<P> Host<P> {
@@ -31,6 +33,7 @@
             frozen_until: None,
             wake_at: None,
             stopping: false,
+            failed: false,
         }
     }
 
