--- a/crates/woodladder-lab/src/demo/cluster.rs
+++ b/crates/woodladder-lab/src/demo/cluster.rs
@@ -67,6 +67,14 @@
     pub agent_flags: Vec<Flag>,
 }
 
+/// A command of the operator that runs.
+#[derive(Debug)]
+pub struct RunningCommand {
+    /// Its process.
+    pub process: DemoProcess,
+    log: PathBuf,
+}
+
 /// How a command of the operator ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CommandEnd {
@@ -94,6 +102,18 @@
     pub(super) files: Files,
 }
 
+impl RunningCommand {
+    /// Waits until the command has ended.
+    ///
+    /// # Errors
+    /// [`ClusterError::System`] when its output cannot be read.
+    pub async fn end(mut self) -> Result<CommandEnd, ClusterError> {
+        let result = self.process.wait(COMMAND_LIMIT).await;
+        let output = std::fs::read_to_string(&self.log)?;
+        Ok(CommandEnd { result, output })
+    }
+}
+
 impl ClusterOptions {
     /// All processes of a deployment, without fault proxies.
     #[must_use]
@@ -204,13 +224,21 @@
     /// # Errors
     /// [`ClusterError::System`] when the process cannot be started.
     pub async fn roll(&self, version: u64, flags: &[Flag]) -> Result<CommandEnd, ClusterError> {
+        self.start_roll(version, flags)?.end().await
+    }
+
+    /// Starts to roll a signed bundle.
+    ///
+    /// # Errors
+    /// [`ClusterError::System`] when the process cannot be started.
+    pub fn start_roll(&self, version: u64, flags: &[Flag]) -> Result<RunningCommand, ClusterError> {
         let key = self.files.path("operator.key");
         let roll = Arguments::new(&["roll"])
             .value(self.signed_bundle(version).as_os_str())
             .path("--settings", &self.files.path("operator.toml"))
             .path("--signing-key", &key)
             .flags(flags);
-        self.command("roll", roll).await
+        self.start_command("roll", roll)
     }
 
     /// Address of the fabric's administrative interface.
@@ -260,12 +288,21 @@
     }
 
     async fn command(&self, name: &str, arguments: Arguments) -> Result<CommandEnd, ClusterError> {
+        self.start_command(name, arguments)?.end().await
+    }
+
+    fn start_command(
+        &self,
+        name: &str,
+        arguments: Arguments,
+    ) -> Result<RunningCommand, ClusterError> {
         let number = COMMANDS.fetch_add(1, Ordering::Relaxed);
         let plan = self.plan(&format!("{name}-{number}"), arguments.product());
-        let mut process = DemoProcess::start(&self.options.program, &plan)?;
-        let result = process.wait(COMMAND_LIMIT).await;
-        let output = std::fs::read_to_string(&plan.log)?;
-        Ok(CommandEnd { result, output })
+        let process = DemoProcess::start(&self.options.program, &plan)?;
+        Ok(RunningCommand {
+            process,
+            log: plan.log,
+        })
     }
 
     fn succeeded(&self, name: &str, end: CommandEnd) -> Result<String, ClusterError> {
--- a/crates/woodladder-lab/src/demo/mod.rs
+++ b/crates/woodladder-lab/src/demo/mod.rs
@@ -32,7 +32,7 @@
 
 pub use administration::{Administration, AdministrationError};
 pub use arguments::Flag;
-pub use cluster::{Cluster, ClusterError, ClusterOptions, CommandEnd, SERVER_NAME};
+pub use cluster::{Cluster, ClusterError, ClusterOptions, CommandEnd, RunningCommand, SERVER_NAME};
 pub use evidence::execution_logs;
 pub use imbalance::{BackEndLoad, Imbalance, imbalance};
 pub use loopback::{LoopbackNetwork, NetworkReservation};
--- a/crates/woodladder-lab/tests/promise_bundle.rs
+++ b/crates/woodladder-lab/tests/promise_bundle.rs
@@ -5,16 +5,24 @@
 #[path = "support/cluster_watch.rs"]
 mod cluster_watch;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cluster::{DESK, PATIENCE, Setup, World, bundle};
-use cluster_watch::{Sample, Watch, decreases, wait_in_force};
-use woodladder_lab::demo::{ADMIN_PORT_OFFSET, FaultPath, Flag, HTTP_PORT, STORE_PORT, StopResult};
+use cluster_watch::{Sample, Watch, decreases, nodes, wait_in_force};
+use tokio::net::UdpSocket;
+use woodladder_lab::demo::{
+    ADMIN_PORT_OFFSET, CONTROL_PORT, FaultPath, Flag, HTTP_PORT, STORE_PORT, StopResult,
+};
 use woodladder_lab::fault_proxy::FaultRule;
 use woodladder_lab::stand_in::caller::Outcome;
 use woodladder_lab::stand_in::store::StoreFault;
 
+/// Bytes of datagrams that are no control messages.
+const FORGERY_LENGTHS: [usize; 4] = [1, 40, 1_200, 9_000];
 const LIMIT: Duration = Duration::from_secs(11);
+/// Within a roll that takes two seconds over the slow path; any moment must be harmless.
+const FREEZE_AFTER: Duration = Duration::from_millis(1_000);
 const ROUGH: FaultRule = FaultRule {
     loss: 0.1,
     duplicate: 0.1,
@@ -47,11 +55,33 @@
     world.cluster.sign(version).await.expect("sign");
 }
 
+/// Rolls a bundle; from the command's start until it is in force everywhere the limit holds.
+async fn roll_in_force(world: &World, version: u64, leaving: &[u32], sequence: u64) {
+    write_and_sign(world, version, leaving).await;
+    let rolled = world.cluster.roll(version, &[]);
+    let in_force = wait_in_force(world, sequence, LIMIT);
+    let (rolled, _) = tokio::join!(rolled, in_force);
+    let end = rolled.expect("roll");
+    assert_eq!(end.result, StopResult::Clean, "{}", end.output);
+}
+
 async fn bundle_version(world: &World, balancer: usize) -> Option<u64> {
     let status = world.status(world.balancer(balancer)).await;
     status.expect("status").bundle_version
 }
 
+/// Sends datagrams that are no control messages to every node.
+async fn send_forgeries(world: &World) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("socket");
+    for address in nodes(world) {
+        let control = SocketAddr::new(address.ip(), CONTROL_PORT);
+        for length in FORGERY_LENGTHS {
+            let forgery = vec![length.to_le_bytes()[0]; length];
+            socket.send_to(&forgery, control).await.expect("sent");
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bundles_come_into_force_over_rough_control_traffic() {
     let setup = Setup::with_faults_on(&[FaultPath::Control, FaultPath::Store]);
@@ -59,14 +89,14 @@
     world.set_rule(&[FaultPath::Control], ROUGH);
     let watch = Watch::start(&world);
 
-    world.roll(2, &bundle(2, &[11], &[])).await;
-    wait_in_force(&world, 2, LIMIT).await;
-    world.roll(3, &bundle(3, &[12], &[])).await;
-    wait_in_force(&world, 3, LIMIT).await;
+    roll_in_force(&world, 2, &[11], 2).await;
+    send_forgeries(&world).await;
+    roll_in_force(&world, 3, &[12], 3).await;
     // The first bundle again, rolled forward.
-    world.cluster.sign_and_roll(1).await.expect("roll");
-    wait_in_force(&world, 4, LIMIT).await;
+    roll_in_force(&world, 1, &[], 4).await;
     assert_eq!(bundle_version(&world, 0).await, Some(1));
+    let rejections = world.counter(world.balancer(0), "control_rejections_total");
+    assert!(rejections.await > 0);
 
     let samples = watch.end().await;
     assert!(world.proxies.lost_datagrams() > 0);
@@ -119,8 +149,7 @@
         ..StoreFault::default()
     };
     set_store_fault(&world, fault).await;
-    world.roll(2, &bundle(2, &[11], &[])).await;
-    wait_in_force(&world, 2, LIMIT).await;
+    roll_in_force(&world, 2, &[11], 2).await;
     let samples = watch.end().await;
     assert_eq!(decreases(&samples), []);
     assert_eq!(samples.iter().map(|sample| sample.sequence).max(), Some(2));
@@ -157,6 +186,7 @@
         sequence += accepted;
         wait_in_force(&world, sequence, LIMIT).await;
     }
+    println!("figures: {lost} of 8 rolls lost");
     assert!(lost > 0, "the operators never met");
     let samples = watch.end().await;
     assert_eq!(decreases(&samples), []);
@@ -164,6 +194,39 @@
     assert_eq!(highest, Some(sequence));
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_operator_frozen_in_its_roll_undoes_nothing() {
+    let world = Setup::with_faults_on(&[FaultPath::Store]).start().await;
+    let watch = Watch::start(&world);
+    write_and_sign(&world, 2, &[11]).await;
+    write_and_sign(&world, 3, &[12]).await;
+    let slow = FaultRule {
+        delay_us: 250_000,
+        ..FaultRule::default()
+    };
+    world.set_rule(&[FaultPath::Store], slow);
+    let frozen = world.cluster.start_roll(2, &[]).expect("roll");
+    tokio::time::sleep(FREEZE_AFTER).await;
+    frozen.process.freeze();
+    world.set_rule(&[FaultPath::Store], FaultRule::default());
+
+    let other = world.cluster.roll(3, &[]).await.expect("roll");
+    assert_eq!(other.result, StopResult::Clean, "{}", other.output);
+    frozen.process.thaw();
+    let end = frozen.end().await.expect("roll");
+    let accepted = end.output.contains("accepted: ");
+    println!("figures: frozen roll ended with {:?}", end.result);
+    if !accepted {
+        assert_eq!(end.result, StopResult::Failed(Some(4)), "{}", end.output);
+    }
+    let sequence = 2 + u64::from(accepted);
+    wait_in_force(&world, sequence, LIMIT).await;
+    let samples = watch.end().await;
+    assert_eq!(decreases(&samples), []);
+    let highest = samples.iter().map(|sample| sample.sequence).max();
+    assert_eq!(highest, Some(sequence));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_frozen_node_catches_up_when_woken() {
     let world = Setup::with_faults_on(&[]).start().await;
--- a/crates/woodladder-lab/tests/promise_feeds.rs
+++ b/crates/woodladder-lab/tests/promise_feeds.rs
@@ -20,7 +20,7 @@
 ];
 /// Loss, repetition and change of order on each of the four paths.
 const ROUGH: FaultRule = FaultRule {
-    loss: 0.005,
+    loss: 0.02,
     duplicate: 0.01,
     delay_us: 500,
     jitter_us: 3_000,
@@ -45,6 +45,17 @@
     feeds
 }
 
+/// Feeds whose callers stay on their connection although its server is going away.
+async fn open_staying(world: &World) -> Vec<FeedWatch> {
+    let open = |_| {
+        let caller = world.caller_with(DESK, |config| config.feeds_move = false);
+        caller.watch_feed()
+    };
+    let feeds: Vec<FeedWatch> = (0..12).map(open).collect();
+    eventually("feeds tick", || feeds.iter().all(|feed| feed.ticks() > 0)).await;
+    feeds
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn feeds_survive_balancers_that_die_join_freeze_and_stop() {
     let mut world = Setup::with_faults_on(&DATA_PATHS).start().await;
@@ -79,21 +90,28 @@
 async fn feeds_survive_bundles_and_the_planned_stop_of_an_agent() {
     let mut world = Setup::with_faults_on(&DATA_PATHS).start().await;
     world.set_rule(&DATA_PATHS, ROUGH);
-    let feeds = open(&world).await;
+    let moving = open(&world).await;
+    let staying = open_staying(&world).await;
+    wait_ticks("faults began", &moving, TICKS).await;
 
     world.cluster.balancers[0].freeze();
     world.roll_without_some(2, &bundle(2, &[11], &[])).await;
-    wait_ticks("a target leaves", &feeds, TICKS).await;
+    wait_ticks("a target leaves", &moving, TICKS).await;
+    wait_ticks("a target leaves", &staying, TICKS).await;
     world.roll_without_some(3, &bundle(3, &[], &[11])).await;
     world.cluster.balancers[0].thaw();
-    wait_ticks("a target was removed", &feeds, TICKS).await;
+    wait_ticks("a target was removed", &moving, TICKS).await;
+    wait_ticks("a target was removed", &staying, TICKS).await;
 
     world.cluster.agents[1].terminate();
+    wait_ticks("an agent was asked to stop", &moving, TICKS).await;
+    wait_ticks("an agent was asked to stop", &staying, TICKS).await;
+    end_feeds(staying).await;
     let stop = world.cluster.agents[1].wait(PATIENCE).await;
     assert_eq!(stop, StopResult::Clean);
-    wait_ticks("an agent was stopped", &feeds, TICKS).await;
+    wait_ticks("an agent was stopped", &moving, TICKS).await;
 
-    end_feeds(feeds).await;
+    end_feeds(moving).await;
     let report = world.judge(&PLANNED).await;
     assert_eq!(report.violations, [], "{:?}", report.totals);
     assert!(report.totals.feed_moves > 0, "{:?}", report.totals);
--- a/crates/woodladder-lab/tests/promise_services.rs
+++ b/crates/woodladder-lab/tests/promise_services.rs
@@ -61,13 +61,6 @@
         .sum()
 }
 
-async fn dropped_by_moved_agent(world: &World) -> u64 {
-    let status = world.status(world.target(MOVED_TO)).await.expect("status");
-    let figures = status.figures.iter();
-    let drops = figures.filter(|(name, _)| name.starts_with("packets_dropped_"));
-    drops.map(|(_, count)| count).sum()
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_woken_balancer_sends_nothing_to_the_service_now_at_an_address() {
     let mut world = Setup::with_faults_on(&[]).start().await;
@@ -94,7 +87,9 @@
     for outcome in asked {
         outcome.await.expect("outcome");
     }
-    let dropped = dropped_by_moved_agent(&world).await;
+    let name = "packets_dropped_wrong_service_total";
+    let dropped = world.counter(world.target(MOVED_TO), name).await;
+    println!("figures: {dropped} datagrams of another service dropped");
     assert!(
         dropped > 0,
         "no datagram of the old bundle came to the moved target"
--- a/crates/woodladder-lab/tests/support/cluster.rs
+++ b/crates/woodladder-lab/tests/support/cluster.rs
@@ -18,8 +18,8 @@
 use woodladder_lab::fault_proxy::FaultRule;
 use woodladder_lab::stand_in::back_end::BackEndFault;
 use woodladder_lab::stand_in::caller::{
-    Caller, CallerConfig, CallerEndpoints, EndpointsConfig, FeedWatch, Operation, Outcome,
-    OutcomeRecorder,
+    Caller, CallerConfig, CallerEndpoints, EndpointsConfig, FeedWatch, NotRunReason, Operation,
+    Outcome, OutcomeRecorder,
 };
 use woodladder_lab::stand_in::execution_log::ExecutionLog;
 use woodladder_lab::stand_in::oracle::{Evidence, OracleReport, OracleSettings, judge};
@@ -288,7 +288,10 @@
     }
 
     pub async fn judge(&mut self, settings: &OracleSettings) -> OracleReport {
-        judge(&self.evidence().await, settings)
+        let evidence = self.evidence().await;
+        let report = judge(&evidence, settings);
+        print_figures(&evidence, &report);
+        report
     }
 
     /// Reads a bundle and makes it the one by whose targets processes are started.
@@ -299,6 +302,21 @@
     }
 }
 
+/// Prints what a run showed; `cargo test -- --nocapture` shows it.
+fn print_figures(evidence: &Evidence, report: &OracleReport) {
+    let refusals = evidence.callers.outcomes.iter().filter(|record| {
+        let told = NotRunReason::Told;
+        matches!(record.outcome, Outcome::NotRun { reason, .. } if reason == told)
+    });
+    let held = refusals.map(|record| record.ended_ms - record.asked_ms);
+    let silence = evidence.callers.feeds.iter();
+    let silence = silence.map(|feed| feed.longest_silence_ms).max();
+    println!("figures: {:?}", report.totals);
+    println!("figures: {} violations", report.violations.len());
+    println!("figures: longest refusal {:?} ms", held.max());
+    println!("figures: longest silence of a feed {silence:?} ms");
+}
+
 /// Ends event streams.
 pub async fn end_feeds(feeds: Vec<FeedWatch>) {
     for feed in feeds {
--- a/crates/woodladder-lab/tests/support/cluster_watch.rs
+++ b/crates/woodladder-lab/tests/support/cluster_watch.rs
@@ -133,7 +133,9 @@
             behind += usize::from(!told);
         }
         if behind == 0 {
-            return since.elapsed();
+            let time = since.elapsed();
+            println!("figures: sequence {sequence} in force after {time:?}");
+            return time;
         }
         let over = since.elapsed() > limit;
         assert!(
