--- a/crates/woodladder-lab/src/scale/mod.rs
+++ b/crates/woodladder-lab/src/scale/mod.rs
@@ -25,8 +25,14 @@
 pub use sockets::{SocketFigures, measure_sockets};
 pub use trace::Spread;
 
+use std::time::Duration;
+
 use world::World;
 
+/// Time after the start in which agents' announcements die down, so that they
+/// do not count as steady traffic.
+const REST: Duration = Duration::from_secs(60);
+
 /// Takes a deployment through courses of events and measures each.
 #[must_use]
 pub fn measure(
@@ -46,6 +52,7 @@
         resident_per_node_at_end: 0,
         scenarios: vec![start],
     };
+    world.run_for(REST);
     for scenario in scenarios {
         if *scenario != Scenario::Start {
             figures.scenarios.push(scenario.run(&mut world, courses));
