--- a/crates/woodladder-core/src/router.rs
+++ b/crates/woodladder-core/src/router.rs
@@ -14,7 +14,7 @@
 use crate::token::{TOKEN_LENGTH, TokenKeys};
 
 /// Candidates asked about a new flow, unless set otherwise.
-pub const DEFAULT_HOPS: usize = 2;
+pub const DEFAULT_HOPS: usize = 3;
 
 /// A caller's datagram as the fabric delivered it.
 #[derive(Clone, Copy, Debug)]
