Ask callers to move off a back end whose health says that it leaves

Cause: a back end that only its health endpoint shows to be leaving got no new flows, but requests on open connections went on for as long as their callers kept these. The load of the test for leaving targets showed starts more than 5 s after the back end began to leave.

Nothing is refused.

Before: requests started from 5.0 s on until the end of the load.

--- a/crates/woodladder-lab/tests/promise_leaving.rs
+++ b/crates/woodladder-lab/tests/promise_leaving.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use cluster::{DESK, Setup, World, bundle, eventually_async};
+use cluster::{DESK, Setup, World, bundle, end_feeds, eventually, eventually_async, wait_ticks};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 use woodladder_lab::demo::{Cluster, HTTP_PORT};
@@ -132,6 +132,41 @@
     assert!(report.totals.answered > 100, "{:?}", report.totals);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_whose_back_end_says_that_it_leaves_gets_no_new_work() {
+    let (world, load) = started().await;
+    world.set_fault(2, BackEndFault::default()).await;
+    world.note_leaving(2).await;
+    let report = judge_after(world, load, Instant::now()).await;
+    assert_eq!(report.violations, [], "{:?}", report.totals);
+    assert!(report.totals.answered > 100, "{:?}", report.totals);
+}
+
+/// The word of a back end may be false: on every target at once it costs nothing but moves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_false_alarm_of_every_back_end_cuts_nothing() {
+    let (mut world, load) = started().await;
+    let feeds = world.open_feeds(DESK, 12).await;
+    let alarm = BackEndFault {
+        health: HealthFault::AlwaysDraining,
+        ..SILENT
+    };
+    for place in 0..3 {
+        world.set_fault(place, alarm).await;
+    }
+    eventually("feeds move", || feeds.iter().all(|feed| feed.moves() > 0)).await;
+    wait_ticks("feeds moved", &feeds, 20).await;
+    load.end().await;
+    end_feeds(feeds).await;
+    let settings = OracleSettings {
+        planned_changes_only: true,
+        ..OracleSettings::default()
+    };
+    let report = world.judge(&settings).await;
+    assert_eq!(report.violations, [], "{:?}", report.totals);
+    assert_eq!(report.totals.not_run, 0, "{:?}", report.totals);
+}
+
 /// Nobody tells woodladder: the same load brings new work after five seconds.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_target_that_only_its_operator_knows_to_leave_gets_work() {
--- a/crates/woodladder/src/agent/connection.rs
+++ b/crates/woodladder/src/agent/connection.rs
@@ -57,6 +57,8 @@
         last,
         flow,
         notices: shared.control.notices(),
+        moves: shared.control.moves(),
+        asked_to_move: false,
         told: Notice::Serving,
         told_first: false,
         close_at: None,
@@ -72,6 +74,9 @@
     last: LastAccepted,
     flow: Flow,
     notices: watch::Receiver<Notice>,
+    moves: watch::Receiver<u64>,
+    /// Whether the caller is to use another connection after its first request.
+    asked_to_move: bool,
     /// What this caller was told; it never goes back.
     told: Notice,
     /// Whether the first GOAWAY came before any request, and so already
@@ -108,6 +113,12 @@
                         return;
                     }
                 }
+                changed = self.moves.changed() => {
+                    self.asked_to_move = true;
+                    if changed.is_err() || self.tell().await.is_err() {
+                        return;
+                    }
+                }
                 Some(_) = self.requests.join_next() => {}
                 () = sleep_until(close_at.unwrap_or_else(Instant::now)), if close_at.is_some() => {
                     return;
@@ -123,10 +134,8 @@
         if self.flow.declined && self.any_request {
             notice = notice.max(Notice::Refusing);
         }
-        if notice >= Notice::Leaving && self.told < Notice::Leaving {
-            self.told = Notice::Leaving;
-            self.told_first = !self.any_request;
-            self.http.shutdown(ALL_REQUESTS).await?;
+        if notice >= Notice::Leaving || (self.asked_to_move && self.any_request) {
+            self.tell_leaving().await?;
         }
         if notice >= Notice::Refusing && self.told < Notice::Refusing {
             self.told = Notice::Refusing;
@@ -136,6 +145,16 @@
         Ok(())
     }
 
+    /// Asks the caller, once, to open no more requests on this connection.
+    async fn tell_leaving(&mut self) -> Result<(), ConnectionError> {
+        if self.told >= Notice::Leaving {
+            return Ok(());
+        }
+        self.told = Notice::Leaving;
+        self.told_first = !self.any_request;
+        self.http.shutdown(ALL_REQUESTS).await
+    }
+
     /// The caller opens no more requests: its last answers are still awaited.
     async fn finish(mut self) {
         while self.requests.join_next().await.is_some() {}
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -46,6 +46,8 @@
     logger: Logger,
     machines: Mutex<Machines>,
     notice: watch::Sender<Notice>,
+    /// How often callers with an open connection were asked to use another.
+    moves: watch::Sender<u64>,
 }
 
 struct Machines {
@@ -74,6 +76,7 @@
                 drain,
             }),
             notice: watch::Sender::new(Notice::Serving),
+            moves: watch::Sender::new(0),
         }
     }
 
@@ -138,7 +141,7 @@
     }
 
     /// The back end says whether it is leaving. Its word may be late or false,
-    /// so it only turns new flows to other targets.
+    /// so it only turns new flows to other targets and refuses nothing.
     pub(super) fn back_end_leaving(&self, leaving: bool) {
         self.machines().admission.set_reluctant(leaving);
     }
@@ -159,6 +162,21 @@
         self.notice.subscribe()
     }
 
+    /// Asks callers to open another connection, once for each that is open now.
+    /// Nothing is refused on the old ones.
+    pub(super) fn ask_to_move(&self) {
+        info!(
+            self.logger,
+            "agent: the back end is leaving, callers are asked to move"
+        );
+        self.moves.send_modify(|moves| *moves += 1);
+    }
+
+    /// Follows the requests to move; those made before are not seen.
+    pub(super) fn moves(&self) -> watch::Receiver<u64> {
+        self.moves.subscribe()
+    }
+
     /// How far the drain has come.
     pub(super) fn phase(&self) -> DrainPhase {
         self.machines().drain.phase()
