Let stopped agents of the simulation wait until closes are acknowledged

Ruled out: a fault of the core; none of the requests had been taken. The real agent keeps its endpoint until closes are settled, with a limit.

Conclusion: no fault of the core is known from the simulation.

--- a/crates/woodladder-lab/src/simulation/agent/leaving.rs
+++ b/crates/woodladder-lab/src/simulation/agent/leaving.rs
@@ -1,6 +1,7 @@
 //! How a modelled agent follows rolls and comes to leave.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use woodladder_core::admission::Identity;
 use woodladder_core::directory::Directory;
@@ -15,6 +16,9 @@
 use crate::simulation::node::Surroundings;
 use crate::simulation::output::Output;
 
+/// Longest time that a stopped agent waits for acknowledgements.
+const CLOSE_PATIENCE: Duration = Duration::from_secs(3);
+
 impl Agent {
     /// Follows the roll that has come into force.
     pub(super) fn adopt(&mut self, back_end: &mut BackEnd, around: &mut Surroundings<'_>) {
@@ -105,7 +109,19 @@
         for identifier in self.flows.identifiers() {
             self.flows.close(&identifier, around);
         }
-        around.outputs.push(Output::Ended);
+        self.closing_since = Some(around.now);
+        self.end_if_closed(around);
+    }
+
+    /// Ends the process once callers have acknowledged that their flows are
+    /// closed, or have had the time to.
+    pub(super) fn end_if_closed(&mut self, around: &mut Surroundings<'_>) {
+        let Some(since) = self.closing_since else {
+            return;
+        };
+        if self.flows.unsettled() == 0 || around.now.since(since) > CLOSE_PATIENCE {
+            around.outputs.push(Output::Ended);
+        }
     }
 
     pub(super) fn activity_changed(
--- a/crates/woodladder-lab/src/simulation/agent/mod.rs
+++ b/crates/woodladder-lab/src/simulation/agent/mod.rs
@@ -58,6 +58,7 @@
     random: Random,
     told: bool,
     bad_reports: u32,
+    closing_since: Option<Instant>,
 }
 
 impl Agent {
@@ -82,6 +83,7 @@
             random: start.random.fork(),
             told: false,
             bad_reports: 0,
+            closing_since: None,
         }
     }
 
@@ -138,6 +140,7 @@
         }
         self.drain(DrainEvent::Tick, back_end, around);
         self.activity_changed(back_end, around);
+        self.end_if_closed(around);
     }
 
     /// Takes a datagram in that a balancer or another agent sent.
