--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -0,0 +1,324 @@
+//! Open flows of the target, and the load that they make.
+
+use std::time::Duration;
+
+use super::super::identity::{FlowKey, NodeAddress};
+use super::super::message::{PeerMessage, ReturnReason, TargetState};
+use super::super::note::Note;
+use super::super::packet::{FlowPacket, PacketKind};
+use super::{Agent, AnswerBody, Delivery, Departure, FlowState, HeldFlow, held_by};
+use crate::clock::Instant;
+
+/// A new sample counts for one part in this many of the mean service time.
+const MEAN_DIVISOR: u32 = 8;
+/// Time after which a request without an answer no longer counts as load.
+const BUSY_AT_MOST: Duration = Duration::from_secs(12);
+/// Time after which an opening without a sequel no longer counts as load.
+const OPENING_AT_MOST: Duration = Duration::from_millis(1000);
+
+impl Agent {
+    pub(super) fn established(
+        &mut self,
+        from: NodeAddress,
+        packet: &FlowPacket,
+        now: Instant,
+    ) -> Delivery {
+        if self.flows.use_flow(&packet.key).is_some() {
+            let begins_request = self.count_delivery(from, packet, now);
+            return Delivery::Deliver {
+                tell: None,
+                begins_request,
+            };
+        }
+        if self.knows_all_flows(now) {
+            self.counters.denied += 1;
+            return Delivery::Answer(self.returned(ReturnReason::NotHeld), AnswerBody::Packet);
+        }
+        self.try_target(from, packet, now)
+    }
+
+    pub(super) fn search(
+        &mut self,
+        from: NodeAddress,
+        ask_target: bool,
+        packet: &FlowPacket,
+        now: Instant,
+    ) -> Delivery {
+        if let Some(flow) = self.flows.use_flow(&packet.key) {
+            if flow.state == FlowState::Unconfirmed {
+                return Delivery::plain();
+            }
+            let begins_request = self.count_delivery(from, packet, now);
+            let tell = self.located(&packet.key);
+            return Delivery::Deliver {
+                tell,
+                begins_request,
+            };
+        }
+        if !ask_target || self.knows_all_flows(now) {
+            self.counters.denied += 1;
+            return Delivery::Answer(held_by(packet.key), AnswerBody::Nothing);
+        }
+        self.try_target(from, packet, now)
+    }
+
+    /// What a balancer that searched is told when the flow is held here.
+    fn located(&self, key: &FlowKey) -> Option<PeerMessage> {
+        let flow = self.flows.peek(key)?;
+        if flow.state == FlowState::Unconfirmed {
+            return None;
+        }
+        Some(PeerMessage::Located {
+            key: *key,
+            incarnation: self.target.incarnation,
+        })
+    }
+
+    /// Whether every open flow of the target is in the table: the agent has
+    /// run since the target began, or for longer than a flow lives.
+    fn knows_all_flows(&self, now: Instant) -> bool {
+        if self.target.state == TargetState::Unknown {
+            return false;
+        }
+        let complete_since = self.flows.overflowed_at().unwrap_or(self.started_at);
+        let has_seen_all = now.since(complete_since) >= self.options.flow_lifetime;
+        has_seen_all || (self.target.began_later && self.flows.overflowed_at().is_none())
+    }
+
+    /// The flow may be open at the target, which alone can tell.
+    fn try_target(&mut self, from: NodeAddress, packet: &FlowPacket, now: Instant) -> Delivery {
+        if packet.kind == PacketKind::Open {
+            return Delivery::Drop;
+        }
+        let flow = HeldFlow {
+            state: FlowState::Unconfirmed,
+            balancer: from,
+            since: now,
+            busy_since: None,
+            caller_next: packet.sequence.wrapping_add(packet.payload.into()),
+        };
+        self.flows.insert(packet.key, flow, now);
+        Delivery::plain()
+    }
+
+    /// Counts what a packet on its way to the target means for its load; says
+    /// whether a request begins with it.
+    fn count_delivery(&mut self, from: NodeAddress, packet: &FlowPacket, now: Instant) -> bool {
+        self.counters.delivered += 1;
+        let Some(flow) = self.flows.use_flow(&packet.key) else {
+            return false;
+        };
+        flow.balancer = from;
+        if matches!(flow.state, FlowState::Offered | FlowState::Accepted) {
+            flow.state = FlowState::Open;
+            flow.since = now;
+            flow.caller_next = packet.sequence;
+            self.load.opening = self.load.opening.saturating_sub(1);
+            self.load.flows += 1;
+        }
+        let end = packet.sequence.wrapping_add(packet.payload.into());
+        let is_new = packet.payload > 0 && is_after(end, flow.caller_next);
+        let begins_request = is_new && flow.busy_since.is_none();
+        if is_new {
+            flow.caller_next = end;
+        }
+        if begins_request {
+            flow.busy_since = Some(now);
+            self.load.busy += 1;
+        }
+        match packet.kind {
+            PacketKind::Reset => self.forget_flow(&packet.key),
+            PacketKind::Finish => self.close_flow(&packet.key),
+            _ => {}
+        }
+        begins_request
+    }
+
+    /// Decides about a packet that the target sent. `returned_to` is the
+    /// balancer that the packet names when the target gave it back.
+    pub fn departing(
+        &mut self,
+        packet: &FlowPacket,
+        returned_to: Option<NodeAddress>,
+        now: Instant,
+    ) -> Departure {
+        self.target.sent_at = Some(now);
+        self.target.unanswered_since = None;
+        if self.target.state == TargetState::Unresponsive {
+            self.set_state(TargetState::Ready);
+        }
+        match returned_to {
+            Some(balancer) => self.given_back(packet, balancer),
+            None => self.send_to_caller(packet, now),
+        }
+    }
+
+    fn given_back(&mut self, packet: &FlowPacket, balancer: NodeAddress) -> Departure {
+        self.counters.returned_by_target += 1;
+        let state = self.flows.peek(&packet.key).map(|flow| flow.state);
+        self.forget_flow(&packet.key);
+        if packet.kind != PacketKind::Open && state == Some(FlowState::Unconfirmed) {
+            return Departure::Returned {
+                to: balancer,
+                message: held_by(packet.key),
+                body: AnswerBody::Nothing,
+            };
+        }
+        let reason = if packet.kind == PacketKind::Open {
+            ReturnReason::RefusedByTarget
+        } else {
+            ReturnReason::NotHeld
+        };
+        Departure::Returned {
+            to: balancer,
+            message: self.returned(reason),
+            body: AnswerBody::Packet,
+        }
+    }
+
+    fn send_to_caller(&mut self, packet: &FlowPacket, now: Instant) -> Departure {
+        self.counters.to_callers += 1;
+        if packet.kind == PacketKind::Reset {
+            self.forget_flow(&packet.key);
+            return Departure::ToCaller(None);
+        }
+        if self.flows.use_flow(&packet.key).is_none() {
+            self.learn_flow(packet, now);
+        }
+        let Some(flow) = self.flows.use_flow(&packet.key) else {
+            return Departure::ToCaller(None);
+        };
+        let balancer = flow.balancer;
+        let message = match (packet.kind, flow.state) {
+            (PacketKind::Accept, FlowState::Offered) => {
+                flow.state = FlowState::Accepted;
+                Some(PeerMessage::Accepted {
+                    key: packet.key,
+                    sequence: packet.sequence,
+                    incarnation: self.target.incarnation,
+                    load: self.load,
+                })
+            }
+            (_, FlowState::Unconfirmed) => {
+                flow.state = FlowState::Open;
+                self.load.flows += 1;
+                self.located(&packet.key)
+            }
+            _ => None,
+        };
+        if packet.payload > 0 {
+            self.answered(&packet.key, now);
+        }
+        if packet.kind == PacketKind::Finish {
+            self.close_flow(&packet.key);
+        }
+        Departure::ToCaller(message.map(|message| (balancer, message)))
+    }
+
+    /// A flow that the target holds and the agent did not know: it was opened
+    /// before the agent started.
+    fn learn_flow(&mut self, packet: &FlowPacket, now: Instant) {
+        if packet.kind == PacketKind::Accept {
+            return;
+        }
+        let flow = HeldFlow {
+            state: FlowState::Open,
+            balancer: self.options.address,
+            since: now,
+            busy_since: None,
+            caller_next: packet.acknowledgement,
+        };
+        self.flows.insert(packet.key, flow, now);
+        self.load.flows += 1;
+    }
+
+    fn answered(&mut self, key: &FlowKey, now: Instant) {
+        let Some(flow) = self.flows.use_flow(key) else {
+            return;
+        };
+        let Some(since) = flow.busy_since.take() else {
+            return;
+        };
+        let service_time = now.since(since);
+        self.load.busy = self.load.busy.saturating_sub(1);
+        self.counters.answered += 1;
+        let sample = u32::try_from(service_time.as_micros()).unwrap_or(u32::MAX);
+        let mean = self.load.service_time_us;
+        self.load.service_time_us = match mean {
+            0 => sample,
+            _ => mean - mean / MEAN_DIVISOR + sample / MEAN_DIVISOR,
+        };
+        self.notes.add(Note::RequestAnswered {
+            key: *key,
+            service_time,
+        });
+    }
+
+    /// One end closes its side: the flow is no longer open, and stays in the
+    /// table for its last packets.
+    fn close_flow(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.use_flow(key)
+            && flow.state == FlowState::Open
+        {
+            flow.state = FlowState::Closing;
+            self.load.flows = self.load.flows.saturating_sub(1);
+        }
+    }
+
+    pub(super) fn forget_flow(&mut self, key: &FlowKey) {
+        let Some(flow) = self.flows.remove(key) else {
+            return;
+        };
+        if flow.busy_since.is_some() {
+            self.load.busy = self.load.busy.saturating_sub(1);
+        }
+        match flow.state {
+            FlowState::Offered | FlowState::Accepted => {
+                self.load.opening = self.load.opening.saturating_sub(1);
+            }
+            FlowState::Open => self.load.flows = self.load.flows.saturating_sub(1),
+            FlowState::Unconfirmed | FlowState::Closing => {}
+        }
+    }
+
+    /// The target was replaced: its flows are gone.
+    pub(super) fn forget_all_flows(&mut self) {
+        self.flows.retain(|_, _| false);
+        self.load.busy = 0;
+        self.load.opening = 0;
+        self.load.flows = 0;
+        self.load.service_time_us = 0;
+    }
+
+    /// Counts the load anew from the table, leaving out what has waited too
+    /// long to be true.
+    pub(super) fn count_load(&mut self, now: Instant) {
+        let mut busy = 0u16;
+        let mut opening = 0u16;
+        let mut flows = 0u32;
+        for (_, flow) in self.flows.iter_mut() {
+            let waited = flow.busy_since.map(|since| now.since(since));
+            if waited.is_some_and(|waited| waited >= BUSY_AT_MOST) {
+                flow.busy_since = None;
+            }
+            busy += u16::from(flow.busy_since.is_some());
+            match flow.state {
+                FlowState::Offered | FlowState::Accepted => {
+                    let counts = now.since(flow.since) < OPENING_AT_MOST;
+                    opening += u16::from(counts);
+                }
+                FlowState::Open => flows += 1,
+                FlowState::Unconfirmed | FlowState::Closing => {}
+            }
+        }
+        self.load.busy = busy;
+        self.load.opening = opening;
+        self.load.flows = flows;
+    }
+}
+
+/// Whether one number of a wrapping sequence lies after another.
+fn is_after(one: u32, other: u32) -> bool {
+    let distance = one.wrapping_sub(other);
+    distance != 0 && distance < u32::MAX / 2
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/heartbeat.rs
@@ -0,0 +1,128 @@
+//! Heartbeats of the target: its incarnation, state and capacity.
+//!
+//! Each start of a target is a new incarnation. A late heartbeat of an earlier
+//! one, or of the same one out of order, changes nothing.
+
+use std::time::Duration;
+
+use super::super::identity::{Incarnation, ServiceKey};
+use super::super::message::TargetState;
+use super::{Agent, Target};
+use crate::clock::Instant;
+
+/// Earlier incarnations that are told apart from a new one.
+const REMEMBERED_INCARNATIONS: usize = 16;
+/// Number of the first heartbeat of an incarnation.
+const FIRST_SEQUENCE: u64 = 1;
+/// Time without any packet of the target, while openings wait for an answer,
+/// after which it counts as unresponsive.
+const UNANSWERED_AT_MOST: Duration = Duration::from_millis(450);
+
+/// One heartbeat.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Heartbeat {
+    /// Incarnation that sends it.
+    pub incarnation: Incarnation,
+    /// Service of the target.
+    pub service: ServiceKey,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
+    /// Requests that it works on at the same time.
+    pub capacity: u16,
+    /// How much longer it is slow from its start.
+    pub warm_up: Duration,
+    /// Grows with each heartbeat of one incarnation.
+    pub sequence: u64,
+}
+
+/// Why a heartbeat is not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeartbeatError {
+    /// It is of another service than the agent's.
+    WrongService,
+    /// Its incarnation was replaced by a later one.
+    Replaced,
+}
+
+impl HeartbeatError {
+    /// The error's name in answers and logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::WrongService => "wrong_service",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+impl Agent {
+    /// Takes a heartbeat in. When it says that the target leaves, no new flow
+    /// reaches the target from the moment that this returns.
+    ///
+    /// # Errors
+    /// [`HeartbeatError`] when it is not taken; nothing has changed.
+    pub fn heartbeat(&mut self, beat: &Heartbeat, now: Instant) -> Result<(), HeartbeatError> {
+        if beat.service != self.options.service {
+            return Err(HeartbeatError::WrongService);
+        }
+        if self.target.replaced.contains(&beat.incarnation) {
+            return Err(HeartbeatError::Replaced);
+        }
+        self.counters.heartbeats += 1;
+        if self.target.incarnation != Some(beat.incarnation) {
+            self.replace_target(beat, now);
+        } else if beat.sequence <= self.target.sequence {
+            return Ok(());
+        }
+        self.target.sequence = beat.sequence;
+        self.target.beat_at = Some(now);
+        self.target.capacity = beat.capacity;
+        self.target.warm_at = now + beat.warm_up;
+        let state = match (beat.leaving, self.target.state) {
+            (true, _) | (_, TargetState::Leaving) => TargetState::Leaving,
+            _ => TargetState::Ready,
+        };
+        self.set_state(state);
+        Ok(())
+    }
+
+    /// The target says that it is gone; it may still serve its flows.
+    pub fn deregister(&mut self, incarnation: Incarnation) {
+        if self.target.incarnation.is_none() {
+            self.target.incarnation = Some(incarnation);
+        }
+        if self.target.incarnation == Some(incarnation) {
+            self.set_state(TargetState::Leaving);
+        }
+    }
+
+    fn replace_target(&mut self, beat: &Heartbeat, now: Instant) {
+        let former = self.target.clone();
+        self.target = Target::unknown(now);
+        self.target.incarnation = Some(beat.incarnation);
+        self.target.began_later = former.incarnation.is_some() || beat.sequence <= FIRST_SEQUENCE;
+        self.target.replaced = former.replaced;
+        if let Some(ended) = former.incarnation {
+            self.target.replaced.push(ended);
+            let surplus = self
+                .target
+                .replaced
+                .len()
+                .saturating_sub(REMEMBERED_INCARNATIONS);
+            self.target.replaced.drain(..surplus);
+            self.forget_all_flows();
+        }
+        self.report_due = true;
+    }
+
+    /// Notices a target that answers no opening.
+    pub(super) fn watch_target(&mut self, now: Instant) {
+        let Some(since) = self.target.unanswered_since else {
+            return;
+        };
+        let is_silent = now.since(since) >= UNANSWERED_AT_MOST;
+        if is_silent && self.target.state == TargetState::Ready {
+            self.set_state(TargetState::Unresponsive);
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -0,0 +1,391 @@
+//! The agent on the carrier without tokens.
+//!
+//! # Lifecycle
+//! It starts without knowledge of its target's flows and takes no new flow
+//! before the target's first heartbeat. It learns open flows from what the
+//! target sends. Once a target has said that it leaves, no new flow reaches
+//! it through this agent, whatever any balancer believes.
+
+mod announcements;
+mod flows;
+mod heartbeat;
+mod openings;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::configuration::{Configuration, RouteTable};
+use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use super::message::{
+    ForwardHeader, ForwardPurpose, PeerMessage, ReturnReason, Snapshot, SnapshotRequest,
+    TargetLoad, TargetState,
+};
+use super::note::{Note, Notes};
+use super::packet::FlowPacket;
+use super::peers::BalancerPeers;
+use super::table::FlowTable;
+use crate::clock::Instant;
+
+pub use heartbeat::{Heartbeat, HeartbeatError};
+
+/// Settings of an agent.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentOptions {
+    /// Its address for other nodes.
+    pub address: NodeAddress,
+    /// Zone of the machine.
+    pub zone: ZoneKey,
+    /// Service of its target.
+    pub service: ServiceKey,
+    /// A number that differs between starts of the process.
+    pub epoch: u64,
+    /// Most flows in the table.
+    pub flow_capacity: usize,
+    /// Least time that a flow at rest stays in the table.
+    pub flow_retention: Duration,
+    /// Longest life of a flow; after it, the table knows all that are open.
+    pub flow_lifetime: Duration,
+}
+
+/// What happens to a packet that a balancer sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Delivery {
+    /// It goes to the target, marked so that the target's return of it names
+    /// the balancer.
+    Deliver {
+        /// What the balancer is told.
+        tell: Option<PeerMessage>,
+        /// Whether a request begins with it.
+        begins_request: bool,
+    },
+    /// It does not; the balancer is told.
+    Answer(PeerMessage, AnswerBody),
+    /// It does not; nobody is told.
+    Drop,
+}
+
+impl Delivery {
+    fn plain() -> Self {
+        Self::Deliver {
+            tell: None,
+            begins_request: false,
+        }
+    }
+}
+
+/// What follows an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerBody {
+    /// The packet.
+    Packet,
+    /// Nothing.
+    Nothing,
+}
+
+/// What happens to a packet of the target.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Departure {
+    /// It goes to the caller, and a balancer may be told something.
+    ToCaller(Option<(NodeAddress, PeerMessage)>),
+    /// The target gave it back; a balancer is told.
+    Returned {
+        /// The balancer, as the packet names it.
+        to: NodeAddress,
+        /// What it is told.
+        message: PeerMessage,
+        /// What follows.
+        body: AnswerBody,
+    },
+}
+
+/// What the shell carries out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AgentAction {
+    /// Send a message.
+    Send {
+        /// Receiver.
+        to: NodeAddress,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Ask a node for a snapshot and pass it to [`Agent::snapshot`].
+    FetchSnapshot {
+        /// The node.
+        from: NodeAddress,
+        /// The request.
+        request: SnapshotRequest,
+    },
+}
+
+/// Running totals.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AgentCounters {
+    /// Packets from balancers.
+    pub packets: u64,
+    /// Openings handed to the target.
+    pub offered: u64,
+    /// Openings given back to their balancer.
+    pub declined: u64,
+    /// Packets of open flows handed to the target.
+    pub delivered: u64,
+    /// Searches that were denied.
+    pub denied: u64,
+    /// Packets that the target gave back.
+    pub returned_by_target: u64,
+    /// Packets of the target sent to callers.
+    pub to_callers: u64,
+    /// Requests that the target answered.
+    pub answered: u64,
+    /// Packets dropped.
+    pub dropped: u64,
+    /// Heartbeats taken.
+    pub heartbeats: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FlowState {
+    /// An opening was handed to the target.
+    Offered,
+    /// The target has answered the opening.
+    Accepted,
+    /// Packets of an unknown flow were handed to the target; it has not shown
+    /// yet whether it holds the flow.
+    Unconfirmed,
+    /// The target holds the flow.
+    Open,
+    /// One end has closed its side; the flow makes no load any more.
+    Closing,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeldFlow {
+    state: FlowState,
+    /// Balancer that sent the last packet.
+    balancer: NodeAddress,
+    /// When the state began.
+    since: Instant,
+    /// When a request arrived that has no answer yet.
+    busy_since: Option<Instant>,
+    /// Number after the caller's last new byte.
+    caller_next: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    state: TargetState,
+    incarnation: Option<Incarnation>,
+    replaced: Vec<Incarnation>,
+    sequence: u64,
+    capacity: u16,
+    warm_at: Instant,
+    beat_at: Option<Instant>,
+    sent_at: Option<Instant>,
+    unanswered_since: Option<Instant>,
+    /// Whether the target began while the agent ran, so that the agent has
+    /// seen each of its flows.
+    began_later: bool,
+}
+
+/// The agent's state.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    options: AgentOptions,
+    target: Target,
+    routes: RouteTable,
+    version_known_at: Instant,
+    balancers: BalancerPeers,
+    flows: FlowTable<HeldFlow>,
+    load: TargetLoad,
+    started_at: Instant,
+    reported_at: Option<Instant>,
+    report_interval: Duration,
+    report_sequence: u64,
+    report_due: bool,
+    fetch: Option<(NodeAddress, Instant)>,
+    ticked_at: Option<Instant>,
+    notes: Notes,
+    counters: AgentCounters,
+}
+
+impl Agent {
+    /// An agent that knows nothing yet.
+    #[must_use]
+    pub fn new(options: AgentOptions, now: Instant) -> Self {
+        Self {
+            options,
+            target: Target::unknown(now),
+            routes: RouteTable::default(),
+            version_known_at: now,
+            balancers: BalancerPeers::default(),
+            flows: FlowTable::new(options.flow_capacity, options.flow_retention),
+            load: TargetLoad::default(),
+            started_at: now,
+            reported_at: None,
+            report_interval: announcements::FIRST_INTERVAL,
+            report_sequence: 0,
+            report_due: false,
+            fetch: None,
+            ticked_at: None,
+            notes: Notes::default(),
+            counters: AgentCounters::default(),
+        }
+    }
+
+    /// Whether the target takes flows.
+    #[must_use]
+    pub fn target_state(&self) -> TargetState {
+        self.target.state
+    }
+
+    /// Load of the target.
+    #[must_use]
+    pub fn load(&self) -> TargetLoad {
+        self.load
+    }
+
+    /// Configuration that the agent knows.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.routes.version()
+    }
+
+    /// Balancers that the agent reports to.
+    #[must_use]
+    pub fn balancers(&self) -> &BalancerPeers {
+        &self.balancers
+    }
+
+    /// Flows in the table.
+    #[must_use]
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Running totals.
+    #[must_use]
+    pub fn counters(&self) -> &AgentCounters {
+        &self.counters
+    }
+
+    /// Notes for the log and how many were left out.
+    pub fn take_notes(&mut self) -> (Vec<Note>, u64) {
+        self.notes.take()
+    }
+
+    /// Takes what another node knows.
+    pub fn snapshot(&mut self, from: NodeAddress, snapshot: Snapshot, now: Instant) {
+        if self.fetch.is_some_and(|(asked, _)| asked == from) {
+            self.fetch = None;
+        }
+        if let Some(configuration) = snapshot.configuration {
+            self.adopt(Arc::new(configuration), from, now);
+        }
+        for balancer in snapshot.balancers {
+            self.name_balancer(balancer, now);
+        }
+    }
+
+    /// A request for a snapshot failed.
+    pub fn snapshot_failed(&mut self, from: NodeAddress) {
+        if self.fetch.is_some_and(|(asked, _)| asked == from) {
+            self.fetch = None;
+        }
+    }
+
+    /// What this node tells others that ask for a snapshot.
+    #[must_use]
+    pub fn answer_snapshot(&self, request: &SnapshotRequest) -> Snapshot {
+        let balancers = self.balancers.confirmed().collect();
+        let agents = vec![self.options.address];
+        Snapshot::for_request(request, self.routes.current(), balancers, agents)
+    }
+
+    /// Begins a planned stop: no new flow, forwards on.
+    pub fn leave(&mut self) {
+        self.set_state(TargetState::Leaving);
+    }
+
+    fn adopt(&mut self, configuration: Arc<Configuration>, from: NodeAddress, now: Instant) {
+        let former = self.routes.version();
+        if !self.routes.adopt(configuration) {
+            return;
+        }
+        self.version_known_at = now;
+        self.notes.add(Note::ConfigurationAdopted {
+            version: self.routes.version(),
+            former,
+            routes: self.routes.current().map_or(0, |it| it.routes.len()),
+            from: Some(from),
+        });
+    }
+
+    fn set_state(&mut self, state: TargetState) {
+        let former = self.target.state;
+        if former == state {
+            return;
+        }
+        self.target.state = state;
+        self.report_due = true;
+        self.notes.add(Note::TargetState {
+            former,
+            state,
+            incarnation: self.target.incarnation,
+        });
+    }
+
+    /// Decides about a packet that a balancer sent.
+    pub fn forwarded(
+        &mut self,
+        from: NodeAddress,
+        header: &ForwardHeader,
+        packet: &FlowPacket,
+        now: Instant,
+    ) -> Delivery {
+        self.counters.packets += 1;
+        self.name_balancer(from, now);
+        if header.service != self.options.service {
+            return self.give_back(ReturnReason::WrongService);
+        }
+        match header.purpose {
+            ForwardPurpose::Open { last_choice } => {
+                self.opening(from, header, last_choice, packet, now)
+            }
+            ForwardPurpose::Established => self.established(from, packet, now),
+            ForwardPurpose::Search { ask_target } => self.search(from, ask_target, packet, now),
+        }
+    }
+
+    fn give_back(&mut self, reason: ReturnReason) -> Delivery {
+        self.counters.declined += 1;
+        Delivery::Answer(self.returned(reason), AnswerBody::Packet)
+    }
+
+    fn returned(&self, reason: ReturnReason) -> PeerMessage {
+        PeerMessage::Returned {
+            reason,
+            load: self.load,
+            version: self.routes.version(),
+        }
+    }
+}
+
+impl Target {
+    fn unknown(now: Instant) -> Self {
+        Self {
+            state: TargetState::Unknown,
+            incarnation: None,
+            replaced: Vec::new(),
+            sequence: 0,
+            capacity: 0,
+            warm_at: now,
+            beat_at: None,
+            sent_at: None,
+            unanswered_since: None,
+            began_later: false,
+        }
+    }
+}
+
+fn held_by(key: FlowKey) -> PeerMessage {
+    PeerMessage::NotHeld { key }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -0,0 +1,342 @@
+//! The balancer on the carrier without tokens.
+//!
+//! # Lifecycle
+//! It starts without knowledge and is ready once it holds a configuration and
+//! hears an agent. Configuration and balancers come from the store or from any
+//! node; agents come from their reports. Its table of flows is a cache: a flow
+//! that is not in it is searched for among the targets of its route.
+
+mod established;
+mod forwarding;
+mod messages;
+mod opening;
+mod readiness;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::configuration::{Configuration, RouteTable};
+use super::directory::Directory;
+use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use super::message::{ForwardHeader, PeerMessage, Snapshot, SnapshotRequest};
+use super::note::{Note, Notes};
+use super::packet::{CallerReset, FlowPacket, PacketKind, ResetReason};
+use super::parts::PartShares;
+use super::peers::BalancerPeers;
+use super::table::FlowTable;
+use crate::clock::Instant;
+
+pub use forwarding::{DropReason, Routing};
+pub use readiness::NotReadyReason;
+
+/// A pause between two ticks after which the process counts as stalled.
+const STALL: Duration = Duration::from_millis(400);
+
+/// Settings of a balancer.
+#[derive(Clone, Copy, Debug)]
+pub struct BalancerOptions {
+    /// Its address for other nodes.
+    pub address: NodeAddress,
+    /// Zone of the machine.
+    pub zone: ZoneKey,
+    /// Most flows in the table.
+    pub flow_capacity: usize,
+    /// Least time that a flow at rest stays in the table.
+    pub flow_retention: Duration,
+}
+
+/// What the shell carries out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BalancerAction {
+    /// Send a message.
+    Send {
+        /// Receiver.
+        to: NodeAddress,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Send a packet to an agent.
+    Forward {
+        /// The agent.
+        to: NodeAddress,
+        /// What goes before the packet.
+        header: ForwardHeader,
+        /// The packet.
+        packet: Vec<u8>,
+    },
+    /// Reset a flow towards its caller.
+    Reset(CallerReset),
+    /// Ask a node for a snapshot and pass it to [`Balancer::snapshot`].
+    FetchSnapshot {
+        /// The node.
+        from: NodeAddress,
+        /// The request.
+        request: SnapshotRequest,
+    },
+}
+
+/// Running totals.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct BalancerCounters {
+    /// Packets from callers.
+    pub packets: u64,
+    /// Openings sent to a target for the first time.
+    pub opened: u64,
+    /// Openings sent to a further target.
+    pub reopened: u64,
+    /// Packets of flows that were in the table.
+    pub established: u64,
+    /// Packets of flows that were searched for.
+    pub searched: u64,
+    /// Packets that agents gave back.
+    pub returned: u64,
+    /// Resets without a route.
+    pub reset_no_route: u64,
+    /// Resets without a target.
+    pub reset_no_target: u64,
+    /// Resets because the target has ended.
+    pub reset_target_ended: u64,
+    /// Resets because no target holds the flow.
+    pub reset_held_nowhere: u64,
+    /// Packets dropped.
+    pub dropped: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Acceptance {
+    agent: NodeAddress,
+    sequence: u32,
+    incarnation: Option<Incarnation>,
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    /// Openings were sent, and the caller has not answered an acceptance yet.
+    Opening {
+        tried: Vec<NodeAddress>,
+        accepted: Vec<Acceptance>,
+    },
+    /// One target holds the flow.
+    Held {
+        agent: NodeAddress,
+        incarnation: Option<Incarnation>,
+    },
+    /// The targets are asked who holds the flow.
+    Searching {
+        asked: Vec<NodeAddress>,
+        denied: Vec<NodeAddress>,
+        widened: bool,
+        started_at: Instant,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct FlowEntry {
+    service: ServiceKey,
+    /// Last acknowledgement of the caller, from which a reset is numbered.
+    acknowledged: u32,
+    /// Whether the caller has closed its side.
+    finished: bool,
+    stage: Stage,
+}
+
+/// The balancer's state.
+#[derive(Clone, Debug)]
+pub struct Balancer {
+    options: BalancerOptions,
+    routes: RouteTable,
+    shares: PartShares,
+    directory: Directory,
+    peers: BalancerPeers,
+    flows: FlowTable<FlowEntry>,
+    notes: Notes,
+    counters: BalancerCounters,
+    leaving: bool,
+    ticked_at: Option<Instant>,
+    started_at: Instant,
+    greeting_round: u64,
+    greeted_agents_at: Instant,
+    greeted_peers_at: Instant,
+    fetch: Option<(NodeAddress, Instant)>,
+    last_agent_heard: Option<Instant>,
+}
+
+impl Balancer {
+    /// A balancer that knows nothing yet.
+    #[must_use]
+    pub fn new(options: BalancerOptions, now: Instant) -> Self {
+        Self {
+            options,
+            routes: RouteTable::default(),
+            shares: PartShares::default(),
+            directory: Directory::default(),
+            peers: BalancerPeers::default(),
+            flows: FlowTable::new(options.flow_capacity, options.flow_retention),
+            notes: Notes::default(),
+            counters: BalancerCounters::default(),
+            leaving: false,
+            ticked_at: None,
+            started_at: now,
+            greeting_round: 0,
+            greeted_agents_at: Instant::ORIGIN,
+            greeted_peers_at: Instant::ORIGIN,
+            fetch: None,
+            last_agent_heard: None,
+        }
+    }
+
+    /// The routes in force.
+    #[must_use]
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Known targets.
+    #[must_use]
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Other balancers.
+    #[must_use]
+    pub fn peers(&self) -> &BalancerPeers {
+        &self.peers
+    }
+
+    /// Flows in the table.
+    #[must_use]
+    pub fn flow_count(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Running totals.
+    #[must_use]
+    pub fn counters(&self) -> &BalancerCounters {
+        &self.counters
+    }
+
+    /// Notes for the log and how many were left out.
+    pub fn take_notes(&mut self) -> (Vec<Note>, u64) {
+        self.notes.take()
+    }
+
+    /// Takes a configuration that the store gave.
+    pub fn configuration(&mut self, configuration: Arc<Configuration>) {
+        self.adopt(configuration, None);
+    }
+
+    /// Takes the balancers that the store lists.
+    pub fn listed(
+        &mut self,
+        balancers: &[NodeAddress],
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        for balancer in balancers {
+            self.name_peer(*balancer, now, actions);
+        }
+    }
+
+    /// Takes what another node knows.
+    pub fn snapshot(
+        &mut self,
+        from: NodeAddress,
+        snapshot: Snapshot,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        if self.fetch.is_some_and(|(asked, _)| asked == from) {
+            self.fetch = None;
+        }
+        if let Some(configuration) = snapshot.configuration {
+            self.adopt(Arc::new(configuration), Some(from));
+        }
+        for balancer in snapshot.balancers {
+            self.name_peer(balancer, now, actions);
+        }
+        for agent in snapshot.agents {
+            if self.directory.agent(agent).is_none() {
+                self.greet(agent, actions);
+            }
+        }
+    }
+
+    /// A request for a snapshot failed.
+    pub fn snapshot_failed(&mut self, from: NodeAddress) {
+        if self.fetch.is_some_and(|(asked, _)| asked == from) {
+            self.fetch = None;
+        }
+    }
+
+    /// What this node tells others that ask for a snapshot.
+    #[must_use]
+    pub fn answer_snapshot(&self, request: &SnapshotRequest) -> Snapshot {
+        let mut balancers: Vec<NodeAddress> = self.peers.addresses().collect();
+        balancers.push(self.options.address);
+        let agents = self.directory.agents().map(|record| record.address);
+        Snapshot::for_request(request, self.routes.current(), balancers, agents.collect())
+    }
+
+    /// Begins a planned stop: not ready any more, forwards on.
+    pub fn leave(&mut self, actions: &mut Vec<BalancerAction>) {
+        self.leaving = true;
+        let known: Vec<NodeAddress> = self.peers.addresses().collect();
+        for address in known {
+            self.greet(address, actions);
+        }
+    }
+
+    fn adopt(&mut self, configuration: Arc<Configuration>, from: Option<NodeAddress>) {
+        let former = self.routes.version();
+        if !self.routes.adopt(configuration) {
+            return;
+        }
+        let routes = &self.routes;
+        self.shares
+            .retain(|address| routes.route(address).is_some());
+        self.notes.add(Note::ConfigurationAdopted {
+            version: self.routes.version(),
+            former,
+            routes: self.routes.current().map_or(0, |it| it.routes.len()),
+            from,
+        });
+    }
+
+    fn reset(
+        &mut self,
+        key: FlowKey,
+        sequence: u32,
+        reason: ResetReason,
+        denied: usize,
+    ) -> CallerReset {
+        let counter = match reason {
+            ResetReason::NoRoute => &mut self.counters.reset_no_route,
+            ResetReason::NoTarget => &mut self.counters.reset_no_target,
+            ResetReason::TargetEnded => &mut self.counters.reset_target_ended,
+            ResetReason::HeldNowhere => &mut self.counters.reset_held_nowhere,
+        };
+        *counter += 1;
+        self.notes.add(Note::FlowReset {
+            key,
+            reason,
+            denied,
+        });
+        CallerReset { key, sequence }
+    }
+
+    /// Decides about a packet of a caller.
+    pub fn caller_packet(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+        self.counters.packets += 1;
+        let own_address = self.options.address.ip();
+        let routing = match packet.kind {
+            _ if packet.key.caller.ip() == own_address => Routing::Drop(DropReason::Forged),
+            PacketKind::Open => self.route_opening(packet, now),
+            PacketKind::Accept => Routing::Drop(DropReason::Forged),
+            _ => self.route_established(packet, now),
+        };
+        if matches!(routing, Routing::Drop(_)) {
+            self.counters.dropped += 1;
+        }
+        routing
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -0,0 +1,124 @@
+//! The operators' configuration as balancers use it: routes by address.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use rustc_hash::FxHashMap;
+
+use super::identity::ServiceKey;
+
+/// Configurations whose services are remembered for flows that were opened
+/// under them.
+const REMEMBERED_CHANGES: usize = 8;
+
+/// One share of a route's new flows.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RoutePart {
+    /// Service that takes the share.
+    pub service: ServiceKey,
+    /// Weight against the route's other parts.
+    pub weight: u32,
+}
+
+/// Where new flows to one address go.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Address and port that callers send to.
+    pub address: SocketAddrV4,
+    /// Services by weight; one with the whole weight as a rule.
+    pub parts: Vec<RoutePart>,
+}
+
+/// One version of the configuration.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Default, Eq, PartialEq)]
+pub struct Configuration {
+    /// Grows with each change.
+    pub version: u64,
+    /// All routes.
+    pub routes: Vec<Route>,
+    /// Time after which a flow at rest may be forgotten, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+/// Routes of the greatest version seen, by address. Never goes back.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    current: Option<Arc<Configuration>>,
+    routes: FxHashMap<SocketAddrV4, usize>,
+    former: FxHashMap<SocketAddrV4, Vec<ServiceKey>>,
+}
+
+impl RouteTable {
+    /// The version in force; zero when there is none yet.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.current.as_ref().map_or(0, |current| current.version)
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn current(&self) -> Option<&Arc<Configuration>> {
+        self.current.as_ref()
+    }
+
+    /// Takes a configuration when its version is greater than the one in
+    /// force; says whether it did.
+    pub fn adopt(&mut self, next: Arc<Configuration>) -> bool {
+        if next.version <= self.version() {
+            return false;
+        }
+        self.remember_services(&next);
+        self.routes = next
+            .routes
+            .iter()
+            .enumerate()
+            .map(|(index, route)| (route.address, index))
+            .collect();
+        self.current = Some(next);
+        true
+    }
+
+    /// The route of an address.
+    #[must_use]
+    pub fn route(&self, address: SocketAddrV4) -> Option<&Route> {
+        let index = *self.routes.get(&address)?;
+        self.current.as_ref()?.routes.get(index)
+    }
+
+    /// Services that an address led to under earlier versions.
+    #[must_use]
+    pub fn former_services(&self, address: SocketAddrV4) -> &[ServiceKey] {
+        self.former.get(&address).map_or(&[], Vec::as_slice)
+    }
+
+    fn remember_services(&mut self, next: &Configuration) {
+        let Some(current) = self.current.take() else {
+            return;
+        };
+        let next_routes: FxHashMap<SocketAddrV4, &Route> = next
+            .routes
+            .iter()
+            .map(|route| (route.address, route))
+            .collect();
+        for route in &current.routes {
+            let same = next_routes
+                .get(&route.address)
+                .is_some_and(|later| later.parts == route.parts);
+            if !same {
+                self.remember(route);
+            }
+        }
+    }
+
+    fn remember(&mut self, route: &Route) {
+        let services = self.former.entry(route.address).or_default();
+        for part in &route.parts {
+            if !services.contains(&part.service) {
+                services.push(part.service);
+            }
+        }
+        let surplus = services.len().saturating_sub(REMEMBERED_CHANGES);
+        services.drain(..surplus);
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -0,0 +1,278 @@
+//! Targets as a balancer knows them from their agents' reports.
+//!
+//! An agent is live while its reports come at the pace that they state. A
+//! silent agent gets no new flow; after longer silence its flows count as
+//! lost, unless the balancer itself may have been cut off or stopped.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use super::identity::{Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use super::message::{TargetLoad, TargetReport, TargetState};
+use crate::clock::Instant;
+
+/// Reports that may be missing before an agent counts as silent.
+const MISSED_REPORTS: u32 = 3;
+/// Least silence after which an agent gets no new flow.
+const MINIMUM_SILENCE: Duration = Duration::from_millis(350);
+/// Reports that may be missing before the flows of an agent count as lost.
+const MISSED_REPORTS_OF_LOST: u32 = 6;
+/// Least silence after which the flows of an agent count as lost.
+const MINIMUM_SILENCE_OF_LOST: Duration = Duration::from_millis(900);
+/// Silence after which an agent is forgotten.
+pub const FORGET_AFTER: Duration = Duration::from_secs(20);
+/// Openings without an answer after which an agent counts as silent.
+const SUSPECT_UNANSWERED: u32 = 2;
+
+/// One agent and its target.
+#[derive(Clone, Debug)]
+pub struct AgentRecord {
+    /// The agent.
+    pub address: NodeAddress,
+    /// Service of its target.
+    pub service: ServiceKey,
+    /// Zone of the machine.
+    pub zone: ZoneKey,
+    /// Whether the target takes flows.
+    pub state: TargetState,
+    /// Requests that the target works on at the same time.
+    pub capacity: u16,
+    /// Last stated load.
+    pub load: TargetLoad,
+    /// Configuration that the agent knows.
+    pub version: u64,
+    /// Incarnation that the flows known here belong to.
+    pub incarnation: Option<Incarnation>,
+    /// When the agent was last heard.
+    pub heard_at: Instant,
+    /// When the load was stated.
+    pub load_at: Instant,
+    /// Flows sent there since its load was last stated.
+    pub sent_since: u32,
+    /// Openings in a row that it has not answered.
+    pub unanswered: u32,
+    /// When the target stops being slow from its start.
+    pub warm_at: Instant,
+    epoch: u64,
+    sequence: u64,
+    interval: Duration,
+    counted_lost: bool,
+}
+
+/// What a report or the passing of time has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DirectoryChange {
+    /// An agent was heard for the first time, or again after it was lost.
+    Found(NodeAddress),
+    /// A target was replaced: flows of the earlier incarnation have ended.
+    Replaced {
+        /// The agent.
+        agent: NodeAddress,
+        /// The incarnation that has ended.
+        ended: Incarnation,
+    },
+    /// An agent has been silent for so long that its flows count as lost.
+    Lost(NodeAddress),
+    /// A silent agent was forgotten.
+    Forgotten(NodeAddress),
+}
+
+/// All known agents.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    agents: FxHashMap<NodeAddress, AgentRecord>,
+    services: FxHashMap<ServiceKey, Vec<NodeAddress>>,
+}
+
+impl AgentRecord {
+    /// Whether the agent may be sent new flows as far as its reports tell.
+    #[must_use]
+    pub fn is_live(&self, now: Instant) -> bool {
+        let limit = MINIMUM_SILENCE.max(self.interval * MISSED_REPORTS);
+        now.since(self.heard_at) < limit && self.unanswered < SUSPECT_UNANSWERED
+    }
+
+    fn is_lost(&self, now: Instant) -> bool {
+        let limit = MINIMUM_SILENCE_OF_LOST.max(self.interval * MISSED_REPORTS_OF_LOST);
+        now.since(self.heard_at) >= limit
+    }
+
+    fn take_load(&mut self, load: TargetLoad, now: Instant) {
+        self.load = load;
+        self.load_at = now;
+        self.sent_since = 0;
+    }
+}
+
+impl Directory {
+    /// Agents known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.agents.len()
+    }
+
+    /// Whether no agent is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.agents.is_empty()
+    }
+
+    /// One agent.
+    #[must_use]
+    pub fn agent(&self, address: NodeAddress) -> Option<&AgentRecord> {
+        self.agents.get(&address)
+    }
+
+    /// One agent, to be changed.
+    pub fn agent_mut(&mut self, address: NodeAddress) -> Option<&mut AgentRecord> {
+        self.agents.get_mut(&address)
+    }
+
+    /// All agents.
+    pub fn agents(&self) -> impl Iterator<Item = &AgentRecord> {
+        self.agents.values()
+    }
+
+    /// Agents of a service, in no particular order.
+    #[must_use]
+    pub fn agents_of(&self, service: ServiceKey) -> &[NodeAddress] {
+        self.services.get(&service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Live agents.
+    #[must_use]
+    pub fn live_count(&self, now: Instant) -> usize {
+        self.agents
+            .values()
+            .filter(|record| record.is_live(now))
+            .count()
+    }
+
+    /// Takes a report in; a late one changes nothing.
+    pub fn report(
+        &mut self,
+        address: NodeAddress,
+        report: &TargetReport,
+        now: Instant,
+        changes: &mut Vec<DirectoryChange>,
+    ) {
+        let known = self.agents.get(&address);
+        if known.is_some_and(|record| {
+            record.epoch == report.epoch && record.sequence >= report.sequence
+        }) {
+            return;
+        }
+        if known.is_none_or(|record| record.service != report.service) {
+            self.add(address, report, now);
+            changes.push(DirectoryChange::Found(address));
+        }
+        let Some(record) = self.agents.get_mut(&address) else {
+            return;
+        };
+        if record.counted_lost {
+            record.counted_lost = false;
+            changes.push(DirectoryChange::Found(address));
+        }
+        if let Some(next) = report.incarnation {
+            if let Some(ended) = record.incarnation.filter(|ended| *ended != next) {
+                changes.push(DirectoryChange::Replaced {
+                    agent: address,
+                    ended,
+                });
+            }
+            record.incarnation = Some(next);
+        }
+        record.epoch = report.epoch;
+        record.sequence = report.sequence;
+        record.state = report.state;
+        record.capacity = report.capacity;
+        record.version = report.version;
+        record.interval = Duration::from_millis(report.interval_ms.into());
+        record.warm_at = now + Duration::from_millis(report.warm_up_ms.into());
+        record.heard_at = now;
+        record.unanswered = 0;
+        record.take_load(report.load, now);
+    }
+
+    /// Takes in the load that an agent stated with an answer.
+    pub fn loaded(&mut self, address: NodeAddress, load: TargetLoad, now: Instant) {
+        if let Some(record) = self.agents.get_mut(&address) {
+            record.heard_at = now;
+            record.unanswered = 0;
+            record.take_load(load, now);
+        }
+    }
+
+    /// Counts the silence of all agents from now on, because the balancer
+    /// itself has not listened.
+    pub fn forgive_silence(&mut self, now: Instant) {
+        for record in self.agents.values_mut() {
+            record.heard_at = now;
+            record.unanswered = 0;
+        }
+    }
+
+    /// Finds agents that have become silent.
+    pub fn tick(&mut self, now: Instant, changes: &mut Vec<DirectoryChange>) {
+        let heard_another = self.live_count(now) > 0;
+        for record in self.agents.values_mut() {
+            if !record.counted_lost && heard_another && record.is_lost(now) {
+                record.counted_lost = true;
+                changes.push(DirectoryChange::Lost(record.address));
+            }
+        }
+        let forgotten: Vec<NodeAddress> = self
+            .agents
+            .values()
+            .filter(|record| now.since(record.heard_at) >= FORGET_AFTER)
+            .map(|record| record.address)
+            .collect();
+        for address in forgotten {
+            self.remove(address);
+            changes.push(DirectoryChange::Forgotten(address));
+        }
+    }
+
+    fn add(&mut self, address: NodeAddress, report: &TargetReport, now: Instant) {
+        self.remove(address);
+        self.services
+            .entry(report.service)
+            .or_default()
+            .push(address);
+        self.agents.insert(
+            address,
+            AgentRecord {
+                address,
+                service: report.service,
+                zone: report.zone,
+                state: report.state,
+                capacity: report.capacity,
+                load: report.load,
+                version: report.version,
+                incarnation: None,
+                heard_at: now,
+                load_at: now,
+                sent_since: 0,
+                unanswered: 0,
+                warm_at: now,
+                epoch: report.epoch,
+                sequence: 0,
+                interval: Duration::ZERO,
+                counted_lost: false,
+            },
+        );
+    }
+
+    fn remove(&mut self, address: NodeAddress) {
+        let Some(record) = self.agents.remove(&address) else {
+            return;
+        };
+        if let Some(list) = self.services.get_mut(&record.service) {
+            list.retain(|known| *known != address);
+            if list.is_empty() {
+                self.services.remove(&record.service);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/identity.rs
@@ -0,0 +1,110 @@
+//! Names of the things that flows are decided by.
+
+use std::net::SocketAddrV4;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Address at which a node takes messages of other nodes; names the node.
+pub type NodeAddress = SocketAddrV4;
+
+/// A service, by a hash of its name.
+#[derive(
+    BorshDeserialize,
+    BorshSerialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub struct ServiceKey(pub u64);
+
+impl ServiceKey {
+    /// The key of the service with this name.
+    #[must_use]
+    pub fn named(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// One start of a target, by a hash of the identifier that it was given.
+#[derive(
+    BorshDeserialize,
+    BorshSerialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    /// The incarnation of the target with this identifier.
+    #[must_use]
+    pub fn named(identifier: &str) -> Self {
+        Self(xxh3_64(identifier.as_bytes()))
+    }
+}
+
+/// A zone, by a hash of its name.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub struct ZoneKey(pub u64);
+
+impl ZoneKey {
+    /// The key of the zone with this name.
+    #[must_use]
+    pub fn named(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
+/// The two ends of a flow, as its packets name them.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct FlowKey {
+    /// Address and port of the caller.
+    pub caller: SocketAddrV4,
+    /// Address and port of the service.
+    pub service: SocketAddrV4,
+}
+
+impl FlowKey {
+    /// A hash of the flow that is the same at every node.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        xxh3_64(&self.bytes())
+    }
+
+    /// The rank of a node for this flow: the highest rank comes first.
+    #[must_use]
+    pub fn rank(&self, node: NodeAddress) -> u64 {
+        let mut bytes = [0; 6];
+        bytes[..4].copy_from_slice(&node.ip().octets());
+        bytes[4..].copy_from_slice(&node.port().to_be_bytes());
+        xxh3_64_with_seed(&bytes, self.hash())
+    }
+
+    fn bytes(&self) -> [u8; 12] {
+        let mut bytes = [0; 12];
+        bytes[..4].copy_from_slice(&self.caller.ip().octets());
+        bytes[4..6].copy_from_slice(&self.caller.port().to_be_bytes());
+        bytes[6..10].copy_from_slice(&self.service.ip().octets());
+        bytes[10..].copy_from_slice(&self.service.port().to_be_bytes());
+        bytes
+    }
+}
+
+impl std::fmt::Display for FlowKey {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{}>{}", self.caller, self.service)
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -0,0 +1,251 @@
+//! Messages between nodes on the carrier without tokens.
+//!
+//! A datagram is one [`PeerMessage`] in borsh; where the message carries a
+//! packet of a flow, the packet's bytes follow it to the datagram's end.
+
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+use super::configuration::Configuration;
+use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
+
+/// First byte of each datagram: the version of this protocol.
+pub const PROTOCOL_VERSION: u8 = 1;
+/// Most balancers that a greeting names.
+pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
+
+/// Why a balancer sends a packet to an agent.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ForwardPurpose {
+    /// To open the flow.
+    Open {
+        /// The agent takes it even when its target has no free slot.
+        last_choice: bool,
+    },
+    /// The balancer believes that the agent's target holds the flow.
+    Established,
+    /// The balancer asks whether the agent's target holds the flow.
+    Search {
+        /// The agent asks its target where its own knowledge is incomplete.
+        ask_target: bool,
+    },
+}
+
+/// What goes before a packet on its way to an agent.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ForwardHeader {
+    /// Service that the packet is for; another one's agent refuses it.
+    pub service: ServiceKey,
+    /// Configuration that chose the service.
+    pub version: u64,
+    /// Why it is sent.
+    pub purpose: ForwardPurpose,
+}
+
+/// Why an agent did not deliver a packet.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum ReturnReason {
+    /// The agent stands for another service.
+    WrongService,
+    /// The agent knows no target that answers.
+    NoTarget,
+    /// The target is leaving.
+    Leaving,
+    /// All slots are busy, and the sender may ask elsewhere.
+    Saturated,
+    /// The target itself did not take the flow.
+    RefusedByTarget,
+    /// The agent knows a greater version of the configuration.
+    StaleVersion,
+    /// The target does not hold the flow.
+    NotHeld,
+}
+
+/// Whether a target takes flows.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum TargetState {
+    /// No heartbeat has come since the agent started.
+    #[default]
+    Unknown,
+    /// It takes new flows.
+    Ready,
+    /// It keeps its flows and gets no new ones.
+    Leaving,
+    /// It does not answer.
+    Unresponsive,
+}
+
+/// Load of a target as its agent counts it.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetLoad {
+    /// Requests at work or queued.
+    pub busy: u16,
+    /// Flows accepted by the target that have sent no request yet, and
+    /// openings without an answer.
+    pub opening: u16,
+    /// Open flows.
+    pub flows: u32,
+    /// Running mean of the time to the first byte of an answer, in
+    /// microseconds; zero before the first answer.
+    pub service_time_us: u32,
+}
+
+/// What an agent says of itself and its target.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TargetReport {
+    /// The agent's start, so that reports of an earlier one are told apart.
+    pub epoch: u64,
+    /// Grows with each report of one start.
+    pub sequence: u64,
+    /// Service of the target.
+    pub service: ServiceKey,
+    /// Its incarnation, when a heartbeat has told it.
+    pub incarnation: Option<Incarnation>,
+    /// Zone of the machine.
+    pub zone: ZoneKey,
+    /// Whether it takes flows.
+    pub state: TargetState,
+    /// Requests that it works on at the same time.
+    pub capacity: u16,
+    /// How much longer it is slow from its start, in milliseconds.
+    pub warm_up_ms: u32,
+    /// Its load.
+    pub load: TargetLoad,
+    /// Configuration that the agent knows.
+    pub version: u64,
+    /// Time to its next report, in milliseconds.
+    pub interval_ms: u32,
+}
+
+/// What a balancer says of itself.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub struct BalancerGreeting {
+    /// Configuration that it knows.
+    pub version: u64,
+    /// Time between reports that it asks for, in milliseconds.
+    pub report_interval_ms: u32,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Other balancers that it knows.
+    pub balancers: Vec<NodeAddress>,
+}
+
+/// A message between nodes.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
+pub enum PeerMessage {
+    /// Balancer to agent; the packet follows.
+    Forward(ForwardHeader),
+    /// Agent to balancer: a packet was not delivered; the packet follows.
+    Returned {
+        /// Why.
+        reason: ReturnReason,
+        /// Load of the agent's target.
+        load: TargetLoad,
+        /// Configuration that the agent knows.
+        version: u64,
+    },
+    /// Agent to balancer: the target does not hold a flow searched for.
+    NotHeld {
+        /// The flow.
+        key: FlowKey,
+    },
+    /// Agent to balancer: the target answered an opening.
+    Accepted {
+        /// The flow.
+        key: FlowKey,
+        /// Number that the caller acknowledges when it chooses this target.
+        sequence: u32,
+        /// Incarnation of the target.
+        incarnation: Option<Incarnation>,
+        /// Its load.
+        load: TargetLoad,
+    },
+    /// Agent to balancer: the target holds a flow searched for.
+    Located {
+        /// The flow.
+        key: FlowKey,
+        /// Incarnation of the target.
+        incarnation: Option<Incarnation>,
+    },
+    /// Agent to balancer: state and load of its target.
+    Report(TargetReport),
+    /// Balancer to agents and balancers.
+    Greeting(BalancerGreeting),
+}
+
+/// Asks a node for what it knows; sent over a stream.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SnapshotRequest {
+    /// Version that the asking node knows; the configuration is left out when
+    /// there is no greater one.
+    pub known_version: u64,
+}
+
+/// What a node knows.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Default, Eq, PartialEq)]
+pub struct Snapshot {
+    /// Its configuration, when greater than the one that the other knows.
+    pub configuration: Option<Configuration>,
+    /// Balancers that it knows.
+    pub balancers: Vec<NodeAddress>,
+    /// Agents that it knows.
+    pub agents: Vec<NodeAddress>,
+}
+
+/// Why a datagram is not a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MessageError {
+    /// It is empty or of another version of the protocol.
+    UnknownProtocol,
+    /// It does not decode.
+    Malformed,
+}
+
+impl PeerMessage {
+    /// The datagram of a message, followed by a packet or by nothing.
+    #[must_use]
+    pub fn encode(&self, packet: &[u8]) -> Vec<u8> {
+        let mut datagram = Vec::with_capacity(64 + packet.len());
+        datagram.push(PROTOCOL_VERSION);
+        borsh::to_writer(&mut datagram, self).expect("writing to memory does not fail");
+        datagram.extend_from_slice(packet);
+        datagram
+    }
+
+    /// The message of a datagram and the packet behind it.
+    ///
+    /// # Errors
+    /// [`MessageError`] when the datagram is not a message; nothing was done.
+    pub fn decode(datagram: &[u8]) -> Result<(Self, &[u8]), MessageError> {
+        let (protocol, mut rest) = datagram
+            .split_first()
+            .ok_or(MessageError::UnknownProtocol)?;
+        if *protocol != PROTOCOL_VERSION {
+            return Err(MessageError::UnknownProtocol);
+        }
+        let message = Self::deserialize(&mut rest).map_err(|_| MessageError::Malformed)?;
+        Ok((message, rest))
+    }
+}
+
+impl Snapshot {
+    /// A snapshot for a node that knows a version.
+    #[must_use]
+    pub fn for_request(
+        request: &SnapshotRequest,
+        configuration: Option<&Arc<Configuration>>,
+        balancers: Vec<SocketAddrV4>,
+        agents: Vec<SocketAddrV4>,
+    ) -> Self {
+        let configuration = configuration
+            .filter(|known| known.version > request.known_version)
+            .map(|known| Configuration::clone(known));
+        Self {
+            configuration,
+            balancers,
+            agents,
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -0,0 +1,22 @@
+//! The carrier without tokens: flows of which only the two ends know their
+//! content, and whose packets name no target.
+//!
+//! [`balancer`] chooses targets for new flows and finds those of open ones;
+//! [`agent`] stands beside a target, has the last word on what reaches it and
+//! tells the balancers of its load. Both are state machines without I/O; a
+//! shell translates a platform's packets, heartbeats and store into their
+//! events.
+
+pub mod agent;
+pub mod balancer;
+pub mod configuration;
+pub mod directory;
+pub mod identity;
+pub mod message;
+pub mod note;
+pub mod packet;
+pub mod parts;
+pub mod peers;
+pub mod selection;
+pub mod store_session;
+pub mod table;
--- /dev/null
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -0,0 +1,183 @@
+//! Decisions worth a log line, with the inputs that decided them.
+
+use std::time::Duration;
+
+use super::identity::{FlowKey, Incarnation, NodeAddress};
+use super::message::{ReturnReason, TargetState};
+use super::packet::ResetReason;
+
+/// One decision or one change of what a node believes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A new flow was sent to a target.
+    FlowSent {
+        /// The flow.
+        key: FlowKey,
+        /// Agent chosen.
+        agent: NodeAddress,
+        /// Copies of the opening before this one.
+        copy: u32,
+        /// Agents asked before.
+        tried: usize,
+        /// Score that won, in slots.
+        score: f64,
+        /// Age of the load that it was computed from.
+        load_age: Duration,
+        /// Configuration that chose the service.
+        version: u64,
+    },
+    /// No target takes a new flow now.
+    FlowWithoutTarget {
+        /// The flow.
+        key: FlowKey,
+        /// Copies of the opening before this one.
+        copy: u32,
+        /// Agents of the service that are known.
+        known: usize,
+        /// Configuration that chose the service.
+        version: u64,
+    },
+    /// An agent gave a packet back.
+    PacketReturned {
+        /// The flow.
+        key: FlowKey,
+        /// The agent.
+        agent: NodeAddress,
+        /// Why.
+        reason: ReturnReason,
+    },
+    /// The targets of the route are asked who holds a flow.
+    SearchStarted {
+        /// The flow.
+        key: FlowKey,
+        /// Agents asked.
+        asked: usize,
+    },
+    /// A target holds a flow that was searched for.
+    FlowLocated {
+        /// The flow.
+        key: FlowKey,
+        /// Its agent.
+        agent: NodeAddress,
+    },
+    /// A flow was reset towards its caller.
+    FlowReset {
+        /// The flow.
+        key: FlowKey,
+        /// Why.
+        reason: ResetReason,
+        /// Agents that denied holding it.
+        denied: usize,
+    },
+    /// A greater configuration is in force.
+    ConfigurationAdopted {
+        /// The version.
+        version: u64,
+        /// The version before.
+        former: u64,
+        /// Routes in it.
+        routes: usize,
+        /// Node that it came from; `None` for the store.
+        from: Option<NodeAddress>,
+    },
+    /// An agent is heard.
+    AgentFound {
+        /// The agent.
+        agent: NodeAddress,
+    },
+    /// An agent has been silent for long.
+    AgentLost {
+        /// The agent.
+        agent: NodeAddress,
+        /// For how long.
+        silence: Duration,
+        /// Flows that were reset.
+        flows: usize,
+    },
+    /// A target was replaced.
+    TargetReplaced {
+        /// The agent.
+        agent: NodeAddress,
+        /// Incarnation that has ended.
+        ended: Incarnation,
+        /// Flows that were reset.
+        flows: usize,
+    },
+    /// Another balancer is heard for the first time.
+    BalancerFound {
+        /// The balancer.
+        balancer: NodeAddress,
+    },
+    /// A balancer is no longer heard.
+    BalancerLost {
+        /// The balancer.
+        balancer: NodeAddress,
+    },
+    /// The process has not run for a while; silence is counted anew.
+    Stalled {
+        /// For how long.
+        duration: Duration,
+    },
+    /// The own target changed its state.
+    TargetState {
+        /// The state before.
+        former: TargetState,
+        /// The state now.
+        state: TargetState,
+        /// Incarnation, when known.
+        incarnation: Option<Incarnation>,
+    },
+    /// An opening was handed to the own target.
+    FlowOffered {
+        /// The flow.
+        key: FlowKey,
+        /// Balancer that sent it.
+        balancer: NodeAddress,
+        /// Requests at work.
+        busy: u16,
+        /// Configuration that chose the service.
+        version: u64,
+    },
+    /// The own target ended one request of a flow.
+    RequestAnswered {
+        /// The flow.
+        key: FlowKey,
+        /// Time to the first byte of the answer.
+        service_time: Duration,
+    },
+}
+
+/// Notes that wait for the log; further ones are counted and dropped.
+#[derive(Clone, Debug, Default)]
+pub struct Notes {
+    waiting: Vec<Note>,
+    dropped: u64,
+}
+
+impl Notes {
+    /// Most notes that wait.
+    pub const CAPACITY: usize = 512;
+
+    /// Adds a note.
+    pub fn add(&mut self, note: Note) {
+        if self.waiting.len() < Self::CAPACITY {
+            self.waiting.push(note);
+        } else {
+            self.dropped += 1;
+        }
+    }
+
+    /// Takes what waits, and how many were dropped since the last call.
+    pub fn take(&mut self) -> (Vec<Note>, u64) {
+        (
+            std::mem::take(&mut self.waiting),
+            std::mem::take(&mut self.dropped),
+        )
+    }
+
+    /// Whether nothing waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty() && self.dropped == 0
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -0,0 +1,124 @@
+//! The other balancers that a node knows, by greetings, lists and snapshots.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::identity::NodeAddress;
+use crate::clock::Instant;
+
+/// Silence after which a balancer that has greeted is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Time that a balancer which was only named by others has for a greeting.
+const UNCONFIRMED_FOR: Duration = Duration::from_secs(4);
+/// Most balancers remembered.
+const MAXIMUM_BALANCERS: usize = 4096;
+
+/// A balancer as another node knows it.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerRecord {
+    /// When it last greeted, if it did.
+    pub heard_at: Option<Instant>,
+    /// Configuration that it knew then.
+    pub version: u64,
+    named_at: Instant,
+}
+
+/// Balancers by address.
+#[derive(Clone, Debug, Default)]
+pub struct BalancerPeers {
+    records: BTreeMap<NodeAddress, PeerRecord>,
+}
+
+impl BalancerPeers {
+    /// Remembers a balancer that something else than itself has named; says
+    /// whether it was new.
+    pub fn named(&mut self, address: NodeAddress, now: Instant) -> bool {
+        if self.records.contains_key(&address) || self.records.len() >= MAXIMUM_BALANCERS {
+            return false;
+        }
+        let record = PeerRecord {
+            heard_at: None,
+            version: 0,
+            named_at: now,
+        };
+        self.records.insert(address, record);
+        true
+    }
+
+    /// Takes a greeting in; says whether the balancer had not greeted before.
+    pub fn heard(&mut self, address: NodeAddress, version: u64, now: Instant) -> bool {
+        self.named(address, now);
+        let Some(record) = self.records.get_mut(&address) else {
+            return false;
+        };
+        let is_new = record.heard_at.is_none();
+        record.heard_at = Some(now);
+        record.version = version;
+        is_new
+    }
+
+    /// Forgets a balancer.
+    pub fn remove(&mut self, address: NodeAddress) -> bool {
+        self.records.remove(&address).is_some()
+    }
+
+    /// Forgets the silent ones and returns those that had greeted.
+    pub fn tick(&mut self, now: Instant) -> Vec<NodeAddress> {
+        let mut lost = Vec::new();
+        self.records.retain(|address, record| {
+            let keep = match record.heard_at {
+                Some(heard_at) => now.since(heard_at) < FORGET_AFTER,
+                None => now.since(record.named_at) < UNCONFIRMED_FOR,
+            };
+            if !keep && record.heard_at.is_some() {
+                lost.push(*address);
+            }
+            keep
+        });
+        lost
+    }
+
+    /// All addresses, in order.
+    pub fn addresses(&self) -> impl Iterator<Item = NodeAddress> + '_ {
+        self.records.keys().copied()
+    }
+
+    /// At most `count` addresses, beginning at the one numbered `start`, so
+    /// that calls with growing starts go round all of them.
+    #[must_use]
+    pub fn some_from(&self, start: usize, count: usize) -> Vec<NodeAddress> {
+        let all: Vec<NodeAddress> = self.addresses().collect();
+        let count = count.min(all.len());
+        (start..start + count)
+            .filter_map(|index| all.get(index % all.len()).copied())
+            .collect()
+    }
+
+    /// Balancers that have greeted.
+    pub fn confirmed(&self) -> impl Iterator<Item = NodeAddress> + '_ {
+        self.records
+            .iter()
+            .filter(|(_, record)| record.heard_at.is_some())
+            .map(|(address, _)| *address)
+    }
+
+    /// Counts the silence of all from now on.
+    pub fn forgive_silence(&mut self, now: Instant) {
+        for record in self.records.values_mut() {
+            record.named_at = now;
+            record.heard_at = record.heard_at.map(|_| now);
+        }
+    }
+
+    /// Balancers known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether none is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -0,0 +1,148 @@
+//! Which target a new flow goes to.
+//!
+//! The least loaded of a bounded number of candidates, by load that is at most
+//! one report old and counts the flows sent since. Candidates come from
+//! rendezvous hashing where a service has more targets than are compared, so
+//! that a later search for the flow begins among the same few.
+
+use super::directory::{AgentRecord, Directory};
+use super::identity::{FlowKey, NodeAddress, ServiceKey, ZoneKey};
+use super::message::TargetState;
+use crate::clock::Instant;
+
+/// Targets whose load is compared for one flow.
+pub const COMPARED_TARGETS: usize = 24;
+/// Part of a slot that an open flow at rest is expected to take.
+const SLOT_PER_FLOW: f64 = 0.05;
+/// Work of a target that has just started takes this much longer.
+const WARM_UP_FACTOR: f64 = 1.8;
+/// A target in another zone counts as this much more loaded.
+const OTHER_ZONE_FACTOR: f64 = 1.1;
+/// Most that slow answers raise the load of a target.
+const MAXIMUM_SLOWNESS: f64 = 8.0;
+
+/// What a choice is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// All known agents.
+    pub directory: &'a Directory,
+    /// Zone of the balancer.
+    pub zone: ZoneKey,
+    /// The new flow.
+    pub key: FlowKey,
+    /// Service that it is for.
+    pub service: ServiceKey,
+    /// Agents that were asked before.
+    pub tried: &'a [NodeAddress],
+}
+
+/// The target chosen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Chosen {
+    /// Its agent.
+    pub agent: NodeAddress,
+    /// The score that it won with, in slots; less is better.
+    pub score: f64,
+    /// Further targets that could have been chosen.
+    pub others: usize,
+}
+
+/// Agents of a service that come first for a flow, at most `count`.
+#[must_use]
+pub fn first_candidates(
+    directory: &Directory,
+    service: ServiceKey,
+    key: &FlowKey,
+    count: usize,
+) -> Vec<NodeAddress> {
+    let mut agents = directory.agents_of(service).to_vec();
+    if agents.len() > count {
+        agents.sort_by_cached_key(|agent| std::cmp::Reverse(key.rank(*agent)));
+        agents.truncate(count);
+    }
+    agents
+}
+
+impl Choice<'_> {
+    /// The best target for the flow, or `None` when the service has none that
+    /// takes flows and was not asked before.
+    #[must_use]
+    pub fn best(&self, now: Instant) -> Option<Chosen> {
+        let candidates =
+            first_candidates(self.directory, self.service, &self.key, COMPARED_TARGETS);
+        self.best_of(&candidates, now)
+            .or_else(|| self.best_of(self.directory.agents_of(self.service), now))
+    }
+
+    fn best_of(&self, candidates: &[NodeAddress], now: Instant) -> Option<Chosen> {
+        let usable: Vec<&AgentRecord> = candidates
+            .iter()
+            .filter(|agent| !self.tried.contains(agent))
+            .filter_map(|agent| self.directory.agent(*agent))
+            .filter(|record| record.state == TargetState::Ready && record.is_live(now))
+            .collect();
+        let usual = usual_service_time(&usable);
+        let others = usable.len().saturating_sub(1);
+        usable
+            .into_iter()
+            .map(|record| (self.score(record, usual, now), record))
+            .min_by(|(one, _), (other, _)| one.total_cmp(other))
+            .map(|(score, record)| Chosen {
+                agent: record.address,
+                score,
+                others,
+            })
+    }
+
+    fn score(&self, record: &AgentRecord, usual: f64, now: Instant) -> f64 {
+        let load = &record.load;
+        let waiting = f64::from(load.busy) + f64::from(load.opening) + f64::from(record.sent_since);
+        let at_rest = f64::from(load.flows) * SLOT_PER_FLOW;
+        let slots = f64::from(record.capacity.max(1));
+        let occupied = (waiting + at_rest + 1.0) / slots;
+        occupied * self.factors(record, usual, now) + tie_break(self.key, record.address)
+    }
+
+    fn factors(&self, record: &AgentRecord, usual: f64, now: Instant) -> f64 {
+        let warm_up = if now < record.warm_at {
+            WARM_UP_FACTOR
+        } else {
+            1.0
+        };
+        let distance = if record.zone == self.zone {
+            1.0
+        } else {
+            OTHER_ZONE_FACTOR
+        };
+        warm_up * distance * slowness(record, usual)
+    }
+}
+
+/// Median of the stated service times, in microseconds; zero when none is
+/// known.
+fn usual_service_time(records: &[&AgentRecord]) -> f64 {
+    let mut times: Vec<u32> = records
+        .iter()
+        .map(|record| record.load.service_time_us)
+        .filter(|time| *time > 0)
+        .collect();
+    times.sort_unstable();
+    times
+        .get(times.len() / 2)
+        .map_or(0.0, |time| f64::from(*time))
+}
+
+fn slowness(record: &AgentRecord, usual: f64) -> f64 {
+    if usual == 0.0 || record.load.service_time_us == 0 {
+        return 1.0;
+    }
+    (f64::from(record.load.service_time_us) / usual).clamp(1.0, MAXIMUM_SLOWNESS)
+}
+
+/// A small amount that differs by flow and target, so that balancers with the
+/// same view do not choose the same one of equals.
+fn tie_break(key: FlowKey, agent: NodeAddress) -> f64 {
+    const SPAN: f64 = 0.02;
+    let rank = u32::try_from(key.rank(agent) >> 32).unwrap_or(u32::MAX);
+    f64::from(rank) / f64::from(u32::MAX) * SPAN
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -0,0 +1,100 @@
+//! What a node asks of the store on this carrier, and when.
+//!
+//! Three small machines, each with at most one call under way: the watch of
+//! the configuration, the registration of a balancer under a lease, and the
+//! list of balancers. A store that is slow, down or that refuses this node
+//! costs retries with growing pauses; what the node holds stays in use.
+
+mod backoff;
+mod list;
+mod registration;
+mod watch;
+
+use std::time::Duration;
+
+use super::configuration::Configuration;
+use super::identity::NodeAddress;
+
+pub use list::BalancerList;
+pub use registration::BalancerRegistration;
+pub use watch::ConfigurationWatch;
+
+/// A call to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreCall {
+    /// Read the configuration as it is now.
+    ReadConfiguration,
+    /// Wait until the configuration changes after a revision.
+    AwaitConfiguration {
+        /// Revision of the store that is known.
+        after: u64,
+        /// Longest wait.
+        wait: Duration,
+    },
+    /// Ask for a lease.
+    GrantLease {
+        /// Time that it runs after each renewal.
+        lifetime: Duration,
+    },
+    /// Renew a lease.
+    RenewLease {
+        /// The lease.
+        lease: u64,
+    },
+    /// End a lease and the entries under it.
+    EndLease {
+        /// The lease.
+        lease: u64,
+    },
+    /// Enter this balancer under a lease.
+    Register {
+        /// The lease.
+        lease: u64,
+    },
+    /// Read the entries of all balancers.
+    ListBalancers {
+        /// Whether an answer may be some seconds old, which costs the store
+        /// less.
+        stale: bool,
+    },
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreReply {
+    /// The configuration, when there is one that can be read.
+    Configuration {
+        /// The configuration; `None` when it has not changed or is missing.
+        configuration: Option<Configuration>,
+        /// Revision of the store.
+        revision: u64,
+    },
+    /// The store no longer knows what happened after the revision asked for.
+    HistoryGone,
+    /// A lease, granted or renewed.
+    Lease {
+        /// The lease.
+        lease: u64,
+        /// Time that it runs.
+        lifetime: Duration,
+    },
+    /// There is no such lease any more.
+    LeaseGone,
+    /// The write took effect.
+    Done,
+    /// The balancers entered.
+    Balancers(Vec<NodeAddress>),
+    /// The store refuses for now; nothing was done.
+    Refused,
+    /// No answer came; a write may have taken effect, or may yet.
+    NoAnswer,
+}
+
+/// A call that is due, or when to ask again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NextCall {
+    /// Make this call now.
+    Now(StoreCall),
+    /// Nothing before this time.
+    At(crate::clock::Instant),
+}
--- /dev/null
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -0,0 +1,95 @@
+//! Keeps the configuration up to date from the store.
+
+use std::time::Duration;
+
+use super::super::configuration::Configuration;
+use super::backoff::Backoff;
+use super::{NextCall, StoreCall, StoreReply};
+use crate::clock::Instant;
+
+/// Longest wait of one call. A watch can go silent without an end; its node
+/// then learns changes from other nodes, and here after this time.
+const LONGEST_WAIT: Duration = Duration::from_millis(5000);
+
+/// The watch of the configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigurationWatch {
+    revision: Option<u64>,
+    due_at: Instant,
+    in_flight: bool,
+    backoff: Backoff,
+    heard_at: Option<Instant>,
+}
+
+impl ConfigurationWatch {
+    /// A watch that begins with a read at once.
+    #[must_use]
+    pub fn new(seed: u64, now: Instant) -> Self {
+        Self {
+            revision: None,
+            due_at: now,
+            in_flight: false,
+            backoff: Backoff::new(seed),
+            heard_at: None,
+        }
+    }
+
+    /// When the store last answered.
+    #[must_use]
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.heard_at
+    }
+
+    /// The next call; the caller passes its reply to [`Self::reply`].
+    pub fn next(&mut self, now: Instant) -> NextCall {
+        if self.in_flight {
+            return NextCall::At(now + LONGEST_WAIT);
+        }
+        if now < self.due_at {
+            return NextCall::At(self.due_at);
+        }
+        self.in_flight = true;
+        NextCall::Now(match self.revision {
+            None => StoreCall::ReadConfiguration,
+            Some(after) => StoreCall::AwaitConfiguration {
+                after,
+                wait: LONGEST_WAIT,
+            },
+        })
+    }
+
+    /// Takes a reply in and returns the configuration that it brought.
+    pub fn reply(&mut self, reply: StoreReply, now: Instant) -> Option<Configuration> {
+        self.in_flight = false;
+        match reply {
+            StoreReply::Configuration {
+                configuration,
+                revision,
+            } => {
+                let is_first = self.revision.is_none();
+                self.heard_at = Some(now);
+                self.backoff.succeeded();
+                self.due_at = now;
+                if is_first && configuration.is_none() {
+                    // Nothing is there yet; the watch tells when it is.
+                    self.due_at = now + self.backoff.spread(Duration::from_millis(100));
+                }
+                self.revision = Some(revision);
+                configuration
+            }
+            StoreReply::HistoryGone => {
+                self.heard_at = Some(now);
+                self.revision = None;
+                self.due_at = now + self.backoff.spread(Duration::from_millis(40));
+                None
+            }
+            _ => {
+                // What happened meanwhile is not known: read before the next
+                // wait.
+                self.revision = None;
+                self.due_at = now + self.backoff.failed();
+                None
+            }
+        }
+    }
+}
--- a/crates/woodladder-core/src/lib.rs
+++ b/crates/woodladder-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! | configuration | [`bundle`], [`bundle_source`], [`snapshot`], [`snapshot_delta`], [`roll_record`] |
 //! | control plane | [`control_message`], [`chunk_set`], [`membership`], [`replica`], [`store_operation`], [`availability`], [`roll_command`] |
 //! | packets | [`carrier`], [`token`], [`envelope`], [`hop_list`], [`directory`], [`router`] |
+//! | flows without a token | [`flow`] |
 //! | work of a target | [`admission`], [`request`], [`drain`], [`load`], [`slow_start`] |
 
 pub mod admission;
@@ -25,6 +26,7 @@
 pub mod drain;
 pub mod envelope;
 pub mod finding;
+pub mod flow;
 pub mod hop_list;
 pub mod identifier;
 pub mod keyed_tag;
--- /dev/null
+++ b/crates/woodladder-node/src/agent.rs
@@ -0,0 +1,434 @@
+//! An agent as a process.
+//!
+//! # Lifecycle
+//! [`AgentNode::new`] opens its sockets; [`AgentNode::run`] starts the tasks
+//! and returns when a planned stop has ended, which is short because the
+//! target has ended before.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::random;
+use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::{
+    Agent, AgentAction, AgentOptions, AnswerBody, Delivery, Departure, Heartbeat, HeartbeatError,
+};
+use woodladder_core::flow::identity::{Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use woodladder_core::flow::message::{ForwardHeader, PeerMessage, TargetState};
+use woodladder_core::flow::note::Note;
+use woodladder_core::flow::store_session::BalancerList;
+
+use crate::balancer::{count, wide};
+use crate::carrier::Carrier;
+use crate::decision_log::DecisionLog;
+use crate::metrics::{LatencyHistogram, MetricsText};
+use crate::node_clock::NodeClock;
+use crate::peer_socket::{self, MAXIMUM_DATAGRAM};
+use crate::snapshot_exchange;
+use crate::store::{self, Store};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(25);
+/// Most flows in the table.
+const FLOW_CAPACITY: usize = 100_000;
+/// Time that a stopping agent still forwards.
+const STOP_DRAIN: Duration = Duration::from_millis(300);
+
+/// Settings of an agent's process.
+#[derive(Clone, Debug)]
+pub struct AgentConfig {
+    /// Address for other nodes, datagrams and streams.
+    pub peer_address: SocketAddrV4,
+    /// Address that the target sends its packets to.
+    pub outbound_address: SocketAddrV4,
+    /// Address that the target takes packets at.
+    pub target_address: SocketAddrV4,
+    /// Port that callers take packets at.
+    pub caller_port: u16,
+    /// Zone of the machine.
+    pub zone: ZoneKey,
+    /// Service of the target.
+    pub service: ServiceKey,
+    /// Balancers to report to before any is known.
+    pub seeds: Vec<NodeAddress>,
+    /// Least time that a flow at rest is remembered.
+    pub flow_retention: Duration,
+    /// Longest life of a flow.
+    pub flow_lifetime: Duration,
+}
+
+/// What the tasks of an agent share.
+pub struct AgentNode<C> {
+    core: RefCell<Agent>,
+    carrier: C,
+    config: AgentConfig,
+    clock: NodeClock,
+    peers: UdpSocket,
+    outbound: UdpSocket,
+    decisions: RefCell<DecisionLog>,
+    logger: Logger,
+    refused_packets: Cell<u64>,
+    service_times: RefCell<LatencyHistogram>,
+}
+
+impl<C: Carrier + 'static> AgentNode<C> {
+    /// Opens the sockets.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub fn new(config: AgentConfig, carrier: C, logger: Logger) -> io::Result<Rc<Self>> {
+        let clock = NodeClock::start();
+        let options = AgentOptions {
+            address: config.peer_address,
+            zone: config.zone,
+            service: config.service,
+            epoch: random(),
+            flow_capacity: FLOW_CAPACITY,
+            flow_retention: config.flow_retention,
+            flow_lifetime: config.flow_lifetime,
+        };
+        Ok(Rc::new(Self {
+            core: RefCell::new(Agent::new(options, clock.now())),
+            carrier,
+            clock,
+            peers: peer_socket::open(config.peer_address)?,
+            outbound: peer_socket::open(config.outbound_address)?,
+            decisions: RefCell::new(DecisionLog::new(logger.clone())),
+            logger,
+            refused_packets: Cell::new(0),
+            service_times: RefCell::new(LatencyHistogram::default()),
+            config,
+        }))
+    }
+
+    /// Runs until a planned stop has ended.
+    ///
+    /// # Errors
+    /// The system's error when the stream for other nodes cannot be opened.
+    pub async fn run<S: Store + 'static>(
+        self: Rc<Self>,
+        store: impl Fn() -> S,
+        stop: Rc<Notify>,
+    ) -> io::Result<()> {
+        let listener = TcpListener::bind(self.config.peer_address).await?;
+        let node = Rc::clone(&self);
+        spawn_local(snapshot_exchange::serve(listener, move |request| {
+            node.core.borrow().answer_snapshot(request)
+        }));
+        let now = self.clock.now();
+        self.core.borrow_mut().listed(&self.config.seeds, now);
+        spawn_local(Rc::clone(&self).receive_from_peers());
+        spawn_local(Rc::clone(&self).receive_from_target());
+        spawn_local(Rc::clone(&self).tick());
+        let node = Rc::clone(&self);
+        let hearing = Rc::clone(&self);
+        spawn_local(store::list_balancers(
+            store(),
+            BalancerList::new(random(), true, now),
+            self.clock,
+            move || {
+                hearing
+                    .core
+                    .borrow()
+                    .balancers()
+                    .confirmed()
+                    .next()
+                    .is_some()
+            },
+            move |balancers| node.core.borrow_mut().listed(balancers, node.clock.now()),
+        ));
+        stop.notified().await;
+        info!(self.logger, "agent: stopping as planned"; "event" => "stopping");
+        self.core.borrow_mut().leave();
+        self.act(|core, now, actions| core.tick(now, actions));
+        sleep(STOP_DRAIN).await;
+        info!(self.logger, "agent: stopped"; "event" => "stopped");
+        Ok(())
+    }
+
+    /// Takes a heartbeat of the target in and tells the balancers of a change
+    /// before it returns.
+    ///
+    /// # Errors
+    /// [`HeartbeatError`] when it is not taken; nothing has changed.
+    pub fn heartbeat(self: &Rc<Self>, beat: &Heartbeat) -> Result<(), HeartbeatError> {
+        let now = self.clock.now();
+        self.core.borrow_mut().heartbeat(beat, now)?;
+        self.act(|core, now, actions| core.tick(now, actions));
+        Ok(())
+    }
+
+    /// The target says that it is gone.
+    pub fn deregister(self: &Rc<Self>, incarnation: Incarnation) {
+        self.core.borrow_mut().deregister(incarnation);
+        self.act(|core, now, actions| core.tick(now, actions));
+    }
+
+    /// Whether the agent knows its target and a balancer.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let core = self.core.borrow();
+        let knows_target = core.target_state() != TargetState::Unknown;
+        knows_target && core.balancers().confirmed().next().is_some()
+    }
+
+    /// Takes changed settings in; addresses stay as they are.
+    pub fn reload(&self, seeds: &[NodeAddress]) {
+        info!(self.logger, "agent: settings read again"; "event" => "reloaded",
+            "seeds" => seeds.len());
+        self.core.borrow_mut().listed(seeds, self.clock.now());
+    }
+
+    async fn receive_from_peers(self: Rc<Self>) {
+        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
+        loop {
+            match peer_socket::receive(&self.peers, &mut buffer).await {
+                Ok((length, from)) => self.peer_datagram(from, &buffer[..length]),
+                Err(error) => self.receive_failed("peers", &error).await,
+            }
+        }
+    }
+
+    async fn receive_failed(&self, socket: &str, error: &io::Error) {
+        warn!(self.logger, "agent: cannot receive"; "event" => "receive_failed",
+            "socket" => socket, "error" => %error);
+        sleep(TICK).await;
+    }
+
+    fn peer_datagram(self: &Rc<Self>, from: NodeAddress, datagram: &[u8]) {
+        match PeerMessage::decode(datagram) {
+            Ok((PeerMessage::Forward(header), packet)) => self.forwarded(from, &header, packet),
+            Ok((message, _)) => {
+                self.act(|core, now, actions| core.message(from, &message, now, actions));
+            }
+            Err(_) => self.refuse_packet(),
+        }
+    }
+
+    fn refuse_packet(&self) {
+        self.refused_packets.set(self.refused_packets.get() + 1);
+    }
+
+    fn forwarded(&self, from: NodeAddress, header: &ForwardHeader, bytes: &[u8]) {
+        let Ok(packet) = self.carrier.read_from_caller(bytes) else {
+            return self.refuse_packet();
+        };
+        let now = self.clock.now();
+        let delivery = self.core.borrow_mut().forwarded(from, header, &packet, now);
+        match delivery {
+            Delivery::Deliver {
+                tell,
+                begins_request,
+            } => {
+                let mut marked = bytes.to_vec();
+                self.carrier.mark(&mut marked, *from.ip());
+                peer_socket::send(&self.outbound, &marked, self.config.target_address);
+                if let Some(message) = tell {
+                    peer_socket::send(&self.peers, &message.encode(&[]), from);
+                }
+                if begins_request && let Some(id) = self.carrier.request_id(bytes) {
+                    let busy = self.core.borrow().load().busy;
+                    let flow = packet.key.to_string();
+                    self.decisions.borrow_mut().request(&flow, id, busy, now);
+                }
+            }
+            Delivery::Answer(message, body) => {
+                let body = match body {
+                    AnswerBody::Packet => bytes,
+                    AnswerBody::Nothing => &[],
+                };
+                peer_socket::send(&self.peers, &message.encode(body), from);
+            }
+            Delivery::Drop => {}
+        }
+    }
+
+    async fn receive_from_target(self: Rc<Self>) {
+        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
+        loop {
+            match peer_socket::receive(&self.outbound, &mut buffer).await {
+                Ok((length, _)) => self.target_packet(&mut buffer[..length]),
+                Err(error) => self.receive_failed("outbound", &error).await,
+            }
+        }
+    }
+
+    fn target_packet(&self, bytes: &mut [u8]) {
+        let Ok(read) = self.carrier.read_from_target(bytes) else {
+            return self.refuse_packet();
+        };
+        let now = self.clock.now();
+        let peer_port = self.config.peer_address.port();
+        let returned_to = read
+            .returned_to
+            .map(|machine| SocketAddrV4::new(machine, peer_port));
+        let departure = self
+            .core
+            .borrow_mut()
+            .departing(&read.packet, returned_to, now);
+        self.carrier.clear_marks(bytes);
+        match departure {
+            Departure::ToCaller(tell) => {
+                let caller = read.packet.key.caller;
+                let to = SocketAddrV4::new(*caller.ip(), self.config.caller_port);
+                peer_socket::send(&self.outbound, bytes, to);
+                if let Some((balancer, message)) = tell {
+                    peer_socket::send(&self.peers, &message.encode(&[]), balancer);
+                }
+            }
+            Departure::Returned { to, message, body } => {
+                let body: &[u8] = match body {
+                    AnswerBody::Packet => bytes,
+                    AnswerBody::Nothing => &[],
+                };
+                peer_socket::send(&self.peers, &message.encode(body), to);
+            }
+        }
+    }
+
+    async fn tick(self: Rc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.act(|core, now, actions| core.tick(now, actions));
+            self.write_notes();
+        }
+    }
+
+    fn write_notes(&self) {
+        let (notes, dropped) = self.core.borrow_mut().take_notes();
+        let now = self.clock.now();
+        for note in &notes {
+            if let Note::RequestAnswered { service_time, .. } = note {
+                self.service_times.borrow_mut().record(*service_time);
+            }
+        }
+        self.decisions.borrow_mut().write(notes, dropped, now);
+    }
+
+    /// Lets the core decide and carries its actions out.
+    fn act(self: &Rc<Self>, decide: impl FnOnce(&mut Agent, Instant, &mut Vec<AgentAction>)) {
+        let mut actions = Vec::new();
+        decide(&mut self.core.borrow_mut(), self.clock.now(), &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: AgentAction) {
+        match action {
+            AgentAction::Send { to, message } => {
+                peer_socket::send(&self.peers, &message.encode(&[]), to);
+            }
+            AgentAction::FetchSnapshot { from, request } => {
+                let node = Rc::clone(self);
+                spawn_local(async move {
+                    let fetched = snapshot_exchange::fetch(from, request).await;
+                    let now = node.clock.now();
+                    let mut core = node.core.borrow_mut();
+                    match fetched {
+                        Ok(snapshot) => core.snapshot(from, snapshot, now),
+                        Err(_) => core.snapshot_failed(from),
+                    }
+                });
+            }
+        }
+    }
+
+    /// Figures in the text format that scrapers read.
+    #[must_use]
+    pub fn metrics(&self) -> String {
+        let core = self.core.borrow();
+        let counters = core.counters();
+        let load = core.load();
+        let mut text = MetricsText::default();
+        for (name, help, value) in [
+            (
+                "forwarded_packets_total",
+                "Packets of balancers.",
+                counters.packets,
+            ),
+            (
+                "flows_offered_total",
+                "Openings handed to the target.",
+                counters.offered,
+            ),
+            (
+                "flows_declined_total",
+                "Openings given back.",
+                counters.declined,
+            ),
+            (
+                "delivered_packets_total",
+                "Packets of open flows delivered.",
+                counters.delivered,
+            ),
+            ("searches_denied_total", "Searches denied.", counters.denied),
+            (
+                "target_returns_total",
+                "Packets that the target gave back.",
+                counters.returned_by_target,
+            ),
+            (
+                "caller_packets_total",
+                "Packets sent to callers.",
+                counters.to_callers,
+            ),
+            (
+                "requests_answered_total",
+                "Requests answered.",
+                counters.answered,
+            ),
+            ("heartbeats_total", "Heartbeats taken.", counters.heartbeats),
+            (
+                "refused_packets_total",
+                "Datagrams that cannot be read.",
+                self.refused_packets.get(),
+            ),
+        ] {
+            text.counter(name, help, value);
+        }
+        text.gauge(
+            "requests_busy",
+            "Requests at work or queued.",
+            f64::from(load.busy),
+        );
+        text.gauge("flows_open", "Open flows.", f64::from(load.flows));
+        text.gauge(
+            "flows_known",
+            "Flows in the table.",
+            count(core.flow_count()),
+        );
+        text.gauge(
+            "balancers",
+            "Balancers known.",
+            count(core.balancers().len()),
+        );
+        text.gauge(
+            "configuration_version",
+            "Version known.",
+            wide(core.version()),
+        );
+        let is_ready = core.target_state() == TargetState::Ready;
+        text.gauge(
+            "target_ready",
+            "Whether the target takes flows.",
+            f64::from(u8::from(is_ready)),
+        );
+        text.histogram(
+            "service_time_seconds",
+            "Time to the first byte of an answer.",
+            &self.service_times.borrow(),
+        );
+        text.finish()
+    }
+}
--- /dev/null
+++ b/crates/woodladder-node/src/balancer.rs
@@ -0,0 +1,444 @@
+//! A balancer as a process.
+//!
+//! # Lifecycle
+//! [`BalancerNode::new`] opens its sockets; [`BalancerNode::run`] starts the tasks and
+//! returns when a planned stop has ended. During the stop it forwards on until
+//! no caller's packet has come for a while.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::random;
+use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::balancer::{
+    Balancer, BalancerAction, BalancerOptions, NotReadyReason, Routing,
+};
+use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
+use woodladder_core::flow::message::PeerMessage;
+use woodladder_core::flow::packet::CallerReset;
+use woodladder_core::flow::store_session::{BalancerList, BalancerRegistration};
+
+use crate::carrier::Carrier;
+use crate::decision_log::DecisionLog;
+use crate::metrics::MetricsText;
+use crate::node_clock::NodeClock;
+use crate::peer_socket::{self, MAXIMUM_DATAGRAM};
+use crate::snapshot_exchange;
+use crate::store::{self, Store, StoreContact};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(25);
+/// Most flows in the table.
+const FLOW_CAPACITY: usize = 400_000;
+/// Least time that a stopping balancer forwards on, so that routers notice.
+const LEAST_DRAIN: Duration = Duration::from_millis(1300);
+/// Silence of callers after which a stopping balancer ends.
+const QUIET: Duration = Duration::from_millis(700);
+
+/// Settings of a balancer's process.
+#[derive(Clone, Debug)]
+pub struct BalancerConfig {
+    /// Address for other nodes, datagrams and streams.
+    pub peer_address: SocketAddrV4,
+    /// Address that callers' packets come to.
+    pub caller_address: SocketAddrV4,
+    /// Port that callers take packets at.
+    pub caller_port: u16,
+    /// Zone of the machine.
+    pub zone: ZoneKey,
+    /// Nodes to greet before any is known.
+    pub seeds: Vec<NodeAddress>,
+    /// Least time that a flow at rest is remembered.
+    pub flow_retention: Duration,
+    /// Longest time of a planned stop.
+    pub stop_timeout: Duration,
+}
+
+/// What the tasks of a balancer share.
+pub struct BalancerNode<C> {
+    core: RefCell<Balancer>,
+    carrier: C,
+    config: BalancerConfig,
+    clock: NodeClock,
+    peers: UdpSocket,
+    callers: UdpSocket,
+    decisions: RefCell<DecisionLog>,
+    logger: Logger,
+    contact: Rc<StoreContact>,
+    refused_packets: Cell<u64>,
+    packet_at: Cell<Instant>,
+}
+
+impl<C: Carrier + 'static> BalancerNode<C> {
+    /// Opens the sockets.
+    ///
+    /// # Errors
+    /// The system's error.
+    pub fn new(config: BalancerConfig, carrier: C, logger: Logger) -> io::Result<Rc<Self>> {
+        let clock = NodeClock::start();
+        let options = BalancerOptions {
+            address: config.peer_address,
+            zone: config.zone,
+            flow_capacity: FLOW_CAPACITY,
+            flow_retention: config.flow_retention,
+        };
+        Ok(Rc::new(Self {
+            core: RefCell::new(Balancer::new(options, clock.now())),
+            carrier,
+            clock,
+            peers: peer_socket::open(config.peer_address)?,
+            callers: peer_socket::open(config.caller_address)?,
+            decisions: RefCell::new(DecisionLog::new(logger.clone())),
+            logger,
+            contact: Rc::new(StoreContact::default()),
+            refused_packets: Cell::new(0),
+            packet_at: Cell::new(Instant::ORIGIN),
+            config,
+        }))
+    }
+
+    /// Runs until a planned stop has ended. `store` opens a session with the
+    /// store.
+    ///
+    /// # Errors
+    /// The system's error when the stream for other nodes cannot be opened.
+    pub async fn run<S: Store + 'static>(
+        self: Rc<Self>,
+        store: impl Fn() -> S,
+        stop: Rc<Notify>,
+    ) -> io::Result<()> {
+        let listener = TcpListener::bind(self.config.peer_address).await?;
+        let node = Rc::clone(&self);
+        spawn_local(snapshot_exchange::serve(listener, move |request| {
+            node.core.borrow().answer_snapshot(request)
+        }));
+        spawn_local(Rc::clone(&self).receive_from_callers());
+        spawn_local(Rc::clone(&self).receive_from_peers());
+        spawn_local(Rc::clone(&self).tick());
+        let registration = self.start_store_sessions(store);
+        let leaving = Rc::clone(&registration.1);
+        stop.notified().await;
+        info!(self.logger, "balancer: stopping as planned"; "event" => "stopping");
+        registration.0.borrow_mut().leave(self.clock.now());
+        leaving.notify_one();
+        self.act(|core, _, actions| core.leave(actions));
+        self.drain().await;
+        info!(self.logger, "balancer: stopped"; "event" => "stopped");
+        Ok(())
+    }
+
+    fn start_store_sessions<S: Store + 'static>(
+        self: &Rc<Self>,
+        store: impl Fn() -> S,
+    ) -> (Rc<RefCell<BalancerRegistration>>, Rc<Notify>) {
+        let node = Rc::clone(self);
+        spawn_local(store::watch_configuration(
+            store(),
+            random(),
+            self.clock,
+            Rc::clone(&self.contact),
+            move |configuration| {
+                node.core.borrow_mut().configuration(configuration.into());
+            },
+        ));
+        let now = self.clock.now();
+        let registration = Rc::new(RefCell::new(BalancerRegistration::new(random(), now)));
+        let leaving = Rc::new(Notify::new());
+        spawn_local(store::keep_registered(
+            store(),
+            self.clock,
+            Rc::clone(&registration),
+            Rc::clone(&leaving),
+        ));
+        let node = Rc::clone(self);
+        let hearing = Rc::clone(self);
+        spawn_local(store::list_balancers(
+            store(),
+            BalancerList::new(random(), false, now),
+            self.clock,
+            move || hearing.core.borrow().peers().confirmed().next().is_some(),
+            move |balancers| node.act(|core, now, actions| core.listed(balancers, now, actions)),
+        ));
+        self.act(|core, now, actions| core.listed(&self.config.seeds, now, actions));
+        (registration, leaving)
+    }
+
+    async fn drain(&self) {
+        let started = self.clock.now();
+        loop {
+            sleep(TICK).await;
+            let now = self.clock.now();
+            let elapsed = now.since(started);
+            let is_quiet = now.since(self.packet_at.get()) >= QUIET;
+            if elapsed >= self.config.stop_timeout || (elapsed >= LEAST_DRAIN && is_quiet) {
+                return;
+            }
+        }
+    }
+
+    /// Whether the balancer should be given packets of callers.
+    ///
+    /// # Errors
+    /// [`NotReadyReason`] when it should not.
+    pub fn ready(&self) -> Result<(), NotReadyReason> {
+        self.core.borrow().ready(self.clock.now())
+    }
+
+    /// Takes changed settings in; addresses stay as they are.
+    pub fn reload(self: &Rc<Self>, seeds: &[NodeAddress]) {
+        info!(self.logger, "balancer: settings read again"; "event" => "reloaded",
+            "seeds" => seeds.len());
+        self.act(|core, now, actions| core.listed(seeds, now, actions));
+    }
+
+    async fn receive_from_callers(self: Rc<Self>) {
+        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
+        loop {
+            match peer_socket::receive(&self.callers, &mut buffer).await {
+                Ok((length, _)) => self.caller_packet(&mut buffer[..length]),
+                Err(error) => self.receive_failed("callers", &error).await,
+            }
+        }
+    }
+
+    async fn receive_failed(&self, socket: &str, error: &io::Error) {
+        warn!(self.logger, "balancer: cannot receive"; "event" => "receive_failed",
+            "socket" => socket, "error" => %error);
+        sleep(TICK).await;
+    }
+
+    fn caller_packet(&self, bytes: &mut [u8]) {
+        let now = self.clock.now();
+        self.packet_at.set(now);
+        let Ok(packet) = self.carrier.read_from_caller(bytes) else {
+            self.refused_packets.set(self.refused_packets.get() + 1);
+            return;
+        };
+        let routing = self.core.borrow_mut().caller_packet(&packet, now);
+        match routing {
+            Routing::One { to, header } => self.forward(to, &PeerMessage::Forward(header), bytes),
+            Routing::Several(receivers) => {
+                for (to, header) in receivers {
+                    self.forward(to, &PeerMessage::Forward(header), bytes);
+                }
+            }
+            Routing::Reset(reset) => self.reset(&reset),
+            Routing::Drop(_) => {}
+        }
+    }
+
+    fn forward(&self, to: NodeAddress, message: &PeerMessage, packet: &[u8]) {
+        peer_socket::send(&self.peers, &message.encode(packet), to);
+    }
+
+    fn reset(&self, reset: &CallerReset) {
+        let to = SocketAddrV4::new(*reset.key.caller.ip(), self.config.caller_port);
+        peer_socket::send(&self.callers, &self.carrier.write_reset(reset), to);
+    }
+
+    async fn receive_from_peers(self: Rc<Self>) {
+        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
+        loop {
+            match peer_socket::receive(&self.peers, &mut buffer).await {
+                Ok((length, from)) => self.peer_datagram(from, &buffer[..length]),
+                Err(error) => self.receive_failed("peers", &error).await,
+            }
+        }
+    }
+
+    fn peer_datagram(self: &Rc<Self>, from: NodeAddress, datagram: &[u8]) {
+        let Ok((message, rest)) = PeerMessage::decode(datagram) else {
+            self.refused_packets.set(self.refused_packets.get() + 1);
+            return;
+        };
+        let packet = self.carrier.read_from_caller(rest).ok();
+        let packet = packet.as_ref().map(|packet| (packet, rest));
+        self.act(|core, now, actions| core.message(from, message, packet, now, actions));
+    }
+
+    async fn tick(self: Rc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.act(|core, now, actions| core.tick(now, actions));
+            self.write_notes();
+        }
+    }
+
+    fn write_notes(&self) {
+        let (notes, dropped) = self.core.borrow_mut().take_notes();
+        let now = self.clock.now();
+        self.decisions.borrow_mut().write(notes, dropped, now);
+        match self.contact.take_change() {
+            Some(true) => info!(self.logger, "store: reached"; "event" => "store_reached"),
+            Some(false) => warn!(self.logger, "store: lost"; "event" => "store_lost"),
+            None => {}
+        }
+    }
+
+    /// Lets the core decide and carries its actions out.
+    fn act(self: &Rc<Self>, decide: impl FnOnce(&mut Balancer, Instant, &mut Vec<BalancerAction>)) {
+        let mut actions = Vec::new();
+        decide(&mut self.core.borrow_mut(), self.clock.now(), &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: BalancerAction) {
+        match action {
+            BalancerAction::Send { to, message } => self.forward(to, &message, &[]),
+            BalancerAction::Forward {
+                to,
+                header,
+                mut packet,
+            } => {
+                self.carrier.clear_marks(&mut packet);
+                self.forward(to, &PeerMessage::Forward(header), &packet);
+            }
+            BalancerAction::Reset(reset) => self.reset(&reset),
+            BalancerAction::FetchSnapshot { from, request } => {
+                let node = Rc::clone(self);
+                spawn_local(async move {
+                    match snapshot_exchange::fetch(from, request).await {
+                        Ok(snapshot) => node.act(|core, now, actions| {
+                            core.snapshot(from, snapshot, now, actions);
+                        }),
+                        Err(_) => node.core.borrow_mut().snapshot_failed(from),
+                    }
+                });
+            }
+        }
+    }
+
+    /// Figures in the text format that scrapers read.
+    #[must_use]
+    pub fn metrics(&self) -> String {
+        let now = self.clock.now();
+        let core = self.core.borrow();
+        let counters = core.counters();
+        let (answers, refusals, failures) = self.contact.totals();
+        let mut text = MetricsText::default();
+        for (name, help, value) in [
+            (
+                "caller_packets_total",
+                "Packets of callers.",
+                counters.packets,
+            ),
+            (
+                "flows_opened_total",
+                "Openings sent to a first target.",
+                counters.opened,
+            ),
+            (
+                "flows_reopened_total",
+                "Openings sent to a further target.",
+                counters.reopened,
+            ),
+            (
+                "established_packets_total",
+                "Packets of flows in the table.",
+                counters.established,
+            ),
+            (
+                "searched_packets_total",
+                "Packets of flows searched for.",
+                counters.searched,
+            ),
+            (
+                "returned_packets_total",
+                "Packets that agents gave back.",
+                counters.returned,
+            ),
+            (
+                "resets_no_route_total",
+                "Resets without a route.",
+                counters.reset_no_route,
+            ),
+            (
+                "resets_no_target_total",
+                "Resets without a target.",
+                counters.reset_no_target,
+            ),
+            (
+                "resets_target_ended_total",
+                "Resets after a target's end.",
+                counters.reset_target_ended,
+            ),
+            (
+                "resets_held_nowhere_total",
+                "Resets of flows held nowhere.",
+                counters.reset_held_nowhere,
+            ),
+            (
+                "dropped_packets_total",
+                "Packets dropped by decision.",
+                counters.dropped,
+            ),
+            (
+                "refused_packets_total",
+                "Datagrams that cannot be read.",
+                self.refused_packets.get(),
+            ),
+            (
+                "store_answers_total",
+                "Calls that the store answered.",
+                answers,
+            ),
+            (
+                "store_refusals_total",
+                "Calls that the store refused.",
+                refusals,
+            ),
+            ("store_failures_total", "Calls without an answer.", failures),
+        ] {
+            text.counter(name, help, value);
+        }
+        text.gauge("flows", "Flows in the table.", count(core.flow_count()));
+        text.gauge("agents", "Agents known.", count(core.directory().len()));
+        text.gauge(
+            "agents_live",
+            "Agents heard lately.",
+            count(core.directory().live_count(now)),
+        );
+        text.gauge(
+            "balancers",
+            "Other balancers known.",
+            count(core.peers().len()),
+        );
+        text.gauge(
+            "configuration_version",
+            "Version in force.",
+            wide(core.routes().version()),
+        );
+        let ready = if core.ready(now).is_ok() { 1.0 } else { 0.0 };
+        text.gauge("ready", "Whether the node is ready.", ready);
+        text.finish()
+    }
+
+    /// Address of the machine.
+    #[must_use]
+    pub fn machine(&self) -> Ipv4Addr {
+        *self.config.peer_address.ip()
+    }
+}
+
+/// A count as a metric.
+pub(crate) fn count(value: usize) -> f64 {
+    u32::try_from(value).map_or(f64::INFINITY, f64::from)
+}
+
+/// A version as a metric; exact up to two to the power of 53.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn wide(value: u64) -> f64 {
+    value as f64
+}
--- /dev/null
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -0,0 +1,270 @@
+//! Log lines for the core's decisions, within a budget for each kind.
+//!
+//! A budget is a token bucket: so many lines a second, with a reserve for
+//! bursts. What is left out is counted and stated with the next line of its
+//! kind, so that a reader knows that lines are missing. Decisions that fail or
+//! move a request have larger budgets than ordinary ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use slog::{Logger, debug, info, warn};
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::note::Note;
+
+/// Lines a second of ordinary decisions of one kind.
+const ORDINARY_RATE: f64 = 40.0;
+/// Lines a second of decisions of one kind that fail or move a request.
+const IMPORTANT_RATE: f64 = 120.0;
+/// Seconds of a rate that may be used at once.
+const RESERVE_SECONDS: f64 = 4.0;
+
+/// How much a line matters.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Importance {
+    /// The usual course.
+    Ordinary,
+    /// A request fails or is moved, or a belief changes.
+    Important,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    tokens: f64,
+    filled_at: Instant,
+    left_out: u64,
+}
+
+/// Budgets of lines by kind.
+#[derive(Clone, Debug, Default)]
+pub struct LineBudget {
+    buckets: BTreeMap<&'static str, Bucket>,
+}
+
+impl LineBudget {
+    /// Whether a line of this kind may be written; when so, how many lines of
+    /// the kind were left out before it.
+    pub fn allow(
+        &mut self,
+        kind: &'static str,
+        importance: Importance,
+        now: Instant,
+    ) -> Option<u64> {
+        let rate = match importance {
+            Importance::Ordinary => ORDINARY_RATE,
+            Importance::Important => IMPORTANT_RATE,
+        };
+        let most = rate * RESERVE_SECONDS;
+        let bucket = self.buckets.entry(kind).or_insert(Bucket {
+            tokens: most,
+            filled_at: now,
+            left_out: 0,
+        });
+        let elapsed = now.since(bucket.filled_at).as_secs_f64();
+        bucket.tokens = (bucket.tokens + elapsed * rate).min(most);
+        bucket.filled_at = now;
+        if bucket.tokens < 1.0 {
+            bucket.left_out += 1;
+            return None;
+        }
+        bucket.tokens -= 1.0;
+        Some(std::mem::take(&mut bucket.left_out))
+    }
+}
+
+/// Writes notes as log lines.
+#[derive(Debug)]
+pub struct DecisionLog {
+    logger: Logger,
+    budget: LineBudget,
+}
+
+impl DecisionLog {
+    /// A log with full budgets.
+    #[must_use]
+    pub fn new(logger: Logger) -> Self {
+        Self {
+            logger,
+            budget: LineBudget::default(),
+        }
+    }
+
+    /// Writes notes, and how many the core itself left out.
+    pub fn write(&mut self, notes: Vec<Note>, dropped: u64, now: Instant) {
+        for note in notes {
+            let (kind, importance) = kind_of(&note);
+            if let Some(left_out) = self.budget.allow(kind, importance, now) {
+                self.line(kind, &note, left_out);
+            }
+        }
+        if dropped > 0 {
+            warn!(self.logger, "log: decisions left out"; "count" => dropped);
+        }
+    }
+
+    /// Writes that a request has reached the target.
+    pub fn request(&mut self, flow: &str, request: &str, busy: u16, now: Instant) {
+        let kind = "request_delivered";
+        if let Some(left_out) = self.budget.allow(kind, Importance::Ordinary, now) {
+            info!(self.logger, "agent: request delivered"; "event" => kind,
+                "flow" => flow, "request" => request, "busy" => busy, "left_out" => left_out);
+        }
+    }
+
+    fn line(&self, event: &'static str, note: &Note, left_out: u64) {
+        let log = &self.logger;
+        match note {
+            Note::FlowSent {
+                key,
+                agent,
+                copy,
+                tried,
+                score,
+                load_age,
+                version,
+            } => {
+                info!(log, "balancer: flow sent"; "event" => event, "flow" => %key,
+                    "agent" => %agent, "copy" => copy, "tried" => tried,
+                    "score" => format!("{score:.3}"), "load_age_ms" => milliseconds(*load_age),
+                    "version" => version, "left_out" => left_out);
+            }
+            Note::FlowWithoutTarget {
+                key,
+                copy,
+                known,
+                version,
+            } => {
+                warn!(log, "balancer: no target takes the flow"; "event" => event,
+                    "flow" => %key, "copy" => copy, "known" => known, "version" => version,
+                    "left_out" => left_out);
+            }
+            Note::PacketReturned { key, agent, reason } => {
+                info!(log, "balancer: packet returned"; "event" => event, "flow" => %key,
+                    "agent" => %agent, "reason" => ?reason, "left_out" => left_out);
+            }
+            Note::SearchStarted { key, asked } => {
+                info!(log, "balancer: flow searched for"; "event" => event, "flow" => %key,
+                    "asked" => asked, "left_out" => left_out);
+            }
+            Note::FlowLocated { key, agent } => {
+                info!(log, "balancer: flow located"; "event" => event, "flow" => %key,
+                    "agent" => %agent, "left_out" => left_out);
+            }
+            Note::FlowReset {
+                key,
+                reason,
+                denied,
+            } => {
+                warn!(log, "balancer: flow reset"; "event" => event, "flow" => %key,
+                    "reason" => reason.name(), "retry_is_safe" => reason.retry_is_safe(),
+                    "denied" => denied, "left_out" => left_out);
+            }
+            Note::FlowOffered {
+                key,
+                balancer,
+                busy,
+                version,
+            } => {
+                info!(log, "agent: flow offered to the target"; "event" => event,
+                    "flow" => %key, "balancer" => %balancer, "busy" => busy,
+                    "version" => version, "left_out" => left_out);
+            }
+            Note::RequestAnswered { key, service_time } => {
+                debug!(log, "agent: request answered"; "event" => event, "flow" => %key,
+                    "service_ms" => milliseconds(*service_time), "left_out" => left_out);
+            }
+            _ => self.belief(event, note, left_out),
+        }
+    }
+
+    /// A line for a change of what the node believes.
+    fn belief(&self, event: &'static str, note: &Note, left_out: u64) {
+        let log = &self.logger;
+        match note {
+            Note::ConfigurationAdopted {
+                version,
+                former,
+                routes,
+                from,
+            } => {
+                let source = from.map_or_else(|| "store".to_owned(), |node| node.to_string());
+                info!(log, "node: configuration adopted"; "event" => event,
+                    "version" => version, "former" => former, "routes" => routes,
+                    "from" => source, "left_out" => left_out);
+            }
+            Note::AgentFound { agent } => {
+                info!(log, "balancer: agent found"; "event" => event, "agent" => %agent,
+                    "left_out" => left_out);
+            }
+            Note::AgentLost {
+                agent,
+                silence,
+                flows,
+            } => {
+                warn!(log, "balancer: agent lost"; "event" => event, "agent" => %agent,
+                    "silence_ms" => milliseconds(*silence), "flows_reset" => flows,
+                    "left_out" => left_out);
+            }
+            Note::TargetReplaced {
+                agent,
+                ended,
+                flows,
+            } => {
+                info!(log, "balancer: target replaced"; "event" => event, "agent" => %agent,
+                    "ended" => format!("{:016x}", ended.0), "flows_reset" => flows,
+                    "left_out" => left_out);
+            }
+            Note::BalancerFound { balancer } => {
+                info!(log, "node: balancer found"; "event" => event, "balancer" => %balancer,
+                    "left_out" => left_out);
+            }
+            Note::BalancerLost { balancer } => {
+                warn!(log, "node: balancer lost"; "event" => event, "balancer" => %balancer,
+                    "left_out" => left_out);
+            }
+            Note::Stalled { duration } => {
+                warn!(log, "node: did not run for a while"; "event" => event,
+                    "pause_ms" => milliseconds(*duration), "left_out" => left_out);
+            }
+            Note::TargetState {
+                former,
+                state,
+                incarnation,
+            } => {
+                let incarnation = incarnation.map(|it| format!("{:016x}", it.0));
+                info!(log, "agent: target changed state"; "event" => event,
+                    "former" => ?former, "state" => ?state, "incarnation" => incarnation,
+                    "left_out" => left_out);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn kind_of(note: &Note) -> (&'static str, Importance) {
+    use Importance::{Important, Ordinary};
+    match note {
+        Note::FlowSent { tried: 0, .. } => ("flow_sent", Ordinary),
+        Note::FlowSent { .. } => ("flow_sent_again", Important),
+        Note::FlowWithoutTarget { .. } => ("flow_without_target", Important),
+        Note::PacketReturned { .. } => ("packet_returned", Important),
+        Note::SearchStarted { .. } => ("search_started", Ordinary),
+        Note::FlowLocated { .. } => ("flow_located", Ordinary),
+        Note::FlowReset { .. } => ("flow_reset", Important),
+        Note::ConfigurationAdopted { .. } => ("configuration_adopted", Important),
+        Note::AgentFound { .. } => ("agent_found", Important),
+        Note::AgentLost { .. } => ("agent_lost", Important),
+        Note::TargetReplaced { .. } => ("target_replaced", Important),
+        Note::BalancerFound { .. } => ("balancer_found", Important),
+        Note::BalancerLost { .. } => ("balancer_lost", Important),
+        Note::Stalled { .. } => ("stalled", Important),
+        Note::TargetState { .. } => ("target_state", Important),
+        Note::FlowOffered { .. } => ("flow_offered", Ordinary),
+        Note::RequestAnswered { .. } => ("request_answered", Ordinary),
+    }
+}
+
+/// Milliseconds with a fraction.
+fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
--- /dev/null
+++ b/crates/woodladder-node/src/http.rs
@@ -0,0 +1,138 @@
+//! A small HTTP server for the endpoints of a node.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// Largest body of a request in bytes.
+const MAXIMUM_BODY: usize = 64 << 10;
+/// Longest time for one connection between two of its requests' ends.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(60);
+/// Most connections of one listener at a time.
+const MAXIMUM_CONNECTIONS: usize = 256;
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A request with its whole body.
+#[derive(Clone, Debug)]
+pub struct HttpRequest {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: StatusCode,
+    /// Media type of the body.
+    pub content_type: &'static str,
+    /// Body.
+    pub body: String,
+}
+
+impl HttpAnswer {
+    /// An answer of plain text.
+    #[must_use]
+    pub fn text(status: StatusCode, body: impl Into<String>) -> Self {
+        Self {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            body: body.into(),
+        }
+    }
+
+    /// An answer of JSON.
+    #[must_use]
+    pub fn json(status: StatusCode, body: impl Into<String>) -> Self {
+        Self {
+            status,
+            content_type: "application/json",
+            body: body.into(),
+        }
+    }
+}
+
+/// Serves requests until the process ends.
+pub async fn serve<F>(listener: TcpListener, handle: impl Fn(HttpRequest) -> F + 'static)
+where
+    F: Future<Output = HttpAnswer> + 'static,
+{
+    let handle = Rc::new(handle);
+    let open = Rc::new(());
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if Rc::strong_count(&open) <= MAXIMUM_CONNECTIONS => {
+                let handle = Rc::clone(&handle);
+                let open = Rc::clone(&open);
+                tokio::task::spawn_local(async move {
+                    let _ended = timeout(CONNECTION_TIMEOUT, connection(stream, handle)).await;
+                    drop(open);
+                });
+            }
+            Ok((stream, _)) => drop(stream),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn connection<F>(
+    stream: TcpStream,
+    handle: Rc<impl Fn(HttpRequest) -> F + 'static>,
+) -> hyper::Result<()>
+where
+    F: Future<Output = HttpAnswer> + 'static,
+{
+    let _ignored = stream.set_nodelay(true);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handle = Rc::clone(&handle);
+        async move { Ok::<_, Infallible>(respond(request, &*handle).await) }
+    });
+    http1::Builder::new()
+        .max_buf_size(16 << 10)
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+}
+
+async fn respond<F>(
+    request: Request<Incoming>,
+    handle: &impl Fn(HttpRequest) -> F,
+) -> Response<Full<Bytes>>
+where
+    F: Future<Output = HttpAnswer>,
+{
+    let (head, body) = request.into_parts();
+    let answer = match Limited::new(body, MAXIMUM_BODY).collect().await {
+        Ok(body) => {
+            let request = HttpRequest {
+                method: head.method,
+                path: head.uri.path().to_owned(),
+                body: body.to_bytes(),
+            };
+            handle(request).await
+        }
+        Err(_) => HttpAnswer::text(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n"),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() = answer.status;
+    response.headers_mut().insert(
+        hyper::header::CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static(answer.content_type),
+    );
+    response
+}
--- /dev/null
+++ b/crates/woodladder-node/src/metrics.rs
@@ -0,0 +1,80 @@
+//! Figures of a node in the text format that scrapers read.
+
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Upper bounds of a latency histogram's buckets, in seconds.
+const BOUNDS: [f64; 11] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
+];
+
+/// A histogram of durations.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LatencyHistogram {
+    buckets: [u64; BOUNDS.len()],
+    count: u64,
+    sum: f64,
+}
+
+impl LatencyHistogram {
+    /// Takes one duration in.
+    pub fn record(&mut self, duration: Duration) {
+        let seconds = duration.as_secs_f64();
+        self.count += 1;
+        self.sum += seconds;
+        for (bucket, bound) in self.buckets.iter_mut().zip(BOUNDS) {
+            *bucket += u64::from(seconds <= bound);
+        }
+    }
+}
+
+/// Builds the text.
+#[derive(Clone, Debug, Default)]
+pub struct MetricsText {
+    text: String,
+}
+
+impl MetricsText {
+    /// Adds a total that only grows.
+    pub fn counter(&mut self, name: &str, help: &str, value: u64) {
+        self.head(name, help, "counter");
+        let _infallible = writeln!(self.text, "woodladder_{name} {value}");
+    }
+
+    /// Adds a value that may fall.
+    pub fn gauge(&mut self, name: &str, help: &str, value: f64) {
+        self.head(name, help, "gauge");
+        let _infallible = writeln!(self.text, "woodladder_{name} {value}");
+    }
+
+    /// Adds a histogram.
+    pub fn histogram(&mut self, name: &str, help: &str, histogram: &LatencyHistogram) {
+        self.head(name, help, "histogram");
+        for (count, bound) in histogram.buckets.iter().zip(BOUNDS) {
+            let _infallible = writeln!(
+                self.text,
+                "woodladder_{name}_bucket{{le=\"{bound}\"}} {count}"
+            );
+        }
+        let LatencyHistogram { count, sum, .. } = histogram;
+        let _infallible = writeln!(
+            self.text,
+            "woodladder_{name}_bucket{{le=\"+Inf\"}} {count}\n\
+             woodladder_{name}_sum {sum}\n\
+             woodladder_{name}_count {count}"
+        );
+    }
+
+    /// The text.
+    #[must_use]
+    pub fn finish(self) -> String {
+        self.text
+    }
+
+    fn head(&mut self, name: &str, help: &str, kind: &str) {
+        let _infallible = writeln!(
+            self.text,
+            "# HELP woodladder_{name} {help}\n# TYPE woodladder_{name} {kind}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/woodladder-node/src/store.rs
@@ -0,0 +1,143 @@
+//! Sessions with the store: the core says what is called and when.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::rc::Rc;
+
+use tokio::time::sleep;
+use woodladder_core::flow::configuration::Configuration;
+use woodladder_core::flow::identity::NodeAddress;
+use woodladder_core::flow::store_session::{
+    BalancerList, BalancerRegistration, ConfigurationWatch, NextCall, StoreCall, StoreReply,
+};
+
+use crate::node_clock::NodeClock;
+
+/// Makes calls to the platform's store, one after the other.
+pub trait Store {
+    /// Carries a call out. Each call has an end of its own in time.
+    fn call(&mut self, call: StoreCall) -> impl Future<Output = StoreReply>;
+}
+
+/// Keeps the configuration up to date until the process ends.
+pub async fn watch_configuration(
+    mut store: impl Store,
+    seed: u64,
+    clock: NodeClock,
+    contact: Rc<StoreContact>,
+    mut adopt: impl FnMut(Configuration),
+) {
+    let mut watch = ConfigurationWatch::new(seed, clock.now());
+    loop {
+        match watch.next(clock.now()) {
+            NextCall::At(at) => sleep(at.since(clock.now())).await,
+            NextCall::Now(call) => {
+                let reply = store.call(call).await;
+                contact.note(&reply);
+                if let Some(configuration) = watch.reply(reply, clock.now()) {
+                    adopt(configuration);
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the entry of a balancer alive until the process ends.
+pub async fn keep_registered(
+    mut store: impl Store,
+    clock: NodeClock,
+    registration: Rc<RefCell<BalancerRegistration>>,
+    leaving: Rc<tokio::sync::Notify>,
+) {
+    loop {
+        let next = registration.borrow_mut().next(clock.now());
+        match next {
+            NextCall::At(at) => {
+                tokio::select! {
+                    () = sleep(at.since(clock.now())) => {}
+                    () = leaving.notified() => {}
+                }
+            }
+            NextCall::Now(call) => {
+                let reply = store.call(call).await;
+                registration.borrow_mut().reply(&reply, clock.now());
+            }
+        }
+    }
+}
+
+/// Finds balancers in the store until the process ends.
+pub async fn list_balancers(
+    mut store: impl Store,
+    mut list: BalancerList,
+    clock: NodeClock,
+    hears_balancers: impl Fn() -> bool,
+    mut listed: impl FnMut(&[NodeAddress]),
+) {
+    /// Longest sleep, so that a change of what is heard is noticed.
+    const LOOK_AGAIN: std::time::Duration = std::time::Duration::from_millis(500);
+    loop {
+        list.hears_balancers(hears_balancers(), clock.now());
+        match list.next(clock.now()) {
+            NextCall::At(at) => sleep(at.since(clock.now()).min(LOOK_AGAIN)).await,
+            NextCall::Now(call) => {
+                let reply = store.call(call).await;
+                let balancers = list.reply(reply, clock.now());
+                listed(&balancers);
+            }
+        }
+    }
+}
+
+/// Whether the store answers, for logs and metrics.
+#[derive(Debug, Default)]
+pub struct StoreContact {
+    state: std::cell::Cell<ContactState>,
+    changed: std::cell::Cell<Option<bool>>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ContactState {
+    answers: u64,
+    failures: u64,
+    refusals: u64,
+    is_reached: Option<bool>,
+}
+
+impl StoreContact {
+    /// Takes a reply in.
+    pub fn note(&self, reply: &StoreReply) {
+        let mut state = self.state.get();
+        let reached = match reply {
+            StoreReply::NoAnswer => {
+                state.failures += 1;
+                false
+            }
+            StoreReply::Refused => {
+                state.refusals += 1;
+                false
+            }
+            _ => {
+                state.answers += 1;
+                true
+            }
+        };
+        if state.is_reached != Some(reached) {
+            state.is_reached = Some(reached);
+            self.changed.set(Some(reached));
+        }
+        self.state.set(state);
+    }
+
+    /// Whether the store was reached or lost since the last call.
+    pub fn take_change(&self) -> Option<bool> {
+        self.changed.take()
+    }
+
+    /// Answers, refusals and calls without an answer.
+    #[must_use]
+    pub fn totals(&self) -> (u64, u64, u64) {
+        let state = self.state.get();
+        (state.answers, state.refusals, state.failures)
+    }
+}
