Hand no unknown flow to a target that was never heard

Ruled out: the balancer's own resets (none in the log), an earlier flow of the same ends. Change: such an agent does not answer until it has heard its target.

--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -55,6 +55,9 @@
                 begins_request,
             };
         }
+        if !self.has_heard_target() {
+            return Delivery::Drop;
+        }
         if !ask_target || self.knows_all_flows(now) {
             self.counters.denied += 1;
             return Delivery::Answer(held_by(packet.key), AnswerBody::Nothing);
@@ -74,6 +77,13 @@
         })
     }
 
+    /// Whether the target runs for certain. A packet for a target that has not
+    /// started yet is answered with a reset by its machine, which would end a
+    /// flow that another target holds.
+    fn has_heard_target(&self) -> bool {
+        self.target.state != TargetState::Unknown || self.target.sent_at.is_some()
+    }
+
     /// Whether every open flow of the target is in the table: the agent has
     /// run since the target began, or for longer than a flow lives.
     fn knows_all_flows(&self, now: Instant) -> bool {
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -0,0 +1,256 @@
+//! Builders shared by the tests of the carrier without tokens.
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::{Agent, AgentOptions, Delivery, Departure, Heartbeat};
+use woodladder_core::flow::balancer::{Balancer, BalancerAction, BalancerOptions, Routing};
+use woodladder_core::flow::configuration::{Configuration, Route, RoutePart};
+use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use woodladder_core::flow::message::{
+    ForwardHeader, ForwardPurpose, PeerMessage, TargetLoad, TargetReport, TargetState,
+};
+use woodladder_core::flow::packet::{FlowPacket, PacketKind};
+
+/// Port of nodes towards each other.
+const PEER_PORT: u16 = 7000;
+
+/// Milliseconds after the clock's origin.
+pub fn at(milliseconds: u64) -> Instant {
+    Instant::from_origin(Duration::from_millis(milliseconds))
+}
+
+/// The node on the machine with this number.
+pub fn node(number: u8) -> NodeAddress {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), PEER_PORT)
+}
+
+/// The address of the route with this number.
+pub fn route_address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, number), 443)
+}
+
+/// The service that the tests use.
+pub fn kitchen() -> ServiceKey {
+    ServiceKey::named("kitchen")
+}
+
+/// A service whose packets must not reach [`kitchen`].
+pub fn print() -> ServiceKey {
+    ServiceKey::named("print")
+}
+
+/// A flow from the caller's port to the first route.
+pub fn flow(port: u16) -> FlowKey {
+    FlowKey {
+        caller: SocketAddrV4::new(Ipv4Addr::new(100, 64, 0, 1), port),
+        service: route_address(1),
+    }
+}
+
+/// An opening, with the number of copies before it.
+pub fn opening(key: FlowKey, copy: u32) -> FlowPacket {
+    packet(key, PacketKind::Open, 1000, copy, 0)
+}
+
+/// Data of the caller.
+pub fn data(key: FlowKey, sequence: u32, acknowledgement: u32) -> FlowPacket {
+    packet(key, PacketKind::Data, sequence, acknowledgement, 100)
+}
+
+/// A packet.
+pub fn packet(
+    key: FlowKey,
+    kind: PacketKind,
+    sequence: u32,
+    acknowledgement: u32,
+    payload: u16,
+) -> FlowPacket {
+    FlowPacket {
+        key,
+        kind,
+        sequence,
+        acknowledgement,
+        payload,
+    }
+}
+
+/// A configuration whose first route leads to [`kitchen`].
+pub fn configuration(version: u64) -> Arc<Configuration> {
+    configuration_of(version, &[(1, &[(kitchen(), 1)])])
+}
+
+/// A configuration with these routes.
+pub fn configuration_of(version: u64, routes: &[(u8, &[(ServiceKey, u32)])]) -> Arc<Configuration> {
+    let routes = routes.iter().map(|(number, parts)| Route {
+        address: route_address(*number),
+        parts: parts
+            .iter()
+            .map(|(service, weight)| RoutePart {
+                service: *service,
+                weight: *weight,
+            })
+            .collect(),
+    });
+    Arc::new(Configuration {
+        version,
+        routes: routes.collect(),
+        idle_timeout_ms: 15_000,
+    })
+}
+
+/// A balancer on machine 1 that knows nothing.
+pub fn empty_balancer() -> Balancer {
+    let options = BalancerOptions {
+        address: node(1),
+        zone: ZoneKey::named("a"),
+        flow_capacity: 1000,
+        flow_retention: Duration::from_secs(30),
+    };
+    Balancer::new(options, at(0))
+}
+
+/// A balancer on machine 1 with a configuration and agents that are ready, as
+/// it is ten seconds after its start.
+pub fn balancer(agents: &[u8]) -> Balancer {
+    let mut balancer = empty_balancer();
+    balancer.configuration(configuration(1));
+    for agent in agents {
+        tell(&mut balancer, *agent, &report(*agent, 1), at(10_000));
+    }
+    balancer
+}
+
+/// A report of a ready target with seven slots.
+pub fn report(agent: u8, sequence: u64) -> TargetReport {
+    TargetReport {
+        epoch: u64::from(agent),
+        sequence,
+        service: kitchen(),
+        incarnation: Some(Incarnation(u64::from(agent))),
+        zone: ZoneKey::named("a"),
+        state: TargetState::Ready,
+        capacity: 7,
+        warm_up_ms: 0,
+        load: TargetLoad::default(),
+        version: 1,
+        interval_ms: 100,
+    }
+}
+
+/// Gives a report to a balancer.
+pub fn tell(
+    balancer: &mut Balancer,
+    agent: u8,
+    report: &TargetReport,
+    now: Instant,
+) -> Vec<BalancerAction> {
+    send(balancer, agent, PeerMessage::Report(*report), now)
+}
+
+/// Gives a message without a packet to a balancer.
+pub fn send(
+    balancer: &mut Balancer,
+    agent: u8,
+    message: PeerMessage,
+    now: Instant,
+) -> Vec<BalancerAction> {
+    let mut actions = Vec::new();
+    balancer.message(node(agent), message, None, now, &mut actions);
+    actions
+}
+
+/// Gives a message with a packet to a balancer.
+pub fn give_back(
+    balancer: &mut Balancer,
+    agent: u8,
+    message: PeerMessage,
+    packet: &FlowPacket,
+    now: Instant,
+) -> Vec<BalancerAction> {
+    let mut actions = Vec::new();
+    balancer.message(
+        node(agent),
+        message,
+        Some((packet, b"packet")),
+        now,
+        &mut actions,
+    );
+    actions
+}
+
+/// Agents that a packet goes to.
+pub fn receivers(routing: &Routing) -> Vec<NodeAddress> {
+    match routing {
+        Routing::One { to, .. } => vec![*to],
+        Routing::Several(list) => list.iter().map(|(to, _)| *to).collect(),
+        Routing::Reset(_) | Routing::Drop(_) => Vec::new(),
+    }
+}
+
+/// An agent of [`kitchen`] on machine 9 that knows nothing.
+pub fn empty_agent() -> Agent {
+    let options = AgentOptions {
+        address: node(9),
+        zone: ZoneKey::named("a"),
+        service: kitchen(),
+        epoch: 1,
+        flow_capacity: 1000,
+        flow_retention: Duration::from_secs(30),
+        flow_lifetime: Duration::from_secs(60),
+    };
+    Agent::new(options, at(0))
+}
+
+/// An agent whose target began with it.
+pub fn agent() -> Agent {
+    let mut agent = empty_agent();
+    agent.heartbeat(&beat(1, 1), at(0)).expect("heartbeat");
+    agent
+}
+
+/// A heartbeat of a ready target with seven slots.
+pub fn beat(incarnation: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        incarnation: Incarnation(incarnation),
+        service: kitchen(),
+        leaving: false,
+        capacity: 7,
+        warm_up: Duration::ZERO,
+        sequence,
+    }
+}
+
+/// A header of a balancer with a version.
+pub fn header(version: u64, purpose: ForwardPurpose) -> ForwardHeader {
+    ForwardHeader {
+        service: kitchen(),
+        version,
+        purpose,
+    }
+}
+
+/// A header of an opening.
+pub fn open_header(version: u64) -> ForwardHeader {
+    header(version, ForwardPurpose::Open { last_choice: false })
+}
+
+/// Whether a packet reaches the target.
+pub fn is_delivered(delivery: &Delivery) -> bool {
+    matches!(delivery, Delivery::Deliver { .. })
+}
+
+/// Opens a flow at an agent's target.
+pub fn open_at(agent: &mut Agent, key: FlowKey, now: Instant) {
+    let delivery = agent.forwarded(node(1), &open_header(1), &opening(key, 0), now);
+    assert!(is_delivered(&delivery), "{delivery:?}");
+    let accept = packet(key, PacketKind::Accept, 5000, 1001, 0);
+    let departure = agent.departing(&accept, None, now);
+    assert!(matches!(departure, Departure::ToCaller(Some(_))));
+    let first = header(1, ForwardPurpose::Established);
+    let delivery = agent.forwarded(node(1), &first, &data(key, 1001, 5001), now);
+    assert!(is_delivered(&delivery), "{delivery:?}");
+}
