Pursue searches by batched queries and reset flows held nowhere soon after a start

Cause: after a power loss a restarted balancer reset nothing for 3 s and widened a search only with the caller's next copy. Change: Locate queries, a settled directory in place of a fixed wait.

--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -28,6 +28,7 @@
     ) {
         match message {
             PeerMessage::Greeting(greeting) => self.greeted(from, greeting, now, actions),
+            PeerMessage::Locate { keys } => self.locate(from, keys, now, actions),
             _ => self.counters.dropped += 1,
         }
     }
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use super::super::identity::{FlowKey, NodeAddress};
-use super::super::message::{PeerMessage, ReturnReason, TargetState};
+use super::super::message::{MAXIMUM_KEYS, PeerMessage, ReturnReason, TargetState};
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, PacketKind};
-use super::{Agent, AnswerBody, Delivery, Departure, FlowState, HeldFlow, held_by};
+use super::{Agent, AgentAction, AnswerBody, Delivery, Departure, FlowState, HeldFlow, not_held};
 use crate::clock::Instant;
 
 /// A new sample counts for one part in this many of the mean service time.
@@ -40,7 +40,6 @@
     pub(super) fn search(
         &mut self,
         from: NodeAddress,
-        ask_target: bool,
         packet: &FlowPacket,
         now: Instant,
     ) -> Delivery {
@@ -58,9 +57,9 @@
         if !self.has_heard_target() {
             return Delivery::Drop;
         }
-        if !ask_target || self.knows_all_flows(now) {
+        if self.knows_all_flows(now) {
             self.counters.denied += 1;
-            return Delivery::Answer(held_by(packet.key), AnswerBody::Nothing);
+            return Delivery::Answer(not_held(packet.key), AnswerBody::Nothing);
         }
         self.try_target(from, packet, now)
     }
@@ -77,6 +76,32 @@
         })
     }
 
+    /// Answers a query for flows; those of which only the target can tell are
+    /// left out.
+    pub(super) fn locate(
+        &mut self,
+        from: NodeAddress,
+        keys: &[FlowKey],
+        now: Instant,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        let mut denied = Vec::new();
+        for key in keys.iter().take(MAXIMUM_KEYS) {
+            match self.located(key) {
+                Some(message) => actions.push(AgentAction::Send { to: from, message }),
+                None if self.flows.peek(key).is_none() && self.knows_all_flows(now) => {
+                    denied.push(*key);
+                }
+                None => {}
+            }
+        }
+        if !denied.is_empty() {
+            self.counters.denied += 1;
+            let message = PeerMessage::NotHeld { keys: denied };
+            actions.push(AgentAction::Send { to: from, message });
+        }
+    }
+
     /// Whether the target runs for certain. A packet for a target that has not
     /// started yet is answered with a reset by its machine, which would end a
     /// flow that another target holds.
@@ -170,7 +195,7 @@
         if packet.kind != PacketKind::Open && state == Some(FlowState::Unconfirmed) {
             return Departure::Returned {
                 to: balancer,
-                message: held_by(packet.key),
+                message: not_held(packet.key),
                 body: AnswerBody::Nothing,
             };
         }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -351,7 +351,7 @@
                 self.opening(from, header, last_choice, packet, now)
             }
             ForwardPurpose::Established => self.established(from, packet, now),
-            ForwardPurpose::Search { ask_target } => self.search(from, ask_target, packet, now),
+            ForwardPurpose::Search => self.search(from, packet, now),
         }
     }
 
@@ -386,6 +386,6 @@
     }
 }
 
-fn held_by(key: FlowKey) -> PeerMessage {
-    PeerMessage::NotHeld { key }
+fn not_held(key: FlowKey) -> PeerMessage {
+    PeerMessage::NotHeld { keys: vec![key] }
 }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -27,6 +27,8 @@
 const GREETED_PEERS: usize = 6;
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time that an agent which others have named has to be heard.
+const NAMED_FOR: Duration = Duration::from_secs(5);
 /// Acceptances remembered for one opening.
 const MAXIMUM_ACCEPTANCES: usize = 4;
 
@@ -60,7 +62,7 @@
                     self.returned(from, reason, packet, bytes, now, actions);
                 }
             }
-            PeerMessage::NotHeld { key } => self.denied(from, key, now, actions),
+            PeerMessage::NotHeld { keys } => self.denied(from, &keys, now, actions),
             PeerMessage::Accepted {
                 key,
                 sequence,
@@ -77,7 +79,7 @@
             }
             PeerMessage::Located { key, incarnation } => self.located(from, key, incarnation),
             PeerMessage::Greeting(greeting) => self.greeted(from, &greeting, now, actions),
-            PeerMessage::Forward(_) => self.counters.dropped += 1,
+            PeerMessage::Forward(_) | PeerMessage::Locate { .. } => self.counters.dropped += 1,
         }
     }
 
@@ -179,7 +181,7 @@
         usize::try_from(self.greeting_round).unwrap_or(0)
     }
 
-    fn report_interval(&self) -> Duration {
+    pub(super) fn report_interval(&self) -> Duration {
         let agents = u32::try_from(self.directory.len()).unwrap_or(u32::MAX);
         REPORT_SPACING
             .saturating_mul(agents)
@@ -222,6 +224,9 @@
         for balancer in self.peers.tick(now) {
             self.notes.add(Note::BalancerLost { balancer });
         }
+        self.named_agents
+            .retain(|_, named_at| now.since(*named_at) < NAMED_FOR);
+        self.pursue_searches(now, actions);
         self.greet_agents(now, actions);
         self.greet_peers(now, actions);
     }
@@ -276,6 +281,8 @@
         for change in changes {
             match change {
                 DirectoryChange::Found(agent) => {
+                    self.agent_found_at = now;
+                    self.named_agents.remove(&agent);
                     self.notes.add(Note::AgentFound { agent });
                     self.greet(agent, actions);
                 }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -11,7 +11,9 @@
 mod messages;
 mod opening;
 mod readiness;
+mod search;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -122,12 +124,7 @@
         incarnation: Option<Incarnation>,
     },
     /// The targets are asked who holds the flow.
-    Searching {
-        asked: Vec<NodeAddress>,
-        denied: Vec<NodeAddress>,
-        widened: bool,
-        started_at: Instant,
-    },
+    Searching(search::Search),
 }
 
 #[derive(Clone, Debug)]
@@ -159,6 +156,11 @@
     greeted_peers_at: Instant,
     fetch: Option<(NodeAddress, Instant)>,
     last_agent_heard: Option<Instant>,
+    agent_found_at: Instant,
+    /// Agents that other nodes have named and that were not heard yet.
+    named_agents: BTreeMap<NodeAddress, Instant>,
+    /// Flows that are searched for.
+    searching: Vec<FlowKey>,
 }
 
 impl Balancer {
@@ -182,6 +184,9 @@
             greeted_peers_at: Instant::ORIGIN,
             fetch: None,
             last_agent_heard: None,
+            agent_found_at: now,
+            named_agents: BTreeMap::new(),
+            searching: Vec::new(),
         }
     }
 
@@ -256,6 +261,7 @@
         }
         for agent in snapshot.agents {
             if self.directory.agent(agent).is_none() {
+                self.named_agents.insert(agent, now);
                 self.greet(agent, actions);
             }
         }
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -93,6 +93,12 @@
         now.since(self.heard_at) < limit && self.unanswered < SUSPECT_UNANSWERED
     }
 
+    /// Whether the agent's flows count as lost.
+    #[must_use]
+    pub fn is_given_up(&self) -> bool {
+        self.counted_lost
+    }
+
     fn is_lost(&self, now: Instant) -> bool {
         let limit = MINIMUM_SILENCE_OF_LOST.max(self.interval * MISSED_REPORTS_OF_LOST);
         now.since(self.heard_at) >= limit
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -16,6 +16,9 @@
 /// Most balancers that a greeting names.
 pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
 
+/// Most flows that one message asks for.
+pub const MAXIMUM_KEYS: usize = 64;
+
 /// Why a balancer sends a packet to an agent.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ForwardPurpose {
@@ -27,10 +30,7 @@
     /// The balancer believes that the agent's target holds the flow.
     Established,
     /// The balancer asks whether the agent's target holds the flow.
-    Search {
-        /// The agent asks its target where its own knowledge is incomplete.
-        ask_target: bool,
-    },
+    Search,
 }
 
 /// What goes before a packet on its way to an agent.
@@ -146,10 +146,16 @@
         /// Configuration that the agent knows.
         version: u64,
     },
-    /// Agent to balancer: the target does not hold a flow searched for.
+    /// Balancer to agent: does the target hold these flows? No packet is
+    /// delivered.
+    Locate {
+        /// The flows, at most [`MAXIMUM_KEYS`].
+        keys: Vec<FlowKey>,
+    },
+    /// Agent to balancer: the target does not hold flows searched for.
     NotHeld {
-        /// The flow.
-        key: FlowKey,
+        /// The flows.
+        keys: Vec<FlowKey>,
     },
     /// Agent to balancer: the target answered an opening.
     Accepted {
