Tell flows that cannot be held from those that may be

Cause: after a power loss no flow was ever reset, since agents saw their first heartbeat with a number above one and could not deny, and agents without a target never answered. Ruled out: named agents, the settled wait.

--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -6,7 +6,9 @@
 use super::super::message::{MAXIMUM_KEYS, PeerMessage, ReturnReason, TargetState};
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, PacketKind};
-use super::{Agent, AgentAction, AnswerBody, Delivery, Departure, FlowState, HeldFlow, not_held};
+use super::{
+    Agent, AgentAction, AnswerBody, Delivery, Departure, FlowState, HeldFlow, Presence, not_held,
+};
 use crate::clock::Instant;
 
 /// A new sample counts for one part in this many of the mean service time.
@@ -54,10 +56,11 @@
                 begins_request,
             };
         }
-        if !self.has_heard_target() {
+        let knows_all = self.knows_all_flows(now);
+        if !knows_all && !self.has_heard_target() {
             return Delivery::Drop;
         }
-        if self.knows_all_flows(now) {
+        if knows_all {
             self.counters.denied += 1;
             return Delivery::Answer(not_held(packet.key), AnswerBody::Nothing);
         }
@@ -76,8 +79,7 @@
         })
     }
 
-    /// Answers a query for flows; those of which only the target can tell are
-    /// left out.
+    /// Answers a query for flows.
     pub(super) fn locate(
         &mut self,
         from: NodeAddress,
@@ -85,36 +87,36 @@
         now: Instant,
         actions: &mut Vec<AgentAction>,
     ) {
-        let mut denied = Vec::new();
+        let mut unknown = Vec::new();
         for key in keys.iter().take(MAXIMUM_KEYS) {
             match self.located(key) {
                 Some(message) => actions.push(AgentAction::Send { to: from, message }),
-                None if self.flows.peek(key).is_none() && self.knows_all_flows(now) => {
-                    denied.push(*key);
-                }
-                None => {}
+                None => unknown.push(*key),
             }
         }
-        if !denied.is_empty() {
-            self.counters.denied += 1;
-            let message = PeerMessage::NotHeld { keys: denied };
-            actions.push(AgentAction::Send { to: from, message });
+        if unknown.is_empty() {
+            return;
         }
+        let message = if self.knows_all_flows(now) {
+            self.counters.denied += 1;
+            PeerMessage::NotHeld { keys: unknown }
+        } else {
+            PeerMessage::MayBeHeld { keys: unknown }
+        };
+        actions.push(AgentAction::Send { to: from, message });
     }
 
     /// Whether the target runs for certain. A packet for a target that has not
     /// started yet is answered with a reset by its machine, which would end a
     /// flow that another target holds.
     fn has_heard_target(&self) -> bool {
-        self.target.state != TargetState::Unknown || self.target.sent_at.is_some()
+        let has_beaten = self.target.state != TargetState::Unknown;
+        has_beaten || self.target.sent_at.is_some() || self.target.presence == Presence::Listening
     }
 
     /// Whether every open flow of the target is in the table: the agent has
     /// run since the target began, or for longer than a flow lives.
     fn knows_all_flows(&self, now: Instant) -> bool {
-        if self.target.state == TargetState::Unknown {
-            return false;
-        }
         let complete_since = self.flows.overflowed_at().unwrap_or(self.started_at);
         let has_seen_all = now.since(complete_since) >= self.options.flow_lifetime;
         has_seen_all || (self.target.began_later && self.flows.overflowed_at().is_none())
--- a/crates/woodladder-core/src/flow/agent/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/heartbeat.rs
@@ -7,7 +7,7 @@
 
 use super::super::identity::{Incarnation, ServiceKey};
 use super::super::message::TargetState;
-use super::{Agent, Target};
+use super::{Agent, Presence, Target};
 use crate::clock::Instant;
 
 /// Earlier incarnations that are told apart from a new one.
@@ -100,7 +100,8 @@
         let former = self.target.clone();
         self.target = Target::unknown(now);
         self.target.incarnation = Some(beat.incarnation);
-        self.target.began_later = former.incarnation.is_some() || beat.sequence <= FIRST_SEQUENCE;
+        self.target.began_later =
+            former.began_later || former.incarnation.is_some() || beat.sequence <= FIRST_SEQUENCE;
         self.target.replaced = former.replaced;
         if let Some(ended) = former.incarnation {
             self.target.replaced.push(ended);
@@ -115,6 +116,21 @@
         self.report_due = true;
     }
 
+    /// Whether it should be asked if the target listens: before the first sign
+    /// of it.
+    #[must_use]
+    pub fn asks_for_presence(&self) -> bool {
+        let was_heard = self.target.state != TargetState::Unknown || self.target.sent_at.is_some();
+        !was_heard && self.target.presence != Presence::Listening
+    }
+
+    /// Takes in whether the target listens. One that does not yet will begin
+    /// while the agent runs, so the agent sees each of its flows.
+    pub fn presence(&mut self, presence: Presence) {
+        self.target.presence = presence;
+        self.target.began_later |= presence == Presence::Absent;
+    }
+
     /// Notices a target that answers no opening.
     pub(super) fn watch_target(&mut self, now: Instant) {
         let Some(since) = self.target.unanswered_since else {
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -170,6 +170,18 @@
     caller_next: u32,
 }
 
+/// Whether anything listens at the target's address, before its first
+/// heartbeat.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presence {
+    /// It was not asked yet.
+    NotAsked,
+    /// Something listens.
+    Listening,
+    /// Nothing listens.
+    Absent,
+}
+
 #[derive(Clone, Debug)]
 struct Target {
     state: TargetState,
@@ -181,6 +193,7 @@
     beat_at: Option<Instant>,
     sent_at: Option<Instant>,
     unanswered_since: Option<Instant>,
+    presence: Presence,
     /// Whether the target began while the agent ran, so that the agent has
     /// seen each of its flows.
     began_later: bool,
@@ -381,6 +394,7 @@
             beat_at: None,
             sent_at: None,
             unanswered_since: None,
+            presence: Presence::NotAsked,
             began_later: false,
         }
     }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -63,6 +63,7 @@
                 }
             }
             PeerMessage::NotHeld { keys } => self.denied(from, &keys, now, actions),
+            PeerMessage::MayBeHeld { keys } => self.undecided(from, &keys, now, actions),
             PeerMessage::Accepted {
                 key,
                 sequence,
--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -201,6 +201,27 @@
         }
     }
 
+    /// An agent cannot tell whether its target holds flows. Where a flow is
+    /// not likely to be, that counts as a denial: its packets must not reach
+    /// another service, so nothing more can be learned.
+    pub(super) fn undecided(
+        &mut self,
+        from: NodeAddress,
+        keys: &[FlowKey],
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        let Some(service) = self.directory.agent(from).map(|record| record.service) else {
+            return;
+        };
+        let unlikely: Vec<FlowKey> = keys
+            .iter()
+            .copied()
+            .filter(|key| !self.likely_services(*key).contains(&service))
+            .collect();
+        self.denied(from, &unlikely, now, actions);
+    }
+
     /// Resets a flow that every possible holder has denied.
     fn conclude(&mut self, key: FlowKey, now: Instant, actions: &mut Vec<BalancerAction>) {
         if !self.knows_all_agents(now) {
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -175,6 +175,12 @@
         /// Incarnation of the target.
         incarnation: Option<Incarnation>,
     },
+    /// Agent to balancer: whether the target holds these flows can only be
+    /// told by the target itself, from a packet.
+    MayBeHeld {
+        /// The flows.
+        keys: Vec<FlowKey>,
+    },
     /// Agent to balancer: state and load of its target.
     Report(TargetReport),
     /// Balancer to agents and balancers.
--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -4,7 +4,7 @@
 mod flow_support;
 
 use flow_support::*;
-use woodladder_core::flow::agent::{AgentAction, Delivery};
+use woodladder_core::flow::agent::{AgentAction, Delivery, Presence};
 use woodladder_core::flow::balancer::BalancerAction;
 use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, Snapshot};
 
@@ -171,13 +171,59 @@
 }
 
 #[test]
-fn an_agent_that_may_not_know_a_flow_leaves_a_query_open() {
+fn an_agent_that_may_not_know_a_flow_says_so() {
     let mut agent = empty_agent();
     agent.heartbeat(&beat(1, 20), at(5)).expect("heartbeat");
-    let query = PeerMessage::Locate {
-        keys: vec![flow(1)],
-    };
+    let keys = vec![flow(1)];
+    let query = PeerMessage::Locate { keys: keys.clone() };
     let mut actions = Vec::new();
     agent.message(node(3), &query, at(20), &mut actions);
+    let expected = AgentAction::Send {
+        to: node(3),
+        message: PeerMessage::MayBeHeld { keys },
+    };
+    assert_eq!(actions, vec![expected]);
+}
+
+/// After a loss of power the first heartbeats come before the agent listens,
+/// so their number does not tell that the target is new.
+#[test]
+fn an_agent_whose_target_began_after_it_knows_all_flows() {
+    let mut agent = empty_agent();
+    agent.presence(Presence::Absent);
+    agent.heartbeat(&beat(1, 4), at(50)).expect("heartbeat");
+    let purpose = ForwardPurpose::Search;
+    let delivery = agent.forwarded(node(1), &header(1, purpose), &data(flow(1), 1, 1), at(60));
+    assert!(matches!(
+        delivery,
+        Delivery::Answer(PeerMessage::NotHeld { .. }, _)
+    ));
+}
+
+#[test]
+fn a_target_of_another_service_that_cannot_tell_does_not_hold_a_reset_up() {
+    let mut balancer = balancer(&[2]);
+    let mut other = report(3, 1);
+    other.service = print();
+    tell(&mut balancer, 3, &other, at(10_000));
+    balancer.caller_packet(&data(flow(1), 1, 77), at(10_600));
+    let keys = vec![flow(1)];
+    let unsure = PeerMessage::MayBeHeld { keys: keys.clone() };
+    assert!(send(&mut balancer, 3, unsure, at(10_610)).is_empty());
+    let actions = send(&mut balancer, 2, PeerMessage::NotHeld { keys }, at(10_611));
+    assert!(
+        matches!(actions[..], [BalancerAction::Reset(_)]),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn a_target_of_the_flows_service_that_cannot_tell_prevents_a_reset() {
+    let mut balancer = balancer(&[2, 3]);
+    balancer.caller_packet(&data(flow(1), 1, 77), at(10_600));
+    let keys = vec![flow(1)];
+    let unsure = PeerMessage::MayBeHeld { keys: keys.clone() };
+    assert!(send(&mut balancer, 3, unsure, at(10_610)).is_empty());
+    let actions = send(&mut balancer, 2, PeerMessage::NotHeld { keys }, at(10_611));
     assert!(actions.is_empty(), "{actions:?}");
 }
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -13,13 +13,14 @@
 
 use rand::random;
 use slog::{Logger, info, warn};
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{
     Agent, AgentAction, AgentOptions, AnswerBody, Delivery, Departure, Heartbeat, HeartbeatError,
+    Presence,
 };
 use woodladder_core::flow::identity::{Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::message::{ForwardHeader, PeerMessage, TargetState};
@@ -39,6 +40,10 @@
 const TICK: Duration = Duration::from_millis(25);
 /// Most flows in the table.
 const FLOW_CAPACITY: usize = 100_000;
+/// Time between two looks whether the target listens.
+const PRESENCE_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest time of one such look.
+const PRESENCE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time that a stopping agent still forwards.
 const STOP_DRAIN: Duration = Duration::from_millis(300);
 
@@ -128,6 +133,7 @@
         spawn_local(Rc::clone(&self).receive_from_peers());
         spawn_local(Rc::clone(&self).receive_from_target());
         spawn_local(Rc::clone(&self).tick());
+        spawn_local(Rc::clone(&self).ask_for_presence());
         let node = Rc::clone(&self);
         let hearing = Rc::clone(&self);
         spawn_local(store::list_balancers(
@@ -294,6 +300,22 @@
         }
     }
 
+    /// Looks whether the target listens, until there is a sign of it.
+    async fn ask_for_presence(self: Rc<Self>) {
+        while self.core.borrow().asks_for_presence() {
+            let connect = TcpStream::connect(self.config.target_address);
+            let presence = match timeout(PRESENCE_TIMEOUT, connect).await {
+                Ok(Ok(_)) => Presence::Listening,
+                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    Presence::Absent
+                }
+                _ => Presence::NotAsked,
+            };
+            self.core.borrow_mut().presence(presence);
+            sleep(PRESENCE_INTERVAL).await;
+        }
+    }
+
     async fn tick(self: Rc<Self>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
