--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -31,19 +31,19 @@
 const QUERIED_FLOWS: usize = 4096;
 /// Least time after its start in which a balancer resets no flow that is held
 /// nowhere.
-const LEAST_LISTENING: Duration = Duration::from_millis(400);
+const LEAST_LISTENING: Duration = Duration::from_millis(300);
 /// Time without a new agent after which the balancer knows all of them; or
 /// longer, when agents report more slowly.
-const SETTLED_AFTER: Duration = Duration::from_millis(250);
+const SETTLED_AFTER: Duration = Duration::from_millis(200);
 /// Reports of each agent that fit into the time until the balancer knows all.
-const SETTLED_REPORTS: u32 = 3;
+const SETTLED_REPORTS: u32 = 2;
 
 /// A search for one flow.
 #[derive(Clone, Debug)]
 pub(super) struct Search {
     denied: Vec<NodeAddress>,
     started_at: Instant,
-    queried_at: Instant,
+    queried_at: Option<Instant>,
 }
 
 impl Search {
@@ -51,7 +51,7 @@
         Self {
             denied: Vec::new(),
             started_at: now,
-            queried_at: now,
+            queried_at: None,
         }
     }
 
@@ -271,8 +271,11 @@
                 continue;
             }
             undecided.push(key);
-            if now.since(search.queried_at) >= QUERY_INTERVAL {
-                search.queried_at = now;
+            let is_due = search
+                .queried_at
+                .is_none_or(|at| now.since(at) >= QUERY_INTERVAL);
+            if is_due {
+                search.queried_at = Some(now);
                 for agent in holders
                     .iter()
                     .filter(|agent| !search.denied.contains(agent))
