--- a/crates/woodladder-core/src/flow/agent/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/heartbeat.rs
@@ -76,6 +76,7 @@
         }
         self.target.sequence = beat.sequence;
         self.target.beat_at = Some(now);
+        self.target.unanswered_since = None;
         self.target.capacity = beat.capacity;
         self.target.warm_at = now + beat.warm_up;
         let state = match (beat.leaving, self.target.state) {
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -360,9 +360,7 @@
             return self.give_back(ReturnReason::WrongService);
         }
         match header.purpose {
-            ForwardPurpose::Open { last_choice } => {
-                self.opening(from, header, last_choice, packet, now)
-            }
+            ForwardPurpose::Open { room } => self.opening(from, header, room, packet, now),
             ForwardPurpose::Established => self.established(from, packet, now),
             ForwardPurpose::Search => self.search(from, packet, now),
         }
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/openings.rs
@@ -12,16 +12,15 @@
 /// Time that a balancer has to reach the version that an agent knows before
 /// its openings under a lesser one are given back.
 const VERSION_GRACE: Duration = Duration::from_millis(1000);
-/// Requests beyond the slots that a target may hold before openings that have
-/// another choice are given back.
-const QUEUE_ALLOWED: u16 = 2;
+/// The whole, in percent.
+const WHOLE: u32 = 100;
 
 impl Agent {
     pub(super) fn opening(
         &mut self,
         from: NodeAddress,
         header: &ForwardHeader,
-        last_choice: bool,
+        room: u16,
         packet: &FlowPacket,
         now: Instant,
     ) -> Delivery {
@@ -33,7 +32,7 @@
             flow.balancer = from;
             return Delivery::plain();
         }
-        if let Some(reason) = self.reason_to_decline(header, last_choice, now) {
+        if let Some(reason) = self.reason_to_decline(header, room, now) {
             return self.give_back(reason);
         }
         self.counters.offered += 1;
@@ -52,22 +51,22 @@
     fn reason_to_decline(
         &self,
         header: &ForwardHeader,
-        last_choice: bool,
+        room: u16,
         now: Instant,
     ) -> Option<ReturnReason> {
         match self.target.state {
             TargetState::Unknown => return Some(ReturnReason::NoTarget),
             TargetState::Leaving => return Some(ReturnReason::Leaving),
-            TargetState::Unresponsive if !last_choice => return Some(ReturnReason::NoTarget),
-            TargetState::Ready | TargetState::Unresponsive => {}
+            TargetState::Unresponsive => return Some(ReturnReason::NoTarget),
+            TargetState::Ready => {}
         }
         let is_settled = now.since(self.version_known_at) >= VERSION_GRACE;
         if header.version < self.routes.version() && is_settled {
             return Some(ReturnReason::StaleVersion);
         }
-        let taken = self.load.busy.saturating_add(self.load.opening);
-        let room = self.target.capacity.saturating_add(QUEUE_ALLOWED);
-        if !last_choice && taken >= room {
+        let taken = u32::from(self.load.busy) + u32::from(self.load.opening);
+        let allowed = u32::from(self.target.capacity) * u32::from(room);
+        if taken * WHOLE >= allowed {
             return Some(ReturnReason::Saturated);
         }
         None
--- a/crates/woodladder-core/src/flow/balancer/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/established.rs
@@ -71,12 +71,15 @@
     /// The caller has answered an acceptance, and with that has chosen the
     /// target that holds the flow.
     fn settle(&mut self, acknowledgement: u32) {
-        let Stage::Opening { accepted, tried } = &self.stage else {
+        let Stage::Opening {
+            accepted, awaited, ..
+        } = &self.stage
+        else {
             return;
         };
         let held = chosen_by_caller(accepted, acknowledgement)
             .map(|acceptance| (acceptance.agent, acceptance.incarnation))
-            .or_else(|| tried.last().map(|agent| (*agent, None)));
+            .or_else(|| awaited.map(|agent| (agent, None)));
         if let Some((agent, incarnation)) = held {
             self.stage = Stage::Held { agent, incarnation };
         }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -100,7 +100,7 @@
             reason,
         });
         if packet.kind == PacketKind::Open {
-            self.opening_returned(packet, bytes, reason, now, actions);
+            self.opening_returned(from, packet, bytes, reason, now, actions);
         } else {
             self.held_elsewhere(from, packet, bytes, now, actions);
         }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -115,7 +115,10 @@
 enum Stage {
     /// Openings were sent, and the caller has not answered an acceptance yet.
     Opening {
+        /// Agents that gave the opening back or did not answer it.
         tried: Vec<NodeAddress>,
+        /// Agent that has the opening and has not answered yet.
+        awaited: Option<NodeAddress>,
         accepted: Vec<Acceptance>,
     },
     /// One target holds the flow.
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -11,8 +11,17 @@
 
 /// Copies of an opening that a caller sends after the first.
 const LAST_COPY: u32 = 2;
-/// Targets that one opening is offered to before one must take it.
+/// Targets that one opening is offered to.
 const MAXIMUM_TRIES: usize = 4;
+/// Room, in percent of its slots, that a target must have while others may
+/// have more.
+const FIRST_ROOM: u16 = 130;
+/// Room that the last target asked must have, by copies of the opening. A
+/// target with more to do would answer late or turn the request away, so the
+/// caller's next copy is awaited, which runs nothing and costs no try.
+const LAST_ROOMS: [u16; 2] = [200, 250];
+/// The same for the last copy.
+const LAST_ROOM: u16 = 400;
 
 impl Balancer {
     pub(super) fn route_opening(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
@@ -43,6 +52,7 @@
             finished: false,
             stage: Stage::Opening {
                 tried: Vec::new(),
+                awaited: None,
                 accepted: Vec::new(),
             },
         };
@@ -54,24 +64,30 @@
     fn route_copy(&mut self, packet: &FlowPacket, now: Instant) -> Option<Routing> {
         let entry = self.flows.use_flow(&packet.key)?;
         let service = entry.service;
-        let repeat = match &entry.stage {
-            Stage::Opening { tried, accepted } => match accepted.last() {
+        let repeat = match &mut entry.stage {
+            Stage::Opening {
+                tried,
+                awaited,
+                accepted,
+            } => match accepted.last() {
                 Some(acceptance) => Some(acceptance.agent),
                 None => {
-                    if let Some(agent) = tried.last() {
-                        let agent = *agent;
+                    // Loads have changed since the others gave it back.
+                    let silent = awaited.take();
+                    *tried = silent.into_iter().collect();
+                    if let Some(agent) = silent {
                         self.mark_unanswered(agent);
                     }
                     None
                 }
             },
             Stage::Held { agent, .. } => Some(*agent),
-            Stage::Searching { .. } => return Some(Routing::Drop(DropReason::Ended)),
+            Stage::Searching(_) => return Some(Routing::Drop(DropReason::Ended)),
         };
         match repeat {
             Some(agent) => Some(Routing::One {
                 to: agent,
-                header: self.opening_header(service, true),
+                header: self.opening_header(service, LAST_ROOM),
             }),
             None => Some(self.offer(packet.key, packet.acknowledgement, now)),
         }
@@ -88,10 +104,15 @@
         match self.choose(key, now) {
             Some((chosen, service, tried)) => {
                 self.sent_to(key, &chosen, copy, tried, now);
-                let last_choice = chosen.others == 0 || tried + 1 >= MAXIMUM_TRIES;
+                let is_last = chosen.others == 0 || tried + 1 >= MAXIMUM_TRIES;
+                let room = if is_last {
+                    room_of_copy(copy)
+                } else {
+                    FIRST_ROOM
+                };
                 Routing::One {
                     to: chosen.agent,
-                    header: self.opening_header(service, last_choice),
+                    header: self.opening_header(service, room),
                 }
             }
             None => self.without_target(key, copy),
@@ -103,18 +124,15 @@
         let Stage::Opening { tried, .. } = &entry.stage else {
             return None;
         };
-        let mut choice = Choice {
+        let choice = Choice {
             directory: &self.directory,
             zone: self.options.zone,
             key,
             service: entry.service,
             tried,
         };
-        let chosen = choice.best(now).or_else(|| {
-            choice.tried = &[];
-            choice.best(now)
-        });
-        chosen.map(|chosen| (chosen, entry.service, tried.len()))
+        let chosen = choice.best(now)?;
+        Some((chosen, entry.service, tried.len()))
     }
 
     fn sent_to(&mut self, key: FlowKey, chosen: &Chosen, copy: u32, tried: usize, now: Instant) {
@@ -124,9 +142,9 @@
             load_age = now.since(record.load_at);
         }
         if let Some(entry) = self.flows.use_flow(&key)
-            && let Stage::Opening { tried, .. } = &mut entry.stage
+            && let Stage::Opening { awaited, .. } = &mut entry.stage
         {
-            tried.push(chosen.agent);
+            *awaited = Some(chosen.agent);
         }
         if tried == 0 {
             self.counters.opened += 1;
@@ -162,17 +180,18 @@
         Routing::Drop(DropReason::NoTargetYet)
     }
 
-    pub(super) fn opening_header(&self, service: ServiceKey, last_choice: bool) -> ForwardHeader {
+    fn opening_header(&self, service: ServiceKey, room: u16) -> ForwardHeader {
         ForwardHeader {
             service,
             version: self.routes.version(),
-            purpose: ForwardPurpose::Open { last_choice },
+            purpose: ForwardPurpose::Open { room },
         }
     }
 
     /// An agent gave an opening back: it goes to the next target at once.
     pub(super) fn opening_returned(
         &mut self,
+        from: NodeAddress,
         packet: &FlowPacket,
         bytes: &[u8],
         reason: ReturnReason,
@@ -182,57 +201,40 @@
         let Some(entry) = self.flows.use_flow(&packet.key) else {
             return;
         };
-        let Stage::Opening { tried, accepted } = &entry.stage else {
+        let Stage::Opening {
+            tried,
+            awaited,
+            accepted,
+        } = &mut entry.stage
+        else {
             return;
         };
-        if !accepted.is_empty() || tried.len() >= MAXIMUM_TRIES {
+        if *awaited != Some(from) || !accepted.is_empty() {
             return;
         }
-        if reason == ReturnReason::StaleVersion {
-            return self.reopen_under_new_version(packet, bytes, now, actions);
-        }
-        let routing = self.offer_again(packet, now);
-        self.carry_out(routing, bytes, actions);
-    }
-
-    /// Goes on only to targets that were not asked before.
-    fn offer_again(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
-        let Some(entry) = self.flows.peek(&packet.key) else {
-            return Routing::Drop(DropReason::Ended);
-        };
-        let Stage::Opening { tried, .. } = &entry.stage else {
-            return Routing::Drop(DropReason::Ended);
-        };
-        let choice = Choice {
-            directory: &self.directory,
-            zone: self.options.zone,
-            key: packet.key,
-            service: entry.service,
-            tried,
+        *awaited = None;
+        tried.push(from);
+        let is_exhausted = tried.len() >= MAXIMUM_TRIES;
+        let routing = match reason {
+            ReturnReason::StaleVersion => self.reopen_under_new_version(packet, now),
+            _ if is_exhausted => self.without_target(packet.key, packet.acknowledgement),
+            _ => self.offer(packet.key, packet.acknowledgement, now),
         };
-        if choice.best(now).is_none() {
-            return self.without_target(packet.key, packet.acknowledgement);
-        }
-        self.offer(packet.key, packet.acknowledgement, now)
+        self.carry_out(routing, bytes, actions);
     }
 
-    fn reopen_under_new_version(
-        &mut self,
-        packet: &FlowPacket,
-        bytes: &[u8],
-        now: Instant,
-        actions: &mut Vec<BalancerAction>,
-    ) {
-        let sent_version = self.routes.version();
-        let known_greater = self
+    /// The agent knows a greater version, which is being fetched; when it has
+    /// come meanwhile, the flow is opened under it.
+    fn reopen_under_new_version(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+        let version = self.routes.version();
+        let is_behind = self
             .directory
             .agents()
-            .any(|record| record.version > sent_version);
-        if known_greater {
-            return;
+            .any(|record| record.version > version);
+        if is_behind {
+            return Routing::Drop(DropReason::NoConfiguration);
         }
-        let routing = self.route_first(packet, now);
-        self.carry_out(routing, bytes, actions);
+        self.route_first(packet, now)
     }
 
     pub(super) fn carry_out(
@@ -263,3 +265,9 @@
         }
     }
 }
+
+/// Room that the last target asked must have.
+fn room_of_copy(copy: u32) -> u16 {
+    let index = usize::try_from(copy).unwrap_or(usize::MAX);
+    LAST_ROOMS.get(index).copied().unwrap_or(LAST_ROOM)
+}
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -24,8 +24,9 @@
 pub enum ForwardPurpose {
     /// To open the flow.
     Open {
-        /// The agent takes it even when its target has no free slot.
-        last_choice: bool,
+        /// Requests that the target may hold for the agent to take the flow, in
+        /// percent of its slots.
+        room: u16,
     },
     /// The balancer believes that the agent's target holds the flow.
     Established,
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -235,7 +235,7 @@
 
 /// A header of an opening.
 pub fn open_header(version: u64) -> ForwardHeader {
-    header(version, ForwardPurpose::Open { last_choice: false })
+    header(version, ForwardPurpose::Open { room: 130 })
 }
 
 /// Whether a packet reaches the target.
