Let a target's close end the load of an unanswered request

Cause: a caller that gives up closes its side with its last request; the target closes too and answers nothing, and the request stayed counted for 12 s, until every target of the service seemed full. Ruled out: real queues (the served requests' median stayed at 45 ms), lost answers.

--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -247,6 +247,7 @@
             self.answered(&packet.key, now);
         }
         if packet.kind == PacketKind::Finish {
+            self.end_request(&packet.key);
             self.close_flow(&packet.key);
         }
         Departure::ToCaller(message.map(|message| (balancer, message)))
@@ -291,6 +292,15 @@
         });
     }
 
+    /// The target closes its side, so it answers no request any more.
+    fn end_request(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.use_flow(key)
+            && flow.busy_since.take().is_some()
+        {
+            self.load.busy = self.load.busy.saturating_sub(1);
+        }
+    }
+
     /// One end closes its side: the flow is no longer open, and stays in the
     /// table for its last packets.
     fn close_flow(&mut self, key: &FlowKey) {
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_load.rs
@@ -0,0 +1,107 @@
+//! The agent's count of its target's load, and admission by it.
+
+mod flow_support;
+
+use flow_support::*;
+use woodladder_core::flow::agent::{Agent, AnswerBody, Delivery};
+use woodladder_core::flow::message::{
+    ForwardPurpose, PeerMessage, ReturnReason, TargetLoad, TargetState,
+};
+use woodladder_core::flow::packet::{FlowPacket, PacketKind};
+
+fn forward(agent: &mut Agent, packet: &FlowPacket, milliseconds: u64) -> Delivery {
+    let header = header(1, ForwardPurpose::Established);
+    agent.forwarded(node(1), &header, packet, at(milliseconds))
+}
+
+fn depart(agent: &mut Agent, packet: &FlowPacket, milliseconds: u64) {
+    agent.departing(packet, None, at(milliseconds));
+}
+
+fn reason(delivery: &Delivery) -> Option<ReturnReason> {
+    match delivery {
+        Delivery::Answer(PeerMessage::Returned { reason, .. }, AnswerBody::Packet) => Some(*reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_request_is_load_until_the_first_byte_of_its_answer() {
+    let mut agent = agent();
+    open_at(&mut agent, flow(1), at(10));
+    assert_eq!((agent.load().busy, agent.load().flows), (1, 1));
+    depart(&mut agent, &data(flow(1), 5001, 1101), 60);
+    assert_eq!((agent.load().busy, agent.load().flows), (0, 1));
+    assert_eq!(agent.load().service_time_us, 50_000);
+}
+
+#[test]
+fn a_copy_of_an_answered_request_is_no_load() {
+    let mut agent = agent();
+    open_at(&mut agent, flow(1), at(10));
+    depart(&mut agent, &data(flow(1), 5001, 1101), 60);
+    forward(&mut agent, &data(flow(1), 1001, 5001), 70);
+    assert_eq!(agent.load().busy, 0);
+}
+
+/// A caller that gives up closes its side together with its last request; the
+/// target closes too and never answers. Counted as busy, such requests filled
+/// the targets of a whole service.
+#[test]
+fn a_request_that_the_target_closes_on_is_no_load() {
+    let mut agent = agent();
+    open_at(&mut agent, flow(1), at(10));
+    depart(&mut agent, &data(flow(1), 5001, 1101), 60);
+    let last = packet(flow(1), PacketKind::Finish, 1101, 5101, 219);
+    forward(&mut agent, &last, 100);
+    let close = packet(flow(1), PacketKind::Finish, 5101, 1321, 0);
+    depart(&mut agent, &close, 101);
+    assert_eq!(
+        agent.load(),
+        TargetLoad {
+            service_time_us: 50_000,
+            ..TargetLoad::default()
+        }
+    );
+}
+
+#[test]
+fn a_reset_ends_the_load_of_its_flow() {
+    for from_target in [false, true] {
+        let mut agent = agent();
+        open_at(&mut agent, flow(1), at(10));
+        let reset = packet(flow(1), PacketKind::Reset, 1101, 0, 0);
+        if from_target {
+            depart(&mut agent, &reset, 20);
+        } else {
+            forward(&mut agent, &reset, 20);
+        }
+        assert_eq!(agent.load(), TargetLoad::default());
+    }
+}
+
+#[test]
+fn a_target_without_room_gives_an_opening_back() {
+    let mut agent = agent();
+    for port in 1..=10 {
+        open_at(&mut agent, flow(port), at(10));
+    }
+    let delivery = agent.forwarded(node(1), &open_header(1), &opening(flow(11), 0), at(20));
+    assert_eq!(reason(&delivery), Some(ReturnReason::Saturated));
+    let roomy = header(1, ForwardPurpose::Open { room: 200 });
+    let delivery = agent.forwarded(node(1), &roomy, &opening(flow(11), 0), at(20));
+    assert!(is_delivered(&delivery));
+}
+
+#[test]
+fn a_target_that_answers_no_opening_counts_as_unresponsive_until_it_is_heard() {
+    let mut agent = agent();
+    agent.forwarded(node(1), &open_header(1), &opening(flow(1), 0), at(10));
+    agent.tick(at(500), &mut Vec::new());
+    assert_eq!(agent.target_state(), TargetState::Unresponsive);
+    let delivery = agent.forwarded(node(1), &open_header(1), &opening(flow(2), 0), at(510));
+    assert_eq!(reason(&delivery), Some(ReturnReason::NoTarget));
+    agent.heartbeat(&beat(1, 2), at(600)).expect("heartbeat");
+    agent.tick(at(620), &mut Vec::new());
+    assert_eq!(agent.target_state(), TargetState::Ready);
+}
