Give openings that are late already less room than fresh ones

Cause: after a power loss the targets are full for 2 to 3 s, and requests past their aim took slots from fresh ones.

--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -19,9 +19,9 @@
 /// Room that the last target asked must have, by copies of the opening. A
 /// target with more to do would answer late or turn the request away, so the
 /// caller's next copy is awaited, which runs nothing and costs no try.
-const LAST_ROOMS: [u16; 2] = [200, 250];
+const LAST_ROOMS: [u16; 2] = [200, 110];
 /// The same for the last copy.
-const LAST_ROOM: u16 = 400;
+const LAST_ROOM: u16 = 160;
 
 impl Balancer {
     pub(super) fn route_opening(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
