--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -94,6 +94,15 @@
         actions.push(AgentAction::FetchSnapshot { from, request });
     }
 
+    /// Tells the balancers, as part of a planned stop, that the target has
+    /// ended. Not to be called while the target lives: its flows are reset.
+    pub fn say_farewell(&self, actions: &mut Vec<AgentAction>) {
+        for to in self.balancers.addresses() {
+            let message = PeerMessage::Farewell;
+            actions.push(AgentAction::Send { to, message });
+        }
+    }
+
     /// Does what is due; to be called every few tens of milliseconds.
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
         let pause = self.ticked_at.map_or(Duration::ZERO, |at| now.since(at));
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -79,11 +79,20 @@
                 self.accepted(key, acceptance);
             }
             PeerMessage::Located { key, incarnation } => self.located(from, key, incarnation),
+            PeerMessage::Farewell => self.agent_ended(from, actions),
             PeerMessage::Greeting(greeting) => self.greeted(from, &greeting, now, actions),
             PeerMessage::Forward(_) | PeerMessage::Locate { .. } => self.counters.dropped += 1,
         }
     }
 
+    fn agent_ended(&mut self, agent: NodeAddress, actions: &mut Vec<BalancerAction>) {
+        self.named_agents.remove(&agent);
+        if self.directory.remove(agent) {
+            let flows = self.reset_flows_of(agent, None, actions);
+            self.notes.add(Note::AgentStopped { agent, flows });
+        }
+    }
+
     fn returned(
         &mut self,
         from: NodeAddress,
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -270,9 +270,10 @@
         );
     }
 
-    fn remove(&mut self, address: NodeAddress) {
+    /// Forgets an agent; says whether it was known.
+    pub fn remove(&mut self, address: NodeAddress) -> bool {
         let Some(record) = self.agents.remove(&address) else {
-            return;
+            return false;
         };
         if let Some(list) = self.services.get_mut(&record.service) {
             list.retain(|known| *known != address);
@@ -280,5 +281,6 @@
                 self.services.remove(&record.service);
             }
         }
+        true
     }
 }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -184,6 +184,9 @@
     },
     /// Agent to balancer: state and load of its target.
     Report(TargetReport),
+    /// Agent to balancer: the agent stops, and its target has ended with all of
+    /// its flows.
+    Farewell,
     /// Balancer to agents and balancers.
     Greeting(BalancerGreeting),
 }
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -94,6 +94,13 @@
         /// Flows that were reset.
         flows: usize,
     },
+    /// An agent has stopped after its target's end.
+    AgentStopped {
+        /// The agent.
+        agent: NodeAddress,
+        /// Flows that were reset.
+        flows: usize,
+    },
     /// A target was replaced.
     TargetReplaced {
         /// The agent.
--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -227,3 +227,20 @@
     let actions = send(&mut balancer, 2, PeerMessage::NotHeld { keys }, at(10_611));
     assert!(actions.is_empty(), "{actions:?}");
 }
+
+/// The agent of a target that was taken away stops; flows must not wait for
+/// its denial.
+#[test]
+fn an_agent_that_stopped_after_its_target_is_no_possible_holder() {
+    let mut balancer = balancer(&[2, 3]);
+    balancer.caller_packet(&data(flow(1), 1, 77), at(10_600));
+    send(&mut balancer, 3, PeerMessage::Farewell, at(10_605));
+    let denial = PeerMessage::NotHeld {
+        keys: vec![flow(1)],
+    };
+    let actions = send(&mut balancer, 2, denial, at(10_610));
+    assert!(
+        matches!(actions[..], [BalancerAction::Reset(_)]),
+        "{actions:?}"
+    );
+}
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -156,6 +156,9 @@
         self.core.borrow_mut().leave();
         self.act(|core, now, actions| core.tick(now, actions));
         sleep(STOP_DRAIN).await;
+        if self.look_for_target().await == Presence::Absent {
+            self.act(|core, _, actions| core.say_farewell(actions));
+        }
         info!(self.logger, "agent: stopped"; "event" => "stopped");
         Ok(())
     }
@@ -300,17 +303,19 @@
         }
     }
 
+    async fn look_for_target(&self) -> Presence {
+        let connect = TcpStream::connect(self.config.target_address);
+        match timeout(PRESENCE_TIMEOUT, connect).await {
+            Ok(Ok(_)) => Presence::Listening,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Absent,
+            _ => Presence::NotAsked,
+        }
+    }
+
     /// Looks whether the target listens, until there is a sign of it.
     async fn ask_for_presence(self: Rc<Self>) {
         while self.core.borrow().asks_for_presence() {
-            let connect = TcpStream::connect(self.config.target_address);
-            let presence = match timeout(PRESENCE_TIMEOUT, connect).await {
-                Ok(Ok(_)) => Presence::Listening,
-                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                    Presence::Absent
-                }
-                _ => Presence::NotAsked,
-            };
+            let presence = self.look_for_target().await;
             self.core.borrow_mut().presence(presence);
             sleep(PRESENCE_INTERVAL).await;
         }
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -205,6 +205,10 @@
                     "silence_ms" => milliseconds(*silence), "flows_reset" => flows,
                     "left_out" => left_out);
             }
+            Note::AgentStopped { agent, flows } => {
+                info!(log, "balancer: agent stopped"; "event" => event, "agent" => %agent,
+                    "flows_reset" => flows, "left_out" => left_out);
+            }
             Note::TargetReplaced {
                 agent,
                 ended,
@@ -254,6 +258,7 @@
         Note::ConfigurationAdopted { .. } => ("configuration_adopted", Important),
         Note::AgentFound { .. } => ("agent_found", Important),
         Note::AgentLost { .. } => ("agent_lost", Important),
+        Note::AgentStopped { .. } => ("agent_stopped", Important),
         Note::TargetReplaced { .. } => ("target_replaced", Important),
         Note::BalancerFound { .. } => ("balancer_found", Important),
         Note::BalancerLost { .. } => ("balancer_lost", Important),
