--- /dev/null
+++ b/crates/woodladder-core/tests/flow_drain.rs
@@ -0,0 +1,206 @@
+//! Heartbeats, drain and the fences at an agent.
+
+mod flow_support;
+
+use flow_support::*;
+use woodladder_core::flow::agent::{Agent, AgentAction, Delivery, HeartbeatError};
+use woodladder_core::flow::identity::Incarnation;
+use woodladder_core::flow::message::{
+    BalancerGreeting, ForwardPurpose, PeerMessage, ReturnReason, Snapshot, TargetState,
+};
+use woodladder_core::flow::packet::PacketKind;
+
+fn reason_of_opening(agent: &mut Agent, port: u16, milliseconds: u64) -> Option<ReturnReason> {
+    let open = opening(flow(port), 0);
+    match agent.forwarded(node(1), &open_header(1), &open, at(milliseconds)) {
+        Delivery::Answer(PeerMessage::Returned { reason, .. }, _) => Some(reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn no_new_flow_reaches_a_target_before_its_first_heartbeat() {
+    let mut agent = empty_agent();
+    assert_eq!(
+        reason_of_opening(&mut agent, 1, 10),
+        Some(ReturnReason::NoTarget)
+    );
+    agent.heartbeat(&beat(1, 9), at(20)).expect("heartbeat");
+    assert_eq!(reason_of_opening(&mut agent, 1, 30), None);
+}
+
+#[test]
+fn no_new_flow_reaches_a_target_after_it_said_that_it_leaves() {
+    let mut agent = agent();
+    open_at(&mut agent, flow(1), at(10));
+    let mut leaving = beat(1, 2);
+    leaving.leaving = true;
+    agent.heartbeat(&leaving, at(20)).expect("heartbeat");
+    assert_eq!(
+        reason_of_opening(&mut agent, 2, 21),
+        Some(ReturnReason::Leaving)
+    );
+    let header = header(1, ForwardPurpose::Established);
+    let delivery = agent.forwarded(node(1), &header, &data(flow(1), 1101, 5001), at(22));
+    assert!(is_delivered(&delivery), "open flows stay");
+}
+
+#[test]
+fn leaving_is_not_taken_back_by_a_late_heartbeat() {
+    let mut agent = agent();
+    let mut leaving = beat(1, 5);
+    leaving.leaving = true;
+    agent.heartbeat(&leaving, at(20)).expect("heartbeat");
+    agent
+        .heartbeat(&beat(1, 4), at(21))
+        .expect("a late one is taken and ignored");
+    agent.heartbeat(&beat(1, 6), at(22)).expect("heartbeat");
+    assert_eq!(agent.target_state(), TargetState::Leaving);
+}
+
+#[test]
+fn a_target_that_deregisters_first_keeps_its_flows() {
+    let mut agent = agent();
+    open_at(&mut agent, flow(1), at(10));
+    agent.deregister(Incarnation(1));
+    assert_eq!(
+        reason_of_opening(&mut agent, 2, 21),
+        Some(ReturnReason::Leaving)
+    );
+    let header = header(1, ForwardPurpose::Search);
+    let delivery = agent.forwarded(node(2), &header, &data(flow(1), 1101, 5001), at(22));
+    assert!(is_delivered(&delivery));
+}
+
+#[test]
+fn a_new_incarnation_begins_without_flows_and_the_old_one_is_refused() {
+    let mut agent = agent();
+    open_at(&mut agent, flow(1), at(10));
+    agent.heartbeat(&beat(2, 1), at(20)).expect("heartbeat");
+    assert_eq!(agent.load().flows, 0);
+    assert_eq!(agent.target_state(), TargetState::Ready);
+    assert_eq!(
+        agent.heartbeat(&beat(1, 50), at(30)),
+        Err(HeartbeatError::Replaced)
+    );
+    let header = header(1, ForwardPurpose::Established);
+    let delivery = agent.forwarded(node(1), &header, &data(flow(1), 1101, 5001), at(40));
+    assert!(!is_delivered(&delivery));
+}
+
+#[test]
+fn a_heartbeat_of_another_service_changes_nothing() {
+    let mut agent = empty_agent();
+    let mut other = beat(1, 1);
+    other.service = print();
+    assert_eq!(
+        agent.heartbeat(&other, at(1)),
+        Err(HeartbeatError::WrongService)
+    );
+    assert_eq!(agent.target_state(), TargetState::Unknown);
+}
+
+#[test]
+fn packets_of_another_service_never_reach_the_target() {
+    for purpose in [
+        ForwardPurpose::Open { room: 400 },
+        ForwardPurpose::Established,
+        ForwardPurpose::Search,
+    ] {
+        let mut agent = agent();
+        let mut header = header(1, purpose);
+        header.service = print();
+        let open = opening(flow(1), 0);
+        match agent.forwarded(node(1), &header, &open, at(10)) {
+            Delivery::Answer(PeerMessage::Returned { reason, .. }, _) => {
+                assert_eq!(reason, ReturnReason::WrongService);
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn an_opening_under_an_older_version_is_given_back_after_a_grace() {
+    let mut agent = agent();
+    let snapshot = Snapshot {
+        configuration: Some((*configuration(5)).clone()),
+        ..Snapshot::default()
+    };
+    agent.snapshot(node(1), snapshot, at(1000));
+    assert_eq!(reason_of_opening(&mut agent, 1, 1500), None);
+    assert_eq!(
+        reason_of_opening(&mut agent, 2, 2100),
+        Some(ReturnReason::StaleVersion)
+    );
+    let current = header(5, ForwardPurpose::Open { room: 130 });
+    let delivery = agent.forwarded(node(1), &current, &opening(flow(3), 0), at(2100));
+    assert!(is_delivered(&delivery));
+}
+
+#[test]
+fn an_agent_fetches_a_greater_version_from_the_balancer_that_has_it() {
+    let mut agent = agent();
+    let greeting = BalancerGreeting {
+        version: 7,
+        report_interval_ms: 100,
+        leaving: false,
+        balancers: vec![node(3)],
+    };
+    let mut actions = Vec::new();
+    agent.message(
+        node(2),
+        &PeerMessage::Greeting(greeting),
+        at(10),
+        &mut actions,
+    );
+    let fetches = actions
+        .iter()
+        .filter(
+            |action| matches!(action, AgentAction::FetchSnapshot { from, .. } if *from == node(2)),
+        )
+        .count();
+    assert_eq!(fetches, 1, "{actions:?}");
+    assert_eq!(
+        agent.balancers().len(),
+        2,
+        "the named balancer gets reports too"
+    );
+}
+
+#[test]
+fn the_target_returns_an_opening_to_the_balancer_that_the_packet_names() {
+    let mut agent = agent();
+    let open = opening(flow(1), 0);
+    agent.forwarded(node(1), &open_header(1), &open, at(10));
+    let departure = agent.departing(&open, Some(node(1)), at(11));
+    match departure {
+        woodladder_core::flow::agent::Departure::Returned { to, message, .. } => {
+            assert_eq!(to, node(1));
+            let PeerMessage::Returned { reason, .. } = message else {
+                panic!("{message:?}");
+            };
+            assert_eq!(reason, ReturnReason::RefusedByTarget);
+        }
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(agent.load().opening, 0);
+}
+
+#[test]
+fn a_restarted_agent_learns_open_flows_from_what_the_target_sends() {
+    let mut agent = empty_agent();
+    let answer = packet(flow(1), PacketKind::Data, 5001, 1101, 400);
+    agent.departing(&answer, None, at(10));
+    assert_eq!(agent.load().flows, 1);
+    let header = header(1, ForwardPurpose::Search);
+    match agent.forwarded(node(4), &header, &data(flow(1), 1101, 5401), at(20)) {
+        Delivery::Deliver { tell, .. } => {
+            assert!(
+                matches!(tell, Some(PeerMessage::Located { .. })),
+                "{tell:?}"
+            );
+        }
+        other => panic!("{other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_opening.rs
@@ -0,0 +1,327 @@
+//! New flows: choice of target, further tries, resets that are safe.
+
+mod flow_support;
+
+use std::collections::BTreeMap;
+
+use flow_support::*;
+use woodladder_core::flow::balancer::{Balancer, BalancerAction, DropReason, Routing};
+use woodladder_core::flow::identity::NodeAddress;
+use woodladder_core::flow::message::{
+    ForwardPurpose, PeerMessage, ReturnReason, TargetLoad, TargetState,
+};
+use woodladder_core::flow::packet::{FlowPacket, PacketKind};
+
+fn returned(reason: ReturnReason) -> PeerMessage {
+    PeerMessage::Returned {
+        reason,
+        load: TargetLoad::default(),
+        version: 1,
+    }
+}
+
+fn accepted(port: u16, sequence: u32) -> PeerMessage {
+    PeerMessage::Accepted {
+        key: flow(port),
+        sequence,
+        incarnation: None,
+        load: TargetLoad::default(),
+    }
+}
+
+fn only_receiver(routing: &Routing) -> NodeAddress {
+    let list = receivers(routing);
+    assert_eq!(list.len(), 1, "{routing:?}");
+    list[0]
+}
+
+fn forwarded(actions: &[BalancerAction]) -> Vec<NodeAddress> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            BalancerAction::Forward { to, .. } => Some(*to),
+            _ => None,
+        })
+        .collect()
+}
+
+fn number(node: NodeAddress) -> u8 {
+    node.ip().octets()[3]
+}
+
+fn busy_report(
+    agent: u8,
+    sequence: u64,
+    busy: u16,
+) -> woodladder_core::flow::message::TargetReport {
+    let mut report = report(agent, sequence);
+    report.load.busy = busy;
+    report
+}
+
+fn open_many(balancer: &mut Balancer, count: u16) -> BTreeMap<u8, u16> {
+    let mut flows = BTreeMap::new();
+    for port in 1..=count {
+        let routing = balancer.caller_packet(&opening(flow(port), 0), at(10_010));
+        *flows.entry(number(only_receiver(&routing))).or_default() += 1;
+    }
+    flows
+}
+
+#[test]
+fn new_flows_spread_evenly_between_reports() {
+    let mut balancer = balancer(&[2, 3, 4]);
+    let flows = open_many(&mut balancer, 30);
+    assert_eq!(flows, BTreeMap::from([(2, 10), (3, 10), (4, 10)]));
+}
+
+#[test]
+fn new_flows_go_to_the_least_loaded_target() {
+    let mut balancer = balancer(&[2, 3]);
+    tell(&mut balancer, 2, &busy_report(2, 2, 6), at(10_001));
+    let flows = open_many(&mut balancer, 5);
+    assert_eq!(flows, BTreeMap::from([(3, 5)]));
+}
+
+#[test]
+fn new_flows_avoid_targets_that_leave_or_are_silent() {
+    let mut balancer = balancer(&[2, 3, 4]);
+    let mut leaving = report(2, 2);
+    leaving.state = TargetState::Leaving;
+    tell(&mut balancer, 2, &leaving, at(10_400));
+    tell(&mut balancer, 4, &report(4, 2), at(10_400));
+    let routing = balancer.caller_packet(&opening(flow(1), 0), at(10_450));
+    assert_eq!(only_receiver(&routing), node(4));
+}
+
+#[test]
+fn a_slow_target_gets_fewer_flows() {
+    let mut balancer = balancer(&[2, 3, 4]);
+    for agent in [2, 3, 4] {
+        let mut report = report(agent, 2);
+        report.load.service_time_us = if agent == 2 { 250_000 } else { 50_000 };
+        tell(&mut balancer, agent, &report, at(10_001));
+    }
+    let flows = open_many(&mut balancer, 22);
+    assert!(flows.get(&2).copied().unwrap_or(0) <= 2, "{flows:?}");
+}
+
+#[test]
+fn an_opening_that_an_agent_gives_back_goes_to_another_at_once() {
+    let mut balancer = balancer(&[2, 3]);
+    let open = opening(flow(1), 0);
+    let first = only_receiver(&balancer.caller_packet(&open, at(10_010)));
+    let message = returned(ReturnReason::Leaving);
+    let actions = give_back(&mut balancer, number(first), message, &open, at(10_011));
+    let again = forwarded(&actions);
+    assert_eq!(again.len(), 1);
+    assert_ne!(again[0], first);
+}
+
+#[test]
+fn an_opening_that_is_given_back_twice_by_one_agent_moves_once() {
+    let mut balancer = balancer(&[2, 3, 4]);
+    let open = opening(flow(1), 0);
+    let first = number(only_receiver(&balancer.caller_packet(&open, at(10_010))));
+    let message = returned(ReturnReason::Leaving);
+    give_back(&mut balancer, first, message.clone(), &open, at(10_011));
+    let actions = give_back(&mut balancer, first, message, &open, at(10_012));
+    assert!(forwarded(&actions).is_empty(), "{actions:?}");
+}
+
+#[test]
+fn a_copy_of_an_unanswered_opening_goes_to_another_target() {
+    let mut balancer = balancer(&[2, 3]);
+    let first = only_receiver(&balancer.caller_packet(&opening(flow(1), 0), at(10_010)));
+    let second = only_receiver(&balancer.caller_packet(&opening(flow(1), 1), at(10_210)));
+    assert_ne!(first, second);
+}
+
+#[test]
+fn a_copy_of_an_accepted_opening_goes_to_the_same_target() {
+    let mut balancer = balancer(&[2, 3]);
+    let first = only_receiver(&balancer.caller_packet(&opening(flow(1), 0), at(10_010)));
+    send(&mut balancer, number(first), accepted(1, 5000), at(10_011));
+    let second = only_receiver(&balancer.caller_packet(&opening(flow(1), 1), at(10_210)));
+    assert_eq!(first, second);
+}
+
+/// Two targets may answer one opening; the caller chooses by what it
+/// acknowledges.
+#[test]
+fn a_flow_belongs_to_the_target_whose_acceptance_the_caller_acknowledges() {
+    for (acknowledged, winner) in [(5001, 2), (9001, 3)] {
+        let mut balancer = balancer(&[2, 3]);
+        balancer.caller_packet(&opening(flow(1), 0), at(10_010));
+        balancer.caller_packet(&opening(flow(1), 1), at(10_210));
+        send(&mut balancer, 2, accepted(1, 5000), at(10_211));
+        send(&mut balancer, 3, accepted(1, 9000), at(10_212));
+        let routing = balancer.caller_packet(&data(flow(1), 1001, acknowledged), at(10_220));
+        assert_eq!(only_receiver(&routing), node(winner));
+    }
+}
+
+#[test]
+fn only_the_last_copy_without_a_target_is_refused_and_it_at_once() {
+    let mut balancer = balancer(&[2]);
+    let mut leaving = report(2, 2);
+    leaving.state = TargetState::Leaving;
+    tell(&mut balancer, 2, &leaving, at(10_001));
+    let routing = |balancer: &mut Balancer, copy, time| {
+        balancer.caller_packet(&opening(flow(1), copy), at(time))
+    };
+    let waits = Routing::Drop(DropReason::NoTargetYet);
+    assert_eq!(routing(&mut balancer, 0, 10_010), waits);
+    assert_eq!(routing(&mut balancer, 1, 10_210), waits);
+    assert!(matches!(
+        routing(&mut balancer, 2, 10_610),
+        Routing::Reset(_)
+    ));
+}
+
+#[test]
+fn openings_have_less_room_once_they_are_late() {
+    let mut balancer = balancer(&[2]);
+    let room = |routing: Routing| match routing {
+        Routing::One { header, .. } => match header.purpose {
+            ForwardPurpose::Open { room } => room,
+            other => panic!("{other:?}"),
+        },
+        other => panic!("{other:?}"),
+    };
+    let first = room(balancer.caller_packet(&opening(flow(1), 0), at(10_010)));
+    let open = opening(flow(1), 0);
+    give_back(
+        &mut balancer,
+        2,
+        returned(ReturnReason::Saturated),
+        &open,
+        at(10_011),
+    );
+    let copy = room(balancer.caller_packet(&opening(flow(1), 1), at(10_210)));
+    assert!(copy < first, "{copy} {first}");
+}
+
+#[test]
+fn an_address_without_a_route_is_reset_at_once() {
+    let mut balancer = balancer(&[2]);
+    let mut key = flow(1);
+    key.service = route_address(9);
+    let routing = balancer.caller_packet(&opening(key, 0), at(10_010));
+    assert!(matches!(routing, Routing::Reset(reset) if reset.key == key));
+}
+
+#[test]
+fn nothing_is_refused_before_a_configuration_is_known() {
+    let mut balancer = empty_balancer();
+    let routing = balancer.caller_packet(&opening(flow(1), 0), at(10));
+    assert_eq!(routing, Routing::Drop(DropReason::NoConfiguration));
+}
+
+#[test]
+fn flows_of_a_target_that_was_replaced_are_reset_and_no_others() {
+    let mut balancer = balancer(&[2, 3]);
+    for port in 1..=4 {
+        let to = only_receiver(&balancer.caller_packet(&opening(flow(port), 0), at(10_010)));
+        let acceptance = PeerMessage::Accepted {
+            key: flow(port),
+            sequence: 5000,
+            incarnation: Some(woodladder_core::flow::identity::Incarnation(
+                number(to).into(),
+            )),
+            load: TargetLoad::default(),
+        };
+        send(&mut balancer, number(to), acceptance, at(10_011));
+        balancer.caller_packet(&data(flow(port), 1001, 5001), at(10_012));
+    }
+    let mut replaced = report(2, 2);
+    replaced.incarnation = Some(woodladder_core::flow::identity::Incarnation(99));
+    let actions = tell(&mut balancer, 2, &replaced, at(10_050));
+    let resets = actions
+        .iter()
+        .filter(|action| matches!(action, BalancerAction::Reset(reset) if reset.sequence == 5001))
+        .count();
+    assert_eq!(resets, 2, "{actions:?}");
+    assert_eq!(balancer.counters().reset_target_ended, 2);
+}
+
+#[test]
+fn a_stalled_balancer_takes_no_silence_for_a_loss() {
+    let mut balancer = balancer(&[2, 3]);
+    balancer.tick(at(10_010), &mut Vec::new());
+    let to = only_receiver(&balancer.caller_packet(&opening(flow(1), 0), at(10_011)));
+    send(&mut balancer, number(to), accepted(1, 5000), at(10_012));
+    balancer.caller_packet(&data(flow(1), 1001, 5001), at(10_013));
+    let mut actions = Vec::new();
+    balancer.tick(at(14_000), &mut actions);
+    let resets = actions
+        .iter()
+        .filter(|action| matches!(action, BalancerAction::Reset(_)))
+        .count();
+    assert_eq!(resets, 0);
+}
+
+#[test]
+fn flows_of_a_lost_agent_are_reset_while_another_is_heard() {
+    let mut balancer = balancer(&[2, 3]);
+    balancer.tick(at(10_010), &mut Vec::new());
+    let mut port = 0;
+    loop {
+        port += 1;
+        let to = only_receiver(&balancer.caller_packet(&opening(flow(port), 0), at(10_011)));
+        if to == node(2) {
+            break;
+        }
+    }
+    balancer.caller_packet(&data(flow(port), 1001, 5001), at(10_013));
+    let mut actions = Vec::new();
+    for step in 1..=60 {
+        let now = 10_010 + step * 25;
+        tell(&mut balancer, 3, &report(3, 1 + step), at(now));
+        balancer.tick(at(now), &mut actions);
+    }
+    let resets: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            BalancerAction::Reset(reset) => Some(reset.key),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(resets, vec![flow(port)]);
+}
+
+#[test]
+fn parts_of_a_route_get_their_weights() {
+    let mut balancer = empty_balancer();
+    let parts = [(kitchen(), 90), (print(), 10)];
+    balancer.configuration(configuration_of(1, &[(1, &parts)]));
+    for (agent, service) in [(2, kitchen()), (3, print())] {
+        let mut report = report(agent, 1);
+        report.service = service;
+        tell(&mut balancer, agent, &report, at(10_000));
+    }
+    let flows = open_many(&mut balancer, 200);
+    assert_eq!(flows, BTreeMap::from([(2, 180), (3, 20)]));
+}
+
+#[test]
+fn forged_and_looped_packets_are_dropped() {
+    let mut balancer = balancer(&[2]);
+    let accept = packet(flow(1), PacketKind::Accept, 1, 1, 0);
+    let forged = Routing::Drop(DropReason::Forged);
+    assert_eq!(balancer.caller_packet(&accept, at(10_010)), forged);
+    let mut looped: FlowPacket = opening(flow(1), 0);
+    looped.key.caller.set_ip(*node(1).ip());
+    assert_eq!(balancer.caller_packet(&looped, at(10_010)), forged);
+}
+
+#[test]
+fn a_full_table_forgets_the_flows_at_rest_and_finds_them_again() {
+    let mut balancer = balancer(&[2, 3]);
+    for port in 1..=3000 {
+        balancer.caller_packet(&opening(flow(port), 0), at(10_010));
+    }
+    assert!(balancer.flow_count() <= 1000, "{}", balancer.flow_count());
+    let routing = balancer.caller_packet(&data(flow(1), 1001, 5001), at(10_020));
+    assert_eq!(receivers(&routing).len(), 2);
+}
