Let openings wait at the balancer for room, the newest first

Cause: a balancer that had just started refused last copies (18 no_target in 600 ms after all balancers were killed), and openings that found every target full were dropped until the caller's next copy, up to 400 ms later. Change: a bounded queue served with each tick; refused at once when full or after 1.2 s.

--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -236,6 +236,7 @@
         }
         self.named_agents
             .retain(|_, named_at| now.since(*named_at) < NAMED_FOR);
+        self.serve_waiting(now, actions);
         self.pursue_searches(now, actions);
         self.greet_agents(now, actions);
         self.greet_peers(now, actions);
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -12,6 +12,7 @@
 mod opening;
 mod readiness;
 mod search;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -115,6 +116,8 @@
 enum Stage {
     /// Openings were sent, and the caller has not answered an acceptance yet.
     Opening {
+        /// When the caller first sent it.
+        since: Instant,
         /// Agents that gave the opening back or did not answer it.
         tried: Vec<NodeAddress>,
         /// Agent that has the opening and has not answered yet.
@@ -164,6 +167,8 @@
     named_agents: BTreeMap<NodeAddress, Instant>,
     /// Flows that are searched for.
     searching: Vec<FlowKey>,
+    /// Openings that wait for a target, the newest last.
+    waiting: Vec<waiting::WaitingOpening>,
 }
 
 impl Balancer {
@@ -190,6 +195,7 @@
             agent_found_at: now,
             named_agents: BTreeMap::new(),
             searching: Vec::new(),
+            waiting: Vec::new(),
         }
     }
 
@@ -333,13 +339,13 @@
         CallerReset { key, sequence }
     }
 
-    /// Decides about a packet of a caller.
-    pub fn caller_packet(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+    /// Decides about a packet of a caller; `bytes` are the packet as it came.
+    pub fn caller_packet(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         self.counters.packets += 1;
         let own_address = self.options.address.ip();
         let routing = match packet.kind {
             _ if packet.key.caller.ip() == own_address => Routing::Drop(DropReason::Forged),
-            PacketKind::Open => self.route_opening(packet, now),
+            PacketKind::Open => self.route_opening(packet, bytes, now),
             PacketKind::Accept => Routing::Drop(DropReason::Forged),
             _ => self.route_established(packet, now),
         };
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -1,40 +1,46 @@
 //! New flows: choice of service and target, and further tries.
 
-use super::super::identity::{FlowKey, NodeAddress, ServiceKey};
+use std::time::Duration;
+
+use super::super::identity::{NodeAddress, ServiceKey};
 use super::super::message::{ForwardHeader, ForwardPurpose, ReturnReason};
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, ResetReason};
 use super::super::selection::{Choice, Chosen};
 use super::forwarding::{DropReason, Routing};
+use super::waiting::room_at_age;
 use super::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::clock::Instant;
 
-/// Copies of an opening that a caller sends after the first.
-const LAST_COPY: u32 = 2;
-/// Targets that one opening is offered to.
+/// Targets that one opening is offered to before it waits.
 const MAXIMUM_TRIES: usize = 4;
 /// Room, in percent of its slots, that a target must have while others may
 /// have more.
 const FIRST_ROOM: u16 = 130;
-/// Room that the last target asked must have, by copies of the opening. A
-/// target with more to do would answer late or turn the request away, so the
-/// caller's next copy is awaited, which runs nothing and costs no try.
-const LAST_ROOMS: [u16; 2] = [200, 110];
-/// The same for the last copy.
-const LAST_ROOM: u16 = 160;
+/// Time between an opening and its copies, as callers send them.
+const COPY_DELAYS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(200),
+    Duration::from_millis(600),
+];
 
 impl Balancer {
-    pub(super) fn route_opening(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+    pub(super) fn route_opening(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Routing {
         let copy = packet.acknowledgement;
         if copy > 0
-            && let Some(routing) = self.route_copy(packet, now)
+            && let Some(routing) = self.route_copy(packet, bytes, now)
         {
             return routing;
         }
-        self.route_first(packet, now)
+        self.route_first(packet, bytes, now)
     }
 
-    fn route_first(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+    fn route_first(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         if self.routes.current().is_none() {
             return Routing::Drop(DropReason::NoConfiguration);
         }
@@ -51,17 +57,18 @@
             acknowledged: 0,
             finished: false,
             stage: Stage::Opening {
+                since: first_sent(packet.acknowledgement, now),
                 tried: Vec::new(),
                 awaited: None,
                 accepted: Vec::new(),
             },
         };
         self.flows.insert(packet.key, entry, now);
-        self.offer(packet.key, packet.acknowledgement, now)
+        self.offer_or_wait(packet, bytes, now)
     }
 
     /// A copy is a sign that the first choice gave no answer.
-    fn route_copy(&mut self, packet: &FlowPacket, now: Instant) -> Option<Routing> {
+    fn route_copy(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Option<Routing> {
         let entry = self.flows.use_flow(&packet.key)?;
         let service = entry.service;
         let repeat = match &mut entry.stage {
@@ -69,17 +76,16 @@
                 tried,
                 awaited,
                 accepted,
-            } => match accepted.last() {
-                Some(acceptance) => Some(acceptance.agent),
-                None => {
+                ..
+            } => match (accepted.last(), awaited.take()) {
+                (Some(acceptance), _) => Some(acceptance.agent),
+                (None, Some(silent)) => {
                     // Loads have changed since the others gave it back.
-                    let silent = awaited.take();
-                    *tried = silent.into_iter().collect();
-                    if let Some(agent) = silent {
-                        self.mark_unanswered(agent);
-                    }
+                    *tried = vec![silent];
+                    self.mark_unanswered(silent);
                     None
                 }
+                (None, None) => return Some(Routing::Drop(DropReason::NoTargetYet)),
             },
             Stage::Held { agent, .. } => Some(*agent),
             Stage::Searching(_) => return Some(Routing::Drop(DropReason::Ended)),
@@ -87,9 +93,9 @@
         match repeat {
             Some(agent) => Some(Routing::One {
                 to: agent,
-                header: self.opening_header(service, LAST_ROOM),
+                header: self.opening_header(service, u16::MAX),
             }),
-            None => Some(self.offer(packet.key, packet.acknowledgement, now)),
+            None => Some(self.offer_or_wait(packet, bytes, now)),
         }
     }
 
@@ -99,43 +105,41 @@
         }
     }
 
-    /// Sends an opening to the best target that was not asked before.
-    fn offer(&mut self, key: FlowKey, copy: u32, now: Instant) -> Routing {
-        match self.choose(key, now) {
-            Some((chosen, service, tried)) => {
-                self.sent_to(key, &chosen, copy, tried, now);
-                let is_last = chosen.others == 0 || tried + 1 >= MAXIMUM_TRIES;
-                let room = if is_last {
-                    room_of_copy(copy)
-                } else {
-                    FIRST_ROOM
-                };
-                Routing::One {
-                    to: chosen.agent,
-                    header: self.opening_header(service, room),
-                }
-            }
-            None => self.without_target(key, copy),
-        }
+    fn offer_or_wait(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
+        self.offer(packet, now)
+            .unwrap_or_else(|| self.wait_for_target(packet, bytes, now))
     }
 
-    fn choose(&mut self, key: FlowKey, now: Instant) -> Option<(Chosen, ServiceKey, usize)> {
-        let entry = self.flows.peek(&key)?;
-        let Stage::Opening { tried, .. } = &entry.stage else {
+    /// Sends an opening to the best target that was not asked before and has
+    /// room; `None` when there is none.
+    pub(super) fn offer(&mut self, packet: &FlowPacket, now: Instant) -> Option<Routing> {
+        let entry = self.flows.peek(&packet.key)?;
+        let Stage::Opening { tried, since, .. } = &entry.stage else {
             return None;
         };
+        let service = entry.service;
+        let tries = tried.len();
+        let room = room_at_age(now.since(*since));
         let choice = Choice {
             directory: &self.directory,
             zone: self.options.zone,
-            key,
-            service: entry.service,
+            key: packet.key,
+            service,
             tried,
+            room,
         };
         let chosen = choice.best(now)?;
-        Some((chosen, entry.service, tried.len()))
+        self.sent_to(packet, &chosen, tries, now);
+        let is_last = chosen.others == 0 || tries + 1 >= MAXIMUM_TRIES;
+        let room = if is_last { room } else { room.min(FIRST_ROOM) };
+        Some(Routing::One {
+            to: chosen.agent,
+            header: self.opening_header(service, room),
+        })
     }
 
-    fn sent_to(&mut self, key: FlowKey, chosen: &Chosen, copy: u32, tried: usize, now: Instant) {
+    fn sent_to(&mut self, packet: &FlowPacket, chosen: &Chosen, tried: usize, now: Instant) {
+        let key = packet.key;
         let mut load_age = std::time::Duration::ZERO;
         if let Some(record) = self.directory.agent_mut(chosen.agent) {
             record.sent_since += 1;
@@ -154,7 +158,7 @@
         self.notes.add(Note::FlowSent {
             key,
             agent: chosen.agent,
-            copy,
+            copy: packet.acknowledgement,
             tried,
             score: chosen.score,
             load_age,
@@ -162,24 +166,6 @@
         });
     }
 
-    /// No target takes the flow now. The caller sends copies, for which one
-    /// may be known; with the last of them the flow is given up.
-    fn without_target(&mut self, key: FlowKey, copy: u32) -> Routing {
-        let service = self.flows.peek(&key).map(|entry| entry.service);
-        let known = service.map_or(0, |service| self.directory.agents_of(service).len());
-        self.notes.add(Note::FlowWithoutTarget {
-            key,
-            copy,
-            known,
-            version: self.routes.version(),
-        });
-        if copy >= LAST_COPY {
-            self.flows.remove(&key);
-            return Routing::Reset(self.reset(key, 0, ResetReason::NoTarget, 0));
-        }
-        Routing::Drop(DropReason::NoTargetYet)
-    }
-
     fn opening_header(&self, service: ServiceKey, room: u16) -> ForwardHeader {
         ForwardHeader {
             service,
@@ -205,6 +191,7 @@
             tried,
             awaited,
             accepted,
+            ..
         } = &mut entry.stage
         else {
             return;
@@ -216,16 +203,21 @@
         tried.push(from);
         let is_exhausted = tried.len() >= MAXIMUM_TRIES;
         let routing = match reason {
-            ReturnReason::StaleVersion => self.reopen_under_new_version(packet, now),
-            _ if is_exhausted => self.without_target(packet.key, packet.acknowledgement),
-            _ => self.offer(packet.key, packet.acknowledgement, now),
+            ReturnReason::StaleVersion => self.reopen_under_new_version(packet, bytes, now),
+            _ if is_exhausted => self.wait_for_target(packet, bytes, now),
+            _ => self.offer_or_wait(packet, bytes, now),
         };
         self.carry_out(routing, bytes, actions);
     }
 
     /// The agent knows a greater version, which is being fetched; when it has
     /// come meanwhile, the flow is opened under it.
-    fn reopen_under_new_version(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+    fn reopen_under_new_version(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Routing {
         let version = self.routes.version();
         let is_behind = self
             .directory
@@ -234,7 +226,7 @@
         if is_behind {
             return Routing::Drop(DropReason::NoConfiguration);
         }
-        self.route_first(packet, now)
+        self.route_first(packet, bytes, now)
     }
 
     pub(super) fn carry_out(
@@ -266,8 +258,14 @@
     }
 }
 
-/// Room that the last target asked must have.
-fn room_of_copy(copy: u32) -> u16 {
+/// When the caller sent the opening for the first time, from the copies that it
+/// says it has sent since.
+fn first_sent(copy: u32, now: Instant) -> Instant {
     let index = usize::try_from(copy).unwrap_or(usize::MAX);
-    LAST_ROOMS.get(index).copied().unwrap_or(LAST_ROOM)
+    let delay = COPY_DELAYS
+        .get(index)
+        .or(COPY_DELAYS.last())
+        .copied()
+        .unwrap_or_default();
+    Instant::from_origin(now.since_origin().saturating_sub(delay))
 }
--- /dev/null
+++ b/crates/woodladder-core/src/flow/balancer/waiting.rs
@@ -0,0 +1,126 @@
+//! Openings that wait for a target with room.
+//!
+//! While every target of a service is full, or none is known yet, openings
+//! wait here instead of at the targets: nothing of them has run, and the
+//! newest, which can still be answered in time, go first. An opening that has
+//! waited too long, or that finds the queue full, is refused at once.
+
+use std::time::Duration;
+
+use super::super::note::Note;
+use super::super::packet::{FlowPacket, ResetReason};
+use super::forwarding::{DropReason, Routing};
+use super::{Balancer, BalancerAction, Stage};
+use crate::clock::Instant;
+
+/// Most openings that wait.
+const CAPACITY: usize = 2048;
+/// Longest wait. The caller's attempt ends soon after.
+const LONGEST_WAIT: Duration = Duration::from_millis(1200);
+/// Age until which an opening can still be answered in time.
+const FRESH_FOR: Duration = Duration::from_millis(180);
+/// Age after which an opening is given more room again, so that it is not
+/// given up.
+const OLD_AFTER: Duration = Duration::from_millis(600);
+/// Room, in percent of its slots, that a target must have for an opening that
+/// can still be answered in time.
+const FRESH_ROOM: u16 = 200;
+/// Room for an opening that is late already.
+const LATE_ROOM: u16 = 110;
+/// Room for an opening that is about to be given up.
+const OLD_ROOM: u16 = 160;
+
+/// An opening that waits.
+#[derive(Clone, Debug)]
+pub(super) struct WaitingOpening {
+    packet: FlowPacket,
+    bytes: Vec<u8>,
+}
+
+impl Balancer {
+    /// Openings that wait for a target.
+    #[must_use]
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn wait_for_target(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Routing {
+        let Some(entry) = self.flows.use_flow(&packet.key) else {
+            return Routing::Drop(DropReason::Ended);
+        };
+        let service = entry.service;
+        if let Stage::Opening { tried, awaited, .. } = &mut entry.stage {
+            tried.clear();
+            *awaited = None;
+        }
+        self.notes.add(Note::FlowWithoutTarget {
+            key: packet.key,
+            copy: packet.acknowledgement,
+            known: self.directory.agents_of(service).len(),
+            version: self.routes.version(),
+        });
+        if self.waiting.len() >= CAPACITY {
+            self.flows.remove(&packet.key);
+            let reset = self.reset(packet.key, 0, ResetReason::NoTarget, 0);
+            return Routing::Reset(reset);
+        }
+        let _ = now;
+        self.waiting.push(WaitingOpening {
+            packet: *packet,
+            bytes: bytes.to_vec(),
+        });
+        Routing::Drop(DropReason::NoTargetYet)
+    }
+
+    /// Offers the waiting openings to targets that have room by now.
+    pub(super) fn serve_waiting(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let mut remaining = Vec::with_capacity(waiting.len());
+        for opening in waiting.into_iter().rev() {
+            let Some(since) = self.waits_since(&opening) else {
+                continue;
+            };
+            if now.since(since) >= LONGEST_WAIT {
+                self.flows.remove(&opening.packet.key);
+                let reset = self.reset(opening.packet.key, 0, ResetReason::NoTarget, 0);
+                actions.push(BalancerAction::Reset(reset));
+                continue;
+            }
+            match self.offer(&opening.packet, now) {
+                Some(routing) => self.carry_out(routing, &opening.bytes, actions),
+                None => remaining.push(opening),
+            }
+        }
+        remaining.reverse();
+        self.waiting = remaining;
+    }
+
+    /// When the opening was first sent, or `None` when it no longer waits.
+    fn waits_since(&self, opening: &WaitingOpening) -> Option<Instant> {
+        match &self.flows.peek(&opening.packet.key)?.stage {
+            Stage::Opening {
+                since,
+                awaited: None,
+                accepted,
+                ..
+            } if accepted.is_empty() => Some(*since),
+            _ => None,
+        }
+    }
+}
+
+/// Room that a target must have for an opening of this age.
+pub(super) fn room_at_age(age: Duration) -> u16 {
+    if age < FRESH_FOR {
+        FRESH_ROOM
+    } else if age < OLD_AFTER {
+        LATE_ROOM
+    } else {
+        OLD_ROOM
+    }
+}
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -34,6 +34,8 @@
     pub service: ServiceKey,
     /// Agents that were asked before.
     pub tried: &'a [NodeAddress],
+    /// Requests that a target may hold to be chosen, in percent of its slots.
+    pub room: u16,
 }
 
 /// The target chosen.
@@ -80,6 +82,7 @@
             .filter(|agent| !self.tried.contains(agent))
             .filter_map(|agent| self.directory.agent(*agent))
             .filter(|record| record.state == TargetState::Ready && record.is_live(now))
+            .filter(|record| self.has_room(record))
             .collect();
         let usual = usual_service_time(&usable);
         let others = usable.len().saturating_sub(1);
@@ -94,6 +97,13 @@
             })
     }
 
+    fn has_room(&self, record: &AgentRecord) -> bool {
+        const WHOLE: u32 = 100;
+        let taken =
+            u32::from(record.load.busy) + u32::from(record.load.opening) + record.sent_since;
+        taken * WHOLE < u32::from(record.capacity) * u32::from(self.room)
+    }
+
     fn score(&self, record: &AgentRecord, usual: f64, now: Instant) -> f64 {
         let load = &record.load;
         let waiting = f64::from(load.busy) + f64::from(load.opening) + f64::from(record.sent_since);
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -113,6 +113,19 @@
     Balancer::new(options, at(0))
 }
 
+/// A balancer with room for many flows and a configuration.
+pub fn wide_balancer() -> Balancer {
+    let options = BalancerOptions {
+        address: node(1),
+        zone: ZoneKey::named("a"),
+        flow_capacity: 100_000,
+        flow_retention: Duration::from_secs(30),
+    };
+    let mut balancer = Balancer::new(options, at(0));
+    balancer.configuration(configuration(1));
+    balancer
+}
+
 /// A balancer on machine 1 with a configuration and agents that are ready, as
 /// it is ten seconds after its start.
 pub fn balancer(agents: &[u8]) -> Balancer {
@@ -254,3 +267,8 @@
     let delivery = agent.forwarded(node(1), &first, &data(key, 1001, 5001), now);
     assert!(is_delivered(&delivery), "{delivery:?}");
 }
+
+/// Gives a caller's packet to a balancer.
+pub fn arrive(balancer: &mut Balancer, packet: &FlowPacket, now: Instant) -> Routing {
+    balancer.caller_packet(packet, b"packet", now)
+}
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -222,7 +222,7 @@
             self.refused_packets.set(self.refused_packets.get() + 1);
             return;
         };
-        let routing = self.core.borrow_mut().caller_packet(&packet, now);
+        let routing = self.core.borrow_mut().caller_packet(&packet, bytes, now);
         match routing {
             Routing::One { to, header } => self.forward(to, &PeerMessage::Forward(header), bytes),
             Routing::Several(receivers) => {
@@ -404,6 +404,11 @@
             text.counter(name, help, value);
         }
         text.gauge("flows", "Flows in the table.", count(core.flow_count()));
+        text.gauge(
+            "openings_waiting",
+            "Openings that wait for a target.",
+            count(core.waiting_count()),
+        );
         text.gauge("agents", "Agents known.", count(core.directory().len()));
         text.gauge(
             "agents_live",
