--- a/crates/woodladder-core/src/flow/balancer/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/waiting.rs
@@ -24,11 +24,11 @@
 const OLD_AFTER: Duration = Duration::from_millis(600);
 /// Room, in percent of its slots, that a target must have for an opening that
 /// can still be answered in time.
-const FRESH_ROOM: u16 = 200;
+const FRESH_ROOM: u16 = 250;
 /// Room for an opening that is late already.
-const LATE_ROOM: u16 = 110;
+const LATE_ROOM: u16 = 90;
 /// Room for an opening that is about to be given up.
-const OLD_ROOM: u16 = 160;
+const OLD_ROOM: u16 = 110;
 
 /// An opening that waits.
 #[derive(Clone, Debug)]
