Let balancers that hear no agent say so soon, and count silent agents as lost after 650 ms

Cause: a balancer cut off from every machine stayed ready for 1.5 s, and routers need another second. Change: greetings say whether agents are heard.

--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -149,9 +149,12 @@
         }
         if self.peers.heard(from, greeting.version, now) {
             self.notes.add(Note::BalancerFound { balancer: from });
-            self.greet(from, actions);
+            self.greet(from, now, actions);
             self.fetch_from(from, now, actions);
         }
+        if !greeting.hears_agents {
+            self.peer_without_agents = Some(now);
+        }
         for balancer in &greeting.balancers {
             self.name_peer(*balancer, now, actions);
         }
@@ -165,21 +168,22 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         if balancer != self.options.address && self.peers.named(balancer, now) {
-            self.greet(balancer, actions);
+            self.greet(balancer, now, actions);
         }
     }
 
-    pub(super) fn greet(&self, to: NodeAddress, actions: &mut Vec<BalancerAction>) {
-        let message = PeerMessage::Greeting(self.greeting());
+    pub(super) fn greet(&self, to: NodeAddress, now: Instant, actions: &mut Vec<BalancerAction>) {
+        let message = PeerMessage::Greeting(self.greeting(now));
         actions.push(BalancerAction::Send { to, message });
     }
 
-    fn greeting(&self) -> BalancerGreeting {
+    fn greeting(&self, now: Instant) -> BalancerGreeting {
         BalancerGreeting {
             version: self.routes.version(),
             report_interval_ms: u32::try_from(self.report_interval().as_millis())
                 .unwrap_or(u32::MAX),
             leaving: self.leaving,
+            hears_agents: self.hears_agents(now),
             balancers: self.peers.some_from(
                 self.round() * MAXIMUM_NAMED_BALANCERS,
                 MAXIMUM_NAMED_BALANCERS,
@@ -266,7 +270,7 @@
             .filter(|address| greeting_group(*address) == round)
             .collect();
         for agent in due {
-            self.greet(agent, actions);
+            self.greet(agent, now, actions);
         }
     }
 
@@ -279,7 +283,7 @@
             .peers
             .some_from(self.round() * GREETED_PEERS, GREETED_PEERS);
         for peer in due {
-            self.greet(peer, actions);
+            self.greet(peer, now, actions);
         }
     }
 
@@ -295,7 +299,7 @@
                     self.agent_found_at = now;
                     self.named_agents.remove(&agent);
                     self.notes.add(Note::AgentFound { agent });
-                    self.greet(agent, actions);
+                    self.greet(agent, now, actions);
                 }
                 DirectoryChange::Replaced { agent, ended } => {
                     let flows = self.reset_flows_of(agent, Some(ended), actions);
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -162,6 +162,8 @@
     greeted_peers_at: Instant,
     fetch: Option<(NodeAddress, Instant)>,
     last_agent_heard: Option<Instant>,
+    /// When another balancer last said that it hears no agent.
+    peer_without_agents: Option<Instant>,
     agent_found_at: Instant,
     /// Agents that other nodes have named and that were not heard yet.
     named_agents: BTreeMap<NodeAddress, Instant>,
@@ -192,6 +194,7 @@
             greeted_peers_at: Instant::ORIGIN,
             fetch: None,
             last_agent_heard: None,
+            peer_without_agents: None,
             agent_found_at: now,
             named_agents: BTreeMap::new(),
             searching: Vec::new(),
@@ -271,7 +274,7 @@
         for agent in snapshot.agents {
             if self.directory.agent(agent).is_none() {
                 self.named_agents.insert(agent, now);
-                self.greet(agent, actions);
+                self.greet(agent, now, actions);
             }
         }
     }
@@ -293,11 +296,11 @@
     }
 
     /// Begins a planned stop: not ready any more, forwards on.
-    pub fn leave(&mut self, actions: &mut Vec<BalancerAction>) {
+    pub fn leave(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.leaving = true;
         let known: Vec<NodeAddress> = self.peers.addresses().collect();
         for address in known {
-            self.greet(address, actions);
+            self.greet(address, now, actions);
         }
     }
 
--- a/crates/woodladder-core/src/flow/balancer/readiness.rs
+++ b/crates/woodladder-core/src/flow/balancer/readiness.rs
@@ -5,8 +5,12 @@
 use super::Balancer;
 use crate::clock::Instant;
 
-/// Silence of all agents after which the balancer counts as cut off.
-const CUT_OFF_AFTER: Duration = Duration::from_millis(1500);
+/// Silence of all agents after which the balancer counts as cut off, when the
+/// other balancers are silent too or hear agents themselves.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(600);
+/// Silence of all agents after which the balancer counts as cut off, whatever
+/// the other balancers hear: they may be cut off together with it.
+const CUT_OFF_AT_LAST_AFTER: Duration = Duration::from_millis(1500);
 
 /// Why a balancer is not ready.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -46,10 +50,29 @@
         if self.routes.current().is_none() {
             return Err(NotReadyReason::NoConfiguration);
         }
-        let heard = self.last_agent_heard.ok_or(NotReadyReason::NoAgent)?;
-        if now.since(heard) >= CUT_OFF_AFTER {
+        let agent_heard = self.last_agent_heard.ok_or(NotReadyReason::NoAgent)?;
+        let silence = now.since(agent_heard);
+        let limit = if self.shares_silence(now) {
+            CUT_OFF_AT_LAST_AFTER
+        } else {
+            CUT_OFF_AFTER
+        };
+        if silence >= limit {
             return Err(NotReadyReason::CutOff);
         }
         Ok(())
     }
+
+    /// Whether another balancer was heard lately that hears no agent either:
+    /// the targets may be gone for all balancers.
+    fn shares_silence(&self, now: Instant) -> bool {
+        self.peer_without_agents
+            .is_some_and(|heard_at| now.since(heard_at) < CUT_OFF_AFTER)
+    }
+
+    /// Whether an agent was heard lately.
+    pub(super) fn hears_agents(&self, now: Instant) -> bool {
+        self.last_agent_heard
+            .is_some_and(|heard_at| now.since(heard_at) < CUT_OFF_AFTER / 2)
+    }
 }
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -17,9 +17,9 @@
 /// Least silence after which an agent gets no new flow.
 const MINIMUM_SILENCE: Duration = Duration::from_millis(350);
 /// Reports that may be missing before the flows of an agent count as lost.
-const MISSED_REPORTS_OF_LOST: u32 = 6;
+const MISSED_REPORTS_OF_LOST: u32 = 5;
 /// Least silence after which the flows of an agent count as lost.
-const MINIMUM_SILENCE_OF_LOST: Duration = Duration::from_millis(900);
+const MINIMUM_SILENCE_OF_LOST: Duration = Duration::from_millis(650);
 /// Silence after which an agent is forgotten.
 pub const FORGET_AFTER: Duration = Duration::from_secs(20);
 /// Openings without an answer after which an agent counts as silent.
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -129,6 +129,8 @@
     pub report_interval_ms: u32,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// Whether it has heard an agent lately.
+    pub hears_agents: bool,
     /// Other balancers that it knows.
     pub balancers: Vec<NodeAddress>,
 }
--- a/crates/woodladder-core/tests/flow_drain.rs
+++ b/crates/woodladder-core/tests/flow_drain.rs
@@ -145,6 +145,7 @@
         version: 7,
         report_interval_ms: 100,
         leaving: false,
+        hears_agents: true,
         balancers: vec![node(3)],
     };
     let mut actions = Vec::new();
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -129,7 +129,7 @@
         info!(self.logger, "balancer: stopping as planned"; "event" => "stopping");
         registration.0.borrow_mut().leave(self.clock.now());
         leaving.notify_one();
-        self.act(|core, _, actions| core.leave(actions));
+        self.act(|core, now, actions| core.leave(now, actions));
         self.drain().await;
         info!(self.logger, "balancer: stopped"; "event" => "stopped");
         Ok(())
