--- a/crates/woodladder-core/src/flow/balancer/readiness.rs
+++ b/crates/woodladder-core/src/flow/balancer/readiness.rs
@@ -10,7 +10,7 @@
 const CUT_OFF_AFTER: Duration = Duration::from_millis(600);
 /// Silence of all agents after which the balancer counts as cut off, whatever
 /// the other balancers hear: they may be cut off together with it.
-const CUT_OFF_AT_LAST_AFTER: Duration = Duration::from_millis(1500);
+const CUT_OFF_AT_LAST_AFTER: Duration = Duration::from_millis(900);
 
 /// Why a balancer is not ready.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
