--- a/crates/woodladder-lab/src/command.rs
+++ b/crates/woodladder-lab/src/command.rs
@@ -2,6 +2,8 @@
 
 mod demo;
 mod measure;
+mod platform_day;
+mod platform_node;
 mod product;
 mod scale;
 mod simulate;
@@ -26,6 +28,10 @@
     Demo(demo::DemoCommand),
     /// Measure broken flows, imbalance, the balancer's decision and its packet path.
     Measure(measure::MeasureCommand),
+    /// Run a day on the stand-in of the users' platform, with real processes.
+    PlatformDay(platform_day::PlatformDayCommand),
+    /// Act as the `woodladder-platform` program.
+    PlatformNode(platform_node::PlatformNodeCommand),
     /// Act as the `woodladder` program.
     Product(product::ProductCommand),
     /// Run seeds of the deterministic simulation and report promises not kept.
@@ -42,6 +48,8 @@
         match self.command {
             Command::Demo(command) => command.run(),
             Command::Measure(command) => command.run(),
+            Command::PlatformDay(command) => command.run(),
+            Command::PlatformNode(command) => command.run(),
             Command::Product(command) => command.run(),
             Command::Simulate(command) => command.run(),
             Command::Scale(command) => command.run(),
--- a/crates/woodladder-lab/src/lib.rs
+++ b/crates/woodladder-lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod demo;
 pub mod fault_proxy;
 pub mod measure;
+pub mod platform;
 pub mod scale;
 pub mod simulation;
 pub mod stand_in;
--- /dev/null
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -0,0 +1,21 @@
+//! A stand-in of the users' platform, and a day on it with real processes.
+//!
+//! Store, router, targets and callers run on one thread of this process; the
+//! balancers and agents are real processes of `woodladder-platform`. All of
+//! them use loopback addresses of their own, so that the same ports serve on
+//! each machine, as on the platform.
+
+mod address;
+mod caller;
+mod day;
+mod head;
+mod node_process;
+mod oracle;
+mod router;
+mod store;
+mod store_state;
+mod target;
+
+pub use day::{DayError, DayOptions, DayReport, run};
+pub use oracle::{Oracle, Violation};
+pub use store_state::StoreFault;
--- /dev/null
+++ b/crates/woodladder-lab/src/platform/oracle.rs
@@ -0,0 +1,135 @@
+//! What callers and targets saw, and which promises it breaks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+/// Time after a drain's acknowledgement within which a flow that was sent
+/// before may still open.
+const DRAIN_LIMIT: Duration = Duration::from_secs(3);
+
+/// A promise that was broken.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Violation {
+    /// A request that may run once ran more often.
+    RanTwice(String),
+    /// A request ran at a service that its route does not lead to.
+    WrongService(String),
+    /// A caller got the answer to another request.
+    WrongAnswer(String),
+    /// A flow was reset while its target held it.
+    LivingFlowReset(String),
+    /// A target got a new flow too long after its leaving was acknowledged.
+    FlowAfterDrain(String),
+    /// A packet arrived changed.
+    ChangedPacket(String),
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::RanTwice(what) => write!(formatter, "ran twice: {what}"),
+            Self::WrongService(what) => write!(formatter, "wrong service: {what}"),
+            Self::WrongAnswer(what) => write!(formatter, "wrong answer: {what}"),
+            Self::LivingFlowReset(what) => write!(formatter, "living flow reset: {what}"),
+            Self::FlowAfterDrain(what) => write!(formatter, "flow after drain: {what}"),
+            Self::ChangedPacket(what) => write!(formatter, "changed packet: {what}"),
+        }
+    }
+}
+
+/// The ends of a flow: caller, then service.
+pub type Ends = (SocketAddrV4, SocketAddrV4);
+
+/// Collects what was seen.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// Services that each address may lead to, of all configurations.
+    pub allowed: BTreeMap<SocketAddrV4, BTreeSet<String>>,
+    runs: BTreeMap<String, u32>,
+    held: BTreeMap<Ends, String>,
+    leaving: BTreeMap<String, Instant>,
+    violations: Vec<Violation>,
+    /// Requests answered.
+    pub answered: u64,
+    /// Requests that found no answer with all of their tries.
+    pub failed: u64,
+    /// Tries beyond the first.
+    pub retries: u64,
+}
+
+impl Oracle {
+    /// A target begins to work on a request.
+    pub fn ran(&mut self, id: &str, may_repeat: bool, ends: Ends, service: &str) {
+        let runs = self.runs.entry(id.to_owned()).or_default();
+        *runs += 1;
+        if *runs > 1 && !may_repeat {
+            self.violations.push(Violation::RanTwice(id.to_owned()));
+        }
+        let is_allowed = self
+            .allowed
+            .get(&ends.1)
+            .is_some_and(|services| services.contains(service));
+        if !is_allowed {
+            let what = format!("{id} for {} at {service}", ends.1);
+            self.violations.push(Violation::WrongService(what));
+        }
+    }
+
+    /// A flow opens at a target.
+    pub fn opened(&mut self, ends: Ends, target: &str) {
+        let too_late = self
+            .leaving
+            .get(target)
+            .is_some_and(|since| since.elapsed() > DRAIN_LIMIT);
+        if too_late {
+            let what = format!("{ends:?} at {target}");
+            self.violations.push(Violation::FlowAfterDrain(what));
+        }
+        self.held.insert(ends, target.to_owned());
+    }
+
+    /// A flow ends at its target.
+    pub fn closed(&mut self, ends: Ends) {
+        self.held.remove(&ends);
+    }
+
+    /// A target ends with all of its flows.
+    pub fn ended(&mut self, target: &str) {
+        self.held.retain(|_, holder| holder != target);
+    }
+
+    /// The leaving of a target was acknowledged.
+    pub fn acknowledged_leaving(&mut self, target: &str) {
+        self.leaving.insert(target.to_owned(), Instant::now());
+    }
+
+    /// A caller gets a reset that no target wrote.
+    pub fn reset(&mut self, ends: Ends) {
+        if let Some(target) = self.held.get(&ends) {
+            let what = format!("{ends:?} at {target}");
+            self.violations.push(Violation::LivingFlowReset(what));
+        }
+    }
+
+    /// A caller gets an answer.
+    pub fn answer(&mut self, asked: &str, got: &str) {
+        self.answered += 1;
+        if asked != got {
+            let what = format!("asked {asked}, got {got}");
+            self.violations.push(Violation::WrongAnswer(what));
+        }
+    }
+
+    /// A packet is not as its sender wrote it.
+    pub fn changed(&mut self, where_seen: &str) {
+        self.violations
+            .push(Violation::ChangedPacket(where_seen.to_owned()));
+    }
+
+    /// Promises broken so far.
+    pub fn violations(&self) -> &[Violation] {
+        &self.violations
+    }
+}
--- /dev/null
+++ b/crates/woodladder-lab/tests/platform_oracle.rs
@@ -0,0 +1,75 @@
+//! The oracle of the platform's days sees each promise that is broken.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use woodladder_lab::platform::{Oracle, Violation};
+
+fn ends() -> (SocketAddrV4, SocketAddrV4) {
+    let caller = SocketAddrV4::new(Ipv4Addr::new(127, 1, 1, 101), 1025);
+    let route = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+    (caller, route)
+}
+
+fn oracle() -> Oracle {
+    let mut oracle = Oracle::default();
+    let services = BTreeSet::from(["kitchen".to_owned()]);
+    oracle.allowed.insert(ends().1, services);
+    oracle
+}
+
+#[test]
+fn an_ordinary_request_breaks_nothing() {
+    let mut oracle = oracle();
+    oracle.opened(ends(), "i-1");
+    oracle.ran("r1", false, ends(), "kitchen");
+    oracle.answer("r1", "r1");
+    oracle.closed(ends());
+    oracle.reset(ends());
+    assert_eq!(oracle.violations(), []);
+}
+
+#[test]
+fn a_second_run_is_seen_unless_it_may_be_repeated() {
+    let mut oracle = oracle();
+    oracle.ran("r1", true, ends(), "kitchen");
+    oracle.ran("r1", true, ends(), "kitchen");
+    assert_eq!(oracle.violations(), []);
+    oracle.ran("r1", false, ends(), "kitchen");
+    assert!(matches!(oracle.violations(), [Violation::RanTwice(_)]));
+}
+
+#[test]
+fn a_run_at_another_service_is_seen() {
+    let mut oracle = oracle();
+    oracle.ran("r1", true, ends(), "print");
+    assert!(matches!(oracle.violations(), [Violation::WrongService(_)]));
+}
+
+#[test]
+fn the_answer_to_another_request_is_seen() {
+    let mut oracle = oracle();
+    oracle.answer("r1", "r2");
+    assert!(matches!(oracle.violations(), [Violation::WrongAnswer(_)]));
+}
+
+#[test]
+fn a_reset_of_a_living_flow_is_seen_and_of_a_dead_one_is_not() {
+    let mut oracle = oracle();
+    oracle.opened(ends(), "i-1");
+    oracle.reset(ends());
+    assert!(matches!(
+        oracle.violations(),
+        [Violation::LivingFlowReset(_)]
+    ));
+    oracle.ended("i-1");
+    oracle.reset(ends());
+    assert_eq!(oracle.violations().len(), 1);
+}
+
+#[test]
+fn a_changed_packet_is_seen() {
+    let mut oracle = oracle();
+    oracle.changed("a target");
+    assert!(matches!(oracle.violations(), [Violation::ChangedPacket(_)]));
+}
--- a/crates/woodladder-node/src/http.rs
+++ b/crates/woodladder-node/src/http.rs
@@ -31,6 +31,8 @@
     pub method: Method,
     /// Path without the query.
     pub path: String,
+    /// Query without its question mark; empty when there is none.
+    pub query: String,
     /// Body.
     pub body: Bytes,
 }
@@ -122,6 +124,7 @@
             let request = HttpRequest {
                 method: head.method,
                 path: head.uri.path().to_owned(),
+                query: head.uri.query().unwrap_or_default().to_owned(),
                 body: body.to_bytes(),
             };
             handle(request).await
