Simulate the second carrier with faults drawn from seeds

Found on the way: an agent that stands for another service after its address was reused left its former flows in balancers' tables until their next packet; they are reset now (test in flow_opening).

--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -170,6 +170,13 @@
             return;
         }
         if known.is_none_or(|record| record.service != report.service) {
+            if let Some(ended) = known.and_then(|record| record.incarnation) {
+                // The address is another machine's now.
+                changes.push(DirectoryChange::Replaced {
+                    agent: address,
+                    ended,
+                });
+            }
             self.add(address, report, now);
             changes.push(DirectoryChange::Found(address));
         }
--- a/crates/woodladder-core/tests/flow_opening.rs
+++ b/crates/woodladder-core/tests/flow_opening.rs
@@ -6,7 +6,7 @@
 
 use flow_support::*;
 use woodladder_core::flow::balancer::{Balancer, BalancerAction, DropReason, Routing};
-use woodladder_core::flow::identity::NodeAddress;
+use woodladder_core::flow::identity::{Incarnation, NodeAddress};
 use woodladder_core::flow::message::{
     ForwardHeader, ForwardPurpose, PeerMessage, ReturnReason, TargetLoad, TargetReport, TargetState,
 };
@@ -304,16 +304,14 @@
         let acceptance = PeerMessage::Accepted {
             key: flow(port),
             sequence: 5000,
-            incarnation: Some(woodladder_core::flow::identity::Incarnation(
-                number(to).into(),
-            )),
+            incarnation: Some(Incarnation(number(to).into())),
             load: TargetLoad::default(),
         };
         send(&mut balancer, number(to), acceptance, at(10_011));
         arrive(&mut balancer, &data(flow(port), 1001, 5001), at(10_012));
     }
     let mut replaced = report(2, 2);
-    replaced.incarnation = Some(woodladder_core::flow::identity::Incarnation(99));
+    replaced.incarnation = Some(Incarnation(99));
     let actions = tell(&mut balancer, 2, &replaced, at(10_050));
     let resets = actions
         .iter()
@@ -407,3 +405,28 @@
     let routing = arrive(&mut balancer, &data(flow(1), 1001, 5001), at(10_020));
     assert_eq!(receivers(&routing).len(), 2);
 }
+
+/// The address of a machine that has gone is used by another service's.
+#[test]
+fn flows_of_an_agent_that_now_stands_for_another_service_are_reset() {
+    let mut balancer = balancer(&[2]);
+    arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
+    let acceptance = PeerMessage::Accepted {
+        key: flow(1),
+        sequence: 5000,
+        incarnation: Some(Incarnation(2)),
+        load: TargetLoad::default(),
+    };
+    send(&mut balancer, 2, acceptance, at(10_011));
+    arrive(&mut balancer, &data(flow(1), 1001, 5001), at(10_012));
+    let mut other = report(2, 1);
+    other.epoch = 77;
+    other.service = print();
+    other.incarnation = None;
+    let actions = tell(&mut balancer, 2, &other, at(10_300));
+    let resets: Vec<_> = actions
+        .iter()
+        .filter(|action| matches!(action, BalancerAction::Reset(_)))
+        .collect();
+    assert_eq!(resets.len(), 1, "{actions:?}");
+}
--- a/crates/woodladder-lab/src/command.rs
+++ b/crates/woodladder-lab/src/command.rs
@@ -7,6 +7,7 @@
 mod product;
 mod scale;
 mod simulate;
+mod simulate_flows;
 mod stand_in;
 mod time_text;
 
@@ -36,6 +37,8 @@
     Product(product::ProductCommand),
     /// Run seeds of the deterministic simulation and report promises not kept.
     Simulate(simulate::SimulateCommand),
+    /// Run seeds of the simulation of the carrier without tokens.
+    SimulateFlows(simulate_flows::SimulateFlowsCommand),
     /// Measure the control traffic of many nodes in one process, on a virtual clock.
     Scale(scale::ScaleCommand),
     /// Run one stand-in until SIGTERM; its first line of output is JSON with the bound addresses.
@@ -52,6 +55,7 @@
             Command::PlatformNode(command) => command.run(),
             Command::Product(command) => command.run(),
             Command::Simulate(command) => command.run(),
+            Command::SimulateFlows(command) => command.run(),
             Command::Scale(command) => command.run(),
             Command::StandIn(command) => command.run(),
         }
--- a/crates/woodladder-lab/src/lib.rs
+++ b/crates/woodladder-lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod demo;
 pub mod fault_proxy;
+pub mod flow_simulation;
 pub mod measure;
 pub mod platform;
 pub mod scale;
