--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/outcome.rs
@@ -0,0 +1,99 @@
+//! What an agent decides, for the shell to carry out.
+
+use super::super::identity::NodeAddress;
+use super::super::message::{PeerMessage, SnapshotRequest};
+
+/// What happens to a packet that a balancer sent.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Delivery {
+    /// It goes to the target, marked so that the target's return of it names
+    /// the balancer.
+    Deliver {
+        /// What the balancer is told.
+        tell: Option<PeerMessage>,
+        /// Whether a request begins with it.
+        begins_request: bool,
+    },
+    /// It does not; the balancer is told.
+    Answer(PeerMessage, AnswerBody),
+    /// It does not; nobody is told.
+    Drop,
+}
+
+impl Delivery {
+    pub(super) fn plain() -> Self {
+        Self::Deliver {
+            tell: None,
+            begins_request: false,
+        }
+    }
+}
+
+/// What follows an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AnswerBody {
+    /// The packet.
+    Packet,
+    /// Nothing.
+    Nothing,
+}
+
+/// What happens to a packet of the target.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Departure {
+    /// It goes to the caller, and a balancer may be told something.
+    ToCaller(Option<(NodeAddress, PeerMessage)>),
+    /// The target gave it back; a balancer is told.
+    Returned {
+        /// The balancer, as the packet names it.
+        to: NodeAddress,
+        /// What it is told.
+        message: PeerMessage,
+        /// What follows.
+        body: AnswerBody,
+    },
+}
+
+/// What the shell carries out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AgentAction {
+    /// Send a message.
+    Send {
+        /// Receiver.
+        to: NodeAddress,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Ask a node for a snapshot and pass it to [`Agent::snapshot`].
+    FetchSnapshot {
+        /// The node.
+        from: NodeAddress,
+        /// The request.
+        request: SnapshotRequest,
+    },
+}
+
+/// Running totals.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct AgentCounters {
+    /// Packets from balancers.
+    pub packets: u64,
+    /// Openings handed to the target.
+    pub offered: u64,
+    /// Openings given back to their balancer.
+    pub declined: u64,
+    /// Packets of open flows handed to the target.
+    pub delivered: u64,
+    /// Searches that were denied.
+    pub denied: u64,
+    /// Packets that the target gave back.
+    pub returned_by_target: u64,
+    /// Packets of the target sent to callers.
+    pub to_callers: u64,
+    /// Requests that the target answered.
+    pub answered: u64,
+    /// Packets dropped.
+    pub dropped: u64,
+    /// Heartbeats taken.
+    pub heartbeats: u64,
+}
--- /dev/null
+++ b/crates/woodladder-lab/src/flow_simulation/world/actions.rs
@@ -0,0 +1,89 @@
+//! Actions of the nodes, carried out.
+
+use super::*;
+
+impl World {
+    pub(super) fn carry_out(&mut self, from: NodeAddress, actions: Vec<BalancerAction>) {
+        self.carry_out_returned(from, actions, None);
+    }
+
+    /// A forwarded packet in the actions is the one that was returned, or an
+    /// opening that waited; the simulation's packets carry no bytes, so the
+    /// latter are sent again by their callers' copies.
+    pub(super) fn carry_out_returned(
+        &mut self,
+        from: NodeAddress,
+        actions: Vec<BalancerAction>,
+        returned: Option<FlowPacket>,
+    ) {
+        for action in actions {
+            match action {
+                BalancerAction::Send { to, message } => self.send(from, to, message, None),
+                BalancerAction::Forward { to, header, .. } => {
+                    if let Some(packet) = returned {
+                        self.forward(from, to, header, &packet);
+                    }
+                }
+                BalancerAction::Reset(reset) => self.reset(from, &reset),
+                BalancerAction::FetchSnapshot {
+                    from: node,
+                    request,
+                } => {
+                    self.fetch(from, node, request);
+                }
+            }
+        }
+    }
+
+    pub(super) fn carry_out_agent(&mut self, from: NodeAddress, actions: Vec<AgentAction>) {
+        for action in actions {
+            match action {
+                AgentAction::Send { to, message } => self.send(from, to, message, None),
+                AgentAction::FetchSnapshot {
+                    from: node,
+                    request,
+                } => {
+                    self.fetch(from, node, request);
+                }
+            }
+        }
+    }
+
+    /// Fetches a snapshot at once, or fails when the link is cut.
+    pub(super) fn fetch(&mut self, to: NodeAddress, from: NodeAddress, request: SnapshotRequest) {
+        let passes = self
+            .links
+            .arrival(from, to, self.now, &mut self.random)
+            .is_some();
+        let balancer = (0..BALANCERS).find(|index| balancer_address(*index) == from);
+        let agent = (0..AGENTS).find(|index| agent_address(*index) == from);
+        let snapshot = match (balancer, agent) {
+            _ if !passes => None,
+            (Some(index), _) => self.balancers[index]
+                .as_ref()
+                .map(|node| node.answer_snapshot(&request)),
+            (_, Some(index)) => self.agents[index]
+                .as_ref()
+                .map(|node| node.answer_snapshot(&request)),
+            _ => None,
+        };
+        let mut actions = Vec::new();
+        if let Some(index) = (0..BALANCERS).find(|index| balancer_address(*index) == to)
+            && let Some(node) = self.balancers[index].as_mut()
+        {
+            match snapshot {
+                Some(snapshot) => node.snapshot(from, snapshot, self.now, &mut actions),
+                None => node.snapshot_failed(from),
+            }
+            return self.carry_out(to, actions);
+        }
+        if let Some(index) = (0..AGENTS).find(|index| agent_address(*index) == to)
+            && let Some(node) = self.agents[index].as_mut()
+        {
+            match snapshot {
+                Some(snapshot) => node.snapshot(from, snapshot, self.now),
+                None => node.snapshot_failed(from),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder-lab/src/flow_simulation/world/delivery.rs
@@ -0,0 +1,165 @@
+//! Messages that arrive, and packets at targets.
+
+use super::*;
+
+impl World {
+    pub(super) fn message(
+        &mut self,
+        from: NodeAddress,
+        to: NodeAddress,
+        message: PeerMessage,
+        packet: Option<FlowPacket>,
+    ) {
+        if let Some(index) = (0..BALANCERS).find(|index| balancer_address(*index) == to) {
+            let Some(balancer) = self.balancers[index].as_mut() else {
+                return;
+            };
+            let mut actions = Vec::new();
+            let packet = packet.as_ref().map(|packet| (packet, &b""[..]));
+            balancer.message(from, message, packet, self.now, &mut actions);
+            let returned = packet.map(|(packet, _)| *packet);
+            return self.carry_out_returned(to, actions, returned);
+        }
+        let Some(index) = (0..AGENTS).find(|index| agent_address(*index) == to) else {
+            return;
+        };
+        match (message, packet) {
+            (PeerMessage::Forward(header), Some(packet)) => {
+                self.forwarded(index, from, header, &packet);
+            }
+            (message, _) => {
+                let Some(agent) = self.agents[index].as_mut() else {
+                    return;
+                };
+                let mut actions = Vec::new();
+                agent.message(from, &message, self.now, &mut actions);
+                self.carry_out_agent(to, actions);
+            }
+        }
+    }
+
+    pub(super) fn forwarded(
+        &mut self,
+        index: usize,
+        from: NodeAddress,
+        header: ForwardHeader,
+        packet: &FlowPacket,
+    ) {
+        let Some(agent) = self.agents[index].as_mut() else {
+            return;
+        };
+        let mut delivery = agent.forwarded(from, &header, packet, self.now);
+        let is_search = header.purpose == ForwardPurpose::Search;
+        if self.mutation == Mutation::AgentsDenyAll && is_search {
+            let keys = vec![packet.key];
+            delivery = Delivery::Answer(PeerMessage::NotHeld { keys }, AnswerBody::Nothing);
+        }
+        let is_open = packet.kind == PacketKind::Open;
+        let ignores_drain = self.mutation == Mutation::AgentsIgnoreDrain && is_open;
+        if ignores_drain || self.mutation == Mutation::AgentsDeliverAll {
+            delivery = Delivery::Deliver {
+                tell: None,
+                begins_request: false,
+            };
+        }
+        let address = agent_address(index);
+        match delivery {
+            Delivery::Deliver { tell, .. } => {
+                if let Some(message) = tell {
+                    self.send(address, from, message, None);
+                }
+                self.deliver(index, from, packet);
+            }
+            Delivery::Answer(message, AnswerBody::Packet) => {
+                self.send(address, from, message, Some(*packet));
+            }
+            Delivery::Answer(message, AnswerBody::Nothing) => {
+                self.send(address, from, message, None);
+            }
+            Delivery::Drop => {}
+        }
+    }
+
+    pub(super) fn deliver(&mut self, index: usize, from: NodeAddress, packet: &FlowPacket) {
+        let target = &mut self.targets[index];
+        if !target.runs {
+            return;
+        }
+        let allowed = self.services.get(&packet.key.service);
+        let is_allowed = allowed.is_some_and(|services| services.contains(&target.service));
+        let was_leaving = target.leaving_acknowledged;
+        let is_new = packet.kind == PacketKind::Open && !target.holds(&packet.key);
+        let (opens, reaction) = target.receive(packet);
+        if !is_allowed {
+            self.breach(Breach::WrongService);
+        }
+        if is_new && was_leaving && !opens {
+            self.breach(Breach::OpenedAfterDrain);
+        }
+        match reaction {
+            Reaction::GiveBack => self.depart(index, packet, Some(from)),
+            Reaction::Send(answer) => self.depart(index, &answer, None),
+            Reaction::Begin => self.begin_work(index, &packet.key),
+            Reaction::Nothing => {}
+        }
+    }
+
+    pub(super) fn begin_work(&mut self, agent: usize, key: &FlowKey) {
+        let caller = self.callers.iter().find(|caller| caller.key == *key);
+        if let Some(caller) = caller {
+            let may_repeat = caller.may_repeat;
+            let name = (*key.caller.ip(), caller.request);
+            let runs = self.runs.entry(name).or_default();
+            *runs += 1;
+            if *runs > 1 && !may_repeat {
+                self.breach(Breach::RanTwice);
+            }
+        }
+        let incarnation = self.targets[agent].incarnation.0;
+        self.events.push(
+            self.now + WORK,
+            Event::Work {
+                agent,
+                incarnation,
+                key: *key,
+            },
+        );
+    }
+
+    pub(super) fn work_done(&mut self, agent: usize, incarnation: u64, key: &FlowKey) {
+        let target = &mut self.targets[agent];
+        if target.incarnation.0 != incarnation {
+            return;
+        }
+        if let Some(answer) = target.answer(key) {
+            self.depart(agent, &answer, None);
+        }
+    }
+
+    pub(super) fn depart(
+        &mut self,
+        index: usize,
+        packet: &FlowPacket,
+        returned_to: Option<NodeAddress>,
+    ) {
+        let address = agent_address(index);
+        let Some(agent) = self.agents[index].as_mut() else {
+            return;
+        };
+        match agent.departing(packet, returned_to, self.now) {
+            Departure::ToCaller(tell) => {
+                if let Some((to, message)) = tell {
+                    self.send(address, to, message, None);
+                }
+                self.events.push(
+                    self.now + Duration::from_millis(1),
+                    Event::ToCaller(*packet),
+                );
+            }
+            Departure::Returned { to, message, body } => {
+                let packet = (body == AnswerBody::Packet).then_some(*packet);
+                self.send(address, to, message, packet);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -0,0 +1,93 @@
+//! Nodes and targets that start, and the operators' configuration.
+
+use super::*;
+
+impl World {
+    pub(super) fn new_balancer(&mut self, index: usize) -> Balancer {
+        let options = BalancerOptions {
+            address: balancer_address(index),
+            zone: ZoneKey::default(),
+            flow_capacity: 10_000,
+            flow_retention: Duration::from_secs(30),
+        };
+        let mut balancer = Balancer::new(options, self.now);
+        let mut actions = Vec::new();
+        if self.store_is_up {
+            balancer.configuration(Arc::clone(&self.configuration));
+            let all: Vec<NodeAddress> = (0..BALANCERS).map(balancer_address).collect();
+            balancer.listed(&all, self.now, &mut actions);
+        }
+        balancer.listed(&[balancer_address(0)], self.now, &mut actions);
+        self.versions.remove(&options.address);
+        self.carry_out(options.address, actions);
+        balancer
+    }
+
+    pub(super) fn new_agent(&mut self, index: usize) -> Agent {
+        let options = AgentOptions {
+            address: agent_address(index),
+            zone: ZoneKey::default(),
+            service: self.assigned[index],
+            epoch: self.random.random(),
+            flow_capacity: 10_000,
+            flow_retention: Duration::from_secs(30),
+            flow_lifetime: Duration::from_secs(60),
+        };
+        let mut agent = Agent::new(options, self.now);
+        let known = if self.store_is_up { BALANCERS } else { 1 };
+        let balancers: Vec<NodeAddress> = (0..known).map(balancer_address).collect();
+        agent.listed(&balancers, self.now);
+        self.versions.remove(&options.address);
+        agent
+    }
+
+    pub(super) fn new_target(&mut self, index: usize) -> Target {
+        self.incarnations += 1;
+        Target::new(self.assigned[index], self.incarnations)
+    }
+
+    /// Writes the next configuration: the second route leads to either service.
+    pub(super) fn configure(&mut self) {
+        let version = self.configuration.version + 1;
+        let other = if version % 2 == 1 { "print" } else { "kitchen" };
+        let mut routes = Vec::new();
+        for (number, name) in [(1, "kitchen"), (2, other)] {
+            let service = ServiceKey::named(name);
+            let services = self.services.entry(route(number)).or_default();
+            services.insert(service);
+            routes.push(Route {
+                address: route(number),
+                parts: vec![RoutePart { service, weight: 1 }],
+            });
+        }
+        self.configuration = Arc::new(Configuration {
+            version,
+            routes,
+            idle_timeout_ms: 15_000,
+        });
+    }
+
+    pub(super) fn heartbeat(&mut self, index: usize) {
+        self.events
+            .push(self.now + HEARTBEAT, Event::Heartbeat(index));
+        let target = &mut self.targets[index];
+        let Some(agent) = self.agents[index].as_mut() else {
+            return;
+        };
+        if !target.runs {
+            return;
+        }
+        target.beats += 1;
+        let beat = Heartbeat {
+            incarnation: target.incarnation,
+            service: target.service,
+            leaving: target.leaving,
+            capacity: 7,
+            warm_up: Duration::ZERO,
+            sequence: target.beats,
+        };
+        if agent.heartbeat(&beat, self.now).is_ok() && target.leaving {
+            target.leaving_acknowledged = true;
+        }
+    }
+}
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -5,6 +5,8 @@
 //! and returns when a planned stop has ended, which is short because the
 //! target has ended before.
 
+mod figures;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddrV4;
@@ -27,10 +29,9 @@
 use woodladder_core::flow::note::Note;
 use woodladder_core::flow::store_session::BalancerList;
 
-use crate::balancer::{count, wide};
 use crate::carrier::Carrier;
 use crate::decision_log::DecisionLog;
-use crate::metrics::{LatencyHistogram, MetricsText};
+use crate::metrics::LatencyHistogram;
 use crate::node_clock::NodeClock;
 use crate::peer_socket::{self, MAXIMUM_DATAGRAM};
 use crate::snapshot_exchange;
@@ -370,92 +371,4 @@
             }
         }
     }
-
-    /// Figures in the text format that scrapers read.
-    #[must_use]
-    pub fn metrics(&self) -> String {
-        let core = self.core.borrow();
-        let counters = core.counters();
-        let load = core.load();
-        let mut text = MetricsText::default();
-        for (name, help, value) in [
-            (
-                "forwarded_packets_total",
-                "Packets of balancers.",
-                counters.packets,
-            ),
-            (
-                "flows_offered_total",
-                "Openings handed to the target.",
-                counters.offered,
-            ),
-            (
-                "flows_declined_total",
-                "Openings given back.",
-                counters.declined,
-            ),
-            (
-                "delivered_packets_total",
-                "Packets of open flows delivered.",
-                counters.delivered,
-            ),
-            ("searches_denied_total", "Searches denied.", counters.denied),
-            (
-                "target_returns_total",
-                "Packets that the target gave back.",
-                counters.returned_by_target,
-            ),
-            (
-                "caller_packets_total",
-                "Packets sent to callers.",
-                counters.to_callers,
-            ),
-            (
-                "requests_answered_total",
-                "Requests answered.",
-                counters.answered,
-            ),
-            ("heartbeats_total", "Heartbeats taken.", counters.heartbeats),
-            (
-                "refused_packets_total",
-                "Datagrams that cannot be read.",
-                self.refused_packets.get(),
-            ),
-        ] {
-            text.counter(name, help, value);
-        }
-        text.gauge(
-            "requests_busy",
-            "Requests at work or queued.",
-            f64::from(load.busy),
-        );
-        text.gauge("flows_open", "Open flows.", f64::from(load.flows));
-        text.gauge(
-            "flows_known",
-            "Flows in the table.",
-            count(core.flow_count()),
-        );
-        text.gauge(
-            "balancers",
-            "Balancers known.",
-            count(core.balancers().len()),
-        );
-        text.gauge(
-            "configuration_version",
-            "Version known.",
-            wide(core.version()),
-        );
-        let is_ready = core.target_state() == TargetState::Ready;
-        text.gauge(
-            "target_ready",
-            "Whether the target takes flows.",
-            f64::from(u8::from(is_ready)),
-        );
-        text.histogram(
-            "service_time_seconds",
-            "Time to the first byte of an answer.",
-            &self.service_times.borrow(),
-        );
-        text.finish()
-    }
 }
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -5,6 +5,8 @@
 //! returns when a planned stop has ended. During the stop it forwards on until
 //! no caller's packet has come for a while.
 
+mod figures;
+
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -28,7 +30,6 @@
 
 use crate::carrier::Carrier;
 use crate::decision_log::DecisionLog;
-use crate::metrics::MetricsText;
 use crate::node_clock::NodeClock;
 use crate::peer_socket::{self, MAXIMUM_DATAGRAM};
 use crate::snapshot_exchange;
@@ -320,130 +321,9 @@
         }
     }
 
-    /// Figures in the text format that scrapers read.
-    #[must_use]
-    pub fn metrics(&self) -> String {
-        let now = self.clock.now();
-        let core = self.core.borrow();
-        let counters = core.counters();
-        let (answers, refusals, failures) = self.contact.totals();
-        let mut text = MetricsText::default();
-        for (name, help, value) in [
-            (
-                "caller_packets_total",
-                "Packets of callers.",
-                counters.packets,
-            ),
-            (
-                "flows_opened_total",
-                "Openings sent to a first target.",
-                counters.opened,
-            ),
-            (
-                "flows_reopened_total",
-                "Openings sent to a further target.",
-                counters.reopened,
-            ),
-            (
-                "established_packets_total",
-                "Packets of flows in the table.",
-                counters.established,
-            ),
-            (
-                "searched_packets_total",
-                "Packets of flows searched for.",
-                counters.searched,
-            ),
-            (
-                "returned_packets_total",
-                "Packets that agents gave back.",
-                counters.returned,
-            ),
-            (
-                "resets_no_route_total",
-                "Resets without a route.",
-                counters.reset_no_route,
-            ),
-            (
-                "resets_no_target_total",
-                "Resets without a target.",
-                counters.reset_no_target,
-            ),
-            (
-                "resets_target_ended_total",
-                "Resets after a target's end.",
-                counters.reset_target_ended,
-            ),
-            (
-                "resets_held_nowhere_total",
-                "Resets of flows held nowhere.",
-                counters.reset_held_nowhere,
-            ),
-            (
-                "dropped_packets_total",
-                "Packets dropped by decision.",
-                counters.dropped,
-            ),
-            (
-                "refused_packets_total",
-                "Datagrams that cannot be read.",
-                self.refused_packets.get(),
-            ),
-            (
-                "store_answers_total",
-                "Calls that the store answered.",
-                answers,
-            ),
-            (
-                "store_refusals_total",
-                "Calls that the store refused.",
-                refusals,
-            ),
-            ("store_failures_total", "Calls without an answer.", failures),
-        ] {
-            text.counter(name, help, value);
-        }
-        text.gauge("flows", "Flows in the table.", count(core.flow_count()));
-        text.gauge(
-            "openings_waiting",
-            "Openings that wait for a target.",
-            count(core.waiting_count()),
-        );
-        text.gauge("agents", "Agents known.", count(core.directory().len()));
-        text.gauge(
-            "agents_live",
-            "Agents heard lately.",
-            count(core.directory().live_count(now)),
-        );
-        text.gauge(
-            "balancers",
-            "Other balancers known.",
-            count(core.peers().len()),
-        );
-        text.gauge(
-            "configuration_version",
-            "Version in force.",
-            wide(core.routes().version()),
-        );
-        let ready = if core.ready(now).is_ok() { 1.0 } else { 0.0 };
-        text.gauge("ready", "Whether the node is ready.", ready);
-        text.finish()
-    }
-
     /// Address of the machine.
     #[must_use]
     pub fn machine(&self) -> Ipv4Addr {
         *self.config.peer_address.ip()
     }
 }
-
-/// A count as a metric.
-pub(crate) fn count(value: usize) -> f64 {
-    u32::try_from(value).map_or(f64::INFINITY, f64::from)
-}
-
-/// A version as a metric; exact up to two to the power of 53.
-#[allow(clippy::cast_precision_loss)]
-pub(crate) fn wide(value: u64) -> f64 {
-    value as f64
-}
--- a/crates/woodladder-node/src/metrics.rs
+++ b/crates/woodladder-node/src/metrics.rs
@@ -78,3 +78,14 @@
         );
     }
 }
+
+/// A count as a metric.
+pub(crate) fn count(value: usize) -> f64 {
+    u32::try_from(value).map_or(f64::INFINITY, f64::from)
+}
+
+/// A version as a metric; exact up to two to the power of 53.
+#[allow(clippy::cast_precision_loss)]
+pub(crate) fn wide(value: u64) -> f64 {
+    value as f64
+}
