--- a/crates/woodladder/src/command/mod.rs
+++ b/crates/woodladder/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod bundle_difference;
 mod bundle_file;
 mod check_settings;
+mod explain;
 mod failure;
 mod key;
 mod key_file;
@@ -54,6 +55,9 @@
     /// Show what every node has in force
     #[command(after_help = status::HELP)]
     Status(Box<status::StatusArguments>),
+    /// Explain one request or flow from the logs of all nodes
+    #[command(after_help = explain::HELP)]
+    Explain(explain::ExplainArguments),
     /// Check settings without running anything
     #[command(after_help = check_settings::HELP)]
     CheckSettings(check_settings::CheckSettingsCommand),
@@ -70,6 +74,7 @@
             Command::Key(command) => command.run(),
             Command::Roll(arguments) => arguments.run(),
             Command::Status(arguments) => arguments.run(),
+            Command::Explain(arguments) => arguments.run(),
             Command::CheckSettings(command) => command.run(),
         };
         match result {
--- a/crates/woodladder/src/lib.rs
+++ b/crates/woodladder/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod control;
 pub mod daemon;
 pub mod endpoint;
+pub mod explain;
 pub mod log;
 pub mod process;
 pub mod settings;
