--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -13,9 +13,9 @@
 use woodladder_core::flow::note::Note;
 
 /// Lines a second of ordinary decisions of one kind.
-const ORDINARY_RATE: f64 = 40.0;
+const ORDINARY_RATE: f64 = 200.0;
 /// Lines a second of decisions of one kind that fail or move a request.
-const IMPORTANT_RATE: f64 = 120.0;
+const IMPORTANT_RATE: f64 = 400.0;
 /// Seconds of a rate that may be used at once.
 const RESERVE_SECONDS: f64 = 4.0;
 
