Reset flows held nowhere sooner when another balancer has told of the agents

After a loss of power callers of dead flows waited up to 0.4 s for the directory to settle. Ruled out: a shorter wait alone, which could reset a living flow of an agent that a restarted balancer has not heard yet. Test in flow_search.

--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -152,6 +152,10 @@
             self.greet(from, now, actions);
             self.fetch_from(from, now, actions);
         }
+        if greeting.version == 0 {
+            // It has just started and can do with what this one knows.
+            self.greet(from, now, actions);
+        }
         if !greeting.hears_agents {
             self.peer_without_agents = Some(now);
         }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -165,6 +165,8 @@
     /// When another balancer last said that it hears no agent.
     peer_without_agents: Option<Instant>,
     agent_found_at: Instant,
+    /// Whether another balancer has told which agents it knows.
+    has_snapshot: bool,
     /// Agents that other nodes have named and that were not heard yet.
     named_agents: BTreeMap<NodeAddress, Instant>,
     /// Flows that are searched for.
@@ -196,6 +198,7 @@
             last_agent_heard: None,
             peer_without_agents: None,
             agent_found_at: now,
+            has_snapshot: false,
             named_agents: BTreeMap::new(),
             searching: Vec::new(),
             waiting: Vec::new(),
@@ -271,6 +274,8 @@
         for balancer in snapshot.balancers {
             self.name_peer(balancer, now, actions);
         }
+        // An agent names itself only.
+        self.has_snapshot |= self.directory.agent(from).is_none();
         for agent in snapshot.agents {
             if self.directory.agent(agent).is_none() {
                 self.named_agents.insert(agent, now);
--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -30,13 +30,13 @@
 /// Flows asked for in one round of queries.
 const QUERIED_FLOWS: usize = 4096;
 /// Least time after its start in which a balancer resets no flow that is held
-/// nowhere.
-const LEAST_LISTENING: Duration = Duration::from_millis(300);
+/// nowhere, when another node has told it which agents there are.
+const LEAST_LISTENING: Duration = Duration::from_millis(200);
+/// The same when no other node has.
+const LEAST_LISTENING_ALONE: Duration = Duration::from_millis(600);
 /// Time without a new agent after which the balancer knows all of them; or
 /// longer, when agents report more slowly.
-const SETTLED_AFTER: Duration = Duration::from_millis(200);
-/// Reports of each agent that fit into the time until the balancer knows all.
-const SETTLED_REPORTS: u32 = 2;
+const SETTLED_AFTER: Duration = Duration::from_millis(150);
 
 /// A search for one flow.
 #[derive(Clone, Debug)]
@@ -247,9 +247,14 @@
     /// Whether the balancer has listened long enough to know every agent, and
     /// hears each one that another node has named.
     fn knows_all_agents(&self, now: Instant) -> bool {
-        let reports = self.report_interval() * SETTLED_REPORTS;
-        let has_listened = now.since(self.started_at) >= LEAST_LISTENING.max(reports);
-        let is_settled = now.since(self.agent_found_at) >= SETTLED_AFTER.max(reports);
+        let report = self.report_interval();
+        let least = if self.has_snapshot {
+            LEAST_LISTENING.max(report)
+        } else {
+            LEAST_LISTENING_ALONE.max(report * 2)
+        };
+        let has_listened = now.since(self.started_at) >= least;
+        let is_settled = now.since(self.agent_found_at) >= SETTLED_AFTER.max(report);
         has_listened && is_settled && self.named_agents.is_empty() && !self.directory.is_empty()
     }
 
--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -244,3 +244,42 @@
         "{actions:?}"
     );
 }
+
+/// Without another balancer's word a restarted one may not have heard of the
+/// agent that holds the flow.
+#[test]
+fn a_balancer_that_no_other_has_told_of_agents_listens_longer_before_a_reset() {
+    let reset_at = |with_snapshot: bool| {
+        let mut balancer = empty_balancer();
+        balancer.configuration(configuration(1));
+        tell(&mut balancer, 2, &report(2, 1), at(10));
+        if with_snapshot {
+            let snapshot = Snapshot {
+                agents: vec![node(2)],
+                ..Snapshot::default()
+            };
+            balancer.snapshot(node(5), snapshot, at(20), &mut Vec::new());
+        }
+        arrive(&mut balancer, &data(flow(1), 1, 77), at(30));
+        let denial = PeerMessage::NotHeld {
+            keys: vec![flow(1)],
+        };
+        let mut reset_at = None;
+        let resets = |actions: &[BalancerAction]| {
+            actions
+                .iter()
+                .any(|action| matches!(action, BalancerAction::Reset(_)))
+        };
+        assert!(!resets(&send(&mut balancer, 2, denial, at(31))));
+        for (sequence, time) in (2..).zip((50..1000).step_by(25)) {
+            let mut actions = tell(&mut balancer, 2, &report(2, sequence), at(time));
+            balancer.tick(at(time), &mut actions);
+            if resets(&actions) {
+                reset_at.get_or_insert(time);
+            }
+        }
+        reset_at
+    };
+    assert_eq!(reset_at(true), Some(200));
+    assert_eq!(reset_at(false), Some(600));
+}
--- a/crates/woodladder-node/tests/decision_log.rs
+++ b/crates/woodladder-node/tests/decision_log.rs
@@ -44,5 +44,8 @@
     let left_out = 1000 - u64::try_from(written).expect("small");
     let next = budget.allow("kind", Importance::Ordinary, at(1000));
     assert_eq!(next, Some(left_out));
-    assert_eq!(budget.allow("other", Importance::Ordinary, at(1000)), Some(0));
+    assert_eq!(
+        budget.allow("other", Importance::Ordinary, at(1000)),
+        Some(0)
+    );
 }
