--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -152,7 +152,7 @@
             self.greet(from, now, actions);
             self.fetch_from(from, now, actions);
         }
-        if greeting.version == 0 {
+        if greeting.version == 0 && self.routes.version() > 0 {
             // It has just started and can do with what this one knows.
             self.greet(from, now, actions);
         }
--- a/crates/woodladder-core/tests/flow_configuration.rs
+++ b/crates/woodladder-core/tests/flow_configuration.rs
@@ -295,3 +295,23 @@
         (PeerMessage::Report(report(2, 1)), &b""[..])
     );
 }
+
+/// Both wait for the first configuration: an answer to each greeting would be
+/// a greeting again, without an end.
+#[test]
+fn balancers_that_know_nothing_do_not_answer_each_others_greetings() {
+    let mut balancer = empty_balancer();
+    let nothing = PeerMessage::Greeting(BalancerGreeting {
+        version: 0,
+        report_interval_ms: 100,
+        leaving: false,
+        hears_agents: false,
+        balancers: vec![],
+    });
+    send(&mut balancer, 5, nothing.clone(), at(10));
+    let again = send(&mut balancer, 5, nothing.clone(), at(11));
+    assert!(again.is_empty(), "{again:?}");
+    balancer.configuration(configuration(1));
+    let answer = send(&mut balancer, 5, nothing, at(12));
+    assert_eq!(answer.len(), 1, "it can tell something now: {answer:?}");
+}
