--- a/crates/woodladder-core/src/bundle_source/mod.rs
+++ b/crates/woodladder-core/src/configuration/bundle_source/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Reading collects every fault with its file, line and key path, so that an
 //! operator mends a bundle in one go. [`parse`] checks one text by itself;
-//! [`crate::snapshot::Snapshot::following`] checks it against what is in force.
+//! [`crate::configuration::snapshot::Snapshot::following`] checks it against what is in force.
 
 mod check;
 mod document;
@@ -11,7 +11,7 @@
 
 use std::net::SocketAddr;
 
-use crate::bundle::{Bundle, Service, Target, TargetState, Zone};
+use crate::configuration::bundle::{Bundle, Service, Target, TargetState, Zone};
 use crate::finding::Findings;
 use crate::identifier::{ServiceId, TargetId, ZoneIndex};
 
--- a/crates/woodladder-core/src/bundle_source/reader.rs
+++ b/crates/woodladder-core/src/configuration/bundle_source/reader.rs
@@ -7,7 +7,7 @@
 use toml::de::{DeTable, DeValue};
 
 use super::document::Lines;
-use crate::bundle::TargetState;
+use crate::configuration::bundle::TargetState;
 use crate::finding::{Finding, Findings, Place};
 
 const RULE_KNOWN_KEYS: &str = "only known keys are allowed";
--- a/crates/woodladder-core/src/bundle_source/render.rs
+++ b/crates/woodladder-core/src/configuration/bundle_source/render.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::bundle::{Bundle, Service, Target, TargetState};
+use crate::configuration::bundle::{Bundle, Service, Target, TargetState};
 
 /// A small bundle to start from, accepted by [`super::parse`].
 pub const EXAMPLE: &str = r#"# Version of this bundle; any number, greater ones are not required to roll.
--- a/crates/woodladder-core/src/roll_record.rs
+++ b/crates/woodladder-core/src/configuration/roll_record.rs
@@ -2,11 +2,11 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use crate::bundle::encode;
+use crate::configuration::bundle::encode;
+use crate::configuration::snapshot_delta::SnapshotDelta;
 use crate::digest::Digest;
 use crate::identifier::Sequence;
 use crate::signature::{OperatorKey, Purpose, SignatureError, Signed, TrustedKeys};
-use crate::snapshot_delta::SnapshotDelta;
 
 /// Length of a roll nonce in bytes.
 pub const NONCE_LENGTH: usize = 16;
--- a/crates/woodladder-core/src/snapshot.rs
+++ b/crates/woodladder-core/src/configuration/snapshot.rs
@@ -9,7 +9,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use crate::bundle::{Bundle, SignedBundle, encode};
+use crate::configuration::bundle::{Bundle, SignedBundle, encode};
 use crate::digest::Digest;
 use crate::finding::Findings;
 use crate::identifier::{ServiceId, TargetId};
--- a/crates/woodladder-core/src/snapshot_delta.rs
+++ b/crates/woodladder-core/src/configuration/snapshot_delta.rs
@@ -7,11 +7,11 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use crate::bundle::{Bundle, Service, Target, Zone};
+use crate::configuration::bundle::{Bundle, Service, Target, Zone};
+use crate::configuration::snapshot::{RetiredTarget, Snapshot};
 use crate::digest::Digest;
 use crate::identifier::{ServiceId, TargetId};
 use crate::signature::Signed;
-use crate::snapshot::{RetiredTarget, Snapshot};
 
 /// Changes that turn one snapshot into another.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
--- a/crates/woodladder-core/src/availability/own.rs
+++ b/crates/woodladder-core/src/control/availability/own.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::availability::{Availability, Report, ReportVersion, RunNumber};
+use crate::control::availability::{Availability, Report, ReportVersion, RunNumber};
 use crate::identifier::TargetId;
 
 /// The target that an agent stands beside.
--- a/crates/woodladder-core/src/availability/report.rs
+++ b/crates/woodladder-core/src/control/availability/report.rs
@@ -5,7 +5,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::bundle::encode;
+use crate::configuration::bundle::encode;
 use crate::identifier::TargetId;
 
 /// Tells runs of an agent's process apart; a later start has a greater number.
--- a/crates/woodladder-core/src/availability/rumors.rs
+++ b/crates/woodladder-core/src/control/availability/rumors.rs
@@ -2,8 +2,8 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::availability::{MAXIMUM_KNOWN_TARGETS, Schedule};
 use crate::clock::Instant;
+use crate::control::availability::{MAXIMUM_KNOWN_TARGETS, Schedule};
 use crate::identifier::TargetId;
 
 /// Targets that wait to be passed on at most; further ones spread by the
--- a/crates/woodladder-core/src/availability/table.rs
+++ b/crates/woodladder-core/src/control/availability/table.rs
@@ -4,8 +4,8 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::availability::{Availability, Report, Schedule};
 use crate::clock::Instant;
+use crate::control::availability::{Availability, Report, Schedule};
 use crate::identifier::TargetId;
 
 /// Targets that a table holds at most.
--- a/crates/woodladder-core/src/control_message.rs
+++ b/crates/woodladder-core/src/control/control_message.rs
@@ -12,14 +12,14 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use crate::availability::Report;
-use crate::chunk_set::ChunkSet;
+use crate::configuration::roll_record::RollRecord;
+use crate::configuration::snapshot_delta::SnapshotDelta;
+use crate::control::availability::Report;
+use crate::control::chunk_set::ChunkSet;
+use crate::control::membership::Peer;
 use crate::digest::Digest;
 use crate::identifier::Sequence;
-use crate::keyed_tag::{TAG_LENGTH, TagKey};
-use crate::membership::Peer;
-use crate::roll_record::RollRecord;
-use crate::snapshot_delta::SnapshotDelta;
+use crate::packets::keyed_tag::{TAG_LENGTH, TagKey};
 
 /// Format version of frames that this build writes and reads.
 pub const FRAME_VERSION: u8 = 1;
--- a/crates/woodladder-core/src/replica/adoption.rs
+++ b/crates/woodladder-core/src/control/replica/adoption.rs
@@ -4,12 +4,12 @@
 
 use borsh::BorshDeserialize as _;
 
+use crate::configuration::roll_record::RollRecord;
+use crate::configuration::snapshot::Snapshot;
+use crate::configuration::snapshot_delta::{DeltaError, SnapshotDelta};
+use crate::control::replica::Installed;
 use crate::digest::Digest;
-use crate::replica::Installed;
-use crate::roll_record::RollRecord;
 use crate::signature::{SignatureError, TrustedKeys};
-use crate::snapshot::Snapshot;
-use crate::snapshot_delta::{DeltaError, SnapshotDelta};
 
 /// Longest encoding of a snapshot in bytes that a node accepts.
 pub const MAXIMUM_SNAPSHOT_LENGTH: usize = 8 * 1024 * 1024;
--- a/crates/woodladder-core/src/replica/availability.rs
+++ b/crates/woodladder-core/src/control/replica/availability.rs
@@ -8,17 +8,17 @@
 use rand::Rng as _;
 use rustc_hash::FxHashSet;
 
-use crate::availability::{
+use crate::clock::Instant;
+use crate::control::availability::{
     Availability, AvailabilityTable, Hearing, Learned, OwnAvailability, Report, Rumors,
 };
-use crate::clock::Instant;
-use crate::control_message::{ControlMessage, DigestMessage, MAXIMUM_REPORTS, Reports};
-use crate::directory::Standing;
+use crate::control::control_message::{ControlMessage, DigestMessage, MAXIMUM_REPORTS, Reports};
+use crate::control::replica::pace::Pace;
+use crate::control::replica::probing::Probing;
+use crate::control::replica::store_reader::jittered;
+use crate::control::replica::{Action, Replica, ReplicaSettings};
 use crate::identifier::TargetId;
-use crate::replica::pace::Pace;
-use crate::replica::probing::Probing;
-use crate::replica::store_reader::jittered;
-use crate::replica::{Action, Replica, ReplicaSettings};
+use crate::packets::directory::Standing;
 
 /// Times that a node passes on what it learned from others.
 const RELAY_SENDS: u8 = 2;
--- a/crates/woodladder-core/src/replica/catch_up.rs
+++ b/crates/woodladder-core/src/control/replica/catch_up.rs
@@ -4,19 +4,19 @@
 
 use borsh::BorshDeserialize as _;
 
-use crate::bundle::encode;
 use crate::clock::Instant;
-use crate::control_message::{
+use crate::configuration::bundle::encode;
+use crate::configuration::roll_record::RollRecord;
+use crate::configuration::snapshot_delta::SnapshotDelta;
+use crate::control::control_message::{
     ControlMessage, CopyChunk, CopyContent, CopyRefused, CopyRequest, Offer, OfferedDelta,
 };
-use crate::replica::adoption::{Rejection, adopt_copy, adopt_delta, check_record};
-use crate::replica::fetch::{Fetch, FetchAction, Fetched};
-use crate::replica::history::History;
-use crate::replica::install::Way;
-use crate::replica::joining::JoinProgress;
-use crate::replica::{Installed, Replica};
-use crate::roll_record::RollRecord;
-use crate::snapshot_delta::SnapshotDelta;
+use crate::control::replica::adoption::{Rejection, adopt_copy, adopt_delta, check_record};
+use crate::control::replica::fetch::{Fetch, FetchAction, Fetched};
+use crate::control::replica::history::History;
+use crate::control::replica::install::Way;
+use crate::control::replica::joining::JoinProgress;
+use crate::control::replica::{Installed, Replica};
 
 impl Replica {
     /// Takes an offer from a node.
--- a/crates/woodladder-core/src/replica/copy_assembly.rs
+++ b/crates/woodladder-core/src/control/replica/copy_assembly.rs
@@ -1,7 +1,7 @@
 //! Puts a copy together from its chunks.
 
-use crate::chunk_set::ChunkSet;
-use crate::control_message::{CHUNK_LENGTH, CopyChunk, CopyContent};
+use crate::control::chunk_set::ChunkSet;
+use crate::control::control_message::{CHUNK_LENGTH, CopyChunk, CopyContent};
 
 /// A copy of known length, of which some chunks may be missing.
 #[derive(Clone, Debug)]
--- a/crates/woodladder-core/src/replica/copy_server.rs
+++ b/crates/woodladder-core/src/control/replica/copy_server.rs
@@ -7,12 +7,12 @@
 use rand::seq::index;
 
 use crate::clock::Instant;
-use crate::control_message::{
+use crate::control::control_message::{
     CHUNK_LENGTH, ControlMessage, CopyChunk, CopyContent, CopyRefusal, CopyRefused, CopyRequest,
     MAXIMUM_CHUNKS_PER_REQUEST,
 };
-use crate::replica::copy_assembly::CopyAssembly;
-use crate::replica::pace::Pace;
+use crate::control::replica::copy_assembly::CopyAssembly;
+use crate::control::replica::pace::Pace;
 
 const MAXIMUM_HELD: usize = 4;
 const IDLE_TIME: Duration = Duration::from_secs(30);
--- a/crates/woodladder-core/src/replica/counters.rs
+++ b/crates/woodladder-core/src/control/replica/counters.rs
@@ -1,7 +1,7 @@
 //! What a replica counts.
 
-use crate::control_message::FrameError;
-use crate::replica::Rejection;
+use crate::control::control_message::FrameError;
+use crate::control::replica::Rejection;
 
 /// Counts since the start of the replica.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/woodladder-core/src/replica/event.rs
+++ b/crates/woodladder-core/src/control/replica/event.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::control_message::{ControlMessage, FrameError};
-use crate::directory::Directory;
+use crate::control::control_message::{ControlMessage, FrameError};
+use crate::control::membership::ListedMachine;
+use crate::control::replica::Installed;
+use crate::control::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
 use crate::identifier::Sequence;
-use crate::membership::ListedMachine;
-use crate::replica::Installed;
-use crate::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+use crate::packets::directory::Directory;
 
 /// Something that happened.
 #[derive(Clone, Debug)]
--- a/crates/woodladder-core/src/replica/fetch.rs
+++ b/crates/woodladder-core/src/control/replica/fetch.rs
@@ -7,16 +7,16 @@
 use rand::Rng;
 
 use crate::clock::Instant;
-use crate::control_message::{
+use crate::configuration::roll_record::RollRecord;
+use crate::control::control_message::{
     CHUNK_LENGTH, ControlMessage, CopyChunk, CopyContent, CopyRefusal, CopyRefused, CopyRequest,
     MAXIMUM_CHUNKS_PER_REQUEST, OfferedDelta, RecordRequest,
 };
+use crate::control::replica::copy_assembly::CopyAssembly;
+use crate::control::replica::pace::Pace;
+use crate::control::replica::snapshot_read::SnapshotRead;
+use crate::control::store_operation::StoreRequestId;
 use crate::digest::Digest;
-use crate::replica::copy_assembly::CopyAssembly;
-use crate::replica::pace::Pace;
-use crate::replica::snapshot_read::SnapshotRead;
-use crate::roll_record::RollRecord;
-use crate::store_operation::StoreRequestId;
 
 const MAXIMUM_SOURCES: usize = 8;
 const ANSWER_TIME_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/woodladder-core/src/replica/gossip.rs
+++ b/crates/woodladder-core/src/control/replica/gossip.rs
@@ -5,15 +5,15 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::control_message::{
+use crate::configuration::snapshot_delta::SnapshotDelta;
+use crate::control::control_message::{
     ControlMessage, DigestMessage, Exchange, MAXIMUM_SAMPLE, Offer, ProbeNumber, RecordRequest,
 };
+use crate::control::replica::pace::Pace;
+use crate::control::replica::store_reader::jittered;
+use crate::control::replica::{Replica, ReplicaTuning};
 use crate::digest::Digest;
 use crate::identifier::Sequence;
-use crate::replica::pace::Pace;
-use crate::replica::store_reader::jittered;
-use crate::replica::{Replica, ReplicaTuning};
-use crate::snapshot_delta::SnapshotDelta;
 
 /// Peers that are asked at once by a node that starts, wakes from a pause or
 /// learns that a greater sequence exists.
--- a/crates/woodladder-core/src/replica/history.rs
+++ b/crates/woodladder-core/src/control/replica/history.rs
@@ -3,9 +3,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::bundle::encode;
+use crate::configuration::bundle::encode;
+use crate::configuration::snapshot_delta::SnapshotDelta;
 use crate::digest::Digest;
-use crate::snapshot_delta::SnapshotDelta;
 
 const MAXIMUM_DELTAS: usize = 8;
 /// A longer delta is not kept: a full copy serves as well.
--- a/crates/woodladder-core/src/replica/install.rs
+++ b/crates/woodladder-core/src/control/replica/install.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use crate::bundle::encode;
 use crate::clock::Instant;
+use crate::configuration::bundle::encode;
+use crate::configuration::roll_record::RollRecord;
+use crate::configuration::snapshot_delta::SnapshotDelta;
+use crate::control::replica::adoption::Rejection;
+use crate::control::replica::fetch::Fetch;
+use crate::control::replica::{Action, Installed, Replica};
 use crate::digest::Digest;
-use crate::replica::adoption::Rejection;
-use crate::replica::fetch::Fetch;
-use crate::replica::{Action, Installed, Replica};
-use crate::roll_record::RollRecord;
-use crate::snapshot_delta::SnapshotDelta;
 
 const MAXIMUM_REMEMBERED: usize = 16;
 
--- a/crates/woodladder-core/src/replica/installed.rs
+++ b/crates/woodladder-core/src/control/replica/installed.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
+use crate::configuration::roll_record::RollRecord;
+use crate::configuration::snapshot::Snapshot;
 use crate::digest::Digest;
-use crate::directory::Directory;
 use crate::identifier::Sequence;
-use crate::roll_record::RollRecord;
-use crate::snapshot::Snapshot;
+use crate::packets::directory::Directory;
 
 /// A roll that passed all checks, with its directory.
 #[derive(Clone, Debug)]
--- a/crates/woodladder-core/src/replica/joining.rs
+++ b/crates/woodladder-core/src/control/replica/joining.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::control::replica::ReplicaTuning;
 use crate::identifier::{NodeId, Sequence};
-use crate::replica::ReplicaTuning;
 
 /// What a node has heard since its first roll.
 #[derive(Clone, Debug)]
--- a/crates/woodladder-core/src/replica/machine.rs
+++ b/crates/woodladder-core/src/control/replica/machine.rs
@@ -4,24 +4,24 @@
 
 use rand_chacha::ChaCha8Rng;
 
-use crate::availability::Availability;
 use crate::clock::Instant;
-use crate::control_message::{ControlMessage, ProbeNumber, StatusReply, StatusRequest};
+use crate::configuration::roll_record::RollRecord;
+use crate::control::availability::Availability;
+use crate::control::control_message::{ControlMessage, ProbeNumber, StatusReply, StatusRequest};
+use crate::control::membership::{MemberCounts, Membership};
+use crate::control::replica::availability::AvailabilityState;
+use crate::control::replica::copy_server::CopyServer;
+use crate::control::replica::fetch::Fetch;
+use crate::control::replica::gossip::Gossip;
+use crate::control::replica::history::History;
+use crate::control::replica::joining::Joining;
+use crate::control::replica::pace::Pace;
+use crate::control::replica::store_reader::StoreReader;
+use crate::control::replica::vigilance::Vigilance;
+use crate::control::replica::{Action, Event, Installed, ReplicaCounters, ReplicaSettings};
+use crate::control::store_operation::StoreRequestId;
 use crate::digest::Digest;
 use crate::identifier::Sequence;
-use crate::membership::{MemberCounts, Membership};
-use crate::replica::availability::AvailabilityState;
-use crate::replica::copy_server::CopyServer;
-use crate::replica::fetch::Fetch;
-use crate::replica::gossip::Gossip;
-use crate::replica::history::History;
-use crate::replica::joining::Joining;
-use crate::replica::pace::Pace;
-use crate::replica::store_reader::StoreReader;
-use crate::replica::vigilance::Vigilance;
-use crate::replica::{Action, Event, Installed, ReplicaCounters, ReplicaSettings};
-use crate::roll_record::RollRecord;
-use crate::store_operation::StoreRequestId;
 
 /// Keeps the roll in force up to date at one node.
 #[derive(Clone, Debug)]
--- a/crates/woodladder-core/src/replica/probing.rs
+++ b/crates/woodladder-core/src/control/replica/probing.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::availability::{Availability, Schedule, WatchStep, Watches};
 use crate::clock::Instant;
-use crate::control_message::{
+use crate::control::availability::{Availability, Schedule, WatchStep, Watches};
+use crate::control::control_message::{
     ControlMessage, DigestMessage, Exchange, ProbeConfirmed, ProbeRequest,
 };
+use crate::control::replica::Replica;
 use crate::identifier::TargetId;
-use crate::replica::Replica;
 
 /// Time for which a node does not call an agent unreachable a second time, so
 /// that a path between just the two does not divert flows again and again.
--- a/crates/woodladder-core/src/replica/settings.rs
+++ b/crates/woodladder-core/src/control/replica/settings.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::availability::ServedTarget;
+use crate::control::availability::ServedTarget;
+use crate::control::membership::{DEFAULT_CAPACITY, Locality, Peer, Role};
 use crate::identifier::NodeId;
-use crate::membership::{DEFAULT_CAPACITY, Locality, Peer, Role};
 use crate::signature::TrustedKeys;
 
 /// A replica that was not called for longer than this was paused, and does not
--- a/crates/woodladder-core/src/replica/snapshot_read.rs
+++ b/crates/woodladder-core/src/control/replica/snapshot_read.rs
@@ -6,8 +6,8 @@
 use rand::Rng;
 
 use crate::clock::Instant;
-use crate::replica::store_reader::jittered;
-use crate::store_operation::StoreRequestId;
+use crate::control::replica::store_reader::jittered;
+use crate::control::store_operation::StoreRequestId;
 
 const READ_TIME_LIMIT: Duration = Duration::from_secs(10);
 /// Mean time that a node waits for others before it reads a snapshot whose
--- a/crates/woodladder-core/src/replica/store_access.rs
+++ b/crates/woodladder-core/src/control/replica/store_access.rs
@@ -5,13 +5,13 @@
 use borsh::BorshDeserialize as _;
 
 use crate::clock::Instant;
-use crate::control_message::OfferedDelta;
+use crate::configuration::roll_record::StoredRoll;
+use crate::control::control_message::OfferedDelta;
+use crate::control::replica::adoption::Rejection;
+use crate::control::replica::fetch::Fetch;
+use crate::control::replica::{Action, Replica};
+use crate::control::store_operation::{StoreAnswer, StoreKey, StoreOperation, StoreRequestId};
 use crate::digest::Digest;
-use crate::replica::adoption::Rejection;
-use crate::replica::fetch::Fetch;
-use crate::replica::{Action, Replica};
-use crate::roll_record::StoredRoll;
-use crate::store_operation::{StoreAnswer, StoreKey, StoreOperation, StoreRequestId};
 
 impl Replica {
     /// Takes an answer of the key-value service.
--- a/crates/woodladder-core/src/replica/store_reader.rs
+++ b/crates/woodladder-core/src/control/replica/store_reader.rs
@@ -9,8 +9,10 @@
 use rand::Rng;
 
 use crate::clock::Instant;
-use crate::replica::ReplicaTuning;
-use crate::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId};
+use crate::control::replica::ReplicaTuning;
+use crate::control::store_operation::{
+    StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId,
+};
 
 const SHORTEST_INTERVAL: Duration = Duration::from_secs(1);
 const SHORTEST_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/woodladder-core/src/replica/vigilance.rs
+++ b/crates/woodladder-core/src/control/replica/vigilance.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::control_message::ProbeNumber;
-use crate::replica::LEASE_LENGTH;
-use crate::store_operation::StoreRequestId;
+use crate::control::control_message::ProbeNumber;
+use crate::control::replica::LEASE_LENGTH;
+use crate::control::store_operation::StoreRequestId;
 
 /// What counts as confirmation after a pause.
 #[derive(Clone, Copy, Debug)]
--- a/crates/woodladder-core/src/roll_command/machine.rs
+++ b/crates/woodladder-core/src/control/roll_command/machine.rs
@@ -5,16 +5,20 @@
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 
-use crate::bundle::encode;
 use crate::clock::Instant;
-use crate::control_message::ControlMessage;
+use crate::configuration::bundle::encode;
+use crate::configuration::roll_record::{RollNonce, StoredRoll};
+use crate::control::control_message::ControlMessage;
+use crate::control::replica::LEASE_LENGTH;
+use crate::control::roll_command::plan::PlannedRoll;
+use crate::control::roll_command::rollout::{Addressed, Rollout};
+use crate::control::roll_command::{
+    RollError, RollOutcome, RollProgress, RollRequest, RollSummary,
+};
+use crate::control::store_operation::{
+    StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId,
+};
 use crate::digest::Digest;
-use crate::replica::LEASE_LENGTH;
-use crate::roll_command::plan::PlannedRoll;
-use crate::roll_command::rollout::{Addressed, Rollout};
-use crate::roll_command::{RollError, RollOutcome, RollProgress, RollRequest, RollSummary};
-use crate::roll_record::{RollNonce, StoredRoll};
-use crate::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId};
 
 /// Something that happened.
 #[derive(Clone, Debug)]
--- a/crates/woodladder-core/src/roll_command/plan.rs
+++ b/crates/woodladder-core/src/control/roll_command/plan.rs
@@ -5,16 +5,16 @@
 
 use borsh::BorshDeserialize as _;
 
-use crate::bundle::{SignedBundle, encode};
-use crate::control_message::Offer;
+use crate::configuration::bundle::{SignedBundle, encode};
+use crate::configuration::roll_record::{RollNonce, RollRecord, RollStatement, StoredRoll};
+use crate::configuration::snapshot::{DEFAULT_LINGER, Snapshot};
+use crate::configuration::snapshot_delta::SnapshotDelta;
+use crate::control::control_message::Offer;
+use crate::control::replica::MAXIMUM_SNAPSHOT_LENGTH;
+use crate::control::roll_command::{RollError, RollSummary};
 use crate::digest::Digest;
 use crate::identifier::Sequence;
-use crate::replica::MAXIMUM_SNAPSHOT_LENGTH;
-use crate::roll_command::{RollError, RollSummary};
-use crate::roll_record::{RollNonce, RollRecord, RollStatement, StoredRoll};
 use crate::signature::{OperatorKey, Purpose, TrustedKeys};
-use crate::snapshot::{DEFAULT_LINGER, Snapshot};
-use crate::snapshot_delta::SnapshotDelta;
 
 /// Longest name of an operator in bytes.
 pub const MAXIMUM_OPERATOR_NAME: usize = 64;
--- a/crates/woodladder-core/src/roll_command/rollout.rs
+++ b/crates/woodladder-core/src/control/roll_command/rollout.rs
@@ -8,14 +8,14 @@
 use rustc_hash::FxHashSet;
 
 use crate::clock::Instant;
-use crate::control_message::{
+use crate::control::control_message::{
     ControlMessage, CopyContent, CopyRequest, ProbeNumber, RecordRequest, StatusReply,
     StatusRequest,
 };
+use crate::control::replica::CopyServer;
+use crate::control::roll_command::RollProgress;
+use crate::control::roll_command::plan::PlannedRoll;
 use crate::digest::Digest;
-use crate::replica::CopyServer;
-use crate::roll_command::RollProgress;
-use crate::roll_command::plan::PlannedRoll;
 
 /// Nodes that get an offer at once; they spread it further.
 const OFFER_FANOUT: usize = 32;
@@ -218,7 +218,7 @@
         CopyContent::Snapshot(digest) if *digest == result => Some(planned.copy.clone()),
         CopyContent::Delta { base, result: to } if *to == result => {
             let delta = planned.delta.as_ref().filter(|delta| delta.base == *base)?;
-            Some(crate::bundle::encode(delta))
+            Some(crate::configuration::bundle::encode(delta))
         }
         _ => None,
     }
--- a/crates/woodladder-core/src/roll_command/stages.rs
+++ b/crates/woodladder-core/src/control/roll_command/stages.rs
@@ -5,13 +5,13 @@
 use rand::Rng as _;
 
 use crate::clock::Instant;
+use crate::configuration::roll_record::RollRecord;
+use crate::configuration::snapshot::Snapshot;
+use crate::control::roll_command::machine::{RollCommand, Stage};
+use crate::control::roll_command::plan::{PlannedRoll, read_snapshot, read_stored};
+use crate::control::roll_command::{RollError, RollSummary};
+use crate::control::store_operation::{StoreAnswer, StoreIndex, StoreRequestId};
 use crate::digest::Digest;
-use crate::roll_command::machine::{RollCommand, Stage};
-use crate::roll_command::plan::{PlannedRoll, read_snapshot, read_stored};
-use crate::roll_command::{RollError, RollSummary};
-use crate::roll_record::RollRecord;
-use crate::snapshot::Snapshot;
-use crate::store_operation::{StoreAnswer, StoreIndex, StoreRequestId};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
--- a/crates/woodladder-core/src/roll_command/verdict.rs
+++ b/crates/woodladder-core/src/control/roll_command/verdict.rs
@@ -2,10 +2,10 @@
 
 use std::fmt;
 
+use crate::configuration::roll_record::RollRecord;
 use crate::digest::Digest;
 use crate::finding::Findings;
 use crate::identifier::Sequence;
-use crate::roll_record::RollRecord;
 use crate::signature::SignatureError;
 
 /// A roll, as named to operators.
--- a/crates/woodladder-core/src/store_operation.rs
+++ b/crates/woodladder-core/src/control/store_operation.rs
@@ -5,7 +5,7 @@
 
 use crate::digest::Digest;
 
-/// Key of the roll in force; its value is a [`crate::roll_record::StoredRoll`].
+/// Key of the roll in force; its value is a [`crate::configuration::roll_record::StoredRoll`].
 pub const CURRENT_KEY: &str = "woodladder/current";
 /// Prefix of the keys of snapshots; the digest in hexadecimal follows.
 pub const SNAPSHOT_KEY_PREFIX: &str = "woodladder/bundles/";
--- a/crates/woodladder-core/src/directory.rs
+++ b/crates/woodladder-core/src/packets/directory.rs
@@ -4,10 +4,10 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::bundle::TargetState;
-use crate::hop_list::Candidate;
+use crate::configuration::bundle::TargetState;
+use crate::configuration::snapshot::Snapshot;
 use crate::identifier::{Sequence, ServiceId, TargetId};
-use crate::snapshot::Snapshot;
+use crate::packets::hop_list::Candidate;
 
 /// Look-up tables over one snapshot.
 #[derive(Clone, Debug, Default)]
--- a/crates/woodladder-core/src/envelope.rs
+++ b/crates/woodladder-core/src/packets/envelope.rs
@@ -11,9 +11,9 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use crate::hop_list::{Hop, MAXIMUM_HOPS};
 use crate::identifier::{Sequence, ServiceId, TargetId};
-use crate::keyed_tag::{TAG_LENGTH, TagKey};
+use crate::packets::hop_list::{Hop, MAXIMUM_HOPS};
+use crate::packets::keyed_tag::{TAG_LENGTH, TagKey};
 
 /// Format version of envelopes that this build writes and reads.
 pub const ENVELOPE_VERSION: u8 = 1;
--- a/crates/woodladder-core/src/router.rs
+++ b/crates/woodladder-core/src/packets/router.rs
@@ -6,12 +6,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::carrier;
-use crate::directory::Directory;
-use crate::envelope::{Envelope, FirstRoute, Route};
-use crate::hop_list;
 use crate::identifier::{ServiceId, TargetId};
-use crate::token::{TOKEN_LENGTH, TokenKeys};
+use crate::packets::carrier;
+use crate::packets::directory::Directory;
+use crate::packets::envelope::{Envelope, FirstRoute, Route};
+use crate::packets::hop_list;
+use crate::packets::token::{TOKEN_LENGTH, TokenKeys};
 
 /// Candidates asked about a new flow, unless set otherwise.
 pub const DEFAULT_HOPS: usize = 3;
--- a/crates/woodladder-core/src/token.rs
+++ b/crates/woodladder-core/src/packets/token.rs
@@ -14,7 +14,7 @@
 //! | 12..20 | SipHash-2-4 tag over bytes 0..12 |
 
 use crate::identifier::TargetId;
-use crate::keyed_tag::TagKey;
+use crate::packets::keyed_tag::TagKey;
 
 /// Length of a token in bytes: the longest QUIC connection identifier
 /// (RFC 9000, section 17.2).
--- a/crates/woodladder-core/src/admission/choice.rs
+++ b/crates/woodladder-core/src/target/admission/choice.rs
@@ -7,9 +7,9 @@
 //! no load does not want the flow and never gets it back. When no target on the
 //! list can take the flow, it goes to one that the own directory names.
 
-use crate::directory::Directory;
-use crate::envelope::{Envelope, FirstRoute};
-use crate::hop_list::{self, Hop, Load, MAXIMUM_HOPS};
+use crate::packets::directory::Directory;
+use crate::packets::envelope::{Envelope, FirstRoute};
+use crate::packets::hop_list::{self, Hop, Load, MAXIMUM_HOPS};
 
 use super::options::AdmissionOptions;
 use super::verdict::RefuseReason;
--- a/crates/woodladder-core/src/admission/flow_memory.rs
+++ b/crates/woodladder-core/src/target/admission/flow_memory.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::hop_list::Hop;
+use crate::packets::hop_list::Hop;
 
 use super::verdict::RefuseReason;
 
--- a/crates/woodladder-core/src/admission/mod.rs
+++ b/crates/woodladder-core/src/target/admission/mod.rs
@@ -17,15 +17,15 @@
 
 use std::sync::Arc;
 
-use crate::carrier::Packet;
 use crate::clock::Instant;
-use crate::directory::{Directory, Standing};
-use crate::envelope::{Envelope, FirstRoute, Route};
-use crate::hop_list::{Load, flow_hash};
 use crate::identifier::{ServiceId, TargetId};
-use crate::load::Usage;
-use crate::router::Forward;
-use crate::token::TokenKeys;
+use crate::packets::carrier::Packet;
+use crate::packets::directory::{Directory, Standing};
+use crate::packets::envelope::{Envelope, FirstRoute, Route};
+use crate::packets::hop_list::{Load, flow_hash};
+use crate::packets::router::Forward;
+use crate::packets::token::TokenKeys;
+use crate::target::load::Usage;
 
 use choice::{Choice, Position};
 use fence::Fence;
--- a/crates/woodladder-core/src/admission/options.rs
+++ b/crates/woodladder-core/src/target/admission/options.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::hop_list::Load;
-use crate::load::DEFAULT_CONNECTION_WEIGHT;
+use crate::packets::hop_list::Load;
+use crate::target::load::DEFAULT_CONNECTION_WEIGHT;
 
 /// Parameters of admission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/woodladder-core/src/admission/verdict.rs
+++ b/crates/woodladder-core/src/target/admission/verdict.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use crate::identifier::Sequence;
-use crate::router::Forward;
+use crate::packets::router::Forward;
 
 /// A verdict on one datagram, and what its envelope tells of sequences.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/woodladder-core/src/load.rs
+++ b/crates/woodladder-core/src/target/load.rs
@@ -5,8 +5,8 @@
 //! connections against their limit are a lesser term, so that long-lived
 //! streams, which hold no slot, still count a little.
 
-use crate::hop_list::{FULL_LOAD, Load};
-use crate::slow_start::EffectiveSlots;
+use crate::packets::hop_list::{FULL_LOAD, Load};
+use crate::target::slow_start::EffectiveSlots;
 
 /// Load of a target whose connections are all in use and whose slots are all
 /// free, unless set otherwise; in thousandths.
--- a/crates/woodladder-core/tests/admission.rs
+++ b/crates/woodladder-core/tests/admission.rs
@@ -6,14 +6,14 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use woodladder_core::admission::{
+use woodladder_core::configuration::bundle::TargetState;
+use woodladder_core::identifier::{Sequence, TargetId};
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::envelope::{Envelope, FirstRoute, Route};
+use woodladder_core::packets::hop_list::{Load, flow_hash};
+use woodladder_core::target::admission::{
     AdmissionDrop, AdmissionOptions, FENCE_GRACE, RefuseReason, SequenceHint, Verdict,
 };
-use woodladder_core::bundle::TargetState;
-use woodladder_core::directory::Directory;
-use woodladder_core::envelope::{Envelope, FirstRoute, Route};
-use woodladder_core::hop_list::{Load, flow_hash};
-use woodladder_core::identifier::{Sequence, TargetId};
 
 use support::target_model::{TargetModel, envelope, first_envelope, first_route};
 use support::{
--- a/crates/woodladder-core/tests/admission_load.rs
+++ b/crates/woodladder-core/tests/admission_load.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use woodladder_core::hop_list::{FULL_LOAD, Load};
-use woodladder_core::load::{DEFAULT_CONNECTION_WEIGHT, Usage};
-use woodladder_core::slow_start::{EffectiveSlots, SlowStart, SlowStartOptions};
+use woodladder_core::packets::hop_list::{FULL_LOAD, Load};
+use woodladder_core::target::load::{DEFAULT_CONNECTION_WEIGHT, Usage};
+use woodladder_core::target::slow_start::{EffectiveSlots, SlowStart, SlowStartOptions};
 
 use support::at;
 
--- a/crates/woodladder-core/tests/admission_network.rs
+++ b/crates/woodladder-core/tests/admission_network.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use woodladder_core::admission::{AdmissionOptions, Verdict};
-use woodladder_core::hop_list::MAXIMUM_HOPS;
 use woodladder_core::identifier::TargetId;
-use woodladder_core::router::DEFAULT_HOPS;
+use woodladder_core::packets::hop_list::MAXIMUM_HOPS;
+use woodladder_core::packets::router::DEFAULT_HOPS;
+use woodladder_core::target::admission::{AdmissionOptions, Verdict};
 
 use support::target_model::{TargetModel, first_envelope};
 use support::{ORDERS, active, at, directory, first_datagram};
--- a/crates/woodladder-core/tests/availability.rs
+++ b/crates/woodladder-core/tests/availability.rs
@@ -7,16 +7,16 @@
 use control_world::fixture::{bundle, roll};
 use control_world::network::{Faults, World, address, target_of};
 use proptest::prelude::*;
-use woodladder_core::availability::{
+use woodladder_core::clock::Instant;
+use woodladder_core::control::availability::{
     Availability, Report, ReportVersion, RunNumber, WatchStep, Watches,
 };
-use woodladder_core::clock::Instant;
-use woodladder_core::control_message::{
+use woodladder_core::control::control_message::{
     ControlMessage, FrameError, MAXIMUM_DATAGRAM, MAXIMUM_REPORTS, Reports,
 };
+use woodladder_core::control::replica::{Event, ReplicaTuning};
 use woodladder_core::identifier::ServiceId;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::replica::{Event, ReplicaTuning};
+use woodladder_core::packets::keyed_tag::TagKey;
 
 const NODES: usize = 100;
 const DEAD: usize = 37;
--- a/crates/woodladder-core/tests/bundle_cases.rs
+++ b/crates/woodladder-core/tests/bundle_cases.rs
@@ -3,7 +3,7 @@
 
 use std::path::Path;
 
-use woodladder_core::bundle_source;
+use woodladder_core::configuration::bundle_source;
 
 fn accepted(path: &Path) -> datatest_stable::Result<()> {
     let text = std::fs::read_to_string(path)?;
--- a/crates/woodladder-core/tests/carrier.rs
+++ b/crates/woodladder-core/tests/carrier.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use proptest::prelude::*;
-use woodladder_core::carrier::{CarrierError, MINIMUM_FIRST_DATAGRAM, classify};
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::carrier::{CarrierError, MINIMUM_FIRST_DATAGRAM, classify};
+use woodladder_core::packets::token::TOKEN_LENGTH;
 
 use support::{first_datagram, short_datagram};
 
--- a/crates/woodladder-core/tests/control_message.rs
+++ b/crates/woodladder-core/tests/control_message.rs
@@ -6,15 +6,15 @@
 use control_world::fixture::{bundle, roll};
 use control_world::network::address;
 use proptest::prelude::*;
-use woodladder_core::control_message::{
+use woodladder_core::control::control_message::{
     CHUNK_LENGTH, ControlMessage, CopyChunk, CopyContent, CopyRefusal, CopyRefused, CopyRequest,
     DigestMessage, Exchange, FrameError, MAXIMUM_DATAGRAM, MAXIMUM_SAMPLE, Offer, OfferedDelta,
     ProbeNumber, RecordRequest, StatusReply, StatusRequest,
 };
+use woodladder_core::control::membership::{Locality, Peer, Role};
 use woodladder_core::digest::Digest;
 use woodladder_core::identifier::{NodeId, Sequence};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::membership::{Locality, Peer, Role};
+use woodladder_core::packets::keyed_tag::TagKey;
 
 fn key() -> TagKey {
     TagKey::new([3; 16])
--- a/crates/woodladder-core/tests/control_world/network.rs
+++ b/crates/woodladder-core/tests/control_world/network.rs
@@ -8,15 +8,15 @@
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::clock::Instant;
-use woodladder_core::control_message::ControlMessage;
-use woodladder_core::directory::Directory;
+use woodladder_core::control::availability::{RunNumber, ServedTarget};
+use woodladder_core::control::control_message::ControlMessage;
+use woodladder_core::control::membership::{ListedMachine, ListedStanding, Locality, Role};
+use woodladder_core::control::replica::{Action, Event, Replica, ReplicaSettings, ReplicaTuning};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
 use woodladder_core::identifier::{NodeId, Sequence, TargetId};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::membership::{ListedMachine, ListedStanding, Locality, Role};
-use woodladder_core::replica::{Action, Event, Replica, ReplicaSettings, ReplicaTuning};
-use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
 
 use super::fixture;
 use super::store::Store;
--- a/crates/woodladder-core/tests/control_world/store.rs
+++ b/crates/woodladder-core/tests/control_world/store.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashMap;
 
-use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
+use woodladder_core::control::store_operation::{
+    StoreAnswer, StoreIndex, StoreKey, StoreOperation,
+};
 
 use super::fixture::Roll;
 
--- a/crates/woodladder-core/tests/decoder.rs
+++ b/crates/woodladder-core/tests/decoder.rs
@@ -5,10 +5,10 @@
 use borsh::BorshDeserialize;
 use proptest::collection::vec;
 use proptest::prelude::*;
-use woodladder_core::bundle::SignedBundle;
-use woodladder_core::roll_record::{RollRecord, StoredRoll};
-use woodladder_core::snapshot::Snapshot;
-use woodladder_core::snapshot_delta::SnapshotDelta;
+use woodladder_core::configuration::bundle::SignedBundle;
+use woodladder_core::configuration::roll_record::{RollRecord, StoredRoll};
+use woodladder_core::configuration::snapshot::Snapshot;
+use woodladder_core::configuration::snapshot_delta::SnapshotDelta;
 
 use support::{ORDERS, active, snapshot};
 
--- a/crates/woodladder-core/tests/drain.rs
+++ b/crates/woodladder-core/tests/drain.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use woodladder_core::clock::Instant;
-use woodladder_core::drain::{
+use woodladder_core::target::drain::{
     Activity, DEFAULT_GRACE, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason, MAXIMUM_GRACE,
 };
 
--- a/crates/woodladder-core/tests/envelope.rs
+++ b/crates/woodladder-core/tests/envelope.rs
@@ -4,12 +4,12 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
-use woodladder_core::envelope::{
+use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
+use woodladder_core::packets::envelope::{
     ENVELOPE_VERSION, Envelope, EnvelopeError, FirstRoute, MAXIMUM_HEADER, MAXIMUM_OVERHEAD, Route,
 };
-use woodladder_core::hop_list::{Hop, Load, MAXIMUM_HOPS};
-use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
-use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::packets::hop_list::{Hop, Load, MAXIMUM_HOPS};
+use woodladder_core::packets::keyed_tag::TagKey;
 
 const KEY: [u8; 16] = [5; 16];
 
--- a/crates/woodladder-core/tests/hop_list.rs
+++ b/crates/woodladder-core/tests/hop_list.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use proptest::prelude::*;
-use woodladder_core::hop_list::{Candidate, MAXIMUM_HOPS, choose, choose_one};
 use woodladder_core::identifier::TargetId;
+use woodladder_core::packets::hop_list::{Candidate, MAXIMUM_HOPS, choose, choose_one};
 
 use support::target_address;
 
@@ -68,7 +68,7 @@
     let list = [candidate(1, 10), candidate(2, 20), candidate(3, 50)];
     let mut drawn = [0_u32; 3];
     for flow in 0..FLOWS {
-        let hash = woodladder_core::hop_list::flow_hash(&flow.to_be_bytes());
+        let hash = woodladder_core::packets::hop_list::flow_hash(&flow.to_be_bytes());
         let target = choose_one(&list, hash).expect("a candidate").target;
         drawn[target.0 as usize - 1] += 1;
     }
--- a/crates/woodladder-core/tests/membership.rs
+++ b/crates/woodladder-core/tests/membership.rs
@@ -9,10 +9,10 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::clock::Instant;
-use woodladder_core::membership::{
+use woodladder_core::control::membership::{
     HEARD_LATELY, ListedMachine, ListedStanding, Membership, Peer, SILENT_AFTER,
 };
-use woodladder_core::replica::ReplicaTuning;
+use woodladder_core::control::replica::ReplicaTuning;
 
 const OWN: usize = 0;
 
--- a/crates/woodladder-core/tests/replica_adoption.rs
+++ b/crates/woodladder-core/tests/replica_adoption.rs
@@ -13,14 +13,16 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::clock::Instant;
-use woodladder_core::control_message::{
+use woodladder_core::configuration::roll_record::RollRecord;
+use woodladder_core::control::control_message::{
     CHUNK_LENGTH, ControlMessage, CopyChunk, CopyContent, CopyRequest, Offer, OfferedDelta,
     RecordRequest,
 };
+use woodladder_core::control::replica::{Action, Event, Replica, ReplicaTuning};
+use woodladder_core::control::store_operation::{
+    StoreAnswer, StoreIndex, StoreKey, StoreOperation,
+};
 use woodladder_core::identifier::Sequence;
-use woodladder_core::replica::{Action, Event, Replica, ReplicaTuning};
-use woodladder_core::roll_record::RollRecord;
-use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
 
 const ROLLS: usize = 8;
 
@@ -257,7 +259,7 @@
                 subject.hear(damaged_last_chunk(content, &chain[roll]));
             }
             Heard::StoreValue { roll } => subject.event(Event::StoreAnswer {
-                request: woodladder_core::store_operation::StoreRequestId(1_000),
+                request: woodladder_core::control::store_operation::StoreRequestId(1_000),
                 answer: StoreAnswer::Value {
                     index: StoreIndex(roll as u64 + 1),
                     value: borsh::to_vec(&chain[roll].stored).unwrap(),
--- a/crates/woodladder-core/tests/replica_cost.rs
+++ b/crates/woodladder-core/tests/replica_cost.rs
@@ -7,8 +7,8 @@
 
 use control_world::fixture::{Roll, bundle, roll};
 use control_world::network::World;
+use woodladder_core::control::replica::ReplicaTuning;
 use woodladder_core::identifier::Sequence;
-use woodladder_core::replica::ReplicaTuning;
 
 const NODES: usize = 300;
 const TARGETS: u32 = 630;
--- a/crates/woodladder-core/tests/replica_delta.rs
+++ b/crates/woodladder-core/tests/replica_delta.rs
@@ -12,13 +12,13 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::clock::Instant;
-use woodladder_core::control_message::{
+use woodladder_core::configuration::snapshot_delta::SnapshotDelta;
+use woodladder_core::control::control_message::{
     CHUNK_LENGTH, ControlMessage, CopyContent, CopyRequest, MAXIMUM_CHUNKS_PER_REQUEST, Offer,
     OfferedDelta, RecordRequest,
 };
+use woodladder_core::control::replica::{Action, Event, Replica, ReplicaTuning};
 use woodladder_core::identifier::Sequence;
-use woodladder_core::replica::{Action, Event, Replica, ReplicaTuning};
-use woodladder_core::snapshot_delta::SnapshotDelta;
 
 const START: Instant = Instant::ORIGIN;
 
@@ -59,7 +59,7 @@
         exchange(&mut replica, ControlMessage::Offer(Box::new(offer)), START);
         let content = CopyContent::Snapshot(roll.snapshot.digest());
         for (index, bytes) in roll.snapshot.encode().chunks(CHUNK_LENGTH).enumerate() {
-            let chunk = woodladder_core::control_message::CopyChunk {
+            let chunk = woodladder_core::control::control_message::CopyChunk {
                 content,
                 index: index as u32,
                 last: false,
--- a/crates/woodladder-core/tests/replica_faults.rs
+++ b/crates/woodladder-core/tests/replica_faults.rs
@@ -6,11 +6,11 @@
 
 use control_world::fixture::{Roll, bundle, roll, stranger};
 use control_world::network::{World, address};
-use woodladder_core::control_message::{ControlMessage, Offer};
+use woodladder_core::configuration::roll_record::RollRecord;
+use woodladder_core::control::control_message::{ControlMessage, Offer};
+use woodladder_core::control::replica::{Event, ReplicaTuning};
+use woodladder_core::control::store_operation::StoreKey;
 use woodladder_core::identifier::Sequence;
-use woodladder_core::replica::{Event, ReplicaTuning};
-use woodladder_core::roll_record::RollRecord;
-use woodladder_core::store_operation::StoreKey;
 
 const LIMIT: Duration = Duration::from_secs(11);
 const EVENING: Duration = Duration::from_secs(4 * 3600);
--- a/crates/woodladder-core/tests/replica_spread.rs
+++ b/crates/woodladder-core/tests/replica_spread.rs
@@ -6,8 +6,8 @@
 
 use control_world::fixture::{bundle, roll};
 use control_world::network::{Faults, World};
+use woodladder_core::control::replica::ReplicaTuning;
 use woodladder_core::identifier::Sequence;
-use woodladder_core::replica::ReplicaTuning;
 
 const LIMIT: Duration = Duration::from_secs(11);
 
--- a/crates/woodladder-core/tests/request.rs
+++ b/crates/woodladder-core/tests/request.rs
@@ -7,7 +7,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::clock::Instant;
-use woodladder_core::request::{
+use woodladder_core::target::request::{
     RefusalReason, RequestAction, RequestEvent, RequestId, RequestOptions, RequestTable,
     UnknownReason,
 };
--- a/crates/woodladder-core/tests/request_lifecycle.rs
+++ b/crates/woodladder-core/tests/request_lifecycle.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::clock::Instant;
-use woodladder_core::request::{
+use woodladder_core::target::request::{
     RefusalReason, RequestAction, RequestEvent, RequestId, RequestOptions, RequestTable,
 };
 
--- a/crates/woodladder-core/tests/roll_command.rs
+++ b/crates/woodladder-core/tests/roll_command.rs
@@ -9,15 +9,15 @@
 use control_world::store::Store;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use woodladder_core::bundle::SignedBundle;
 use woodladder_core::clock::Instant;
-use woodladder_core::identifier::Sequence;
-use woodladder_core::roll_command::{
+use woodladder_core::configuration::bundle::SignedBundle;
+use woodladder_core::configuration::roll_record::StoredRoll;
+use woodladder_core::control::roll_command::{
     RollAction, RollCommand, RollError, RollEvent, RollOutcome, RollRequest,
 };
-use woodladder_core::roll_record::StoredRoll;
+use woodladder_core::control::store_operation::{StoreAnswer, StoreKey, StoreOperation};
+use woodladder_core::identifier::Sequence;
 use woodladder_core::signature::SignatureError;
-use woodladder_core::store_operation::{StoreAnswer, StoreKey, StoreOperation};
 
 type Verdict = Result<RollOutcome, RollError>;
 
--- a/crates/woodladder-core/tests/roll_command_races.rs
+++ b/crates/woodladder-core/tests/roll_command_races.rs
@@ -11,13 +11,15 @@
 use proptest::prelude::*;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use woodladder_core::bundle::SignedBundle;
 use woodladder_core::clock::Instant;
-use woodladder_core::roll_command::{
+use woodladder_core::configuration::bundle::SignedBundle;
+use woodladder_core::configuration::roll_record::{RollRecord, StoredRoll};
+use woodladder_core::control::roll_command::{
     RollAction, RollCommand, RollError, RollEvent, RollOutcome, RollRequest,
 };
-use woodladder_core::roll_record::{RollRecord, StoredRoll};
-use woodladder_core::store_operation::{StoreAnswer, StoreKey, StoreOperation, StoreRequestId};
+use woodladder_core::control::store_operation::{
+    StoreAnswer, StoreKey, StoreOperation, StoreRequestId,
+};
 
 /// How often each fault befalls a request or an operator, in percent.
 #[derive(Clone, Copy, Debug)]
--- a/crates/woodladder-core/tests/roll_command_rollout.rs
+++ b/crates/woodladder-core/tests/roll_command_rollout.rs
@@ -11,11 +11,11 @@
 use control_world::store::Store;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use woodladder_core::bundle::SignedBundle;
 use woodladder_core::clock::Instant;
-use woodladder_core::control_message::ControlMessage;
-use woodladder_core::replica::{Action, Event, Replica, ReplicaTuning};
-use woodladder_core::roll_command::{
+use woodladder_core::configuration::bundle::SignedBundle;
+use woodladder_core::control::control_message::ControlMessage;
+use woodladder_core::control::replica::{Action, Event, Replica, ReplicaTuning};
+use woodladder_core::control::roll_command::{
     RollAction, RollCommand, RollEvent, RollOutcome, RollProgress, RollRequest,
 };
 
--- a/crates/woodladder-core/tests/router.rs
+++ b/crates/woodladder-core/tests/router.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
-use woodladder_core::bundle::TargetState;
-use woodladder_core::directory::Directory;
-use woodladder_core::envelope::Route;
+use woodladder_core::configuration::bundle::TargetState;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
-use woodladder_core::router::{DEFAULT_HOPS, DropReason, Forward, Inbound, Router};
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::envelope::Route;
+use woodladder_core::packets::router::{DEFAULT_HOPS, DropReason, Forward, Inbound, Router};
 
 use support::{
     ARCHIVE, ORDERS, active, caller, directory, first_datagram, keys, service_address,
--- a/crates/woodladder-core/tests/support/mod.rs
+++ b/crates/woodladder-core/tests/support/mod.rs
@@ -9,14 +9,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState};
 use woodladder_core::clock::Instant;
-use woodladder_core::directory::Directory;
+use woodladder_core::configuration::bundle::{Bundle, Service, SignedBundle, Target, TargetState};
+use woodladder_core::configuration::snapshot::{DEFAULT_LINGER, Snapshot};
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
-use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::{TokenKey, TokenKeys};
 use woodladder_core::signature::OperatorKey;
-use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
-use woodladder_core::token::{TokenKey, TokenKeys};
 
 pub const ORDERS: ServiceId = ServiceId(1);
 pub const ARCHIVE: ServiceId = ServiceId(2);
--- a/crates/woodladder-core/tests/support/request_monitor.rs
+++ b/crates/woodladder-core/tests/support/request_monitor.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use woodladder_core::request::{RefusalReason, RequestAction, RequestEvent, RequestId};
+use woodladder_core::target::request::{RefusalReason, RequestAction, RequestEvent, RequestId};
 
 /// What has happened to one request.
 #[derive(Clone, Debug, Default)]
--- a/crates/woodladder-core/tests/support/target_model.rs
+++ b/crates/woodladder-core/tests/support/target_model.rs
@@ -2,16 +2,18 @@
 
 use std::sync::Arc;
 
-use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Decision, Identity};
-use woodladder_core::carrier::classify;
 use woodladder_core::clock::Instant;
-use woodladder_core::directory::Directory;
-use woodladder_core::envelope::{Envelope, FirstRoute, Route};
-use woodladder_core::hop_list::Hop;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
-use woodladder_core::load::Usage;
-use woodladder_core::slow_start::EffectiveSlots;
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::carrier::classify;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::envelope::{Envelope, FirstRoute, Route};
+use woodladder_core::packets::hop_list::Hop;
+use woodladder_core::packets::token::TOKEN_LENGTH;
+use woodladder_core::target::admission::{
+    Admission, AdmissionOptions, Conditions, Decision, Identity,
+};
+use woodladder_core::target::load::Usage;
+use woodladder_core::target::slow_start::EffectiveSlots;
 
 use super::{ORDERS, caller, keys, service_address, target_address};
 
--- a/crates/woodladder-core/tests/token.rs
+++ b/crates/woodladder-core/tests/token.rs
@@ -4,7 +4,7 @@
 
 use proptest::prelude::*;
 use woodladder_core::identifier::TargetId;
-use woodladder_core::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH, TokenKeys};
+use woodladder_core::packets::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH, TokenKeys};
 
 use support::keys;
 
@@ -38,7 +38,7 @@
     #[test]
     fn another_key_of_the_same_number_does_not_verify(target: u32, secret: [u8; 16]) {
         let mut other = keys(3);
-        other.current.key = woodladder_core::keyed_tag::TagKey::new(secret);
+        other.current.key = woodladder_core::packets::keyed_tag::TagKey::new(secret);
         prop_assume!(other != keys(3));
         let token = other.issue(TargetId(target), [0; TOKEN_NONCE_LENGTH]);
         prop_assert_eq!(keys(3).verify(&token), None);
--- a/crates/woodladder-core/tests/unavailable_targets.rs
+++ b/crates/woodladder-core/tests/unavailable_targets.rs
@@ -6,12 +6,12 @@
 
 use proptest::prelude::*;
 use rustc_hash::FxHashSet;
-use woodladder_core::admission::{AdmissionOptions, FENCE_GRACE, Verdict};
-use woodladder_core::directory::{Directory, Standing};
-use woodladder_core::envelope::Route;
-use woodladder_core::hop_list::MAXIMUM_HOPS;
 use woodladder_core::identifier::TargetId;
-use woodladder_core::router::{Forward, Inbound, Router};
+use woodladder_core::packets::directory::{Directory, Standing};
+use woodladder_core::packets::envelope::Route;
+use woodladder_core::packets::hop_list::MAXIMUM_HOPS;
+use woodladder_core::packets::router::{Forward, Inbound, Router};
+use woodladder_core::target::admission::{AdmissionOptions, FENCE_GRACE, Verdict};
 
 use support::target_model::{TargetModel, first_envelope};
 use support::{
--- a/crates/woodladder-lab/src/command/measure.rs
+++ b/crates/woodladder-lab/src/command/measure.rs
@@ -8,7 +8,7 @@
 use clap::{Args, ValueEnum};
 
 use super::scale::ScaleCommand;
-use woodladder_core::hop_list::Load;
+use woodladder_core::packets::hop_list::Load;
 use woodladder_lab::measure::decision;
 use woodladder_lab::measure::experiment::{Experiment, SeedRange};
 use woodladder_lab::measure::figures::Figures;
--- a/crates/woodladder-lab/src/demo/evidence.rs
+++ b/crates/woodladder-lab/src/demo/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use woodladder_core::bundle::Target;
+use woodladder_core::configuration::bundle::Target;
 use woodladder_core::identifier::TargetId;
 
 use super::administration::{Administration, AdministrationError};
--- a/crates/woodladder-lab/src/demo/launch.rs
+++ b/crates/woodladder-lab/src/demo/launch.rs
@@ -3,7 +3,7 @@
 use std::ffi::OsString;
 use std::time::Duration;
 
-use woodladder_core::bundle::Target;
+use woodladder_core::configuration::bundle::Target;
 
 use super::arguments::{Arguments, Flag};
 use super::cluster::{Cluster, ClusterError};
--- a/crates/woodladder-lab/src/demo/plan.rs
+++ b/crates/woodladder-lab/src/demo/plan.rs
@@ -3,8 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use woodladder_core::bundle::{Bundle, Service, Target};
-use woodladder_core::bundle_source;
+use woodladder_core::configuration::bundle::{Bundle, Service, Target};
+use woodladder_core::configuration::bundle_source;
 use woodladder_core::finding::Findings;
 
 use super::loopback::{LoopbackNetwork, NetworkReservation};
--- a/crates/woodladder-lab/src/measure/change.rs
+++ b/crates/woodladder-lab/src/measure/change.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use serde::Serialize;
-use woodladder_core::bundle::{Target, TargetState};
 use woodladder_core::clock::Instant;
+use woodladder_core::configuration::bundle::{Target, TargetState};
 
 use super::deployment::Deployment;
 
--- a/crates/woodladder-lab/src/measure/datagram.rs
+++ b/crates/woodladder-lab/src/measure/datagram.rs
@@ -1,7 +1,7 @@
 //! Datagrams as the product's router reads them.
 
-use woodladder_core::carrier::MINIMUM_FIRST_DATAGRAM;
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::carrier::MINIMUM_FIRST_DATAGRAM;
+use woodladder_core::packets::token::TOKEN_LENGTH;
 
 /// First byte and version of a first packet (RFC 9000, section 17.2.2).
 const INITIAL_HEADER: [u8; 5] = [0xc0, 0, 0, 0, 1];
--- a/crates/woodladder-lab/src/measure/decision.rs
+++ b/crates/woodladder-lab/src/measure/decision.rs
@@ -8,12 +8,14 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState, Zone};
+use woodladder_core::configuration::bundle::{
+    Bundle, Service, SignedBundle, Target, TargetState, Zone,
+};
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
-use woodladder_core::keyed_tag::{TAG_KEY_LENGTH, TagKey};
-use woodladder_core::router::{DEFAULT_HOPS, Inbound, Router};
+use woodladder_core::packets::keyed_tag::{TAG_KEY_LENGTH, TagKey};
+use woodladder_core::packets::router::{DEFAULT_HOPS, Inbound, Router};
+use woodladder_core::packets::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH};
 use woodladder_core::signature::{KEY_LENGTH, OperatorKey};
-use woodladder_core::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH};
 
 use super::datagram::{CLIENT_ID_LENGTH, DatagramWriter};
 use super::deployment::follow;
--- a/crates/woodladder-lab/src/measure/deployment.rs
+++ b/crates/woodladder-lab/src/measure/deployment.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState, Zone};
-use woodladder_core::directory::Directory;
+use woodladder_core::configuration::bundle::{
+    Bundle, Service, SignedBundle, Target, TargetState, Zone,
+};
+use woodladder_core::configuration::snapshot::{DEFAULT_LINGER, Snapshot};
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
+use woodladder_core::packets::directory::Directory;
 use woodladder_core::signature::{KEY_LENGTH, OperatorKey};
-use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
 
 /// Port of every service address and agent.
 const PORT: u16 = 4433;
--- a/crates/woodladder-lab/src/measure/options.rs
+++ b/crates/woodladder-lab/src/measure/options.rs
@@ -1,7 +1,7 @@
 //! Parameters of the chosen way, as they are measured.
 
-use woodladder_core::admission::AdmissionOptions;
-use woodladder_core::router::DEFAULT_HOPS;
+use woodladder_core::packets::router::DEFAULT_HOPS;
+use woodladder_core::target::admission::AdmissionOptions;
 
 /// Parameters of the chosen way.
 #[derive(Clone, Copy, Debug)]
--- a/crates/woodladder-lab/src/measure/packets/load.rs
+++ b/crates/woodladder-lab/src/measure/packets/load.rs
@@ -10,7 +10,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::identifier::TargetId;
-use woodladder_core::token::TOKEN_NONCE_LENGTH;
+use woodladder_core::packets::token::TOKEN_NONCE_LENGTH;
 
 use super::balancer::{SERVICE_ADDRESS, target_id};
 use crate::measure::datagram::DatagramWriter;
--- a/crates/woodladder-lab/src/measure/world/balancer.rs
+++ b/crates/woodladder-lab/src/measure/world/balancer.rs
@@ -1,6 +1,6 @@
 //! One balancer of the model.
 
-use woodladder_core::hop_list::Load;
+use woodladder_core::packets::hop_list::Load;
 
 use super::event::VersionIndex;
 
--- a/crates/woodladder-lab/src/measure/world/event.rs
+++ b/crates/woodladder-lab/src/measure/world/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use woodladder_core::envelope::Envelope;
+use woodladder_core::packets::envelope::Envelope;
 
 /// Position of a flow in the world's list.
 pub(super) type FlowIndex = usize;
--- a/crates/woodladder-lab/src/measure/world/flow.rs
+++ b/crates/woodladder-lab/src/measure/world/flow.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
-use woodladder_core::hop_list::flow_hash;
 use woodladder_core::identifier::ServiceId;
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::hop_list::flow_hash;
+use woodladder_core::packets::token::TOKEN_LENGTH;
 
 use super::event::{FlowIndex, RequestIndex, TargetIndex};
 use crate::measure::datagram::CLIENT_ID_LENGTH;
--- a/crates/woodladder-lab/src/measure/world/mod.rs
+++ b/crates/woodladder-lab/src/measure/world/mod.rs
@@ -23,8 +23,8 @@
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::clock::Instant;
 use woodladder_core::identifier::ServiceId;
-use woodladder_core::keyed_tag::{TAG_KEY_LENGTH, TagKey};
-use woodladder_core::token::{TokenKey, TokenKeys};
+use woodladder_core::packets::keyed_tag::{TAG_KEY_LENGTH, TagKey};
+use woodladder_core::packets::token::{TokenKey, TokenKeys};
 
 use super::change::{ChangeKind, Schedule};
 use super::datagram::DatagramWriter;
@@ -250,6 +250,6 @@
 
     /// Hash by which the agents know a flow.
     fn client_hash(&self, flow: FlowIndex) -> u64 {
-        woodladder_core::hop_list::flow_hash(&flow::client_id(flow, self.salt))
+        woodladder_core::packets::hop_list::flow_hash(&flow::client_id(flow, self.salt))
     }
 }
--- a/crates/woodladder-lab/src/measure/world/opening.rs
+++ b/crates/woodladder-lab/src/measure/world/opening.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use rand::Rng as _;
-use woodladder_core::admission::Verdict;
-use woodladder_core::carrier;
-use woodladder_core::envelope::Envelope;
-use woodladder_core::request::{RequestEvent, RequestId};
-use woodladder_core::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH};
+use woodladder_core::packets::carrier;
+use woodladder_core::packets::envelope::Envelope;
+use woodladder_core::packets::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH};
+use woodladder_core::target::admission::Verdict;
+use woodladder_core::target::request::{RequestEvent, RequestId};
 
 use super::event::{BalancerIndex, Event, FlowIndex, TargetIndex};
 use super::flow::{Flow, Stage, client_id};
@@ -131,7 +131,7 @@
         &mut self,
         flow: FlowIndex,
         from: TargetIndex,
-        forward: woodladder_core::router::Forward,
+        forward: woodladder_core::packets::router::Forward,
     ) {
         let Some(target) = self.by_address.get(&forward.to).copied() else {
             self.queue.after(RETRANSMISSION, Event::Start(flow));
--- a/crates/woodladder-lab/src/measure/world/placement.rs
+++ b/crates/woodladder-lab/src/measure/world/placement.rs
@@ -1,18 +1,18 @@
 //! Where packets go: first packets by each way, later ones by token or hash.
 
 use rand::Rng as _;
-use woodladder_core::carrier;
-use woodladder_core::hop_list::{FULL_LOAD, choose_one};
 use woodladder_core::identifier::ServiceId;
-use woodladder_core::router::{Forward, Inbound};
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::carrier;
+use woodladder_core::packets::hop_list::{FULL_LOAD, choose_one};
+use woodladder_core::packets::router::{Forward, Inbound};
+use woodladder_core::packets::token::TOKEN_LENGTH;
 
 use super::World;
 use super::event::{BalancerIndex, FlowIndex, TargetIndex, VersionIndex};
 use super::flow::{address_hash, caller_address, client_id};
 use crate::measure::deployment::service_address;
 use crate::measure::way::Way;
-use woodladder_core::admission::Verdict;
+use woodladder_core::target::admission::Verdict;
 
 /// Where a packet of an established flow ends up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/woodladder-lab/src/measure/world/requests.rs
+++ b/crates/woodladder-lab/src/measure/world/requests.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use woodladder_core::request::{RequestAction, RequestEvent, RequestId};
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::token::TOKEN_LENGTH;
+use woodladder_core::target::request::{RequestAction, RequestEvent, RequestId};
 
 use super::event::{Event, FlowIndex, RequestIndex, TargetIndex};
 use super::flow::{Flow, Request, Stage};
--- a/crates/woodladder-lab/src/measure/world/target.rs
+++ b/crates/woodladder-lab/src/measure/world/target.rs
@@ -7,19 +7,19 @@
 
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Identity};
-use woodladder_core::bundle::Target;
 use woodladder_core::clock::Instant;
-use woodladder_core::directory::Directory;
-use woodladder_core::drain::{Activity, DEFAULT_GRACE, Drain, DrainEvent, DrainReason};
-use woodladder_core::hop_list::Load;
+use woodladder_core::configuration::bundle::Target;
 use woodladder_core::identifier::{ServiceId, TargetId};
-use woodladder_core::load::Usage;
-use woodladder_core::request::{
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::hop_list::Load;
+use woodladder_core::packets::token::TokenKeys;
+use woodladder_core::target::admission::{Admission, AdmissionOptions, Conditions, Identity};
+use woodladder_core::target::drain::{Activity, DEFAULT_GRACE, Drain, DrainEvent, DrainReason};
+use woodladder_core::target::load::Usage;
+use woodladder_core::target::request::{
     RequestAction, RequestEvent, RequestId, RequestOptions, RequestTable,
 };
-use woodladder_core::slow_start::{EffectiveSlots, SlowStart, SlowStartOptions};
-use woodladder_core::token::TokenKeys;
+use woodladder_core::target::slow_start::{EffectiveSlots, SlowStart, SlowStartOptions};
 
 use super::event::VersionIndex;
 
--- a/crates/woodladder-lab/src/measure/world/versions.rs
+++ b/crates/woodladder-lab/src/measure/world/versions.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use woodladder_core::admission::AdmissionOptions;
 use woodladder_core::clock::Instant;
-use woodladder_core::directory::Directory;
-use woodladder_core::hop_list::Candidate;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
-use woodladder_core::router::Router;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::hop_list::Candidate;
+use woodladder_core::packets::router::Router;
+use woodladder_core::target::admission::AdmissionOptions;
 
 use super::model_keys;
 use super::target::TargetModel;
--- a/crates/woodladder-lab/src/scale/node.rs
+++ b/crates/woodladder-lab/src/scale/node.rs
@@ -1,10 +1,10 @@
 //! A hollow node: the replica that a daemon runs, without the data path.
 
 use rand_chacha::ChaCha8Rng;
-use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::clock::Instant;
+use woodladder_core::control::availability::{RunNumber, ServedTarget};
+use woodladder_core::control::replica::{Replica, ReplicaSettings, ReplicaTuning};
 use woodladder_core::identifier::NodeId;
-use woodladder_core::replica::{Replica, ReplicaSettings, ReplicaTuning};
 use woodladder_core::signature::TrustedKeys;
 
 use super::meter::NodeMeter;
--- a/crates/woodladder-lab/src/scale/roller.rs
+++ b/crates/woodladder-lab/src/scale/roller.rs
@@ -2,14 +2,14 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState};
-use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
-use woodladder_core::roll_record::{
+use woodladder_core::configuration::bundle::{Bundle, Service, SignedBundle, Target, TargetState};
+use woodladder_core::configuration::roll_record::{
     NONCE_LENGTH, RollNonce, RollRecord, RollStatement, StoredRoll,
 };
+use woodladder_core::configuration::snapshot::{DEFAULT_LINGER, RetiredTarget, Snapshot};
+use woodladder_core::configuration::snapshot_delta::SnapshotDelta;
+use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
 use woodladder_core::signature::{OperatorKey, TrustedKeys};
-use woodladder_core::snapshot::{DEFAULT_LINGER, RetiredTarget, Snapshot};
-use woodladder_core::snapshot_delta::SnapshotDelta;
 
 use super::size::{DeploymentSize, bundle_zones};
 
--- a/crates/woodladder-lab/src/scale/size.rs
+++ b/crates/woodladder-lab/src/scale/size.rs
@@ -2,9 +2,9 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use woodladder_core::bundle::Zone;
+use woodladder_core::configuration::bundle::Zone;
+use woodladder_core::control::membership::{Locality, Role};
 use woodladder_core::identifier::TargetId;
-use woodladder_core::membership::{Locality, Role};
 
 /// Zones of the deployment, by region.
 const ZONES: [(&str, &str); 7] = [
--- a/crates/woodladder-lab/src/scale/sockets.rs
+++ b/crates/woodladder-lab/src/scale/sockets.rs
@@ -14,11 +14,11 @@
 use woodladder::control::{Control, ControlConfig};
 use woodladder::store::Store;
 use woodladder_core::clock;
+use woodladder_core::control::replica::{ReplicaSettings, ReplicaTuning};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreOperation};
 use woodladder_core::identifier::{NodeId, Sequence};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::replica::{ReplicaSettings, ReplicaTuning};
+use woodladder_core::packets::keyed_tag::TagKey;
 use woodladder_core::signature::TrustedKeys;
-use woodladder_core::store_operation::{StoreAnswer, StoreOperation};
 
 use super::roller::{Roll, Roller};
 use super::size::{DeploymentSize, NodeIndex};
--- a/crates/woodladder-lab/src/scale/store.rs
+++ b/crates/woodladder-lab/src/scale/store.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
-use woodladder_core::store_operation::{
+use woodladder_core::control::store_operation::{
     MAXIMUM_STORED_VALUE, StoreAnswer, StoreIndex, StoreKey, StoreOperation,
 };
 
--- a/crates/woodladder-lab/src/scale/world.rs
+++ b/crates/woodladder-lab/src/scale/world.rs
@@ -10,12 +10,12 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use woodladder_core::clock::Instant;
-use woodladder_core::control_message::ControlMessage;
+use woodladder_core::control::control_message::ControlMessage;
+use woodladder_core::control::membership::{ListedMachine, ListedStanding};
+use woodladder_core::control::replica::{Action, Event, Installed};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
 use woodladder_core::identifier::Sequence;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::membership::{ListedMachine, ListedStanding};
-use woodladder_core::replica::{Action, Event, Installed};
-use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+use woodladder_core::packets::keyed_tag::TagKey;
 
 use super::meter::processor_time;
 use super::network::Network;
--- a/crates/woodladder-lab/src/simulation/agent/leaving.rs
+++ b/crates/woodladder-lab/src/simulation/agent/leaving.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use woodladder_core::admission::Identity;
-use woodladder_core::directory::Directory;
-use woodladder_core::drain::{Activity, DrainAction, DrainEvent, DrainReason};
-use woodladder_core::request::RequestEvent;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::target::admission::Identity;
+use woodladder_core::target::drain::{Activity, DrainAction, DrainEvent, DrainReason};
+use woodladder_core::target::request::RequestEvent;
 
 use super::{Agent, count, means};
 use crate::simulation::back_end::BackEnd;
--- a/crates/woodladder-lab/src/simulation/agent/mod.rs
+++ b/crates/woodladder-lab/src/simulation/agent/mod.rs
@@ -6,22 +6,22 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use woodladder_core::admission::{
+use woodladder_core::clock::Instant;
+use woodladder_core::control::membership::Role;
+use woodladder_core::control::replica::Event;
+use woodladder_core::packets::carrier;
+use woodladder_core::packets::envelope::Envelope;
+use woodladder_core::packets::hop_list::flow_hash;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::Forward;
+use woodladder_core::packets::token::{TOKEN_LENGTH, TokenKeys};
+use woodladder_core::target::admission::{
     Admission, AdmissionOptions, Conditions, Identity, SequenceHint, Verdict,
 };
-use woodladder_core::carrier;
-use woodladder_core::clock::Instant;
-use woodladder_core::drain::{DEFAULT_GRACE, Drain, DrainEvent, DrainReason};
-use woodladder_core::envelope::Envelope;
-use woodladder_core::hop_list::flow_hash;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::load::Usage;
-use woodladder_core::membership::Role;
-use woodladder_core::replica::Event;
-use woodladder_core::request::RequestEvent;
-use woodladder_core::router::Forward;
-use woodladder_core::slow_start::{EffectiveSlots, SlowStart, SlowStartOptions};
-use woodladder_core::token::{TOKEN_LENGTH, TokenKeys};
+use woodladder_core::target::drain::{DEFAULT_GRACE, Drain, DrainEvent, DrainReason};
+use woodladder_core::target::load::Usage;
+use woodladder_core::target::request::RequestEvent;
+use woodladder_core::target::slow_start::{EffectiveSlots, SlowStart, SlowStartOptions};
 
 use crate::simulation::agent_flows::AgentFlows;
 use crate::simulation::agent_requests::{AgentRequests, Means};
--- a/crates/woodladder-lab/src/simulation/agent_requests.rs
+++ b/crates/woodladder-lab/src/simulation/agent_requests.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
-use woodladder_core::request::{
+use woodladder_core::target::request::{
     Refusal, RefusalReason, RequestAction, RequestCounts, RequestEvent, RequestId, RequestOptions,
     RequestTable,
 };
--- a/crates/woodladder-lab/src/simulation/balancer.rs
+++ b/crates/woodladder-lab/src/simulation/balancer.rs
@@ -3,16 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use woodladder_core::carrier;
 use woodladder_core::clock::Instant;
-use woodladder_core::directory::Directory;
-use woodladder_core::envelope::{Envelope, Route};
-use woodladder_core::hop_list::{choose_one, flow_hash};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::membership::Role;
-use woodladder_core::replica::Event;
-use woodladder_core::router::{DEFAULT_HOPS, Forward, Inbound, Router};
-use woodladder_core::token::{TOKEN_LENGTH, TokenKeys};
+use woodladder_core::control::membership::Role;
+use woodladder_core::control::replica::Event;
+use woodladder_core::packets::carrier;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::envelope::{Envelope, Route};
+use woodladder_core::packets::hop_list::{choose_one, flow_hash};
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::{DEFAULT_HOPS, Forward, Inbound, Router};
+use woodladder_core::packets::token::{TOKEN_LENGTH, TokenKeys};
 
 use super::frame::Payload;
 use super::mutation::Mutation;
--- a/crates/woodladder-lab/src/simulation/caller/mod.rs
+++ b/crates/woodladder-lab/src/simulation/caller/mod.rs
@@ -9,7 +9,7 @@
 
 use woodladder_core::clock::Instant;
 use woodladder_core::identifier::{ServiceId, TargetId};
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::token::TOKEN_LENGTH;
 
 use crate::simulation::channel::Channel;
 use crate::simulation::frame::{
--- a/crates/woodladder-lab/src/simulation/deployment.rs
+++ b/crates/woodladder-lab/src/simulation/deployment.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use woodladder_core::bundle::{Bundle, Service, Target, TargetState, Zone};
+use woodladder_core::configuration::bundle::{Bundle, Service, Target, TargetState, Zone};
 use woodladder_core::identifier::{ServiceId, TargetId};
 
 use super::topology::{Machine, Site, service_address};
--- a/crates/woodladder-lab/src/simulation/fault.rs
+++ b/crates/woodladder-lab/src/simulation/fault.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use woodladder_core::bundle::Bundle;
+use woodladder_core::configuration::bundle::Bundle;
 use woodladder_core::identifier::{ServiceId, TargetId};
 
 use super::back_end::BackEndFaults;
--- a/crates/woodladder-lab/src/simulation/forgery.rs
+++ b/crates/woodladder-lab/src/simulation/forgery.rs
@@ -2,18 +2,18 @@
 
 use std::net::SocketAddr;
 
-use woodladder_core::bundle::SignedBundle;
-use woodladder_core::control_message::{
+use woodladder_core::configuration::bundle::SignedBundle;
+use woodladder_core::configuration::roll_record::{RollNonce, RollRecord, RollStatement};
+use woodladder_core::configuration::snapshot::{DEFAULT_LINGER, Snapshot};
+use woodladder_core::configuration::snapshot_delta::SnapshotDelta;
+use woodladder_core::control::control_message::{
     ControlMessage, FRAME_VERSION, MAXIMUM_DATAGRAM, Offer, OfferedDelta,
 };
-use woodladder_core::envelope::{Envelope, Route};
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::roll_record::{RollNonce, RollRecord, RollStatement};
+use woodladder_core::packets::envelope::{Envelope, Route};
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::{TokenKey, TokenKeys};
 use woodladder_core::signature::OperatorKey;
-use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
-use woodladder_core::snapshot_delta::SnapshotDelta;
-use woodladder_core::token::{TokenKey, TokenKeys};
 
 use super::deployment::Deployment;
 use super::frame::{Content, FrameDatagram, Payload};
--- a/crates/woodladder-lab/src/simulation/frame.rs
+++ b/crates/woodladder-lab/src/simulation/frame.rs
@@ -5,9 +5,9 @@
 //! acknowledged and sent again until they arrive.
 
 use borsh::{BorshDeserialize, BorshSerialize};
-use woodladder_core::carrier::MINIMUM_FIRST_DATAGRAM;
 use woodladder_core::identifier::ServiceId;
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::carrier::MINIMUM_FIRST_DATAGRAM;
+use woodladder_core::packets::token::TOKEN_LENGTH;
 
 /// Length of the identifier that a caller draws for a new flow.
 pub const FIRST_IDENTIFIER_LENGTH: usize = 12;
--- a/crates/woodladder-lab/src/simulation/log.rs
+++ b/crates/woodladder-lab/src/simulation/log.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
+use woodladder_core::configuration::roll_record::RollNonce;
 use woodladder_core::digest::Digest;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
-use woodladder_core::roll_record::RollNonce;
 
 use super::seen::Seen;
 use super::topology::Machine;
--- a/crates/woodladder-lab/src/simulation/machine_list.rs
+++ b/crates/woodladder-lab/src/simulation/machine_list.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 
 use woodladder_core::clock::Instant;
-use woodladder_core::membership::{ListedMachine, ListedStanding};
+use woodladder_core::control::membership::{ListedMachine, ListedStanding};
 
 use super::fault::ListFaults;
 use super::topology::Machine;
--- a/crates/woodladder-lab/src/simulation/node.rs
+++ b/crates/woodladder-lab/src/simulation/node.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use woodladder_core::availability::{RunNumber, ServedTarget};
 use woodladder_core::clock::Instant;
-use woodladder_core::control_message::ControlMessage;
-use woodladder_core::directory::Directory;
+use woodladder_core::control::availability::{RunNumber, ServedTarget};
+use woodladder_core::control::control_message::ControlMessage;
+use woodladder_core::control::membership::{Locality, Role};
+use woodladder_core::control::replica::{
+    Action, Event, Installed, Replica, ReplicaSettings, ReplicaTuning,
+};
 use woodladder_core::identifier::{NodeId, Sequence, TargetId};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::membership::{Locality, Role};
-use woodladder_core::replica::{Action, Event, Installed, Replica, ReplicaSettings, ReplicaTuning};
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
 
 use super::log::{Entry, Log, ProcessRun};
 use super::mutation::Mutation;
--- a/crates/woodladder-lab/src/simulation/operator.rs
+++ b/crates/woodladder-lab/src/simulation/operator.rs
@@ -2,14 +2,16 @@
 
 use std::net::SocketAddr;
 
-use woodladder_core::bundle::{Bundle, SignedBundle};
 use woodladder_core::clock::Instant;
-use woodladder_core::control_message::ControlMessage;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::roll_command::{RollAction, RollCommand, RollError, RollEvent, RollRequest};
-use woodladder_core::roll_record::RollNonce;
+use woodladder_core::configuration::bundle::{Bundle, SignedBundle};
+use woodladder_core::configuration::roll_record::RollNonce;
+use woodladder_core::control::control_message::ControlMessage;
+use woodladder_core::control::roll_command::{
+    RollAction, RollCommand, RollError, RollEvent, RollRequest,
+};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+use woodladder_core::packets::keyed_tag::TagKey;
 use woodladder_core::signature::TrustedKeys;
-use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
 
 use super::log::{Entry, Log, RollVerdict};
 use super::mutation::Mutation;
--- a/crates/woodladder-lab/src/simulation/output.rs
+++ b/crates/woodladder-lab/src/simulation/output.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use woodladder_core::store_operation::{StoreOperation, StoreRequestId};
+use woodladder_core::control::store_operation::{StoreOperation, StoreRequestId};
 
 use super::back_end::{ConnectionId, Schedule};
 use super::frame::Payload;
--- a/crates/woodladder-lab/src/simulation/scenario/balancers.rs
+++ b/crates/woodladder-lab/src/simulation/scenario/balancers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use woodladder_core::bundle::Bundle;
+use woodladder_core::configuration::bundle::Bundle;
 
 use super::{CALLERS_START, Draft, FAULTS_START};
 use crate::simulation::deployment::{
--- a/crates/woodladder-lab/src/simulation/secrets.rs
+++ b/crates/woodladder-lab/src/simulation/secrets.rs
@@ -2,9 +2,9 @@
 
 use super::forgery::forger_key;
 use super::mutation::Mutation;
-use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::{TokenKey, TokenKeys};
 use woodladder_core::signature::{OperatorKey, TrustedKeys};
-use woodladder_core::token::{TokenKey, TokenKeys};
 
 /// Operators of a world.
 pub const OPERATORS: u8 = 2;
--- a/crates/woodladder-lab/src/simulation/seen.rs
+++ b/crates/woodladder-lab/src/simulation/seen.rs
@@ -1,9 +1,9 @@
 //! Situations that a run came into, counted so that a scenario which never
 //! brings its fault about is found out.
 
-use woodladder_core::admission::AdmissionDrop;
-use woodladder_core::request::{RefusalReason, UnknownReason};
-use woodladder_core::router::DropReason;
+use woodladder_core::packets::router::DropReason;
+use woodladder_core::target::admission::AdmissionDrop;
+use woodladder_core::target::request::{RefusalReason, UnknownReason};
 
 macro_rules! situations {
     ($($(#[$documentation:meta])* $variant:ident = $name:literal,)*) => {
--- a/crates/woodladder-lab/src/simulation/store.rs
+++ b/crates/woodladder-lab/src/simulation/store.rs
@@ -6,8 +6,8 @@
 
 use borsh::BorshDeserialize as _;
 use woodladder_core::clock::Instant;
-use woodladder_core::roll_record::{RollStatement, StoredRoll};
-use woodladder_core::store_operation::{
+use woodladder_core::configuration::roll_record::{RollStatement, StoredRoll};
+use woodladder_core::control::store_operation::{
     StoreAnswer, StoreIndex, StoreKey, StoreOperation, StoreRequestId,
 };
 
--- a/crates/woodladder-lab/src/simulation/world/build.rs
+++ b/crates/woodladder-lab/src/simulation/world/build.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use woodladder_core::admission::Identity;
 use woodladder_core::clock::Instant;
+use woodladder_core::target::admission::Identity;
 
 use super::event::Event;
 use super::fabric::{CHECK_INTERVAL, Fabric};
--- a/crates/woodladder-lab/src/simulation/world/event.rs
+++ b/crates/woodladder-lab/src/simulation/world/event.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use woodladder_core::clock::Instant;
-use woodladder_core::store_operation::{StoreAnswer, StoreOperation};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreOperation};
 
 use crate::simulation::back_end::{BackEndStep, ConnectionId};
 use crate::simulation::fault::Fault;
--- a/crates/woodladder-lab/src/simulation/world/faults.rs
+++ b/crates/woodladder-lab/src/simulation/world/faults.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use woodladder_core::admission::Identity;
-use woodladder_core::bundle::Bundle;
+use woodladder_core::configuration::bundle::Bundle;
 use woodladder_core::identifier::TargetId;
+use woodladder_core::target::admission::Identity;
 
 use super::World;
 use super::event::Event;
--- a/crates/woodladder-lab/src/simulation/world/forging.rs
+++ b/crates/woodladder-lab/src/simulation/world/forging.rs
@@ -55,7 +55,10 @@
         }
     }
 
-    fn roll_at(&self, machine: Machine) -> Option<woodladder_core::snapshot::Snapshot> {
+    fn roll_at(
+        &self,
+        machine: Machine,
+    ) -> Option<woodladder_core::configuration::snapshot::Snapshot> {
         let node = match machine {
             Machine::Balancer(number) => self.balancers.get(&number)?.process.as_ref()?.node(),
             Machine::Agent(number) => self.agents.get(&number)?.host.process.as_ref()?.node(),
--- a/crates/woodladder-lab/src/simulation/world/handling.rs
+++ b/crates/woodladder-lab/src/simulation/world/handling.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use woodladder_core::clock::Instant;
-use woodladder_core::replica;
-use woodladder_core::store_operation::StoreAnswer;
+use woodladder_core::control::replica;
+use woodladder_core::control::store_operation::StoreAnswer;
 
 use super::World;
 use super::event::Event;
--- a/crates/woodladder-lab/src/simulation/world/outputs.rs
+++ b/crates/woodladder-lab/src/simulation/world/outputs.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
-use woodladder_core::store_operation::StoreAnswer;
+use woodladder_core::control::store_operation::StoreAnswer;
 
 use super::World;
 use super::event::Event;
@@ -87,7 +87,7 @@
     fn ask_store(
         &mut self,
         client: Client,
-        operation: woodladder_core::store_operation::StoreOperation,
+        operation: woodladder_core::control::store_operation::StoreOperation,
     ) {
         let from = client.machine;
         if self.is_cut_off_from_store(from) {
--- a/crates/woodladder-lab/tests/simulation_oracle.rs
+++ b/crates/woodladder-lab/tests/simulation_oracle.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use woodladder_core::clock::Instant;
+use woodladder_core::configuration::roll_record::RollNonce;
 use woodladder_core::digest::Digest;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId};
-use woodladder_core::roll_record::RollNonce;
 use woodladder_lab::simulation::log::{
     Asked, AttemptId, Entry, Log, OperationId, Outcome, ProcessRun, RollVerdict,
 };
--- a/crates/woodladder-lab/tests/stand_in_product_clients.rs
+++ b/crates/woodladder-lab/tests/stand_in_product_clients.rs
@@ -5,7 +5,9 @@
 use support::PATIENCE;
 use tokio::time::timeout;
 use woodladder::store::{ConsulStore, Store as _};
-use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
+use woodladder_core::control::store_operation::{
+    StoreAnswer, StoreIndex, StoreKey, StoreOperation,
+};
 use woodladder_lab::stand_in::machine_list::{
     Machine, MachineList, MachineListConfig, MachineRole, MachineState,
 };
--- a/crates/woodladder-lab/tests/stand_in_whole_path.rs
+++ b/crates/woodladder-lab/tests/stand_in_whole_path.rs
@@ -10,15 +10,17 @@
 use support::eventually;
 use woodladder::agent::{Agent, AgentConfig, AgentHandle, AgentKeys, Certificate, Limits};
 use woodladder::balancer::{PacketPath, PacketPathConfig};
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState, Zone};
-use woodladder_core::directory::Directory;
-use woodladder_core::drain::DrainReason;
+use woodladder_core::configuration::bundle::{
+    Bundle, Service, SignedBundle, Target, TargetState, Zone,
+};
+use woodladder_core::configuration::snapshot::Snapshot;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::router::Router;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::Router;
+use woodladder_core::packets::token::{TokenKey, TokenKeys};
 use woodladder_core::signature::OperatorKey;
-use woodladder_core::snapshot::Snapshot;
-use woodladder_core::token::{TokenKey, TokenKeys};
+use woodladder_core::target::drain::DrainReason;
 use woodladder_lab::stand_in::back_end::{BackEnd, BackEndConfig};
 use woodladder_lab::stand_in::caller::{
     Caller, CallerConfig, CallerEndpoints, EndpointsConfig, Operation, Outcome, OutcomeRecorder,
--- a/crates/woodladder-lab/tests/support/cluster.rs
+++ b/crates/woodladder-lab/tests/support/cluster.rs
@@ -10,7 +10,7 @@
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep, timeout};
 use woodladder::endpoint::NodeStatus;
-use woodladder_core::bundle_source;
+use woodladder_core::configuration::bundle_source;
 use woodladder_lab::demo::{
     Administration, BACK_END_ADMIN_PORT, Cluster, ClusterOptions, EXAMPLES, Example, FaultPath,
     FaultProxies, HTTP_PORT, Load, Machine, StopResult, Wiring, place,
--- a/crates/woodladder/src/agent/acceptor.rs
+++ b/crates/woodladder/src/agent/acceptor.rs
@@ -4,7 +4,7 @@
 
 use quinn::{Endpoint, Incoming};
 use slog::debug;
-use woodladder_core::hop_list::flow_hash;
+use woodladder_core::packets::hop_list::flow_hash;
 
 use super::connection::{self, Flow};
 use super::counters::GaugeGuard;
--- a/crates/woodladder/src/agent/config.rs
+++ b/crates/woodladder/src/agent/config.rs
@@ -6,12 +6,12 @@
 
 use arc_swap::ArcSwap;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use woodladder_core::directory::Directory;
-use woodladder_core::drain::DEFAULT_GRACE;
 use woodladder_core::identifier::{ServiceId, TargetId};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::slow_start::SlowStartOptions;
-use woodladder_core::token::TokenKeys;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::TokenKeys;
+use woodladder_core::target::drain::DEFAULT_GRACE;
+use woodladder_core::target::slow_start::SlowStartOptions;
 
 /// All that an agent needs to run beside one back end.
 pub struct AgentConfig {
--- a/crates/woodladder/src/agent/control.rs
+++ b/crates/woodladder/src/agent/control.rs
@@ -7,16 +7,20 @@
 use arc_swap::ArcSwap;
 use slog::{Logger, info};
 use tokio::sync::watch;
-use woodladder_core::admission::{Admission, AdmissionOptions, Conditions, Decision, Identity};
-use woodladder_core::bundle::TargetState;
-use woodladder_core::carrier::Packet;
 use woodladder_core::clock::Instant;
-use woodladder_core::directory::{Directory, Standing};
-use woodladder_core::drain::{Activity, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason};
-use woodladder_core::envelope::Envelope;
-use woodladder_core::load::Usage;
-use woodladder_core::request::RequestEvent;
-use woodladder_core::token::TokenKeys;
+use woodladder_core::configuration::bundle::TargetState;
+use woodladder_core::packets::carrier::Packet;
+use woodladder_core::packets::directory::{Directory, Standing};
+use woodladder_core::packets::envelope::Envelope;
+use woodladder_core::packets::token::TokenKeys;
+use woodladder_core::target::admission::{
+    Admission, AdmissionOptions, Conditions, Decision, Identity,
+};
+use woodladder_core::target::drain::{
+    Activity, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason,
+};
+use woodladder_core::target::load::Usage;
+use woodladder_core::target::request::RequestEvent;
 
 use super::clock::Clock;
 use super::counters::Counters;
--- a/crates/woodladder/src/agent/counters.rs
+++ b/crates/woodladder/src/agent/counters.rs
@@ -2,8 +2,8 @@
 
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
-use woodladder_core::drain::DrainPhase;
 use woodladder_core::identifier::Sequence;
+use woodladder_core::target::drain::DrainPhase;
 
 /// Why an agent drops a datagram.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/crates/woodladder/src/agent/gate.rs
+++ b/crates/woodladder/src/agent/gate.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use woodladder_core::admission::{AdmissionDrop, Decision, SequenceHint, Verdict};
-use woodladder_core::carrier;
-use woodladder_core::envelope::Envelope;
 use woodladder_core::identifier::Sequence;
-use woodladder_core::router::Forward;
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::carrier;
+use woodladder_core::packets::envelope::Envelope;
+use woodladder_core::packets::router::Forward;
+use woodladder_core::packets::token::TOKEN_LENGTH;
+use woodladder_core::target::admission::{AdmissionDrop, Decision, SequenceHint, Verdict};
 
 use super::address_book::AddressBook;
 use super::control::Control;
--- a/crates/woodladder/src/agent/handle.rs
+++ b/crates/woodladder/src/agent/handle.rs
@@ -13,10 +13,10 @@
 use tokio::net::UdpSocket;
 use tokio::time::{MissedTickBehavior, interval, timeout};
 use volo_http::error::ClientError;
-use woodladder_core::admission::{AdmissionOptions, Identity};
-use woodladder_core::drain::{Drain, DrainEvent, DrainReason};
-use woodladder_core::request::RequestOptions;
-use woodladder_core::slow_start::SlowStart;
+use woodladder_core::target::admission::{AdmissionOptions, Identity};
+use woodladder_core::target::drain::{Drain, DrainEvent, DrainReason};
+use woodladder_core::target::request::RequestOptions;
+use woodladder_core::target::slow_start::SlowStart;
 
 use super::acceptor;
 use super::back_end::BackEnd;
--- a/crates/woodladder/src/agent/outcome.rs
+++ b/crates/woodladder/src/agent/outcome.rs
@@ -4,7 +4,7 @@
 
 use http::header::{CACHE_CONTROL, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
-use woodladder_core::request::{RefusalReason, UnknownReason};
+use woodladder_core::target::request::{RefusalReason, UnknownReason};
 
 use super::headers::{OUTCOME, REASON, REPEATABLE};
 
--- a/crates/woodladder/src/agent/permitted_body.rs
+++ b/crates/woodladder/src/agent/permitted_body.rs
@@ -15,7 +15,7 @@
 use http_body::{Frame, SizeHint};
 use volo_http::body::Body;
 use volo_http::error::BoxError;
-use woodladder_core::request::RequestId;
+use woodladder_core::target::request::RequestId;
 
 use super::request_desk::RequestDesk;
 
--- a/crates/woodladder/src/agent/quic.rs
+++ b/crates/woodladder/src/agent/quic.rs
@@ -12,8 +12,8 @@
 use rand::Rng as _;
 use ring::hmac;
 use woodladder_core::identifier::TargetId;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH, TokenKeys};
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::{TOKEN_LENGTH, TOKEN_NONCE_LENGTH, TokenKeys};
 
 use super::config::{Certificate, Limits};
 use super::socket::MAXIMUM_DATAGRAM;
--- a/crates/woodladder/src/agent/request.rs
+++ b/crates/woodladder/src/agent/request.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 use volo_http::body::Body;
 use woodladder_core::clock::Instant;
-use woodladder_core::request::{RefusalReason, RequestAction, RequestEvent, UnknownReason};
+use woodladder_core::target::request::{RefusalReason, RequestAction, RequestEvent, UnknownReason};
 
 use super::back_end::BackEndError;
 use super::counters::{GaugeGuard, RequestEnd};
--- a/crates/woodladder/src/agent/request_desk.rs
+++ b/crates/woodladder/src/agent/request_desk.rs
@@ -13,10 +13,10 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep;
 use woodladder_core::clock::Instant;
-use woodladder_core::request::{
+use woodladder_core::target::request::{
     RequestAction, RequestCounts, RequestEvent, RequestId, RequestOptions, RequestTable, SendPermit,
 };
-use woodladder_core::slow_start::{EffectiveSlots, SlowStart};
+use woodladder_core::target::slow_start::{EffectiveSlots, SlowStart};
 
 use super::clock::Clock;
 
--- a/crates/woodladder/src/agent/socket.rs
+++ b/crates/woodladder/src/agent/socket.rs
@@ -15,9 +15,9 @@
 use quinn::{AsyncUdpSocket, UdpPoller};
 use tokio::io::ReadBuf;
 use tokio::net::UdpSocket;
-use woodladder_core::envelope::Envelope;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::router::Forward;
+use woodladder_core::packets::envelope::Envelope;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::Forward;
 
 use super::counters::{Counters, DatagramDrop};
 use super::egress::{self, Egress};
--- a/crates/woodladder/src/balancer/counters.rs
+++ b/crates/woodladder/src/balancer/counters.rs
@@ -3,7 +3,7 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use woodladder_core::router::DropReason;
+use woodladder_core::packets::router::DropReason;
 
 use super::proxy_header::ProxyHeaderError;
 
--- a/crates/woodladder/src/balancer/packet_path.rs
+++ b/crates/woodladder/src/balancer/packet_path.rs
@@ -7,8 +7,8 @@
 
 use arc_swap::ArcSwapOption;
 use slog::Logger;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::router::Router;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::Router;
 
 use super::counters::{PacketCounts, WorkerCounters};
 use super::socket;
--- a/crates/woodladder/src/balancer/proxy_header.rs
+++ b/crates/woodladder/src/balancer/proxy_header.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use ppp::v2::{Addresses, Command, Header, Protocol};
-use woodladder_core::router::Inbound;
+use woodladder_core::packets::router::Inbound;
 
 /// Why a datagram's header is not accepted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/woodladder/src/balancer/worker.rs
+++ b/crates/woodladder/src/balancer/worker.rs
@@ -7,9 +7,9 @@
 use arc_swap::ArcSwapOption;
 use slog::{Logger, error};
 use tokio::net::UdpSocket;
-use woodladder_core::envelope::MAXIMUM_OVERHEAD;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::router::Router;
+use woodladder_core::packets::envelope::MAXIMUM_OVERHEAD;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::Router;
 
 use super::counters::{PacketDrop, WorkerCounters};
 use super::proxy_header;
--- a/crates/woodladder/src/command/bundle.rs
+++ b/crates/woodladder/src/command/bundle.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use clap::Subcommand;
-use woodladder_core::bundle::{Bundle, SignedBundle};
-use woodladder_core::bundle_source::{EXAMPLE, render};
+use woodladder_core::configuration::bundle::{Bundle, SignedBundle};
+use woodladder_core::configuration::bundle_source::{EXAMPLE, render};
 use woodladder_core::finding::Findings;
 use woodladder_core::signature::{PublicKey, TrustedKeys};
 
--- a/crates/woodladder/src/command/bundle_difference.rs
+++ b/crates/woodladder/src/command/bundle_difference.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use serde::Serialize;
-use woodladder_core::bundle::{Bundle, Service, Target, TargetState};
+use woodladder_core::configuration::bundle::{Bundle, Service, Target, TargetState};
 
 /// How something differs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
--- a/crates/woodladder/src/command/bundle_file.rs
+++ b/crates/woodladder/src/command/bundle_file.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 
 use borsh::BorshDeserialize as _;
-use woodladder_core::bundle::{Bundle, SignedBundle};
-use woodladder_core::bundle_source;
+use woodladder_core::configuration::bundle::{Bundle, SignedBundle};
+use woodladder_core::configuration::bundle_source;
 use woodladder_core::finding::{Finding, Findings, Place};
 
 use super::failure::Failure;
--- a/crates/woodladder/src/command/roll.rs
+++ b/crates/woodladder/src/command/roll.rs
@@ -9,9 +9,9 @@
 use rand_chacha::rand_core::SeedableRng as _;
 use slog::Logger;
 use tokio::sync::mpsc;
-use woodladder_core::bundle::SignedBundle;
-use woodladder_core::roll_command::{RollAction, RollCommand, RollEvent, RollRequest};
-use woodladder_core::store_operation::{StoreOperation, StoreRequestId};
+use woodladder_core::configuration::bundle::SignedBundle;
+use woodladder_core::control::roll_command::{RollAction, RollCommand, RollEvent, RollRequest};
+use woodladder_core::control::store_operation::{StoreOperation, StoreRequestId};
 
 use super::bundle_file::{BundleFile, load, refused};
 use super::failure::Failure;
--- a/crates/woodladder/src/command/roll_report.rs
+++ b/crates/woodladder/src/command/roll_report.rs
@@ -1,7 +1,7 @@
 //! What `woodladder roll` prints, and how it ends.
 
 use serde::Serialize;
-use woodladder_core::roll_command::{RollError, RollOutcome, RollProgress, RollSummary};
+use woodladder_core::control::roll_command::{RollError, RollOutcome, RollProgress, RollSummary};
 
 use super::failure::Failure;
 use super::output::print_json;
--- a/crates/woodladder/src/command/status.rs
+++ b/crates/woodladder/src/command/status.rs
@@ -7,8 +7,10 @@
 use clap::Args;
 use slog::Logger;
 use tokio::time::{Instant, interval, timeout_at};
-use woodladder_core::control_message::{ControlMessage, ProbeNumber, StatusReply, StatusRequest};
-use woodladder_core::store_operation::{StoreAnswer, StoreKey, StoreOperation};
+use woodladder_core::control::control_message::{
+    ControlMessage, ProbeNumber, StatusReply, StatusRequest,
+};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreKey, StoreOperation};
 
 use super::failure::Failure;
 use super::output::print_json;
--- a/crates/woodladder/src/command/status_report.rs
+++ b/crates/woodladder/src/command/status_report.rs
@@ -4,10 +4,10 @@
 
 use borsh::BorshDeserialize as _;
 use serde::Serialize;
-use woodladder_core::control_message::StatusReply;
-use woodladder_core::membership::Role;
-use woodladder_core::roll_command::RollSummary;
-use woodladder_core::roll_record::StoredRoll;
+use woodladder_core::configuration::roll_record::StoredRoll;
+use woodladder_core::control::control_message::StatusReply;
+use woodladder_core::control::membership::Role;
+use woodladder_core::control::roll_command::RollSummary;
 use woodladder_core::signature::TrustedKeys;
 
 use super::failure::Failure;
--- a/crates/woodladder/src/control/driver.rs
+++ b/crates/woodladder/src/control/driver.rs
@@ -6,11 +6,11 @@
 use rand_chacha::rand_core::SeedableRng as _;
 use slog::{Logger, debug, info};
 use tokio::sync::{mpsc, oneshot};
-use woodladder_core::directory::Directory;
+use woodladder_core::control::membership::ListedMachine;
+use woodladder_core::control::replica::{Action, Event, Installed, Replica, ReplicaSettings};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
 use woodladder_core::identifier::{NodeId, Sequence};
-use woodladder_core::membership::ListedMachine;
-use woodladder_core::replica::{Action, Event, Installed, Replica, ReplicaSettings};
-use woodladder_core::store_operation::{StoreAnswer, StoreOperation, StoreRequestId};
+use woodladder_core::packets::directory::Directory;
 
 use super::clock::ProcessClock;
 use super::socket::{ControlSocket, Received};
--- a/crates/woodladder/src/control/machines.rs
+++ b/crates/woodladder/src/control/machines.rs
@@ -5,7 +5,7 @@
 
 use slog::{Logger, debug};
 use tokio::sync::{mpsc, watch};
-use woodladder_core::membership::{ListedMachine, ListedStanding};
+use woodladder_core::control::membership::{ListedMachine, ListedStanding};
 
 use super::driver::Input;
 use crate::store::{Machine, MachineList, MachineState};
--- a/crates/woodladder/src/control/mod.rs
+++ b/crates/woodladder/src/control/mod.rs
@@ -13,13 +13,13 @@
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use woodladder_core::availability::ServedTarget;
+use woodladder_core::control::availability::ServedTarget;
+use woodladder_core::control::membership::{Locality, MemberCounts, Role};
+use woodladder_core::control::replica::{ReplicaCounters, ReplicaSettings, ReplicaTuning};
 use woodladder_core::digest::Digest;
-use woodladder_core::directory::Directory;
 use woodladder_core::identifier::{NodeId, Sequence};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::membership::{Locality, MemberCounts, Role};
-use woodladder_core::replica::{ReplicaCounters, ReplicaSettings, ReplicaTuning};
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
 
 use crate::process::StartError;
 use crate::settings::NodeSettings;
--- a/crates/woodladder/src/control/socket.rs
+++ b/crates/woodladder/src/control/socket.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use tokio::net::UdpSocket;
-use woodladder_core::control_message::{ControlMessage, FrameError, MAXIMUM_DATAGRAM};
-use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::control::control_message::{ControlMessage, FrameError, MAXIMUM_DATAGRAM};
+use woodladder_core::packets::keyed_tag::TagKey;
 
 /// One byte more than allowed, so that longer datagrams are noticed.
 const BUFFER_LENGTH: usize = MAXIMUM_DATAGRAM + 1;
--- a/crates/woodladder/src/daemon/agent.rs
+++ b/crates/woodladder/src/daemon/agent.rs
@@ -9,10 +9,10 @@
 use slog::{Logger, info, warn};
 use socket2::SockRef;
 use tokio::time::{interval, sleep_until, timeout};
-use woodladder_core::availability::{RunNumber, ServedTarget};
-use woodladder_core::directory::Directory;
-use woodladder_core::drain::{DrainPhase, DrainReason};
-use woodladder_core::membership;
+use woodladder_core::control::availability::{RunNumber, ServedTarget};
+use woodladder_core::control::membership;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::target::drain::{DrainPhase, DrainReason};
 
 use super::status::StatusSource;
 use crate::agent::{Agent, AgentConfig, AgentHandle, AgentKeys, AgentStatus};
--- a/crates/woodladder/src/daemon/balancer.rs
+++ b/crates/woodladder/src/daemon/balancer.rs
@@ -7,8 +7,8 @@
 use async_trait::async_trait;
 use slog::{Logger, info, warn};
 use tokio::time::sleep;
-use woodladder_core::membership;
-use woodladder_core::router::Router;
+use woodladder_core::control::membership;
+use woodladder_core::packets::router::Router;
 
 use super::status::StatusSource;
 use crate::balancer::{PacketCounts, PacketDrop, PacketPath, PacketPathConfig};
--- a/crates/woodladder/src/daemon/status.rs
+++ b/crates/woodladder/src/daemon/status.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use woodladder_core::replica::ReplicaCounters;
+use woodladder_core::control::replica::ReplicaCounters;
 
 use crate::control::{Control, ControlStatus};
 use crate::endpoint::{Figures, Listening, NodeStatus, NotReady, Peers, Role};
--- a/crates/woodladder/src/settings/agent.rs
+++ b/crates/woodladder/src/settings/agent.rs
@@ -4,10 +4,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use woodladder_core::drain::MAXIMUM_GRACE;
+use woodladder_core::configuration::snapshot::DEFAULT_LINGER;
 use woodladder_core::finding::Findings;
 use woodladder_core::identifier::{ServiceId, TargetId};
-use woodladder_core::snapshot::DEFAULT_LINGER;
+use woodladder_core::target::drain::MAXIMUM_GRACE;
 
 use super::layer::Layers;
 use super::node::NodeSettings;
--- a/crates/woodladder/src/settings/balancer.rs
+++ b/crates/woodladder/src/settings/balancer.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use woodladder_core::finding::Findings;
-use woodladder_core::hop_list::MAXIMUM_HOPS;
-use woodladder_core::router::DEFAULT_HOPS;
+use woodladder_core::packets::hop_list::MAXIMUM_HOPS;
+use woodladder_core::packets::router::DEFAULT_HOPS;
 
 use super::layer::Layers;
 use super::node::NodeSettings;
--- a/crates/woodladder/src/settings/node.rs
+++ b/crates/woodladder/src/settings/node.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
-use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::{TokenKey, TokenKeys};
 use woodladder_core::signature::TrustedKeys;
-use woodladder_core::token::{TokenKey, TokenKeys};
 
 use super::reader::Reader;
 use super::value;
--- a/crates/woodladder/src/settings/operator.rs
+++ b/crates/woodladder/src/settings/operator.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use woodladder_core::finding::Findings;
-use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::packets::keyed_tag::TagKey;
 use woodladder_core::signature::TrustedKeys;
 
 use super::layer::Layers;
--- a/crates/woodladder/src/settings/value.rs
+++ b/crates/woodladder/src/settings/value.rs
@@ -5,9 +5,9 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use woodladder_core::keyed_tag::{TAG_KEY_LENGTH, TagKey};
+use woodladder_core::packets::keyed_tag::{TAG_KEY_LENGTH, TagKey};
+use woodladder_core::packets::token::{MAXIMUM_KEY_NUMBER, TokenKey};
 use woodladder_core::signature::{KEY_LENGTH, PublicKey};
-use woodladder_core::token::{MAXIMUM_KEY_NUMBER, TokenKey};
 
 use crate::log::{LogFormat, LogLevel};
 
--- a/crates/woodladder/src/store/consul.rs
+++ b/crates/woodladder/src/store/consul.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 use slog::{Logger, debug};
 use volo_http::client::Client;
-use woodladder_core::store_operation::{
+use woodladder_core::control::store_operation::{
     MAXIMUM_STORED_VALUE, StoreAnswer, StoreIndex, StoreKey, StoreOperation,
 };
 
--- a/crates/woodladder/src/store/http.rs
+++ b/crates/woodladder/src/store/http.rs
@@ -11,7 +11,7 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::error::client::{ClientError, ErrorKind};
-use woodladder_core::store_operation::MAXIMUM_STORED_VALUE;
+use woodladder_core::control::store_operation::MAXIMUM_STORED_VALUE;
 
 use super::ServiceError;
 
--- a/crates/woodladder/src/store/mod.rs
+++ b/crates/woodladder/src/store/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use woodladder_core::store_operation::{StoreAnswer, StoreOperation};
+use woodladder_core::control::store_operation::{StoreAnswer, StoreOperation};
 
 pub use consul::ConsulStore;
 pub use machine_list::{Machine, MachineList, MachineRole, MachineState};
--- a/crates/woodladder/tests/agent_flows.rs
+++ b/crates/woodladder/tests/agent_flows.rs
@@ -9,9 +9,9 @@
 use agent_support::{World, eventually, within};
 use http::StatusCode;
 use woodladder::agent::{Agent, DatagramDrop, Limits, OUTCOME};
-use woodladder_core::drain::{DrainPhase, DrainReason};
-use woodladder_core::envelope::Route;
 use woodladder_core::identifier::{ServiceId, TargetId};
+use woodladder_core::packets::envelope::Route;
+use woodladder_core::target::drain::{DrainPhase, DrainReason};
 
 #[tokio::test]
 async fn envelope_for_another_target_is_dropped() {
--- a/crates/woodladder/tests/agent_support/fabric.rs
+++ b/crates/woodladder/tests/agent_support/fabric.rs
@@ -8,9 +8,9 @@
 use ppp::v2::{Addresses, Header};
 use tokio::net::UdpSocket;
 use woodladder::agent::AgentKeys;
-use woodladder_core::directory::Directory;
-use woodladder_core::envelope::Envelope;
-use woodladder_core::router::{Inbound, Router};
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::envelope::Envelope;
+use woodladder_core::packets::router::{Inbound, Router};
 
 use super::ANY_PORT;
 
--- a/crates/woodladder/tests/agent_support/mod.rs
+++ b/crates/woodladder/tests/agent_support/mod.rs
@@ -13,13 +13,15 @@
 
 use arc_swap::ArcSwap;
 use woodladder::agent::{Agent, AgentConfig, AgentHandle, AgentKeys, Certificate, Limits};
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState, Zone};
-use woodladder_core::directory::Directory;
+use woodladder_core::configuration::bundle::{
+    Bundle, Service, SignedBundle, Target, TargetState, Zone,
+};
+use woodladder_core::configuration::snapshot::Snapshot;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
-use woodladder_core::keyed_tag::TagKey;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::{TokenKey, TokenKeys};
 use woodladder_core::signature::OperatorKey;
-use woodladder_core::snapshot::Snapshot;
-use woodladder_core::token::{TokenKey, TokenKeys};
 
 use back_end::BackEnd;
 use caller::Caller;
--- a/crates/woodladder/tests/balancer.rs
+++ b/crates/woodladder/tests/balancer.rs
@@ -7,15 +7,17 @@
 use arc_swap::ArcSwapOption;
 use ppp::v2::{Builder, Command, Protocol, Version};
 use woodladder::balancer::{PacketDrop, PacketPath, PacketPathConfig};
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState, Zone};
-use woodladder_core::directory::Directory;
-use woodladder_core::envelope::{Envelope, Route};
+use woodladder_core::configuration::bundle::{
+    Bundle, Service, SignedBundle, Target, TargetState, Zone,
+};
+use woodladder_core::configuration::snapshot::Snapshot;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::router::Router;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::envelope::{Envelope, Route};
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::Router;
+use woodladder_core::packets::token::{TOKEN_NONCE_LENGTH, TokenKey, TokenKeys};
 use woodladder_core::signature::OperatorKey;
-use woodladder_core::snapshot::Snapshot;
-use woodladder_core::token::{TOKEN_NONCE_LENGTH, TokenKey, TokenKeys};
 
 const PATIENCE: Duration = Duration::from_secs(20);
 const ENVELOPE_SECRET: [u8; 16] = [7; 16];
--- a/crates/woodladder/tests/control.rs
+++ b/crates/woodladder/tests/control.rs
@@ -9,18 +9,20 @@
 use tokio::time::{sleep, timeout};
 use woodladder::control::{Control, ControlConfig, ControlStatus};
 use woodladder::store::Store;
-use woodladder_core::availability::{RunNumber, ServedTarget};
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Zone};
-use woodladder_core::identifier::{NodeId, Sequence, ServiceId, TargetId};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::membership::{Locality, Role};
-use woodladder_core::replica::{ReplicaSettings, ReplicaTuning};
-use woodladder_core::roll_record::{
+use woodladder_core::configuration::bundle::{Bundle, Service, SignedBundle, Zone};
+use woodladder_core::configuration::roll_record::{
     NONCE_LENGTH, RollNonce, RollRecord, RollStatement, StoredRoll,
 };
+use woodladder_core::configuration::snapshot::{DEFAULT_LINGER, Snapshot};
+use woodladder_core::control::availability::{RunNumber, ServedTarget};
+use woodladder_core::control::membership::{Locality, Role};
+use woodladder_core::control::replica::{ReplicaSettings, ReplicaTuning};
+use woodladder_core::control::store_operation::{
+    StoreAnswer, StoreIndex, StoreKey, StoreOperation,
+};
+use woodladder_core::identifier::{NodeId, Sequence, ServiceId, TargetId};
+use woodladder_core::packets::keyed_tag::TagKey;
 use woodladder_core::signature::{OperatorKey, TrustedKeys};
-use woodladder_core::snapshot::{DEFAULT_LINGER, Snapshot};
-use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 const STEP: Duration = Duration::from_millis(20);
--- a/crates/woodladder/tests/datagrams.rs
+++ b/crates/woodladder/tests/datagrams.rs
@@ -5,10 +5,10 @@
 
 use serde::Deserialize;
 use woodladder::balancer::parse;
-use woodladder_core::carrier::classify;
-use woodladder_core::envelope::Envelope;
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::token::TOKEN_LENGTH;
+use woodladder_core::packets::carrier::classify;
+use woodladder_core::packets::envelope::Envelope;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::token::TOKEN_LENGTH;
 
 /// Key that the cases' envelopes are tagged with.
 const ENVELOPE_KEY: [u8; 16] = [7; 16];
--- a/crates/woodladder/tests/steady_path.rs
+++ b/crates/woodladder/tests/steady_path.rs
@@ -8,14 +8,16 @@
 
 use ppp::v2::{Builder, Command, Protocol, Version};
 use woodladder::balancer::parse;
-use woodladder_core::bundle::{Bundle, Service, SignedBundle, Target, TargetState, Zone};
-use woodladder_core::directory::Directory;
+use woodladder_core::configuration::bundle::{
+    Bundle, Service, SignedBundle, Target, TargetState, Zone,
+};
+use woodladder_core::configuration::snapshot::Snapshot;
 use woodladder_core::identifier::{Sequence, ServiceId, TargetId, ZoneIndex};
-use woodladder_core::keyed_tag::TagKey;
-use woodladder_core::router::Router;
+use woodladder_core::packets::directory::Directory;
+use woodladder_core::packets::keyed_tag::TagKey;
+use woodladder_core::packets::router::Router;
+use woodladder_core::packets::token::{TOKEN_NONCE_LENGTH, TokenKey, TokenKeys};
 use woodladder_core::signature::OperatorKey;
-use woodladder_core::snapshot::Snapshot;
-use woodladder_core::token::{TOKEN_NONCE_LENGTH, TokenKey, TokenKeys};
 
 const PACKETS: u32 = 1000;
 const BUFFER_LENGTH: usize = 4096;
--- a/crates/woodladder/tests/store.rs
+++ b/crates/woodladder/tests/store.rs
@@ -8,7 +8,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 use woodladder::store::{ConsulStore, MachineList, MachineRole, MachineState, Store};
-use woodladder_core::store_operation::{StoreAnswer, StoreIndex, StoreKey, StoreOperation};
+use woodladder_core::control::store_operation::{
+    StoreAnswer, StoreIndex, StoreKey, StoreOperation,
+};
 
 const VALUE: &[u8] = b"roll";
 
