--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -107,7 +107,7 @@
 
     fn offer_or_wait(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         self.offer(packet, now)
-            .unwrap_or_else(|| self.wait_for_target(packet, bytes, now))
+            .unwrap_or_else(|| self.wait_for_target(packet, bytes))
     }
 
     /// Sends an opening to the best target that was not asked before and has
@@ -204,7 +204,7 @@
         let is_exhausted = tried.len() >= MAXIMUM_TRIES;
         let routing = match reason {
             ReturnReason::StaleVersion => self.reopen_under_new_version(packet, bytes, now),
-            _ if is_exhausted => self.wait_for_target(packet, bytes, now),
+            _ if is_exhausted => self.wait_for_target(packet, bytes),
             _ => self.offer_or_wait(packet, bytes, now),
         };
         self.carry_out(routing, bytes, actions);
--- a/crates/woodladder-core/src/flow/balancer/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/waiting.rs
@@ -44,12 +44,7 @@
         self.waiting.len()
     }
 
-    pub(super) fn wait_for_target(
-        &mut self,
-        packet: &FlowPacket,
-        bytes: &[u8],
-        now: Instant,
-    ) -> Routing {
+    pub(super) fn wait_for_target(&mut self, packet: &FlowPacket, bytes: &[u8]) -> Routing {
         let Some(entry) = self.flows.use_flow(&packet.key) else {
             return Routing::Drop(DropReason::Ended);
         };
@@ -69,7 +64,6 @@
             let reset = self.reset(packet.key, 0, ResetReason::NoTarget, 0);
             return Routing::Reset(reset);
         }
-        let _ = now;
         self.waiting.push(WaitingOpening {
             packet: *packet,
             bytes: bytes.to_vec(),
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use rand::random;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -33,7 +33,7 @@
 use crate::decision_log::DecisionLog;
 use crate::metrics::LatencyHistogram;
 use crate::node_clock::NodeClock;
-use crate::peer_socket::{self, MAXIMUM_DATAGRAM};
+use crate::peer_socket;
 use crate::snapshot_exchange;
 use crate::store::{self, Store};
 
@@ -131,8 +131,7 @@
         }));
         let now = self.clock.now();
         self.core.borrow_mut().listed(&self.config.seeds, now);
-        spawn_local(Rc::clone(&self).receive_from_peers());
-        spawn_local(Rc::clone(&self).receive_from_target());
+        self.start_receiving();
         spawn_local(Rc::clone(&self).tick());
         spawn_local(Rc::clone(&self).ask_for_presence());
         let node = Rc::clone(&self);
@@ -197,20 +196,17 @@
         self.core.borrow_mut().listed(seeds, self.clock.now());
     }
 
-    async fn receive_from_peers(self: Rc<Self>) {
-        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
-        loop {
-            match peer_socket::receive(&self.peers, &mut buffer).await {
-                Ok((length, from)) => self.peer_datagram(from, &buffer[..length]),
-                Err(error) => self.receive_failed("peers", &error).await,
-            }
-        }
-    }
-
-    async fn receive_failed(&self, socket: &str, error: &io::Error) {
-        warn!(self.logger, "agent: cannot receive"; "event" => "receive_failed",
-            "socket" => socket, "error" => %error);
-        sleep(TICK).await;
+    fn start_receiving(self: &Rc<Self>) {
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            let handle = |from, datagram: &mut [u8]| node.peer_datagram(from, datagram);
+            peer_socket::receive(&node.peers, "peers", &node.logger, handle).await;
+        });
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            let handle = |_, packet: &mut [u8]| node.target_packet(packet);
+            peer_socket::receive(&node.outbound, "outbound", &node.logger, handle).await;
+        });
     }
 
     fn peer_datagram(self: &Rc<Self>, from: NodeAddress, datagram: &[u8]) {
@@ -261,16 +257,6 @@
         }
     }
 
-    async fn receive_from_target(self: Rc<Self>) {
-        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
-        loop {
-            match peer_socket::receive(&self.outbound, &mut buffer).await {
-                Ok((length, _)) => self.target_packet(&mut buffer[..length]),
-                Err(error) => self.receive_failed("outbound", &error).await,
-            }
-        }
-    }
-
     fn target_packet(&self, bytes: &mut [u8]) {
         let Ok(read) = self.carrier.read_from_target(bytes) else {
             return self.refuse_packet();
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -31,7 +31,7 @@
 use crate::carrier::Carrier;
 use crate::decision_log::DecisionLog;
 use crate::node_clock::NodeClock;
-use crate::peer_socket::{self, MAXIMUM_DATAGRAM};
+use crate::peer_socket;
 use crate::snapshot_exchange;
 use crate::store::{self, Store, StoreContact};
 
@@ -121,8 +121,7 @@
         spawn_local(snapshot_exchange::serve(listener, move |request| {
             node.core.borrow().answer_snapshot(request)
         }));
-        spawn_local(Rc::clone(&self).receive_from_callers());
-        spawn_local(Rc::clone(&self).receive_from_peers());
+        self.start_receiving();
         spawn_local(Rc::clone(&self).tick());
         let registration = self.start_store_sessions(store);
         let leaving = Rc::clone(&registration.1);
@@ -200,20 +199,17 @@
         self.act(|core, now, actions| core.listed(seeds, now, actions));
     }
 
-    async fn receive_from_callers(self: Rc<Self>) {
-        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
-        loop {
-            match peer_socket::receive(&self.callers, &mut buffer).await {
-                Ok((length, _)) => self.caller_packet(&mut buffer[..length]),
-                Err(error) => self.receive_failed("callers", &error).await,
-            }
-        }
-    }
-
-    async fn receive_failed(&self, socket: &str, error: &io::Error) {
-        warn!(self.logger, "balancer: cannot receive"; "event" => "receive_failed",
-            "socket" => socket, "error" => %error);
-        sleep(TICK).await;
+    fn start_receiving(self: &Rc<Self>) {
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            let handle = |_, packet: &mut [u8]| node.caller_packet(packet);
+            peer_socket::receive(&node.callers, "callers", &node.logger, handle).await;
+        });
+        let node = Rc::clone(self);
+        spawn_local(async move {
+            let handle = |from, datagram: &mut [u8]| node.peer_datagram(from, datagram);
+            peer_socket::receive(&node.peers, "peers", &node.logger, handle).await;
+        });
     }
 
     fn caller_packet(&self, bytes: &mut [u8]) {
@@ -245,16 +241,6 @@
         peer_socket::send(&self.callers, &self.carrier.write_reset(reset), to);
     }
 
-    async fn receive_from_peers(self: Rc<Self>) {
-        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
-        loop {
-            match peer_socket::receive(&self.peers, &mut buffer).await {
-                Ok((length, from)) => self.peer_datagram(from, &buffer[..length]),
-                Err(error) => self.receive_failed("peers", &error).await,
-            }
-        }
-    }
-
     fn peer_datagram(self: &Rc<Self>, from: NodeAddress, datagram: &[u8]) {
         let Ok((message, rest)) = PeerMessage::decode(datagram) else {
             self.refused_packets.set(self.refused_packets.get() + 1);
