Bound the searches that begin between two ticks

Packets of flows that never existed were each sent to up to 24 agents; at most 1,000 searches begin in 25 ms now, the others are left to callers' copies. Test in flow_search.

--- a/crates/woodladder-core/src/flow/balancer/forwarding.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding.rs
@@ -33,6 +33,8 @@
     NoTargetYet,
     /// It cannot be known yet who holds the flow.
     HolderUnknown,
+    /// More flows are searched for than is allowed at a time.
+    TooManySearches,
     /// The flow is reset or has ended already.
     Ended,
 }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -31,6 +31,7 @@
 
 pub use forwarding::{DropReason, Routing};
 pub use readiness::NotReadyReason;
+pub use search::SEARCHES_A_TICK;
 
 /// A pause between two ticks after which the process counts as stalled.
 const STALL: Duration = Duration::from_millis(400);
@@ -171,6 +172,8 @@
     named_agents: BTreeMap<NodeAddress, Instant>,
     /// Flows that are searched for.
     searching: Vec<FlowKey>,
+    /// Searches begun since the last tick.
+    searches_begun: u32,
     /// Openings that wait for a target, the newest last.
     waiting: Vec<waiting::WaitingOpening>,
 }
@@ -201,6 +204,7 @@
             has_snapshot: false,
             named_agents: BTreeMap::new(),
             searching: Vec::new(),
+            searches_begun: 0,
             waiting: Vec::new(),
         }
     }
--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -29,6 +29,10 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(120);
 /// Flows asked for in one round of queries.
 const QUERIED_FLOWS: usize = 4096;
+/// Searches that begin between two ticks. More are left to the callers' next
+/// copies, so that packets of flows that never existed are not multiplied
+/// without a bound.
+pub const SEARCHES_A_TICK: u32 = 1000;
 /// Least time after its start in which a balancer resets no flow that is held
 /// nowhere, when another node has told it which agents there are.
 const LEAST_LISTENING: Duration = Duration::from_millis(200);
@@ -68,6 +72,10 @@
         let Some(service) = self.likely_services(packet.key).first().copied() else {
             return Routing::Drop(DropReason::HolderUnknown);
         };
+        if self.searches_begun >= SEARCHES_A_TICK {
+            return Routing::Drop(DropReason::TooManySearches);
+        }
+        self.searches_begun += 1;
         if packet.kind == PacketKind::Reset {
             // Its target may hold the flow; the caller awaits no answer.
             return self.ask_first(packet.key, &[]);
@@ -260,6 +268,7 @@
 
     /// Asks again for the flows that are searched for.
     pub(super) fn pursue_searches(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+        self.searches_begun = 0;
         let Some(holders) = self.possible_holders() else {
             self.searching.clear();
             return;
--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -5,7 +5,7 @@
 
 use flow_support::*;
 use woodladder_core::flow::agent::{AgentAction, Delivery, Presence};
-use woodladder_core::flow::balancer::BalancerAction;
+use woodladder_core::flow::balancer::{BalancerAction, SEARCHES_A_TICK};
 use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, Snapshot};
 
 /// A machine that was just added runs its agent before its target: a packet
@@ -283,3 +283,18 @@
     assert_eq!(reset_at(true), Some(200));
     assert_eq!(reset_at(false), Some(600));
 }
+
+/// Anyone can send packets of flows that never existed.
+#[test]
+fn packets_of_unknown_flows_are_not_multiplied_without_a_bound() {
+    let mut balancer = balancer(&[2, 3]);
+    let mut asked = 0;
+    for port in 1..=5000 {
+        let routing = arrive(&mut balancer, &data(flow(port), 1, 1), at(10_600));
+        asked += u32::from(!receivers(&routing).is_empty());
+    }
+    assert_eq!(asked, SEARCHES_A_TICK);
+    balancer.tick(at(10_625), &mut Vec::new());
+    let routing = arrive(&mut balancer, &data(flow(6000), 1, 1), at(10_630));
+    assert_eq!(receivers(&routing).len(), 2, "the next tick allows more");
+}
