Let small balancers stand by and hand packets to much larger ones

Busy all the time, the small ones lost agents' reports in full queues, took the silence for a loss and reset living flows. Change: greetings carry zone, processor and ability; the ready set of a zone is the one that bears most with equal shares; a balancer that hears one eight times as large relays every packet to it and holds no flows. The protocol between nodes is version 2; nodes of version 1 are not understood.

--- a/crates/woodladder-core/src/flow/balancer/forwarding.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding.rs
@@ -16,6 +16,8 @@
     },
     /// To several agents, with a header for each.
     Several(Vec<(NodeAddress, ForwardHeader)>),
+    /// To a larger balancer, which decides.
+    Relay(NodeAddress),
     /// Nowhere; the caller is told.
     Reset(CallerReset),
     /// Nowhere.
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -9,6 +9,7 @@
 };
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, PacketKind};
+use super::super::zone_members::Member;
 use super::{Acceptance, Balancer, BalancerAction, STALL, Stage};
 use crate::clock::Instant;
 
@@ -25,6 +26,8 @@
 const PEER_GREETING_INTERVAL: Duration = Duration::from_millis(250);
 /// Balancers greeted at a time.
 const GREETED_PEERS: usize = 6;
+/// Balancers of the own zone greeted at a time.
+const GREETED_MEMBERS: usize = 6;
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time that an agent which others have named has to be heard.
@@ -79,6 +82,12 @@
                 self.accepted(key, acceptance);
             }
             PeerMessage::Located { key, incarnation } => self.located(from, key, incarnation),
+            PeerMessage::Relay => {
+                if let Some((packet, bytes)) = packet {
+                    self.counters.taken_over += 1;
+                    self.relayed(packet, bytes, now, actions);
+                }
+            }
             PeerMessage::Farewell => self.agent_ended(from, actions),
             PeerMessage::Greeting(greeting) => self.greeted(from, &greeting, now, actions),
             PeerMessage::Forward(_) | PeerMessage::Locate { .. } => self.counters.dropped += 1,
@@ -144,10 +153,13 @@
             return;
         }
         if greeting.leaving {
+            self.member_greeted(from, greeting, now);
             self.peers.remove(from);
             return;
         }
-        if self.peers.heard(from, greeting.version, now) {
+        let is_new = self.peers.heard(from, greeting.version, now);
+        self.member_greeted(from, greeting, now);
+        if is_new {
             self.notes.add(Note::BalancerFound { balancer: from });
             self.greet(from, now, actions);
             self.fetch_from(from, now, actions);
@@ -165,6 +177,17 @@
         self.learn_version(from, greeting.version, now, actions);
     }
 
+    fn member_greeted(&mut self, from: NodeAddress, greeting: &BalancerGreeting, now: Instant) {
+        let member = Member {
+            capacity: greeting.capacity,
+            is_able: greeting.is_able && !greeting.leaving,
+        };
+        if greeting.zone == self.options.zone {
+            self.zone_members.heard(from, member, now);
+        }
+        self.peers.stated(from, member);
+    }
+
     pub(super) fn name_peer(
         &mut self,
         balancer: NodeAddress,
@@ -188,6 +211,9 @@
                 .unwrap_or(u32::MAX),
             leaving: self.leaving,
             hears_agents: self.hears_agents(now),
+            zone: self.options.zone,
+            capacity: self.options.capacity,
+            is_able: self.able(now).is_ok(),
             balancers: self.peers.some_from(
                 self.round() * MAXIMUM_NAMED_BALANCERS,
                 MAXIMUM_NAMED_BALANCERS,
@@ -239,6 +265,8 @@
         let mut changes = Vec::new();
         self.directory.tick(now, &mut changes);
         self.apply(changes, now, actions);
+        self.zone_members.tick(now);
+        self.choose_relay_receivers(now);
         for balancer in self.peers.tick(now) {
             self.notes.add(Note::BalancerLost { balancer });
         }
@@ -256,6 +284,7 @@
         if pause >= STALL {
             self.directory.forgive_silence(now);
             self.peers.forgive_silence(now);
+            self.zone_members.forgive_silence(now);
             self.notes.add(Note::Stalled { duration: pause });
         }
     }
@@ -283,9 +312,18 @@
             return;
         }
         self.greeted_peers_at = now;
-        let due = self
+        let mut due = self
+            .zone_members
+            .some_from(self.round() * GREETED_MEMBERS, GREETED_MEMBERS);
+        let others = self
             .peers
             .some_from(self.round() * GREETED_PEERS, GREETED_PEERS);
+        due.extend(
+            others
+                .into_iter()
+                .filter(|peer| !due.contains(peer))
+                .collect::<Vec<_>>(),
+        );
         for peer in due {
             self.greet(peer, now, actions);
         }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -11,6 +11,7 @@
 mod messages;
 mod opening;
 mod readiness;
+mod relay;
 mod search;
 mod waiting;
 
@@ -27,6 +28,7 @@
 use super::parts::PartShares;
 use super::peers::BalancerPeers;
 use super::table::FlowTable;
+use super::zone_members::ZoneMembers;
 use crate::clock::Instant;
 
 pub use forwarding::{DropReason, Routing};
@@ -43,6 +45,8 @@
     pub address: NodeAddress,
     /// Zone of the machine.
     pub zone: ZoneKey,
+    /// Processor that it may use, in thousandths of a core.
+    pub capacity: u32,
     /// Most flows in the table.
     pub flow_capacity: usize,
     /// Least time that a flow at rest stays in the table.
@@ -102,6 +106,10 @@
     pub reset_target_ended: u64,
     /// Resets because no target holds the flow.
     pub reset_held_nowhere: u64,
+    /// Packets handed to larger balancers.
+    pub relayed: u64,
+    /// Packets that smaller balancers have handed on.
+    pub taken_over: u64,
     /// Packets dropped.
     pub dropped: u64,
 }
@@ -152,6 +160,9 @@
     shares: PartShares,
     directory: Directory,
     peers: BalancerPeers,
+    zone_members: ZoneMembers,
+    /// Larger balancers that callers' packets are handed to.
+    relay_receivers: Vec<NodeAddress>,
     flows: FlowTable<FlowEntry>,
     notes: Notes,
     counters: BalancerCounters,
@@ -188,6 +199,8 @@
             shares: PartShares::default(),
             directory: Directory::default(),
             peers: BalancerPeers::default(),
+            zone_members: ZoneMembers::default(),
+            relay_receivers: Vec::new(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
             notes: Notes::default(),
             counters: BalancerCounters::default(),
@@ -354,6 +367,13 @@
     /// Decides about a packet of a caller; `bytes` are the packet as it came.
     pub fn caller_packet(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         self.counters.packets += 1;
+        match self.relay_receiver(packet.key) {
+            Some(receiver) => self.relay(receiver),
+            None => self.route(packet, bytes, now),
+        }
+    }
+
+    fn route(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         let own_address = self.options.address.ip();
         let routing = match packet.kind {
             _ if packet.key.caller.ip() == own_address => Routing::Drop(DropReason::Forged),
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -253,7 +253,7 @@
                 );
             }
             Routing::Reset(reset) => actions.push(BalancerAction::Reset(reset)),
-            Routing::Drop(_) => {}
+            Routing::Relay(_) | Routing::Drop(_) => {}
         }
     }
 }
--- a/crates/woodladder-core/src/flow/balancer/readiness.rs
+++ b/crates/woodladder-core/src/flow/balancer/readiness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::Balancer;
+use super::{Balancer, BalancerOptions};
 use crate::clock::Instant;
 
 /// Silence of all agents after which the balancer counts as cut off, when the
@@ -23,6 +23,8 @@
     NoAgent,
     /// Agents are known, and none has been heard for a while.
     CutOff,
+    /// Larger balancers of the zone bear more without it.
+    Standby,
 }
 
 impl NotReadyReason {
@@ -34,6 +36,7 @@
             Self::NoConfiguration => "no_configuration",
             Self::NoAgent => "no_agent",
             Self::CutOff => "cut_off",
+            Self::Standby => "standby",
         }
     }
 }
@@ -44,6 +47,18 @@
     /// # Errors
     /// [`NotReadyReason`] when it is not.
     pub fn ready(&self, now: Instant) -> Result<(), NotReadyReason> {
+        self.able(now)?;
+        let BalancerOptions {
+            address, capacity, ..
+        } = self.options;
+        if self.zone_members.stands_by(address, capacity, now) {
+            return Err(NotReadyReason::Standby);
+        }
+        Ok(())
+    }
+
+    /// Whether the balancer could serve, whatever the others of its zone bear.
+    pub(super) fn able(&self, now: Instant) -> Result<(), NotReadyReason> {
         if self.leaving {
             return Err(NotReadyReason::Leaving);
         }
--- /dev/null
+++ b/crates/woodladder-core/src/flow/balancer/relay.rs
@@ -0,0 +1,65 @@
+//! Relaying by a small balancer to much larger ones.
+//!
+//! Routers give every ready balancer of a zone the same share, so a machine
+//! with a fraction of the others' processor gets as many packets as they do. It
+//! cannot afford to follow targets, tables and searches: it hands each packet
+//! to a larger balancer, which decides as if the packet had come to it. The
+//! larger one is chosen by rendezvous hashing of the flow, so all small
+//! balancers hand one flow to the same place. A relaying balancer holds no
+//! flows, and so never resets one.
+
+use super::super::identity::{FlowKey, NodeAddress};
+use super::super::packet::FlowPacket;
+use super::{Balancer, BalancerAction, Routing};
+use crate::clock::Instant;
+
+/// How many times larger than the own processor another balancer's must be.
+const LARGER_BY: u32 = 8;
+
+impl Balancer {
+    /// Finds the balancers that packets are handed to: the much larger ones of
+    /// the own zone, or those of all zones when there is none. Empty when the
+    /// own balancer decides itself.
+    pub(super) fn choose_relay_receivers(&mut self, now: Instant) {
+        let least = self.options.capacity.saturating_mul(LARGER_BY);
+        let near = self.zone_members.able_from(least, now);
+        self.relay_receivers = if near.is_empty() {
+            self.peers.able_from(least, now)
+        } else {
+            near
+        };
+    }
+
+    /// The larger balancer that takes this flow; `None` when the own balancer
+    /// decides itself.
+    pub(super) fn relay_receiver(&self, key: FlowKey) -> Option<NodeAddress> {
+        self.relay_receivers
+            .iter()
+            .copied()
+            .max_by_key(|peer| key.rank(*peer))
+    }
+
+    /// Hands a packet on and forgets all flows: the larger balancers hold them.
+    pub(super) fn relay(&mut self, to: NodeAddress) -> Routing {
+        self.counters.relayed += 1;
+        if !self.flows.is_empty() {
+            self.flows.retain(|_, _| false);
+            self.searching.clear();
+            self.waiting.clear();
+        }
+        Routing::Relay(to)
+    }
+
+    /// Takes a packet that a smaller balancer has handed on. It is not handed
+    /// on again.
+    pub(super) fn relayed(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        let routing = self.route(packet, bytes, now);
+        self.carry_out(routing, bytes, actions);
+    }
+}
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -12,7 +12,7 @@
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
-pub const PROTOCOL_VERSION: u8 = 1;
+pub const PROTOCOL_VERSION: u8 = 2;
 /// Most balancers that a greeting names.
 pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
 
@@ -131,6 +131,12 @@
     pub leaving: bool,
     /// Whether it has heard an agent lately.
     pub hears_agents: bool,
+    /// Zone of its machine.
+    pub zone: ZoneKey,
+    /// Processor that it may use, in thousandths of a core.
+    pub capacity: u32,
+    /// Whether it could serve callers: it knows routes and hears agents.
+    pub is_able: bool,
     /// Other balancers that it knows.
     pub balancers: Vec<NodeAddress>,
 }
@@ -189,6 +195,9 @@
     /// Agent to balancer: the agent stops, and its target has ended with all of
     /// its flows.
     Farewell,
+    /// Small balancer to a larger one: decide about a caller's packet; the
+    /// packet follows.
+    Relay,
     /// Balancer to agents and balancers.
     Greeting(BalancerGreeting),
 }
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -20,3 +20,4 @@
 pub mod selection;
 pub mod store_session;
 pub mod table;
+pub mod zone_members;
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -4,12 +4,15 @@
 use std::time::Duration;
 
 use super::identity::NodeAddress;
+use super::zone_members::Member;
 use crate::clock::Instant;
 
 /// Silence after which a balancer that has greeted is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Time that a balancer which was only named by others has for a greeting.
 const UNCONFIRMED_FOR: Duration = Duration::from_secs(4);
+/// Silence after which a balancer of any zone no longer counts as serving.
+const SERVING_FOR: Duration = Duration::from_secs(3);
 /// Most balancers remembered.
 const MAXIMUM_BALANCERS: usize = 4096;
 
@@ -20,6 +23,8 @@
     pub heard_at: Option<Instant>,
     /// Configuration that it knew then.
     pub version: u64,
+    /// What it said of its own part in its zone.
+    pub member: Option<Member>,
     named_at: Instant,
 }
 
@@ -39,6 +44,7 @@
         let record = PeerRecord {
             heard_at: None,
             version: 0,
+            member: None,
             named_at: now,
         };
         self.records.insert(address, record);
@@ -57,6 +63,33 @@
         is_new
     }
 
+    /// Takes in what a balancer that has greeted says of its part.
+    pub fn stated(&mut self, address: NodeAddress, member: Member) {
+        if let Some(record) = self.records.get_mut(&address) {
+            record.member = Some(member);
+        }
+    }
+
+    /// Balancers that were heard lately, could serve, and have at least this
+    /// capacity.
+    #[must_use]
+    pub fn able_from(&self, least: u32, now: Instant) -> Vec<NodeAddress> {
+        let is_able = |record: &PeerRecord| {
+            let is_heard = record
+                .heard_at
+                .is_some_and(|at| now.since(at) < SERVING_FOR);
+            let is_large = record
+                .member
+                .is_some_and(|member| member.is_able && member.capacity >= least);
+            is_heard && is_large
+        };
+        self.records
+            .iter()
+            .filter(|(_, record)| is_able(record))
+            .map(|(address, _)| *address)
+            .collect()
+    }
+
     /// Forgets a balancer.
     pub fn remove(&mut self, address: NodeAddress) -> bool {
         self.records.remove(&address).is_some()
--- /dev/null
+++ b/crates/woodladder-core/src/flow/zone_members.rs
@@ -0,0 +1,141 @@
+//! The balancers of one zone, and which of them should be given packets.
+//!
+//! Routers spread a zone's packets evenly over those of its balancers that say
+//! they are ready, whatever each can bear; a zone with fewer than half of its
+//! balancers ready uses all of them. Among unequal machines an even spread
+//! overloads the small ones, so the smallest stand by: of all allowed sizes of
+//! the set of ready balancers, the one is taken whose balancers together bear
+//! most when each gets the same share. Every balancer decides this for itself
+//! from the greetings of the others.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::identity::NodeAddress;
+use crate::clock::Instant;
+
+/// Silence after which a member no longer counts as serving.
+const SILENT_AFTER: Duration = Duration::from_millis(900);
+/// Silence after which a member no longer counts as one of the zone's.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Most members that are remembered.
+const MAXIMUM_MEMBERS: usize = 256;
+
+/// What a balancer says of its own part in its zone.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Processor that it may use, in thousandths of a core.
+    pub capacity: u32,
+    /// Whether it could serve: it knows routes and agents and does not leave.
+    pub is_able: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    member: Member,
+    heard_at: Instant,
+}
+
+/// The other balancers of the own zone.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneMembers {
+    records: BTreeMap<NodeAddress, Record>,
+}
+
+impl ZoneMembers {
+    /// Takes in what a balancer of the zone says of itself.
+    pub fn heard(&mut self, address: NodeAddress, member: Member, now: Instant) {
+        if self.records.len() >= MAXIMUM_MEMBERS && !self.records.contains_key(&address) {
+            return;
+        }
+        let record = Record {
+            member,
+            heard_at: now,
+        };
+        self.records.insert(address, record);
+    }
+
+    /// Forgets members that have been silent for long.
+    pub fn tick(&mut self, now: Instant) {
+        self.records
+            .retain(|_, record| now.since(record.heard_at) < FORGET_AFTER);
+    }
+
+    /// Counts the silence of all from now on.
+    pub fn forgive_silence(&mut self, now: Instant) {
+        for record in self.records.values_mut() {
+            record.heard_at = now;
+        }
+    }
+
+    /// Members that serve and have at least this capacity.
+    #[must_use]
+    pub fn able_from(&self, least: u32, now: Instant) -> Vec<NodeAddress> {
+        self.serving(now)
+            .filter(|(capacity, _)| *capacity >= least)
+            .map(|(_, address)| address)
+            .collect()
+    }
+
+    fn serving(&self, now: Instant) -> impl Iterator<Item = (u32, NodeAddress)> + '_ {
+        self.records
+            .iter()
+            .filter(|(_, record)| record.member.is_able)
+            .filter(move |(_, record)| now.since(record.heard_at) < SILENT_AFTER)
+            .map(|(address, record)| (record.member.capacity, *address))
+    }
+
+    /// Members known besides the own balancer.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether none is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// At most `count` addresses, beginning at the one numbered `start`, so
+    /// that calls with growing starts go round all of them.
+    #[must_use]
+    pub fn some_from(&self, start: usize, count: usize) -> Vec<NodeAddress> {
+        let all: Vec<NodeAddress> = self.records.keys().copied().collect();
+        let count = count.min(all.len());
+        (start..start + count)
+            .filter_map(|index| all.get(index % all.len()).copied())
+            .collect()
+    }
+
+    /// Whether the balancer with this address and capacity should stand by,
+    /// because the zone bears more without it.
+    #[must_use]
+    pub fn stands_by(&self, address: NodeAddress, capacity: u32, now: Instant) -> bool {
+        let mut able: Vec<(u32, NodeAddress)> = self.serving(now).collect();
+        able.push((capacity, address));
+        able.sort_by_key(|(capacity, address)| (std::cmp::Reverse(*capacity), *address));
+        let capacities: Vec<u32> = able.iter().map(|(capacity, _)| *capacity).collect();
+        let size = best_size(&capacities, self.records.len() + 1);
+        let rank = able.iter().position(|(_, other)| *other == address);
+        rank.is_some_and(|rank| rank >= size)
+    }
+}
+
+/// How many of the balancers, whose capacities are given in falling order,
+/// should be ready in a zone of `members`: at least half of the members, and as
+/// many as together bear most with equal shares. Of equals the larger set.
+#[must_use]
+pub fn best_size(capacities: &[u32], members: usize) -> usize {
+    let least = members.div_ceil(2).max(1);
+    (least..=capacities.len())
+        .max_by_key(|size| borne_by(capacities, *size))
+        .unwrap_or(capacities.len())
+}
+
+/// What the first `size` balancers bear together when each gets an equal
+/// share: the smallest of them sets the limit.
+fn borne_by(capacities: &[u32], size: usize) -> u64 {
+    let smallest = capacities[size - 1];
+    u64::from(smallest) * u64::try_from(size).unwrap_or(u64::MAX)
+}
--- a/crates/woodladder-core/tests/flow_configuration.rs
+++ b/crates/woodladder-core/tests/flow_configuration.rs
@@ -6,6 +6,7 @@
 
 use flow_support::*;
 use woodladder_core::flow::balancer::{BalancerAction, NotReadyReason, Routing};
+use woodladder_core::flow::identity::ZoneKey;
 use woodladder_core::flow::message::{
     BalancerGreeting, MessageError, PeerMessage, Snapshot, SnapshotRequest,
 };
@@ -63,6 +64,9 @@
         report_interval_ms: 100,
         leaving: false,
         hears_agents: true,
+        zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
+        is_able: true,
         balancers: vec![],
     };
     let mut starting = empty_balancer();
@@ -106,6 +110,9 @@
         report_interval_ms: 100,
         leaving: false,
         hears_agents,
+        zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
+        is_able: true,
         balancers: vec![],
     })
 }
@@ -306,6 +313,9 @@
         report_interval_ms: 100,
         leaving: false,
         hears_agents: false,
+        zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
+        is_able: true,
         balancers: vec![],
     });
     send(&mut balancer, 5, nothing.clone(), at(10));
--- a/crates/woodladder-core/tests/flow_drain.rs
+++ b/crates/woodladder-core/tests/flow_drain.rs
@@ -4,7 +4,7 @@
 
 use flow_support::*;
 use woodladder_core::flow::agent::{Agent, AgentAction, Delivery, HeartbeatError};
-use woodladder_core::flow::identity::Incarnation;
+use woodladder_core::flow::identity::{Incarnation, ZoneKey};
 use woodladder_core::flow::message::{
     BalancerGreeting, ForwardPurpose, PeerMessage, ReturnReason, Snapshot, TargetState,
 };
@@ -146,6 +146,9 @@
         report_interval_ms: 100,
         leaving: false,
         hears_agents: true,
+        zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
+        is_able: true,
         balancers: vec![node(3)],
     };
     let mut actions = Vec::new();
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_small_balancers.rs
@@ -0,0 +1,204 @@
+//! Balancers of very different sizes in one zone: which are ready, and what
+//! the small ones do with packets.
+
+mod flow_support;
+
+use flow_support::*;
+use woodladder_core::flow::balancer::{
+    Balancer, BalancerAction, BalancerOptions, NotReadyReason, Routing,
+};
+use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
+use woodladder_core::flow::message::{BalancerGreeting, PeerMessage};
+use woodladder_core::flow::zone_members::{Member, ZoneMembers, best_size};
+
+const LARGE: u32 = 500;
+const SMALL: u32 = 12;
+
+fn greeting(zone: &str, capacity: u32) -> BalancerGreeting {
+    BalancerGreeting {
+        version: 1,
+        report_interval_ms: 100,
+        leaving: false,
+        hears_agents: true,
+        zone: ZoneKey::named(zone),
+        capacity,
+        is_able: true,
+        balancers: vec![],
+    }
+}
+
+/// A balancer on machine 1 that is ready but for its size.
+fn balancer_of(capacity: u32) -> Balancer {
+    let options = BalancerOptions {
+        address: node(1),
+        zone: ZoneKey::named("a"),
+        capacity,
+        flow_capacity: 1000,
+        flow_retention: std::time::Duration::from_secs(30),
+    };
+    let mut balancer = Balancer::new(options, at(0));
+    balancer.configuration(configuration(1));
+    tell(&mut balancer, 9, &report(9, 1), at(10_000));
+    balancer
+}
+
+fn hear(balancer: &mut Balancer, from: u8, greeting: BalancerGreeting, now: u64) {
+    send(balancer, from, PeerMessage::Greeting(greeting), at(now));
+}
+
+fn tick(balancer: &mut Balancer, now: u64) {
+    let mut actions = Vec::new();
+    balancer.tick(at(now), &mut actions);
+}
+
+/// A small balancer in a zone with two large ones and a small one.
+fn small_balancer() -> Balancer {
+    let mut balancer = balancer_of(SMALL);
+    hear(&mut balancer, 2, greeting("a", LARGE), 10_000);
+    hear(&mut balancer, 3, greeting("a", LARGE), 10_000);
+    hear(&mut balancer, 4, greeting("a", SMALL), 10_000);
+    tick(&mut balancer, 10_000);
+    balancer
+}
+
+fn relay_receiver(routing: &Routing) -> NodeAddress {
+    match routing {
+        Routing::Relay(to) => *to,
+        other => panic!("not relayed: {other:?}"),
+    }
+}
+
+#[test]
+fn the_set_that_bears_most_with_equal_shares_is_ready() {
+    assert_eq!(best_size(&[500, 500, 12, 12], 4), 2);
+    assert_eq!(best_size(&[500, 500, 120, 120, 120, 120, 120, 120], 8), 8);
+    assert_eq!(best_size(&[250, 250, 250, 250], 4), 4);
+    assert_eq!(best_size(&[500, 500, 12, 12, 12], 5), 5);
+    assert_eq!(best_size(&[500], 1), 1);
+}
+
+#[test]
+fn at_least_half_of_the_known_members_are_ready_even_when_some_are_gone() {
+    // Two of six are gone: half of six are three, so a small one must help.
+    assert_eq!(best_size(&[500, 500, 12, 12], 6), 4);
+    assert_eq!(best_size(&[500, 12], 4), 2);
+    assert_eq!(best_size(&[12], 4), 1);
+}
+
+#[test]
+fn a_small_balancer_stands_by_and_a_large_one_does_not() {
+    let balancer = small_balancer();
+    assert_eq!(balancer.ready(at(10_000)), Err(NotReadyReason::Standby));
+    let mut large = balancer_of(LARGE);
+    hear(&mut large, 2, greeting("a", LARGE), 10_000);
+    hear(&mut large, 3, greeting("a", SMALL), 10_000);
+    hear(&mut large, 4, greeting("a", SMALL), 10_000);
+    assert_eq!(large.ready(at(10_000)), Ok(()));
+}
+
+#[test]
+fn a_small_balancer_is_ready_when_a_large_one_leaves_or_falls_silent() {
+    let mut leaving = small_balancer();
+    let farewell = BalancerGreeting {
+        leaving: true,
+        ..greeting("a", LARGE)
+    };
+    hear(&mut leaving, 2, farewell, 10_050);
+    assert_eq!(leaving.ready(at(10_060)), Ok(()));
+
+    let mut silent = small_balancer();
+    for now in [10_300, 10_600, 10_900] {
+        hear(&mut silent, 3, greeting("a", LARGE), now);
+        hear(&mut silent, 4, greeting("a", SMALL), now);
+        tell(&mut silent, 9, &report(9, now), at(now));
+    }
+    assert_eq!(silent.ready(at(10_910)), Ok(()));
+}
+
+#[test]
+fn balancers_of_other_zones_make_none_stand_by() {
+    let mut balancer = balancer_of(SMALL);
+    hear(&mut balancer, 2, greeting("b", LARGE), 10_000);
+    hear(&mut balancer, 3, greeting("b", LARGE), 10_000);
+    assert_eq!(balancer.ready(at(10_000)), Ok(()));
+}
+
+#[test]
+fn a_small_balancer_hands_each_packet_of_a_flow_to_the_same_large_one() {
+    let mut balancer = small_balancer();
+    for port in 1..50 {
+        let first = arrive(&mut balancer, &opening(flow(port), 0), at(10_010));
+        let later = arrive(&mut balancer, &data(flow(port), 1001, 5001), at(10_020));
+        assert_eq!(relay_receiver(&first), relay_receiver(&later));
+        assert!([node(2), node(3)].contains(&relay_receiver(&first)));
+    }
+    assert_eq!(balancer.flow_count(), 0);
+    assert_eq!(balancer.counters().relayed, 98);
+}
+
+#[test]
+fn a_small_balancer_hands_packets_to_another_zone_when_its_own_has_no_large_one() {
+    let mut balancer = balancer_of(SMALL);
+    hear(&mut balancer, 2, greeting("b", LARGE), 10_000);
+    hear(&mut balancer, 3, greeting("a", SMALL), 10_000);
+    tick(&mut balancer, 10_000);
+    let routing = arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
+    assert_eq!(relay_receiver(&routing), node(2));
+}
+
+#[test]
+fn a_small_balancer_decides_itself_when_the_large_ones_are_gone() {
+    let mut balancer = small_balancer();
+    for now in (10_100..=13_100).step_by(100) {
+        tell(&mut balancer, 9, &report(9, now), at(now));
+        tick(&mut balancer, now);
+    }
+    let routing = arrive(&mut balancer, &opening(flow(1), 0), at(13_110));
+    assert_eq!(receivers(&routing), vec![node(9)]);
+}
+
+#[test]
+fn a_relaying_balancer_holds_no_flows_and_resets_none_when_an_agent_falls_silent() {
+    let mut balancer = balancer_of(SMALL);
+    arrive(&mut balancer, &opening(flow(1), 0), at(10_000));
+    assert_eq!(balancer.flow_count(), 1);
+    hear(&mut balancer, 2, greeting("a", LARGE), 10_010);
+    tick(&mut balancer, 10_010);
+    arrive(&mut balancer, &data(flow(2), 1001, 5001), at(10_020));
+    assert_eq!(balancer.flow_count(), 0);
+}
+
+#[test]
+fn a_large_balancer_decides_about_a_relayed_packet_and_does_not_relay_it_again() {
+    let mut balancer = balancer_of(LARGE);
+    hear(&mut balancer, 2, greeting("a", LARGE * 8), 10_000);
+    tick(&mut balancer, 10_000);
+    let actions = give_back(
+        &mut balancer,
+        4,
+        PeerMessage::Relay,
+        &opening(flow(1), 0),
+        at(10_010),
+    );
+    let forwarded = actions
+        .iter()
+        .any(|action| matches!(action, BalancerAction::Forward { to, .. } if *to == node(9)));
+    assert!(forwarded, "{actions:?}");
+    assert_eq!(balancer.counters().taken_over, 1);
+}
+
+#[test]
+fn a_member_is_forgotten_after_long_silence_and_forgiven_a_stall() {
+    let mut members = ZoneMembers::default();
+    let member = Member {
+        capacity: LARGE,
+        is_able: true,
+    };
+    members.heard(node(2), member, at(0));
+    members.forgive_silence(at(20_000));
+    members.tick(at(40_000));
+    assert_eq!(members.len(), 1);
+    assert_eq!(members.able_from(SMALL, at(20_500)), vec![node(2)]);
+    members.tick(at(50_001));
+    assert!(members.is_empty());
+}
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -15,6 +15,8 @@
 };
 use woodladder_core::flow::packet::{FlowPacket, PacketKind};
 
+/// Processor of the tests' balancers, in thousandths of a core.
+pub const CAPACITY: u32 = 500;
 /// Port of nodes towards each other.
 const PEER_PORT: u16 = 7000;
 
@@ -107,6 +109,7 @@
     let options = BalancerOptions {
         address: node(1),
         zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
     };
@@ -118,6 +121,7 @@
     let options = BalancerOptions {
         address: node(1),
         zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
         flow_capacity: 100_000,
         flow_retention: Duration::from_secs(30),
     };
@@ -199,6 +203,7 @@
 pub fn receivers(routing: &Routing) -> Vec<NodeAddress> {
     match routing {
         Routing::One { to, .. } => vec![*to],
+        Routing::Relay(to) => vec![*to],
         Routing::Several(list) => list.iter().map(|(to, _)| *to).collect(),
         Routing::Reset(_) | Routing::Drop(_) => Vec::new(),
     }
--- a/crates/woodladder-lab/src/flow_simulation/mod.rs
+++ b/crates/woodladder-lab/src/flow_simulation/mod.rs
@@ -46,6 +46,8 @@
     pub failed: u64,
     /// Flows that balancers searched for.
     pub searches: u64,
+    /// Packets that small balancers handed to larger ones.
+    pub relayed: u64,
     /// Resets that balancers sent.
     pub resets: u64,
     /// Faults that struck.
@@ -56,11 +58,12 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "seed {}: answered {}, failed {}, searches {}, resets {}, faults {}, broken {:?}",
+            "seed {}: answered {}, failed {}, searches {}, relayed {}, resets {}, faults {}, broken {:?}",
             self.seed,
             self.answered,
             self.failed,
             self.searches,
+            self.relayed,
             self.resets,
             self.faults,
             self.breaches
--- a/crates/woodladder-lab/src/flow_simulation/world/callers.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/callers.rs
@@ -48,17 +48,18 @@
         }
     }
 
-    /// Routers choose among the balancers that are ready.
+    /// Routers choose among the balancers that are ready, or among all while
+    /// fewer than half are.
     pub(super) fn caller_packet(&mut self, packet: &FlowPacket) {
-        let ready: Vec<usize> = (0..BALANCERS)
+        let mut ready: Vec<usize> = (0..BALANCERS)
             .filter(|index| {
                 self.balancers[*index]
                     .as_ref()
                     .is_some_and(|balancer| balancer.ready(self.now).is_ok())
             })
             .collect();
-        if ready.is_empty() {
-            return;
+        if ready.len() * 2 < BALANCERS {
+            ready = (0..BALANCERS).collect();
         }
         let hash = packet.key.hash().wrapping_add(self.shift);
         let count = u64::try_from(ready.len()).unwrap_or(1);
@@ -74,6 +75,7 @@
                     self.forward(address, to, header, packet);
                 }
             }
+            Routing::Relay(to) => self.send(address, to, PeerMessage::Relay, Some(*packet)),
             Routing::Reset(reset) => self.reset(address, &reset),
             Routing::Drop(_) => {}
         }
--- a/crates/woodladder-lab/src/flow_simulation/world/mod.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/mod.rs
@@ -82,6 +82,8 @@
     events: EventQueue<Event>,
     links: Links,
     balancers: Vec<Option<Balancer>>,
+    /// Processors of the balancers' machines, in thousandths of a core.
+    capacities: [u32; BALANCERS],
     agents: Vec<Option<Agent>>,
     targets: Vec<Target>,
     /// Services of the machines.
@@ -122,6 +124,17 @@
     ServiceKey::named(name)
 }
 
+/// In every other run, all balancers but one are far smaller than that one.
+fn capacities(seed: u64) -> [u32; BALANCERS] {
+    const LARGE: u32 = 500;
+    const SMALL: u32 = 12;
+    let mut capacities = [LARGE; BALANCERS];
+    if seed % 2 == 1 {
+        capacities[1..].fill(SMALL);
+    }
+    capacities
+}
+
 impl World {
     pub fn new(seed: u64, mutation: Mutation) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -145,6 +158,7 @@
             events,
             links: Links::default(),
             balancers: Vec::new(),
+            capacities: capacities(seed),
             agents: Vec::new(),
             targets: Vec::new(),
             assigned: (0..AGENTS).map(first_service).collect(),
@@ -190,6 +204,7 @@
         for balancer in self.balancers.iter().flatten() {
             let counters = balancer.counters();
             self.report.searches += counters.searched;
+            self.report.relayed += counters.relayed;
             self.report.resets += counters.reset_target_ended + counters.reset_held_nowhere;
         }
         self.report
--- a/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -7,6 +7,7 @@
         let options = BalancerOptions {
             address: balancer_address(index),
             zone: ZoneKey::default(),
+            capacity: self.capacities[index],
             flow_capacity: 10_000,
             flow_retention: Duration::from_secs(30),
         };
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -55,6 +55,8 @@
     pub caller_port: u16,
     /// Zone of the machine.
     pub zone: ZoneKey,
+    /// Processor that it may use, in thousandths of a core.
+    pub capacity: u32,
     /// Nodes to greet before any is known.
     pub seeds: Vec<NodeAddress>,
     /// Least time that a flow at rest is remembered.
@@ -88,6 +90,7 @@
         let options = BalancerOptions {
             address: config.peer_address,
             zone: config.zone,
+            capacity: config.capacity,
             flow_capacity: FLOW_CAPACITY,
             flow_retention: config.flow_retention,
         };
@@ -227,6 +230,7 @@
                     self.forward(to, &PeerMessage::Forward(header), bytes);
                 }
             }
+            Routing::Relay(to) => self.forward(to, &PeerMessage::Relay, bytes),
             Routing::Reset(reset) => self.reset(&reset),
             Routing::Drop(_) => {}
         }
--- a/crates/woodladder-node/src/balancer/figures.rs
+++ b/crates/woodladder-node/src/balancer/figures.rs
@@ -65,6 +65,16 @@
                 "Resets of flows held nowhere.",
                 counters.reset_held_nowhere,
             ),
+            (
+                "relayed_packets_total",
+                "Packets handed to larger balancers.",
+                counters.relayed,
+            ),
+            (
+                "taken_over_packets_total",
+                "Packets that smaller balancers have handed on.",
+                counters.taken_over,
+            ),
             (
                 "dropped_packets_total",
                 "Packets dropped by decision.",
