--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -12,6 +12,7 @@
 mod opening;
 mod readiness;
 mod relay;
+mod room;
 mod search;
 mod waiting;
 
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -8,7 +8,7 @@
 use super::super::packet::{FlowPacket, ResetReason};
 use super::super::selection::{Choice, Chosen};
 use super::forwarding::{DropReason, Routing};
-use super::waiting::room_at_age;
+use super::room::room_for;
 use super::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::clock::Instant;
 
@@ -119,7 +119,8 @@
         };
         let service = entry.service;
         let tries = tried.len();
-        let room = room_at_age(now.since(*since));
+        let (terms, is_urgent) = self.routes.terms(packet.key.service, service);
+        let room = room_for(now.since(*since), terms, is_urgent);
         let choice = Choice {
             directory: &self.directory,
             zone: self.options.zone,
--- a/crates/woodladder-core/src/flow/balancer/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/waiting.rs
@@ -17,19 +17,6 @@
 const CAPACITY: usize = 2048;
 /// Longest wait. The caller's attempt ends soon after.
 const LONGEST_WAIT: Duration = Duration::from_millis(1200);
-/// Age until which an opening can still be answered in time.
-const FRESH_FOR: Duration = Duration::from_millis(180);
-/// Age after which an opening is given more room again, so that it is not
-/// given up.
-const OLD_AFTER: Duration = Duration::from_millis(600);
-/// Room, in percent of its slots, that a target must have for an opening that
-/// can still be answered in time.
-const FRESH_ROOM: u16 = 250;
-/// Room for an opening that is late already.
-const LATE_ROOM: u16 = 90;
-/// Room for an opening that is about to be given up.
-const OLD_ROOM: u16 = 110;
-
 /// An opening that waits.
 #[derive(Clone, Debug)]
 pub(super) struct WaitingOpening {
@@ -107,14 +94,3 @@
         }
     }
 }
-
-/// Room that a target must have for an opening of this age.
-pub(super) fn room_at_age(age: Duration) -> u16 {
-    if age < FRESH_FOR {
-        FRESH_ROOM
-    } else if age < OLD_AFTER {
-        LATE_ROOM
-    } else {
-        OLD_ROOM
-    }
-}
--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -21,6 +21,24 @@
     pub weight: u32,
 }
 
+/// What the operators expect of the requests of a route.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RouteTerms {
+    /// Importance; zero is the highest.
+    pub priority: u8,
+    /// Time in which a request should be answered, in milliseconds.
+    pub aim_ms: u32,
+}
+
+impl Default for RouteTerms {
+    fn default() -> Self {
+        Self {
+            priority: u8::MAX,
+            aim_ms: 300,
+        }
+    }
+}
+
 /// Where new flows to one address go.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Eq, PartialEq)]
 pub struct Route {
@@ -28,6 +46,8 @@
     pub address: SocketAddrV4,
     /// Services by weight; one with the whole weight as a rule.
     pub parts: Vec<RoutePart>,
+    /// What is expected of its requests.
+    pub terms: RouteTerms,
 }
 
 /// One version of the configuration.
@@ -47,6 +67,9 @@
     current: Option<Arc<Configuration>>,
     routes: FxHashMap<SocketAddrV4, usize>,
     former: FxHashMap<SocketAddrV4, Vec<ServiceKey>>,
+    /// The lowest importance, that is the greatest priority number, of the
+    /// routes that lead to a service.
+    lowest_importance: FxHashMap<ServiceKey, u8>,
 }
 
 impl RouteTable {
@@ -75,10 +98,23 @@
             .enumerate()
             .map(|(index, route)| (route.address, index))
             .collect();
+        self.lowest_importance = lowest_importance(&next);
         self.current = Some(next);
         true
     }
 
+    /// Whether an address's requests matter more than others of the same
+    /// service, and what is expected of them.
+    #[must_use]
+    pub fn terms(&self, address: SocketAddrV4, service: ServiceKey) -> (RouteTerms, bool) {
+        let terms = self
+            .route(address)
+            .map_or_else(RouteTerms::default, |route| route.terms);
+        let lowest = self.lowest_importance.get(&service).copied();
+        let is_urgent = lowest.is_some_and(|lowest| terms.priority < lowest);
+        (terms, is_urgent)
+    }
+
     /// The route of an address.
     #[must_use]
     pub fn route(&self, address: SocketAddrV4) -> Option<&Route> {
@@ -122,3 +158,14 @@
         services.drain(..surplus);
     }
 }
+
+fn lowest_importance(configuration: &Configuration) -> FxHashMap<ServiceKey, u8> {
+    let mut lowest = FxHashMap::default();
+    for route in &configuration.routes {
+        for part in &route.parts {
+            let known = lowest.entry(part.service).or_insert(0);
+            *known = route.terms.priority.max(*known);
+        }
+    }
+    lowest
+}
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -8,7 +8,7 @@
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{Agent, AgentOptions, Delivery, Departure, Heartbeat};
 use woodladder_core::flow::balancer::{Balancer, BalancerAction, BalancerOptions, Routing};
-use woodladder_core::flow::configuration::{Configuration, Route, RoutePart};
+use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
 use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::message::{
     ForwardHeader, ForwardPurpose, PeerMessage, TargetLoad, TargetReport, TargetState,
@@ -96,6 +96,7 @@
                 weight: *weight,
             })
             .collect(),
+        terms: RouteTerms::default(),
     });
     Arc::new(Configuration {
         version,
--- a/crates/woodladder-lab/src/command.rs
+++ b/crates/woodladder-lab/src/command.rs
@@ -8,6 +8,7 @@
 mod scale;
 mod simulate;
 mod simulate_flows;
+mod soak;
 mod stand_in;
 mod time_text;
 
@@ -39,6 +40,8 @@
     Simulate(simulate::SimulateCommand),
     /// Run seeds of the simulation of the carrier without tokens.
     SimulateFlows(simulate_flows::SimulateFlowsCommand),
+    /// Run the real processes under faults drawn from seeds and check the promises.
+    Soak(soak::SoakCommand),
     /// Measure the control traffic of many nodes in one process, on a virtual clock.
     Scale(scale::ScaleCommand),
     /// Run one stand-in until SIGTERM; its first line of output is JSON with the bound addresses.
@@ -56,6 +59,7 @@
             Command::Product(command) => command.run(),
             Command::Simulate(command) => command.run(),
             Command::SimulateFlows(command) => command.run(),
+            Command::Soak(command) => command.run(),
             Command::Scale(command) => command.run(),
             Command::StandIn(command) => command.run(),
         }
--- a/crates/woodladder-lab/src/command/platform_day.rs
+++ b/crates/woodladder-lab/src/command/platform_day.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clap::Args;
-use woodladder_lab::platform::{self, DayError, DayOptions, DayReport};
+use woodladder_lab::platform::{self, DayOptions, DayReport, SiteError};
 
 use super::time_text;
 
@@ -46,7 +46,7 @@
         }
     }
 
-    fn play(&self) -> Result<DayReport, DayError> {
+    fn play(&self) -> Result<DayReport, SiteError> {
         let temporary = tempfile::tempdir()?;
         let directory = match &self.keep {
             Some(directory) => {
--- a/crates/woodladder-lab/src/flow_simulation/world/mod.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/mod.rs
@@ -19,7 +19,7 @@
     Agent, AgentAction, AgentOptions, AnswerBody, Delivery, Departure, Heartbeat, Presence,
 };
 use woodladder_core::flow::balancer::{Balancer, BalancerAction, BalancerOptions, Routing};
-use woodladder_core::flow::configuration::{Configuration, Route, RoutePart};
+use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
 use woodladder_core::flow::identity::{FlowKey, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::message::{ForwardHeader, ForwardPurpose, PeerMessage, SnapshotRequest};
 use woodladder_core::flow::packet::{CallerReset, FlowPacket, PacketKind};
--- a/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -59,6 +59,7 @@
             routes.push(Route {
                 address: route(number),
                 parts: vec![RoutePart { service, weight: 1 }],
+                terms: RouteTerms::default(),
             });
         }
         self.configuration = Arc::new(Configuration {
--- a/crates/woodladder-lab/src/platform/address.rs
+++ b/crates/woodladder-lab/src/platform/address.rs
@@ -20,6 +20,10 @@
 /// Port of the store.
 pub const STORE_PORT: u16 = 18_169;
 
+/// Distance of a node's own address from its machine's, where a proxy stands
+/// between nodes.
+const NODE_OFFSET: u8 = 128;
+
 /// Days that have run in this process.
 static DAYS: AtomicU8 = AtomicU8::new(0);
 
@@ -54,4 +58,17 @@
     pub fn at(&self, number: u8, port: u16) -> SocketAddrV4 {
         SocketAddrV4::new(self.machine(number), port)
     }
+
+    /// The address that a node itself uses where a proxy stands on its
+    /// machine's.
+    #[must_use]
+    pub fn node_at(&self, number: u8, port: u16) -> SocketAddrV4 {
+        self.at(number + NODE_OFFSET, port)
+    }
+
+    /// The machine of a node behind a proxy.
+    #[must_use]
+    pub fn machine_of_node(&self, address: Ipv4Addr) -> Option<u8> {
+        address.octets()[3].checked_sub(NODE_OFFSET)
+    }
 }
--- a/crates/woodladder-lab/src/platform/node_process.rs
+++ b/crates/woodladder-lab/src/platform/node_process.rs
@@ -1,7 +1,9 @@
 //! The real processes of a day.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
+use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -13,6 +15,9 @@
     STORE_PORT, TARGET_PORT,
 };
 
+/// A whole core, in thousandths.
+const WHOLE_CORE: u32 = 1000;
+
 /// Which role a process has.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum NodeRole {
@@ -39,6 +44,13 @@
     pub network: Network,
     /// Machines that are named as seeds.
     pub seeds: Vec<u8>,
+    /// Processors of machines, in thousandths of a core; one core where none is
+    /// given.
+    pub processors: BTreeMap<u8, u32>,
+    /// Addresses that machines reach the store at, where it is not its own.
+    pub store_addresses: BTreeMap<u8, SocketAddrV4>,
+    /// Whether proxies stand between the nodes.
+    pub has_links: bool,
 }
 
 impl Launcher {
@@ -82,19 +94,29 @@
             NodeRole::Balancer => String::new(),
             NodeRole::Agent(_) => format!("outbound = \"{}\"\n", at(OUTBOUND_PORT)),
         };
+        let bind = if self.has_links {
+            let own = network.node_at(machine, PEER_PORT);
+            format!("peer_bind = \"{}\"\n", own.ip())
+        } else {
+            String::new()
+        };
+        let store = network.at(1, STORE_PORT);
+        let store = self.store_addresses.get(&machine).copied().unwrap_or(store);
+        let processor = self.processors.get(&machine).copied().unwrap_or(WHOLE_CORE);
         format!(
-            "node_name = \"node-{machine}\"\nip = \"{}\"\nzone = \"a\"\n\
+            "node_name = \"node-{machine}\"\nip = \"{}\"\nzone = \"a\"\n{bind}\
              port_range = [{PEER_PORT}, {PEER_PORT}]\nseeds = [{}]\n\
              metrics = \"{METRICS_PORT}/metrics\"\n{target}\
              [listen]\ndatagram_addr = \"{}\"\nready = \"{}\"\ncontrol = \"{}\"\n{outbound}\
              [bounds]\ngrace_s = 6\nflow_ttl_s = 60\n\
-             [platform]\naddress = \"{}\"\n",
+             [limits]\ncpu_share = {}\n\
+             [platform]\naddress = \"{store}\"\n",
             network.machine(machine),
             seeds.join(", "),
             at(DATAGRAM_PORT),
             at(READY_PORT),
             at(CONTROL_PORT),
-            network.at(1, STORE_PORT),
+            f64::from(processor) / f64::from(WHOLE_CORE),
         )
     }
 }
--- /dev/null
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -0,0 +1,332 @@
+//! A running site: store, router, targets and callers in this process, and the
+//! product's processes beside them.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use woodladder_node::http;
+
+use super::address::{Network, STORE_PORT};
+use super::caller::{CallerMachine, Habit, eventually};
+use super::links::Links;
+use super::node_process::{Launcher, NodeProcess, NodeRole};
+use super::oracle::Oracle;
+use super::router::Router;
+use super::store::{self, SharedStore};
+use super::store_state::StoreFault;
+use super::target::Target;
+
+/// Key of the operators' configuration.
+const CONFIGURATION_KEY: &str = "op/config";
+/// Longest time until the processes serve.
+const START_LIMIT: Duration = Duration::from_secs(20);
+/// Machines of balancers.
+pub const BALANCERS: [u8; 3] = [11, 12, 13];
+/// Machines of targets with their services.
+pub const TARGETS: [(u8, &str); 4] = [
+    (21, "kitchen"),
+    (22, "kitchen"),
+    (23, "kitchen"),
+    (31, "print"),
+];
+/// Machines of callers.
+const CALLERS: [u8; 3] = [101, 102, 103];
+
+/// Why a site could not be run.
+#[derive(Debug)]
+pub enum SiteError {
+    /// The system refused something.
+    System(io::Error),
+    /// The processes did not come to serve in time.
+    NotServing,
+}
+
+impl fmt::Display for SiteError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::System(error) => write!(formatter, "the system refused: {error}"),
+            Self::NotServing => formatter.write_str("the processes did not serve in time"),
+        }
+    }
+}
+
+impl std::error::Error for SiteError {}
+
+impl From<io::Error> for SiteError {
+    fn from(error: io::Error) -> Self {
+        Self::System(error)
+    }
+}
+
+/// What a site is made of.
+#[derive(Clone, Debug)]
+pub struct SiteOptions {
+    /// Program whose subcommand `platform-node` acts as the product's.
+    pub program: PathBuf,
+    /// Directory of settings and logs; must exist.
+    pub directory: PathBuf,
+    /// Processor of each balancer, in thousandths of a core.
+    pub processors: [u32; BALANCERS.len()],
+}
+
+/// The site.
+pub struct Site {
+    pub network: Network,
+    launcher: Launcher,
+    pub store: SharedStore,
+    pub router: Rc<Router>,
+    pub oracle: Rc<RefCell<Oracle>>,
+    pub links: Rc<Links>,
+    nodes: BTreeMap<u8, NodeProcess>,
+    /// Agents that were told to stop.
+    retired: Rc<RefCell<Vec<NodeProcess>>>,
+    targets: BTreeMap<u8, Rc<Target>>,
+    incarnations: u32,
+    version: u64,
+    callers: Vec<tokio::task::JoinHandle<()>>,
+}
+
+/// Address of the kitchen's route.
+pub fn kitchen_route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
+}
+
+/// Address of the route to the print service.
+pub fn print_route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 2), 443)
+}
+
+/// Address of a route that comes and goes.
+pub fn added_route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 3), 443)
+}
+
+impl Site {
+    /// Opens store and router; starts no process yet. `links` lie between the
+    /// nodes.
+    pub async fn open(
+        options: &SiteOptions,
+        network: Network,
+        links: Rc<Links>,
+    ) -> Result<Self, SiteError> {
+        let store: SharedStore = Rc::default();
+        let listener = TcpListener::bind(network.at(1, STORE_PORT)).await?;
+        let answering = Rc::clone(&store);
+        spawn_local(http::serve(listener, move |request| {
+            store::answer(Rc::clone(&answering), request)
+        }));
+        let router = Rc::new(Router::default());
+        let probing = Rc::clone(&router);
+        spawn_local(async move { probing.probe().await });
+        let processors = BALANCERS.into_iter().zip(options.processors).collect();
+        Ok(Self {
+            network,
+            launcher: Launcher {
+                program: options.program.clone(),
+                directory: options.directory.clone(),
+                network,
+                seeds: vec![BALANCERS[0]],
+                processors,
+                store_addresses: BTreeMap::new(),
+                has_links: links.are_between_nodes(),
+            },
+            store,
+            router,
+            oracle: Rc::default(),
+            links,
+            nodes: BTreeMap::new(),
+            retired: Rc::default(),
+            targets: BTreeMap::new(),
+            incarnations: 0,
+            version: 0,
+            callers: Vec::new(),
+        })
+    }
+
+    /// Nodes on a machine reach the store at this address.
+    pub fn set_store_address(&mut self, machine: u8, address: SocketAddrV4) {
+        self.launcher.store_addresses.insert(machine, address);
+    }
+
+    /// Starts all processes and waits until routers have balancers.
+    pub async fn serve(&mut self) -> Result<(), SiteError> {
+        self.configure(&[(kitchen_route(), "kitchen"), (print_route(), "print")]);
+        for machine in BALANCERS {
+            self.start_balancer(machine)?;
+            self.router.add(self.network.machine(machine));
+        }
+        for (machine, service) in TARGETS {
+            self.start_agent(machine, service)?;
+            self.start_target(machine, service).await?;
+        }
+        let router = Rc::clone(&self.router);
+        let serves = move || router.ready_count() * 2 > BALANCERS.len();
+        if !eventually(START_LIMIT, serves).await {
+            return Err(SiteError::NotServing);
+        }
+        Ok(())
+    }
+
+    /// Starts callers that make requests until `until`.
+    pub async fn call(&mut self, until: Instant) -> io::Result<()> {
+        for machine in CALLERS {
+            self.start_callers(machine, until).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the callers' end; a caller that panicked shows as requests
+    /// that are missing.
+    pub async fn wait_for_callers(&mut self) {
+        for callers in std::mem::take(&mut self.callers) {
+            let _ended = callers.await;
+        }
+    }
+
+    /// Machines whose processes have ended without having been told to.
+    pub fn ended_by_themselves(&mut self) -> Vec<u8> {
+        self.nodes
+            .iter_mut()
+            .filter_map(|(machine, node)| node.ended().ok().flatten().map(|_| *machine))
+            .collect()
+    }
+
+    /// The store works again and has forgotten its history.
+    pub fn restore_store(&self) {
+        let mut state = self.store.borrow_mut();
+        state.fault = StoreFault::None;
+        state.forget_history();
+    }
+
+    /// Version of the last configuration.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Writes a configuration.
+    pub fn configure(&mut self, routes: &[(SocketAddrV4, &str)]) {
+        self.version += 3;
+        let documents: Vec<_> = routes
+            .iter()
+            .map(|(address, service)| {
+                json!({
+                    "name": format!("r-{address}"), "host": address.ip().to_string(),
+                    "path_prefix": format!("/{}/", address.port()), "service": service,
+                    "kind": "idempotent",
+                })
+            })
+            .collect();
+        for (address, service) in routes {
+            let mut oracle = self.oracle.borrow_mut();
+            let services: &mut BTreeSet<String> = oracle.allowed.entry(*address).or_default();
+            services.insert((*service).to_owned());
+        }
+        let document = json!({ "version": self.version, "routes": documents });
+        let value = STANDARD.encode(document.to_string());
+        self.store.borrow_mut().put(CONFIGURATION_KEY, &value, 0);
+    }
+
+    fn start_node(&mut self, machine: u8, role: &NodeRole) -> io::Result<()> {
+        self.nodes.remove(&machine);
+        let node = self.launcher.start(machine, role)?;
+        self.nodes.insert(machine, node);
+        Ok(())
+    }
+
+    /// Starts a balancer, after the end of the one that ran on the machine.
+    pub fn start_balancer(&mut self, machine: u8) -> io::Result<()> {
+        self.start_node(machine, &NodeRole::Balancer)
+    }
+
+    /// Starts an agent, after the end of the one that ran on the machine.
+    pub fn start_agent(&mut self, machine: u8, service: &str) -> io::Result<()> {
+        self.start_node(machine, &NodeRole::Agent(service.to_owned()))
+    }
+
+    /// Sends a signal to the node on a machine, if there is one.
+    pub fn signal(&self, machine: u8, signal: Signal) -> io::Result<()> {
+        match self.nodes.get(&machine) {
+            Some(node) => node.signal(signal),
+            None => Ok(()),
+        }
+    }
+
+    /// Starts a target beside the agent of its machine.
+    pub async fn start_target(&mut self, machine: u8, service: &str) -> io::Result<()> {
+        self.incarnations += 1;
+        let name = format!("i-{machine}-{}", self.incarnations);
+        let address = self.network.machine(machine);
+        let target = Target::start(&name, service, address, Rc::clone(&self.oracle)).await?;
+        self.targets.insert(machine, target);
+        Ok(())
+    }
+
+    /// The target of a machine ends at once, as in a crash.
+    pub fn crash_target(&mut self, machine: u8) {
+        if let Some(target) = self.targets.remove(&machine) {
+            target.end();
+        }
+    }
+
+    /// The target of a machine leaves as planned; its agent stays.
+    pub fn drain_target(&mut self, machine: u8) {
+        if let Some(target) = self.targets.remove(&machine) {
+            spawn_local(target.leave());
+        }
+    }
+
+    /// A target leaves as planned; its agent is stopped after its end.
+    pub fn retire_target(&mut self, machine: u8) {
+        let Some(target) = self.targets.remove(&machine) else {
+            return;
+        };
+        let agent = self.nodes.remove(&machine);
+        let retired = Rc::clone(&self.retired);
+        spawn_local(async move {
+            target.leave().await;
+            if let Some(agent) = agent {
+                // A process that has ended already needs no signal.
+                let _ended = agent.signal(Signal::SIGTERM);
+                retired.borrow_mut().push(agent);
+            }
+        });
+    }
+
+    async fn start_callers(&mut self, machine: u8, until: Instant) -> io::Result<()> {
+        let address = self.network.machine(machine);
+        let router = Rc::clone(&self.router);
+        let oracle = Rc::clone(&self.oracle);
+        let links = Rc::clone(&self.links);
+        let callers = CallerMachine::open(address, router, oracle, links).await?;
+        spawn_local(Rc::clone(&callers).receive());
+        let habit = |route, may_repeat, keeps_flow, pause| Habit {
+            route,
+            may_repeat,
+            keeps_flow,
+            pause: Duration::from_millis(pause),
+        };
+        let mut habits = vec![
+            habit(print_route(), true, false, 60),
+            habit(kitchen_route(), false, false, 30),
+        ];
+        habits.extend((0..6).map(|_| habit(kitchen_route(), true, true, 80)));
+        for habit in habits {
+            let asking = Rc::clone(&callers).ask(habit, until);
+            self.callers.push(spawn_local(asking));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -0,0 +1,442 @@
+//! A soak: the product's processes under faults from outside, drawn from a
+//! seed, while callers and targets check the promises.
+//!
+//! Faults come for a while; then all is healed, and after a time to settle
+//! every request must be answered again and every balancer hold the last
+//! configuration.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde::Serialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use super::address::{METRICS_PORT, Network, STORE_PORT};
+use super::links::{self, LinkRule, Links};
+use super::site::{
+    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
+};
+use super::soak_plan::{Strike, StrikeKind, plan, processors};
+use super::store_state::StoreFault;
+use crate::fault_proxy::{Cut, FaultProxy, FaultProxyConfig, FaultRule, Route};
+
+/// Time for everything to settle after the last fault: longer than any
+/// request lasts.
+const SETTLING: Duration = Duration::from_secs(6);
+/// Time in which no request may fail.
+const CALM: Duration = Duration::from_secs(4);
+/// Longest wait for a balancer's figures.
+const FIGURES_TIMEOUT: Duration = Duration::from_secs(2);
+const LOSS: f64 = 0.15;
+const REPEAT: f64 = 0.1;
+const SLOW_LINK: Duration = Duration::from_millis(60);
+const SLOW_STORE_US: u64 = 800_000;
+
+/// Settings of a soak.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// Program whose subcommand `platform-node` acts as the product's.
+    pub program: PathBuf,
+    /// Directory of settings and logs; must exist.
+    pub directory: PathBuf,
+    /// Seed of the faults.
+    pub seed: u64,
+    /// How long faults come.
+    pub length: Duration,
+}
+
+/// What came of a soak.
+#[derive(Clone, Debug, Serialize)]
+pub struct SoakReport {
+    /// The seed.
+    pub seed: u64,
+    /// Faults that struck.
+    pub strikes: usize,
+    /// Requests answered.
+    pub answered: u64,
+    /// Requests that found no answer while faults came.
+    pub failed: u64,
+    /// Requests that found no answer after all was healed.
+    pub failed_when_calm: u64,
+    /// Processes that ended by themselves.
+    pub ended_by_themselves: Vec<u8>,
+    /// Balancers that do not hold the last configuration at the end.
+    pub behind: Vec<u8>,
+    /// Promises that were broken.
+    pub violations: Vec<String>,
+}
+
+impl SoakReport {
+    /// Whether every promise was kept.
+    #[must_use]
+    pub fn is_kept(&self) -> bool {
+        self.violations.is_empty()
+            && self.behind.is_empty()
+            && self.ended_by_themselves.is_empty()
+            && self.failed_when_calm == 0
+    }
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "seed {}: {} faults, answered {}, failed {} under faults and {} after",
+            self.seed, self.strikes, self.answered, self.failed, self.failed_when_calm
+        )?;
+        for machine in &self.ended_by_themselves {
+            write!(formatter, "\n  ended by itself: node-{machine}")?;
+        }
+        for machine in &self.behind {
+            write!(
+                formatter,
+                "\n  without the last configuration: node-{machine}"
+            )?;
+        }
+        for violation in &self.violations {
+            write!(formatter, "\n  broken: {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs a soak to its end.
+///
+/// # Errors
+/// [`SiteError`] when it could not be run.
+pub fn soak(options: &SoakOptions) -> Result<SoakReport, SiteError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let mut soak = Soak::open(options).await?;
+        soak.run(options).await
+    })
+}
+
+struct Soak {
+    site: Site,
+    store_proxies: BTreeMap<u8, FaultProxy>,
+    configurations: u32,
+}
+
+/// What ends with a strike's time.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    Begin(Strike),
+    End(Strike),
+}
+
+impl Soak {
+    async fn open(options: &SoakOptions) -> Result<Self, SiteError> {
+        let network = Network::take();
+        let links = Rc::new(Links::between_nodes(options.seed));
+        let machines: Vec<u8> = BALANCERS
+            .into_iter()
+            .chain(TARGETS.into_iter().map(|(machine, _)| machine))
+            .collect();
+        links::open_proxies(network, &machines, &links).await?;
+        let site_options = SiteOptions {
+            program: options.program.clone(),
+            directory: options.directory.clone(),
+            processors: processors(options.seed),
+        };
+        let mut site = Site::open(&site_options, network, links).await?;
+        let mut store_proxies = BTreeMap::new();
+        for machine in BALANCERS {
+            let proxy = store_proxy(network, options.seed).await?;
+            if let Some(SocketAddr::V4(address)) = proxy.tcp_addresses().first() {
+                site.set_store_address(machine, *address);
+            }
+            store_proxies.insert(machine, proxy);
+        }
+        Ok(Self {
+            site,
+            store_proxies,
+            configurations: 0,
+        })
+    }
+
+    async fn run(&mut self, options: &SoakOptions) -> Result<SoakReport, SiteError> {
+        self.site.serve().await?;
+        let begin = Instant::now();
+        let end = begin + options.length + SETTLING + CALM;
+        self.site.call(end).await?;
+        let strikes = plan(options.seed, options.length);
+        for (at, change) in timeline(&strikes) {
+            sleep_until(begin + at.min(options.length)).await;
+            match change {
+                Change::Begin(strike) => self.begin(&strike).await?,
+                Change::End(strike) => self.end(&strike).await?,
+            }
+        }
+        self.heal()?;
+        sleep_until(end - CALM).await;
+        let failed = self.site.oracle.borrow().failed;
+        self.site.wait_for_callers().await;
+        let behind = self.balancers_behind().await;
+        let ended_by_themselves = self.site.ended_by_themselves();
+        let oracle = self.site.oracle.borrow();
+        Ok(SoakReport {
+            seed: options.seed,
+            strikes: strikes.len(),
+            answered: oracle.answered,
+            failed,
+            failed_when_calm: oracle.failed - failed,
+            ended_by_themselves,
+            behind,
+            violations: oracle
+                .violations()
+                .iter()
+                .map(ToString::to_string)
+                .collect(),
+        })
+    }
+
+    async fn begin(&mut self, strike: &Strike) -> Result<(), SiteError> {
+        let machine = strike.machine;
+        match strike.kind {
+            StrikeKind::KillBalancer | StrikeKind::KillAgent => {
+                self.disturb(machine);
+                self.site.signal(machine, Signal::SIGKILL)?;
+            }
+            StrikeKind::StopBalancer => self.site.signal(machine, Signal::SIGTERM)?,
+            StrikeKind::PauseBalancer | StrikeKind::PauseAgent => {
+                self.disturb(machine);
+                self.site.signal(machine, Signal::SIGSTOP)?;
+            }
+            StrikeKind::HangUp => self.site.signal(machine, Signal::SIGHUP)?,
+            StrikeKind::CutToNode => self.link(machine, Some(CUT), None),
+            StrikeKind::CutFromNode => self.link(machine, None, Some(CUT)),
+            StrikeKind::CutNode => self.link(machine, Some(CUT), Some(CUT)),
+            StrikeKind::LossyNode => self.link(machine, Some(LOSSY), Some(LOSSY)),
+            StrikeKind::SlowNode => self.link(machine, Some(SLOW), Some(SLOW)),
+            StrikeKind::LossyCallers => self.site.links.set(links::CALLERS, machine, LOSSY),
+            StrikeKind::StoreBusy => self.store_fault(StoreFault::Busy),
+            StrikeKind::StoreThrottled => self.store_fault(StoreFault::Throttled),
+            StrikeKind::StoreSilent => self.store_fault(StoreFault::Closed),
+            StrikeKind::StoreAnswersLost => self.store_fault(StoreFault::AnswersLost),
+            StrikeKind::StoreForgets => self.site.store.borrow_mut().forget_history(),
+            StrikeKind::StoreRefusesOne => self.store_path(
+                machine,
+                FaultRule {
+                    refuse: true,
+                    ..FaultRule::default()
+                },
+            ),
+            StrikeKind::StoreSilentToOne => self.store_path(
+                machine,
+                FaultRule {
+                    cut: Cut::ToClient,
+                    ..FaultRule::default()
+                },
+            ),
+            StrikeKind::StoreSlowToOne => self.store_path(
+                machine,
+                FaultRule {
+                    delay_us: SLOW_STORE_US,
+                    ..FaultRule::default()
+                },
+            ),
+            StrikeKind::Configure => self.configure(),
+            StrikeKind::CrashTarget => self.site.crash_target(machine),
+            StrikeKind::DrainTarget => self.site.drain_target(machine),
+        }
+        Ok(())
+    }
+
+    async fn end(&mut self, strike: &Strike) -> Result<(), SiteError> {
+        let machine = strike.machine;
+        match strike.kind {
+            StrikeKind::KillBalancer | StrikeKind::StopBalancer => {
+                self.site.start_balancer(machine)?;
+            }
+            StrikeKind::KillAgent => {
+                self.disturb(machine);
+                self.site.start_agent(machine, service_of(machine))?;
+            }
+            StrikeKind::PauseBalancer | StrikeKind::PauseAgent => {
+                self.disturb(machine);
+                self.site.signal(machine, Signal::SIGCONT)?;
+            }
+            StrikeKind::CutToNode
+            | StrikeKind::CutFromNode
+            | StrikeKind::CutNode
+            | StrikeKind::LossyNode
+            | StrikeKind::SlowNode => self.link(machine, None, None),
+            StrikeKind::LossyCallers => self.site.links.heal(links::CALLERS, machine),
+            StrikeKind::StoreBusy
+            | StrikeKind::StoreThrottled
+            | StrikeKind::StoreSilent
+            | StrikeKind::StoreAnswersLost => self.store_fault(StoreFault::None),
+            StrikeKind::StoreRefusesOne
+            | StrikeKind::StoreSilentToOne
+            | StrikeKind::StoreSlowToOne => self.store_path(machine, FaultRule::default()),
+            StrikeKind::CrashTarget => {
+                self.site.start_target(machine, service_of(machine)).await?;
+            }
+            StrikeKind::DrainTarget => self.start_after_drain(machine).await?,
+            StrikeKind::HangUp | StrikeKind::StoreForgets | StrikeKind::Configure => {}
+        }
+        Ok(())
+    }
+
+    /// Begins a target on a machine whose former one may still serve.
+    async fn start_after_drain(&mut self, machine: u8) -> Result<(), SiteError> {
+        const LONGEST_DRAIN: Duration = Duration::from_secs(6);
+        let until = Instant::now() + LONGEST_DRAIN;
+        loop {
+            let started = self.site.start_target(machine, service_of(machine)).await;
+            match started {
+                Ok(()) => return Ok(()),
+                Err(error) if Instant::now() >= until => return Err(error.into()),
+                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+            }
+        }
+    }
+
+    fn heal(&mut self) -> Result<(), SiteError> {
+        self.site.links.heal_all();
+        self.site.restore_store();
+        for proxy in self.store_proxies.values() {
+            proxy.set_rule(FaultRule::default());
+        }
+        for machine in BALANCERS {
+            self.site.signal(machine, Signal::SIGCONT)?;
+        }
+        Ok(())
+    }
+
+    fn disturb(&self, machine: u8) {
+        self.site.oracle.borrow_mut().disturb(machine);
+    }
+
+    /// Sets what happens between a node and all others.
+    fn link(&self, machine: u8, to: Option<LinkRule>, from: Option<LinkRule>) {
+        self.disturb(machine);
+        let links = &self.site.links;
+        let others = BALANCERS
+            .into_iter()
+            .chain(TARGETS.into_iter().map(|(other, _)| other))
+            .filter(|other| *other != machine);
+        for other in others {
+            match to {
+                Some(rule) => links.set(other, machine, rule),
+                None => links.heal(other, machine),
+            }
+            match from {
+                Some(rule) => links.set(machine, other, rule),
+                None => links.heal(machine, other),
+            }
+        }
+    }
+
+    fn store_fault(&self, fault: StoreFault) {
+        self.site.store.borrow_mut().fault = fault;
+    }
+
+    fn store_path(&self, machine: u8, rule: FaultRule) {
+        if let Some(proxy) = self.store_proxies.get(&machine) {
+            proxy.set_rule(rule);
+        }
+    }
+
+    /// Writes the next configuration, in which one route comes or goes.
+    fn configure(&mut self) {
+        self.configurations += 1;
+        let mut routes = vec![(kitchen_route(), "kitchen"), (print_route(), "print")];
+        if self.configurations % 2 == 1 {
+            routes.push((added_route(), "print"));
+        }
+        self.site.configure(&routes);
+    }
+
+    async fn balancers_behind(&self) -> Vec<u8> {
+        let expected = format!("woodladder_configuration_version {}", self.site.version());
+        let mut behind = Vec::new();
+        for machine in BALANCERS {
+            let address = self.site.network.at(machine, METRICS_PORT);
+            let figures = timeout(FIGURES_TIMEOUT, figures(address)).await;
+            let holds_last = figures
+                .ok()
+                .flatten()
+                .is_some_and(|text| text.lines().any(|line| line == expected));
+            if !holds_last {
+                behind.push(machine);
+            }
+        }
+        behind
+    }
+}
+
+const CUT: LinkRule = LinkRule {
+    is_cut: true,
+    loss: 0.0,
+    repeat: 0.0,
+    delay: Duration::ZERO,
+};
+
+const LOSSY: LinkRule = LinkRule {
+    is_cut: false,
+    loss: LOSS,
+    repeat: REPEAT,
+    delay: Duration::ZERO,
+};
+
+const SLOW: LinkRule = LinkRule {
+    is_cut: false,
+    loss: 0.0,
+    repeat: 0.0,
+    delay: SLOW_LINK,
+};
+
+/// Begins and ends of strikes in the order of time.
+fn timeline(strikes: &[Strike]) -> Vec<(Duration, Change)> {
+    let mut changes: Vec<(Duration, Change)> = Vec::new();
+    for strike in strikes {
+        changes.push((strike.at, Change::Begin(*strike)));
+        changes.push((strike.at + strike.lasts, Change::End(*strike)));
+    }
+    changes.sort_by_key(|(at, _)| *at);
+    changes
+}
+
+fn service_of(machine: u8) -> &'static str {
+    TARGETS
+        .into_iter()
+        .find(|(target, _)| *target == machine)
+        .map_or("kitchen", |(_, service)| service)
+}
+
+async fn store_proxy(network: Network, seed: u64) -> Result<FaultProxy, SiteError> {
+    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+    let config = FaultProxyConfig {
+        tcp: vec![Route {
+            listen: any.into(),
+            upstream: network.at(1, STORE_PORT).into(),
+        }],
+        seed,
+        ..FaultProxyConfig::default()
+    };
+    FaultProxy::start(config)
+        .await
+        .map_err(|error| SiteError::System(std::io::Error::other(error.to_string())))
+}
+
+/// The figures that a node tells.
+async fn figures(address: SocketAddrV4) -> Option<String> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let request = b"GET /metrics HTTP/1.1\r\nhost: metrics\r\nconnection: close\r\n\r\n";
+    stream.write_all(request).await.ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.ok()?;
+    Some(text)
+}
--- /dev/null
+++ b/crates/woodladder-lab/tests/platform_soak.rs
@@ -0,0 +1,68 @@
+//! The soak's plan, and the soak itself without faults: its links, store
+//! paths and checks on the real processes.
+
+use std::collections::BTreeSet;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use woodladder_lab::platform::{self, SoakOptions, SoakReport, plan};
+
+const LENGTH: Duration = Duration::from_secs(14);
+
+fn run(seed: u64, length: Duration) -> SoakReport {
+    let directory = tempfile::tempdir().expect("a directory");
+    let options = SoakOptions {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_woodladder-lab")),
+        directory: directory.path().to_owned(),
+        seed,
+        length,
+    };
+    platform::soak(&options).expect("the soak is run")
+}
+
+#[test]
+fn a_seed_gives_the_same_plan_each_time() {
+    for seed in 0..50 {
+        assert_eq!(plan(seed, LENGTH), plan(seed, LENGTH));
+    }
+    assert_ne!(plan(1, LENGTH), plan(2, LENGTH));
+}
+
+#[test]
+fn every_kind_of_fault_comes_in_some_plan() {
+    let kinds: BTreeSet<String> = (0..100)
+        .flat_map(|seed| plan(seed, LENGTH))
+        .map(|strike| format!("{:?}", strike.kind))
+        .collect();
+    assert_eq!(kinds.len(), 23, "{kinds:?}");
+}
+
+#[test]
+fn a_machine_is_struck_by_one_fault_at_a_time() {
+    for seed in 0..100 {
+        let strikes = plan(seed, LENGTH);
+        for (index, strike) in strikes.iter().enumerate() {
+            for later in &strikes[index + 1..] {
+                let is_apart = later.at >= strike.at + strike.lasts;
+                assert!(later.machine != strike.machine || is_apart, "{seed}");
+            }
+        }
+    }
+}
+
+/// Nodes behind the soak's link proxies serve, balancers of equal size.
+#[test]
+fn without_faults_no_request_fails_behind_the_proxies() {
+    let report = run(2, Duration::ZERO);
+    assert!(report.is_kept(), "{report}");
+    assert_eq!(report.failed, 0, "{report}");
+    assert!(report.answered > 100, "{report}");
+}
+
+/// The same with one balancer far smaller than the others.
+#[test]
+fn without_faults_no_request_fails_beside_a_small_balancer() {
+    let report = run(1, Duration::ZERO);
+    assert!(report.is_kept(), "{report}");
+    assert_eq!(report.failed, 0, "{report}");
+}
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -51,8 +51,10 @@
 /// Settings of an agent's process.
 #[derive(Clone, Debug)]
 pub struct AgentConfig {
-    /// Address for other nodes, datagrams and streams.
+    /// Address that other nodes reach it at, by datagrams and streams.
     pub peer_address: SocketAddrV4,
+    /// Address that the sockets for other nodes are bound to.
+    pub peer_bind: SocketAddrV4,
     /// Address that the target sends its packets to.
     pub outbound_address: SocketAddrV4,
     /// Address that the target takes packets at.
@@ -105,7 +107,7 @@
             core: RefCell::new(Agent::new(options, clock.now())),
             carrier,
             clock,
-            peers: peer_socket::open(config.peer_address)?,
+            peers: peer_socket::open(config.peer_bind)?,
             outbound: peer_socket::open(config.outbound_address)?,
             decisions: RefCell::new(DecisionLog::new(logger.clone())),
             logger,
@@ -124,7 +126,7 @@
         store: impl Fn() -> S,
         stop: Rc<Notify>,
     ) -> io::Result<()> {
-        let listener = TcpListener::bind(self.config.peer_address).await?;
+        let listener = TcpListener::bind(self.config.peer_bind).await?;
         let node = Rc::clone(&self);
         spawn_local(snapshot_exchange::serve(listener, move |request| {
             node.core.borrow().answer_snapshot(request)
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -47,8 +47,10 @@
 /// Settings of a balancer's process.
 #[derive(Clone, Debug)]
 pub struct BalancerConfig {
-    /// Address for other nodes, datagrams and streams.
+    /// Address that other nodes reach it at, by datagrams and streams.
     pub peer_address: SocketAddrV4,
+    /// Address that the sockets for other nodes are bound to.
+    pub peer_bind: SocketAddrV4,
     /// Address that callers' packets come to.
     pub caller_address: SocketAddrV4,
     /// Port that callers take packets at.
@@ -98,7 +100,7 @@
             core: RefCell::new(Balancer::new(options, clock.now())),
             carrier,
             clock,
-            peers: peer_socket::open(config.peer_address)?,
+            peers: peer_socket::open(config.peer_bind)?,
             callers: peer_socket::open(config.caller_address)?,
             decisions: RefCell::new(DecisionLog::new(logger.clone())),
             logger,
@@ -119,7 +121,7 @@
         store: impl Fn() -> S,
         stop: Rc<Notify>,
     ) -> io::Result<()> {
-        let listener = TcpListener::bind(self.config.peer_address).await?;
+        let listener = TcpListener::bind(self.config.peer_bind).await?;
         let node = Rc::clone(&self);
         spawn_local(snapshot_exchange::serve(listener, move |request| {
             node.core.borrow().answer_snapshot(request)
