Search for flows whose opening went elsewhere; claim no half-open flow

Ruled out: a lost table (the balancer had run on), the relay (the receiver is chosen by the flow alone). Change: a denial by the supposed holder begins a search; an opening older than 2.5 s, or acceptances that the caller's number does not fit, tell nothing; an opening that waits does not swallow packets of a flow that opened elsewhere; an agent claims no flow that its target has only accepted, but lets the target decide.

--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -46,8 +46,12 @@
         now: Instant,
     ) -> Delivery {
         if let Some(flow) = self.flows.use_flow(&packet.key) {
-            if flow.state == FlowState::Unconfirmed {
-                return Delivery::plain();
+            match flow.state {
+                FlowState::Unconfirmed => return Delivery::plain(),
+                FlowState::Offered | FlowState::Accepted => {
+                    return self.try_target(from, packet, now);
+                }
+                FlowState::Open | FlowState::Closing => {}
             }
             let begins_request = self.count_delivery(from, packet, now);
             let tell = self.located(&packet.key);
@@ -70,7 +74,7 @@
     /// What a balancer that searched is told when the flow is held here.
     fn located(&self, key: &FlowKey) -> Option<PeerMessage> {
         let flow = self.flows.peek(key)?;
-        if flow.state == FlowState::Unconfirmed {
+        if !matches!(flow.state, FlowState::Open | FlowState::Closing) {
             return None;
         }
         Some(PeerMessage::Located {
@@ -87,23 +91,27 @@
         now: Instant,
         actions: &mut Vec<AgentAction>,
     ) {
-        let mut unknown = Vec::new();
+        let knows_all = self.knows_all_flows(now);
+        let mut denied = Vec::new();
+        let mut undecided = Vec::new();
         for key in keys.iter().take(MAXIMUM_KEYS) {
-            match self.located(key) {
-                Some(message) => actions.push(AgentAction::Send { to: from, message }),
-                None => unknown.push(*key),
+            if let Some(message) = self.located(key) {
+                actions.push(AgentAction::Send { to: from, message });
+            } else if knows_all && self.flows.peek(key).is_none() {
+                denied.push(*key);
+            } else {
+                undecided.push(*key);
             }
         }
-        if unknown.is_empty() {
-            return;
-        }
-        let message = if self.knows_all_flows(now) {
+        if !denied.is_empty() {
             self.counters.denied += 1;
-            PeerMessage::NotHeld { keys: unknown }
-        } else {
-            PeerMessage::MayBeHeld { keys: unknown }
-        };
-        actions.push(AgentAction::Send { to: from, message });
+            let message = PeerMessage::NotHeld { keys: denied };
+            actions.push(AgentAction::Send { to: from, message });
+        }
+        if !undecided.is_empty() {
+            let message = PeerMessage::MayBeHeld { keys: undecided };
+            actions.push(AgentAction::Send { to: from, message });
+        }
     }
 
     /// Whether the target runs for certain. A packet for a target that has not
@@ -134,6 +142,7 @@
             busy_since: None,
             caller_next: packet.sequence.wrapping_add(packet.payload.into()),
         };
+        self.forget_flow(&packet.key);
         self.flows.insert(packet.key, flow, now);
         Delivery::plain()
     }
--- a/crates/woodladder-core/src/flow/balancer/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/established.rs
@@ -1,12 +1,20 @@
 //! Flows that are open: their target from the table, or by a search.
 
+use std::time::Duration;
+
 use super::super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
 use super::super::message::{ForwardHeader, ForwardPurpose};
 use super::super::packet::{FlowPacket, PacketKind, ResetReason};
-use super::forwarding::{DropReason, Routing};
+use super::forwarding::Routing;
 use super::{Acceptance, Balancer, BalancerAction, Stage};
 use crate::clock::Instant;
 
+/// Time from a caller's opening within which it acknowledges an acceptance.
+const OPENING_LASTS: Duration = Duration::from_millis(2500);
+/// Most bytes that a target can have sent when a balancer sees the first
+/// acknowledgement.
+const FARTHEST_ACKNOWLEDGEMENT: u32 = 1 << 20;
+
 impl Balancer {
     pub(super) fn route_established(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
         let Some(entry) = self.flows.use_flow(&packet.key) else {
@@ -14,7 +22,7 @@
         };
         entry.acknowledged = packet.acknowledgement;
         entry.finished |= packet.kind == PacketKind::Finish;
-        entry.settle(packet.acknowledgement);
+        entry.settle(packet.acknowledgement, now);
         let service = entry.service;
         match &entry.stage {
             Stage::Held { agent, .. } => {
@@ -25,7 +33,7 @@
                 }
             }
             Stage::Searching(_) => self.search_on(packet.key, now),
-            Stage::Opening { .. } => Routing::Drop(DropReason::HolderUnknown),
+            Stage::Opening { .. } => self.search_opened_elsewhere(packet.key, now),
         }
     }
 
@@ -70,16 +78,25 @@
 impl super::FlowEntry {
     /// The caller has answered an acceptance, and with that has chosen the
     /// target that holds the flow.
-    fn settle(&mut self, acknowledgement: u32) {
+    fn settle(&mut self, acknowledgement: u32, now: Instant) {
         let Stage::Opening {
-            accepted, awaited, ..
+            since,
+            accepted,
+            awaited,
+            ..
         } = &self.stage
         else {
             return;
         };
+        if now.since(*since) >= OPENING_LASTS {
+            return;
+        }
+        let supposed = awaited
+            .filter(|_| accepted.is_empty())
+            .map(|agent| (agent, None));
         let held = chosen_by_caller(accepted, acknowledgement)
             .map(|acceptance| (acceptance.agent, acceptance.incarnation))
-            .or_else(|| awaited.map(|agent| (agent, None)));
+            .or(supposed);
         if let Some((agent, incarnation)) = held {
             self.stage = Stage::Held { agent, incarnation };
         }
@@ -87,9 +104,12 @@
 }
 
 /// The acceptance that a caller's packet acknowledges: the one whose number
-/// lies closest before the acknowledgement.
+/// lies closest before the acknowledgement, not farther than a target can have
+/// sent meanwhile.
 fn chosen_by_caller(accepted: &[Acceptance], acknowledgement: u32) -> Option<&Acceptance> {
+    let distance = |acceptance: &Acceptance| acknowledgement.wrapping_sub(acceptance.sequence);
     accepted
         .iter()
-        .min_by_key(|acceptance| acknowledgement.wrapping_sub(acceptance.sequence))
+        .filter(|acceptance| distance(acceptance) <= FARTHEST_ACKNOWLEDGEMENT)
+        .min_by_key(|acceptance| distance(acceptance))
 }
--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -90,6 +90,38 @@
         self.begin_search(packet.key, &[])
     }
 
+    /// The flow was opened through another balancer, while this one waited or
+    /// asked a target that the caller did not choose.
+    pub(super) fn search_opened_elsewhere(&mut self, key: FlowKey, now: Instant) -> Routing {
+        self.become_searching(&key, Search::new(now));
+        self.begin_search(key, &[])
+    }
+
+    fn become_searching(&mut self, key: &FlowKey, search: Search) {
+        if let Some(entry) = self.flows.use_flow(key) {
+            entry.stage = Stage::Searching(search);
+        }
+    }
+
+    /// Begins a search when the agent that is believed to hold a flow denies
+    /// it; says whether it did.
+    fn search_when_holder_denies(
+        &mut self,
+        from: NodeAddress,
+        key: &FlowKey,
+        now: Instant,
+    ) -> bool {
+        let is_holder = self.flows.peek(key).is_some_and(
+            |entry| matches!(&entry.stage, Stage::Held { agent, .. } if *agent == from),
+        );
+        if is_holder {
+            let mut search = Search::new(now);
+            search.denied.push(from);
+            self.become_searching(key, search);
+        }
+        is_holder
+    }
+
     /// A further packet of a flow that is searched for.
     pub(super) fn search_on(&mut self, key: FlowKey, now: Instant) -> Routing {
         let Some(search) = self.search_of(&key) else {
@@ -177,13 +209,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
-        let Some(entry) = self.flows.use_flow(&packet.key) else {
-            return;
-        };
-        if matches!(&entry.stage, Stage::Held { agent, .. } if *agent == from) {
-            let mut search = Search::new(now);
-            search.denied.push(from);
-            entry.stage = Stage::Searching(search);
+        if self.search_when_holder_denies(from, &packet.key, now) {
             let routing = self.begin_search(packet.key, &[from]);
             self.carry_out(routing, bytes, actions);
         }
@@ -199,6 +225,13 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         for key in keys {
+            if self.search_when_holder_denies(from, key, now) {
+                self.searching.push(*key);
+                self.notes.add(Note::SearchStarted {
+                    key: *key,
+                    asked: 0,
+                });
+            }
             let Some(search) = self.search_of(key) else {
                 continue;
             };
