Send packets of a search beyond the first targets once those have denied

The agent could only let its target decide and needed a packet for that, but packets of a search went to the same 24 of 47 targets each time, and the agent was not among them. Ruled out: the first 24 not denying (they did within one tick), a search that ended early (three were begun anew with the same 24). Change: a packet of a search goes to the first 24 targets that have not denied. A test with 60 targets fails without it.

--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -1,7 +1,8 @@
 //! The search for the target that holds a flow.
 //!
 //! The packet goes at once to the first targets of the flow's route, at most
-//! [`FIRST_ASKED`] of them. While the search is undecided, every target that
+//! [`FIRST_ASKED`] of them, and each further packet to the first of those that
+//! have not denied. While the search is undecided, every target that
 //! may hold the flow is asked again by batched queries, which need no further
 //! packet of the caller. The flow is reset only when each of them has denied
 //! and the balancer has listened long enough to know all of them.
@@ -161,9 +162,8 @@
         let mut receivers: Vec<(NodeAddress, ForwardHeader)> = Vec::new();
         for service in self.likely_services(key) {
             let header = self.header(service, purpose);
-            let agents = first_candidates(&self.directory, service, &key, FIRST_ASKED);
-            let open = agents.into_iter().filter(|agent| !denied.contains(agent));
-            receivers.extend(open.map(|agent| (agent, header)));
+            let agents = first_candidates(&self.directory, service, &key, denied, FIRST_ASKED);
+            receivers.extend(agents.into_iter().map(|agent| (agent, header)));
         }
         if receivers.is_empty() {
             return Routing::Drop(DropReason::HolderUnknown);
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -49,15 +49,22 @@
     pub others: usize,
 }
 
-/// Agents of a service that come first for a flow, at most `count`.
+/// Agents of a service that come first for a flow, at most `count`, without
+/// those that are left out.
 #[must_use]
 pub fn first_candidates(
     directory: &Directory,
     service: ServiceKey,
     key: &FlowKey,
+    left_out: &[NodeAddress],
     count: usize,
 ) -> Vec<NodeAddress> {
-    let mut agents = directory.agents_of(service).to_vec();
+    let mut agents: Vec<NodeAddress> = directory
+        .agents_of(service)
+        .iter()
+        .copied()
+        .filter(|agent| !left_out.contains(agent))
+        .collect();
     if agents.len() > count {
         agents.sort_by_cached_key(|agent| std::cmp::Reverse(key.rank(*agent)));
         agents.truncate(count);
@@ -70,8 +77,13 @@
     /// takes flows and was not asked before.
     #[must_use]
     pub fn best(&self, now: Instant) -> Option<Chosen> {
-        let candidates =
-            first_candidates(self.directory, self.service, &self.key, COMPARED_TARGETS);
+        let candidates = first_candidates(
+            self.directory,
+            self.service,
+            &self.key,
+            self.tried,
+            COMPARED_TARGETS,
+        );
         self.best_of(&candidates, now)
             .or_else(|| self.best_of(self.directory.agents_of(self.service), now))
     }
--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -426,3 +426,32 @@
     assert_eq!(to, node(3));
     assert_eq!(agent.load().flows, 1);
 }
+
+/// An agent that has restarted can only let its target decide, for which it
+/// needs a packet. Where a service has more targets than a packet goes to at
+/// once, the next packet goes to those that have not denied.
+#[test]
+fn further_packets_go_to_targets_beyond_the_first_until_they_deny() {
+    let agents: Vec<u8> = (2..62).collect();
+    let mut balancer = balancer(&agents);
+    let routing = arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    let first = receivers(&routing);
+    assert_eq!(first.len(), 24);
+    let restarted = agents
+        .iter()
+        .copied()
+        .find(|agent| !first.contains(&node(*agent)))
+        .expect("more agents than are asked first");
+    let denial = PeerMessage::NotHeld {
+        keys: vec![flow(1)],
+    };
+    for agent in agents.iter().filter(|agent| **agent != restarted) {
+        send(&mut balancer, *agent, denial.clone(), at(10_530));
+    }
+    let undecided = PeerMessage::MayBeHeld {
+        keys: vec![flow(1)],
+    };
+    send(&mut balancer, restarted, undecided, at(10_530));
+    let routing = arrive(&mut balancer, &data(flow(1), 1, 77), at(10_700));
+    assert_eq!(receivers(&routing), vec![node(restarted)]);
+}
