Revert: give agents that cannot tell the searched packet at once

Cause as far as seen: what is reset sooner is tried again sooner, and a retry, which is late already, looks like a new request to the balancer and takes the place of one that can still be in time. A retry that inherits the age of the request before it is a way for later. Its test goes with it; the split of the searches' file stays.

--- a/crates/woodladder-core/src/flow/balancer/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/established.rs
@@ -16,14 +16,9 @@
 const FARTHEST_ACKNOWLEDGEMENT: u32 = 1 << 20;
 
 impl Balancer {
-    pub(super) fn route_established(
-        &mut self,
-        packet: &FlowPacket,
-        bytes: &[u8],
-        now: Instant,
-    ) -> Routing {
+    pub(super) fn route_established(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
         let Some(entry) = self.flows.use_flow(&packet.key) else {
-            return self.search_unknown(packet, bytes, now);
+            return self.search_unknown(packet, now);
         };
         entry.acknowledged = packet.acknowledgement;
         entry.finished |= packet.kind == PacketKind::Finish;
@@ -37,8 +32,8 @@
                     header: self.header(service, ForwardPurpose::Established),
                 }
             }
-            Stage::Searching(_) => self.search_on(packet.key, bytes, now),
-            Stage::Opening { .. } => self.search_opened_elsewhere(packet.key, bytes, now),
+            Stage::Searching(_) => self.search_on(packet.key, now),
+            Stage::Opening { .. } => self.search_opened_elsewhere(packet.key, now),
         }
     }
 
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -381,7 +381,7 @@
             _ if packet.key.caller.ip() == own_address => Routing::Drop(DropReason::Forged),
             PacketKind::Open => self.route_opening(packet, bytes, now),
             PacketKind::Accept => Routing::Drop(DropReason::Forged),
-            _ => self.route_established(packet, bytes, now),
+            _ => self.route_established(packet, now),
         };
         if matches!(routing, Routing::Drop(_)) {
             self.counters.dropped += 1;
--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -12,7 +12,7 @@
 use super::super::packet::{FlowPacket, PacketKind};
 use super::super::selection::first_candidates;
 use super::forwarding::{DropReason, Routing};
-use super::{Balancer, BalancerAction, FlowEntry, Stage};
+use super::{Balancer, FlowEntry, Stage};
 use crate::clock::Instant;
 
 /// Targets that a packet of an unknown flow goes to.
@@ -28,10 +28,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct Search {
     pub(super) denied: Vec<NodeAddress>,
-    /// Agents that the caller's last packet was sent to.
-    asked: Vec<NodeAddress>,
-    /// That packet, for agents that need it to decide.
-    packet: Vec<u8>,
     started_at: Instant,
     pub(super) queried_at: Option<Instant>,
 }
@@ -40,8 +36,6 @@
     fn new(now: Instant) -> Self {
         Self {
             denied: Vec::new(),
-            asked: Vec::new(),
-            packet: Vec::new(),
             started_at: now,
             queried_at: None,
         }
@@ -53,12 +47,7 @@
 }
 
 impl Balancer {
-    pub(super) fn search_unknown(
-        &mut self,
-        packet: &FlowPacket,
-        bytes: &[u8],
-        now: Instant,
-    ) -> Routing {
+    pub(super) fn search_unknown(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
         if self.routes.current().is_none() {
             return Routing::Drop(DropReason::NoConfiguration);
         }
@@ -80,19 +69,14 @@
             stage: Stage::Searching(Search::new(now)),
         };
         self.flows.insert(packet.key, entry, now);
-        self.begin_search(packet.key, bytes)
+        self.begin_search(packet.key)
     }
 
     /// The flow was opened through another balancer, while this one waited or
     /// asked a target that the caller did not choose.
-    pub(super) fn search_opened_elsewhere(
-        &mut self,
-        key: FlowKey,
-        bytes: &[u8],
-        now: Instant,
-    ) -> Routing {
+    pub(super) fn search_opened_elsewhere(&mut self, key: FlowKey, now: Instant) -> Routing {
         self.become_searching(&key, Search::new(now));
-        self.begin_search(key, bytes)
+        self.begin_search(key)
     }
 
     fn become_searching(&mut self, key: &FlowKey, search: Search) {
@@ -121,22 +105,22 @@
     }
 
     /// A further packet of a flow that is searched for.
-    pub(super) fn search_on(&mut self, key: FlowKey, bytes: &[u8], now: Instant) -> Routing {
+    pub(super) fn search_on(&mut self, key: FlowKey, now: Instant) -> Routing {
         let Some(search) = self.search_of(&key) else {
             return Routing::Drop(DropReason::HolderUnknown);
         };
         if search.is_over(now) {
             *search = Search::new(now);
-            return self.begin_search(key, bytes);
+            return self.begin_search(key);
         }
         self.counters.searched += 1;
-        self.ask_open(key, bytes)
+        self.ask_open(key)
     }
 
-    pub(super) fn begin_search(&mut self, key: FlowKey, bytes: &[u8]) -> Routing {
+    pub(super) fn begin_search(&mut self, key: FlowKey) -> Routing {
         self.searching.push(key);
         self.counters.searched += 1;
-        let routing = self.ask_open(key, bytes);
+        let routing = self.ask_open(key);
         let asked = match &routing {
             Routing::Several(receivers) => receivers.len(),
             _ => 0,
@@ -152,48 +136,14 @@
         }
     }
 
-    /// The packet goes to the first targets that have not denied, and is kept
-    /// for others.
-    fn ask_open(&mut self, key: FlowKey, bytes: &[u8]) -> Routing {
+    /// The packet goes to the first targets that have not denied.
+    fn ask_open(&mut self, key: FlowKey) -> Routing {
         let denied = self
             .search_of(&key)
             .map_or_else(Vec::new, |search| search.denied.clone());
-        let routing = self.ask_first(key, &denied);
-        if let Some(search) = self.search_of(&key) {
-            search.packet = bytes.to_vec();
-            search.asked = match &routing {
-                Routing::Several(receivers) => receivers.iter().map(|(to, _)| *to).collect(),
-                _ => Vec::new(),
-            };
-        }
-        routing
+        self.ask_first(key, &denied)
     }
 
-    /// Sends the kept packet to an agent that needs it to decide, unless it
-    /// has been sent it.
-    pub(super) fn ask_with_packet(
-        &mut self,
-        agent: NodeAddress,
-        service: ServiceKey,
-        key: FlowKey,
-        actions: &mut Vec<BalancerAction>,
-    ) {
-        let header = self.header(service, ForwardPurpose::Search);
-        let Some(search) = self.search_of(&key) else {
-            return;
-        };
-        if search.asked.contains(&agent) || search.packet.is_empty() {
-            return;
-        }
-        search.asked.push(agent);
-        actions.push(BalancerAction::Forward {
-            to: agent,
-            header,
-            packet: search.packet.clone(),
-        });
-    }
-
-    /// The packet goes to the first targets that have not denied.
     fn ask_first(&self, key: FlowKey, denied: &[NodeAddress]) -> Routing {
         let purpose = ForwardPurpose::Search;
         let mut receivers: Vec<(NodeAddress, ForwardHeader)> = Vec::new();
--- a/crates/woodladder-core/src/flow/balancer/search_outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search_outcome.rs
@@ -58,7 +58,7 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         if self.search_when_holder_denies(from, &packet.key, now) {
-            let routing = self.begin_search(packet.key, bytes);
+            let routing = self.begin_search(packet.key);
             self.carry_out(routing, bytes, actions);
         }
         self.denied(from, &[packet.key], now, actions);
@@ -91,9 +91,9 @@
     }
 
     /// An agent cannot tell whether its target holds flows: the target decides
-    /// by a packet. Where a flow is not likely to be, that counts as a denial:
-    /// its packets must not reach another service, so nothing more can be
-    /// learned.
+    /// by the caller's next packet. Where a flow is not likely to be, that
+    /// counts as a denial: its packets must not reach another service, so
+    /// nothing more can be learned.
     pub(super) fn undecided(
         &mut self,
         from: NodeAddress,
@@ -104,13 +104,11 @@
         let Some(service) = self.directory.agent(from).map(|record| record.service) else {
             return;
         };
-        let (likely, unlikely): (Vec<FlowKey>, Vec<FlowKey>) = keys
+        let unlikely: Vec<FlowKey> = keys
             .iter()
             .copied()
-            .partition(|key| self.likely_services(*key).contains(&service));
-        for key in likely {
-            self.ask_with_packet(from, service, key, actions);
-        }
+            .filter(|key| !self.likely_services(*key).contains(&service))
+            .collect();
         self.denied(from, &unlikely, now, actions);
     }
 
--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -455,33 +455,3 @@
     let routing = arrive(&mut balancer, &data(flow(1), 1, 77), at(10_700));
     assert_eq!(receivers(&routing), vec![node(restarted)]);
 }
-
-/// The caller's next copy would come 200 ms later; a request that waits for it
-/// is late. The packet is kept and goes to the agent that asks for it.
-#[test]
-fn an_agent_that_cannot_tell_gets_the_packet_at_once() {
-    let agents: Vec<u8> = (2..62).collect();
-    let mut balancer = balancer(&agents);
-    let routing = arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
-    let first = receivers(&routing);
-    let undecided = PeerMessage::MayBeHeld {
-        keys: vec![flow(1)],
-    };
-    let already_asked = first[0].ip().octets()[3];
-    let actions = send(&mut balancer, already_asked, undecided.clone(), at(10_530));
-    assert!(actions.is_empty(), "{actions:?}");
-    let other = agents
-        .iter()
-        .copied()
-        .find(|agent| !first.contains(&node(*agent)))
-        .expect("more agents than are asked first");
-    let actions = send(&mut balancer, other, undecided.clone(), at(10_530));
-    let [BalancerAction::Forward { to, header, packet }] = actions.as_slice() else {
-        panic!("{actions:?}");
-    };
-    assert_eq!(*to, node(other));
-    assert_eq!(header.purpose, ForwardPurpose::Search);
-    assert_eq!(packet, b"packet");
-    let actions = send(&mut balancer, other, undecided, at(10_650));
-    assert!(actions.is_empty(), "{actions:?}");
-}
