--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -4,12 +4,9 @@
 mod flow_support;
 
 use flow_support::*;
-use woodladder_core::flow::agent::{AgentAction, Delivery, Departure, Presence};
+use woodladder_core::flow::agent::{AgentAction, Delivery, Presence};
 use woodladder_core::flow::balancer::{BalancerAction, SEARCHES_A_TICK};
-use woodladder_core::flow::message::{
-    ForwardPurpose, PeerMessage, Snapshot, TargetLoad, TargetReport,
-};
-use woodladder_core::flow::packet::PacketKind;
+use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, Snapshot};
 
 /// A machine that was just added runs its agent before its target: a packet
 /// handed to the target's port then is answered with a reset by the machine,
@@ -302,131 +299,6 @@
     assert_eq!(receivers(&routing).len(), 2, "the next tick allows more");
 }
 
-/// An agent that has restarted lets its target decide, so its denial comes
-/// without the packet. The flow was believed to be there because its first
-/// opening was sent there, while another balancer's copy opened it elsewhere.
-#[test]
-fn a_flow_that_its_supposed_holder_denies_is_searched_for() {
-    let mut balancer = balancer(&[2, 3]);
-    let routing = arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
-    let supposed = receivers(&routing)[0];
-    arrive(&mut balancer, &data(flow(1), 1001, 5001), at(10_050));
-    let denial = PeerMessage::NotHeld {
-        keys: vec![flow(1)],
-    };
-    let number = supposed.ip().octets()[3];
-    send(&mut balancer, number, denial, at(10_060));
-    let routing = arrive(&mut balancer, &data(flow(1), 1001, 5001), at(10_260));
-    let asked = receivers(&routing);
-    assert_eq!(asked.len(), 1, "{routing:?}");
-    assert!(!asked.contains(&supposed));
-}
-
-/// A caller acknowledges within two seconds of its opening. What comes later
-/// on an opening that this balancer never saw answered was opened through
-/// another one.
-#[test]
-fn an_old_opening_does_not_tell_who_holds_the_flow() {
-    let mut balancer = balancer(&[2, 3]);
-    arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
-    for now in (10_100..=13_000).step_by(100) {
-        for agent in [2, 3] {
-            tell(&mut balancer, agent, &report(agent, now), at(now));
-        }
-    }
-    let routing = arrive(&mut balancer, &data(flow(1), 1001, 5001), at(13_010));
-    assert_eq!(receivers(&routing).len(), 2, "{routing:?}");
-}
-
-/// Two targets accepted, one of them through another balancer; the caller's
-/// number shows that it chose the one that is not known here.
-#[test]
-fn an_acceptance_that_the_callers_number_does_not_fit_is_not_the_chosen_one() {
-    let mut balancer = balancer(&[2, 3]);
-    let routing = arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
-    let accepting = receivers(&routing)[0].ip().octets()[3];
-    let accepted = PeerMessage::Accepted {
-        key: flow(1),
-        sequence: 4_000_000_000,
-        incarnation: None,
-        load: TargetLoad::default(),
-    };
-    send(&mut balancer, accepting, accepted, at(10_020));
-    let routing = arrive(&mut balancer, &data(flow(1), 1001, 5001), at(10_050));
-    assert_eq!(receivers(&routing).len(), 2, "{routing:?}");
-}
-
-/// An opening waits here for room while its copy opens the flow through
-/// another balancer.
-#[test]
-fn a_flow_that_opened_elsewhere_while_its_opening_waits_is_searched_for() {
-    let mut balancer = balancer(&[2]);
-    let full = TargetReport {
-        load: TargetLoad {
-            busy: 60,
-            ..TargetLoad::default()
-        },
-        ..report(2, 2)
-    };
-    tell(&mut balancer, 2, &full, at(10_010));
-    let routing = arrive(&mut balancer, &opening(flow(1), 0), at(10_020));
-    assert!(receivers(&routing).is_empty());
-    let routing = arrive(&mut balancer, &data(flow(1), 1001, 5001), at(10_300));
-    assert_eq!(receivers(&routing), vec![node(2)]);
-}
-
-/// Its target accepted an opening, and the caller may have chosen another one.
-#[test]
-fn an_agent_does_not_claim_a_flow_that_its_target_has_only_accepted() {
-    let mut agent = agent();
-    agent.forwarded(node(1), &open_header(1), &opening(flow(1), 0), at(10));
-    let accept = packet(flow(1), PacketKind::Accept, 5000, 1001, 0);
-    agent.departing(&accept, None, at(11));
-    let mut actions = Vec::new();
-    let query = PeerMessage::Locate {
-        keys: vec![flow(1)],
-    };
-    agent.message(node(3), &query, at(20), &mut actions);
-    let expected = AgentAction::Send {
-        to: node(3),
-        message: PeerMessage::MayBeHeld {
-            keys: vec![flow(1)],
-        },
-    };
-    assert_eq!(actions, vec![expected]);
-
-    let search = header(1, ForwardPurpose::Search);
-    let delivery = agent.forwarded(node(3), &search, &data(flow(1), 1001, 9001), at(30));
-    let Delivery::Deliver { tell: None, .. } = delivery else {
-        panic!("{delivery:?}");
-    };
-    assert_eq!(agent.load().opening, 0);
-    let departure = agent.departing(&data(flow(1), 1001, 9001), Some(node(3)), at(31));
-    assert!(matches!(
-        departure,
-        Departure::Returned {
-            message: PeerMessage::NotHeld { .. },
-            ..
-        }
-    ));
-}
-
-#[test]
-fn an_accepted_flow_that_is_searched_for_is_claimed_when_its_target_answers() {
-    let mut agent = agent();
-    agent.forwarded(node(1), &open_header(1), &opening(flow(1), 0), at(10));
-    let accept = packet(flow(1), PacketKind::Accept, 5000, 1001, 0);
-    agent.departing(&accept, None, at(11));
-    let search = header(1, ForwardPurpose::Search);
-    agent.forwarded(node(3), &search, &data(flow(1), 1001, 5001), at(30));
-    let departure = agent.departing(&data(flow(1), 5001, 1101), None, at(70));
-    let Departure::ToCaller(Some((to, PeerMessage::Located { .. }))) = departure else {
-        panic!("{departure:?}");
-    };
-    assert_eq!(to, node(3));
-    assert_eq!(agent.load().flows, 1);
-}
-
 /// An agent that has restarted can only let its target decide, for which it
 /// needs a packet. Where a service has more targets than a packet goes to at
 /// once, the next packet goes to those that have not denied.
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -6,14 +6,12 @@
 //! configuration.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
-use serde::Serialize;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
@@ -25,6 +23,7 @@
     BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
 };
 use super::soak_plan::{Strike, StrikeKind, plan, processors};
+use super::soak_report::SoakReport;
 use super::store_state::StoreFault;
 use crate::fault_proxy::{Cut, FaultProxy, FaultProxyConfig, FaultRule, Route};
 
@@ -53,61 +52,6 @@
     pub length: Duration,
 }
 
-/// What came of a soak.
-#[derive(Clone, Debug, Serialize)]
-pub struct SoakReport {
-    /// The seed.
-    pub seed: u64,
-    /// Faults that struck.
-    pub strikes: usize,
-    /// Requests answered.
-    pub answered: u64,
-    /// Requests that found no answer while faults came.
-    pub failed: u64,
-    /// Requests that found no answer after all was healed.
-    pub failed_when_calm: u64,
-    /// Processes that ended by themselves.
-    pub ended_by_themselves: Vec<u8>,
-    /// Balancers that do not hold the last configuration at the end.
-    pub behind: Vec<u8>,
-    /// Promises that were broken.
-    pub violations: Vec<String>,
-}
-
-impl SoakReport {
-    /// Whether every promise was kept.
-    #[must_use]
-    pub fn is_kept(&self) -> bool {
-        self.violations.is_empty()
-            && self.behind.is_empty()
-            && self.ended_by_themselves.is_empty()
-            && self.failed_when_calm == 0
-    }
-}
-
-impl fmt::Display for SoakReport {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "seed {}: {} faults, answered {}, failed {} under faults and {} after",
-            self.seed, self.strikes, self.answered, self.failed, self.failed_when_calm
-        )?;
-        for machine in &self.ended_by_themselves {
-            write!(formatter, "\n  ended by itself: node-{machine}")?;
-        }
-        for machine in &self.behind {
-            write!(
-                formatter,
-                "\n  without the last configuration: node-{machine}"
-            )?;
-        }
-        for violation in &self.violations {
-            write!(formatter, "\n  broken: {violation}")?;
-        }
-        Ok(())
-    }
-}
-
 /// Runs a soak to its end.
 ///
 /// # Errors
