--- a/crates/woodladder-lab/src/simulation/agent_requests.rs
+++ b/crates/woodladder-lab/src/simulation/agent_requests.rs
@@ -11,6 +11,7 @@
 };
 
 use super::agent_flows::AgentFlows;
+use super::agent_request_frames::{Served, send_refusal, write_request};
 use super::back_end::{BackEnd, BackEndStep, ConnectionId};
 use super::frame::{FirstIdentifier, Frame, RequestFrame};
 use super::log::{AttemptId, Entry};
@@ -23,15 +24,6 @@
 const HELD_BACK: Duration = Duration::from_millis(300);
 const FALSE_RETRY: u32 = 1000;
 
-/// A request without an outcome.
-#[derive(Clone, Copy, Debug)]
-struct Served {
-    flow: FirstIdentifier,
-    frame: RequestFrame,
-    arrived: Instant,
-    connection: Option<ConnectionId>,
-}
-
 /// A refusal that the mutation holds back.
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -373,32 +365,6 @@
     }
 }
 
-fn write_request(connection: ConnectionId, frame: &RequestFrame, means: &mut Means<'_, '_>) {
-    let around = &mut *means.around;
-    let schedule = means
-        .back_end
-        .request(connection, frame, around.now, around.log);
-    around.outputs.push(Output::BackEnd {
-        connection,
-        schedule,
-    });
-}
-
-fn send_refusal(served: &Served, decided: Instant, retry_after: u32, means: &mut Means<'_, '_>) {
-    let attempt = served.frame.attempt;
-    let entry = Entry::Refused {
-        attempt: AttemptId(attempt),
-        decided,
-        retry_after,
-    };
-    means.around.log.add(means.around.now, entry);
-    let frame = Frame::NotRun {
-        attempt,
-        retry_after,
-    };
-    means.flows.send(&served.flow, frame, means.around);
-}
-
 /// Whether a refusal for this reason is due in the instant of arrival.
 fn is_decided_on_arrival(reason: RefusalReason) -> bool {
     matches!(
