--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/admission_queue.rs
@@ -0,0 +1,119 @@
+//! Openings that wait at the agent until the target can begin with them.
+//!
+//! A target works through its own queue from the front, so after a surge every
+//! request in it is late. Openings wait here instead: nothing of them has run,
+//! and the agent can choose. Those whose requests can still be answered in time
+//! go first, and among these the ones of routes that matter more; late ones
+//! get what is left. Within a group the newest goes first, so that a surge that
+//! is over makes nobody late who came after it.
+
+use std::time::Duration;
+
+use super::super::identity::{FlowKey, NodeAddress};
+use super::super::message::ForwardHeader;
+use super::super::packet::FlowPacket;
+use crate::clock::Instant;
+
+/// Most openings that wait at one agent.
+pub const CAPACITY: usize = 128;
+/// Age at which an opening is given up. The caller's attempt ends soon after.
+pub const LONGEST_WAIT: Duration = Duration::from_millis(1200);
+
+/// An opening that waits.
+#[derive(Clone, Debug)]
+pub(super) struct QueuedOpening {
+    /// Balancer that sent it.
+    pub balancer: NodeAddress,
+    /// What the balancer said with it.
+    pub header: ForwardHeader,
+    /// The opening.
+    pub packet: FlowPacket,
+    /// Its bytes.
+    pub bytes: Vec<u8>,
+    /// When the caller first sent it.
+    pub first_sent: Instant,
+    /// Time from then in which its request should be answered.
+    pub aim: Duration,
+    /// Whether its route matters more than another of the same service.
+    pub is_urgent: bool,
+}
+
+/// Openings that wait at one agent.
+#[derive(Clone, Debug, Default)]
+pub(super) struct AdmissionQueue {
+    openings: Vec<QueuedOpening>,
+}
+
+/// The order in which groups of openings are served, the greatest first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Group {
+    Late,
+    LateUrgent,
+    InTime,
+    InTimeUrgent,
+}
+
+impl QueuedOpening {
+    fn group(&self, expected: Duration, now: Instant) -> Group {
+        let is_in_time = now.since(self.first_sent) + expected <= self.aim;
+        match (is_in_time, self.is_urgent) {
+            (true, true) => Group::InTimeUrgent,
+            (true, false) => Group::InTime,
+            (false, true) => Group::LateUrgent,
+            (false, false) => Group::Late,
+        }
+    }
+}
+
+impl AdmissionQueue {
+    /// Openings that wait.
+    pub fn len(&self) -> usize {
+        self.openings.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.openings.is_empty()
+    }
+
+    /// Whether no further one may wait.
+    pub fn is_full(&self) -> bool {
+        self.openings.len() >= CAPACITY
+    }
+
+    /// Whether a flow's opening waits.
+    pub fn contains(&self, key: &FlowKey) -> bool {
+        self.openings
+            .iter()
+            .any(|opening| opening.packet.key == *key)
+    }
+
+    /// Adds an opening.
+    pub fn push(&mut self, opening: QueuedOpening) {
+        self.openings.push(opening);
+    }
+
+    /// Takes the opening that is to be served next, when an answer is expected
+    /// this long after it is handed to the target.
+    pub fn take_next(&mut self, expected: Duration, now: Instant) -> Option<QueuedOpening> {
+        let best = self
+            .openings
+            .iter()
+            .enumerate()
+            .max_by_key(|(_, opening)| (opening.group(expected, now), opening.first_sent))
+            .map(|(index, _)| index)?;
+        Some(self.openings.swap_remove(best))
+    }
+
+    /// Takes the openings that have waited for as long as they may.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<QueuedOpening> {
+        self.openings
+            .extract_if(.., |opening| now.since(opening.first_sent) >= LONGEST_WAIT)
+            .collect()
+    }
+
+    /// Takes all openings.
+    pub fn take_all(&mut self) -> Vec<QueuedOpening> {
+        std::mem::take(&mut self.openings)
+    }
+}
--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -117,6 +117,7 @@
         for balancer in self.balancers.tick(now) {
             self.notes.add(Note::BalancerLost { balancer });
         }
+        self.serve_queue(now, actions);
         let is_due = self
             .reported_at
             .is_none_or(|at| now.since(at) >= self.report_interval);
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -137,6 +137,7 @@
         }
         let flow = HeldFlow {
             state: FlowState::Unconfirmed,
+            is_expected: false,
             balancer: from,
             since: now,
             busy_since: None,
@@ -159,9 +160,12 @@
             flow.state = FlowState::Open;
             flow.since = now;
             flow.caller_next = packet.sequence;
-            self.load.opening = self.load.opening.saturating_sub(1);
             self.load.flows += 1;
+            self.stop_expecting(&packet.key);
         }
+        let Some(flow) = self.flows.use_flow(&packet.key) else {
+            return false;
+        };
         let end = packet.sequence.wrapping_add(packet.payload.into());
         let is_new = packet.payload > 0 && is_after(end, flow.caller_next);
         let begins_request = is_new && flow.busy_since.is_none();
@@ -238,6 +242,8 @@
         let message = match (packet.kind, flow.state) {
             (PacketKind::Accept, FlowState::Offered) => {
                 flow.state = FlowState::Accepted;
+                flow.since = now;
+                self.accepted.push_back((packet.key, now));
                 Some(PeerMessage::Accepted {
                     key: packet.key,
                     sequence: packet.sequence,
@@ -270,6 +276,7 @@
         }
         let flow = HeldFlow {
             state: FlowState::Open,
+            is_expected: false,
             balancer: self.options.address,
             since: now,
             busy_since: None,
@@ -328,12 +335,21 @@
         if flow.busy_since.is_some() {
             self.load.busy = self.load.busy.saturating_sub(1);
         }
-        match flow.state {
-            FlowState::Offered | FlowState::Accepted => {
-                self.load.opening = self.load.opening.saturating_sub(1);
-            }
-            FlowState::Open => self.load.flows = self.load.flows.saturating_sub(1),
-            FlowState::Unconfirmed | FlowState::Closing => {}
+        if flow.is_expected {
+            self.load.opening = self.load.opening.saturating_sub(1);
+        }
+        if flow.state == FlowState::Open {
+            self.load.flows = self.load.flows.saturating_sub(1);
+        }
+    }
+
+    /// A flow no longer counts as an opening that will become a request.
+    pub(super) fn stop_expecting(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.use_flow(key)
+            && flow.is_expected
+        {
+            flow.is_expected = false;
+            self.load.opening = self.load.opening.saturating_sub(1);
         }
     }
 
@@ -344,6 +360,7 @@
         self.load.opening = 0;
         self.load.flows = 0;
         self.load.service_time_us = 0;
+        self.accepted.clear();
     }
 
     /// Counts the load anew from the table, leaving out what has waited too
@@ -358,14 +375,9 @@
                 flow.busy_since = None;
             }
             busy += u16::from(flow.busy_since.is_some());
-            match flow.state {
-                FlowState::Offered | FlowState::Accepted => {
-                    let counts = now.since(flow.since) < OPENING_AT_MOST;
-                    opening += u16::from(counts);
-                }
-                FlowState::Open => flows += 1,
-                FlowState::Unconfirmed | FlowState::Closing => {}
-            }
+            flow.is_expected &= now.since(flow.since) < OPENING_AT_MOST;
+            opening += u16::from(flow.is_expected);
+            flows += u32::from(flow.state == FlowState::Open);
         }
         self.load.busy = busy;
         self.load.opening = opening;
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -6,12 +6,14 @@
 //! target sends. Once a target has said that it leaves, no new flow reaches
 //! it through this agent, whatever any balancer believes.
 
+mod admission_queue;
 mod announcements;
 mod flows;
 mod heartbeat;
 mod openings;
 mod outcome;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,8 +27,11 @@
 use super::packet::FlowPacket;
 use super::peers::BalancerPeers;
 use super::table::FlowTable;
+use admission_queue::AdmissionQueue;
+
 use crate::clock::Instant;
 
+pub use admission_queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
 pub use heartbeat::{Heartbeat, HeartbeatError};
 pub use outcome::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
 
@@ -67,6 +72,8 @@
 #[derive(Clone, Copy, Debug)]
 struct HeldFlow {
     state: FlowState,
+    /// Whether it counts as an opening that will become a request.
+    is_expected: bool,
     /// Balancer that sent the last packet.
     balancer: NodeAddress,
     /// When the state began.
@@ -115,6 +122,10 @@
     version_known_at: Instant,
     balancers: BalancerPeers,
     flows: FlowTable<HeldFlow>,
+    queue: AdmissionQueue,
+    /// Openings that the target has accepted and whose callers have not sent a
+    /// request yet, the oldest first.
+    accepted: VecDeque<(FlowKey, Instant)>,
     load: TargetLoad,
     started_at: Instant,
     reported_at: Option<Instant>,
@@ -138,6 +149,8 @@
             version_known_at: now,
             balancers: BalancerPeers::default(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
+            queue: AdmissionQueue::default(),
+            accepted: VecDeque::new(),
             load: TargetLoad::default(),
             started_at: now,
             reported_at: None,
@@ -253,12 +266,14 @@
         });
     }
 
-    /// Decides about a packet that a balancer sent.
+    /// Decides about a packet that a balancer sent; `bytes` are the packet as
+    /// it came.
     pub fn forwarded(
         &mut self,
         from: NodeAddress,
         header: &ForwardHeader,
         packet: &FlowPacket,
+        bytes: &[u8],
         now: Instant,
     ) -> Delivery {
         self.counters.packets += 1;
@@ -267,7 +282,7 @@
             return self.give_back(ReturnReason::WrongService);
         }
         match header.purpose {
-            ForwardPurpose::Open { room } => self.opening(from, header, room, packet, now),
+            ForwardPurpose::Open(terms) => self.opening(from, header, &terms, packet, bytes, now),
             ForwardPurpose::Established => self.established(from, packet, now),
             ForwardPurpose::Search => self.search(from, packet, now),
         }
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/openings.rs
@@ -1,12 +1,18 @@
 //! Admission of new flows by the target's true state and load.
+//!
+//! An opening goes to the target when the target can begin with its request at
+//! once; else it waits in the agent's own queue ([`super::admission_queue`]).
+//! It is given back only when the target takes no flow, when the balancer was
+//! mistaken about the load, or when it has waited too long.
 
 use std::time::Duration;
 
 use super::super::identity::NodeAddress;
-use super::super::message::{ForwardHeader, ReturnReason, TargetState};
+use super::super::message::{ForwardHeader, OpeningTerms, PeerMessage, ReturnReason, TargetState};
 use super::super::note::Note;
 use super::super::packet::FlowPacket;
-use super::{Agent, Delivery, FlowState, HeldFlow};
+use super::admission_queue::QueuedOpening;
+use super::{Agent, AgentAction, Delivery, FlowState, HeldFlow};
 use crate::clock::Instant;
 
 /// Time that a balancer has to reach the version that an agent knows before
@@ -14,16 +20,30 @@
 const VERSION_GRACE: Duration = Duration::from_millis(1000);
 /// The whole, in percent.
 const WHOLE: u32 = 100;
+/// Requests that are handed to the target, in percent of its slots: some more
+/// than it works on, because an opening takes a moment to become a request.
+const HANDED_OVER: u32 = 120;
+/// Time from a target's acceptance within which the caller's request is
+/// expected; after it, another opening may take the place.
+const SEQUEL_WITHIN: Duration = Duration::from_millis(50);
+/// Time of the packets between an opening and the answer to its request.
+const EXCHANGE: Duration = Duration::from_millis(8);
+/// Service time that is expected before the target has answered any request.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(50);
 
 impl Agent {
     pub(super) fn opening(
         &mut self,
         from: NodeAddress,
         header: &ForwardHeader,
-        room: u16,
+        terms: &OpeningTerms,
         packet: &FlowPacket,
+        bytes: &[u8],
         now: Instant,
     ) -> Delivery {
+        if self.queue.contains(&packet.key) {
+            return Delivery::Drop;
+        }
         if let Some(flow) = self.flows.use_flow(&packet.key)
             && flow.state != FlowState::Unconfirmed
             && packet.acknowledgement > 0
@@ -32,9 +52,101 @@
             flow.balancer = from;
             return Delivery::plain();
         }
-        if let Some(reason) = self.reason_to_decline(header, room, now) {
+        if let Some(reason) = self.reason_to_decline(header, now) {
             return self.give_back(reason);
         }
+        if self.queue.is_empty() && self.target_has_room() {
+            self.hand_over(from, header, packet, now);
+            return Delivery::plain();
+        }
+        if self.queue.is_full() || self.is_underestimated(terms) {
+            return self.give_back(ReturnReason::Saturated);
+        }
+        self.enqueue(from, header, terms, packet, bytes, now)
+    }
+
+    fn reason_to_decline(&self, header: &ForwardHeader, now: Instant) -> Option<ReturnReason> {
+        match self.target.state {
+            TargetState::Unknown => return Some(ReturnReason::NoTarget),
+            TargetState::Leaving => return Some(ReturnReason::Leaving),
+            TargetState::Unresponsive => return Some(ReturnReason::NoTarget),
+            TargetState::Ready => {}
+        }
+        let is_settled = now.since(self.version_known_at) >= VERSION_GRACE;
+        if header.version < self.routes.version() && is_settled {
+            return Some(ReturnReason::StaleVersion);
+        }
+        None
+    }
+
+    fn target_has_room(&self) -> bool {
+        let handed_over = u32::from(self.load.busy) + u32::from(self.load.opening);
+        handed_over * WHOLE < u32::from(self.target.capacity) * HANDED_OVER
+    }
+
+    /// Whether the balancer believed the target to hold so much less that
+    /// another one may be the better choice.
+    fn is_underestimated(&self, terms: &OpeningTerms) -> bool {
+        let margin = (self.target.capacity / 2).max(1);
+        terms
+            .believed_load
+            .is_some_and(|believed| self.load.requests() > believed.saturating_add(margin))
+    }
+
+    fn enqueue(
+        &mut self,
+        from: NodeAddress,
+        header: &ForwardHeader,
+        terms: &OpeningTerms,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Delivery {
+        let age = Duration::from_millis(terms.age_ms.into());
+        self.queue.push(QueuedOpening {
+            balancer: from,
+            header: *header,
+            packet: *packet,
+            bytes: bytes.to_vec(),
+            first_sent: Instant::from_origin(now.since_origin().saturating_sub(age)),
+            aim: Duration::from_millis(terms.aim_ms.into()),
+            is_urgent: terms.is_urgent,
+        });
+        self.counters.queued += 1;
+        self.count_queue();
+        self.notes.add(Note::OpeningQueued {
+            key: packet.key,
+            balancer: from,
+            age,
+            load: self.load,
+            expected: self.expected_answer(),
+        });
+        Delivery::Queued(PeerMessage::Queued {
+            key: packet.key,
+            load: self.load,
+        })
+    }
+
+    fn count_queue(&mut self) {
+        self.load.queued = u16::try_from(self.queue.len()).unwrap_or(u16::MAX);
+    }
+
+    /// Time from handing an opening over to the answer of its request.
+    fn expected_answer(&self) -> Duration {
+        let service_time = match self.load.service_time_us {
+            0 => FIRST_SERVICE_TIME,
+            known => Duration::from_micros(known.into()),
+        };
+        service_time + EXCHANGE
+    }
+
+    fn hand_over(
+        &mut self,
+        from: NodeAddress,
+        header: &ForwardHeader,
+        packet: &FlowPacket,
+        now: Instant,
+    ) {
         self.counters.offered += 1;
         self.replace_flow(packet.key, FlowState::Offered, from, now);
         self.load.opening += 1;
@@ -45,31 +157,77 @@
             busy: self.load.busy,
             version: header.version,
         });
-        Delivery::plain()
     }
 
-    fn reason_to_decline(
-        &self,
-        header: &ForwardHeader,
-        room: u16,
-        now: Instant,
-    ) -> Option<ReturnReason> {
-        match self.target.state {
-            TargetState::Unknown => return Some(ReturnReason::NoTarget),
-            TargetState::Leaving => return Some(ReturnReason::Leaving),
-            TargetState::Unresponsive => return Some(ReturnReason::NoTarget),
-            TargetState::Ready => {}
+    /// Hands queued openings over while the target has room, and gives back
+    /// those that it cannot take or that have waited too long. To be called
+    /// after each event.
+    pub fn serve_queue(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
+        if self.queue.is_empty() {
+            return;
         }
-        let is_settled = now.since(self.version_known_at) >= VERSION_GRACE;
-        if header.version < self.routes.version() && is_settled {
-            return Some(ReturnReason::StaleVersion);
+        if self.target.state != TargetState::Ready {
+            let all = self.queue.take_all();
+            return self.return_queued(all, now, actions);
         }
-        let taken = u32::from(self.load.busy) + u32::from(self.load.opening);
-        let allowed = u32::from(self.target.capacity) * u32::from(room);
-        if taken * WHOLE >= allowed {
-            return Some(ReturnReason::Saturated);
+        self.give_up_accepted(now);
+        let expired = self.queue.take_expired(now);
+        self.counters.expired += u64::try_from(expired.len()).unwrap_or(0);
+        self.return_queued(expired, now, actions);
+        while self.target_has_room() {
+            let Some(opening) = self.queue.take_next(self.expected_answer(), now) else {
+                break;
+            };
+            self.count_queue();
+            if self.reason_to_decline(&opening.header, now).is_some() {
+                self.return_queued(vec![opening], now, actions);
+                continue;
+            }
+            self.hand_over(opening.balancer, &opening.header, &opening.packet, now);
+            actions.push(AgentAction::Deliver {
+                balancer: opening.balancer,
+                packet: opening.bytes,
+            });
+        }
+    }
+
+    /// Takes openings out of the load that the target has accepted and whose
+    /// callers have sent nothing since: most have chosen another target or have
+    /// given up.
+    fn give_up_accepted(&mut self, now: Instant) {
+        while let Some((key, accepted_at)) = self.accepted.front().copied() {
+            if now.since(accepted_at) < SEQUEL_WITHIN {
+                break;
+            }
+            self.accepted.pop_front();
+            let is_same = self
+                .flows
+                .peek(&key)
+                .is_some_and(|flow| flow.state == FlowState::Accepted && flow.since == accepted_at);
+            if is_same {
+                self.stop_expecting(&key);
+            }
+        }
+    }
+
+    fn return_queued(
+        &mut self,
+        openings: Vec<QueuedOpening>,
+        now: Instant,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.count_queue();
+        for opening in openings {
+            let reason = self
+                .reason_to_decline(&opening.header, now)
+                .unwrap_or(ReturnReason::Expired);
+            self.counters.declined += 1;
+            actions.push(AgentAction::Return {
+                to: opening.balancer,
+                message: self.returned(reason),
+                packet: opening.bytes,
+            });
         }
-        None
     }
 
     /// Puts a flow into the table, and takes the former flow of the same ends
@@ -84,6 +242,7 @@
         self.forget_flow(&key);
         let flow = HeldFlow {
             state,
+            is_expected: state == FlowState::Offered,
             balancer,
             since: now,
             busy_since: None,
--- a/crates/woodladder-core/src/flow/agent/outcome.rs
+++ b/crates/woodladder-core/src/flow/agent/outcome.rs
@@ -14,6 +14,8 @@
         /// Whether a request begins with it.
         begins_request: bool,
     },
+    /// It waits in the agent's queue; the balancer is told.
+    Queued(PeerMessage),
     /// It does not; the balancer is told.
     Answer(PeerMessage, AnswerBody),
     /// It does not; nobody is told.
@@ -64,6 +66,23 @@
         /// The message.
         message: PeerMessage,
     },
+    /// Hand an opening to the target, marked so that the target's return of it
+    /// names the balancer.
+    Deliver {
+        /// The balancer that sent it.
+        balancer: NodeAddress,
+        /// The opening.
+        packet: Vec<u8>,
+    },
+    /// Give an opening back.
+    Return {
+        /// The balancer that sent it.
+        to: NodeAddress,
+        /// Why.
+        message: PeerMessage,
+        /// The opening.
+        packet: Vec<u8>,
+    },
     /// Ask a node for a snapshot and pass it to [`Agent::snapshot`].
     FetchSnapshot {
         /// The node.
@@ -82,6 +101,10 @@
     pub offered: u64,
     /// Openings given back to their balancer.
     pub declined: u64,
+    /// Openings that have waited in the agent's queue.
+    pub queued: u64,
+    /// Openings that have waited there for too long.
+    pub expired: u64,
     /// Packets of open flows handed to the target.
     pub delivered: u64,
     /// Searches that were denied.
--- a/crates/woodladder-core/src/flow/balancer/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/established.rs
@@ -83,6 +83,7 @@
             since,
             accepted,
             awaited,
+            is_queued,
             ..
         } = &self.stage
         else {
@@ -92,7 +93,7 @@
             return;
         }
         let supposed = awaited
-            .filter(|_| accepted.is_empty())
+            .filter(|_| accepted.is_empty() && !is_queued)
             .map(|agent| (agent, None));
         let held = chosen_by_caller(accepted, acknowledgement)
             .map(|acceptance| (acceptance.agent, acceptance.incarnation))
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -81,6 +81,10 @@
                 };
                 self.accepted(key, acceptance);
             }
+            PeerMessage::Queued { key, load } => {
+                self.directory.loaded(from, load, now);
+                self.opening_queued(from, &key);
+            }
             PeerMessage::Located { key, incarnation } => self.located(from, key, incarnation),
             PeerMessage::Relay => {
                 if let Some((packet, bytes)) = packet {
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -12,7 +12,6 @@
 mod opening;
 mod readiness;
 mod relay;
-mod room;
 mod search;
 mod search_outcome;
 mod waiting;
@@ -133,6 +132,8 @@
         tried: Vec<NodeAddress>,
         /// Agent that has the opening and has not answered yet.
         awaited: Option<NodeAddress>,
+        /// Whether that agent has said that the opening waits in its queue.
+        is_queued: bool,
         accepted: Vec<Acceptance>,
     },
     /// One target holds the flow.
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -2,21 +2,21 @@
 
 use std::time::Duration;
 
-use super::super::identity::{NodeAddress, ServiceKey};
-use super::super::message::{ForwardHeader, ForwardPurpose, ReturnReason};
+use super::super::directory::Directory;
+use super::super::identity::{FlowKey, NodeAddress, ServiceKey};
+use super::super::message::{ForwardHeader, ForwardPurpose, OpeningTerms, ReturnReason};
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, ResetReason};
 use super::super::selection::{Choice, Chosen};
 use super::forwarding::{DropReason, Routing};
-use super::room::room_for;
 use super::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::clock::Instant;
 
 /// Targets that one opening is offered to before it waits.
 const MAXIMUM_TRIES: usize = 4;
-/// Room, in percent of its slots, that a target must have while others may
-/// have more.
-const FIRST_ROOM: u16 = 130;
+/// Agents that may give one opening back because their targets hold more than
+/// was believed.
+const TRIES_BY_LOAD: usize = 1;
 /// Time between an opening and its copies, as callers send them.
 const COPY_DELAYS: [Duration; 3] = [
     Duration::ZERO,
@@ -60,6 +60,7 @@
                 since: first_sent(packet.acknowledgement, now),
                 tried: Vec::new(),
                 awaited: None,
+                is_queued: false,
                 accepted: Vec::new(),
             },
         };
@@ -75,13 +76,19 @@
             Stage::Opening {
                 tried,
                 awaited,
+                is_queued,
                 accepted,
                 ..
-            } => match (accepted.last(), awaited.take()) {
+            } => match (accepted.last(), *awaited) {
                 (Some(acceptance), _) => Some(acceptance.agent),
+                (None, Some(agent)) if *is_queued && is_live(&self.directory, agent, now) => {
+                    Some(agent)
+                }
                 (None, Some(silent)) => {
                     // Loads have changed since the others gave it back.
                     *tried = vec![silent];
+                    *awaited = None;
+                    *is_queued = false;
                     self.mark_unanswered(silent);
                     None
                 }
@@ -91,10 +98,14 @@
             Stage::Searching(_) => return Some(Routing::Drop(DropReason::Ended)),
         };
         match repeat {
-            Some(agent) => Some(Routing::One {
-                to: agent,
-                header: self.opening_header(service, u16::MAX),
-            }),
+            Some(agent) => {
+                let since = first_sent(packet.acknowledgement, now);
+                let terms = self.terms_of(packet, service, since, now);
+                Some(Routing::One {
+                    to: agent,
+                    header: self.opening_header(service, terms),
+                })
+            }
             None => Some(self.offer_or_wait(packet, bytes, now)),
         }
     }
@@ -110,35 +121,49 @@
             .unwrap_or_else(|| self.wait_for_target(packet, bytes))
     }
 
-    /// Sends an opening to the best target that was not asked before and has
-    /// room; `None` when there is none.
+    /// Sends an opening to the best target that was not asked before; `None`
+    /// when there is none.
     pub(super) fn offer(&mut self, packet: &FlowPacket, now: Instant) -> Option<Routing> {
         let entry = self.flows.peek(&packet.key)?;
         let Stage::Opening { tried, since, .. } = &entry.stage else {
             return None;
         };
-        let service = entry.service;
-        let tries = tried.len();
-        let (terms, is_urgent) = self.routes.terms(packet.key.service, service);
-        let room = room_for(now.since(*since), terms, is_urgent);
+        let (service, since, tries) = (entry.service, *since, tried.len());
         let choice = Choice {
             directory: &self.directory,
             zone: self.options.zone,
             key: packet.key,
             service,
             tried,
-            room,
         };
         let chosen = choice.best(now)?;
+        let mut terms = self.terms_of(packet, service, since, now);
+        let may_ask_elsewhere = chosen.others > 0 && tries < TRIES_BY_LOAD;
+        terms.believed_load = may_ask_elsewhere.then_some(chosen.believed_load);
         self.sent_to(packet, &chosen, tries, now);
-        let is_last = chosen.others == 0 || tries + 1 >= MAXIMUM_TRIES;
-        let room = if is_last { room } else { room.min(FIRST_ROOM) };
         Some(Routing::One {
             to: chosen.agent,
-            header: self.opening_header(service, room),
+            header: self.opening_header(service, terms),
         })
     }
 
+    fn terms_of(
+        &self,
+        packet: &FlowPacket,
+        service: ServiceKey,
+        since: Instant,
+        now: Instant,
+    ) -> OpeningTerms {
+        let (terms, is_urgent) = self.routes.terms(packet.key.service, service);
+        let age = now.since(since).as_millis();
+        OpeningTerms {
+            age_ms: u16::try_from(age).unwrap_or(u16::MAX),
+            aim_ms: terms.aim_ms,
+            is_urgent,
+            believed_load: None,
+        }
+    }
+
     fn sent_to(&mut self, packet: &FlowPacket, chosen: &Chosen, tried: usize, now: Instant) {
         let key = packet.key;
         let mut load_age = std::time::Duration::ZERO;
@@ -147,9 +172,12 @@
             load_age = now.since(record.load_at);
         }
         if let Some(entry) = self.flows.use_flow(&key)
-            && let Stage::Opening { awaited, .. } = &mut entry.stage
+            && let Stage::Opening {
+                awaited, is_queued, ..
+            } = &mut entry.stage
         {
             *awaited = Some(chosen.agent);
+            *is_queued = false;
         }
         if tried == 0 {
             self.counters.opened += 1;
@@ -167,11 +195,11 @@
         });
     }
 
-    fn opening_header(&self, service: ServiceKey, room: u16) -> ForwardHeader {
+    fn opening_header(&self, service: ServiceKey, terms: OpeningTerms) -> ForwardHeader {
         ForwardHeader {
             service,
             version: self.routes.version(),
-            purpose: ForwardPurpose::Open { room },
+            purpose: ForwardPurpose::Open(terms),
         }
     }
 
@@ -204,6 +232,7 @@
         tried.push(from);
         let is_exhausted = tried.len() >= MAXIMUM_TRIES;
         let routing = match reason {
+            ReturnReason::Expired => self.refuse(packet),
             ReturnReason::StaleVersion => self.reopen_under_new_version(packet, bytes, now),
             _ if is_exhausted => self.wait_for_target(packet, bytes),
             _ => self.offer_or_wait(packet, bytes, now),
@@ -230,6 +259,23 @@
         self.route_first(packet, bytes, now)
     }
 
+    /// Refuses an opening, of which nothing has run.
+    pub(super) fn refuse(&mut self, packet: &FlowPacket) -> Routing {
+        self.flows.remove(&packet.key);
+        Routing::Reset(self.reset(packet.key, 0, ResetReason::NoTarget, 0))
+    }
+
+    /// An agent says that an opening waits in its queue.
+    pub(super) fn opening_queued(&mut self, from: NodeAddress, key: &FlowKey) {
+        if let Some(entry) = self.flows.use_flow(key)
+            && let Stage::Opening {
+                awaited, is_queued, ..
+            } = &mut entry.stage
+        {
+            *is_queued = *awaited == Some(from);
+        }
+    }
+
     pub(super) fn carry_out(
         &self,
         routing: Routing,
@@ -259,6 +305,12 @@
     }
 }
 
+fn is_live(directory: &Directory, agent: NodeAddress, now: Instant) -> bool {
+    directory
+        .agent(agent)
+        .is_some_and(|record| record.is_live(now))
+}
+
 /// When the caller sent the opening for the first time, from the copies that it
 /// says it has sent since.
 fn first_sent(copy: u32, now: Instant) -> Instant {
--- a/crates/woodladder-core/src/flow/balancer/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/waiting.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::super::note::Note;
-use super::super::packet::{FlowPacket, ResetReason};
+use super::super::packet::FlowPacket;
 use super::forwarding::{DropReason, Routing};
 use super::{Balancer, BalancerAction, Stage};
 use crate::clock::Instant;
@@ -47,9 +47,7 @@
             version: self.routes.version(),
         });
         if self.waiting.len() >= CAPACITY {
-            self.flows.remove(&packet.key);
-            let reset = self.reset(packet.key, 0, ResetReason::NoTarget, 0);
-            return Routing::Reset(reset);
+            return self.refuse(packet);
         }
         self.waiting.push(WaitingOpening {
             packet: *packet,
@@ -67,9 +65,8 @@
                 continue;
             };
             if now.since(since) >= LONGEST_WAIT {
-                self.flows.remove(&opening.packet.key);
-                let reset = self.reset(opening.packet.key, 0, ResetReason::NoTarget, 0);
-                actions.push(BalancerAction::Reset(reset));
+                let routing = self.refuse(&opening.packet);
+                self.carry_out(routing, &opening.bytes, actions);
                 continue;
             }
             match self.offer(&opening.packet, now) {
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -93,6 +93,14 @@
         now.since(self.heard_at) < limit && self.unanswered < SUSPECT_UNANSWERED
     }
 
+    /// Requests that the target holds or has queued, with those that were sent
+    /// there since its load was stated.
+    #[must_use]
+    pub fn believed_load(&self) -> u16 {
+        let sent_since = u16::try_from(self.sent_since).unwrap_or(u16::MAX);
+        self.load.requests().saturating_add(sent_since)
+    }
+
     /// Whether the agent's flows count as lost.
     #[must_use]
     pub fn is_given_up(&self) -> bool {
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -12,7 +12,7 @@
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
-pub const PROTOCOL_VERSION: u8 = 2;
+pub const PROTOCOL_VERSION: u8 = 3;
 /// Most balancers that a greeting names.
 pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
 
@@ -23,17 +23,28 @@
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ForwardPurpose {
     /// To open the flow.
-    Open {
-        /// Requests that the target may hold for the agent to take the flow, in
-        /// percent of its slots.
-        room: u16,
-    },
+    Open(OpeningTerms),
     /// The balancer believes that the agent's target holds the flow.
     Established,
     /// The balancer asks whether the agent's target holds the flow.
     Search,
 }
 
+/// What a balancer knows of an opening; the agent orders openings by it.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OpeningTerms {
+    /// Time since the caller first sent the opening, in milliseconds.
+    pub age_ms: u16,
+    /// Time in which its request should be answered, in milliseconds.
+    pub aim_ms: u32,
+    /// Whether its route matters more than another of the same service.
+    pub is_urgent: bool,
+    /// Requests that the balancer believes the target to hold or to have
+    /// queued, this one left out; `None` when the agent is to take the opening
+    /// whatever it holds.
+    pub believed_load: Option<u16>,
+}
+
 /// What goes before a packet on its way to an agent.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ForwardHeader {
@@ -54,8 +65,11 @@
     NoTarget,
     /// The target is leaving.
     Leaving,
-    /// All slots are busy, and the sender may ask elsewhere.
+    /// The target holds more than the balancer believed, or the queue is full;
+    /// the sender may ask elsewhere.
     Saturated,
+    /// The opening has waited in the agent's queue for as long as it may.
+    Expired,
     /// The target itself did not take the flow.
     RefusedByTarget,
     /// The agent knows a greater version of the configuration.
@@ -86,6 +100,8 @@
     /// Flows accepted by the target that have sent no request yet, and
     /// openings without an answer.
     pub opening: u16,
+    /// Openings in the agent's queue, of which the target knows nothing yet.
+    pub queued: u16,
     /// Open flows.
     pub flows: u32,
     /// Running mean of the time to the first byte of an answer, in
@@ -93,6 +109,16 @@
     pub service_time_us: u32,
 }
 
+impl TargetLoad {
+    /// Requests at work, expected soon, or queued.
+    #[must_use]
+    pub fn requests(&self) -> u16 {
+        self.busy
+            .saturating_add(self.opening)
+            .saturating_add(self.queued)
+    }
+}
+
 /// What an agent says of itself and its target.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TargetReport {
@@ -177,6 +203,13 @@
         /// Its load.
         load: TargetLoad,
     },
+    /// Agent to balancer: an opening waits in the agent's queue.
+    Queued {
+        /// The flow.
+        key: FlowKey,
+        /// Load of the agent's target, this opening included.
+        load: TargetLoad,
+    },
     /// Agent to balancer: the target holds a flow searched for.
     Located {
         /// The flow.
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::identity::{FlowKey, Incarnation, NodeAddress};
-use super::message::{ReturnReason, TargetState};
+use super::message::{ReturnReason, TargetLoad, TargetState};
 use super::packet::ResetReason;
 
 /// One decision or one change of what a node believes.
@@ -145,6 +145,19 @@
         /// Configuration that chose the service.
         version: u64,
     },
+    /// An opening waits until the own target can begin with it.
+    OpeningQueued {
+        /// The flow.
+        key: FlowKey,
+        /// Balancer that sent it.
+        balancer: NodeAddress,
+        /// Time since the caller first sent it.
+        age: Duration,
+        /// Load of the target, this opening included.
+        load: TargetLoad,
+        /// Time that a request is expected to take once it is handed over.
+        expected: Duration,
+    },
     /// The own target ended one request of a flow.
     RequestAnswered {
         /// The flow.
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -34,8 +34,6 @@
     pub service: ServiceKey,
     /// Agents that were asked before.
     pub tried: &'a [NodeAddress],
-    /// Requests that a target may hold to be chosen, in percent of its slots.
-    pub room: u16,
 }
 
 /// The target chosen.
@@ -45,6 +43,8 @@
     pub agent: NodeAddress,
     /// The score that it won with, in slots; less is better.
     pub score: f64,
+    /// Requests that its target is believed to hold or to have queued.
+    pub believed_load: u16,
     /// Further targets that could have been chosen.
     pub others: usize,
 }
@@ -94,7 +94,6 @@
             .filter(|agent| !self.tried.contains(agent))
             .filter_map(|agent| self.directory.agent(*agent))
             .filter(|record| record.state == TargetState::Ready && record.is_live(now))
-            .filter(|record| self.has_room(record))
             .collect();
         let usual = usual_service_time(&usable);
         let others = usable.len().saturating_sub(1);
@@ -105,20 +104,14 @@
             .map(|(score, record)| Chosen {
                 agent: record.address,
                 score,
+                believed_load: record.believed_load(),
                 others,
             })
     }
 
-    fn has_room(&self, record: &AgentRecord) -> bool {
-        const WHOLE: u32 = 100;
-        let taken =
-            u32::from(record.load.busy) + u32::from(record.load.opening) + record.sent_since;
-        taken * WHOLE < u32::from(record.capacity) * u32::from(self.room)
-    }
-
     fn score(&self, record: &AgentRecord, usual: f64, now: Instant) -> f64 {
         let load = &record.load;
-        let waiting = f64::from(load.busy) + f64::from(load.opening) + f64::from(record.sent_since);
+        let waiting = f64::from(record.believed_load());
         let at_rest = f64::from(load.flows) * SLOT_PER_FLOW;
         let slots = f64::from(record.capacity.max(1));
         let occupied = (waiting + at_rest + 1.0) / slots;
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_admission_queue.rs
@@ -0,0 +1,249 @@
+//! The agent's queue of openings: what waits, in which order it is served, and
+//! how it ends.
+
+mod flow_support;
+
+use flow_support::*;
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::{
+    Agent, AgentAction, AnswerBody, Delivery, LONGEST_WAIT, QUEUE_CAPACITY,
+};
+use woodladder_core::flow::identity::FlowKey;
+use woodladder_core::flow::message::{
+    ForwardPurpose, OpeningTerms, PeerMessage, ReturnReason, Snapshot,
+};
+use woodladder_core::flow::packet::PacketKind;
+
+/// Requests that the tests' target of seven slots is handed at once.
+const HANDED_OVER: u16 = 9;
+
+/// Milliseconds of a test, well after the clock's origin.
+fn at(milliseconds: u64) -> Instant {
+    flow_support::at(10_000 + milliseconds)
+}
+
+/// Gives the agent an opening whose bytes are its port.
+fn offer(agent: &mut Agent, port: u16, terms: OpeningTerms, now: u64) -> Delivery {
+    let header = header(1, ForwardPurpose::Open(terms));
+    let bytes = port.to_be_bytes();
+    agent.forwarded(node(1), &header, &opening(flow(port), 0), &bytes, at(now))
+}
+
+/// An agent whose target works on as many requests as it is handed; they were
+/// all handed over at 10 ms.
+fn busy_agent() -> Agent {
+    let mut agent = agent();
+    for port in 1..=HANDED_OVER {
+        open_at(&mut agent, flow(port), at(10));
+    }
+    agent
+}
+
+fn answer(agent: &mut Agent, key: FlowKey, now: u64) {
+    agent.departing(&data(key, 5001, 1101), None, at(now));
+}
+
+/// Ports of the openings that the agent hands over now.
+fn served(agent: &mut Agent, now: u64) -> Vec<u16> {
+    let mut actions = Vec::new();
+    agent.serve_queue(at(now), &mut actions);
+    let ports = actions.iter().filter_map(|action| match action {
+        AgentAction::Deliver { packet, .. } => Some(port_of(packet)),
+        _ => None,
+    });
+    ports.collect()
+}
+
+/// Ports and reasons of the openings that the agent gives back now.
+fn given_back(agent: &mut Agent, now: u64) -> Vec<(u16, ReturnReason)> {
+    let mut actions = Vec::new();
+    agent.serve_queue(at(now), &mut actions);
+    let returns = actions.iter().filter_map(|action| match action {
+        AgentAction::Return {
+            message: PeerMessage::Returned { reason, .. },
+            packet,
+            ..
+        } => Some((port_of(packet), *reason)),
+        _ => None,
+    });
+    returns.collect()
+}
+
+fn port_of(bytes: &[u8]) -> u16 {
+    u16::from_be_bytes([bytes[0], bytes[1]])
+}
+
+fn is_queued(delivery: &Delivery) -> bool {
+    matches!(delivery, Delivery::Queued(PeerMessage::Queued { .. }))
+}
+
+fn reason(delivery: &Delivery) -> Option<ReturnReason> {
+    match delivery {
+        Delivery::Answer(PeerMessage::Returned { reason, .. }, AnswerBody::Packet) => Some(*reason),
+        _ => None,
+    }
+}
+
+#[test]
+fn an_opening_beyond_what_the_target_can_begin_with_waits() {
+    let mut agent = busy_agent();
+    let delivery = offer(&mut agent, 100, opening_terms(), 20);
+    assert!(is_queued(&delivery), "{delivery:?}");
+    assert_eq!(agent.load().queued, 1);
+    assert_eq!(served(&mut agent, 30), []);
+}
+
+#[test]
+fn an_opening_is_handed_over_when_a_request_is_answered() {
+    let mut agent = busy_agent();
+    offer(&mut agent, 100, opening_terms(), 20);
+    answer(&mut agent, flow(1), 40);
+    assert_eq!(served(&mut agent, 40), [100]);
+    assert_eq!((agent.load().queued, agent.load().opening), (0, 1));
+}
+
+/// An acceptance that the caller does not follow up keeps no other opening
+/// waiting.
+#[test]
+fn an_opening_without_a_sequel_gives_its_place_up() {
+    let mut agent = agent();
+    for port in 1..=HANDED_OVER {
+        offer(&mut agent, port, opening_terms(), 10);
+    }
+    assert!(is_queued(&offer(&mut agent, 100, opening_terms(), 20)));
+    let accept = packet(flow(1), PacketKind::Accept, 5000, 1001, 0);
+    agent.departing(&accept, None, at(21));
+    assert_eq!(served(&mut agent, 60), []);
+    assert_eq!(served(&mut agent, 80), [100]);
+}
+
+#[test]
+fn openings_that_can_be_answered_in_time_go_before_late_ones() {
+    let late = OpeningTerms {
+        age_ms: 280,
+        ..opening_terms()
+    };
+    for late_comes_first in [true, false] {
+        let mut agent = busy_agent();
+        let (first, second) = if late_comes_first {
+            (late, opening_terms())
+        } else {
+            (opening_terms(), late)
+        };
+        offer(&mut agent, 100, first, 20);
+        offer(&mut agent, 101, second, 21);
+        answer(&mut agent, flow(1), 40);
+        let expected = if late_comes_first { 101 } else { 100 };
+        assert_eq!(served(&mut agent, 40), [expected]);
+    }
+}
+
+#[test]
+fn openings_that_matter_more_go_before_others_of_their_kind() {
+    let urgent = OpeningTerms {
+        is_urgent: true,
+        ..opening_terms()
+    };
+    let mut agent = busy_agent();
+    offer(&mut agent, 100, opening_terms(), 20);
+    offer(&mut agent, 101, urgent, 20);
+    offer(&mut agent, 102, opening_terms(), 20);
+    answer(&mut agent, flow(1), 40);
+    assert_eq!(served(&mut agent, 40), [101]);
+}
+
+#[test]
+fn a_late_opening_that_matters_more_waits_for_those_that_can_be_in_time() {
+    let late_urgent = OpeningTerms {
+        age_ms: 290,
+        is_urgent: true,
+        ..opening_terms()
+    };
+    let mut agent = busy_agent();
+    offer(&mut agent, 100, late_urgent, 20);
+    offer(&mut agent, 101, opening_terms(), 20);
+    answer(&mut agent, flow(1), 40);
+    answer(&mut agent, flow(2), 40);
+    assert_eq!(served(&mut agent, 40), [101, 100]);
+}
+
+#[test]
+fn an_opening_that_has_waited_too_long_is_given_back() {
+    let mut agent = busy_agent();
+    offer(&mut agent, 100, opening_terms(), 20);
+    let end = 20 + u64::try_from(LONGEST_WAIT.as_millis()).expect("milliseconds");
+    assert_eq!(given_back(&mut agent, end - 1), []);
+    assert_eq!(given_back(&mut agent, end), [(100, ReturnReason::Expired)]);
+    assert_eq!(agent.load().queued, 0);
+}
+
+/// The platform counts from the acknowledgement, which is sent after the tick.
+#[test]
+fn all_openings_are_given_back_when_the_target_leaves() {
+    let mut agent = busy_agent();
+    offer(&mut agent, 100, opening_terms(), 20);
+    let mut leaving = beat(1, 2);
+    leaving.leaving = true;
+    agent.heartbeat(&leaving, at(30)).expect("heartbeat");
+    assert_eq!(
+        given_back(&mut agent, 30),
+        [(100, ReturnReason::Leaving)],
+        "none is handed over"
+    );
+    answer(&mut agent, flow(1), 40);
+    assert_eq!(served(&mut agent, 40), []);
+}
+
+#[test]
+fn an_opening_that_waits_is_given_back_once_its_version_is_out_of_date() {
+    let mut agent = busy_agent();
+    let snapshot = Snapshot {
+        configuration: Some((*configuration(5)).clone()),
+        ..Snapshot::default()
+    };
+    agent.snapshot(node(1), snapshot, at(100));
+    offer(&mut agent, 100, opening_terms(), 1000);
+    answer(&mut agent, flow(1), 1200);
+    assert_eq!(
+        given_back(&mut agent, 1200),
+        [(100, ReturnReason::StaleVersion)]
+    );
+}
+
+#[test]
+fn a_copy_of_an_opening_that_waits_does_not_wait_twice() {
+    let mut agent = busy_agent();
+    offer(&mut agent, 100, opening_terms(), 20);
+    let copy = header(1, ForwardPurpose::Open(opening_terms()));
+    let delivery = forward_to(&mut agent, &copy, &opening(flow(100), 1), at(220));
+    assert_eq!(delivery, Delivery::Drop);
+    assert_eq!(agent.load().queued, 1);
+}
+
+#[test]
+fn an_opening_is_given_back_when_the_balancer_was_mistaken_about_the_load() {
+    let believed = |load| OpeningTerms {
+        believed_load: Some(load),
+        ..opening_terms()
+    };
+    let mut agent = busy_agent();
+    let mistaken = offer(&mut agent, 100, believed(2), 20);
+    assert_eq!(reason(&mistaken), Some(ReturnReason::Saturated));
+    assert!(is_queued(&offer(&mut agent, 101, believed(8), 20)));
+}
+
+#[test]
+fn no_more_openings_wait_than_the_queue_holds() {
+    let mut agent = busy_agent();
+    let capacity = u16::try_from(QUEUE_CAPACITY).expect("small");
+    for port in 0..capacity {
+        assert!(is_queued(&offer(
+            &mut agent,
+            100 + port,
+            opening_terms(),
+            20
+        )));
+    }
+    let beyond = offer(&mut agent, 100 + capacity, opening_terms(), 20);
+    assert_eq!(reason(&beyond), Some(ReturnReason::Saturated));
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_route_terms.rs
@@ -0,0 +1,78 @@
+//! What balancers say of openings by the routes that they are for.
+
+mod flow_support;
+
+use std::sync::Arc;
+
+use flow_support::*;
+use woodladder_core::flow::balancer::{Balancer, Routing};
+use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
+use woodladder_core::flow::identity::FlowKey;
+use woodladder_core::flow::message::{ForwardPurpose, OpeningTerms};
+
+/// Route whose requests matter more than those of route 1.
+const URGENT_ROUTE: u8 = 2;
+/// Route whose requests may take longer than those of route 1.
+const PATIENT_ROUTE: u8 = 3;
+
+fn route(number: u8, priority: u8, aim_ms: u32) -> Route {
+    Route {
+        address: route_address(number),
+        parts: vec![RoutePart {
+            service: kitchen(),
+            weight: 1,
+        }],
+        terms: RouteTerms { priority, aim_ms },
+    }
+}
+
+fn balancer_of(routes: Vec<Route>) -> Balancer {
+    let mut balancer = balancer(&[2]);
+    balancer.configuration(Arc::new(Configuration {
+        version: 2,
+        routes,
+        idle_timeout_ms: 15_000,
+    }));
+    balancer
+}
+
+fn terms_on(balancer: &mut Balancer, route: u8, port: u16) -> OpeningTerms {
+    let key = FlowKey {
+        service: route_address(route),
+        ..flow(port)
+    };
+    match arrive(balancer, &opening(key, 0), at(10_010)) {
+        Routing::One { header, .. } => match header.purpose {
+            ForwardPurpose::Open(terms) => terms,
+            other => panic!("{other:?}"),
+        },
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn an_opening_matters_more_when_another_route_of_its_service_matters_less() {
+    let routes = vec![
+        route(1, 2, 300),
+        route(URGENT_ROUTE, 1, 300),
+        route(PATIENT_ROUTE, 2, 800),
+    ];
+    let mut balancer = balancer_of(routes);
+    assert!(!terms_on(&mut balancer, 1, 1).is_urgent);
+    assert!(terms_on(&mut balancer, URGENT_ROUTE, 2).is_urgent);
+    assert!(!terms_on(&mut balancer, PATIENT_ROUTE, 3).is_urgent);
+}
+
+#[test]
+fn an_opening_is_late_by_the_time_that_its_own_route_allows() {
+    let mut balancer = balancer_of(vec![route(1, 2, 300), route(PATIENT_ROUTE, 2, 800)]);
+    assert_eq!(terms_on(&mut balancer, 1, 1).aim_ms, 300);
+    assert_eq!(terms_on(&mut balancer, PATIENT_ROUTE, 2).aim_ms, 800);
+}
+
+#[test]
+fn routes_of_one_importance_are_all_alike() {
+    let mut balancer = balancer_of(vec![route(1, 2, 300), route(PATIENT_ROUTE, 2, 800)]);
+    assert!(!terms_on(&mut balancer, 1, 1).is_urgent);
+    assert!(!terms_on(&mut balancer, PATIENT_ROUTE, 2).is_urgent);
+}
--- a/crates/woodladder-lab/src/flow_simulation/mod.rs
+++ b/crates/woodladder-lab/src/flow_simulation/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod faults;
 mod network;
+mod packet_bytes;
 mod target;
 mod world;
 
--- a/crates/woodladder-lab/src/flow_simulation/world/callers.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/callers.rs
@@ -68,7 +68,7 @@
         let Some(balancer) = self.balancers[index].as_mut() else {
             return;
         };
-        match balancer.caller_packet(packet, &[], self.now) {
+        match balancer.caller_packet(packet, &packet_bytes::write(packet), self.now) {
             Routing::One { to, header } => self.forward(address, to, header, packet),
             Routing::Several(receivers) => {
                 for (to, header) in receivers {
--- a/crates/woodladder-lab/src/flow_simulation/world/delivery.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/delivery.rs
@@ -15,10 +15,10 @@
                 return;
             };
             let mut actions = Vec::new();
-            let packet = packet.as_ref().map(|packet| (packet, &b""[..]));
+            let bytes = packet.as_ref().map(packet_bytes::write);
+            let packet = packet.as_ref().zip(bytes.as_deref());
             balancer.message(from, message, packet, self.now, &mut actions);
-            let returned = packet.map(|(packet, _)| *packet);
-            return self.carry_out_returned(to, actions, returned);
+            return self.carry_out(to, actions);
         }
         let Some(index) = (0..AGENTS).find(|index| agent_address(*index) == to) else {
             return;
@@ -48,7 +48,8 @@
         let Some(agent) = self.agents[index].as_mut() else {
             return;
         };
-        let mut delivery = agent.forwarded(from, &header, packet, self.now);
+        let bytes = packet_bytes::write(packet);
+        let mut delivery = agent.forwarded(from, &header, packet, &bytes, self.now);
         let is_search = header.purpose == ForwardPurpose::Search;
         if self.mutation == Mutation::AgentsDenyAll && is_search {
             let keys = vec![packet.key];
@@ -73,11 +74,21 @@
             Delivery::Answer(message, AnswerBody::Packet) => {
                 self.send(address, from, message, Some(*packet));
             }
-            Delivery::Answer(message, AnswerBody::Nothing) => {
+            Delivery::Queued(message) | Delivery::Answer(message, AnswerBody::Nothing) => {
                 self.send(address, from, message, None);
             }
             Delivery::Drop => {}
         }
+        self.serve_queue(index);
+    }
+
+    fn serve_queue(&mut self, index: usize) {
+        let Some(agent) = self.agents[index].as_mut() else {
+            return;
+        };
+        let mut actions = Vec::new();
+        agent.serve_queue(self.now, &mut actions);
+        self.carry_out_agent(agent_address(index), actions);
     }
 
     pub(super) fn deliver(&mut self, index: usize, from: NodeAddress, packet: &FlowPacket) {
@@ -161,5 +172,6 @@
                 self.send(address, to, message, packet);
             }
         }
+        self.serve_queue(index);
     }
 }
--- a/crates/woodladder-lab/src/flow_simulation/world/mod.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/mod.rs
@@ -27,6 +27,7 @@
 use super::caller::{Caller, Step};
 use super::faults::{Fault, Mutation, plan};
 use super::network::{EventQueue, Links};
+use super::packet_bytes;
 use super::target::{Reaction, Target};
 use super::{Breach, RunReport};
 
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -225,20 +225,21 @@
         self.refused_packets.set(self.refused_packets.get() + 1);
     }
 
-    fn forwarded(&self, from: NodeAddress, header: &ForwardHeader, bytes: &[u8]) {
+    fn forwarded(self: &Rc<Self>, from: NodeAddress, header: &ForwardHeader, bytes: &[u8]) {
         let Ok(packet) = self.carrier.read_from_caller(bytes) else {
             return self.refuse_packet();
         };
         let now = self.clock.now();
-        let delivery = self.core.borrow_mut().forwarded(from, header, &packet, now);
+        let delivery = self
+            .core
+            .borrow_mut()
+            .forwarded(from, header, &packet, bytes, now);
         match delivery {
             Delivery::Deliver {
                 tell,
                 begins_request,
             } => {
-                let mut marked = bytes.to_vec();
-                self.carrier.mark(&mut marked, *from.ip());
-                peer_socket::send(&self.outbound, &marked, self.config.target_address);
+                self.hand_over(from, bytes.to_vec());
                 if let Some(message) = tell {
                     peer_socket::send(&self.peers, &message.encode(&[]), from);
                 }
@@ -248,6 +249,9 @@
                     self.decisions.borrow_mut().request(&flow, id, busy, now);
                 }
             }
+            Delivery::Queued(message) => {
+                peer_socket::send(&self.peers, &message.encode(&[]), from);
+            }
             Delivery::Answer(message, body) => {
                 let body = match body {
                     AnswerBody::Packet => bytes,
@@ -257,9 +261,16 @@
             }
             Delivery::Drop => {}
         }
+        self.act(|core, now, actions| core.serve_queue(now, actions));
+    }
+
+    /// Sends a packet to the target, marked so that its return names `balancer`.
+    fn hand_over(&self, balancer: NodeAddress, mut packet: Vec<u8>) {
+        self.carrier.mark(&mut packet, *balancer.ip());
+        peer_socket::send(&self.outbound, &packet, self.config.target_address);
     }
 
-    fn target_packet(&self, bytes: &mut [u8]) {
+    fn target_packet(self: &Rc<Self>, bytes: &mut [u8]) {
         let Ok(read) = self.carrier.read_from_target(bytes) else {
             return self.refuse_packet();
         };
@@ -290,6 +301,7 @@
                 peer_socket::send(&self.peers, &message.encode(body), to);
             }
         }
+        self.act(|core, now, actions| core.serve_queue(now, actions));
     }
 
     async fn look_for_target(&self) -> Presence {
@@ -345,6 +357,12 @@
             AgentAction::Send { to, message } => {
                 peer_socket::send(&self.peers, &message.encode(&[]), to);
             }
+            AgentAction::Deliver { balancer, packet } => self.hand_over(balancer, packet),
+            AgentAction::Return {
+                to,
+                message,
+                packet,
+            } => peer_socket::send(&self.peers, &message.encode(&packet), to),
             AgentAction::FetchSnapshot { from, request } => {
                 let node = Rc::clone(self);
                 spawn_local(async move {
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -169,6 +169,18 @@
                     "flow" => %key, "balancer" => %balancer, "busy" => busy,
                     "version" => version, "left_out" => left_out);
             }
+            Note::OpeningQueued {
+                key,
+                balancer,
+                age,
+                load,
+                expected,
+            } => {
+                info!(log, "agent: opening queued"; "event" => event, "flow" => %key,
+                    "balancer" => %balancer, "age_ms" => milliseconds(*age),
+                    "busy" => load.busy, "opening" => load.opening, "queued" => load.queued,
+                    "expected_ms" => milliseconds(*expected), "left_out" => left_out);
+            }
             Note::RequestAnswered { key, service_time } => {
                 debug!(log, "agent: request answered"; "event" => event, "flow" => %key,
                     "service_ms" => milliseconds(*service_time), "left_out" => left_out);
@@ -265,6 +277,7 @@
         Note::Stalled { .. } => ("stalled", Important),
         Note::TargetState { .. } => ("target_state", Important),
         Note::FlowOffered { .. } => ("flow_offered", Ordinary),
+        Note::OpeningQueued { .. } => ("opening_queued", Important),
         Note::RequestAnswered { .. } => ("request_answered", Ordinary),
     }
 }
--- a/crates/woodladder-node/src/node_clock.rs
+++ b/crates/woodladder-node/src/node_clock.rs
@@ -1,10 +1,14 @@
 //! The steady clock of the process as the core counts time.
 
-use std::time::Instant as SystemInstant;
+use std::time::{Duration, Instant as SystemInstant};
 
 use woodladder_core::clock::Instant;
 
-/// Time since the start of the process.
+/// What the clock shows at the start of the process, so that times before it
+/// can be told: a packet's first copy may be older than the process.
+const HEAD_START: Duration = Duration::from_secs(3600);
+
+/// Time since [`HEAD_START`] before the start of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeClock {
     origin: SystemInstant,
@@ -22,6 +26,6 @@
     /// The time now.
     #[must_use]
     pub fn now(&self) -> Instant {
-        Instant::from_origin(self.origin.elapsed())
+        Instant::from_origin(HEAD_START + self.origin.elapsed())
     }
 }
--- /dev/null
+++ b/crates/woodladder-node/tests/node_clock.rs
@@ -0,0 +1,14 @@
+//! The clock of a process.
+
+use std::time::Duration;
+
+use woodladder_node::node_clock::NodeClock;
+
+/// A process that has just started meets packets whose first copies were sent
+/// before it ran; their age must not be cut off at the start.
+#[test]
+fn a_time_before_the_start_of_the_process_can_be_told() {
+    let now = NodeClock::start().now();
+    let age = Duration::from_secs(60);
+    assert!(now.since_origin() > age, "{now:?}");
+}
