Keep flows that bring many bytes in their zone while a slot is free there

Change: balancers observe the bytes of a route's flows; a target in another zone counts as 0.05 of its slots and one part more in 40,000 for each byte, at most 1.0, more loaded (a factor of 1.1 before).

--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -28,6 +28,7 @@
 use super::packet::{CallerReset, FlowPacket, PacketKind, ResetReason};
 use super::parts::PartShares;
 use super::peers::BalancerPeers;
+use super::route_traffic::RouteTraffic;
 use super::table::FlowTable;
 use super::zone_members::ZoneMembers;
 use crate::clock::Instant;
@@ -161,6 +162,7 @@
     options: BalancerOptions,
     routes: RouteTable,
     shares: PartShares,
+    traffic: RouteTraffic,
     directory: Directory,
     peers: BalancerPeers,
     zone_members: ZoneMembers,
@@ -200,6 +202,7 @@
             options,
             routes: RouteTable::default(),
             shares: PartShares::default(),
+            traffic: RouteTraffic::default(),
             directory: Directory::default(),
             peers: BalancerPeers::default(),
             zone_members: ZoneMembers::default(),
@@ -337,6 +340,8 @@
         let routes = &self.routes;
         self.shares
             .retain(|address| routes.route(address).is_some());
+        self.traffic
+            .retain(|address| routes.route(address).is_some());
         self.notes.add(Note::ConfigurationAdopted {
             version: self.routes.version(),
             former,
@@ -378,6 +383,7 @@
 
     fn route(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         let own_address = self.options.address.ip();
+        self.traffic.bytes(packet.key.service, bytes.len());
         let routing = match packet.kind {
             _ if packet.key.caller.ip() == own_address => Routing::Drop(DropReason::Forged),
             PacketKind::Open => self.route_opening(packet, bytes, now),
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -52,6 +52,7 @@
             let reset = self.reset(packet.key, 0, ResetReason::NoRoute, 0);
             return Routing::Reset(reset);
         };
+        self.traffic.flow(packet.key.service);
         let entry = FlowEntry {
             service,
             acknowledged: 0,
@@ -135,6 +136,7 @@
             key: packet.key,
             service,
             tried,
+            bytes_per_flow: self.traffic.bytes_per_flow(packet.key.service),
         };
         let chosen = choice.best(now)?;
         let mut terms = self.terms_of(packet, service, since, now);
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -17,6 +17,7 @@
 pub mod packet;
 pub mod parts;
 pub mod peers;
+pub mod route_traffic;
 pub mod selection;
 pub mod store_session;
 pub mod table;
--- /dev/null
+++ b/crates/woodladder-core/src/flow/route_traffic.rs
@@ -0,0 +1,56 @@
+//! Bytes that the flows of each route bring, as a balancer observes them.
+//!
+//! A flow that brings many bytes is worth more to keep in its zone than one
+//! that brings few. Older flows count for less: the totals of a route are
+//! halved whenever enough new flows have come.
+
+use std::net::SocketAddrV4;
+
+use rustc_hash::FxHashMap;
+
+/// Flows after which the totals of a route are halved.
+const WINDOW_FLOWS: u64 = 128;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    flows: u64,
+    bytes: u64,
+}
+
+/// Running totals by route.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTraffic {
+    routes: FxHashMap<SocketAddrV4, Totals>,
+}
+
+impl RouteTraffic {
+    /// Counts a new flow.
+    pub fn flow(&mut self, route: SocketAddrV4) {
+        let totals = self.routes.entry(route).or_default();
+        if totals.flows >= WINDOW_FLOWS {
+            totals.flows /= 2;
+            totals.bytes /= 2;
+        }
+        totals.flows += 1;
+    }
+
+    /// Counts bytes of a route that has flows.
+    pub fn bytes(&mut self, route: SocketAddrV4, length: usize) {
+        if let Some(totals) = self.routes.get_mut(&route) {
+            totals.bytes += u64::try_from(length).unwrap_or(0);
+        }
+    }
+
+    /// Mean bytes of a flow; zero before any is known.
+    #[must_use]
+    pub fn bytes_per_flow(&self, route: SocketAddrV4) -> u64 {
+        self.routes
+            .get(&route)
+            .map_or(0, |totals| totals.bytes / totals.flows.max(1))
+    }
+
+    /// Forgets routes that no longer exist.
+    pub fn retain(&mut self, mut exists: impl FnMut(SocketAddrV4) -> bool) {
+        self.routes.retain(|address, _| exists(*address));
+    }
+}
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -16,8 +16,14 @@
 const SLOT_PER_FLOW: f64 = 0.05;
 /// Work of a target that has just started takes this much longer.
 const WARM_UP_FACTOR: f64 = 1.8;
-/// A target in another zone counts as this much more loaded.
-const OTHER_ZONE_FACTOR: f64 = 1.1;
+/// Part of its slots by which a target in another zone counts as more loaded
+/// for a flow without bytes.
+const DISTANCE: f64 = 0.05;
+/// The same for each byte that the flow is expected to bring.
+const DISTANCE_PER_BYTE: f64 = 1.0 / 40_000.0;
+/// Most that distance counts for: no zone is given more than its targets can
+/// begin with while others have slots free.
+const MAXIMUM_DISTANCE: f64 = 1.0;
 /// Most that slow answers raise the load of a target.
 const MAXIMUM_SLOWNESS: f64 = 8.0;
 
@@ -34,6 +40,8 @@
     pub service: ServiceKey,
     /// Agents that were asked before.
     pub tried: &'a [NodeAddress],
+    /// Bytes that flows of the route bring, on average.
+    pub bytes_per_flow: u64,
 }
 
 /// The target chosen.
@@ -115,24 +123,30 @@
         let at_rest = f64::from(load.flows) * SLOT_PER_FLOW;
         let slots = f64::from(record.capacity.max(1));
         let occupied = (waiting + at_rest + 1.0) / slots;
-        occupied * self.factors(record, usual, now) + tie_break(self.key, record.address)
+        occupied * slowdown(record, usual, now)
+            + self.distance(record)
+            + tie_break(self.key, record.address)
     }
 
-    fn factors(&self, record: &AgentRecord, usual: f64, now: Instant) -> f64 {
-        let warm_up = if now < record.warm_at {
-            WARM_UP_FACTOR
-        } else {
-            1.0
-        };
-        let distance = if record.zone == self.zone {
-            1.0
-        } else {
-            OTHER_ZONE_FACTOR
-        };
-        warm_up * distance * slowness(record, usual)
+    fn distance(&self, record: &AgentRecord) -> f64 {
+        if record.zone == self.zone {
+            return 0.0;
+        }
+        let bytes = u32::try_from(self.bytes_per_flow).unwrap_or(u32::MAX);
+        (DISTANCE + f64::from(bytes) * DISTANCE_PER_BYTE).min(MAXIMUM_DISTANCE)
     }
 }
 
+/// How much longer requests take at a target than usual.
+fn slowdown(record: &AgentRecord, usual: f64, now: Instant) -> f64 {
+    let warm_up = if now < record.warm_at {
+        WARM_UP_FACTOR
+    } else {
+        1.0
+    };
+    warm_up * slowness(record, usual)
+}
+
 /// Median of the stated service times, in microseconds; zero when none is
 /// known.
 fn usual_service_time(records: &[&AgentRecord]) -> f64 {
