Tick when something is due, not every 25 ms

Change: agents tick every 100 ms and balancers every 50, every 25 ms while openings wait, flows are searched for, or a report is due; an event brings the tick forward.

--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -14,6 +14,10 @@
 const REPORT_SPACING: Duration = Duration::from_millis(12);
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time between ticks while something waits for one.
+const SHORT_TICK: Duration = Duration::from_millis(25);
+/// Time between ticks while nothing does.
+const LONG_TICK: Duration = Duration::from_millis(100);
 /// A pause between two ticks after which the process counts as stalled.
 const STALL: Duration = Duration::from_millis(400);
 
@@ -103,7 +107,18 @@
         }
     }
 
-    /// Does what is due; to be called every few tens of milliseconds.
+    /// Longest time from one tick to the next as things stand. Events may
+    /// shorten it.
+    #[must_use]
+    pub fn tick_interval(&self) -> Duration {
+        if self.report_due || !self.queue.is_empty() {
+            SHORT_TICK
+        } else {
+            LONG_TICK
+        }
+    }
+
+    /// Does what is due; to be called again after [`Self::tick_interval`].
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
         let pause = self.ticked_at.map_or(Duration::ZERO, |at| now.since(at));
         self.ticked_at = Some(now);
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -28,6 +28,10 @@
 const GREETED_PEERS: usize = 6;
 /// Balancers of the own zone greeted at a time.
 const GREETED_MEMBERS: usize = 6;
+/// Time between ticks while something waits for one.
+const SHORT_TICK: Duration = Duration::from_millis(25);
+/// Time between ticks while nothing does.
+const LONG_TICK: Duration = Duration::from_millis(50);
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time that an agent which others have named has to be heard.
@@ -262,7 +266,16 @@
         actions.push(BalancerAction::FetchSnapshot { from, request });
     }
 
-    /// Does what is due; to be called every few tens of milliseconds.
+    /// Longest time from one tick to the next as things stand. Events may
+    /// shorten it.
+    #[must_use]
+    pub fn tick_interval(&self) -> Duration {
+        let is_waited_for =
+            !self.waiting.is_empty() || !self.searching.is_empty() || !self.named_agents.is_empty();
+        if is_waited_for { SHORT_TICK } else { LONG_TICK }
+    }
+
+    /// Does what is due; to be called again after [`Self::tick_interval`].
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.notice_stall(now);
         self.flows.tick(now);
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{sleep, timeout};
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{
     Agent, AgentAction, AgentOptions, AnswerBody, Delivery, Departure, Heartbeat, HeartbeatError,
@@ -36,9 +36,8 @@
 use crate::peer_socket;
 use crate::snapshot_exchange;
 use crate::store::{self, Store};
+use crate::tick_timer::TickTimer;
 
-/// Time between two looks at what is due.
-const TICK: Duration = Duration::from_millis(25);
 /// Most flows in the table.
 const FLOW_CAPACITY: usize = 100_000;
 /// Time between two looks whether the target listens.
@@ -82,6 +81,7 @@
     peers: UdpSocket,
     outbound: UdpSocket,
     decisions: RefCell<DecisionLog>,
+    timer: TickTimer,
     logger: Logger,
     refused_packets: Cell<u64>,
     service_times: RefCell<LatencyHistogram>,
@@ -110,6 +110,7 @@
             peers: peer_socket::open(config.peer_bind)?,
             outbound: peer_socket::open(config.outbound_address)?,
             decisions: RefCell::new(DecisionLog::new(logger.clone())),
+            timer: TickTimer::default(),
             logger,
             refused_packets: Cell::new(0),
             service_times: RefCell::new(LatencyHistogram::default()),
@@ -323,12 +324,12 @@
     }
 
     async fn tick(self: Rc<Self>) {
-        let mut ticks = interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
             self.act(|core, now, actions| core.tick(now, actions));
             self.write_notes();
+            self.timer
+                .until_due(|| self.core.borrow().tick_interval())
+                .await;
         }
     }
 
@@ -350,6 +351,7 @@
         for action in actions {
             self.carry_out(action);
         }
+        self.timer.shorten(self.core.borrow().tick_interval());
     }
 
     fn carry_out(self: &Rc<Self>, action: AgentAction) {
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::sleep;
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::balancer::{
     Balancer, BalancerAction, BalancerOptions, NotReadyReason, Routing,
@@ -34,8 +34,9 @@
 use crate::peer_socket;
 use crate::snapshot_exchange;
 use crate::store::{self, Store, StoreContact};
+use crate::tick_timer::TickTimer;
 
-/// Time between two looks at what is due.
+/// Time between two looks whether a stopping balancer may end.
 const TICK: Duration = Duration::from_millis(25);
 /// Most flows in the table.
 const FLOW_CAPACITY: usize = 400_000;
@@ -76,6 +77,7 @@
     peers: UdpSocket,
     callers: UdpSocket,
     decisions: RefCell<DecisionLog>,
+    timer: TickTimer,
     logger: Logger,
     contact: Rc<StoreContact>,
     refused_packets: Cell<u64>,
@@ -103,6 +105,7 @@
             peers: peer_socket::open(config.peer_bind)?,
             callers: peer_socket::open(config.caller_address)?,
             decisions: RefCell::new(DecisionLog::new(logger.clone())),
+            timer: TickTimer::default(),
             logger,
             contact: Rc::new(StoreContact::default()),
             refused_packets: Cell::new(0),
@@ -225,6 +228,7 @@
             return;
         };
         let routing = self.core.borrow_mut().caller_packet(&packet, bytes, now);
+        self.timer.shorten(self.core.borrow().tick_interval());
         match routing {
             Routing::One { to, header } => self.forward(to, &PeerMessage::Forward(header), bytes),
             Routing::Several(receivers) => {
@@ -258,12 +262,12 @@
     }
 
     async fn tick(self: Rc<Self>) {
-        let mut ticks = interval(TICK);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
             self.act(|core, now, actions| core.tick(now, actions));
             self.write_notes();
+            self.timer
+                .until_due(|| self.core.borrow().tick_interval())
+                .await;
         }
     }
 
@@ -285,6 +289,7 @@
         for action in actions {
             self.carry_out(action);
         }
+        self.timer.shorten(self.core.borrow().tick_interval());
     }
 
     fn carry_out(self: &Rc<Self>, action: BalancerAction) {
--- a/crates/woodladder-node/src/lib.rs
+++ b/crates/woodladder-node/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod peer_socket;
 pub mod snapshot_exchange;
 pub mod store;
+pub mod tick_timer;
