Ask the store less: one call for changes in quick succession, old lists as a safeguard

Ruled out: a longer wait of watches (a watch that an outage has silenced would end later than the bound of a change), and one watcher for all (two that are cut silently at once would hold a change up for as long). Change: after a change the watch rests for 200 to 400 ms; other nodes still tell of what came meanwhile, and the bound is 3 s. Balancers' repeated lists may be old once the store has listed balancers and others are heard. Tests in flow_configuration.

--- a/crates/woodladder-core/src/flow/store_session/list.rs
+++ b/crates/woodladder-core/src/flow/store_session/list.rs
@@ -22,6 +22,8 @@
     urgent_lists: u32,
     hears_balancers: bool,
     may_be_stale: bool,
+    /// Whether the store has answered a list.
+    was_listed: bool,
     backoff: Backoff,
 }
 
@@ -36,6 +38,7 @@
             urgent_lists: 0,
             hears_balancers: false,
             may_be_stale,
+            was_listed: false,
             backoff: Backoff::new(seed),
         }
     }
@@ -58,7 +61,10 @@
             return NextCall::At(self.due_at);
         }
         self.in_flight = true;
-        let stale = self.may_be_stale && self.urgent_lists % (STALE_LISTS + 1) < STALE_LISTS;
+        let is_safeguard = self.hears_balancers && self.was_listed;
+        let may_begin_stale =
+            self.may_be_stale && self.urgent_lists % (STALE_LISTS + 1) < STALE_LISTS;
+        let stale = is_safeguard || may_begin_stale;
         NextCall::Now(StoreCall::ListBalancers { stale })
     }
 
@@ -69,6 +75,7 @@
         match reply {
             StoreReply::Balancers(balancers) => {
                 self.backoff.succeeded();
+                self.was_listed = true;
                 let pause = if self.hears_balancers {
                     USUAL_PAUSE
                 } else {
--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -11,6 +11,11 @@
 /// then learns changes from other nodes, and here after this time.
 const LONGEST_WAIT: Duration = Duration::from_millis(5000);
 
+/// Time after a change in which no other is asked for, so that changes in quick
+/// succession cost one call. Far shorter than the time that a change has to
+/// come into force.
+const PAUSE_AFTER_CHANGE: Duration = Duration::from_millis(400);
+
 /// The watch of the configuration.
 #[derive(Clone, Debug)]
 pub struct ConfigurationWatch {
@@ -70,6 +75,9 @@
                 self.heard_at = Some(now);
                 self.backoff.succeeded();
                 self.due_at = now;
+                if !is_first && configuration.is_some() {
+                    self.due_at = now + self.backoff.spread(PAUSE_AFTER_CHANGE);
+                }
                 if is_first && configuration.is_none() {
                     // Nothing is there yet; the watch tells when it is.
                     self.due_at = now + self.backoff.spread(Duration::from_millis(100));
--- a/crates/woodladder-core/tests/flow_configuration.rs
+++ b/crates/woodladder-core/tests/flow_configuration.rs
@@ -171,6 +171,30 @@
     assert_eq!(after, 40);
 }
 
+/// Each waiting watch is answered at each change, and each answer costs.
+#[test]
+fn changes_in_quick_succession_are_fetched_by_one_call() {
+    let mut watch = ConfigurationWatch::new(1, at(0));
+    watch.next(at(0));
+    let changed = |version, revision| StoreReply::Configuration {
+        configuration: Some((*configuration(version)).clone()),
+        revision,
+    };
+    watch.reply(changed(3, 40), at(5));
+    assert!(matches!(
+        call(watch.next(at(5))),
+        StoreCall::AwaitConfiguration { after: 40, .. }
+    ));
+    watch.reply(changed(4, 41), at(1000));
+    let again = waits_until(watch.next(at(1000)));
+    assert!(again >= Duration::from_millis(1200), "{again:?}");
+    assert!(again <= Duration::from_millis(1400), "{again:?}");
+    assert!(matches!(
+        call(watch.next(at(1400))),
+        StoreCall::AwaitConfiguration { after: 41, .. }
+    ));
+}
+
 #[test]
 fn after_a_failure_the_watch_reads_again_because_changes_may_have_been_missed() {
     for failure in [
@@ -278,6 +302,30 @@
     assert!(waits_until(list.next(at(705))) >= Duration::from_secs(15));
 }
 
+/// A list that only makes sure of what is heard anyway may be old, which costs
+/// a tenth.
+#[test]
+fn lists_may_be_old_once_balancers_are_listed_and_heard() {
+    let mut list = BalancerList::new(1, false, at(0));
+    list.hears_balancers(true, at(0));
+    assert_eq!(
+        call(list.next(at(0))),
+        StoreCall::ListBalancers { stale: false }
+    );
+    list.reply(StoreReply::Balancers(vec![node(2)]), at(5));
+    let due = u64::try_from(waits_until(list.next(at(5))).as_millis()).expect("milliseconds");
+    assert_eq!(
+        call(list.next(at(due + 1))),
+        StoreCall::ListBalancers { stale: true }
+    );
+    list.reply(StoreReply::NoAnswer, at(due + 2));
+    list.hears_balancers(false, at(due + 3));
+    assert_eq!(
+        call(list.next(at(due + 800))),
+        StoreCall::ListBalancers { stale: false }
+    );
+}
+
 #[test]
 fn datagrams_that_are_no_messages_are_told_apart() {
     assert_eq!(
