Count what targets fail, and send new flows to the others

Only its heartbeats spoke of its health, and they were good. Change: agents count answers by status (5xx; turned away only where slots were free), resets and requests given up after ten service times; successes fade within half a second, failures within 2 s, doubling to 16 s for a target that fails again. The share travels with the load; balancers compare it with the median of the service and count each percent beyond 15 as 0.08 of the slots, at most 2.0, so a target that fails all still serves when the others are overloaded, and a fault of all speaks against none. Openings no longer wait for a target that has begun no answer for five expected times. Found on the way: the end of a flow can overtake its answer (the request was not counted as answered), and the first byte of an upload can be overtaken (no request_delivered line): both are mended and tested. Ruled out: the health word (unused).

--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -129,6 +129,7 @@
         }
         self.flows.tick(now);
         self.watch_target(now);
+        self.watch_outcomes(now);
         for balancer in self.balancers.tick(now) {
             self.notes.add(Note::BalancerLost { balancer });
         }
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -7,7 +7,8 @@
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, PacketKind};
 use super::{
-    Agent, AgentAction, AnswerBody, Delivery, Departure, FlowState, HeldFlow, Presence, not_held,
+    Agent, AgentAction, AnswerBody, AnswerKind, Delivery, Departure, FlowState, HeldFlow, Outcomes,
+    Presence, Suspicion, not_held,
 };
 use crate::clock::Instant;
 
@@ -15,6 +16,11 @@
 const MEAN_DIVISOR: u32 = 8;
 /// Time after which a request without an answer no longer counts as load.
 const BUSY_AT_MOST: Duration = Duration::from_secs(12);
+/// Service times after which a request that its caller gives up counts as a
+/// failure of the target.
+const ABANDONED_AFTER: u32 = 10;
+/// Least such time.
+const LEAST_PATIENCE: Duration = Duration::from_millis(500);
 /// Time after which an opening without a sequel no longer counts as load.
 const OPENING_AT_MOST: Duration = Duration::from_millis(1000);
 
@@ -142,6 +148,8 @@
             since: now,
             busy_since: None,
             caller_next: packet.sequence.wrapping_add(packet.payload.into()),
+            request_start: 0,
+            awaits_outcome: false,
         };
         self.forget_flow(&packet.key);
         self.flows.insert(packet.key, flow, now);
@@ -149,7 +157,8 @@
     }
 
     /// Counts what a packet on its way to the target means for its load; says
-    /// whether a request begins with it.
+    /// whether a request's first byte is in it. Packets overtake each other, so
+    /// a request can be load before that one comes.
     fn count_delivery(&mut self, from: NodeAddress, packet: &FlowPacket, now: Instant) -> bool {
         self.counters.delivered += 1;
         let Some(flow) = self.flows.use_flow(&packet.key) else {
@@ -159,7 +168,6 @@
         if matches!(flow.state, FlowState::Offered | FlowState::Accepted) {
             flow.state = FlowState::Open;
             flow.since = now;
-            flow.caller_next = packet.sequence;
             self.load.flows += 1;
             self.stop_expecting(&packet.key);
         }
@@ -169,19 +177,30 @@
         let end = packet.sequence.wrapping_add(packet.payload.into());
         let is_new = packet.payload > 0 && is_after(end, flow.caller_next);
         let begins_request = is_new && flow.busy_since.is_none();
+        if begins_request {
+            flow.request_start = flow.caller_next;
+            flow.awaits_outcome = true;
+        }
         if is_new {
             flow.caller_next = end;
         }
+        let is_head = flow.awaits_outcome && packet.sequence == flow.request_start;
         if begins_request {
             flow.busy_since = Some(now);
+            if self.load.busy == 0 {
+                self.progress_at = now;
+            }
             self.load.busy += 1;
         }
         match packet.kind {
-            PacketKind::Reset => self.forget_flow(&packet.key),
+            PacketKind::Reset => {
+                self.count_abandoned(&packet.key, now);
+                self.forget_flow(&packet.key);
+            }
             PacketKind::Finish => self.close_flow(&packet.key),
             _ => {}
         }
-        begins_request
+        is_head && packet.payload > 0
     }
 
     /// Decides about a packet that the target sent. `returned_to` is the
@@ -229,6 +248,9 @@
     fn send_to_caller(&mut self, packet: &FlowPacket, now: Instant) -> Departure {
         self.counters.to_callers += 1;
         if packet.kind == PacketKind::Reset {
+            if self.take_awaited(&packet.key) {
+                self.count_outcome(false, now);
+            }
             self.forget_flow(&packet.key);
             return Departure::ToCaller(None);
         }
@@ -281,11 +303,68 @@
             since: now,
             busy_since: None,
             caller_next: packet.acknowledgement,
+            request_start: 0,
+            awaits_outcome: false,
         };
         self.flows.insert(packet.key, flow, now);
         self.load.flows += 1;
     }
 
+    /// Takes in how the answer of a flow's request begins. To be called before
+    /// [`Self::departing`] is given the packet.
+    pub fn answer_begins(&mut self, key: &FlowKey, kind: AnswerKind, now: Instant) {
+        if !self.take_awaited(key) {
+            return;
+        }
+        match kind {
+            AnswerKind::Success => self.count_outcome(true, now),
+            AnswerKind::Failure => self.count_outcome(false, now),
+            // With no more requests than slots, a target has no cause to.
+            AnswerKind::TurnedAway if self.load.busy <= self.target.capacity => {
+                self.count_outcome(false, now);
+            }
+            AnswerKind::TurnedAway => {}
+        }
+    }
+
+    /// Whether the outcome of a flow's request was still awaited; it is not any
+    /// more.
+    fn take_awaited(&mut self, key: &FlowKey) -> bool {
+        self.flows
+            .use_flow(key)
+            .is_some_and(|flow| std::mem::take(&mut flow.awaits_outcome))
+    }
+
+    fn count_outcome(&mut self, succeeded: bool, now: Instant) {
+        self.outcomes.count(succeeded, now);
+        self.load.failed_percent = self.outcomes.failed_percent();
+        self.counters.failed += u64::from(!succeeded);
+    }
+
+    /// The caller gave a request up; when it has waited for far longer than
+    /// requests take, the target has failed it.
+    fn count_abandoned(&mut self, key: &FlowKey, now: Instant) {
+        let usual = Duration::from_micros(self.load.service_time_us.into());
+        let patience = (usual * ABANDONED_AFTER).max(LEAST_PATIENCE);
+        let since = self.flows.peek(key).and_then(|flow| flow.busy_since);
+        if since.is_some_and(|since| now.since(since) >= patience) {
+            self.count_outcome(false, now);
+        }
+    }
+
+    /// Lets evidence of failures fade.
+    pub(super) fn watch_outcomes(&mut self, now: Instant) {
+        let suspicion = self.outcomes.tick(now);
+        self.load.failed_percent = self.outcomes.failed_percent();
+        if let Some(suspicion) = suspicion {
+            self.notes.add(Note::TargetSuspicion {
+                is_suspect: suspicion == Suspicion::Begun,
+                failed_percent: self.load.failed_percent,
+                incarnation: self.target.incarnation,
+            });
+        }
+    }
+
     fn answered(&mut self, key: &FlowKey, now: Instant) {
         let Some(flow) = self.flows.use_flow(key) else {
             return;
@@ -294,6 +373,7 @@
             return;
         };
         let service_time = now.since(since);
+        self.progress_at = now;
         self.load.busy = self.load.busy.saturating_sub(1);
         self.counters.answered += 1;
         let sample = u32::try_from(service_time.as_micros()).unwrap_or(u32::MAX);
@@ -354,7 +434,9 @@
     }
 
     /// The target was replaced: its flows are gone.
-    pub(super) fn forget_all_flows(&mut self) {
+    pub(super) fn forget_all_flows(&mut self, now: Instant) {
+        self.outcomes = Outcomes::new(now);
+        self.load.failed_percent = 0;
         self.flows.retain(|_, _| false);
         self.load.busy = 0;
         self.load.opening = 0;
--- a/crates/woodladder-core/src/flow/agent/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/heartbeat.rs
@@ -112,7 +112,7 @@
                 .len()
                 .saturating_sub(REMEMBERED_INCARNATIONS);
             self.target.replaced.drain(..surplus);
-            self.forget_all_flows();
+            self.forget_all_flows(now);
         }
         self.report_due = true;
     }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -12,6 +12,7 @@
 mod heartbeat;
 mod openings;
 mod outcome;
+mod outcomes;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -28,12 +29,14 @@
 use super::peers::BalancerPeers;
 use super::table::FlowTable;
 use admission_queue::AdmissionQueue;
+use outcomes::Outcomes;
 
 use crate::clock::Instant;
 
 pub use admission_queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
 pub use heartbeat::{Heartbeat, HeartbeatError};
 pub use outcome::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
+pub use outcomes::{AnswerKind, Suspicion};
 
 /// Settings of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -82,6 +85,11 @@
     busy_since: Option<Instant>,
     /// Number after the caller's last new byte.
     caller_next: u32,
+    /// Number of the first byte of the latest request.
+    request_start: u32,
+    /// Whether it is not known yet how the latest request was answered. The
+    /// target's end of the flow may overtake its answer.
+    awaits_outcome: bool,
 }
 
 /// Whether anything listens at the target's address, before its first
@@ -127,6 +135,9 @@
     /// request yet, the oldest first.
     accepted: VecDeque<(FlowKey, Instant)>,
     load: TargetLoad,
+    outcomes: Outcomes,
+    /// When the target last began an answer, or had nothing to answer.
+    progress_at: Instant,
     started_at: Instant,
     reported_at: Option<Instant>,
     report_interval: Duration,
@@ -152,6 +163,8 @@
             queue: AdmissionQueue::default(),
             accepted: VecDeque::new(),
             load: TargetLoad::default(),
+            outcomes: Outcomes::new(now),
+            progress_at: now,
             started_at: now,
             reported_at: None,
             report_interval: announcements::FIRST_INTERVAL,
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/openings.rs
@@ -28,6 +28,11 @@
 const SEQUEL_WITHIN: Duration = Duration::from_millis(50);
 /// Time of the packets between an opening and the answer to its request.
 const EXCHANGE: Duration = Duration::from_millis(8);
+/// Expected times of an answer without any after which a full target counts as
+/// stuck.
+const STUCK_AFTER: u32 = 5;
+/// Least such time.
+const LEAST_STUCK: Duration = Duration::from_millis(400);
 /// Service time that is expected before the target has answered any request.
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(50);
 
@@ -56,10 +61,13 @@
             return self.give_back(reason);
         }
         if self.queue.is_empty() && self.target_has_room() {
+            if self.load.busy == 0 {
+                self.progress_at = now;
+            }
             self.hand_over(from, header, packet, now);
             return Delivery::plain();
         }
-        if self.queue.is_full() || self.is_underestimated(terms) {
+        if self.queue.is_full() || self.is_underestimated(terms) || self.is_stuck(now) {
             return self.give_back(ReturnReason::Saturated);
         }
         self.enqueue(from, header, terms, packet, bytes, now)
@@ -93,6 +101,13 @@
             .is_some_and(|believed| self.load.requests() > believed.saturating_add(margin))
     }
 
+    /// Whether the target has begun no answer for far longer than requests
+    /// take, although it holds all that it can begin with.
+    fn is_stuck(&self, now: Instant) -> bool {
+        let limit = (self.expected_answer() * STUCK_AFTER).max(LEAST_STUCK);
+        !self.target_has_room() && now.since(self.progress_at) >= limit
+    }
+
     fn enqueue(
         &mut self,
         from: NodeAddress,
@@ -148,7 +163,7 @@
         now: Instant,
     ) {
         self.counters.offered += 1;
-        self.replace_flow(packet.key, FlowState::Offered, from, now);
+        self.replace_flow(packet, FlowState::Offered, from, now);
         self.load.opening += 1;
         self.target.unanswered_since.get_or_insert(now);
         self.notes.add(Note::FlowOffered {
@@ -168,19 +183,23 @@
         }
         if self.target.state != TargetState::Ready {
             let all = self.queue.take_all();
-            return self.return_queued(all, now, actions);
+            return self.return_queued(all, ReturnReason::NoTarget, now, actions);
         }
         self.give_up_accepted(now);
+        if self.is_stuck(now) {
+            let all = self.queue.take_all();
+            return self.return_queued(all, ReturnReason::Saturated, now, actions);
+        }
         let expired = self.queue.take_expired(now);
         self.counters.expired += u64::try_from(expired.len()).unwrap_or(0);
-        self.return_queued(expired, now, actions);
+        self.return_queued(expired, ReturnReason::Expired, now, actions);
         while self.target_has_room() {
             let Some(opening) = self.queue.take_next(self.expected_answer(), now) else {
                 break;
             };
             self.count_queue();
             if self.reason_to_decline(&opening.header, now).is_some() {
-                self.return_queued(vec![opening], now, actions);
+                self.return_queued(vec![opening], ReturnReason::StaleVersion, now, actions);
                 continue;
             }
             self.hand_over(opening.balancer, &opening.header, &opening.packet, now);
@@ -210,9 +229,12 @@
         }
     }
 
+    /// Gives openings back, for `usual_reason` unless the target's state or the
+    /// configuration is a better one.
     fn return_queued(
         &mut self,
         openings: Vec<QueuedOpening>,
+        usual_reason: ReturnReason,
         now: Instant,
         actions: &mut Vec<AgentAction>,
     ) {
@@ -220,7 +242,7 @@
         for opening in openings {
             let reason = self
                 .reason_to_decline(&opening.header, now)
-                .unwrap_or(ReturnReason::Expired);
+                .unwrap_or(usual_reason);
             self.counters.declined += 1;
             actions.push(AgentAction::Return {
                 to: opening.balancer,
@@ -234,20 +256,22 @@
     /// out of the load.
     pub(super) fn replace_flow(
         &mut self,
-        key: super::FlowKey,
+        opening: &FlowPacket,
         state: FlowState,
         balancer: NodeAddress,
         now: Instant,
     ) {
-        self.forget_flow(&key);
+        self.forget_flow(&opening.key);
         let flow = HeldFlow {
             state,
             is_expected: state == FlowState::Offered,
             balancer,
             since: now,
             busy_since: None,
-            caller_next: 0,
+            caller_next: opening.sequence.wrapping_add(1),
+            request_start: 0,
+            awaits_outcome: false,
         };
-        self.flows.insert(key, flow, now);
+        self.flows.insert(opening.key, flow, now);
     }
 }
--- a/crates/woodladder-core/src/flow/agent/outcome.rs
+++ b/crates/woodladder-core/src/flow/agent/outcome.rs
@@ -115,6 +115,8 @@
     pub to_callers: u64,
     /// Requests that the target answered.
     pub answered: u64,
+    /// Requests that the target failed.
+    pub failed: u64,
     /// Packets dropped.
     pub dropped: u64,
     /// Heartbeats taken.
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -107,6 +107,8 @@
     /// Running mean of the time to the first byte of an answer, in
     /// microseconds; zero before the first answer.
     pub service_time_us: u32,
+    /// Share of the latest requests that the target has failed, in percent.
+    pub failed_percent: u8,
 }
 
 impl TargetLoad {
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -145,6 +145,16 @@
         /// Configuration that chose the service.
         version: u64,
     },
+    /// The own target has become or ceased to be suspect by what came of its
+    /// requests.
+    TargetSuspicion {
+        /// Whether it is suspect now.
+        is_suspect: bool,
+        /// Share of requests that it has failed, in percent.
+        failed_percent: u8,
+        /// Incarnation, when known.
+        incarnation: Option<Incarnation>,
+    },
     /// An opening waits until the own target can begin with it.
     OpeningQueued {
         /// The flow.
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -26,6 +26,15 @@
 const MAXIMUM_DISTANCE: f64 = 1.0;
 /// Most that slow answers raise the load of a target.
 const MAXIMUM_SLOWNESS: f64 = 8.0;
+/// Failures beyond those of the service's other targets, in percent, that do
+/// not count against a target.
+const TOLERATED_FAILURES: f64 = 15.0;
+/// Part of its slots by which a target counts as more loaded for each further
+/// percent of failures.
+const LOAD_PER_FAILURE: f64 = 0.08;
+/// Most that failures count for: a target that fails all is still given flows
+/// once the others have as many requests again as slots waiting.
+const MAXIMUM_UNRELIABILITY: f64 = 2.0;
 
 /// What a choice is made from.
 #[derive(Clone, Copy, Debug)]
@@ -103,11 +112,11 @@
             .filter_map(|agent| self.directory.agent(*agent))
             .filter(|record| record.state == TargetState::Ready && record.is_live(now))
             .collect();
-        let usual = usual_service_time(&usable);
+        let usual = Usual::of(&usable);
         let others = usable.len().saturating_sub(1);
         usable
             .into_iter()
-            .map(|record| (self.score(record, usual, now), record))
+            .map(|record| (self.score(record, &usual, now), record))
             .min_by(|(one, _), (other, _)| one.total_cmp(other))
             .map(|(score, record)| Chosen {
                 agent: record.address,
@@ -117,13 +126,14 @@
             })
     }
 
-    fn score(&self, record: &AgentRecord, usual: f64, now: Instant) -> f64 {
+    fn score(&self, record: &AgentRecord, usual: &Usual, now: Instant) -> f64 {
         let load = &record.load;
         let waiting = f64::from(record.believed_load());
         let at_rest = f64::from(load.flows) * SLOT_PER_FLOW;
         let slots = f64::from(record.capacity.max(1));
         let occupied = (waiting + at_rest + 1.0) / slots;
         occupied * slowdown(record, usual, now)
+            + unreliability(record, usual)
             + self.distance(record)
             + tie_break(self.key, record.address)
     }
@@ -137,28 +147,51 @@
     }
 }
 
+/// What is usual among the targets that are compared: a fault that all of them
+/// share speaks against none.
+struct Usual {
+    /// Median service time, in microseconds; zero when none is known.
+    service_time: f64,
+    /// Median share of failures, in percent.
+    failed_percent: f64,
+}
+
+impl Usual {
+    fn of(records: &[&AgentRecord]) -> Self {
+        let times = records.iter().map(|record| record.load.service_time_us);
+        let failures = records
+            .iter()
+            .map(|record| u32::from(record.load.failed_percent));
+        Self {
+            service_time: median(times.filter(|time| *time > 0).collect()),
+            failed_percent: median(failures.collect()),
+        }
+    }
+}
+
 /// How much longer requests take at a target than usual.
-fn slowdown(record: &AgentRecord, usual: f64, now: Instant) -> f64 {
+fn slowdown(record: &AgentRecord, usual: &Usual, now: Instant) -> f64 {
     let warm_up = if now < record.warm_at {
         WARM_UP_FACTOR
     } else {
         1.0
     };
-    warm_up * slowness(record, usual)
+    warm_up * slowness(record, usual.service_time)
 }
 
-/// Median of the stated service times, in microseconds; zero when none is
-/// known.
-fn usual_service_time(records: &[&AgentRecord]) -> f64 {
-    let mut times: Vec<u32> = records
-        .iter()
-        .map(|record| record.load.service_time_us)
-        .filter(|time| *time > 0)
-        .collect();
-    times.sort_unstable();
-    times
-        .get(times.len() / 2)
-        .map_or(0.0, |time| f64::from(*time))
+/// How much more of its requests a target fails than is usual.
+fn unreliability(record: &AgentRecord, usual: &Usual) -> f64 {
+    let excess = f64::from(record.load.failed_percent) - usual.failed_percent;
+    let counted = (excess - TOLERATED_FAILURES).max(0.0);
+    (counted * LOAD_PER_FAILURE).min(MAXIMUM_UNRELIABILITY)
+}
+
+/// The median of some values; zero when there are none.
+fn median(mut values: Vec<u32>) -> f64 {
+    values.sort_unstable();
+    values
+        .get(values.len() / 2)
+        .map_or(0.0, |value| f64::from(*value))
 }
 
 fn slowness(record: &AgentRecord, usual: f64) -> f64 {
--- a/crates/woodladder-core/tests/flow_admission_queue.rs
+++ b/crates/woodladder-core/tests/flow_admission_queue.rs
@@ -39,6 +39,20 @@
     agent
 }
 
+/// Lets the target answer requests on the flow of port 1, whose caller sends
+/// the next one at once: the target is full all the time and not stuck.
+fn keep_busy(agent: &mut Agent, until: u64) {
+    const REQUEST_LENGTH: u32 = 100;
+    let mut sequence = 1001;
+    for now in (100..until).step_by(100) {
+        answer(agent, flow(1), now);
+        sequence += REQUEST_LENGTH;
+        let next = data(flow(1), sequence, 5001);
+        let header = header(1, ForwardPurpose::Established);
+        forward_to(agent, &header, &next, at(now));
+    }
+}
+
 fn answer(agent: &mut Agent, key: FlowKey, now: u64) {
     agent.departing(&data(key, 5001, 1101), None, at(now));
 }
@@ -172,11 +186,26 @@
     let mut agent = busy_agent();
     offer(&mut agent, 100, opening_terms(), 20);
     let end = 20 + u64::try_from(LONGEST_WAIT.as_millis()).expect("milliseconds");
+    keep_busy(&mut agent, end);
     assert_eq!(given_back(&mut agent, end - 1), []);
     assert_eq!(given_back(&mut agent, end), [(100, ReturnReason::Expired)]);
     assert_eq!(agent.load().queued, 0);
 }
 
+/// A target that has stopped to answer keeps openings from others that would.
+#[test]
+fn openings_do_not_wait_for_a_target_that_is_stuck() {
+    let mut agent = busy_agent();
+    offer(&mut agent, 100, opening_terms(), 20);
+    assert_eq!(given_back(&mut agent, 300), []);
+    assert_eq!(
+        given_back(&mut agent, 500),
+        [(100, ReturnReason::Saturated)]
+    );
+    let next = offer(&mut agent, 101, opening_terms(), 510);
+    assert_eq!(reason(&next), Some(ReturnReason::Saturated));
+}
+
 /// The platform counts from the acknowledgement, which is sent after the tick.
 #[test]
 fn all_openings_are_given_back_when_the_target_leaves() {
@@ -202,8 +231,9 @@
         ..Snapshot::default()
     };
     agent.snapshot(node(1), snapshot, at(100));
+    keep_busy(&mut agent, 1000);
     offer(&mut agent, 100, opening_terms(), 1000);
-    answer(&mut agent, flow(1), 1200);
+    answer(&mut agent, flow(2), 1200);
     assert_eq!(
         given_back(&mut agent, 1200),
         [(100, ReturnReason::StaleVersion)]
--- a/crates/woodladder-core/tests/flow_load.rs
+++ b/crates/woodladder-core/tests/flow_load.rs
@@ -76,10 +76,31 @@
         } else {
             forward(&mut agent, &reset, 20);
         }
-        assert_eq!(agent.load(), TargetLoad::default());
+        // A reset by the target is also a failed request: one among the three
+        // successes that are assumed.
+        let expected = TargetLoad {
+            failed_percent: if from_target { 25 } else { 0 },
+            ..TargetLoad::default()
+        };
+        assert_eq!(agent.load(), expected);
     }
 }
 
+/// Packets overtake each other; the one with the request's head names it.
+#[test]
+fn a_request_begins_with_its_first_byte_and_is_load_from_its_first_packet() {
+    let mut agent = agent();
+    forward_to(&mut agent, &open_header(1), &opening(flow(1), 0), at(10));
+    let begins = |delivery: &Delivery| match delivery {
+        Delivery::Deliver { begins_request, .. } => *begins_request,
+        other => panic!("{other:?}"),
+    };
+    let later = forward(&mut agent, &data(flow(1), 1101, 5001), 12);
+    assert_eq!((begins(&later), agent.load().busy), (false, 1));
+    let head = forward(&mut agent, &data(flow(1), 1001, 5001), 13);
+    assert_eq!((begins(&head), agent.load().busy), (true, 1));
+}
+
 #[test]
 fn a_target_that_answers_no_opening_counts_as_unresponsive_until_it_is_heard() {
     let mut agent = agent();
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -280,6 +280,13 @@
         let returned_to = read
             .returned_to
             .map(|machine| SocketAddrV4::new(machine, peer_port));
+        if read.packet.payload > 0
+            && returned_to.is_none()
+            && let Some(kind) = self.carrier.answer_kind(bytes)
+        {
+            let mut core = self.core.borrow_mut();
+            core.answer_begins(&read.packet.key, kind, now);
+        }
         let departure = self
             .core
             .borrow_mut()
--- a/crates/woodladder-node/src/carrier.rs
+++ b/crates/woodladder-node/src/carrier.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 
+use woodladder_core::flow::agent::AnswerKind;
 use woodladder_core::flow::packet::{CallerReset, FlowPacket};
 
 /// A packet that a target sent.
@@ -63,6 +64,9 @@
     /// Writes a reset.
     fn write_reset(&self, reset: &CallerReset) -> Vec<u8>;
 
+    /// How an answer begins, where the packet's data shows it.
+    fn answer_kind(&self, bytes: &[u8]) -> Option<AnswerKind>;
+
     /// The request's identifier, where the packet's data shows it.
     fn request_id<'a>(&self, bytes: &'a [u8]) -> Option<&'a str>;
 }
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -252,6 +252,16 @@
                     "former" => ?former, "state" => ?state, "incarnation" => incarnation,
                     "left_out" => left_out);
             }
+            Note::TargetSuspicion {
+                is_suspect,
+                failed_percent,
+                incarnation,
+            } => {
+                let incarnation = incarnation.map(|it| format!("{:016x}", it.0));
+                warn!(log, "agent: target judged by its answers"; "event" => event,
+                    "suspect" => is_suspect, "failed_percent" => failed_percent,
+                    "incarnation" => incarnation, "left_out" => left_out);
+            }
             _ => {}
         }
     }
@@ -276,6 +286,7 @@
         Note::BalancerLost { .. } => ("balancer_lost", Important),
         Note::Stalled { .. } => ("stalled", Important),
         Note::TargetState { .. } => ("target_state", Important),
+        Note::TargetSuspicion { .. } => ("target_suspicion", Important),
         Note::FlowOffered { .. } => ("flow_offered", Ordinary),
         Note::OpeningQueued { .. } => ("opening_queued", Important),
         Note::RequestAnswered { .. } => ("request_answered", Ordinary),
