Remove the hollow fleet

Ruled out: a promise that only its test proved: rolls that get everywhere, starts in an outage and copies are proved by replica_spread, replica_faults, availability and the seeds of simulation. Its own tests went with it.

--- a/crates/woodladder-lab/src/command.rs
+++ b/crates/woodladder-lab/src/command.rs
@@ -5,7 +5,6 @@
 mod platform_day;
 mod platform_node;
 mod product;
-mod scale;
 mod simulate;
 mod simulate_flows;
 mod soak;
@@ -42,8 +41,6 @@
     SimulateFlows(simulate_flows::SimulateFlowsCommand),
     /// Run the real processes under faults drawn from seeds and check the promises.
     Soak(soak::SoakCommand),
-    /// Measure the control traffic of many nodes in one process, on a virtual clock.
-    Scale(scale::ScaleCommand),
     /// Run one stand-in until SIGTERM; its first line of output is JSON with the bound addresses.
     StandIn(stand_in::StandInCommand),
 }
@@ -60,7 +57,6 @@
             Command::Simulate(command) => command.run(),
             Command::SimulateFlows(command) => command.run(),
             Command::Soak(command) => command.run(),
-            Command::Scale(command) => command.run(),
             Command::StandIn(command) => command.run(),
         }
     }
--- a/crates/woodladder-lab/src/command/measure.rs
+++ b/crates/woodladder-lab/src/command/measure.rs
@@ -7,7 +7,6 @@
 
 use clap::{Args, ValueEnum};
 
-use super::scale::ScaleCommand;
 use woodladder_core::packets::hop_list::Load;
 use woodladder_lab::measure::decision;
 use woodladder_lab::measure::experiment::{Experiment, SeedRange};
@@ -70,16 +69,11 @@
     Decision,
     /// The packet path through one balancer process.
     Packets,
-    /// Cost of the control traffic, as `scale` measures it; on its own only.
-    Control,
 }
 
 impl MeasureCommand {
     /// Measures and reports.
     pub fn run(self) -> ExitCode {
-        if self.only == Some(Part::Control) {
-            return ScaleCommand::standard(self.json).run();
-        }
         match self.measure() {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
--- a/crates/woodladder-lab/src/lib.rs
+++ b/crates/woodladder-lab/src/lib.rs
@@ -5,6 +5,5 @@
 pub mod flow_simulation;
 pub mod measure;
 pub mod platform;
-pub mod scale;
 pub mod simulation;
 pub mod stand_in;
