--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -31,6 +31,16 @@
                 "Openings given back.",
                 counters.declined,
             ),
+            (
+                "openings_queued_total",
+                "Openings that had to wait in the queue.",
+                counters.queued,
+            ),
+            (
+                "openings_expired_total",
+                "Openings given up after the longest wait in the queue.",
+                counters.expired,
+            ),
             (
                 "delivered_packets_total",
                 "Packets of open flows delivered.",
@@ -52,6 +62,11 @@
                 "Requests answered.",
                 counters.answered,
             ),
+            (
+                "requests_failed_total",
+                "Requests that the target failed.",
+                counters.failed,
+            ),
             ("heartbeats_total", "Heartbeats taken.", counters.heartbeats),
             (
                 "refused_packets_total",
@@ -66,6 +81,16 @@
             "Requests at work or queued.",
             f64::from(load.busy),
         );
+        text.gauge(
+            "openings_queued",
+            "Openings that wait in the queue.",
+            f64::from(load.queued),
+        );
+        text.gauge(
+            "target_failed_ratio",
+            "Share of the latest requests that the target failed.",
+            f64::from(load.failed_percent) / 100.0,
+        );
         text.gauge("flows_open", "Open flows.", f64::from(load.flows));
         text.gauge(
             "flows_known",
