Keep flows that were opened before the first heartbeat of a new incarnation

Its agent, which ran on, stated the former incarnation with them, denied them once the heartbeat came, and balancers reset them as ended while they lived. Change: agents keep flows that were opened after the last heartbeat of the former incarnation, and reports say when that was; balancers reset only older ones. What the new incarnation does not hold it gives back, and the flow is searched for and reset. Test: a_flow_opened_after_the_last_heartbeat_may_be_open_at_the_next_incarnation and two more, which fail without it. a_new_incarnation_begins_without_flows now has a heartbeat after the flow was opened: without one the flow may live.

--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -161,6 +161,9 @@
             sequence: self.report_sequence,
             service: self.options.service,
             incarnation: self.target.incarnation,
+            former_heard_ms: self.target.former_beat_at.map_or(0, |at| {
+                u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+            }),
             zone: self.options.zone,
             state: self.target.state,
             capacity: self.target.capacity,
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -433,16 +433,18 @@
         }
     }
 
-    /// The target was replaced: its flows are gone.
-    pub(super) fn forget_all_flows(&mut self, now: Instant) {
+    /// The target was replaced: its flows are gone, but for those that were opened
+    /// after its last heartbeat. A target takes flows before its own first
+    /// heartbeat, so these may be open at the new one; if not, it gives their
+    /// packets back.
+    pub(super) fn forget_flows_before(&mut self, last_beat: Option<Instant>, now: Instant) {
+        let last_beat = last_beat.unwrap_or(now);
+        self.flows.retain(|_, flow| flow.since > last_beat);
+        self.accepted.retain(|(_, at)| *at > last_beat);
+        self.load.service_time_us = 0;
         self.outcomes = Outcomes::new(now);
         self.load.failed_percent = 0;
-        self.flows.retain(|_, _| false);
-        self.load.busy = 0;
-        self.load.opening = 0;
-        self.load.flows = 0;
-        self.load.service_time_us = 0;
-        self.accepted.clear();
+        self.count_load(now);
     }
 
     /// Counts the load anew from the table, leaving out what has waited too
--- a/crates/woodladder-core/src/flow/agent/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/heartbeat.rs
@@ -104,6 +104,7 @@
         self.target.began_later =
             former.began_later || former.incarnation.is_some() || beat.sequence <= FIRST_SEQUENCE;
         self.target.replaced = former.replaced;
+        self.target.former_beat_at = former.beat_at;
         if let Some(ended) = former.incarnation {
             self.target.replaced.push(ended);
             let surplus = self
@@ -112,7 +113,7 @@
                 .len()
                 .saturating_sub(REMEMBERED_INCARNATIONS);
             self.target.replaced.drain(..surplus);
-            self.forget_all_flows(now);
+            self.forget_flows_before(former.beat_at, now);
         }
         self.report_due = true;
     }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -113,6 +113,8 @@
     capacity: u16,
     warm_at: Instant,
     beat_at: Option<Instant>,
+    /// When the incarnation before sent its last heartbeat.
+    former_beat_at: Option<Instant>,
     sent_at: Option<Instant>,
     unanswered_since: Option<Instant>,
     presence: Presence,
@@ -325,6 +327,7 @@
             capacity: 0,
             warm_at: now,
             beat_at: None,
+            former_beat_at: None,
             sent_at: None,
             unanswered_since: None,
             presence: Presence::NotAsked,
--- a/crates/woodladder-core/src/flow/balancer/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/established.rs
@@ -45,12 +45,13 @@
         }
     }
 
-    /// Resets the flows of a target that has ended; `ended` is `None` when the
-    /// agent itself is lost. Returns how many.
+    /// Resets the flows of a target that has ended; `ended` is the incarnation and
+    /// when it was last heard, and `None` when the agent itself is lost. Returns
+    /// how many.
     pub(super) fn reset_flows_of(
         &mut self,
         agent: NodeAddress,
-        ended: Option<Incarnation>,
+        ended: Option<(Incarnation, Instant)>,
         actions: &mut Vec<BalancerAction>,
     ) -> usize {
         let lost: Vec<(FlowKey, u32)> = self
@@ -61,7 +62,13 @@
                 Stage::Held {
                     agent: holder,
                     incarnation,
-                } => *holder == agent && (ended.is_none() || *incarnation == ended),
+                    since,
+                } => {
+                    let has_ended = ended.is_none_or(|(ended, last_heard)| {
+                        *incarnation == Some(ended) && *since <= last_heard
+                    });
+                    *holder == agent && has_ended
+                }
                 _ => false,
             })
             .map(|(key, entry)| (*key, entry.acknowledged))
@@ -99,7 +106,11 @@
             .map(|acceptance| (acceptance.agent, acceptance.incarnation))
             .or(supposed);
         if let Some((agent, incarnation)) = held {
-            self.stage = Stage::Held { agent, incarnation };
+            self.stage = Stage::Held {
+                agent,
+                incarnation,
+                since: now,
+            };
         }
     }
 }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -89,7 +89,9 @@
                 self.directory.loaded(from, load, now);
                 self.opening_queued(from, &key);
             }
-            PeerMessage::Located { key, incarnation } => self.located(from, key, incarnation),
+            PeerMessage::Located { key, incarnation } => {
+                self.located(from, key, incarnation, now);
+            }
             PeerMessage::Relay => {
                 if let Some((packet, bytes)) = packet {
                     self.counters.taken_over += 1;
@@ -143,7 +145,9 @@
                     accepted.push(acceptance);
                 }
             }
-            Stage::Held { agent, incarnation } if *agent == acceptance.agent => {
+            Stage::Held {
+                agent, incarnation, ..
+            } if *agent == acceptance.agent => {
                 *incarnation = acceptance.incarnation;
             }
             _ => {}
@@ -360,8 +364,12 @@
                     self.notes.add(Note::AgentFound { agent });
                     self.greet(agent, now, actions);
                 }
-                DirectoryChange::Replaced { agent, ended } => {
-                    let flows = self.reset_flows_of(agent, Some(ended), actions);
+                DirectoryChange::Replaced {
+                    agent,
+                    ended,
+                    last_heard,
+                } => {
+                    let flows = self.reset_flows_of(agent, Some((ended, last_heard)), actions);
                     self.notes.add(Note::TargetReplaced {
                         agent,
                         ended,
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -141,6 +141,8 @@
     Held {
         agent: NodeAddress,
         incarnation: Option<Incarnation>,
+        /// When it was opened, or found by a search, as far as is known here.
+        since: Instant,
     },
     /// The targets are asked who holds the flow.
     Searching(search::Search),
--- a/crates/woodladder-core/src/flow/balancer/search_outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search_outcome.rs
@@ -200,6 +200,7 @@
         agent: NodeAddress,
         key: FlowKey,
         incarnation: Option<Incarnation>,
+        now: Instant,
     ) {
         let Some(record) = self.directory.agent(agent) else {
             return;
@@ -209,7 +210,11 @@
             && matches!(entry.stage, Stage::Searching(_))
         {
             entry.service = service;
-            entry.stage = Stage::Held { agent, incarnation };
+            entry.stage = Stage::Held {
+                agent,
+                incarnation,
+                since: now,
+            };
             self.notes.add(Note::FlowLocated { key, agent });
         }
     }
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -71,6 +71,9 @@
         agent: NodeAddress,
         /// The incarnation that has ended.
         ended: Incarnation,
+        /// When it was last heard; flows that were opened later may be open at
+        /// the incarnation after it.
+        last_heard: Instant,
     },
     /// An agent has been silent for so long that its flows count as lost.
     Lost(NodeAddress),
@@ -183,6 +186,7 @@
                 changes.push(DirectoryChange::Replaced {
                     agent: address,
                     ended,
+                    last_heard: now,
                 });
             }
             self.add(address, report, now);
@@ -197,9 +201,12 @@
         }
         if let Some(next) = report.incarnation {
             if let Some(ended) = record.incarnation.filter(|ended| *ended != next) {
+                let since = Duration::from_millis(report.former_heard_ms.into());
+                let last_heard = now.since_origin().saturating_sub(since);
                 changes.push(DirectoryChange::Replaced {
                     agent: address,
                     ended,
+                    last_heard: Instant::from_origin(last_heard),
                 });
             }
             record.incarnation = Some(next);
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -12,7 +12,7 @@
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
-pub const PROTOCOL_VERSION: u8 = 3;
+pub const PROTOCOL_VERSION: u8 = 4;
 /// Most balancers that a greeting names.
 pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
 
@@ -132,6 +132,9 @@
     pub service: ServiceKey,
     /// Its incarnation, when a heartbeat has told it.
     pub incarnation: Option<Incarnation>,
+    /// Time since the last heartbeat of the incarnation before, in milliseconds:
+    /// flows that were opened later may be open at the present one.
+    pub former_heard_ms: u32,
     /// Zone of the machine.
     pub zone: ZoneKey,
     /// Whether it takes flows.
--- a/crates/woodladder-core/tests/flow_drain.rs
+++ b/crates/woodladder-core/tests/flow_drain.rs
@@ -76,6 +76,7 @@
 fn a_new_incarnation_begins_without_flows_and_the_old_one_is_refused() {
     let mut agent = agent();
     open_at(&mut agent, flow(1), at(10));
+    agent.heartbeat(&beat(1, 2), at(15)).expect("heartbeat");
     agent.heartbeat(&beat(2, 1), at(20)).expect("heartbeat");
     assert_eq!(agent.load().flows, 0);
     assert_eq!(agent.target_state(), TargetState::Ready);
@@ -88,6 +89,43 @@
     assert!(!is_delivered(&delivery));
 }
 
+/// A target that has crashed and started again takes flows before its first
+/// heartbeat; the agent believed them to be the former incarnation's, denied
+/// them, and they were reset while they lived.
+#[test]
+fn a_flow_opened_after_the_last_heartbeat_may_be_open_at_the_next_incarnation() {
+    let mut agent = agent();
+    open_at(&mut agent, flow(1), at(10));
+    agent.heartbeat(&beat(1, 2), at(1200)).expect("heartbeat");
+    open_at(&mut agent, flow(2), at(2000));
+    agent.heartbeat(&beat(2, 1), at(2100)).expect("heartbeat");
+    assert_eq!(agent.load().flows, 1);
+    let header = header(1, ForwardPurpose::Search);
+    for (port, is_held) in [(1, false), (2, true)] {
+        let packet = data(flow(port), 1101, 5001);
+        let delivery = forward_from(&mut agent, 2, &header, &packet, at(2110));
+        assert_eq!(is_delivered(&delivery), is_held, "flow {port}");
+    }
+}
+
+#[test]
+fn a_report_says_until_when_the_former_incarnation_was_heard() {
+    let mut agent = agent();
+    agent.listed(&[node(1)], at(1));
+    agent.heartbeat(&beat(1, 2), at(1200)).expect("heartbeat");
+    agent.heartbeat(&beat(2, 1), at(2100)).expect("heartbeat");
+    let mut actions = Vec::new();
+    agent.tick(at(2150), &mut actions);
+    let report = actions.iter().find_map(|action| match action {
+        AgentAction::Send {
+            message: PeerMessage::Report(report),
+            ..
+        } => Some(*report),
+        _ => None,
+    });
+    assert_eq!(report.expect("a report").former_heard_ms, 950);
+}
+
 #[test]
 fn a_heartbeat_of_another_service_changes_nothing() {
     let mut agent = empty_agent();
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -149,6 +149,7 @@
         sequence,
         service: kitchen(),
         incarnation: Some(Incarnation(u64::from(agent))),
+        former_heard_ms: 0,
         zone: ZoneKey::named("a"),
         state: TargetState::Ready,
         capacity: 7,
--- a/crates/woodladder-core/tests/flow_target_end.rs
+++ b/crates/woodladder-core/tests/flow_target_end.rs
@@ -51,6 +51,36 @@
     assert_eq!(balancer.counters().reset_target_ended, 2);
 }
 
+/// A target that has crashed and started again takes flows before its first
+/// heartbeat, which its agent states with the former incarnation.
+#[test]
+fn a_flow_opened_after_the_former_incarnation_was_last_heard_is_not_reset() {
+    let mut balancer = balancer(&[2]);
+    for (port, time) in [(1, 10_010), (2, 10_300)] {
+        arrive(&mut balancer, &opening(flow(port), 0), at(time));
+        let acceptance = PeerMessage::Accepted {
+            key: flow(port),
+            sequence: 5000,
+            incarnation: Some(Incarnation(2)),
+            load: TargetLoad::default(),
+        };
+        send(&mut balancer, 2, acceptance, at(time + 1));
+        arrive(&mut balancer, &data(flow(port), 1001, 5001), at(time + 2));
+    }
+    let mut replaced = report(2, 2);
+    replaced.incarnation = Some(Incarnation(99));
+    replaced.former_heard_ms = 200;
+    let actions = tell(&mut balancer, 2, &replaced, at(10_400));
+    let resets: Vec<u16> = actions
+        .iter()
+        .filter_map(|action| match action {
+            BalancerAction::Reset(reset) => Some(reset.key.caller.port()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(resets, [1]);
+}
+
 #[test]
 fn a_stalled_balancer_takes_no_silence_for_a_loss() {
     let mut balancer = balancer(&[2, 3]);
