--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -436,10 +436,16 @@
     /// The target was replaced: its flows are gone, but for those that were opened
     /// after its last heartbeat. A target takes flows before its own first
     /// heartbeat, so these may be open at the new one; if not, it gives their
-    /// packets back.
+    /// packets back. What they had at work is no load any more: most of it ended
+    /// with the former incarnation, and would keep the new one's slots taken.
     pub(super) fn forget_flows_before(&mut self, last_beat: Option<Instant>, now: Instant) {
         let last_beat = last_beat.unwrap_or(now);
         self.flows.retain(|_, flow| flow.since > last_beat);
+        for (_, flow) in self.flows.iter_mut() {
+            flow.busy_since = None;
+            flow.awaits_outcome = false;
+            flow.is_expected = false;
+        }
         self.accepted.retain(|(_, at)| *at > last_beat);
         self.load.service_time_us = 0;
         self.outcomes = Outcomes::new(now);
--- a/crates/woodladder-core/tests/flow_drain.rs
+++ b/crates/woodladder-core/tests/flow_drain.rs
@@ -98,8 +98,10 @@
     open_at(&mut agent, flow(1), at(10));
     agent.heartbeat(&beat(1, 2), at(1200)).expect("heartbeat");
     open_at(&mut agent, flow(2), at(2000));
+    assert_eq!(agent.load().busy, 2);
     agent.heartbeat(&beat(2, 1), at(2100)).expect("heartbeat");
     assert_eq!(agent.load().flows, 1);
+    assert_eq!(agent.load().busy, 0, "the new incarnation's slots are free");
     let header = header(1, ForwardPurpose::Search);
     for (port, is_held) in [(1, false), (2, true)] {
         let packet = data(flow(port), 1101, 5001);
