Split the agent's flows, the balancer's messages and the control messages by job

Cause: three files of over 400 lines, and the names outcome and outcomes were too alike. Ruled out: a change of behaviour: moves and renames only. Change: agent/flows.rs -> flows, load, search, request_outcome; outcomes.rs -> failure_record.rs, outcome.rs -> decision.rs; balancer/messages.rs -> messages, greetings; control_message.rs -> copy_message.rs.

--- a/crates/woodladder-core/src/control/mod.rs
+++ b/crates/woodladder-core/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod availability;
 pub mod chunk_set;
 pub mod control_message;
+pub mod copy_message;
 pub mod membership;
 pub mod replica;
 pub mod roll_command;
--- a/crates/woodladder-core/src/flow/agent/outcomes.rs
+++ b/crates/woodladder-core/src/flow/agent/failure_record.rs
@@ -49,9 +49,9 @@
     Ended,
 }
 
-/// Outcomes of one incarnation's requests, with decaying weights.
+/// FailureRecord of one incarnation's requests, with decaying weights.
 #[derive(Clone, Debug)]
-pub(super) struct Outcomes {
+pub(super) struct FailureRecord {
     successes: f64,
     failures: f64,
     decayed_at: Instant,
@@ -60,7 +60,7 @@
     is_suspect: bool,
 }
 
-impl Outcomes {
+impl FailureRecord {
     /// No evidence.
     pub fn new(now: Instant) -> Self {
         Self {
--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/load.rs
@@ -0,0 +1,80 @@
+//! The load that the target's flows make.
+
+use std::time::Duration;
+
+use super::super::identity::FlowKey;
+use super::super::note::Note;
+use super::{Agent, FlowState};
+use crate::clock::Instant;
+
+/// A new sample counts for one part in this many of the mean service time.
+const MEAN_DIVISOR: u32 = 8;
+/// Time after which a request without an answer no longer counts as load.
+const BUSY_AT_MOST: Duration = Duration::from_secs(12);
+/// Time after which an opening without a sequel no longer counts as load.
+const OPENING_AT_MOST: Duration = Duration::from_millis(1000);
+
+impl Agent {
+    pub(super) fn answered(&mut self, key: &FlowKey, now: Instant) {
+        let Some(flow) = self.flows.use_flow(key) else {
+            return;
+        };
+        let Some(since) = flow.busy_since.take() else {
+            return;
+        };
+        let service_time = now.since(since);
+        self.progress_at = now;
+        self.load.busy = self.load.busy.saturating_sub(1);
+        self.counters.answered += 1;
+        let sample = u32::try_from(service_time.as_micros()).unwrap_or(u32::MAX);
+        let mean = self.load.service_time_us;
+        self.load.service_time_us = match mean {
+            0 => sample,
+            _ => mean - mean / MEAN_DIVISOR + sample / MEAN_DIVISOR,
+        };
+        self.notes.add(Note::RequestAnswered {
+            key: *key,
+            service_time,
+        });
+    }
+
+    /// The target closes its side, so it answers no request any more.
+    pub(super) fn end_request(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.use_flow(key)
+            && flow.busy_since.take().is_some()
+        {
+            self.load.busy = self.load.busy.saturating_sub(1);
+        }
+    }
+
+    /// A flow no longer counts as an opening that will become a request.
+    pub(super) fn stop_expecting(&mut self, key: &FlowKey) {
+        if let Some(flow) = self.flows.use_flow(key)
+            && flow.is_expected
+        {
+            flow.is_expected = false;
+            self.load.opening = self.load.opening.saturating_sub(1);
+        }
+    }
+
+    /// Counts the load anew from the table, leaving out what has waited too
+    /// long to be true.
+    pub(super) fn count_load(&mut self, now: Instant) {
+        let mut busy = 0u16;
+        let mut opening = 0u16;
+        let mut flows = 0u32;
+        for (_, flow) in self.flows.iter_mut() {
+            let waited = flow.busy_since.map(|since| now.since(since));
+            if waited.is_some_and(|waited| waited >= BUSY_AT_MOST) {
+                flow.busy_since = None;
+            }
+            busy += u16::from(flow.busy_since.is_some());
+            flow.is_expected &= now.since(flow.since) < OPENING_AT_MOST;
+            opening += u16::from(flow.is_expected);
+            flows += u32::from(flow.state == FlowState::Open);
+        }
+        self.load.busy = busy;
+        self.load.opening = opening;
+        self.load.flows = flows;
+    }
+}
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -8,11 +8,14 @@
 
 mod admission_queue;
 mod announcements;
+mod decision;
+mod failure_record;
 mod flows;
 mod heartbeat;
+mod load;
 mod openings;
-mod outcome;
-mod outcomes;
+mod request_outcome;
+mod search;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -29,14 +32,14 @@
 use super::peers::BalancerPeers;
 use super::table::FlowTable;
 use admission_queue::AdmissionQueue;
-use outcomes::Outcomes;
+use failure_record::FailureRecord;
 
 use crate::clock::Instant;
 
 pub use admission_queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
+pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
+pub use failure_record::{AnswerKind, Suspicion};
 pub use heartbeat::{Heartbeat, HeartbeatError};
-pub use outcome::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
-pub use outcomes::{AnswerKind, Suspicion};
 
 /// Settings of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -137,7 +140,7 @@
     /// request yet, the oldest first.
     accepted: VecDeque<(FlowKey, Instant)>,
     load: TargetLoad,
-    outcomes: Outcomes,
+    failures: FailureRecord,
     /// When the target last began an answer, or had nothing to answer.
     progress_at: Instant,
     started_at: Instant,
@@ -165,7 +168,7 @@
             queue: AdmissionQueue::default(),
             accepted: VecDeque::new(),
             load: TargetLoad::default(),
-            outcomes: Outcomes::new(now),
+            failures: FailureRecord::new(now),
             progress_at: now,
             started_at: now,
             reported_at: None,
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -8,6 +8,7 @@
 
 mod established;
 mod forwarding;
+mod greetings;
 mod messages;
 mod opening;
 mod readiness;
