--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -5,13 +5,10 @@
 use super::super::identity::NodeAddress;
 use super::super::message::{BalancerGreeting, PeerMessage, SnapshotRequest, TargetReport};
 use super::super::note::Note;
+use super::report_schedule::DueReport;
 use super::{Agent, AgentAction};
 use crate::clock::Instant;
 
-/// Time between reports before a balancer has asked for another.
-pub(super) const FIRST_INTERVAL: Duration = Duration::from_millis(100);
-/// Reports to different balancers are at least this far apart on average.
-const REPORT_SPACING: Duration = Duration::from_millis(12);
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time between ticks while something waits for one.
@@ -33,6 +30,11 @@
         match message {
             PeerMessage::Greeting(greeting) => self.greeted(from, greeting, now, actions),
             PeerMessage::Locate { keys } => self.locate(from, keys, now, actions),
+            PeerMessage::Probe => {
+                self.name_balancer(from, now);
+                self.reports.due_now(from, now);
+                self.report_where_due(now, actions);
+            }
             _ => self.counters.dropped += 1,
         }
     }
@@ -47,7 +49,7 @@
     /// Remembers a balancer; a new one is sent a report with the next tick.
     pub(super) fn name_balancer(&mut self, balancer: NodeAddress, now: Instant) {
         if balancer != self.options.address && self.balancers.named(balancer, now) {
-            self.report_due = true;
+            self.reports.add(balancer, now);
         }
     }
 
@@ -65,16 +67,14 @@
         }
         if self.balancers.heard(from, greeting.version, now) {
             self.notes.add(Note::BalancerFound { balancer: from });
-            let message = PeerMessage::Report(self.report(now));
-            actions.push(AgentAction::Send { to: from, message });
+            self.reports.due_now(from, now);
+            self.report_where_due(now, actions);
         }
         for balancer in &greeting.balancers {
             self.name_balancer(*balancer, now);
         }
         let asked = Duration::from_millis(greeting.report_interval_ms.into());
-        let balancers = u32::try_from(self.balancers.len()).unwrap_or(u32::MAX);
-        let own = REPORT_SPACING.saturating_mul(balancers);
-        self.report_interval = asked.max(own).max(FIRST_INTERVAL);
+        self.reports.asked(from, asked, now);
         self.learn_version(from, greeting.version, now, actions);
     }
 
@@ -111,7 +111,7 @@
     /// shorten it.
     #[must_use]
     pub fn tick_interval(&self) -> Duration {
-        if self.report_due || !self.queue.is_empty() {
+        if self.report_due || self.reports.has_new() || !self.queue.is_empty() {
             SHORT_TICK
         } else {
             LONG_TICK
@@ -133,27 +133,31 @@
         for balancer in self.balancers.tick(now) {
             self.notes.add(Note::BalancerLost { balancer });
         }
+        let balancers = &self.balancers;
+        self.reports.retain(|balancer| balancers.knows(balancer));
         self.serve_queue(now, actions);
-        let is_due = self
-            .reported_at
-            .is_none_or(|at| now.since(at) >= self.report_interval);
-        if is_due || self.report_due {
-            self.report_to_all(now, actions);
+        if std::mem::take(&mut self.report_due) {
+            self.reports.all_due(now);
         }
+        self.report_where_due(now, actions);
     }
 
-    fn report_to_all(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
-        self.reported_at = Some(now);
-        self.report_due = false;
+    fn report_where_due(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
+        let due = self.reports.take_due(now);
+        if due.is_empty() {
+            return;
+        }
         self.count_load(now);
-        let report = self.report(now);
-        for to in self.balancers.addresses() {
-            let message = PeerMessage::Report(report);
-            actions.push(AgentAction::Send { to, message });
+        for DueReport { balancer, interval } in due {
+            let message = PeerMessage::Report(self.report(interval, now));
+            actions.push(AgentAction::Send {
+                to: balancer,
+                message,
+            });
         }
     }
 
-    fn report(&mut self, now: Instant) -> TargetReport {
+    fn report(&mut self, interval: Duration, now: Instant) -> TargetReport {
         self.report_sequence += 1;
         let warm_up = self.target.warm_at.since(now);
         TargetReport {
@@ -170,7 +174,7 @@
             warm_up_ms: u32::try_from(warm_up.as_millis()).unwrap_or(u32::MAX),
             load: self.load,
             version: self.routes.version(),
-            interval_ms: u32::try_from(self.report_interval.as_millis()).unwrap_or(u32::MAX),
+            interval_ms: u32::try_from(interval.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -14,6 +14,7 @@
 mod heartbeat;
 mod load;
 mod openings;
+mod report_schedule;
 mod request_outcome;
 mod search;
 
@@ -33,6 +34,7 @@
 use super::table::FlowTable;
 use admission_queue::AdmissionQueue;
 use failure_record::FailureRecord;
+use report_schedule::ReportSchedule;
 
 use crate::clock::Instant;
 
@@ -144,9 +146,9 @@
     /// When the target last began an answer, or had nothing to answer.
     progress_at: Instant,
     started_at: Instant,
-    reported_at: Option<Instant>,
-    report_interval: Duration,
+    reports: ReportSchedule,
     report_sequence: u64,
+    /// Whether something has changed that every balancer must know.
     report_due: bool,
     fetch: Option<(NodeAddress, Instant)>,
     ticked_at: Option<Instant>,
@@ -171,8 +173,7 @@
             failures: FailureRecord::new(now),
             progress_at: now,
             started_at: now,
-            reported_at: None,
-            report_interval: announcements::FIRST_INTERVAL,
+            reports: ReportSchedule::default(),
             report_sequence: 0,
             report_due: false,
             fetch: None,
@@ -248,7 +249,7 @@
     pub fn answer_snapshot(&self, request: &SnapshotRequest) -> Snapshot {
         let balancers = self.balancers.confirmed().collect();
         let agents = vec![self.options.address];
-        Snapshot::for_request(request, self.routes.current(), balancers, agents)
+        Snapshot::for_request(request, self.routes.current(), balancers, agents, false)
     }
 
     /// Begins a planned stop: no new flow, forwards on.
--- a/crates/woodladder-core/src/flow/balancer/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/established.rs
@@ -16,24 +16,35 @@
 const FARTHEST_ACKNOWLEDGEMENT: u32 = 1 << 20;
 
 impl Balancer {
-    pub(super) fn route_established(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+    pub(super) fn route_established(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Routing {
         let Some(entry) = self.flows.use_flow(&packet.key) else {
-            return self.search_unknown(packet, now);
+            return self.search_unknown(packet, bytes, now);
         };
+        let is_repeated = entry.is_repeated(packet);
         entry.acknowledged = packet.acknowledgement;
         entry.finished |= packet.kind == PacketKind::Finish;
         entry.settle(packet.acknowledgement, now);
         let service = entry.service;
         match &entry.stage {
             Stage::Held { agent, .. } => {
+                let agent = *agent;
                 self.counters.established += 1;
+                if is_repeated {
+                    // The target may be slow, or its machine may be gone.
+                    self.directory.doubt(agent, now);
+                }
                 Routing::One {
-                    to: *agent,
+                    to: agent,
                     header: self.header(service, ForwardPurpose::Established),
                 }
             }
-            Stage::Searching(_) => self.search_on(packet.key, now),
-            Stage::Opening { .. } => self.search_opened_elsewhere(packet.key, now),
+            Stage::Searching(_) => self.search_on(packet, bytes, now),
+            Stage::Opening { .. } => self.search_opened_elsewhere(packet, bytes, now),
         }
     }
 
@@ -83,6 +94,18 @@
 }
 
 impl super::FlowEntry {
+    /// Whether the caller has sent this packet's data before, because nobody has
+    /// acknowledged it.
+    fn is_repeated(&mut self, packet: &FlowPacket) -> bool {
+        let end = packet.sequence.wrapping_add(packet.payload.into());
+        let ahead = end.wrapping_sub(self.caller_next);
+        let is_new = ahead != 0 && ahead < u32::MAX / 2;
+        if is_new {
+            self.caller_next = end;
+        }
+        packet.payload > 0 && !is_new
+    }
+
     /// The caller has answered an acceptance, and with that has chosen the
     /// target that holds the flow.
     fn settle(&mut self, acknowledgement: u32, now: Instant) {
--- a/crates/woodladder-core/src/flow/balancer/greetings.rs
+++ b/crates/woodladder-core/src/flow/balancer/greetings.rs
@@ -1,5 +1,6 @@
 //! Greetings to agents and to other balancers, and what theirs teach.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::super::identity::NodeAddress;
@@ -11,21 +12,34 @@
 use super::{Balancer, BalancerAction};
 use crate::clock::Instant;
 
-/// Reports of one agent to all balancers, or of all agents to one balancer,
-/// are at least this far apart, which bounds both ends' control traffic.
+/// Reports of all agents to a small balancer are at least this far apart, which
+/// bounds what they cost it: about a hundredth of an eighth of a core.
 const REPORT_SPACING: Duration = Duration::from_millis(12);
+/// The same for a balancer of at least [`LARGE`].
+const LARGE_REPORT_SPACING: Duration = Duration::from_millis(6);
+/// The same for a balancer that hands its packets to others: it needs to know
+/// that there are agents, and who they are when it has to decide itself.
+const RELAYING_REPORT_SPACING: Duration = Duration::from_millis(24);
+/// Processor from which a balancer can afford more reports, in thousandths of a
+/// core.
+const LARGE: u32 = 250;
 /// Least time between two reports of an agent to one balancer.
 const MINIMUM_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time between two reports of an agent to one balancer.
 const MAXIMUM_REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// Rounds of greetings in which each agent is greeted once.
 const GREETING_ROUNDS: u64 = 4;
+/// Longest time between two such rounds.
+const LONGEST_GREETING_ROUND: Duration = Duration::from_millis(2500);
 /// Time between greetings to other balancers.
 const PEER_GREETING_INTERVAL: Duration = Duration::from_millis(250);
 /// Balancers greeted at a time.
 const GREETED_PEERS: usize = 6;
-/// Balancers of the own zone greeted at a time.
+/// Least number of balancers of the own zone greeted at a time.
 const GREETED_MEMBERS: usize = 6;
+/// Rounds in which each balancer of the own zone is greeted: two of them fit into
+/// the silence after which it counts as gone.
+const MEMBER_ROUNDS: usize = 2;
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -62,6 +76,7 @@
         for balancer in &greeting.balancers {
             self.name_peer(*balancer, now, actions);
         }
+        self.confirmation_heard(greeting, now);
         self.learn_version(from, greeting.version, now, actions);
     }
 
@@ -102,25 +117,36 @@
             version: self.routes.version(),
             report_interval_ms: u32::try_from(self.report_interval().as_millis())
                 .unwrap_or(u32::MAX),
+            confirmed_ago_ms: self
+                .confirmed_ago(now)
+                .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
             leaving: self.leaving,
             hears_agents: self.hears_agents(now),
             zone: self.options.zone,
             capacity: self.options.capacity,
             is_able: self.able(now).is_ok(),
             balancers: self.peers.some_from(
-                self.round() * MAXIMUM_NAMED_BALANCERS,
+                self.peer_round() * MAXIMUM_NAMED_BALANCERS,
                 MAXIMUM_NAMED_BALANCERS,
             ),
         }
     }
 
-    pub(super) fn round(&self) -> usize {
-        usize::try_from(self.greeting_round).unwrap_or(0)
+    /// The number of the present round of greetings to other balancers.
+    fn peer_round(&self) -> usize {
+        usize::try_from(self.peer_round).unwrap_or(0)
     }
 
     pub(super) fn report_interval(&self) -> Duration {
         let agents = u32::try_from(self.directory.len()).unwrap_or(u32::MAX);
-        REPORT_SPACING
+        let spacing = if !self.relay_receivers.is_empty() {
+            RELAYING_REPORT_SPACING
+        } else if self.options.capacity >= LARGE {
+            LARGE_REPORT_SPACING
+        } else {
+            REPORT_SPACING
+        };
+        spacing
             .saturating_mul(agents)
             .clamp(MINIMUM_REPORT_INTERVAL, MAXIMUM_REPORT_INTERVAL)
     }
@@ -157,7 +183,8 @@
     }
 
     pub(super) fn greet_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
-        if now.since(self.greeted_agents_at) < self.report_interval() {
+        let pause = self.report_interval().min(LONGEST_GREETING_ROUND);
+        if now.since(self.greeted_agents_at) < pause {
             return;
         }
         self.greeted_agents_at = now;
@@ -179,18 +206,16 @@
             return;
         }
         self.greeted_peers_at = now;
-        let mut due = self
+        self.peer_round += 1;
+        let round = self.peer_round();
+        let members = GREETED_MEMBERS.max(self.zone_members.len().div_ceil(MEMBER_ROUNDS));
+        let mut due: BTreeSet<NodeAddress> = self
             .zone_members
-            .some_from(self.round() * GREETED_MEMBERS, GREETED_MEMBERS);
-        let others = self
-            .peers
-            .some_from(self.round() * GREETED_PEERS, GREETED_PEERS);
-        due.extend(
-            others
-                .into_iter()
-                .filter(|peer| !due.contains(peer))
-                .collect::<Vec<_>>(),
-        );
+            .some_from(round * members, members)
+            .into_iter()
+            .collect();
+        due.extend(self.peers.some_from(round * GREETED_PEERS, GREETED_PEERS));
+        due.extend(self.relaying_members());
         for peer in due {
             self.greet(peer, now, actions);
         }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -14,8 +14,6 @@
 const SHORT_TICK: Duration = Duration::from_millis(25);
 /// Time between ticks while nothing does.
 const LONG_TICK: Duration = Duration::from_millis(50);
-/// Time that an agent which others have named has to be heard.
-const NAMED_FOR: Duration = Duration::from_secs(5);
 /// Acceptances remembered for one opening.
 const MAXIMUM_ACCEPTANCES: usize = 4;
 
@@ -30,8 +28,10 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
+        self.directory.heard(from, now);
         match message {
             PeerMessage::Report(report) => {
+                self.notice_return(from, now, actions);
                 let mut changes = Vec::new();
                 self.directory.report(from, &report, now, &mut changes);
                 self.last_agent_heard = Some(now);
@@ -80,7 +80,9 @@
             }
             PeerMessage::Farewell => self.agent_ended(from, actions),
             PeerMessage::Greeting(greeting) => self.greeted(from, &greeting, now, actions),
-            PeerMessage::Forward(_) | PeerMessage::Locate { .. } => self.counters.dropped += 1,
+            PeerMessage::Forward(_) | PeerMessage::Locate { .. } | PeerMessage::Probe => {
+                self.counters.dropped += 1;
+            }
         }
     }
 
@@ -138,8 +140,10 @@
     /// shorten it.
     #[must_use]
     pub fn tick_interval(&self) -> Duration {
-        let is_waited_for =
-            !self.waiting.is_empty() || !self.searching.is_empty() || !self.named_agents.is_empty();
+        let is_waited_for = !self.waiting.is_empty()
+            || !self.searching.is_empty()
+            || !self.named_agents.is_empty()
+            || self.directory.doubts_any();
         if is_waited_for { SHORT_TICK } else { LONG_TICK }
     }
 
@@ -155,8 +159,9 @@
         for balancer in self.peers.tick(now) {
             self.notes.add(Note::BalancerLost { balancer });
         }
-        self.named_agents
-            .retain(|_, named_at| now.since(*named_at) < NAMED_FOR);
+        self.greet_named_agents(now, actions);
+        self.ask_doubted_agents(now, actions);
+        self.was_complete = self.knows_all_agents(now);
         self.serve_waiting(now, actions);
         self.pursue_searches(now, actions);
         self.greet_agents(now, actions);
@@ -170,6 +175,7 @@
             self.directory.forgive_silence(now);
             self.peers.forgive_silence(now);
             self.zone_members.forgive_silence(now);
+            self.listen_anew(now);
             self.notes.add(Note::Stalled { duration: pause });
         }
     }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -6,6 +6,7 @@
 //! node; agents come from their reports. Its table of flows is a cache: a flow
 //! that is not in it is searched for among the targets of its route.
 
+mod agent_census;
 mod established;
 mod forwarding;
 mod greetings;
@@ -15,6 +16,7 @@
 mod relay;
 mod search;
 mod search_outcome;
+mod store_duty;
 mod waiting;
 
 use std::collections::BTreeMap;
@@ -37,6 +39,7 @@
 pub use forwarding::{DropReason, Routing};
 pub use readiness::NotReadyReason;
 pub use search::SEARCHES_A_TICK;
+pub use store_duty::{REGISTERED, WATCHERS};
 
 /// A pause between two ticks after which the process counts as stalled.
 const STALL: Duration = Duration::from_millis(400);
@@ -113,6 +116,10 @@
     pub relayed: u64,
     /// Packets that smaller balancers have handed on.
     pub taken_over: u64,
+    /// Agents asked whether they live.
+    pub probes: u64,
+    /// Packets of searches handed to agents that could not tell without one.
+    pub search_packets: u64,
     /// Packets dropped.
     pub dropped: u64,
 }
@@ -154,6 +161,8 @@
     service: ServiceKey,
     /// Last acknowledgement of the caller, from which a reset is numbered.
     acknowledged: u32,
+    /// Number after the caller's last new byte.
+    caller_next: u32,
     /// Whether the caller has closed its side.
     finished: bool,
     stage: Stage,
@@ -177,7 +186,17 @@
     leaving: bool,
     ticked_at: Option<Instant>,
     started_at: Instant,
+    /// Greetings of agents so far.
     greeting_round: u64,
+    /// Greetings of other balancers so far.
+    peer_round: u64,
+    /// When the store last confirmed the configuration, here or to a balancer
+    /// that has told so.
+    confirmed_at: Option<Instant>,
+    /// Whether the settings name other balancers.
+    has_seeds: bool,
+    /// Whether the settings name this balancer to others.
+    is_seed: bool,
     greeted_agents_at: Instant,
     greeted_peers_at: Instant,
     fetch: Option<(NodeAddress, Instant)>,
@@ -185,14 +204,20 @@
     /// When another balancer last said that it hears no agent.
     peer_without_agents: Option<Instant>,
     agent_found_at: Instant,
-    /// Whether another balancer has told which agents it knows.
-    has_snapshot: bool,
+    /// Since when the balancer listens without a break.
+    listening_since: Instant,
+    /// Whether a balancer that knew all agents has told them since then.
+    has_complete_snapshot: bool,
+    /// Whether this balancer knew all agents at its last tick.
+    was_complete: bool,
     /// Agents that other nodes have named and that were not heard yet.
-    named_agents: BTreeMap<NodeAddress, Instant>,
+    named_agents: BTreeMap<NodeAddress, agent_census::NamedAgent>,
     /// Flows that are searched for.
     searching: Vec<FlowKey>,
     /// Searches begun since the last tick.
     searches_begun: u32,
+    /// Packets of searches handed over since the last tick.
+    packets_handed: u32,
     /// Openings that wait for a target, the newest last.
     waiting: Vec<waiting::WaitingOpening>,
 }
@@ -217,16 +242,23 @@
             ticked_at: None,
             started_at: now,
             greeting_round: 0,
+            peer_round: 0,
+            confirmed_at: None,
+            has_seeds: false,
+            is_seed: false,
             greeted_agents_at: Instant::ORIGIN,
             greeted_peers_at: Instant::ORIGIN,
             fetch: None,
             last_agent_heard: None,
             peer_without_agents: None,
             agent_found_at: now,
-            has_snapshot: false,
+            listening_since: now,
+            has_complete_snapshot: false,
+            was_complete: false,
             named_agents: BTreeMap::new(),
             searching: Vec::new(),
             searches_begun: 0,
+            packets_handed: 0,
             waiting: Vec::new(),
         }
     }
@@ -271,6 +303,18 @@
         self.adopt(configuration, None);
     }
 
+    /// Takes the balancers that the settings name.
+    pub fn seeded(
+        &mut self,
+        seeds: &[NodeAddress],
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        self.has_seeds = !seeds.is_empty();
+        self.is_seed = seeds.contains(&self.options.address);
+        self.listed(seeds, now, actions);
+    }
+
     /// Takes the balancers that the store lists.
     pub fn listed(
         &mut self,
@@ -300,12 +344,10 @@
         for balancer in snapshot.balancers {
             self.name_peer(balancer, now, actions);
         }
-        // An agent names itself only.
-        self.has_snapshot |= self.directory.agent(from).is_none();
+        self.has_complete_snapshot |= snapshot.knows_all_agents;
         for agent in snapshot.agents {
             if self.directory.agent(agent).is_none() {
-                self.named_agents.insert(agent, now);
-                self.greet(agent, now, actions);
+                self.name_agent(agent, now, actions);
             }
         }
     }
@@ -322,8 +364,18 @@
     pub fn answer_snapshot(&self, request: &SnapshotRequest) -> Snapshot {
         let mut balancers: Vec<NodeAddress> = self.peers.addresses().collect();
         balancers.push(self.options.address);
-        let agents = self.directory.agents().map(|record| record.address);
-        Snapshot::for_request(request, self.routes.current(), balancers, agents.collect())
+        let agents = self
+            .directory
+            .agents()
+            .filter(|record| !record.is_given_up())
+            .map(|record| record.address);
+        Snapshot::for_request(
+            request,
+            self.routes.current(),
+            balancers,
+            agents.collect(),
+            self.was_complete,
+        )
     }
 
     /// Begins a planned stop: not ready any more, forwards on.
@@ -345,6 +397,8 @@
             .retain(|address| routes.route(address).is_some());
         self.traffic
             .retain(|address| routes.route(address).is_some());
+        // The others are told with the next tick.
+        self.greeted_peers_at = Instant::ORIGIN;
         self.notes.add(Note::ConfigurationAdopted {
             version: self.routes.version(),
             former,
@@ -391,7 +445,7 @@
             _ if packet.key.caller.ip() == own_address => Routing::Drop(DropReason::Forged),
             PacketKind::Open => self.route_opening(packet, bytes, now),
             PacketKind::Accept => Routing::Drop(DropReason::Forged),
-            _ => self.route_established(packet, now),
+            _ => self.route_established(packet, bytes, now),
         };
         if matches!(routing, Routing::Drop(_)) {
             self.counters.dropped += 1;
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -56,6 +56,7 @@
         let entry = FlowEntry {
             service,
             acknowledged: 0,
+            caller_next: packet.sequence.wrapping_add(1),
             finished: false,
             stage: Stage::Opening {
                 since: first_sent(packet.acknowledgement, now),
@@ -90,7 +91,7 @@
                     *tried = vec![silent];
                     *awaited = None;
                     *is_queued = false;
-                    self.mark_unanswered(silent);
+                    self.mark_unanswered(silent, now);
                     None
                 }
                 (None, None) => return Some(Routing::Drop(DropReason::NoTargetYet)),
@@ -111,10 +112,11 @@
         }
     }
 
-    fn mark_unanswered(&mut self, agent: NodeAddress) {
+    fn mark_unanswered(&mut self, agent: NodeAddress, now: Instant) {
         if let Some(record) = self.directory.agent_mut(agent) {
             record.unanswered += 1;
         }
+        self.directory.doubt(agent, now);
     }
 
     fn offer_or_wait(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
--- a/crates/woodladder-core/src/flow/balancer/relay.rs
+++ b/crates/woodladder-core/src/flow/balancer/relay.rs
@@ -30,6 +30,13 @@
         };
     }
 
+    /// Balancers of the zone that hand packets to this one and must notice its
+    /// end soon.
+    pub(super) fn relaying_members(&self) -> Vec<NodeAddress> {
+        self.zone_members
+            .known_up_to(self.options.capacity / LARGER_BY)
+    }
+
     /// The larger balancer that takes this flow; `None` when the own balancer
     /// decides itself.
     pub(super) fn relay_receiver(&self, key: FlowKey) -> Option<NodeAddress> {
--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search.rs
@@ -2,8 +2,10 @@
 //!
 //! The packet goes at once to the first targets of the flow's route, at most
 //! [`FIRST_ASKED`] of them, and each further packet to the first of those that
-//! have not denied. How a search ends is in [`super::search_outcome`].
+//! have not denied. All others are asked by queries, and get the packet when they
+//! cannot tell without one. How a search ends is in [`super::search_outcome`].
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::super::identity::{FlowKey, NodeAddress, ServiceKey};
@@ -17,8 +19,12 @@
 
 /// Targets that a packet of an unknown flow goes to.
 pub const FIRST_ASKED: usize = 24;
-/// Age after which a search counts as over, and a packet begins it anew.
-const SEARCH_LASTS: Duration = Duration::from_millis(1600);
+/// Age after which a search counts as over, and a packet begins it anew: longer
+/// than the pauses between a caller's repetitions, so that what was denied still
+/// counts when the next one comes.
+const SEARCH_LASTS: Duration = Duration::from_millis(5000);
+/// Time after which an agent that could not tell gets the packet again.
+const HANDED_AGAIN_AFTER: Duration = Duration::from_millis(400);
 /// Searches that begin between two ticks. More are left to the callers' next
 /// copies, so that packets of flows that never existed are not multiplied
 /// without a bound.
@@ -27,27 +33,50 @@
 /// A search for one flow.
 #[derive(Clone, Debug)]
 pub(super) struct Search {
-    pub(super) denied: Vec<NodeAddress>,
+    pub(super) denied: BTreeSet<NodeAddress>,
     started_at: Instant,
     pub(super) queried_at: Option<Instant>,
+    /// The caller's latest packet; empty when none is at hand.
+    packet: Vec<u8>,
+    /// When agents that could not tell without a packet were last handed it.
+    handed: BTreeMap<NodeAddress, Instant>,
 }
 
 impl Search {
-    fn new(now: Instant) -> Self {
+    fn new(packet: &[u8], now: Instant) -> Self {
         Self {
-            denied: Vec::new(),
+            denied: BTreeSet::new(),
             started_at: now,
             queried_at: None,
+            packet: packet.to_vec(),
+            handed: BTreeMap::new(),
         }
     }
 
+    /// The packet, when it is to be handed to an agent that could not tell
+    /// without one; counts as handing it over.
+    pub(super) fn packet_for(&mut self, agent: NodeAddress, now: Instant) -> Option<Vec<u8>> {
+        let handed_at = self.handed.get(&agent);
+        let is_due = handed_at.is_none_or(|at| now.since(*at) >= HANDED_AGAIN_AFTER);
+        if self.packet.is_empty() || !is_due {
+            return None;
+        }
+        self.handed.insert(agent, now);
+        Some(self.packet.clone())
+    }
+
     pub(super) fn is_over(&self, now: Instant) -> bool {
         now.since(self.started_at) >= SEARCH_LASTS
     }
 }
 
 impl Balancer {
-    pub(super) fn search_unknown(&mut self, packet: &FlowPacket, now: Instant) -> Routing {
+    pub(super) fn search_unknown(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Routing {
         if self.routes.current().is_none() {
             return Routing::Drop(DropReason::NoConfiguration);
         }
@@ -60,13 +89,14 @@
         self.searches_begun += 1;
         if packet.kind == PacketKind::Reset {
             // Its target may hold the flow; the caller awaits no answer.
-            return self.ask_first(packet.key, &[]);
+            return self.ask_first(packet.key, &BTreeSet::new());
         }
         let entry = FlowEntry {
             service,
             acknowledged: packet.acknowledgement,
+            caller_next: packet.sequence.wrapping_add(packet.payload.into()),
             finished: packet.kind == PacketKind::Finish,
-            stage: Stage::Searching(Search::new(now)),
+            stage: Stage::Searching(Search::new(bytes, now)),
         };
         self.flows.insert(packet.key, entry, now);
         self.begin_search(packet.key)
@@ -74,9 +104,14 @@
 
     /// The flow was opened through another balancer, while this one waited or
     /// asked a target that the caller did not choose.
-    pub(super) fn search_opened_elsewhere(&mut self, key: FlowKey, now: Instant) -> Routing {
-        self.become_searching(&key, Search::new(now));
-        self.begin_search(key)
+    pub(super) fn search_opened_elsewhere(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Routing {
+        self.become_searching(&packet.key, Search::new(bytes, now));
+        self.begin_search(packet.key)
     }
 
     fn become_searching(&mut self, key: &FlowKey, search: Search) {
@@ -86,33 +121,37 @@
     }
 
     /// Begins a search when the agent that is believed to hold a flow denies
-    /// it; says whether it did.
+    /// it; says whether it did. `bytes` are the packet that was denied, if it
+    /// came back.
     pub(super) fn search_when_holder_denies(
         &mut self,
         from: NodeAddress,
         key: &FlowKey,
+        bytes: &[u8],
         now: Instant,
     ) -> bool {
         let is_holder = self.flows.peek(key).is_some_and(
             |entry| matches!(&entry.stage, Stage::Held { agent, .. } if *agent == from),
         );
         if is_holder {
-            let mut search = Search::new(now);
-            search.denied.push(from);
+            let mut search = Search::new(bytes, now);
+            search.denied.insert(from);
             self.become_searching(key, search);
         }
         is_holder
     }
 
     /// A further packet of a flow that is searched for.
-    pub(super) fn search_on(&mut self, key: FlowKey, now: Instant) -> Routing {
+    pub(super) fn search_on(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
+        let key = packet.key;
         let Some(search) = self.search_of(&key) else {
             return Routing::Drop(DropReason::HolderUnknown);
         };
         if search.is_over(now) {
-            *search = Search::new(now);
+            *search = Search::new(bytes, now);
             return self.begin_search(key);
         }
+        search.packet = bytes.to_vec();
         self.counters.searched += 1;
         self.ask_open(key)
     }
@@ -140,16 +179,17 @@
     fn ask_open(&mut self, key: FlowKey) -> Routing {
         let denied = self
             .search_of(&key)
-            .map_or_else(Vec::new, |search| search.denied.clone());
+            .map_or_else(BTreeSet::new, |search| search.denied.clone());
         self.ask_first(key, &denied)
     }
 
-    fn ask_first(&self, key: FlowKey, denied: &[NodeAddress]) -> Routing {
+    fn ask_first(&self, key: FlowKey, denied: &BTreeSet<NodeAddress>) -> Routing {
         let purpose = ForwardPurpose::Search;
         let mut receivers: Vec<(NodeAddress, ForwardHeader)> = Vec::new();
         for service in self.likely_services(key) {
             let header = self.header(service, purpose);
-            let agents = first_candidates(&self.directory, service, &key, denied, FIRST_ASKED);
+            let is_left_out = |agent: NodeAddress| denied.contains(&agent);
+            let agents = first_candidates(&self.directory, service, &key, is_left_out, FIRST_ASKED);
             receivers.extend(agents.into_iter().map(|agent| (agent, header)));
         }
         if receivers.is_empty() {
--- a/crates/woodladder-core/src/flow/balancer/search_outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search_outcome.rs
@@ -1,50 +1,40 @@
 //! The outcome of searches: denials, claims, and the reset of flows that are
 //! held nowhere.
 //!
-//! While a search is undecided, every target that may hold the flow is asked
-//! again by batched queries, which need no further packet of the caller. The
-//! flow is reset only when each of them has denied and the balancer has
-//! listened long enough to know all of them.
+//! While a search is undecided, every agent whose target may hold the flow is
+//! asked by batched queries, which need no further packet of the caller. An agent
+//! that has restarted beside a running target cannot tell: it is handed the
+//! packet, which the target gives back when it does not hold the flow. The flow is
+//! reset only when each of them has denied and the balancer knows all of them
+//! ([`super::agent_census`]).
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::super::identity::{FlowKey, Incarnation, NodeAddress};
-use super::super::message::{MAXIMUM_KEYS, PeerMessage};
+use super::super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
+use super::super::message::{ForwardPurpose, MAXIMUM_KEYS, PeerMessage};
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, ResetReason};
 use super::{Balancer, BalancerAction, Stage};
 use crate::clock::Instant;
 
-/// Targets that are asked by queries; where more may hold the flow, it is
-/// reset only by its target's end.
-pub const MOST_ASKED: usize = 512;
 /// Time between two queries for one flow.
 const QUERY_INTERVAL: Duration = Duration::from_millis(120);
 /// Flows asked for in one round of queries.
 const QUERIED_FLOWS: usize = 4096;
-/// Least time after its start in which a balancer resets no flow that is held
-/// nowhere, when another node has told it which agents there are.
-const LEAST_LISTENING: Duration = Duration::from_millis(200);
-/// The same when no other node has.
-const LEAST_LISTENING_ALONE: Duration = Duration::from_millis(600);
-/// Time without a new agent after which the balancer knows all of them; or
-/// longer, when agents report more slowly.
-const SETTLED_AFTER: Duration = Duration::from_millis(150);
+/// Packets handed to agents that cannot tell without one, between two ticks. The
+/// others follow when the agent has been asked again.
+const PACKETS_A_TICK: u32 = 256;
 
 impl Balancer {
     /// Every agent whose target may hold a flow: of all services, because the
-    /// route may have led elsewhere before this balancer started. `None` when
-    /// there are too many to ask.
-    fn possible_holders(&self) -> Option<Vec<NodeAddress>> {
-        if self.directory.len() > MOST_ASKED {
-            return None;
-        }
-        let open = self
-            .directory
+    /// route may have led elsewhere before this balancer started.
+    fn possible_holders(&self) -> Vec<NodeAddress> {
+        self.directory
             .agents()
-            .filter(|record| !record.is_given_up());
-        Some(open.map(|record| record.address).collect())
+            .filter(|record| !record.is_given_up())
+            .map(|record| record.address)
+            .collect()
     }
 
     /// An agent says that its target does not hold a flow that it was sent a
@@ -57,7 +47,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
-        if self.search_when_holder_denies(from, &packet.key, now) {
+        if self.search_when_holder_denies(from, &packet.key, bytes, now) {
             let routing = self.begin_search(packet.key);
             self.carry_out(routing, bytes, actions);
         }
@@ -73,7 +63,7 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         for key in keys {
-            if self.search_when_holder_denies(from, key, now) {
+            if self.search_when_holder_denies(from, key, &[], now) {
                 self.searching.push(*key);
                 self.notes.add(Note::SearchStarted {
                     key: *key,
@@ -83,17 +73,15 @@
             let Some(search) = self.search_of(key) else {
                 continue;
             };
-            if !search.denied.contains(&from) {
-                search.denied.push(from);
-            }
-            self.conclude(*key, now, actions);
+            search.denied.insert(from);
         }
+        self.conclude(keys, now, actions);
     }
 
     /// An agent cannot tell whether its target holds flows: the target decides
-    /// by the caller's next packet. Where a flow is not likely to be, that
-    /// counts as a denial: its packets must not reach another service, so
-    /// nothing more can be learned.
+    /// by the caller's packet. Where a flow is not likely to be, that counts as a
+    /// denial: its packets must not reach another service, so nothing more can be
+    /// learned.
     pub(super) fn undecided(
         &mut self,
         from: NodeAddress,
@@ -104,57 +92,72 @@
         let Some(service) = self.directory.agent(from).map(|record| record.service) else {
             return;
         };
-        let unlikely: Vec<FlowKey> = keys
+        let (likely, unlikely): (Vec<FlowKey>, Vec<FlowKey>) = keys
             .iter()
-            .copied()
-            .filter(|key| !self.likely_services(*key).contains(&service))
-            .collect();
+            .partition(|key| self.likely_services(**key).contains(&service));
         self.denied(from, &unlikely, now, actions);
+        for key in likely {
+            self.hand_packet(from, service, key, now, actions);
+        }
     }
 
-    /// Resets a flow that every possible holder has denied.
-    fn conclude(&mut self, key: FlowKey, now: Instant, actions: &mut Vec<BalancerAction>) {
-        if !self.knows_all_agents(now) {
+    /// Hands the packet of a search to an agent that cannot tell without one.
+    fn hand_packet(
+        &mut self,
+        agent: NodeAddress,
+        service: ServiceKey,
+        key: FlowKey,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        if self.packets_handed >= PACKETS_A_TICK {
             return;
         }
-        let Some(holders) = self.possible_holders() else {
-            return;
-        };
-        let Some(search) = self.search_of(&key) else {
+        let packet = self
+            .search_of(&key)
+            .and_then(|search| search.packet_for(agent, now));
+        let Some(packet) = packet else {
             return;
         };
-        if search.is_over(now) || !holders.iter().all(|agent| search.denied.contains(agent)) {
+        self.packets_handed += 1;
+        self.counters.search_packets += 1;
+        actions.push(BalancerAction::Forward {
+            to: agent,
+            header: self.header(service, ForwardPurpose::Search),
+            packet,
+        });
+    }
+
+    /// Resets those of the flows that every possible holder has denied.
+    fn conclude(&mut self, keys: &[FlowKey], now: Instant, actions: &mut Vec<BalancerAction>) {
+        if keys.is_empty() || !self.knows_all_agents(now) {
             return;
         }
-        let count = search.denied.len();
-        if let Some(entry) = self.flows.remove(&key) {
-            let sequence = entry.acknowledged;
-            let reset = self.reset(key, sequence, ResetReason::HeldNowhere, count);
-            actions.push(BalancerAction::Reset(reset));
+        let holders = self.possible_holders();
+        for key in keys {
+            let Some(search) = self.search_of(key) else {
+                continue;
+            };
+            if search.is_over(now) || !holders.iter().all(|agent| search.denied.contains(agent)) {
+                continue;
+            }
+            let count = search.denied.len();
+            if let Some(entry) = self.flows.remove(key) {
+                let sequence = entry.acknowledged;
+                let reset = self.reset(*key, sequence, ResetReason::HeldNowhere, count);
+                actions.push(BalancerAction::Reset(reset));
+            }
         }
     }
 
-    /// Whether the balancer has listened long enough to know every agent, and
-    /// hears each one that another node has named.
-    fn knows_all_agents(&self, now: Instant) -> bool {
-        let report = self.report_interval();
-        let least = if self.has_snapshot {
-            LEAST_LISTENING.max(report)
-        } else {
-            LEAST_LISTENING_ALONE.max(report * 2)
-        };
-        let has_listened = now.since(self.started_at) >= least;
-        let is_settled = now.since(self.agent_found_at) >= SETTLED_AFTER.max(report);
-        has_listened && is_settled && self.named_agents.is_empty() && !self.directory.is_empty()
-    }
-
     /// Asks again for the flows that are searched for.
     pub(super) fn pursue_searches(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.searches_begun = 0;
-        let Some(holders) = self.possible_holders() else {
-            self.searching.clear();
+        self.packets_handed = 0;
+        if self.searching.is_empty() {
             return;
-        };
+        }
+        let holders = self.possible_holders();
         let mut queries: BTreeMap<NodeAddress, Vec<FlowKey>> = BTreeMap::new();
         let mut undecided = Vec::new();
         let mut searching = std::mem::take(&mut self.searching);
@@ -182,6 +185,7 @@
         }
         self.searching = undecided;
         for (to, keys) in queries {
+            self.directory.doubt(to, now);
             for batch in keys.chunks(MAXIMUM_KEYS) {
                 let message = PeerMessage::Locate {
                     keys: batch.to_vec(),
@@ -189,9 +193,8 @@
                 actions.push(BalancerAction::Send { to, message });
             }
         }
-        for key in self.searching.clone() {
-            self.conclude(key, now, actions);
-        }
+        let searching = self.searching.clone();
+        self.conclude(&searching, now, actions);
     }
 
     /// A target holds a flow that was searched for.
--- /dev/null
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -0,0 +1,133 @@
+//! Which balancers call the store, so that its calls do not grow with the
+//! fleet.
+//!
+//! A few balancers watch the configuration and are entered in the store's list.
+//! They are the first by a hash of the address among the balancers heard lately,
+//! so all balancers come to nearly the same answer without agreeing on it. Every
+//! greeting tells how old its sender's knowledge is: the time since the store
+//! last confirmed the configuration to it, or to a balancer that it heard of.
+//! When that age passes a bound, the others begin to call the store themselves,
+//! one after the other, until one of them has an answer.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::super::identity::NodeAddress;
+use super::super::message::BalancerGreeting;
+use super::Balancer;
+use crate::clock::Instant;
+
+/// Balancers that watch the configuration: enough that a third of the fleet cut
+/// off from the store leaves one of them with a probability of 0.9998.
+pub const WATCHERS: usize = 8;
+/// Balancers that are entered in the store's list.
+pub const REGISTERED: usize = 12;
+/// Age of the configuration at which balancers that do not watch call the store.
+/// Twice the time that a watch lasts with this many watchers, and well below the
+/// least time in which a change must be in force.
+const TAKE_OVER_AT: Duration = Duration::from_millis(2200);
+/// What the bound grows by for each further balancer, so that the answer of one
+/// spares the others their calls, also while the store answers nobody.
+const TAKE_OVER_SPACING: Duration = Duration::from_millis(100);
+/// Longest wait of one watch while every balancer watches. It can go silent
+/// without an end; its node then learns changes from the others, and here after
+/// this time.
+const USUAL_WAIT: Duration = Duration::from_millis(5000);
+/// The same while some do not: they take over when all watches are silent, which
+/// they notice the sooner the shorter the waits are.
+const SHORT_WAIT: Duration = Duration::from_millis(2000);
+/// Silence after which another balancer no longer counts.
+const COUNTED_FOR: Duration = Duration::from_secs(12);
+/// Time after its start in which a balancer that was told of others waits for
+/// them before it calls the store.
+const SEEDS_FIRST_FOR: Duration = Duration::from_millis(150);
+/// The same is longer by a part of this, which differs by address.
+const START_SPREAD: Duration = Duration::from_millis(400);
+/// Time after its start in which a balancer does not enter itself: it may not
+/// have heard yet of those that come before it.
+const REGISTERS_AFTER: Duration = Duration::from_millis(1000);
+
+impl Balancer {
+    /// The store has confirmed the newest configuration to this balancer.
+    pub fn store_confirmed(&mut self, now: Instant) {
+        self.confirmed_at = Some(now);
+    }
+
+    /// Takes in how old another balancer's knowledge is. It says nothing when
+    /// that balancer knows a later version, or none.
+    pub(super) fn confirmation_heard(&mut self, greeting: &BalancerGreeting, now: Instant) {
+        let Some(age) = greeting.confirmed_ago_ms else {
+            return;
+        };
+        if greeting.version == 0 || greeting.version > self.routes.version() {
+            return;
+        }
+        let age = Duration::from_millis(age.into());
+        let confirmed_at = Instant::from_origin(now.since_origin().saturating_sub(age));
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+    }
+
+    /// Time since the store confirmed the configuration, here or elsewhere;
+    /// `None` when it never has.
+    #[must_use]
+    pub fn confirmed_ago(&self, now: Instant) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.since(at))
+    }
+
+    /// How long this balancer should let each watch of the configuration wait;
+    /// `None` when it should not call the store.
+    #[must_use]
+    pub fn store_watch(&self, now: Instant) -> Option<Duration> {
+        let others_before = self.store_rank(now);
+        let surplus = (others_before + 1).saturating_sub(WATCHERS);
+        let delay = TAKE_OVER_SPACING * u32::try_from(surplus).unwrap_or(u32::MAX);
+        let is_due = match self.confirmed_ago(now) {
+            None => self.seeds_had_their_time(delay, now),
+            Some(age) => surplus == 0 || age >= TAKE_OVER_AT + delay,
+        };
+        let all_watch = self.peers.heard_within(COUNTED_FOR, now).count() < WATCHERS;
+        let wait = if all_watch { USUAL_WAIT } else { SHORT_WAIT };
+        is_due.then_some(wait)
+    }
+
+    /// Whether this balancer should be entered in the store's list.
+    #[must_use]
+    pub fn registers(&self, now: Instant) -> bool {
+        now.since(self.started_at) >= REGISTERS_AFTER && self.store_rank(now) < REGISTERED
+    }
+
+    /// Whether a balancer that hears no other should read the store's list.
+    #[must_use]
+    pub fn may_list(&self, now: Instant) -> bool {
+        self.seeds_had_their_time(Duration::ZERO, now)
+    }
+
+    /// Whether the balancers that the settings name have had their time to tell
+    /// what they know, and `delay` more. They themselves wait for nobody.
+    fn seeds_had_their_time(&self, delay: Duration, now: Instant) -> bool {
+        if self.is_seed || !self.has_seeds {
+            return true;
+        }
+        let part = address_hash(self.options.address) % 1000;
+        let spread = START_SPREAD * u32::try_from(part).unwrap_or(0) / 1000;
+        now.since(self.started_at) >= SEEDS_FIRST_FOR + spread + delay
+    }
+
+    /// Balancers heard lately that come before this one.
+    fn store_rank(&self, now: Instant) -> usize {
+        let own = Reverse(address_hash(self.options.address));
+        self.peers
+            .heard_within(COUNTED_FOR, now)
+            .filter(|peer| Reverse(address_hash(*peer)) < own)
+            .count()
+    }
+}
+
+fn address_hash(address: NodeAddress) -> u64 {
+    let mut bytes = [0; 6];
+    bytes[..4].copy_from_slice(&address.ip().octets());
+    bytes[4..].copy_from_slice(&address.port().to_be_bytes());
+    xxh3_64(&bytes)
+}
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -3,6 +3,10 @@
 //! An agent is live while its reports come at the pace that they state. A
 //! silent agent gets no new flow; after longer silence its flows count as
 //! lost, unless the balancer itself may have been cut off or stopped.
+//!
+//! Reports are rare in a large fleet, so a balancer does not wait for missing
+//! ones: an agent that leaves something unanswered is asked directly, and is
+//! silent or lost when it does not answer that.
 
 use std::time::Duration;
 
@@ -22,6 +26,17 @@
 const MINIMUM_SILENCE_OF_LOST: Duration = Duration::from_millis(650);
 /// Silence after which an agent is forgotten.
 pub const FORGET_AFTER: Duration = Duration::from_secs(20);
+/// Time without an answer to a question after which an agent gets no new flow.
+const SILENT_WHEN_ASKED: Duration = Duration::from_millis(400);
+/// Time without an answer to repeated questions after which the flows of an
+/// agent count as lost. A question is repeated [`QUESTION_INTERVAL`] apart, so
+/// that several in a row must get lost for a living agent to be taken for dead.
+const LOST_WHEN_ASKED: Duration = Duration::from_millis(1000);
+/// Time between two questions to an agent that has not answered.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(150);
+/// Another agent must have been heard within this time for an unanswered
+/// question to say anything: otherwise the balancer itself may be cut off.
+const HEARS_OTHERS_WITHIN: Duration = Duration::from_millis(300);
 /// Openings without an answer after which an agent counts as silent.
 const SUSPECT_UNANSWERED: u32 = 2;
 
@@ -58,6 +73,10 @@
     sequence: u64,
     interval: Duration,
     counted_lost: bool,
+    /// When it was first asked something that it has not answered yet.
+    asked_at: Option<Instant>,
+    /// When it was last asked.
+    asked_again_at: Instant,
 }
 
 /// What a report or the passing of time has changed.
@@ -93,7 +112,19 @@
     #[must_use]
     pub fn is_live(&self, now: Instant) -> bool {
         let limit = MINIMUM_SILENCE.max(self.interval * MISSED_REPORTS);
-        now.since(self.heard_at) < limit && self.unanswered < SUSPECT_UNANSWERED
+        let owes_answer = self.owes_answer_for(now) >= SILENT_WHEN_ASKED;
+        now.since(self.heard_at) < limit && self.unanswered < SUSPECT_UNANSWERED && !owes_answer
+    }
+
+    /// Time since the agent was asked something that it has not answered.
+    fn owes_answer_for(&self, now: Instant) -> Duration {
+        self.asked_at.map_or(Duration::ZERO, |at| now.since(at))
+    }
+
+    fn heard(&mut self, now: Instant) {
+        self.heard_at = now;
+        self.unanswered = 0;
+        self.asked_at = None;
     }
 
     /// Requests that the target holds or has queued, with those that were sent
@@ -218,34 +249,74 @@
         record.version = report.version;
         record.interval = Duration::from_millis(report.interval_ms.into());
         record.warm_at = now + Duration::from_millis(report.warm_up_ms.into());
-        record.heard_at = now;
-        record.unanswered = 0;
+        record.heard(now);
         record.take_load(report.load, now);
     }
 
     /// Takes in the load that an agent stated with an answer.
     pub fn loaded(&mut self, address: NodeAddress, load: TargetLoad, now: Instant) {
         if let Some(record) = self.agents.get_mut(&address) {
-            record.heard_at = now;
-            record.unanswered = 0;
+            record.heard(now);
             record.take_load(load, now);
         }
     }
 
+    /// An agent has sent anything: it lives.
+    pub fn heard(&mut self, address: NodeAddress, now: Instant) {
+        if let Some(record) = self.agents.get_mut(&address) {
+            record.heard(now);
+        }
+    }
+
+    /// There is reason to doubt that an agent lives: it is asked until it has
+    /// answered, and its silence counts from now on.
+    pub fn doubt(&mut self, address: NodeAddress, now: Instant) {
+        if let Some(record) = self.agents.get_mut(&address)
+            && record.asked_at.is_none()
+        {
+            record.asked_at = Some(now);
+            record.asked_again_at = Instant::ORIGIN;
+        }
+    }
+
+    /// Whether some agent owes an answer.
+    #[must_use]
+    pub fn doubts_any(&self) -> bool {
+        self.agents
+            .values()
+            .any(|record| record.asked_at.is_some() && !record.counted_lost)
+    }
+
+    /// Agents that are to be asked again now, which counts as asking them.
+    pub fn take_doubted(&mut self, now: Instant) -> Vec<NodeAddress> {
+        let mut doubted = Vec::new();
+        for record in self.agents.values_mut() {
+            let is_due = now.since(record.asked_again_at) >= QUESTION_INTERVAL;
+            if record.asked_at.is_some() && !record.counted_lost && is_due {
+                record.asked_again_at = now;
+                doubted.push(record.address);
+            }
+        }
+        doubted
+    }
+
     /// Counts the silence of all agents from now on, because the balancer
     /// itself has not listened.
     pub fn forgive_silence(&mut self, now: Instant) {
         for record in self.agents.values_mut() {
-            record.heard_at = now;
-            record.unanswered = 0;
+            record.heard(now);
         }
     }
 
     /// Finds agents that have become silent.
     pub fn tick(&mut self, now: Instant, changes: &mut Vec<DirectoryChange>) {
         let heard_another = self.live_count(now) > 0;
+        let heard_at = self.agents.values().map(|record| record.heard_at).max();
+        let hears_others = heard_at.is_some_and(|at| now.since(at) < HEARS_OTHERS_WITHIN);
         for record in self.agents.values_mut() {
-            if !record.counted_lost && heard_another && record.is_lost(now) {
+            let is_silent = heard_another && record.is_lost(now);
+            let is_mute = hears_others && record.owes_answer_for(now) >= LOST_WHEN_ASKED;
+            if !record.counted_lost && (is_silent || is_mute) {
                 record.counted_lost = true;
                 changes.push(DirectoryChange::Lost(record.address));
             }
@@ -288,6 +359,8 @@
                 sequence: 0,
                 interval: Duration::ZERO,
                 counted_lost: false,
+                asked_at: None,
+                asked_again_at: Instant::ORIGIN,
             },
         );
     }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -12,7 +12,7 @@
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
-pub const PROTOCOL_VERSION: u8 = 4;
+pub const PROTOCOL_VERSION: u8 = 5;
 /// Most balancers that a greeting names.
 pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
 
@@ -158,6 +158,9 @@
     pub version: u64,
     /// Time between reports that it asks for, in milliseconds.
     pub report_interval_ms: u32,
+    /// Time since the store confirmed that this configuration is the newest,
+    /// in milliseconds; `None` when its sender has not heard of that.
+    pub confirmed_ago_ms: Option<u32>,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Whether it has heard an agent lately.
@@ -192,6 +195,8 @@
         /// The flows, at most [`MAXIMUM_KEYS`].
         keys: Vec<FlowKey>,
     },
+    /// Balancer to agent: report at once.
+    Probe,
     /// Agent to balancer: the target does not hold flows searched for.
     NotHeld {
         /// The flows.
@@ -257,6 +262,8 @@
     pub balancers: Vec<NodeAddress>,
     /// Agents that it knows.
     pub agents: Vec<NodeAddress>,
+    /// Whether these are all that there are, as far as it can tell.
+    pub knows_all_agents: bool,
 }
 
 /// Why a datagram is not a message.
@@ -303,6 +310,7 @@
         configuration: Option<&Arc<Configuration>>,
         balancers: Vec<SocketAddrV4>,
         agents: Vec<SocketAddrV4>,
+        knows_all_agents: bool,
     ) -> Self {
         let configuration = configuration
             .filter(|known| known.version > request.known_version)
@@ -311,6 +319,7 @@
             configuration,
             balancers,
             agents,
+            knows_all_agents,
         }
     }
 }
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -127,6 +127,18 @@
             .collect()
     }
 
+    /// Balancers that were heard within a time.
+    pub fn heard_within(
+        &self,
+        time: Duration,
+        now: Instant,
+    ) -> impl Iterator<Item = NodeAddress> + '_ {
+        self.records
+            .iter()
+            .filter(move |(_, record)| record.heard_at.is_some_and(|at| now.since(at) < time))
+            .map(|(address, _)| *address)
+    }
+
     /// Balancers that have greeted.
     pub fn confirmed(&self) -> impl Iterator<Item = NodeAddress> + '_ {
         self.records
@@ -143,6 +155,12 @@
         }
     }
 
+    /// Whether a balancer is known.
+    #[must_use]
+    pub fn knows(&self, address: NodeAddress) -> bool {
+        self.records.contains_key(&address)
+    }
+
     /// Balancers known.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -73,14 +73,14 @@
     directory: &Directory,
     service: ServiceKey,
     key: &FlowKey,
-    left_out: &[NodeAddress],
+    is_left_out: impl Fn(NodeAddress) -> bool,
     count: usize,
 ) -> Vec<NodeAddress> {
     let mut agents: Vec<NodeAddress> = directory
         .agents_of(service)
         .iter()
         .copied()
-        .filter(|agent| !left_out.contains(agent))
+        .filter(|agent| !is_left_out(*agent))
         .collect();
     if agents.len() > count {
         agents.sort_by_cached_key(|agent| std::cmp::Reverse(key.rank(*agent)));
@@ -98,7 +98,7 @@
             self.directory,
             self.service,
             &self.key,
-            self.tried,
+            |agent| self.tried.contains(&agent),
             COMPARED_TARGETS,
         );
         self.best_of(&candidates, now)
--- a/crates/woodladder-core/src/flow/store_session/registration.rs
+++ b/crates/woodladder-core/src/flow/store_session/registration.rs
@@ -10,6 +10,8 @@
 const LIFETIME: Duration = Duration::from_secs(20);
 /// Renewals within one lifetime.
 const RENEWALS: u32 = 4;
+/// Time between two looks whether the balancer is to be entered.
+const STAND_BY: Duration = Duration::from_millis(500);
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
@@ -59,14 +61,19 @@
         self.due_at = now;
     }
 
-    /// The next call; the caller passes its reply to [`Self::reply`].
-    pub fn next(&mut self, now: Instant) -> NextCall {
+    /// The next call; the caller passes its reply to [`Self::reply`]. A balancer
+    /// that need not be entered (`wanted`) lets its lease run out.
+    pub fn next(&mut self, wanted: bool, now: Instant) -> NextCall {
         if self.in_flight || self.stage == Stage::Ended {
             return NextCall::At(now + LIFETIME);
         }
         if now < self.due_at {
             return NextCall::At(self.due_at);
         }
+        let is_ending = matches!(self.stage, Stage::Ending { .. });
+        if !wanted && !is_ending {
+            return NextCall::At(now + STAND_BY);
+        }
         self.in_flight = true;
         NextCall::Now(match self.stage {
             Stage::WithoutLease | Stage::Ended => StoreCall::GrantLease { lifetime: LIFETIME },
--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -7,9 +7,10 @@
 use super::{NextCall, StoreCall, StoreReply};
 use crate::clock::Instant;
 
-/// Longest wait of one call. A watch can go silent without an end; its node
-/// then learns changes from other nodes, and here after this time.
-const LONGEST_WAIT: Duration = Duration::from_millis(5000);
+/// Time after which a caller that asks while a call is under way asks again.
+const ASK_AGAIN: Duration = Duration::from_millis(5000);
+/// Time between two looks whether the node has to watch.
+const STAND_BY: Duration = Duration::from_millis(100);
 
 /// Time after a change in which no other is asked for, so that changes in quick
 /// succession cost one call. Far shorter than the time that a change has to
@@ -45,21 +46,24 @@
         self.heard_at
     }
 
-    /// The next call; the caller passes its reply to [`Self::reply`].
-    pub fn next(&mut self, now: Instant) -> NextCall {
+    /// The next call; the caller passes its reply to [`Self::reply`]. `wait` is
+    /// how long a watch may wait, and `None` while the node need not watch.
+    pub fn next(&mut self, wait: Option<Duration>, now: Instant) -> NextCall {
         if self.in_flight {
-            return NextCall::At(now + LONGEST_WAIT);
+            return NextCall::At(now + ASK_AGAIN);
         }
         if now < self.due_at {
             return NextCall::At(self.due_at);
         }
+        let Some(wait) = wait else {
+            // Changes meanwhile are not heard here, so the next call is a read.
+            self.revision = None;
+            return NextCall::At(now + STAND_BY);
+        };
         self.in_flight = true;
         NextCall::Now(match self.revision {
             None => StoreCall::ReadConfiguration,
-            Some(after) => StoreCall::AwaitConfiguration {
-                after,
-                wait: LONGEST_WAIT,
-            },
+            Some(after) => StoreCall::AwaitConfiguration { after, wait },
         })
     }
 
--- a/crates/woodladder-core/src/flow/zone_members.rs
+++ b/crates/woodladder-core/src/flow/zone_members.rs
@@ -85,6 +85,16 @@
             .map(|(address, record)| (record.member.capacity, *address))
     }
 
+    /// Members that have at most this capacity.
+    #[must_use]
+    pub fn known_up_to(&self, most: u32) -> Vec<NodeAddress> {
+        self.records
+            .iter()
+            .filter(|(_, record)| record.member.capacity <= most)
+            .map(|(address, _)| *address)
+            .collect()
+    }
+
     /// Members known besides the own balancer.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/woodladder-core/tests/flow_configuration.rs
+++ b/crates/woodladder-core/tests/flow_configuration.rs
@@ -14,6 +14,17 @@
     BalancerList, BalancerRegistration, ConfigurationWatch, NextCall, StoreCall, StoreReply,
 };
 
+/// The longest wait of one watch.
+const WAIT: Option<Duration> = Some(Duration::from_secs(5));
+
+/// An answer of the store at a revision, without a change.
+fn configuration_reply(revision: u64) -> StoreReply {
+    StoreReply::Configuration {
+        configuration: None,
+        revision,
+    }
+}
+
 fn call(next: NextCall) -> StoreCall {
     match next {
         NextCall::Now(call) => call,
@@ -62,6 +73,7 @@
     let greeting = BalancerGreeting {
         version: 1,
         report_interval_ms: 100,
+        confirmed_ago_ms: None,
         leaving: false,
         hears_agents: true,
         zone: ZoneKey::named("a"),
@@ -108,6 +120,7 @@
     PeerMessage::Greeting(BalancerGreeting {
         version: 1,
         report_interval_ms: 100,
+        confirmed_ago_ms: None,
         leaving: false,
         hears_agents,
         zone: ZoneKey::named("a"),
@@ -159,13 +172,13 @@
 #[test]
 fn the_watch_reads_first_and_then_waits_for_changes() {
     let mut watch = ConfigurationWatch::new(1, at(0));
-    assert_eq!(call(watch.next(at(0))), StoreCall::ReadConfiguration);
+    assert_eq!(call(watch.next(WAIT, at(0))), StoreCall::ReadConfiguration);
     let read = StoreReply::Configuration {
         configuration: Some((*configuration(3)).clone()),
         revision: 40,
     };
     assert_eq!(watch.reply(read, at(5)).map(|it| it.version), Some(3));
-    let StoreCall::AwaitConfiguration { after, .. } = call(watch.next(at(5))) else {
+    let StoreCall::AwaitConfiguration { after, .. } = call(watch.next(WAIT, at(5))) else {
         panic!("a watch follows");
     };
     assert_eq!(after, 40);
@@ -175,22 +188,22 @@
 #[test]
 fn changes_in_quick_succession_are_fetched_by_one_call() {
     let mut watch = ConfigurationWatch::new(1, at(0));
-    watch.next(at(0));
+    watch.next(WAIT, at(0));
     let changed = |version, revision| StoreReply::Configuration {
         configuration: Some((*configuration(version)).clone()),
         revision,
     };
     watch.reply(changed(3, 40), at(5));
     assert!(matches!(
-        call(watch.next(at(5))),
+        call(watch.next(WAIT, at(5))),
         StoreCall::AwaitConfiguration { after: 40, .. }
     ));
     watch.reply(changed(4, 41), at(1000));
-    let again = waits_until(watch.next(at(1000)));
+    let again = waits_until(watch.next(WAIT, at(1000)));
     assert!(again >= Duration::from_millis(1200), "{again:?}");
     assert!(again <= Duration::from_millis(1400), "{again:?}");
     assert!(matches!(
-        call(watch.next(at(1400))),
+        call(watch.next(WAIT, at(1400))),
         StoreCall::AwaitConfiguration { after: 41, .. }
     ));
 }
@@ -203,17 +216,20 @@
         StoreReply::HistoryGone,
     ] {
         let mut watch = ConfigurationWatch::new(1, at(0));
-        watch.next(at(0));
+        watch.next(WAIT, at(0));
         let read = StoreReply::Configuration {
             configuration: None,
             revision: 40,
         };
         watch.reply(read, at(5));
-        watch.next(at(200));
+        watch.next(WAIT, at(200));
         assert_eq!(watch.reply(failure, at(300)), None);
-        let again = waits_until(watch.next(at(300)));
+        let again = waits_until(watch.next(WAIT, at(300)));
         assert!(again <= Duration::from_millis(400), "{again:?}");
-        assert_eq!(call(watch.next(at(500))), StoreCall::ReadConfiguration);
+        assert_eq!(
+            call(watch.next(WAIT, at(500))),
+            StoreCall::ReadConfiguration
+        );
     }
 }
 
@@ -225,9 +241,12 @@
         let mut pauses = Vec::new();
         for _ in 0..8 {
             let instant = woodladder_core::clock::Instant::from_origin(now);
-            assert_eq!(call(watch.next(instant)), StoreCall::ReadConfiguration);
+            assert_eq!(
+                call(watch.next(WAIT, instant)),
+                StoreCall::ReadConfiguration
+            );
             watch.reply(StoreReply::Refused, instant);
-            let due = waits_until(watch.next(instant));
+            let due = waits_until(watch.next(WAIT, instant));
             pauses.push(due - now);
             now = due;
         }
@@ -247,24 +266,24 @@
     let mut registration = BalancerRegistration::new(1, at(0));
     let lifetime = Duration::from_secs(20);
     assert!(matches!(
-        call(registration.next(at(0))),
+        call(registration.next(true, at(0))),
         StoreCall::GrantLease { .. }
     ));
     registration.reply(&StoreReply::Lease { lease: 7, lifetime }, at(1));
     assert_eq!(
-        call(registration.next(at(1))),
+        call(registration.next(true, at(1))),
         StoreCall::Register { lease: 7 }
     );
     registration.reply(&StoreReply::Done, at(2));
     assert!(registration.is_registered());
     assert_eq!(
-        call(registration.next(at(6000))),
+        call(registration.next(true, at(6000))),
         StoreCall::RenewLease { lease: 7 }
     );
     registration.reply(&StoreReply::LeaseGone, at(6001));
     assert!(!registration.is_registered());
     assert!(matches!(
-        call(registration.next(at(6200))),
+        call(registration.next(true, at(6200))),
         StoreCall::GrantLease { .. }
     ));
 }
@@ -273,13 +292,13 @@
 #[test]
 fn a_lost_answer_of_the_registration_is_settled_by_writing_again() {
     let mut registration = BalancerRegistration::new(1, at(0));
-    registration.next(at(0));
+    registration.next(true, at(0));
     let lifetime = Duration::from_secs(20);
     registration.reply(&StoreReply::Lease { lease: 7, lifetime }, at(1));
-    registration.next(at(1));
+    registration.next(true, at(1));
     registration.reply(&StoreReply::NoAnswer, at(1500));
     assert_eq!(
-        call(registration.next(at(1700))),
+        call(registration.next(true, at(1700))),
         StoreCall::Register { lease: 7 }
     );
 }
@@ -288,18 +307,18 @@
 fn a_list_is_read_often_only_while_no_balancer_is_heard() {
     let mut list = BalancerList::new(1, true, at(0));
     assert_eq!(
-        call(list.next(at(0))),
+        call(list.next(true, at(0))),
         StoreCall::ListBalancers { stale: true }
     );
     assert_eq!(
         list.reply(StoreReply::Balancers(vec![node(2)]), at(5)),
         vec![node(2)]
     );
-    assert!(waits_until(list.next(at(5))) <= Duration::from_millis(700));
+    assert!(waits_until(list.next(true, at(5))) <= Duration::from_millis(700));
     list.hears_balancers(true, at(5));
-    list.next(at(700));
+    list.next(true, at(700));
     list.reply(StoreReply::Balancers(vec![node(2)]), at(705));
-    assert!(waits_until(list.next(at(705))) >= Duration::from_secs(15));
+    assert!(waits_until(list.next(true, at(705))) >= Duration::from_secs(15));
 }
 
 /// A list that only makes sure of what is heard anyway may be old, which costs
@@ -307,25 +326,65 @@
 #[test]
 fn lists_may_be_old_once_balancers_are_listed_and_heard() {
     let mut list = BalancerList::new(1, false, at(0));
-    list.hears_balancers(true, at(0));
     assert_eq!(
-        call(list.next(at(0))),
+        call(list.next(true, at(0))),
         StoreCall::ListBalancers { stale: false }
     );
+    list.hears_balancers(true, at(3));
     list.reply(StoreReply::Balancers(vec![node(2)]), at(5));
-    let due = u64::try_from(waits_until(list.next(at(5))).as_millis()).expect("milliseconds");
+    let due = u64::try_from(waits_until(list.next(true, at(5))).as_millis()).expect("milliseconds");
     assert_eq!(
-        call(list.next(at(due + 1))),
+        call(list.next(true, at(due + 1))),
         StoreCall::ListBalancers { stale: true }
     );
     list.reply(StoreReply::NoAnswer, at(due + 2));
     list.hears_balancers(false, at(due + 3));
     assert_eq!(
-        call(list.next(at(due + 800))),
+        call(list.next(true, at(due + 800))),
         StoreCall::ListBalancers { stale: false }
     );
 }
 
+/// The balancers of the settings are asked first: a start of a whole fleet
+/// should not cost one list a node.
+#[test]
+fn no_list_is_read_when_the_balancers_of_the_settings_were_quicker() {
+    let mut list = BalancerList::new(1, false, at(0));
+    assert!(waits_until(list.next(false, at(0))) <= Duration::from_millis(100));
+    list.hears_balancers(true, at(30));
+    assert!(waits_until(list.next(false, at(50))) >= Duration::from_secs(15));
+    assert!(waits_until(list.next(true, at(600))) >= Duration::from_secs(15));
+}
+
+#[test]
+fn a_balancer_that_need_not_watch_makes_no_call_and_reads_before_it_watches_again() {
+    let mut watch = ConfigurationWatch::new(1, at(0));
+    watch.next(WAIT, at(0));
+    watch.reply(configuration_reply(1), at(5));
+    assert!(waits_until(watch.next(None, at(150))) <= Duration::from_millis(400));
+    assert_eq!(
+        call(watch.next(WAIT, at(400))),
+        StoreCall::ReadConfiguration
+    );
+}
+
+#[test]
+fn a_balancer_that_is_no_longer_to_be_entered_lets_its_lease_run_out() {
+    let mut registration = BalancerRegistration::new(1, at(0));
+    assert!(waits_until(registration.next(false, at(0))) > Duration::ZERO);
+    registration.next(true, at(0));
+    let lifetime = Duration::from_secs(20);
+    registration.reply(&StoreReply::Lease { lease: 4, lifetime }, at(1));
+    registration.next(true, at(1));
+    registration.reply(&StoreReply::Done, at(2));
+    assert!(waits_until(registration.next(false, at(6000))) > Duration::from_secs(6));
+    registration.leave(at(6500));
+    assert_eq!(
+        call(registration.next(false, at(6500))),
+        StoreCall::EndLease { lease: 4 }
+    );
+}
+
 #[test]
 fn datagrams_that_are_no_messages_are_told_apart() {
     assert_eq!(
@@ -359,6 +418,7 @@
     let nothing = PeerMessage::Greeting(BalancerGreeting {
         version: 0,
         report_interval_ms: 100,
+        confirmed_ago_ms: None,
         leaving: false,
         hears_agents: false,
         zone: ZoneKey::named("a"),
--- a/crates/woodladder-core/tests/flow_drain.rs
+++ b/crates/woodladder-core/tests/flow_drain.rs
@@ -184,6 +184,7 @@
     let greeting = BalancerGreeting {
         version: 7,
         report_interval_ms: 100,
+        confirmed_ago_ms: None,
         leaving: false,
         hears_agents: true,
         zone: ZoneKey::named("a"),
--- a/crates/woodladder-core/tests/flow_small_balancers.rs
+++ b/crates/woodladder-core/tests/flow_small_balancers.rs
@@ -18,6 +18,7 @@
     BalancerGreeting {
         version: 1,
         report_interval_ms: 100,
+        confirmed_ago_ms: None,
         leaving: false,
         hears_agents: true,
         zone: ZoneKey::named(zone),
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_store_duty.rs
@@ -0,0 +1,173 @@
+//! Which balancers call the store, and who takes over when those that should
+//! are cut off from it without a sign.
+
+mod flow_support;
+
+use std::time::Duration;
+
+use flow_support::*;
+use woodladder_core::flow::balancer::{Balancer, BalancerOptions, REGISTERED, WATCHERS};
+use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
+use woodladder_core::flow::message::{BalancerGreeting, PeerMessage};
+
+/// Balancers of the tests' fleet.
+const FLEET: u8 = 90;
+
+fn balancer_on(number: u8) -> Balancer {
+    let options = BalancerOptions {
+        address: node(number),
+        zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
+        flow_capacity: 1000,
+        flow_retention: Duration::from_secs(30),
+    };
+    Balancer::new(options, at(0))
+}
+
+fn greeting(version: u64, confirmed_ago_ms: Option<u32>) -> BalancerGreeting {
+    BalancerGreeting {
+        version,
+        report_interval_ms: 100,
+        confirmed_ago_ms,
+        leaving: false,
+        hears_agents: true,
+        zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
+        is_able: true,
+        balancers: vec![],
+    }
+}
+
+fn hear(balancer: &mut Balancer, from: u8, greeting: BalancerGreeting, now: u64) {
+    send(balancer, from, PeerMessage::Greeting(greeting), at(now));
+}
+
+/// A fleet in which every balancer has heard every other, and has a
+/// configuration that the store confirmed at `confirmed` milliseconds.
+fn fleet(confirmed: u64) -> Vec<Balancer> {
+    (1..=FLEET)
+        .map(|number| {
+            let mut balancer = balancer_on(number);
+            balancer.configuration(configuration(1));
+            for other in (1..=FLEET).filter(|other| *other != number) {
+                hear(&mut balancer, other, greeting(1, None), confirmed);
+            }
+            balancer.store_confirmed(at(confirmed));
+            balancer
+        })
+        .collect()
+}
+
+fn watching(fleet: &[Balancer], now: u64) -> usize {
+    fleet
+        .iter()
+        .filter(|balancer| balancer.store_watch(at(now)).is_some())
+        .count()
+}
+
+#[test]
+fn a_few_balancers_of_a_fleet_watch_and_are_listed() {
+    let fleet = fleet(10_000);
+    assert_eq!(watching(&fleet, 10_100), WATCHERS);
+    let listed = fleet
+        .iter()
+        .filter(|balancer| balancer.registers(at(10_100)))
+        .count();
+    assert_eq!(listed, REGISTERED);
+}
+
+#[test]
+fn every_balancer_of_a_small_deployment_watches() {
+    let mut fleet: Vec<Balancer> = (1..=4).map(balancer_on).collect();
+    for (index, balancer) in fleet.iter_mut().enumerate() {
+        balancer.configuration(configuration(1));
+        for other in (1..=4).filter(|other| usize::from(*other) != index + 1) {
+            hear(balancer, other, greeting(1, Some(0)), 10_000);
+        }
+    }
+    assert_eq!(watching(&fleet, 10_100), 4);
+}
+
+/// All watchers are cut off from the store and do not notice, as their calls are
+/// neither answered nor refused.
+#[test]
+fn others_call_the_store_one_after_the_other_when_no_watch_is_answered() {
+    let fleet = fleet(10_000);
+    assert_eq!(watching(&fleet, 12_000), WATCHERS);
+    let soon = watching(&fleet, 12_400);
+    assert!(soon > WATCHERS && soon < WATCHERS + 8, "{soon} call");
+    assert_eq!(watching(&fleet, 25_000), usize::from(FLEET));
+}
+
+#[test]
+fn a_confirmation_that_another_has_heard_spares_a_call() {
+    let mut fleet = fleet(10_000);
+    for balancer in &mut fleet {
+        let former = balancer.confirmed_ago(at(12_000));
+        hear(balancer, 200, greeting(1, Some(300)), 12_000);
+        assert_eq!(former, Some(Duration::from_millis(2000)));
+        let ago = balancer.confirmed_ago(at(12_000));
+        assert_eq!(ago, Some(Duration::from_millis(300)));
+    }
+    assert!(watching(&fleet, 13_800) <= WATCHERS);
+}
+
+/// The confirmation is of the version that its sender knows, or of one later
+/// than that.
+#[test]
+fn a_confirmation_of_a_later_version_says_nothing_of_the_own_one() {
+    let mut balancer = balancer_on(1);
+    balancer.configuration(configuration(3));
+    hear(&mut balancer, 2, greeting(4, Some(0)), 100);
+    assert_eq!(balancer.confirmed_ago(at(100)), None);
+    hear(&mut balancer, 2, greeting(0, Some(0)), 100);
+    assert_eq!(balancer.confirmed_ago(at(100)), None);
+    hear(&mut balancer, 2, greeting(3, Some(0)), 100);
+    assert_eq!(balancer.confirmed_ago(at(100)), Some(Duration::ZERO));
+}
+
+fn seeded(number: u8, seeds: &[NodeAddress]) -> Balancer {
+    let mut balancer = balancer_on(number);
+    balancer.seeded(seeds, at(0), &mut Vec::new());
+    balancer
+}
+
+#[test]
+fn a_start_of_everything_costs_the_store_a_few_calls() {
+    let seeds = [node(1), node(2), node(3)];
+    let mut fleet: Vec<Balancer> = (1..=FLEET).map(|number| seeded(number, &seeds)).collect();
+    assert_eq!(watching(&fleet, 20), seeds.len());
+    for balancer in &mut fleet {
+        balancer.configuration(configuration(1));
+        for other in 1..=FLEET {
+            hear(balancer, other, greeting(1, Some(10)), 60);
+        }
+    }
+    let listing = fleet
+        .iter()
+        .filter(|balancer| balancer.registers(at(900)))
+        .count();
+    assert_eq!(listing, 0);
+    assert!(watching(&fleet, 600) <= WATCHERS);
+}
+
+#[test]
+fn a_balancer_whose_seeds_are_gone_asks_the_store() {
+    let balancer = seeded(7, &[node(1), node(2)]);
+    assert!(balancer.store_watch(at(100)).is_none() && !balancer.may_list(at(100)));
+    assert!(balancer.store_watch(at(600)).is_some() && balancer.may_list(at(600)));
+    let alone = seeded(7, &[]);
+    assert!(alone.store_watch(at(0)).is_some());
+}
+
+#[test]
+fn the_clock_of_another_machine_does_not_make_the_configuration_newer() {
+    let mut balancer = balancer_on(1);
+    balancer.configuration(configuration(1));
+    balancer.store_confirmed(at(5000));
+    hear(&mut balancer, 2, greeting(1, Some(u32::MAX)), 6000);
+    assert_eq!(
+        balancer.confirmed_ago(at(6000)),
+        Some(Duration::from_secs(1))
+    );
+}
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -130,6 +130,7 @@
             node.core.borrow().answer_snapshot(request)
         }));
         self.start_receiving();
+        self.act(|core, now, actions| core.seeded(&self.config.seeds, now, actions));
         spawn_local(Rc::clone(&self).tick());
         let registration = self.start_store_sessions(store);
         let leaving = Rc::clone(&registration.1);
@@ -148,34 +149,43 @@
         store: impl Fn() -> S,
     ) -> (Rc<RefCell<BalancerRegistration>>, Rc<Notify>) {
         let node = Rc::clone(self);
+        let watching = Rc::clone(self);
         spawn_local(store::watch_configuration(
             store(),
             random(),
             self.clock,
             Rc::clone(&self.contact),
+            move || watching.core.borrow().store_watch(watching.clock.now()),
             move |configuration| {
-                node.core.borrow_mut().configuration(configuration.into());
+                let mut core = node.core.borrow_mut();
+                if let Some(configuration) = configuration {
+                    core.configuration(configuration.into());
+                }
+                core.store_confirmed(node.clock.now());
             },
         ));
         let now = self.clock.now();
         let registration = Rc::new(RefCell::new(BalancerRegistration::new(random(), now)));
         let leaving = Rc::new(Notify::new());
+        let entered = Rc::clone(self);
         spawn_local(store::keep_registered(
             store(),
             self.clock,
             Rc::clone(&registration),
             Rc::clone(&leaving),
+            move || entered.core.borrow().registers(entered.clock.now()),
         ));
         let node = Rc::clone(self);
         let hearing = Rc::clone(self);
+        let beginning = Rc::clone(self);
         spawn_local(store::list_balancers(
             store(),
             BalancerList::new(random(), false, now),
             self.clock,
             move || hearing.core.borrow().peers().confirmed().next().is_some(),
+            move || beginning.core.borrow().may_list(beginning.clock.now()),
             move |balancers| node.act(|core, now, actions| core.listed(balancers, now, actions)),
         ));
-        self.act(|core, now, actions| core.listed(&self.config.seeds, now, actions));
         (registration, leaving)
     }
 
@@ -204,7 +214,7 @@
     pub fn reload(self: &Rc<Self>, seeds: &[NodeAddress]) {
         info!(self.logger, "balancer: settings read again"; "event" => "reloaded",
             "seeds" => seeds.len());
-        self.act(|core, now, actions| core.listed(seeds, now, actions));
+        self.act(|core, now, actions| core.seeded(seeds, now, actions));
     }
 
     fn start_receiving(self: &Rc<Self>) {
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::time::sleep;
 use woodladder_core::flow::configuration::Configuration;
@@ -19,38 +20,45 @@
     fn call(&mut self, call: StoreCall) -> impl Future<Output = StoreReply>;
 }
 
-/// Keeps the configuration up to date until the process ends.
+/// Keeps the configuration up to date until the process ends. `wait` says how
+/// long a watch may wait, and `None` while this node need not watch. `answered`
+/// takes each answer of the store: the configuration, when it has changed.
 pub async fn watch_configuration(
     mut store: impl Store,
     seed: u64,
     clock: NodeClock,
     contact: Rc<StoreContact>,
-    mut adopt: impl FnMut(Configuration),
+    wait: impl Fn() -> Option<Duration>,
+    mut answered: impl FnMut(Option<Configuration>),
 ) {
     let mut watch = ConfigurationWatch::new(seed, clock.now());
     loop {
-        match watch.next(clock.now()) {
+        match watch.next(wait(), clock.now()) {
             NextCall::At(at) => sleep(at.since(clock.now())).await,
             NextCall::Now(call) => {
                 let reply = store.call(call).await;
                 contact.note(&reply);
-                if let Some(configuration) = watch.reply(reply, clock.now()) {
-                    adopt(configuration);
+                let is_answer = matches!(reply, StoreReply::Configuration { .. });
+                let configuration = watch.reply(reply, clock.now());
+                if is_answer {
+                    answered(configuration);
                 }
             }
         }
     }
 }
 
-/// Keeps the entry of a balancer alive until the process ends.
+/// Keeps the entry of a balancer alive until the process ends, while it is
+/// `wanted`.
 pub async fn keep_registered(
     mut store: impl Store,
     clock: NodeClock,
     registration: Rc<RefCell<BalancerRegistration>>,
     leaving: Rc<tokio::sync::Notify>,
+    wanted: impl Fn() -> bool,
 ) {
     loop {
-        let next = registration.borrow_mut().next(clock.now());
+        let next = registration.borrow_mut().next(wanted(), clock.now());
         match next {
             NextCall::At(at) => {
                 tokio::select! {
@@ -66,19 +74,21 @@
     }
 }
 
-/// Finds balancers in the store until the process ends.
+/// Finds balancers in the store until the process ends. `may_begin` says whether
+/// the nodes that the settings name have had their time to answer.
 pub async fn list_balancers(
     mut store: impl Store,
     mut list: BalancerList,
     clock: NodeClock,
     hears_balancers: impl Fn() -> bool,
+    may_begin: impl Fn() -> bool,
     mut listed: impl FnMut(&[NodeAddress]),
 ) {
     /// Longest sleep, so that a change of what is heard is noticed.
     const LOOK_AGAIN: std::time::Duration = std::time::Duration::from_millis(500);
     loop {
         list.hears_balancers(hears_balancers(), clock.now());
-        match list.next(clock.now()) {
+        match list.next(may_begin(), clock.now()) {
             NextCall::At(at) => sleep(at.since(clock.now()).min(LOOK_AGAIN)).await,
             NextCall::Now(call) => {
                 let reply = store.call(call).await;
