Read the store's list first at a start; watchers tell a configuration to all

Ruled out: agents (all heard within 0.2 s of the configuration). A configuration from the store is told at once to all peers that lack it.

--- a/crates/woodladder-core/src/flow/balancer/greetings.rs
+++ b/crates/woodladder-core/src/flow/balancer/greetings.rs
@@ -216,6 +216,9 @@
             .collect();
         due.extend(self.peers.some_from(round * GREETED_PEERS, GREETED_PEERS));
         due.extend(self.relaying_members());
+        if std::mem::take(&mut self.tells_all) {
+            due.extend(self.peers.behind(self.routes.version()));
+        }
         for peer in due {
             self.greet(peer, now, actions);
         }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -195,8 +195,10 @@
     confirmed_at: Option<Instant>,
     /// Whether the settings name other balancers.
     has_seeds: bool,
-    /// Whether the settings name this balancer to others.
-    is_seed: bool,
+    /// Whether the settings or the store's list name this balancer to others.
+    others_begin_here: bool,
+    /// Whether the store has just given a configuration that others lack.
+    tells_all: bool,
     greeted_agents_at: Instant,
     greeted_peers_at: Instant,
     fetch: Option<(NodeAddress, Instant)>,
@@ -245,7 +247,8 @@
             peer_round: 0,
             confirmed_at: None,
             has_seeds: false,
-            is_seed: false,
+            others_begin_here: false,
+            tells_all: false,
             greeted_agents_at: Instant::ORIGIN,
             greeted_peers_at: Instant::ORIGIN,
             fetch: None,
@@ -311,7 +314,6 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         self.has_seeds = !seeds.is_empty();
-        self.is_seed = seeds.contains(&self.options.address);
         self.listed(seeds, now, actions);
     }
 
@@ -322,6 +324,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
+        self.others_begin_here |= balancers.contains(&self.options.address);
         for balancer in balancers {
             self.name_peer(*balancer, now, actions);
         }
@@ -397,8 +400,10 @@
             .retain(|address| routes.route(address).is_some());
         self.traffic
             .retain(|address| routes.route(address).is_some());
-        // The others are told with the next tick.
+        // The others are told with the next tick, and all at once when the
+        // store gave it.
         self.greeted_peers_at = Instant::ORIGIN;
+        self.tells_all |= from.is_none();
         self.notes.add(Note::ConfigurationAdopted {
             version: self.routes.version(),
             former,
--- a/crates/woodladder-core/src/flow/balancer/store_duty.rs
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -8,6 +8,10 @@
 //! last confirmed the configuration to it, or to a balancer that it heard of.
 //! When that age passes a bound, the others begin to call the store themselves,
 //! one after the other, until one of them has an answer.
+//!
+//! At a start the balancers of the settings and those in the store's list read the
+//! configuration at once, because all others greet them first; the list itself
+//! may be old and costs little.
 
 use std::cmp::Reverse;
 use std::time::Duration;
@@ -98,16 +102,10 @@
         now.since(self.started_at) >= REGISTERS_AFTER && self.store_rank(now) < REGISTERED
     }
 
-    /// Whether a balancer that hears no other should read the store's list.
-    #[must_use]
-    pub fn may_list(&self, now: Instant) -> bool {
-        self.seeds_had_their_time(Duration::ZERO, now)
-    }
-
-    /// Whether the balancers that the settings name have had their time to tell
+    /// Whether the balancers that others begin with have had their time to tell
     /// what they know, and `delay` more. They themselves wait for nobody.
     fn seeds_had_their_time(&self, delay: Duration, now: Instant) -> bool {
-        if self.is_seed || !self.has_seeds {
+        if self.others_begin_here || !self.has_seeds {
             return true;
         }
         let part = address_hash(self.options.address) % 1000;
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -127,6 +127,14 @@
             .collect()
     }
 
+    /// Balancers that knew a lesser configuration when they last greeted.
+    pub fn behind(&self, version: u64) -> impl Iterator<Item = NodeAddress> + '_ {
+        self.records
+            .iter()
+            .filter(move |(_, record)| record.version < version)
+            .map(|(address, _)| *address)
+    }
+
     /// Balancers that were heard within a time.
     pub fn heard_within(
         &self,
--- a/crates/woodladder-core/src/flow/store_session/list.rs
+++ b/crates/woodladder-core/src/flow/store_session/list.rs
@@ -11,8 +11,6 @@
 const USUAL_PAUSE: Duration = Duration::from_secs(40);
 /// Time between lists while none is heard.
 const URGENT_PAUSE: Duration = Duration::from_millis(600);
-/// Time between two looks whether the first list may be read.
-const STAND_BY: Duration = Duration::from_millis(25);
 /// Lists of old answers before a fresh one is asked for.
 const STALE_LISTS: u32 = 2;
 
@@ -24,7 +22,7 @@
     urgent_lists: u32,
     hears_balancers: bool,
     may_be_stale: bool,
-    /// Whether the store or other nodes have told of balancers.
+    /// Whether the store has answered a list.
     was_listed: bool,
     backoff: Backoff,
 }
@@ -54,26 +52,16 @@
         self.hears_balancers = hears;
     }
 
-    /// The next call; the caller passes its reply to [`Self::reply`]. A node that
-    /// waits for the nodes that its settings name (`may_begin`) makes none.
-    pub fn next(&mut self, may_begin: bool, now: Instant) -> NextCall {
+    /// The next call; the caller passes its reply to [`Self::reply`].
+    pub fn next(&mut self, now: Instant) -> NextCall {
         if self.in_flight {
             return NextCall::At(now + USUAL_PAUSE);
         }
         if now < self.due_at {
             return NextCall::At(self.due_at);
         }
-        if self.hears_balancers && !self.was_listed {
-            // Other nodes were quicker; this list is the safeguard from now on.
-            self.was_listed = true;
-            self.due_at = now + self.backoff.spread(USUAL_PAUSE);
-            return NextCall::At(self.due_at);
-        }
-        if !may_begin {
-            return NextCall::At(now + STAND_BY);
-        }
         self.in_flight = true;
-        let is_safeguard = self.hears_balancers;
+        let is_safeguard = self.hears_balancers && self.was_listed;
         let may_begin_stale =
             self.may_be_stale && self.urgent_lists % (STALE_LISTS + 1) < STALE_LISTS;
         let stale = is_safeguard || may_begin_stale;
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -44,11 +44,6 @@
 const PRESENCE_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest time of one such look.
 const PRESENCE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time that the balancers of the settings have to greet an agent before it reads
-/// the store's list.
-const SEEDS_FIRST_FOR: Duration = Duration::from_millis(150);
-/// The same is longer by a part of this, which differs by address.
-const LIST_SPREAD: Duration = Duration::from_millis(300);
 /// Time that a stopping agent still forwards.
 const STOP_DRAIN: Duration = Duration::from_millis(300);
 
@@ -90,7 +85,6 @@
     logger: Logger,
     refused_packets: Cell<u64>,
     service_times: RefCell<LatencyHistogram>,
-    started_at: Instant,
 }
 
 impl<C: Carrier + 'static> AgentNode<C> {
@@ -120,7 +114,6 @@
             logger,
             refused_packets: Cell::new(0),
             service_times: RefCell::new(LatencyHistogram::default()),
-            started_at: clock.now(),
             config,
         }))
     }
@@ -146,7 +139,6 @@
         spawn_local(Rc::clone(&self).ask_for_presence());
         let node = Rc::clone(&self);
         let hearing = Rc::clone(&self);
-        let beginning = Rc::clone(&self);
         spawn_local(store::list_balancers(
             store(),
             BalancerList::new(random(), true, now),
@@ -160,7 +152,6 @@
                     .next()
                     .is_some()
             },
-            move || beginning.may_list(),
             move |balancers| node.core.borrow_mut().listed(balancers, node.clock.now()),
         ));
         stop.notified().await;
@@ -321,15 +312,6 @@
         self.act(|core, now, actions| core.serve_queue(now, actions));
     }
 
-    /// Whether the balancers that the settings name have had their time to
-    /// greet this agent, before it reads the store's list.
-    fn may_list(&self) -> bool {
-        let part = u32::from(self.config.peer_address.ip().octets()[3]);
-        let spread = LIST_SPREAD * part / u32::from(u8::MAX);
-        let age = self.clock.now().since(self.started_at);
-        self.config.seeds.is_empty() || age >= SEEDS_FIRST_FOR + spread
-    }
-
     async fn look_for_target(&self) -> Presence {
         let connect = TcpStream::connect(self.config.target_address);
         match timeout(PRESENCE_TIMEOUT, connect).await {
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -177,13 +177,11 @@
         ));
         let node = Rc::clone(self);
         let hearing = Rc::clone(self);
-        let beginning = Rc::clone(self);
         spawn_local(store::list_balancers(
             store(),
-            BalancerList::new(random(), false, now),
+            BalancerList::new(random(), true, now),
             self.clock,
             move || hearing.core.borrow().peers().confirmed().next().is_some(),
-            move || beginning.core.borrow().may_list(beginning.clock.now()),
             move |balancers| node.act(|core, now, actions| core.listed(balancers, now, actions)),
         ));
         (registration, leaving)
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -74,21 +74,19 @@
     }
 }
 
-/// Finds balancers in the store until the process ends. `may_begin` says whether
-/// the nodes that the settings name have had their time to answer.
+/// Finds balancers in the store until the process ends.
 pub async fn list_balancers(
     mut store: impl Store,
     mut list: BalancerList,
     clock: NodeClock,
     hears_balancers: impl Fn() -> bool,
-    may_begin: impl Fn() -> bool,
     mut listed: impl FnMut(&[NodeAddress]),
 ) {
     /// Longest sleep, so that a change of what is heard is noticed.
     const LOOK_AGAIN: std::time::Duration = std::time::Duration::from_millis(500);
     loop {
         list.hears_balancers(hears_balancers(), clock.now());
-        match list.next(may_begin(), clock.now()) {
+        match list.next(clock.now()) {
             NextCall::At(at) => sleep(at.since(clock.now()).min(LOOK_AGAIN)).await,
             NextCall::Now(call) => {
                 let reply = store.call(call).await;
