--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -161,6 +161,7 @@
         }
         self.greet_named_agents(now, actions);
         self.ask_doubted_agents(now, actions);
+        self.note_store_duty(now);
         self.was_complete = self.knows_all_agents(now);
         self.serve_waiting(now, actions);
         self.pursue_searches(now, actions);
@@ -207,14 +208,16 @@
                     });
                 }
                 DirectoryChange::Lost(agent) => {
-                    let silence = self
-                        .directory
-                        .agent(agent)
-                        .map_or(Duration::ZERO, |record| now.since(record.heard_at));
+                    let record = self.directory.agent(agent);
+                    let silence =
+                        record.map_or(Duration::ZERO, |record| now.since(record.heard_at));
+                    let unanswered_for =
+                        record.map_or(Duration::ZERO, |record| record.owes_answer_for(now));
                     let flows = self.reset_flows_of(agent, None, actions);
                     self.notes.add(Note::AgentLost {
                         agent,
                         silence,
+                        unanswered_for,
                         flows,
                     });
                 }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -193,6 +193,8 @@
     /// When the store last confirmed the configuration, here or to a balancer
     /// that has told so.
     confirmed_at: Option<Instant>,
+    /// Whether the balancer had to watch the store at its last tick.
+    watched: bool,
     /// Whether the settings name other balancers.
     has_seeds: bool,
     /// Whether the settings or the store's list name this balancer to others.
@@ -246,6 +248,7 @@
             greeting_round: 0,
             peer_round: 0,
             confirmed_at: None,
+            watched: false,
             has_seeds: false,
             others_begin_here: false,
             tells_all: false,
--- a/crates/woodladder-core/src/flow/balancer/store_duty.rs
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -20,6 +20,7 @@
 
 use super::super::identity::NodeAddress;
 use super::super::message::BalancerGreeting;
+use super::super::note::Note;
 use super::Balancer;
 use crate::clock::Instant;
 
@@ -28,10 +29,11 @@
 pub const WATCHERS: usize = 8;
 /// Balancers that are entered in the store's list.
 pub const REGISTERED: usize = 12;
-/// Age of the configuration at which balancers that do not watch call the store.
-/// Twice the time that a watch lasts with this many watchers, and well below the
-/// least time in which a change must be in force.
-const TAKE_OVER_AT: Duration = Duration::from_millis(2200);
+/// Age of the configuration's confirmation at which balancers that do not watch
+/// call the store. With this many watchers an answer comes each half a second, and
+/// 0.8 s later every balancer has heard of it; a change has 5 s to come into force
+/// in deployments that have balancers which do not watch.
+const TAKE_OVER_AT: Duration = Duration::from_millis(3000);
 /// What the bound grows by for each further balancer, so that the answer of one
 /// spares the others their calls, also while the store answers nobody.
 const TAKE_OVER_SPACING: Duration = Duration::from_millis(100);
@@ -39,9 +41,9 @@
 /// without an end; its node then learns changes from the others, and here after
 /// this time.
 const USUAL_WAIT: Duration = Duration::from_millis(5000);
-/// The same while some do not: they take over when all watches are silent, which
-/// they notice the sooner the shorter the waits are.
-const SHORT_WAIT: Duration = Duration::from_millis(2000);
+/// The same while some do not, so that the answers of all watchers together are
+/// seldom further apart than [`TAKE_OVER_AT`].
+const SHORT_WAIT: Duration = Duration::from_millis(4000);
 /// Silence after which another balancer no longer counts.
 const COUNTED_FOR: Duration = Duration::from_secs(12);
 /// Time after its start in which a balancer that was told of others waits for
@@ -96,6 +98,18 @@
         is_due.then_some(wait)
     }
 
+    /// Notes that the balancer begins to watch, or ceases to.
+    pub(super) fn note_store_duty(&mut self, now: Instant) {
+        let watches = self.store_watch(now).is_some();
+        if std::mem::replace(&mut self.watched, watches) != watches {
+            self.notes.add(Note::StoreDuty {
+                watches,
+                others_before: self.store_rank(now),
+                confirmed_ago: self.confirmed_ago(now),
+            });
+        }
+    }
+
     /// Whether this balancer should be entered in the store's list.
     #[must_use]
     pub fn registers(&self, now: Instant) -> bool {
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -116,8 +116,10 @@
         now.since(self.heard_at) < limit && self.unanswered < SUSPECT_UNANSWERED && !owes_answer
     }
 
-    /// Time since the agent was asked something that it has not answered.
-    fn owes_answer_for(&self, now: Instant) -> Duration {
+    /// Time since the agent was asked something that it has not answered; zero
+    /// when it owes no answer.
+    #[must_use]
+    pub fn owes_answer_for(&self, now: Instant) -> Duration {
         self.asked_at.map_or(Duration::ZERO, |at| now.since(at))
     }
 
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -91,6 +91,9 @@
         agent: NodeAddress,
         /// For how long.
         silence: Duration,
+        /// For how long it has left a question unanswered; zero when it was
+        /// asked nothing.
+        unanswered_for: Duration,
         /// Flows that were reset.
         flows: usize,
     },
@@ -110,6 +113,16 @@
         /// Flows that were reset.
         flows: usize,
     },
+    /// The balancer begins to call the store, or ceases to.
+    StoreDuty {
+        /// Whether it watches the configuration now.
+        watches: bool,
+        /// Balancers heard that come before it.
+        others_before: usize,
+        /// Time since the store confirmed the configuration to any balancer
+        /// heard of; `None` when that is not known.
+        confirmed_ago: Option<Duration>,
+    },
     /// Another balancer is heard for the first time.
     BalancerFound {
         /// The balancer.
--- a/crates/woodladder-core/src/flow/store_session/mod.rs
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -59,6 +59,33 @@
     },
 }
 
+/// Kinds of calls, for counts.
+pub const CALL_KINDS: [&str; 7] = [
+    "read_configuration",
+    "await_configuration",
+    "grant_lease",
+    "renew_lease",
+    "end_lease",
+    "register",
+    "list_balancers",
+];
+
+impl StoreCall {
+    /// Place of the call's kind in [`CALL_KINDS`].
+    #[must_use]
+    pub fn kind(&self) -> usize {
+        match self {
+            Self::ReadConfiguration => 0,
+            Self::AwaitConfiguration { .. } => 1,
+            Self::GrantLease { .. } => 2,
+            Self::RenewLease { .. } => 3,
+            Self::EndLease { .. } => 4,
+            Self::Register { .. } => 5,
+            Self::ListBalancers { .. } => 6,
+        }
+    }
+}
+
 /// What came of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreReply {
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -35,7 +35,7 @@
 use crate::node_clock::NodeClock;
 use crate::peer_socket;
 use crate::snapshot_exchange;
-use crate::store::{self, Store};
+use crate::store::{self, Store, StoreContact};
 use crate::tick_timer::TickTimer;
 
 /// Most flows in the table.
@@ -85,6 +85,7 @@
     logger: Logger,
     refused_packets: Cell<u64>,
     service_times: RefCell<LatencyHistogram>,
+    contact: Rc<StoreContact>,
 }
 
 impl<C: Carrier + 'static> AgentNode<C> {
@@ -114,6 +115,7 @@
             logger,
             refused_packets: Cell::new(0),
             service_times: RefCell::new(LatencyHistogram::default()),
+            contact: Rc::new(StoreContact::default()),
             config,
         }))
     }
@@ -143,6 +145,7 @@
             store(),
             BalancerList::new(random(), true, now),
             self.clock,
+            Rc::clone(&self.contact),
             move || {
                 hearing
                     .core
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -76,6 +76,12 @@
         ] {
             text.counter(name, help, value);
         }
+        text.counters(
+            "store_calls_total",
+            "Calls to the store.",
+            "kind",
+            self.contact.calls(),
+        );
         text.gauge(
             "requests_busy",
             "Requests at work or queued.",
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -171,6 +171,7 @@
         spawn_local(store::keep_registered(
             store(),
             self.clock,
+            Rc::clone(&self.contact),
             Rc::clone(&registration),
             Rc::clone(&leaving),
             move || entered.core.borrow().registers(entered.clock.now()),
@@ -181,6 +182,7 @@
             store(),
             BalancerList::new(random(), true, now),
             self.clock,
+            Rc::clone(&self.contact),
             move || hearing.core.borrow().peers().confirmed().next().is_some(),
             move |balancers| node.act(|core, now, actions| core.listed(balancers, now, actions)),
         ));
--- a/crates/woodladder-node/src/balancer/figures.rs
+++ b/crates/woodladder-node/src/balancer/figures.rs
@@ -75,6 +75,16 @@
                 "Packets that smaller balancers have handed on.",
                 counters.taken_over,
             ),
+            (
+                "agent_probes_total",
+                "Questions to agents that left something unanswered.",
+                counters.probes,
+            ),
+            (
+                "search_packets_total",
+                "Packets handed to agents that could not tell without one.",
+                counters.search_packets,
+            ),
             (
                 "dropped_packets_total",
                 "Packets dropped by decision.",
@@ -99,6 +109,25 @@
         ] {
             text.counter(name, help, value);
         }
+        text.counters(
+            "store_calls_total",
+            "Calls to the store.",
+            "kind",
+            self.contact.calls(),
+        );
+        if let Some(age) = core.confirmed_ago(now) {
+            text.gauge(
+                "configuration_confirmed_seconds",
+                "Time since the store confirmed the configuration to any balancer heard of.",
+                age.as_secs_f64(),
+            );
+        }
+        let watches = core.store_watch(now).is_some();
+        text.gauge(
+            "watches_store",
+            "Whether the node calls the store.",
+            if watches { 1.0 } else { 0.0 },
+        );
         text.gauge("flows", "Flows in the table.", count(core.flow_count()));
         text.gauge(
             "openings_waiting",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -211,10 +211,12 @@
             Note::AgentLost {
                 agent,
                 silence,
+                unanswered_for,
                 flows,
             } => {
                 warn!(log, "balancer: agent lost"; "event" => event, "agent" => %agent,
-                    "silence_ms" => milliseconds(*silence), "flows_reset" => flows,
+                    "silence_ms" => milliseconds(*silence),
+                    "unanswered_for_ms" => milliseconds(*unanswered_for), "flows_reset" => flows,
                     "left_out" => left_out);
             }
             Note::AgentStopped { agent, flows } => {
@@ -230,6 +232,16 @@
                     "ended" => format!("{:016x}", ended.0), "flows_reset" => flows,
                     "left_out" => left_out);
             }
+            Note::StoreDuty {
+                watches,
+                others_before,
+                confirmed_ago,
+            } => {
+                info!(log, "balancer: store watch changed"; "event" => event,
+                    "watches" => watches, "others_before" => others_before,
+                    "confirmed_ago_ms" => confirmed_ago.map(milliseconds),
+                    "left_out" => left_out);
+            }
             Note::BalancerFound { balancer } => {
                 info!(log, "node: balancer found"; "event" => event, "balancer" => %balancer,
                     "left_out" => left_out);
@@ -282,6 +294,7 @@
         Note::AgentLost { .. } => ("agent_lost", Important),
         Note::AgentStopped { .. } => ("agent_stopped", Important),
         Note::TargetReplaced { .. } => ("target_replaced", Important),
+        Note::StoreDuty { .. } => ("store_duty", Important),
         Note::BalancerFound { .. } => ("balancer_found", Important),
         Note::BalancerLost { .. } => ("balancer_lost", Important),
         Note::Stalled { .. } => ("stalled", Important),
--- a/crates/woodladder-node/src/metrics.rs
+++ b/crates/woodladder-node/src/metrics.rs
@@ -41,6 +41,21 @@
         let _infallible = writeln!(self.text, "woodladder_{name} {value}");
     }
 
+    /// Adds a total for each value of a label.
+    pub fn counters<const N: usize>(
+        &mut self,
+        name: &str,
+        help: &str,
+        label: &str,
+        values: [(&str, u64); N],
+    ) {
+        self.head(name, help, "counter");
+        for (kind, value) in values {
+            let _infallible =
+                writeln!(self.text, "woodladder_{name}{{{label}=\"{kind}\"}} {value}");
+        }
+    }
+
     /// Adds a value that may fall.
     pub fn gauge(&mut self, name: &str, help: &str, value: f64) {
         self.head(name, help, "gauge");
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -9,7 +9,8 @@
 use woodladder_core::flow::configuration::Configuration;
 use woodladder_core::flow::identity::NodeAddress;
 use woodladder_core::flow::store_session::{
-    BalancerList, BalancerRegistration, ConfigurationWatch, NextCall, StoreCall, StoreReply,
+    BalancerList, BalancerRegistration, CALL_KINDS, ConfigurationWatch, NextCall, StoreCall,
+    StoreReply,
 };
 
 use crate::node_clock::NodeClock;
@@ -36,6 +37,7 @@
         match watch.next(wait(), clock.now()) {
             NextCall::At(at) => sleep(at.since(clock.now())).await,
             NextCall::Now(call) => {
+                contact.count(&call);
                 let reply = store.call(call).await;
                 contact.note(&reply);
                 let is_answer = matches!(reply, StoreReply::Configuration { .. });
@@ -53,6 +55,7 @@
 pub async fn keep_registered(
     mut store: impl Store,
     clock: NodeClock,
+    contact: Rc<StoreContact>,
     registration: Rc<RefCell<BalancerRegistration>>,
     leaving: Rc<tokio::sync::Notify>,
     wanted: impl Fn() -> bool,
@@ -67,6 +70,7 @@
                 }
             }
             NextCall::Now(call) => {
+                contact.count(&call);
                 let reply = store.call(call).await;
                 registration.borrow_mut().reply(&reply, clock.now());
             }
@@ -79,6 +83,7 @@
     mut store: impl Store,
     mut list: BalancerList,
     clock: NodeClock,
+    contact: Rc<StoreContact>,
     hears_balancers: impl Fn() -> bool,
     mut listed: impl FnMut(&[NodeAddress]),
 ) {
@@ -89,6 +94,7 @@
         match list.next(clock.now()) {
             NextCall::At(at) => sleep(at.since(clock.now()).min(LOOK_AGAIN)).await,
             NextCall::Now(call) => {
+                contact.count(&call);
                 let reply = store.call(call).await;
                 let balancers = list.reply(reply, clock.now());
                 listed(&balancers);
@@ -102,6 +108,7 @@
 pub struct StoreContact {
     state: std::cell::Cell<ContactState>,
     changed: std::cell::Cell<Option<bool>>,
+    calls: std::cell::Cell<[u64; CALL_KINDS.len()]>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,6 +120,20 @@
 }
 
 impl StoreContact {
+    /// Counts a call.
+    pub fn count(&self, call: &StoreCall) {
+        let mut calls = self.calls.get();
+        calls[call.kind()] += 1;
+        self.calls.set(calls);
+    }
+
+    /// Calls by kind.
+    #[must_use]
+    pub fn calls(&self) -> [(&'static str, u64); CALL_KINDS.len()] {
+        let calls = self.calls.get();
+        std::array::from_fn(|index| (CALL_KINDS[index], calls[index]))
+    }
+
     /// Takes a reply in.
     pub fn note(&self, reply: &StoreReply) {
         let mut state = self.state.get();
