--- a/crates/woodladder-core/src/flow/store_session/list.rs
+++ b/crates/woodladder-core/src/flow/store_session/list.rs
@@ -8,7 +8,7 @@
 use crate::clock::Instant;
 
 /// Time between lists while other balancers are heard: a safeguard only.
-const USUAL_PAUSE: Duration = Duration::from_secs(40);
+const USUAL_PAUSE: Duration = Duration::from_secs(60);
 /// Time between lists while none is heard.
 const URGENT_PAUSE: Duration = Duration::from_millis(600);
 /// Lists of old answers before a fresh one is asked for.
@@ -49,6 +49,10 @@
             self.urgent_lists = 0;
             self.due_at = now + self.backoff.spread(URGENT_PAUSE);
         }
+        if hears && !self.hears_balancers && self.was_listed {
+            // What was listed has led to a balancer that lives.
+            self.due_at = now + self.backoff.spread(USUAL_PAUSE);
+        }
         self.hears_balancers = hears;
     }
 
@@ -85,7 +89,12 @@
                 balancers
             }
             _ => {
-                self.due_at = now + self.backoff.failed();
+                let pause = self.backoff.failed();
+                self.due_at = now + pause;
+                if self.hears_balancers {
+                    // It is not needed now, and the store has refused it.
+                    self.due_at = now + self.backoff.spread(USUAL_PAUSE);
+                }
                 Vec::new()
             }
         }
--- a/crates/woodladder-core/tests/flow_configuration.rs
+++ b/crates/woodladder-core/tests/flow_configuration.rs
@@ -345,6 +345,31 @@
     );
 }
 
+/// At a start the list is empty, and balancers are heard before it is read again.
+#[test]
+fn a_balancer_that_is_heard_puts_the_next_list_off() {
+    let mut list = BalancerList::new(1, true, at(0));
+    list.next(at(0));
+    list.reply(StoreReply::Balancers(vec![]), at(5));
+    list.hears_balancers(true, at(100));
+    assert!(waits_until(list.next(at(700))) >= Duration::from_secs(15));
+    list.hears_balancers(false, at(800));
+    assert!(matches!(list.next(at(1500)), NextCall::Now(_)));
+}
+
+#[test]
+fn a_list_that_the_store_refuses_is_not_repeated_while_balancers_are_heard() {
+    let mut list = BalancerList::new(1, true, at(0));
+    list.next(at(0));
+    list.hears_balancers(true, at(3));
+    list.reply(StoreReply::Refused, at(5));
+    assert!(waits_until(list.next(at(5))) >= Duration::from_secs(15));
+    let mut alone = BalancerList::new(1, true, at(0));
+    alone.next(at(0));
+    alone.reply(StoreReply::Refused, at(5));
+    assert!(waits_until(alone.next(at(5))) <= Duration::from_millis(100));
+}
+
 #[test]
 fn a_balancer_that_need_not_watch_makes_no_call_and_reads_before_it_watches_again() {
     let mut watch = ConfigurationWatch::new(1, at(0));
