--- a/crates/woodladder-core/src/flow/balancer/agent_census.rs
+++ b/crates/woodladder-core/src/flow/balancer/agent_census.rs
@@ -19,11 +19,6 @@
 /// The same when no other has: after a start of everything, machines come back
 /// within some tenths of a second of each other.
 const LEAST_LISTENING_ALONE: Duration = Duration::from_millis(600);
-/// The same when many agents were heard: they come within a few milliseconds of
-/// each other then, so a pause among them tells more.
-const LEAST_LISTENING_TO_MANY: Duration = Duration::from_millis(350);
-/// Agents from which on they are many.
-const MANY_AGENTS: usize = 32;
 /// Time after its start in which the balancer looks for one that knows all.
 const SEEKS_COMPLETE_FOR: Duration = Duration::from_secs(2);
 /// Time without a new agent after which the balancer knows all of them, when no
@@ -52,12 +47,7 @@
             listened >= LEAST_LISTENING
         } else {
             let is_settled = now.since(self.agent_found_at) >= SETTLED_AFTER;
-            let least = if self.directory.len() >= MANY_AGENTS {
-                LEAST_LISTENING_TO_MANY
-            } else {
-                LEAST_LISTENING_ALONE
-            };
-            listened >= least && (is_settled || self.was_complete)
+            listened >= LEAST_LISTENING_ALONE && (is_settled || self.was_complete)
         };
         has_listened && self.named_agents.is_empty() && !self.directory.is_empty()
     }
