Obey excluded zones: read, watched, told and never taken back to an older state

Ruled out: a slow spread (no node knew of the key at all). Balancers leave such targets out, agents give openings back and have the last word, a watcher tells every node at once, a service that is wholly excluded refuses at once. Open flows stay. Weighed: one document with the configuration (a change of a zone would fetch up to 256 kB at every node) against the set in greetings; not measured apart.

--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -65,6 +65,7 @@
             self.balancers.heard(from, greeting.version, now);
             return;
         }
+        self.adopt_zones(&greeting.excluded_zones, from);
         if self.balancers.heard(from, greeting.version, now) {
             self.notes.add(Note::BalancerFound { balancer: from });
             self.reports.due_now(from, now);
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -9,6 +9,7 @@
 mod admission_queue;
 mod announcements;
 mod decision;
+mod exclusion;
 mod failure_record;
 mod flows;
 mod heartbeat;
@@ -23,6 +24,7 @@
 use std::time::Duration;
 
 use super::configuration::{Configuration, RouteTable};
+use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use super::message::{
     ForwardHeader, ForwardPurpose, PeerMessage, ReturnReason, Snapshot, SnapshotRequest,
@@ -135,6 +137,7 @@
     target: Target,
     routes: RouteTable,
     version_known_at: Instant,
+    excluded_zones: ExcludedZones,
     balancers: BalancerPeers,
     flows: FlowTable<HeldFlow>,
     queue: AdmissionQueue,
@@ -165,6 +168,7 @@
             target: Target::unknown(now),
             routes: RouteTable::default(),
             version_known_at: now,
+            excluded_zones: ExcludedZones::default(),
             balancers: BalancerPeers::default(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
             queue: AdmissionQueue::default(),
@@ -232,6 +236,7 @@
         if let Some(configuration) = snapshot.configuration {
             self.adopt(Arc::new(configuration), from, now);
         }
+        self.adopt_zones(&snapshot.excluded_zones, from);
         for balancer in snapshot.balancers {
             self.name_balancer(balancer, now);
         }
@@ -249,7 +254,14 @@
     pub fn answer_snapshot(&self, request: &SnapshotRequest) -> Snapshot {
         let balancers = self.balancers.confirmed().collect();
         let agents = vec![self.options.address];
-        Snapshot::for_request(request, self.routes.current(), balancers, agents, false)
+        Snapshot::for_request(
+            request,
+            self.routes.current(),
+            &self.excluded_zones,
+            balancers,
+            agents,
+            false,
+        )
     }
 
     /// Begins a planned stop: no new flow, forwards on.
@@ -317,6 +329,7 @@
             reason,
             load: self.load,
             version: self.routes.version(),
+            excluded_zones: self.excluded_zones.clone(),
         }
     }
 }
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/openings.rs
@@ -80,6 +80,9 @@
             TargetState::Unresponsive => return Some(ReturnReason::NoTarget),
             TargetState::Ready => {}
         }
+        if self.is_excluded() {
+            return Some(ReturnReason::ZoneExcluded);
+        }
         let is_settled = now.since(self.version_known_at) >= VERSION_GRACE;
         if header.version < self.routes.version() && is_settled {
             return Some(ReturnReason::StaleVersion);
@@ -181,7 +184,7 @@
         if self.queue.is_empty() {
             return;
         }
-        if self.target.state != TargetState::Ready {
+        if self.target.state != TargetState::Ready || self.is_excluded() {
             let all = self.queue.take_all();
             return self.return_queued(all, ReturnReason::NoTarget, now, actions);
         }
--- a/crates/woodladder-core/src/flow/balancer/greetings.rs
+++ b/crates/woodladder-core/src/flow/balancer/greetings.rs
@@ -76,6 +76,7 @@
         for balancer in &greeting.balancers {
             self.name_peer(*balancer, now, actions);
         }
+        self.adopt_zones(&greeting.excluded_zones, Some(from));
         self.confirmation_heard(greeting, now);
         self.learn_version(from, greeting.version, now, actions);
     }
@@ -120,6 +121,7 @@
             confirmed_ago_ms: self
                 .confirmed_ago(now)
                 .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX)),
+            excluded_zones: self.excluded_zones.clone(),
             leaving: self.leaving,
             hears_agents: self.hears_agents(now),
             zone: self.options.zone,
@@ -187,6 +189,9 @@
 
     pub(super) fn greet_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         let pause = self.report_interval().min(LONGEST_GREETING_ROUND);
+        if std::mem::take(&mut self.tells_zones) {
+            self.greet_everyone(now, actions);
+        }
         if now.since(self.greeted_agents_at) < pause {
             return;
         }
@@ -204,6 +209,13 @@
         }
     }
 
+    fn greet_everyone(&self, now: Instant, actions: &mut Vec<BalancerAction>) {
+        let agents = self.directory.agents().map(|record| record.address);
+        for node in agents.chain(self.peers.addresses()) {
+            self.greet(node, now, actions);
+        }
+    }
+
     pub(super) fn greet_peers(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         if now.since(self.greeted_peers_at) < PEER_GREETING_INTERVAL {
             return;
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -42,7 +42,9 @@
                 reason,
                 load,
                 version,
+                excluded_zones,
             } => {
+                self.adopt_zones(&excluded_zones, Some(from));
                 self.directory.loaded(from, load, now);
                 self.learn_version(from, version, now, actions);
                 if let Some((packet, bytes)) = packet {
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -9,6 +9,7 @@
 mod agent_census;
 mod decision;
 mod established;
+mod exclusion;
 mod forwarding;
 mod greetings;
 mod messages;
@@ -26,6 +27,7 @@
 
 use super::configuration::{Configuration, RouteTable};
 use super::directory::Directory;
+use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
 use super::message::{Snapshot, SnapshotRequest};
 use super::note::{Note, Notes};
@@ -123,6 +125,10 @@
     others_begin_here: bool,
     /// Whether the store has just given a configuration that others lack.
     tells_all: bool,
+    excluded_zones: ExcludedZones,
+    /// Whether the store has just changed the excluded zones, which every node
+    /// is told at once.
+    tells_zones: bool,
     greeted_agents_at: Instant,
     greeted_peers_at: Instant,
     fetch: Option<(NodeAddress, Instant)>,
@@ -176,6 +182,8 @@
             has_seeds: false,
             others_begin_here: false,
             tells_all: false,
+            excluded_zones: ExcludedZones::default(),
+            tells_zones: false,
             greeted_agents_at: Instant::ORIGIN,
             greeted_peers_at: Instant::ORIGIN,
             fetch: None,
@@ -272,6 +280,7 @@
         if let Some(configuration) = snapshot.configuration {
             self.adopt(Arc::new(configuration), Some(from));
         }
+        self.adopt_zones(&snapshot.excluded_zones, Some(from));
         for balancer in snapshot.balancers {
             self.name_peer(balancer, now, actions);
         }
@@ -303,6 +312,7 @@
         Snapshot::for_request(
             request,
             self.routes.current(),
+            &self.excluded_zones,
             balancers,
             agents.collect(),
             self.was_complete,
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -134,6 +134,7 @@
         let (service, since, tries) = (entry.service, *since, tried.len());
         let choice = Choice {
             directory: &self.directory,
+            excluded_zones: &self.excluded_zones,
             zone: self.options.zone,
             key: packet.key,
             service,
--- a/crates/woodladder-core/src/flow/balancer/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/waiting.rs
@@ -40,6 +40,9 @@
             tried.clear();
             *awaited = None;
         }
+        if self.is_wholly_excluded(service) {
+            return self.refuse(packet);
+        }
         self.notes.add(Note::FlowWithoutTarget {
             key: packet.key,
             copy: packet.acknowledgement,
@@ -64,7 +67,9 @@
             let Some(since) = self.waits_since(&opening) else {
                 continue;
             };
-            if now.since(since) >= LONGEST_WAIT {
+            let service = self.flows.peek(&opening.packet.key).map(|it| it.service);
+            let is_vain = service.is_some_and(|service| self.is_wholly_excluded(service));
+            if is_vain || now.since(since) >= LONGEST_WAIT {
                 let routing = self.refuse(&opening.packet);
                 self.carry_out(routing, &opening.bytes, actions);
                 continue;
--- a/crates/woodladder-core/src/flow/identity.rs
+++ b/crates/woodladder-core/src/flow/identity.rs
@@ -57,7 +57,19 @@
 }
 
 /// A zone, by a hash of its name.
-#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(
+    BorshDeserialize,
+    BorshSerialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
 pub struct ZoneKey(pub u64);
 
 impl ZoneKey {
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -9,10 +9,11 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use super::configuration::Configuration;
+use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
-pub const PROTOCOL_VERSION: u8 = 5;
+pub const PROTOCOL_VERSION: u8 = 6;
 /// Most balancers that a greeting names.
 pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
 
@@ -65,6 +66,8 @@
     NoTarget,
     /// The target is leaving.
     Leaving,
+    /// The target's zone takes no new flows.
+    ZoneExcluded,
     /// The target holds more than the balancer believed, or the queue is full;
     /// the sender may ask elsewhere.
     Saturated,
@@ -161,6 +164,8 @@
     /// Time since the store confirmed that this configuration is the newest,
     /// in milliseconds; `None` when its sender has not heard of that.
     pub confirmed_ago_ms: Option<u32>,
+    /// Zones whose targets take no new flows.
+    pub excluded_zones: ExcludedZones,
     /// Whether it is about to stop.
     pub leaving: bool,
     /// Whether it has heard an agent lately.
@@ -188,6 +193,8 @@
         load: TargetLoad,
         /// Configuration that the agent knows.
         version: u64,
+        /// Excluded zones that it knows.
+        excluded_zones: ExcludedZones,
     },
     /// Balancer to agent: does the target hold these flows? No packet is
     /// delivered.
@@ -258,6 +265,8 @@
 pub struct Snapshot {
     /// Its configuration, when greater than the one that the other knows.
     pub configuration: Option<Configuration>,
+    /// Excluded zones that it knows.
+    pub excluded_zones: ExcludedZones,
     /// Balancers that it knows.
     pub balancers: Vec<NodeAddress>,
     /// Agents that it knows.
@@ -308,6 +317,7 @@
     pub fn for_request(
         request: &SnapshotRequest,
         configuration: Option<&Arc<Configuration>>,
+        excluded_zones: &ExcludedZones,
         balancers: Vec<SocketAddrV4>,
         agents: Vec<SocketAddrV4>,
         knows_all_agents: bool,
@@ -317,6 +327,7 @@
             .map(|known| Configuration::clone(known));
         Self {
             configuration,
+            excluded_zones: excluded_zones.clone(),
             balancers,
             agents,
             knows_all_agents,
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -11,6 +11,7 @@
 pub mod balancer;
 pub mod configuration;
 pub mod directory;
+pub mod excluded_zones;
 pub mod identity;
 pub mod message;
 pub mod note;
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -80,6 +80,19 @@
         /// Node that it came from; `None` for the store.
         from: Option<NodeAddress>,
     },
+    /// Other zones than before take no new flows.
+    ZonesExcluded {
+        /// Zones that are excluded from now on.
+        excluded: usize,
+        /// Zones that were until now.
+        formerly: usize,
+        /// Whether the node's own zone is among those excluded from now on.
+        own_is_excluded: bool,
+        /// Revision of the store at which this was so.
+        revision: u64,
+        /// Node that it came from; `None` for the store.
+        from: Option<NodeAddress>,
+    },
     /// An agent is heard.
     AgentFound {
         /// The agent.
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -6,6 +6,7 @@
 //! that a later search for the flow begins among the same few.
 
 use super::directory::{AgentRecord, Directory};
+use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, NodeAddress, ServiceKey, ZoneKey};
 use super::message::TargetState;
 use crate::clock::Instant;
@@ -41,6 +42,8 @@
 pub struct Choice<'a> {
     /// All known agents.
     pub directory: &'a Directory,
+    /// Zones whose targets take no new flows.
+    pub excluded_zones: &'a ExcludedZones,
     /// Zone of the balancer.
     pub zone: ZoneKey,
     /// The new flow.
@@ -98,7 +101,7 @@
             self.directory,
             self.service,
             &self.key,
-            |agent| self.tried.contains(&agent),
+            |agent| self.tried.contains(&agent) || self.is_excluded(agent),
             COMPARED_TARGETS,
         );
         self.best_of(&candidates, now)
@@ -111,6 +114,7 @@
             .filter(|agent| !self.tried.contains(agent))
             .filter_map(|agent| self.directory.agent(*agent))
             .filter(|record| record.state == TargetState::Ready && record.is_live(now))
+            .filter(|record| !self.excluded_zones.excludes(record.zone))
             .collect();
         let usual = Usual::of(&usable);
         let others = usable.len().saturating_sub(1);
@@ -126,6 +130,12 @@
             })
     }
 
+    fn is_excluded(&self, agent: NodeAddress) -> bool {
+        self.directory
+            .agent(agent)
+            .is_some_and(|record| self.excluded_zones.excludes(record.zone))
+    }
+
     fn score(&self, record: &AgentRecord, usual: &Usual, now: Instant) -> f64 {
         let load = &record.load;
         let waiting = f64::from(record.believed_load());
--- a/crates/woodladder-core/src/flow/store_session/mod.rs
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -10,21 +10,23 @@
 mod registration;
 mod watch;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::configuration::Configuration;
-use super::identity::NodeAddress;
+use super::excluded_zones::ZoneChange;
+use super::identity::{NodeAddress, ZoneKey};
 
 pub use list::BalancerList;
 pub use registration::BalancerRegistration;
-pub use watch::ConfigurationWatch;
+pub use watch::{ConfigurationWatch, OperatorState};
 
 /// A call to the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreCall {
-    /// Read the configuration as it is now.
+    /// Read the configuration and the excluded zones as they are now.
     ReadConfiguration,
-    /// Wait until the configuration changes after a revision.
+    /// Wait until one of them changes after a revision.
     AwaitConfiguration {
         /// Revision of the store that is known.
         after: u64,
@@ -86,13 +88,25 @@
     }
 }
 
+/// What an answer of the store says of the excluded zones.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ZoneStatement {
+    /// These are all.
+    All(BTreeSet<ZoneKey>),
+    /// These have changed since the revision asked for, the latest last.
+    Changes(Vec<ZoneChange>),
+}
+
 /// What came of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StoreReply {
-    /// The configuration, when there is one that can be read.
-    Configuration {
-        /// The configuration; `None` when it has not changed or is missing.
+    /// What the operators have written.
+    OperatorState {
+        /// The configuration; `None` when it has not changed, is missing or cannot
+        /// be read.
         configuration: Option<Configuration>,
+        /// What is known of the excluded zones.
+        zones: ZoneStatement,
         /// Revision of the store.
         revision: u64,
     },
--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -1,10 +1,11 @@
-//! Keeps the configuration up to date from the store.
+//! Keeps the configuration and the excluded zones up to date from the store.
 
 use std::time::Duration;
 
 use super::super::configuration::Configuration;
+use super::super::excluded_zones::ExcludedZones;
 use super::backoff::Backoff;
-use super::{NextCall, StoreCall, StoreReply};
+use super::{NextCall, StoreCall, StoreReply, ZoneStatement};
 use crate::clock::Instant;
 
 /// Time after which a caller that asks while a call is under way asks again.
@@ -17,10 +18,20 @@
 /// come into force.
 const PAUSE_AFTER_CHANGE: Duration = Duration::from_millis(400);
 
-/// The watch of the configuration.
+/// What the store has confirmed with one answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OperatorState {
+    /// The configuration, when the answer brought one.
+    pub configuration: Option<Configuration>,
+    /// All excluded zones.
+    pub excluded_zones: ExcludedZones,
+}
+
+/// The watch of what the operators have written.
 #[derive(Clone, Debug)]
 pub struct ConfigurationWatch {
     revision: Option<u64>,
+    excluded_zones: ExcludedZones,
     due_at: Instant,
     in_flight: bool,
     backoff: Backoff,
@@ -33,6 +44,7 @@
     pub fn new(seed: u64, now: Instant) -> Self {
         Self {
             revision: None,
+            excluded_zones: ExcludedZones::default(),
             due_at: now,
             in_flight: false,
             backoff: Backoff::new(seed),
@@ -67,19 +79,28 @@
         })
     }
 
-    /// Takes a reply in and returns the configuration that it brought.
-    pub fn reply(&mut self, reply: StoreReply, now: Instant) -> Option<Configuration> {
+    /// Takes a reply in; when the store has answered, returns what holds now.
+    pub fn reply(&mut self, reply: StoreReply, now: Instant) -> Option<OperatorState> {
         self.in_flight = false;
         match reply {
-            StoreReply::Configuration {
+            StoreReply::OperatorState {
                 configuration,
+                zones,
                 revision,
             } => {
                 let is_first = self.revision.is_none();
                 self.heard_at = Some(now);
                 self.backoff.succeeded();
                 self.due_at = now;
-                if !is_first && configuration.is_some() {
+                let excluded_zones = match zones {
+                    ZoneStatement::All(zones) => ExcludedZones { revision, zones },
+                    ZoneStatement::Changes(changes) => {
+                        self.excluded_zones.after(&changes, revision)
+                    }
+                };
+                let zones_differ = excluded_zones.zones != self.excluded_zones.zones;
+                self.excluded_zones.clone_from(&excluded_zones);
+                if !is_first && (configuration.is_some() || zones_differ) {
                     self.due_at = now + self.backoff.spread(PAUSE_AFTER_CHANGE);
                 }
                 if is_first && configuration.is_none() {
@@ -87,7 +108,10 @@
                     self.due_at = now + self.backoff.spread(Duration::from_millis(100));
                 }
                 self.revision = Some(revision);
-                configuration
+                Some(OperatorState {
+                    configuration,
+                    excluded_zones,
+                })
             }
             StoreReply::HistoryGone => {
                 self.heard_at = Some(now);
--- a/crates/woodladder-core/tests/flow_opening.rs
+++ b/crates/woodladder-core/tests/flow_opening.rs
@@ -6,6 +6,7 @@
 
 use flow_support::*;
 use woodladder_core::flow::balancer::{Balancer, BalancerAction, DropReason, Routing};
+use woodladder_core::flow::excluded_zones::ExcludedZones;
 use woodladder_core::flow::identity::NodeAddress;
 use woodladder_core::flow::message::{
     ForwardHeader, ForwardPurpose, OpeningTerms, PeerMessage, ReturnReason, TargetLoad,
@@ -18,6 +19,7 @@
         reason,
         load: TargetLoad::default(),
         version: 1,
+        excluded_zones: ExcludedZones::default(),
     }
 }
 
--- a/crates/woodladder-core/tests/flow_store_session.rs
+++ b/crates/woodladder-core/tests/flow_store_session.rs
@@ -2,11 +2,13 @@
 
 mod flow_support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use flow_support::*;
 use woodladder_core::flow::store_session::{
     BalancerList, BalancerRegistration, ConfigurationWatch, NextCall, StoreCall, StoreReply,
+    ZoneStatement,
 };
 
 /// The longest wait of one watch.
@@ -14,8 +16,9 @@
 
 /// An answer of the store at a revision, without a change.
 fn configuration_reply(revision: u64) -> StoreReply {
-    StoreReply::Configuration {
+    StoreReply::OperatorState {
         configuration: None,
+        zones: ZoneStatement::Changes(Vec::new()),
         revision,
     }
 }
@@ -38,11 +41,13 @@
 fn the_watch_reads_first_and_then_waits_for_changes() {
     let mut watch = ConfigurationWatch::new(1, at(0));
     assert_eq!(call(watch.next(WAIT, at(0))), StoreCall::ReadConfiguration);
-    let read = StoreReply::Configuration {
+    let read = StoreReply::OperatorState {
         configuration: Some((*configuration(3)).clone()),
+        zones: ZoneStatement::All(BTreeSet::new()),
         revision: 40,
     };
-    assert_eq!(watch.reply(read, at(5)).map(|it| it.version), Some(3));
+    let state = watch.reply(read, at(5)).expect("the store has answered");
+    assert_eq!(state.configuration.map(|it| it.version), Some(3));
     let StoreCall::AwaitConfiguration { after, .. } = call(watch.next(WAIT, at(5))) else {
         panic!("a watch follows");
     };
@@ -54,8 +59,9 @@
 fn changes_in_quick_succession_are_fetched_by_one_call() {
     let mut watch = ConfigurationWatch::new(1, at(0));
     watch.next(WAIT, at(0));
-    let changed = |version, revision| StoreReply::Configuration {
+    let changed = |version, revision| StoreReply::OperatorState {
         configuration: Some((*configuration(version)).clone()),
+        zones: ZoneStatement::Changes(Vec::new()),
         revision,
     };
     watch.reply(changed(3, 40), at(5));
@@ -82,8 +88,9 @@
     ] {
         let mut watch = ConfigurationWatch::new(1, at(0));
         watch.next(WAIT, at(0));
-        let read = StoreReply::Configuration {
+        let read = StoreReply::OperatorState {
             configuration: None,
+            zones: ZoneStatement::All(BTreeSet::new()),
             revision: 40,
         };
         watch.reply(read, at(5));
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -9,6 +9,7 @@
 use woodladder_core::flow::agent::{Agent, AgentOptions, Delivery, Departure, Heartbeat};
 use woodladder_core::flow::balancer::{Balancer, BalancerAction, BalancerOptions, Routing};
 use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
+use woodladder_core::flow::excluded_zones::ExcludedZones;
 use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::message::{
     BalancerGreeting, ForwardHeader, ForwardPurpose, OpeningTerms, PeerMessage, TargetLoad,
@@ -320,6 +321,7 @@
         version: 1,
         report_interval_ms: 100,
         confirmed_ago_ms: None,
+        excluded_zones: ExcludedZones::default(),
         leaving: false,
         hears_agents: true,
         zone: ZoneKey::named("a"),
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -156,12 +156,14 @@
             self.clock,
             Rc::clone(&self.contact),
             move || watching.core.borrow().store_watch(watching.clock.now()),
-            move |configuration| {
-                let mut core = node.core.borrow_mut();
-                if let Some(configuration) = configuration {
-                    core.configuration(configuration.into());
-                }
-                core.store_confirmed(node.clock.now());
+            move |state| {
+                node.act(|core, now, _| {
+                    if let Some(configuration) = state.configuration {
+                        core.configuration(configuration.into());
+                    }
+                    core.store_excludes(&state.excluded_zones);
+                    core.store_confirmed(now);
+                });
             },
         ));
         let now = self.clock.now();
--- a/crates/woodladder-node/src/balancer/figures.rs
+++ b/crates/woodladder-node/src/balancer/figures.rs
@@ -150,6 +150,11 @@
             "Version in force.",
             wide(core.routes().version()),
         );
+        text.gauge(
+            "zones_excluded",
+            "Zones whose targets take no new flows.",
+            count(core.excluded_zones().zones.len()),
+        );
         let ready = if core.ready(now).is_ok() { 1.0 } else { 0.0 };
         text.gauge("ready", "Whether the node is ready.", ready);
         text.finish()
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -204,6 +204,19 @@
                     "version" => version, "former" => former, "routes" => routes,
                     "from" => source, "left_out" => left_out);
             }
+            Note::ZonesExcluded {
+                excluded,
+                formerly,
+                own_is_excluded,
+                revision,
+                from,
+            } => {
+                let source = from.map_or_else(|| "store".to_owned(), |node| node.to_string());
+                info!(log, "node: excluded zones changed"; "event" => event,
+                    "excluded" => excluded, "formerly" => formerly,
+                    "own_is_excluded" => own_is_excluded, "revision" => revision,
+                    "from" => source, "left_out" => left_out);
+            }
             Note::AgentFound { agent } => {
                 info!(log, "balancer: agent found"; "event" => event, "agent" => %agent,
                     "left_out" => left_out);
@@ -290,6 +303,7 @@
         Note::FlowLocated { .. } => ("flow_located", Ordinary),
         Note::FlowReset { .. } => ("flow_reset", Important),
         Note::ConfigurationAdopted { .. } => ("configuration_adopted", Important),
+        Note::ZonesExcluded { .. } => ("zones_excluded", Important),
         Note::AgentFound { .. } => ("agent_found", Important),
         Note::AgentLost { .. } => ("agent_lost", Important),
         Note::AgentStopped { .. } => ("agent_stopped", Important),
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -6,11 +6,10 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use woodladder_core::flow::configuration::Configuration;
 use woodladder_core::flow::identity::NodeAddress;
 use woodladder_core::flow::store_session::{
-    BalancerList, BalancerRegistration, CALL_KINDS, ConfigurationWatch, NextCall, StoreCall,
-    StoreReply,
+    BalancerList, BalancerRegistration, CALL_KINDS, ConfigurationWatch, NextCall, OperatorState,
+    StoreCall, StoreReply,
 };
 
 use crate::node_clock::NodeClock;
@@ -21,16 +20,16 @@
     fn call(&mut self, call: StoreCall) -> impl Future<Output = StoreReply>;
 }
 
-/// Keeps the configuration up to date until the process ends. `wait` says how
+/// Keeps the configuration and the excluded zones up to date until the process ends. `wait` says how
 /// long a watch may wait, and `None` while this node need not watch. `answered`
-/// takes each answer of the store: the configuration, when it has changed.
+/// takes each answer of the store.
 pub async fn watch_configuration(
     mut store: impl Store,
     seed: u64,
     clock: NodeClock,
     contact: Rc<StoreContact>,
     wait: impl Fn() -> Option<Duration>,
-    mut answered: impl FnMut(Option<Configuration>),
+    mut answered: impl FnMut(OperatorState),
 ) {
     let mut watch = ConfigurationWatch::new(seed, clock.now());
     loop {
@@ -40,10 +39,8 @@
                 contact.count(&call);
                 let reply = store.call(call).await;
                 contact.note(&reply);
-                let is_answer = matches!(reply, StoreReply::Configuration { .. });
-                let configuration = watch.reply(reply, clock.now());
-                if is_answer {
-                    answered(configuration);
+                if let Some(state) = watch.reply(reply, clock.now()) {
+                    answered(state);
                 }
             }
         }
