Hand a target that may be cold no more requests a second than it bears

Change: the agent, which sees every request of its target, keeps the limit over every span of 1.05 s; open flows' further requests count. Where it cannot know (zone taken back, target silent, out of touch, own restart, no configuration yet) the target counts as cold until a heartbeat tells. Each mechanism taken out makes a test fail.

--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -6,7 +6,7 @@
 use super::super::message::{BalancerGreeting, PeerMessage, SnapshotRequest, TargetReport};
 use super::super::note::Note;
 use super::report_schedule::DueReport;
-use super::{Agent, AgentAction};
+use super::{Agent, AgentAction, WarmUpDoubt};
 use crate::clock::Instant;
 
 /// Time after which a request for a snapshot counts as lost.
@@ -65,7 +65,7 @@
             self.balancers.heard(from, greeting.version, now);
             return;
         }
-        self.adopt_zones(&greeting.excluded_zones, from);
+        self.adopt_zones(&greeting.excluded_zones, from, now);
         if self.balancers.heard(from, greeting.version, now) {
             self.notes.add(Note::BalancerFound { balancer: from });
             self.reports.due_now(from, now);
@@ -126,6 +126,7 @@
         if pause >= STALL {
             self.balancers.forgive_silence(now);
             self.target.unanswered_since = None;
+            self.doubt_warmth(WarmUpDoubt::OutOfTouch, now);
             self.notes.add(Note::Stalled { duration: pause });
         }
         self.flows.tick(now);
@@ -149,6 +150,7 @@
             return;
         }
         self.count_load(now);
+        self.load.openings_left = self.openings_left(now);
         for DueReport { balancer, interval } in due {
             let message = PeerMessage::Report(self.report(interval, now));
             actions.push(AgentAction::Send {
--- a/crates/woodladder-core/src/flow/agent/exclusion.rs
+++ b/crates/woodladder-core/src/flow/agent/exclusion.rs
@@ -1,9 +1,17 @@
 //! Whether the target's zone takes new flows.
 
+use std::time::Duration;
+
 use super::super::excluded_zones::ExcludedZones;
 use super::super::identity::NodeAddress;
 use super::super::note::Note;
-use super::Agent;
+use super::{Agent, WarmUpDoubt};
+use crate::clock::Instant;
+
+/// Time without word of the excluded zones after which the zone may have been
+/// excluded and taken back unheard: longer than the rounds in which even one
+/// balancer alone greets each agent.
+const UNHEARD_FOR: Duration = Duration::from_secs(3);
 
 impl Agent {
     /// Whether the operators have excluded the target's zone.
@@ -12,9 +20,18 @@
         self.excluded_zones.excludes(self.options.zone)
     }
 
-    pub(super) fn adopt_zones(&mut self, zones: &ExcludedZones, from: NodeAddress) {
+    pub(super) fn adopt_zones(&mut self, zones: &ExcludedZones, from: NodeAddress, now: Instant) {
+        let heard_at = self.zones_heard_at.replace(now);
+        let was_out_of_touch = heard_at.is_none_or(|at| now.since(at) >= UNHEARD_FOR);
+        let was_excluded = self.is_excluded();
         let formerly = self.excluded_zones.zones.len();
-        if !self.excluded_zones.adopt(zones) {
+        let differs = self.excluded_zones.adopt(zones);
+        if was_excluded && !self.is_excluded() {
+            self.doubt_warmth(WarmUpDoubt::ZoneTakenBack, now);
+        } else if was_out_of_touch {
+            self.doubt_warmth(WarmUpDoubt::OutOfTouch, now);
+        }
+        if !differs {
             return;
         }
         self.notes.add(Note::ZonesExcluded {
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -3,7 +3,10 @@
 use super::super::identity::{FlowKey, NodeAddress};
 use super::super::message::{PeerMessage, ReturnReason, TargetState};
 use super::super::packet::{FlowPacket, PacketKind};
-use super::{Agent, AnswerBody, Delivery, Departure, FailureRecord, FlowState, HeldFlow, not_held};
+use super::{
+    Agent, AnswerBody, Delivery, Departure, FailureRecord, FlowState, HeldFlow, WarmUpDoubt,
+    not_held,
+};
 use crate::clock::Instant;
 
 impl Agent {
@@ -41,7 +44,8 @@
             return false;
         };
         flow.balancer = from;
-        if matches!(flow.state, FlowState::Offered | FlowState::Accepted) {
+        let was_counted = matches!(flow.state, FlowState::Offered | FlowState::Accepted);
+        if was_counted {
             flow.state = FlowState::Open;
             flow.since = now;
             self.load.flows += 1;
@@ -67,6 +71,9 @@
                 self.progress_at = now;
             }
             self.load.busy += 1;
+            if !was_counted {
+                self.warm_up.count(now);
+            }
         }
         match packet.kind {
             PacketKind::Reset => {
@@ -91,6 +98,7 @@
         self.target.unanswered_since = None;
         if self.target.state == TargetState::Unresponsive {
             self.set_state(TargetState::Ready);
+            self.doubt_warmth(WarmUpDoubt::Silent, now);
         }
         match returned_to {
             Some(balancer) => self.given_back(packet, balancer),
--- a/crates/woodladder-core/src/flow/agent/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/heartbeat.rs
@@ -79,6 +79,7 @@
         self.target.unanswered_since = None;
         self.target.capacity = beat.capacity;
         self.target.warm_at = now + beat.warm_up;
+        self.warm_up.told(now);
         let state = match (beat.leaving, self.target.state) {
             (true, _) | (_, TargetState::Leaving) => TargetState::Leaving,
             _ => TargetState::Ready,
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -18,6 +18,7 @@
 mod report_schedule;
 mod request_outcome;
 mod search;
+mod warm_up;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 use admission_queue::AdmissionQueue;
 use failure_record::FailureRecord;
 use report_schedule::ReportSchedule;
+use warm_up::WarmUp;
 
 use crate::clock::Instant;
 
@@ -44,6 +46,7 @@
 pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
 pub use failure_record::{AnswerKind, Suspicion};
 pub use heartbeat::{Heartbeat, HeartbeatError};
+pub use warm_up::{WarmUpBounds, WarmUpDoubt};
 
 /// Settings of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +65,8 @@
     pub flow_retention: Duration,
     /// Longest life of a flow; after it, the table knows all that are open.
     pub flow_lifetime: Duration,
+    /// What cold targets may be handed; `None` when the operators set no limit.
+    pub warm_up: Option<WarmUpBounds>,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -138,6 +143,9 @@
     routes: RouteTable,
     version_known_at: Instant,
     excluded_zones: ExcludedZones,
+    /// When a node last told which zones are excluded.
+    zones_heard_at: Option<Instant>,
+    warm_up: WarmUp,
     balancers: BalancerPeers,
     flows: FlowTable<HeldFlow>,
     queue: AdmissionQueue,
@@ -169,6 +177,8 @@
             routes: RouteTable::default(),
             version_known_at: now,
             excluded_zones: ExcludedZones::default(),
+            zones_heard_at: None,
+            warm_up: WarmUp::default(),
             balancers: BalancerPeers::default(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
             queue: AdmissionQueue::default(),
@@ -236,7 +246,7 @@
         if let Some(configuration) = snapshot.configuration {
             self.adopt(Arc::new(configuration), from, now);
         }
-        self.adopt_zones(&snapshot.excluded_zones, from);
+        self.adopt_zones(&snapshot.excluded_zones, from, now);
         for balancer in snapshot.balancers {
             self.name_balancer(balancer, now);
         }
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/openings.rs
@@ -60,13 +60,17 @@
         if let Some(reason) = self.reason_to_decline(header, now) {
             return self.give_back(reason);
         }
-        if self.queue.is_empty() && self.target_has_room() {
+        if self.queue.is_empty() && self.target_has_room() && self.openings_left(now) != Some(0) {
             if self.load.busy == 0 {
                 self.progress_at = now;
             }
             self.hand_over(from, header, packet, now);
             return Delivery::plain();
         }
+        if self.openings_left(now) == Some(0) && terms.believed_load.is_some() {
+            self.load.openings_left = Some(0);
+            return self.give_back(ReturnReason::WarmingUp);
+        }
         if self.queue.is_full() || self.is_underestimated(terms) || self.is_stuck(now) {
             return self.give_back(ReturnReason::Saturated);
         }
@@ -168,6 +172,8 @@
         self.counters.offered += 1;
         self.replace_flow(packet, FlowState::Offered, from, now);
         self.load.opening += 1;
+        self.warm_up.count(now);
+        self.load.openings_left = self.openings_left(now);
         self.target.unanswered_since.get_or_insert(now);
         self.notes.add(Note::FlowOffered {
             key: packet.key,
@@ -196,7 +202,7 @@
         let expired = self.queue.take_expired(now);
         self.counters.expired += u64::try_from(expired.len()).unwrap_or(0);
         self.return_queued(expired, ReturnReason::Expired, now, actions);
-        while self.target_has_room() {
+        while self.target_has_room() && self.openings_left(now) != Some(0) {
             let Some(opening) = self.queue.take_next(self.expected_answer(), now) else {
                 break;
             };
--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::sync::Arc;
+use std::time::Duration;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use rustc_hash::FxHashMap;
@@ -50,6 +51,18 @@
     pub terms: RouteTerms,
 }
 
+/// What the operators state of a service's targets.
+#[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServiceTerms {
+    /// The service.
+    pub service: ServiceKey,
+    /// Time for which a target is cold after its start, in milliseconds.
+    pub warm_up_ms: u32,
+    /// Requests a second that a cold target bears, in thousandths; zero when
+    /// nothing is stated.
+    pub warm_up_rate: u32,
+}
+
 /// One version of the configuration.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Debug, Default, Eq, PartialEq)]
 pub struct Configuration {
@@ -57,6 +70,8 @@
     pub version: u64,
     /// All routes.
     pub routes: Vec<Route>,
+    /// All services of which something is stated.
+    pub services: Vec<ServiceTerms>,
     /// Time after which a flow at rest may be forgotten, in milliseconds.
     pub idle_timeout_ms: u64,
 }
@@ -115,6 +130,26 @@
         (terms, is_urgent)
     }
 
+    /// Requests a second that a cold target of a service bears, in thousandths;
+    /// zero when nothing is stated.
+    #[must_use]
+    pub fn warm_up_rate(&self, service: ServiceKey) -> u32 {
+        self.service(service).map_or(0, |terms| terms.warm_up_rate)
+    }
+
+    /// Time for which a target of a service is cold after its start.
+    #[must_use]
+    pub fn warm_up_time(&self, service: ServiceKey) -> Duration {
+        self.service(service).map_or(Duration::ZERO, |terms| {
+            Duration::from_millis(terms.warm_up_ms.into())
+        })
+    }
+
+    fn service(&self, service: ServiceKey) -> Option<&ServiceTerms> {
+        let services = &self.current.as_ref()?.services;
+        services.iter().find(|terms| terms.service == service)
+    }
+
     /// The route of an address.
     #[must_use]
     pub fn route(&self, address: SocketAddrV4) -> Option<&Route> {
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -37,6 +37,9 @@
 /// Another agent must have been heard within this time for an unanswered
 /// question to say anything: otherwise the balancer itself may be cut off.
 const HEARS_OTHERS_WITHIN: Duration = Duration::from_millis(300);
+/// Age at which a statement of how many openings a cold target may still be handed
+/// is over: the span that it is about.
+const OPENINGS_LEFT_HOLD_FOR: Duration = Duration::from_millis(1000);
 /// Openings without an answer after which an agent counts as silent.
 const SUSPECT_UNANSWERED: u32 = 2;
 
@@ -137,6 +140,16 @@
         self.load.requests().saturating_add(sent_since)
     }
 
+    /// Openings that the target may still be handed, as far as is known: a cold
+    /// target bears few a second. What was said longer ago than that says nothing.
+    #[must_use]
+    pub fn openings_left(&self, now: Instant) -> Option<u16> {
+        let is_recent = now.since(self.load_at) < OPENINGS_LEFT_HOLD_FOR;
+        let stated = self.load.openings_left.filter(|_| is_recent)?;
+        let sent_since = u16::try_from(self.sent_since).unwrap_or(u16::MAX);
+        Some(stated.saturating_sub(sent_since))
+    }
+
     /// Whether the agent's flows count as lost.
     #[must_use]
     pub fn is_given_up(&self) -> bool {
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -68,6 +68,9 @@
     Leaving,
     /// The target's zone takes no new flows.
     ZoneExcluded,
+    /// The target is cold and has had as many requests within a second as it
+    /// bears.
+    WarmingUp,
     /// The target holds more than the balancer believed, or the queue is full;
     /// the sender may ask elsewhere.
     Saturated,
@@ -112,6 +115,9 @@
     pub service_time_us: u32,
     /// Share of the latest requests that the target has failed, in percent.
     pub failed_percent: u8,
+    /// Openings that the target may still be handed within a second because it may
+    /// be cold; `None` when it is not limited.
+    pub openings_left: Option<u16>,
 }
 
 impl TargetLoad {
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::agent::WarmUpDoubt;
 use super::identity::{FlowKey, Incarnation, NodeAddress};
 use super::message::{ReturnReason, TargetLoad, TargetState};
 use super::packet::ResetReason;
@@ -93,6 +94,14 @@
         /// Node that it came from; `None` for the store.
         from: Option<NodeAddress>,
     },
+    /// It is not known any more whether the own target is cold, so it counts as
+    /// cold until a heartbeat tells.
+    WarmthDoubted {
+        /// Why.
+        doubt: WarmUpDoubt,
+        /// Incarnation, when known.
+        incarnation: Option<Incarnation>,
+    },
     /// An agent is heard.
     AgentFound {
         /// The agent.
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -27,6 +27,9 @@
 const MAXIMUM_DISTANCE: f64 = 1.0;
 /// Most that slow answers raise the load of a target.
 const MAXIMUM_SLOWNESS: f64 = 8.0;
+/// Part of its slots by which a cold target counts as more loaded once it may be
+/// handed nothing more: more than a full queue at any other.
+const EXHAUSTED: f64 = 100.0;
 /// Failures beyond those of the service's other targets, in percent, that do
 /// not count against a target.
 const TOLERATED_FAILURES: f64 = 15.0;
@@ -143,6 +146,7 @@
         let slots = f64::from(record.capacity.max(1));
         let occupied = (waiting + at_rest + 1.0) / slots;
         occupied * slowdown(record, usual, now)
+            + exhaustion(record, now)
             + unreliability(record, usual)
             + self.distance(record)
             + tie_break(self.key, record.address)
@@ -189,6 +193,16 @@
     warm_up * slowness(record, usual.service_time)
 }
 
+/// What it counts for that a cold target may be handed nothing more for now: it
+/// comes after all others, and is asked only when all are so.
+fn exhaustion(record: &AgentRecord, now: Instant) -> f64 {
+    if record.openings_left(now) == Some(0) {
+        EXHAUSTED
+    } else {
+        0.0
+    }
+}
+
 /// How much more of its requests a target fails than is usual.
 fn unreliability(record: &AgentRecord, usual: &Usual) -> f64 {
     let excess = f64::from(record.load.failed_percent) - usual.failed_percent;
--- a/crates/woodladder-core/tests/flow_route_terms.rs
+++ b/crates/woodladder-core/tests/flow_route_terms.rs
@@ -29,6 +29,7 @@
 fn balancer_of(routes: Vec<Route>) -> Balancer {
     let mut balancer = balancer(&[2]);
     balancer.configuration(Arc::new(Configuration {
+        services: Vec::new(),
         version: 2,
         routes,
         idle_timeout_ms: 15_000,
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -103,6 +103,7 @@
     Arc::new(Configuration {
         version,
         routes: routes.collect(),
+        services: Vec::new(),
         idle_timeout_ms: 15_000,
     })
 }
@@ -223,6 +224,7 @@
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
+        warm_up: None,
     };
     Agent::new(options, at(0))
 }
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_warm_up.rs
@@ -0,0 +1,382 @@
+//! Targets that may be cold: how much they are handed in any second.
+
+mod flow_support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flow_support::*;
+use proptest::prelude::*;
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::{
+    Agent, AgentAction, AgentOptions, AnswerBody, Delivery, Heartbeat, WarmUpBounds,
+};
+use woodladder_core::flow::configuration::{Configuration, ServiceTerms};
+use woodladder_core::flow::excluded_zones::ExcludedZones;
+use woodladder_core::flow::identity::ZoneKey;
+use woodladder_core::flow::message::{
+    BalancerGreeting, ForwardPurpose, OpeningTerms, PeerMessage, ReturnReason, Snapshot,
+    TargetLoad, TargetReport, TargetState,
+};
+use woodladder_core::flow::packet::PacketKind;
+
+/// Requests a second that the tests' cold targets bear.
+const RATE: u32 = 3;
+/// Time for which they are cold, in milliseconds.
+const COLD_MS: u32 = 2000;
+
+fn configured(rate: u32) -> Configuration {
+    Configuration {
+        services: vec![ServiceTerms {
+            service: kitchen(),
+            warm_up_ms: COLD_MS,
+            warm_up_rate: rate * 1000,
+        }],
+        ..(*configuration(1)).clone()
+    }
+}
+
+fn unknowing_agent(started_at: Instant) -> Agent {
+    let options = AgentOptions {
+        address: node(9),
+        zone: ZoneKey::named("a"),
+        service: kitchen(),
+        epoch: 1,
+        flow_capacity: 1000,
+        flow_retention: Duration::from_secs(30),
+        flow_lifetime: Duration::from_secs(60),
+        warm_up: Some(WarmUpBounds {
+            overage: 1.5,
+            slack: 5,
+        }),
+    };
+    Agent::new(options, started_at)
+}
+
+fn configure(agent: &mut Agent, rate: u32, now: Instant) {
+    let snapshot = Snapshot {
+        configuration: Some(configured(rate)),
+        ..Snapshot::default()
+    };
+    agent.snapshot(node(1), snapshot, now);
+}
+
+fn cold_beat(incarnation: u64, sequence: u64, cold_for: u64) -> Heartbeat {
+    Heartbeat {
+        warm_up: Duration::from_millis(cold_for),
+        capacity: 100,
+        ..beat(incarnation, sequence)
+    }
+}
+
+/// An agent that has known the configuration for long, and whose target has just
+/// started.
+fn agent_of_cold_target(now: u64) -> Agent {
+    let mut agent = unknowing_agent(at(0));
+    configure(&mut agent, RATE, at(0));
+    hear_zones(&mut agent, 1, &[], at(now));
+    agent
+        .heartbeat(&cold_beat(1, 1, COLD_MS.into()), at(now))
+        .expect("heartbeat");
+    agent
+}
+
+fn hear_zones(agent: &mut Agent, revision: u64, names: &[&str], now: Instant) {
+    let greeting = BalancerGreeting {
+        excluded_zones: ExcludedZones {
+            revision,
+            zones: names.iter().map(|name| ZoneKey::named(name)).collect(),
+        },
+        ..peer_greeting()
+    };
+    agent.message(
+        node(1),
+        &PeerMessage::Greeting(greeting),
+        now,
+        &mut Vec::new(),
+    );
+}
+
+/// Offers an opening that may go elsewhere, and so does not wait.
+fn offer(agent: &mut Agent, port: u16, now: u64) -> Delivery {
+    let terms = OpeningTerms {
+        believed_load: Some(1000),
+        ..opening_terms()
+    };
+    let header = header(1, ForwardPurpose::Open(terms));
+    forward_to(agent, &header, &opening(flow(port), 0), at(now))
+}
+
+/// Offers an opening that has nowhere else to go.
+fn insist(agent: &mut Agent, port: u16, now: u64) -> Delivery {
+    forward_to(agent, &open_header(1), &opening(flow(port), 0), at(now))
+}
+
+/// The target answers an opening.
+fn accept(agent: &mut Agent, port: u16, now: u64) {
+    let accept = packet(flow(port), PacketKind::Accept, 5000, 1001, 0);
+    agent.departing(&accept, None, at(now));
+}
+
+/// How many of some openings at one moment reach the target.
+fn delivered(agent: &mut Agent, ports: std::ops::Range<u16>, now: u64) -> usize {
+    ports
+        .filter(|port| is_delivered(&offer(agent, *port, now)))
+        .count()
+}
+
+fn limit() -> usize {
+    usize::try_from(RATE).expect("small")
+}
+
+#[test]
+fn a_cold_target_gets_no_more_in_a_second_than_it_bears() {
+    let mut agent = agent_of_cold_target(5000);
+    assert_eq!(delivered(&mut agent, 1..20, 5010), limit());
+    assert_eq!(
+        delivered(&mut agent, 20..30, 6000),
+        0,
+        "the second is not over"
+    );
+}
+
+#[test]
+fn what_waits_reaches_the_cold_target_when_the_second_is_over() {
+    let mut agent = agent_of_cold_target(5000);
+    for port in 1..5 {
+        insist(&mut agent, port, 5010);
+        accept(&mut agent, port, 5011);
+    }
+    let mut actions = Vec::new();
+    agent.tick(at(5500), &mut actions);
+    assert!(!actions.iter().any(is_handed_over), "{actions:?}");
+    for now in (5525..6100).step_by(25) {
+        agent.tick(at(now), &mut actions);
+    }
+    assert_eq!(actions.iter().filter(|it| is_handed_over(it)).count(), 1);
+}
+
+fn is_handed_over(action: &AgentAction) -> bool {
+    matches!(action, AgentAction::Deliver { .. })
+}
+
+#[test]
+fn an_opening_that_may_go_elsewhere_is_given_back_with_what_is_left() {
+    let mut agent = agent_of_cold_target(5000);
+    delivered(&mut agent, 1..20, 5010);
+    let terms = OpeningTerms {
+        believed_load: Some(0),
+        ..opening_terms()
+    };
+    let header = header(1, ForwardPurpose::Open(terms));
+    let delivery = forward_to(&mut agent, &header, &opening(flow(50), 0), at(5020));
+    let Delivery::Answer(PeerMessage::Returned { reason, load, .. }, AnswerBody::Packet) = delivery
+    else {
+        panic!("{delivery:?}");
+    };
+    assert_eq!(reason, ReturnReason::WarmingUp);
+    assert_eq!(load.openings_left, Some(0));
+}
+
+#[test]
+fn a_warm_target_and_one_of_a_service_without_a_figure_have_no_limit() {
+    let mut agent = agent_of_cold_target(5000);
+    agent
+        .heartbeat(&cold_beat(1, 2, 0), at(7000))
+        .expect("heartbeat");
+    assert_eq!(delivered(&mut agent, 1..30, 7010), 29);
+    let mut unlimited = unknowing_agent(at(0));
+    configure(&mut unlimited, 0, at(0));
+    unlimited
+        .heartbeat(&cold_beat(1, 1, 2000), at(5000))
+        .expect("heartbeat");
+    assert_eq!(delivered(&mut unlimited, 1..30, 5010), 29);
+}
+
+#[test]
+fn without_a_configuration_a_cold_target_is_handed_nothing() {
+    let mut agent = unknowing_agent(at(0));
+    agent
+        .heartbeat(&cold_beat(1, 1, 2000), at(5000))
+        .expect("heartbeat");
+    assert_eq!(delivered(&mut agent, 1..10, 5010), 0);
+}
+
+#[test]
+fn a_target_whose_zone_is_taken_back_is_cold_until_it_tells() {
+    let mut agent = agent_of_cold_target(0);
+    agent
+        .heartbeat(&cold_beat(1, 2, 0), at(3000))
+        .expect("heartbeat");
+    hear_zones(&mut agent, 5, &["a"], at(3000));
+    hear_zones(&mut agent, 6, &[], at(5000));
+    assert_eq!(delivered(&mut agent, 1..20, 5010), limit());
+    agent
+        .heartbeat(&cold_beat(1, 3, 0), at(5500))
+        .expect("heartbeat");
+    assert_eq!(delivered(&mut agent, 20..40, 5510), 20);
+}
+
+#[test]
+fn a_target_whose_zone_is_taken_back_and_that_tells_nothing_is_warm_in_the_end() {
+    let mut agent = agent_of_cold_target(0);
+    agent
+        .heartbeat(&cold_beat(1, 2, 0), at(3000))
+        .expect("heartbeat");
+    hear_zones(&mut agent, 5, &["a"], at(3000));
+    hear_zones(&mut agent, 6, &[], at(5000));
+    assert_eq!(delivered(&mut agent, 1..30, 5000 + u64::from(COLD_MS)), 29);
+}
+
+#[test]
+fn an_agent_that_heard_no_zones_for_long_does_not_trust_an_older_heartbeat() {
+    let mut agent = agent_of_cold_target(0);
+    agent
+        .heartbeat(&cold_beat(1, 2, 0), at(3000))
+        .expect("heartbeat");
+    hear_zones(&mut agent, 9, &[], at(9000));
+    assert_eq!(delivered(&mut agent, 1..20, 9010), limit());
+}
+
+#[test]
+fn a_target_that_was_silent_may_have_started_again() {
+    let mut agent = agent_of_cold_target(0);
+    agent
+        .heartbeat(&cold_beat(1, 2, 0), at(3000))
+        .expect("heartbeat");
+    hear_zones(&mut agent, 2, &[], at(3000));
+    offer(&mut agent, 1, 3100);
+    for now in (3125..3700).step_by(25) {
+        agent.tick(at(now), &mut Vec::new());
+    }
+    assert_eq!(agent.target_state(), TargetState::Unresponsive);
+    accept(&mut agent, 1, 3800);
+    assert_eq!(delivered(&mut agent, 10..30, 3810), limit() - 1);
+}
+
+#[test]
+fn a_restarted_agent_waits_a_second_before_it_hands_a_cold_target_anything() {
+    let mut agent = unknowing_agent(at(5000));
+    configure(&mut agent, RATE, at(5000));
+    agent
+        .heartbeat(&cold_beat(1, 4, 2000), at(5010))
+        .expect("heartbeat");
+    for port in 1..10 {
+        assert!(!is_delivered(&insist(&mut agent, port, 5500)));
+    }
+    agent.tick(at(5980), &mut Vec::new());
+    let mut actions = Vec::new();
+    for now in (6000..6200).step_by(25) {
+        agent.tick(at(now), &mut actions);
+    }
+    assert_eq!(
+        actions.iter().filter(|it| is_handed_over(it)).count(),
+        limit()
+    );
+}
+
+#[test]
+fn further_requests_of_open_flows_use_the_second_up() {
+    let mut agent = agent_of_cold_target(0);
+    agent
+        .heartbeat(&cold_beat(1, 2, 0), at(3000))
+        .expect("heartbeat");
+    hear_zones(&mut agent, 2, &[], at(3000));
+    for port in 1..=3 {
+        open_at(&mut agent, flow(port), at(3000));
+        let answer = packet(flow(port), PacketKind::Data, 5001, 1101, 500);
+        agent.departing(&answer, None, at(3050));
+    }
+    agent
+        .heartbeat(&cold_beat(2, 1, 2000), at(4500))
+        .expect("heartbeat");
+    let established = header(1, ForwardPurpose::Established);
+    open_at(&mut agent, flow(9), at(4510));
+    let answer = packet(flow(9), PacketKind::Data, 5001, 1101, 500);
+    agent.departing(&answer, None, at(4520));
+    forward_to(
+        &mut agent,
+        &established,
+        &data(flow(9), 1101, 5501),
+        at(4530),
+    );
+    assert_eq!(delivered(&mut agent, 20..40, 4540), limit() - 2);
+}
+
+#[test]
+fn a_balancer_sends_a_cold_target_no_more_than_is_left() {
+    let mut balancer = balancer(&[]);
+    balancer.configuration(Arc::new(configured(RATE)));
+    let cold = TargetReport {
+        load: TargetLoad {
+            openings_left: Some(2),
+            ..TargetLoad::default()
+        },
+        warm_up_ms: 1500,
+        ..report(2, 1)
+    };
+    let warm = TargetReport {
+        load: TargetLoad {
+            busy: 20,
+            ..TargetLoad::default()
+        },
+        ..report(3, 1)
+    };
+    tell(&mut balancer, 2, &cold, at(10_000));
+    tell(&mut balancer, 3, &warm, at(10_000));
+    let to_cold = (1..30).filter(|port| {
+        let routing = arrive(&mut balancer, &opening(flow(*port), 0), at(10_010));
+        receivers(&routing) == vec![node(2)]
+    });
+    assert_eq!(to_cold.count(), 2);
+}
+
+#[test]
+fn when_nothing_else_is_there_a_balancer_sends_an_exhausted_target_more_to_queue() {
+    let mut balancer = balancer(&[]);
+    let cold = TargetReport {
+        load: TargetLoad {
+            openings_left: Some(0),
+            ..TargetLoad::default()
+        },
+        ..report(2, 1)
+    };
+    tell(&mut balancer, 2, &cold, at(10_000));
+    let routing = arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
+    assert_eq!(receivers(&routing), vec![node(2)]);
+}
+
+proptest! {
+    /// Against a plain count: no span of a second holds more than the target
+    /// bears, whatever the gaps between openings and ticks.
+    #[test]
+    fn no_span_of_a_second_holds_more_than_a_cold_target_bears(
+        gaps in proptest::collection::vec((0..400_u64, any::<bool>()), 1..120),
+    ) {
+        let mut agent = agent_of_cold_target(5000);
+        let mut now = 5000;
+        let mut handed: Vec<u64> = Vec::new();
+        let mut sequence = 1;
+        for (index, (gap, ticks)) in gaps.into_iter().enumerate() {
+            now += gap;
+            sequence += 1;
+            // It stays cold all the time.
+            agent.heartbeat(&cold_beat(1, sequence, 2000), at(now)).expect("heartbeat");
+            let mut actions = Vec::new();
+            if ticks {
+                agent.tick(at(now), &mut actions);
+            } else {
+                let port = u16::try_from(index).expect("few") + 1;
+                if is_delivered(&insist(&mut agent, port, now)) {
+                    handed.push(now);
+                }
+                agent.serve_queue(at(now), &mut actions);
+            }
+            handed.extend(actions.iter().filter(|it| is_handed_over(it)).map(|_| now));
+            for start in &handed {
+                let within = handed.iter().filter(|at| (*start..start + 1000).contains(at));
+                prop_assert!(within.count() <= limit(), "{handed:?}");
+            }
+        }
+    }
+}
--- a/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -33,6 +33,7 @@
             flow_capacity: 10_000,
             flow_retention: Duration::from_secs(30),
             flow_lifetime: Duration::from_secs(60),
+            warm_up: None,
         };
         let mut agent = Agent::new(options, self.now);
         let known = if self.store_is_up { BALANCERS } else { 1 };
@@ -65,6 +66,7 @@
         self.configuration = Arc::new(Configuration {
             version,
             routes,
+            services: Vec::new(),
             idle_timeout_ms: 15_000,
         });
     }
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -22,7 +22,7 @@
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{
     Agent, AgentAction, AgentOptions, AnswerBody, Delivery, Departure, Heartbeat, HeartbeatError,
-    Presence,
+    Presence, WarmUpBounds,
 };
 use woodladder_core::flow::identity::{Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::message::{ForwardHeader, PeerMessage, TargetState};
@@ -70,6 +70,8 @@
     pub flow_retention: Duration,
     /// Longest life of a flow.
     pub flow_lifetime: Duration,
+    /// What cold targets may be handed; `None` for no limit.
+    pub warm_up: Option<WarmUpBounds>,
 }
 
 /// What the tasks of an agent share.
@@ -103,6 +105,7 @@
             flow_capacity: FLOW_CAPACITY,
             flow_retention: config.flow_retention,
             flow_lifetime: config.flow_lifetime,
+            warm_up: config.warm_up,
         };
         Ok(Rc::new(Self {
             core: RefCell::new(Agent::new(options, clock.now())),
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -217,6 +217,11 @@
                     "own_is_excluded" => own_is_excluded, "revision" => revision,
                     "from" => source, "left_out" => left_out);
             }
+            Note::WarmthDoubted { doubt, incarnation } => {
+                info!(log, "agent: target counts as cold until it tells"; "event" => event,
+                    "doubt" => ?doubt, "incarnation" => incarnation.map(|it| it.0),
+                    "left_out" => left_out);
+            }
             Note::AgentFound { agent } => {
                 info!(log, "balancer: agent found"; "event" => event, "agent" => %agent,
                     "left_out" => left_out);
@@ -304,6 +309,7 @@
         Note::FlowReset { .. } => ("flow_reset", Important),
         Note::ConfigurationAdopted { .. } => ("configuration_adopted", Important),
         Note::ZonesExcluded { .. } => ("zones_excluded", Important),
+        Note::WarmthDoubted { .. } => ("warmth_doubted", Important),
         Note::AgentFound { .. } => ("agent_found", Important),
         Note::AgentLost { .. } => ("agent_lost", Important),
         Note::AgentStopped { .. } => ("agent_stopped", Important),
