--- a/crates/woodladder-core/tests/flow_warm_up.rs
+++ b/crates/woodladder-core/tests/flow_warm_up.rs
@@ -241,10 +241,10 @@
 #[test]
 fn a_target_that_was_silent_may_have_started_again() {
     let mut agent = agent_of_cold_target(0);
+    hear_zones(&mut agent, 2, &[], at(2500));
     agent
         .heartbeat(&cold_beat(1, 2, 0), at(3000))
         .expect("heartbeat");
-    hear_zones(&mut agent, 2, &[], at(3000));
     offer(&mut agent, 1, 3100);
     for now in (3125..3700).step_by(25) {
         agent.tick(at(now), &mut Vec::new());
