--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -12,6 +12,9 @@
 const ASK_AGAIN: Duration = Duration::from_millis(5000);
 /// Time between two looks whether the node has to watch.
 const STAND_BY: Duration = Duration::from_millis(100);
+/// The same before the store's first answer: a node that has just started can do
+/// nothing for its callers without a configuration.
+const STAND_BY_AT_START: Duration = Duration::from_millis(10);
 
 /// Time after a change in which no other is asked for, so that changes in quick
 /// succession cost one call. Far shorter than the time that a change has to
@@ -70,7 +73,11 @@
         let Some(wait) = wait else {
             // Changes meanwhile are not heard here, so the next call is a read.
             self.revision = None;
-            return NextCall::At(now + STAND_BY);
+            let pause = match self.heard_at {
+                Some(_) => STAND_BY,
+                None => STAND_BY_AT_START,
+            };
+            return NextCall::At(now + pause);
         };
         self.in_flight = true;
         NextCall::Now(match self.revision {
