--- a/crates/woodladder-lab/src/command/platform_day.rs
+++ b/crates/woodladder-lab/src/command/platform_day.rs
@@ -29,6 +29,9 @@
     /// Kill balancers and let the store fail, besides planned work.
     #[arg(long)]
     faults: bool,
+    /// Exclude a zone for seven seconds; its targets return cold.
+    #[arg(long)]
+    exclude_zone: bool,
     /// Keep the processes' settings and logs in this directory.
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -60,6 +63,7 @@
             directory,
             step: self.step,
             with_faults: self.faults,
+            with_exclusion: self.exclude_zone,
         })
     }
 
--- a/crates/woodladder-lab/src/platform/day.rs
+++ b/crates/woodladder-lab/src/platform/day.rs
@@ -14,7 +14,8 @@
 use super::address::Network;
 use super::links::Links;
 use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
+    BALANCERS, Site, SiteError, SiteOptions, TARGETS, ZONES, added_route, kitchen_route,
+    print_route,
 };
 use super::store_state::StoreFault;
 
@@ -23,6 +24,11 @@
 /// Processor of each balancer, in thousandths of a core.
 const PROCESSOR: u32 = 250;
 
+/// How long a zone is excluded: past the bound after which nothing may open there.
+const EXCLUDED_FOR: Duration = Duration::from_secs(7);
+/// Time after its return until the other work begins.
+const AFTER_EXCLUSION: Duration = Duration::from_secs(2);
+
 /// Settings of a day.
 #[derive(Clone, Debug)]
 pub struct DayOptions {
@@ -34,6 +40,8 @@
     pub step: Duration,
     /// Whether balancers are killed and the store fails, besides planned work.
     pub with_faults: bool,
+    /// Whether a zone is excluded and taken back with cold targets.
+    pub with_exclusion: bool,
 }
 
 /// What came of a day.
@@ -47,6 +55,8 @@
     pub retries: u64,
     /// Calls to the store.
     pub store_calls: u64,
+    /// Openings that cold targets have taken.
+    pub cold_openings: u64,
     /// Processes that ended by themselves.
     pub ended_by_themselves: Vec<u8>,
     /// Promises that were broken.
@@ -88,13 +98,27 @@
         let mut site = Site::open(&site_options, Network::take(), links).await?;
         site.serve().await?;
         let steps = if options.with_faults { 9 } else { 6 };
-        site.call(Instant::now() + options.step * steps).await?;
+        let mut until = Instant::now() + options.step * steps;
+        if options.with_exclusion {
+            until += EXCLUDED_FOR + AFTER_EXCLUSION;
+        }
+        site.call(until).await?;
+        if options.with_exclusion {
+            exclude(&site).await;
+        }
         work(&mut site, options).await?;
         site.wait_for_callers().await;
         Ok(report(&mut site))
     })
 }
 
+async fn exclude(site: &Site) {
+    site.exclude_zone(ZONES[0]);
+    sleep(EXCLUDED_FOR).await;
+    site.take_zone_back(ZONES[0]);
+    sleep(AFTER_EXCLUSION).await;
+}
+
 async fn work(site: &mut Site, options: &DayOptions) -> Result<(), SiteError> {
     let step = options.step;
     sleep(step).await;
@@ -138,6 +162,7 @@
         failed: oracle.failed,
         retries: oracle.retries,
         store_calls: site.store.borrow().calls,
+        cold_openings: oracle.cold_total,
         ended_by_themselves,
         violations: oracle
             .violations()
--- a/crates/woodladder-lab/src/platform/node_process.rs
+++ b/crates/woodladder-lab/src/platform/node_process.rs
@@ -14,6 +14,7 @@
     CONTROL_PORT, DATAGRAM_PORT, METRICS_PORT, Network, OUTBOUND_PORT, PEER_PORT, READY_PORT,
     STORE_PORT, TARGET_PORT,
 };
+use super::site::zone_of;
 
 /// A whole core, in thousandths.
 const WHOLE_CORE: u32 = 1000;
@@ -100,15 +101,16 @@
         } else {
             String::new()
         };
+        let zone = zone_of(machine);
         let store = network.at(1, STORE_PORT);
         let store = self.store_addresses.get(&machine).copied().unwrap_or(store);
         let processor = self.processors.get(&machine).copied().unwrap_or(WHOLE_CORE);
         format!(
-            "node_name = \"node-{machine}\"\nip = \"{}\"\nzone = \"a\"\n{bind}\
+            "node_name = \"node-{machine}\"\nip = \"{}\"\nzone = \"{zone}\"\n{bind}\
              port_range = [{PEER_PORT}, {PEER_PORT}]\nseeds = [{}]\n\
              metrics = \"{METRICS_PORT}/metrics\"\n{target}\
              [listen]\ndatagram_addr = \"{}\"\nready = \"{}\"\ncontrol = \"{}\"\n{outbound}\
-             [bounds]\ngrace_s = 6\nflow_ttl_s = 60\n\
+             [bounds]\ngrace_s = 6\nflow_ttl_s = 60\nwarmup_overage = 1.5\nwarmup_slack = 5\n\
              [limits]\ncpu_share = {}\n\
              [platform]\naddress = \"{store}\"\n",
             network.machine(machine),
--- a/crates/woodladder-lab/src/platform/oracle.rs
+++ b/crates/woodladder-lab/src/platform/oracle.rs
@@ -1,6 +1,6 @@
 //! What callers and targets saw, and which promises it breaks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
@@ -9,10 +9,21 @@
 /// before may still open.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
+/// Number of the store's machine.
+pub const STORE: u8 = 1;
+
 /// Time after a fault during which its machine counts as disturbed, as in the
 /// users' rules.
 const CONTACT: Duration = Duration::from_secs(4);
 
+/// Time after the store has taken a zone's exclusion within which nodes that are in
+/// touch may still open flows there.
+const EXCLUSION_LIMIT: Duration = Duration::from_secs(5);
+
+/// Openings that a cold target may take in any second: the site's 20 a second,
+/// half as many again, and 5.
+const COLD_LIMIT: usize = 35;
+
 /// A promise that was broken.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Violation {
@@ -26,6 +37,10 @@
     LivingFlowReset(String),
     /// A target got a new flow too long after its leaving was acknowledged.
     FlowAfterDrain(String),
+    /// A target in an excluded zone got a new flow too long after the exclusion.
+    FlowInExcludedZone(String),
+    /// A cold target got more openings in a second than it bears.
+    ColdTargetOverwhelmed(String),
     /// A packet arrived changed.
     ChangedPacket(String),
 }
@@ -38,6 +53,10 @@
             Self::WrongAnswer(what) => write!(formatter, "wrong answer: {what}"),
             Self::LivingFlowReset(what) => write!(formatter, "living flow reset: {what}"),
             Self::FlowAfterDrain(what) => write!(formatter, "flow after drain: {what}"),
+            Self::FlowInExcludedZone(what) => write!(formatter, "flow in excluded zone: {what}"),
+            Self::ColdTargetOverwhelmed(what) => {
+                write!(formatter, "cold target overwhelmed: {what}")
+            }
             Self::ChangedPacket(what) => write!(formatter, "changed packet: {what}"),
         }
     }
@@ -54,6 +73,14 @@
     runs: BTreeMap<String, u32>,
     held: BTreeMap<Ends, String>,
     leaving: BTreeMap<String, Instant>,
+    /// Excluded zones, and since when the store holds that.
+    excluded: BTreeMap<&'static str, Instant>,
+    /// How long after an exclusion a flow may still open there.
+    exclusion_limit: Option<Duration>,
+    /// Openings that cold targets have taken within the last second.
+    cold_openings: BTreeMap<String, VecDeque<Instant>>,
+    /// Openings that cold targets have taken.
+    pub cold_total: u64,
     /// When machines were last disturbed by a fault.
     disturbed: BTreeMap<u8, Instant>,
     violations: Vec<Violation>,
@@ -96,6 +123,53 @@
         self.held.insert(ends, target.to_owned());
     }
 
+    /// The store holds that a zone is excluded.
+    pub fn zone_excluded(&mut self, zone: &'static str) {
+        self.excluded.entry(zone).or_insert_with(Instant::now);
+    }
+
+    /// The store no longer holds that a zone is excluded.
+    pub fn zone_taken_back(&mut self, zone: &'static str) {
+        self.excluded.remove(zone);
+    }
+
+    /// Judges openings in excluded zones from this time after the exclusion on.
+    pub fn limit_exclusion(&mut self, limit: Duration) {
+        self.exclusion_limit = Some(limit);
+    }
+
+    /// A flow opens at a target of a zone. The rule binds nodes that are in touch:
+    /// the target's own, which has the last word, and the store.
+    pub fn opened_in(&mut self, zone: &'static str, ends: Ends, target: &str) {
+        let limit = self.exclusion_limit.unwrap_or(EXCLUSION_LIMIT);
+        let is_late = self
+            .excluded
+            .get(zone)
+            .is_some_and(|since| since.elapsed() > limit);
+        let is_in_touch = !self.is_disturbed(machine_of(target)) && !self.is_disturbed(STORE);
+        if is_late && is_in_touch {
+            let what = format!("{ends:?} at {target} in {zone}");
+            self.violations.push(Violation::FlowInExcludedZone(what));
+        }
+    }
+
+    /// A cold target takes an opening.
+    pub fn opened_cold(&mut self, target: &str, now: Instant) {
+        const SECOND: Duration = Duration::from_secs(1);
+        self.cold_total += 1;
+        let openings = self.cold_openings.entry(target.to_owned()).or_default();
+        openings.push_back(now);
+        while let Some(oldest) = openings.front()
+            && now.duration_since(*oldest) >= SECOND
+        {
+            openings.pop_front();
+        }
+        if openings.len() > COLD_LIMIT {
+            let what = format!("{} openings at {target}", openings.len());
+            self.violations.push(Violation::ColdTargetOverwhelmed(what));
+        }
+    }
+
     /// A flow ends at its target.
     pub fn closed(&mut self, ends: Ends) {
         self.held.remove(&ends);
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -27,8 +27,10 @@
 use super::router::Router;
 use super::store::{self, SharedStore};
 use super::store_state::StoreFault;
-use super::target::Target;
+use super::target::{COLD_FOR, Target};
 
+/// Prefix of the keys of excluded zones.
+const EXCLUSIONS_PREFIX: &str = "op/evacuate/";
 /// Key of the operators' configuration.
 const CONFIGURATION_KEY: &str = "op/config";
 /// Longest time until the processes serve.
@@ -42,6 +44,12 @@
     (23, "kitchen"),
     (31, "print"),
 ];
+/// Zones of the targets and of their agents. The balancers are all in the first.
+pub const ZONES: [&str; 2] = ["a", "b"];
+/// First machine of the second zone's targets.
+const SECOND_ZONE_FROM: u8 = 23;
+/// Requests a second that a cold target bears.
+const COLD_RATE: f64 = 20.0;
 /// Machines of callers.
 const CALLERS: [u8; 3] = [101, 102, 103];
 
@@ -99,6 +107,11 @@
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
 
+/// Zone of a machine.
+pub fn zone_of(machine: u8) -> &'static str {
+    ZONES[usize::from(machine >= SECOND_ZONE_FROM && machine < CALLERS[0])]
+}
+
 /// Address of the kitchen's route.
 pub fn kitchen_route() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
@@ -234,7 +247,12 @@
             let services: &mut BTreeSet<String> = oracle.allowed.entry(*address).or_default();
             services.insert((*service).to_owned());
         }
-        let document = json!({ "version": self.version, "routes": documents });
+        let services = ["kitchen", "print"].map(|name| {
+            json!({ "name": name, "warmup_s": COLD_FOR.as_secs_f64(), "warmup_per_s": COLD_RATE })
+        });
+        let document = json!({
+            "version": self.version, "routes": documents, "services": services,
+        });
         let value = STANDARD.encode(document.to_string());
         self.store.borrow_mut().put(CONFIGURATION_KEY, &value, 0);
     }
@@ -269,11 +287,37 @@
         self.incarnations += 1;
         let name = format!("i-{machine}-{}", self.incarnations);
         let address = self.network.machine(machine);
-        let target = Target::start(&name, service, address, Rc::clone(&self.oracle)).await?;
+        let target = Target::start(
+            &name,
+            service,
+            address,
+            zone_of(machine),
+            Rc::clone(&self.oracle),
+        )
+        .await?;
         self.targets.insert(machine, target);
         Ok(())
     }
 
+    /// The operators exclude a zone.
+    pub fn exclude_zone(&self, zone: &'static str) {
+        let key = format!("{EXCLUSIONS_PREFIX}{zone}");
+        self.store.borrow_mut().put(&key, &STANDARD.encode("{}"), 0);
+        self.oracle.borrow_mut().zone_excluded(zone);
+    }
+
+    /// The operators take a zone back, whose targets have just turned cold.
+    pub fn take_zone_back(&self, zone: &'static str) {
+        for (machine, target) in &self.targets {
+            if zone_of(*machine) == zone {
+                target.turn_cold();
+            }
+        }
+        self.oracle.borrow_mut().zone_taken_back(zone);
+        let key = format!("{EXCLUSIONS_PREFIX}{zone}");
+        self.store.borrow_mut().remove(&key);
+    }
+
     /// The target of a machine ends at once, as in a crash.
     pub fn crash_target(&mut self, machine: u8) {
         if let Some(target) = self.targets.remove(&machine) {
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -19,10 +19,12 @@
 
 use super::address::{METRICS_PORT, Network, STORE_PORT};
 use super::links::{self, LinkRule, Links};
+use super::oracle::STORE;
 use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
+    BALANCERS, Site, SiteError, SiteOptions, TARGETS, ZONES, added_route, kitchen_route,
+    print_route,
 };
-use super::soak_plan::{Strike, StrikeKind, plan, processors};
+use super::soak_plan::{EXCLUDED_BY, Strike, StrikeKind, plan, processors};
 use super::soak_report::SoakReport;
 use super::store_state::StoreFault;
 use crate::fault_proxy::{Cut, FaultProxy, FaultProxyConfig, FaultRule, Route};
@@ -193,6 +195,7 @@
             StrikeKind::Configure => self.configure(),
             StrikeKind::CrashTarget => self.site.crash_target(machine),
             StrikeKind::DrainTarget => self.site.drain_target(machine),
+            StrikeKind::ExcludeZone => self.site.exclude_zone(excluded_zone(machine)),
         }
         Ok(())
     }
@@ -228,6 +231,7 @@
                 self.site.start_target(machine, service_of(machine)).await?;
             }
             StrikeKind::DrainTarget => self.start_after_drain(machine).await?,
+            StrikeKind::ExcludeZone => self.site.take_zone_back(excluded_zone(machine)),
             StrikeKind::HangUp | StrikeKind::StoreForgets | StrikeKind::Configure => {}
         }
         Ok(())
@@ -250,6 +254,9 @@
     fn heal(&mut self) -> Result<(), SiteError> {
         self.site.links.heal_all();
         self.site.restore_store();
+        for zone in ZONES {
+            self.site.take_zone_back(zone);
+        }
         for proxy in self.store_proxies.values() {
             proxy.set_rule(FaultRule::default());
         }
@@ -284,6 +291,7 @@
     }
 
     fn store_fault(&self, fault: StoreFault) {
+        self.disturb(STORE);
         self.site.store.borrow_mut().fault = fault;
     }
 
@@ -353,6 +361,12 @@
     changes
 }
 
+/// The zone that a number of an exclusion stands for.
+fn excluded_zone(number: u8) -> &'static str {
+    let index = EXCLUDED_BY.iter().position(|known| *known == number);
+    ZONES[index.unwrap_or(0)]
+}
+
 fn service_of(machine: u8) -> &'static str {
     TARGETS
         .into_iter()
--- a/crates/woodladder-lab/src/platform/soak_plan.rs
+++ b/crates/woodladder-lab/src/platform/soak_plan.rs
@@ -57,9 +57,11 @@
     CrashTarget,
     /// A target leaves as planned; another starts on its machine.
     DrainTarget,
+    /// The operators exclude the zone of a machine; its targets return cold.
+    ExcludeZone,
 }
 
-/// All kinds.
+/// All kinds but [`StrikeKind::ExcludeZone`], which has draws of its own.
 pub const KINDS: [StrikeKind; 23] = [
     StrikeKind::KillBalancer,
     StrikeKind::StopBalancer,
@@ -101,9 +103,23 @@
 
 /// Time between two strikes.
 const PAUSES_MS: std::ops::Range<u64> = 200..1500;
+/// Time between two exclusions of zones.
+const EXCLUSION_PAUSES_MS: std::ops::Range<u64> = 500..6000;
+/// How long a zone is excluded.
+const EXCLUSION_LENGTHS_MS: std::ops::Range<u64> = 300..9000;
+/// Numbers that stand for the zones in exclusions: no machines, so that a zone and
+/// a machine in it can be struck together.
+pub const EXCLUDED_BY: [u8; 2] = [201, 202];
 /// How long a strike lasts.
 const LENGTHS_MS: std::ops::Range<u64> = 300..3000;
 
+impl Strike {
+    /// Whether a later strike's machine is not under this one any more.
+    fn leaves_free(&self, later: &Self) -> bool {
+        self.machine != later.machine || self.at + self.lasts <= later.at
+    }
+}
+
 impl StrikeKind {
     fn machine(self, random: &mut ChaCha8Rng) -> u8 {
         let balancer = BALANCERS[random.random_range(0..BALANCERS.len())];
@@ -137,19 +153,39 @@
         let kind = KINDS[random.random_range(0..KINDS.len())];
         let machine = kind.machine(&mut random);
         let lasts = Duration::from_millis(random.random_range(LENGTHS_MS));
-        let is_free = strikes
-            .iter()
-            .all(|former| former.machine != machine || former.at + former.lasts <= at);
-        if is_free {
-            strikes.push(Strike {
-                at,
-                lasts,
-                kind,
-                machine,
-            });
+        let strike = Strike {
+            at,
+            lasts,
+            kind,
+            machine,
+        };
+        if strikes.iter().all(|former| former.leaves_free(&strike)) {
+            strikes.push(strike);
         }
         at += Duration::from_millis(random.random_range(PAUSES_MS));
     }
+    strikes.extend(exclusions(seed, length));
+    strikes
+}
+
+/// Exclusions of zones, which overlap each other and all other strikes. They are
+/// drawn apart, so that the other strikes of a seed do not depend on them.
+fn exclusions(seed: u64, length: Duration) -> Vec<Strike> {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let mut strikes: Vec<Strike> = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(EXCLUSION_PAUSES_MS));
+    while at < length {
+        let strike = Strike {
+            at,
+            lasts: Duration::from_millis(random.random_range(EXCLUSION_LENGTHS_MS)),
+            kind: StrikeKind::ExcludeZone,
+            machine: EXCLUDED_BY[random.random_range(0..EXCLUDED_BY.len())],
+        };
+        if strikes.iter().all(|former| former.leaves_free(&strike)) {
+            strikes.push(strike);
+        }
+        at += Duration::from_millis(random.random_range(EXCLUSION_PAUSES_MS));
+    }
     strikes
 }
 
--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -26,6 +26,8 @@
 const DRAIN: Duration = Duration::from_millis(1200);
 /// Time of work of one request.
 const WORK: Duration = Duration::from_millis(15);
+/// Time for which a target is cold.
+pub const COLD_FOR: Duration = Duration::from_secs(1);
 /// Largest datagram.
 const MAXIMUM_DATAGRAM: usize = 2048;
 
@@ -49,6 +51,9 @@
     socket: UdpSocket,
     oracle: Rc<RefCell<Oracle>>,
     flows: RefCell<BTreeMap<Ends, Flow>>,
+    zone: &'static str,
+    /// Until when it is cold.
+    cold_until: Cell<Instant>,
     leaving: Cell<bool>,
     has_ended: Cell<bool>,
     sequence: Cell<u64>,
@@ -65,6 +70,7 @@
         name: &str,
         service: &str,
         machine: Ipv4Addr,
+        zone: &'static str,
         oracle: Rc<RefCell<Oracle>>,
     ) -> io::Result<Rc<Self>> {
         let address = SocketAddrV4::new(machine, TARGET_PORT);
@@ -76,6 +82,8 @@
             socket: UdpSocket::bind(address).await?,
             oracle,
             flows: RefCell::default(),
+            zone,
+            cold_until: Cell::new(Instant::now() + COLD_FOR),
             leaving: Cell::new(false),
             has_ended: Cell::new(false),
             sequence: Cell::new(0),
@@ -100,6 +108,11 @@
         self.end();
     }
 
+    /// Turns cold, as after a start.
+    pub fn turn_cold(&self) {
+        self.cold_until.set(Instant::now() + COLD_FOR);
+    }
+
     /// Ends at once, as in a crash.
     pub fn end(&self) {
         self.has_ended.set(true);
@@ -139,7 +152,9 @@
                 return self.give_back(packet);
             }
             flow.is_open = true;
-            self.oracle.borrow_mut().opened(ends, &self.name);
+            let mut oracle = self.oracle.borrow_mut();
+            oracle.opened(ends, &self.name);
+            oracle.opened_in(self.zone, ends, &self.name);
         }
         if packet.flags.has(Flags::RESET) {
             flows.remove(&ends);
@@ -153,6 +168,10 @@
 
     fn accept(&self, ends: Ends, packet: &Packet) {
         let mut flows = self.flows.borrow_mut();
+        let now = Instant::now();
+        if !flows.contains_key(&ends) && now < self.cold_until.get() {
+            self.oracle.borrow_mut().opened_cold(&self.name, now);
+        }
         let flow = flows.entry(ends).or_insert_with(|| Flow {
             awaited: packet.sequence.wrapping_add(1),
             sent: self.first_number.wrapping_add(1),
@@ -261,10 +280,14 @@
         } else {
             "ready"
         };
+        let cold_for = self
+            .cold_until
+            .get()
+            .saturating_duration_since(Instant::now());
         let body = json!({
             "service": self.service, "address": format!("{}:{TARGET_PORT}", self.machine),
-            "zone": "a", "version": "v1", "capacity": 50, "state": state,
-            "warmup_left_ms": 0, "seq": self.sequence.get(),
+            "zone": self.zone, "version": "v1", "capacity": 50, "state": state,
+            "warmup_left_ms": cold_for.as_millis(), "seq": self.sequence.get(),
         });
         let path = format!("/instances/{}", self.name);
         self.call("PUT", &path, &body.to_string()).await
--- a/crates/woodladder-lab/tests/platform_oracle.rs
+++ b/crates/woodladder-lab/tests/platform_oracle.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
 
 use woodladder_lab::platform::{Oracle, Violation};
 
@@ -92,3 +93,39 @@
     oracle.changed("a target");
     assert!(matches!(oracle.violations(), [Violation::ChangedPacket(_)]));
 }
+
+#[test]
+fn a_flow_in_an_excluded_zone_is_seen_unless_its_machine_is_out_of_touch() {
+    let mut oracle = oracle();
+    oracle.limit_exclusion(Duration::ZERO);
+    oracle.opened_in("a", ends(), "i-21-1");
+    oracle.zone_excluded("a");
+    std::thread::sleep(Duration::from_millis(2));
+    oracle.opened_in("b", ends(), "i-23-1");
+    oracle.disturb(21);
+    oracle.opened_in("a", ends(), "i-21-1");
+    assert_eq!(oracle.violations(), []);
+    oracle.opened_in("a", ends(), "i-22-1");
+    assert!(matches!(
+        oracle.violations(),
+        [Violation::FlowInExcludedZone(_)]
+    ));
+}
+
+#[test]
+fn more_openings_in_a_second_than_a_cold_target_bears_are_seen() {
+    let mut oracle = oracle();
+    let begin = Instant::now();
+    for number in 0..70 {
+        oracle.opened_cold("i-21-1", begin + Duration::from_millis(29) * number);
+    }
+    assert_eq!(oracle.violations(), []);
+    let mut oracle = Oracle::default();
+    for number in 0..36 {
+        oracle.opened_cold("i-21-1", begin + Duration::from_millis(27) * number);
+    }
+    assert!(matches!(
+        oracle.violations(),
+        [Violation::ColdTargetOverwhelmed(_)]
+    ));
+}
