Give openings up when their answer would come after the route's time

Cause: openings waited 1.2 s at the agent and at the balancer whatever their route's time; a feed's is 1.2 s, so the last of them held places in vain. Change: the route's time goes with the opening; the agent gives it back as soon as age and expected answer exceed it, the balancer refuses at its end. Kept because what is known to be too late must be refused at once, and routes with less time gain more.

--- a/crates/woodladder-core/src/flow/agent/admission_queue.rs
+++ b/crates/woodladder-core/src/flow/agent/admission_queue.rs
@@ -34,6 +34,8 @@
     pub first_sent: Instant,
     /// Time from then in which its request should be answered.
     pub aim: Duration,
+    /// Time from then after which an answer is of no use any more.
+    pub timeout: Duration,
     /// Whether its route matters more than another of the same service.
     pub is_urgent: bool,
 }
@@ -54,6 +56,11 @@
 }
 
 impl QueuedOpening {
+    fn is_vain(&self, expected: Duration, now: Instant) -> bool {
+        let age = now.since(self.first_sent);
+        age >= LONGEST_WAIT || age + expected >= self.timeout
+    }
+
     fn group(&self, expected: Duration, now: Instant) -> Group {
         let is_in_time = now.since(self.first_sent) + expected <= self.aim;
         match (is_in_time, self.is_urgent) {
@@ -105,10 +112,12 @@
         Some(self.openings.swap_remove(best))
     }
 
-    /// Takes the openings that have waited for as long as they may.
-    pub fn take_expired(&mut self, now: Instant) -> Vec<QueuedOpening> {
+    /// Takes the openings that have waited for as long as they may, or whose answers
+    /// would come too late to be of use, when one is expected this long after an
+    /// opening is handed to the target.
+    pub fn take_expired(&mut self, expected: Duration, now: Instant) -> Vec<QueuedOpening> {
         self.openings
-            .extract_if(.., |opening| now.since(opening.first_sent) >= LONGEST_WAIT)
+            .extract_if(.., |opening| opening.is_vain(expected, now))
             .collect()
     }
 
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/openings.rs
@@ -132,6 +132,7 @@
             bytes: bytes.to_vec(),
             first_sent: Instant::from_origin(now.since_origin().saturating_sub(age)),
             aim: Duration::from_millis(terms.aim_ms.into()),
+            timeout: Duration::from_millis(terms.timeout_ms.into()),
             is_urgent: terms.is_urgent,
         });
         self.counters.queued += 1;
@@ -199,7 +200,7 @@
             let all = self.queue.take_all();
             return self.return_queued(all, ReturnReason::Saturated, now, actions);
         }
-        let expired = self.queue.take_expired(now);
+        let expired = self.queue.take_expired(self.expected_answer(), now);
         self.counters.expired += u64::try_from(expired.len()).unwrap_or(0);
         self.return_queued(expired, ReturnReason::Expired, now, actions);
         while self.target_has_room() && self.openings_left(now) != Some(0) {
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/opening.rs
@@ -164,6 +164,7 @@
         OpeningTerms {
             age_ms: u16::try_from(age).unwrap_or(u16::MAX),
             aim_ms: terms.aim_ms,
+            timeout_ms: terms.timeout_ms,
             is_urgent,
             believed_load: None,
         }
--- a/crates/woodladder-core/src/flow/balancer/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/waiting.rs
@@ -67,9 +67,7 @@
             let Some(since) = self.waits_since(&opening) else {
                 continue;
             };
-            let service = self.flows.peek(&opening.packet.key).map(|it| it.service);
-            let is_vain = service.is_some_and(|service| self.is_wholly_excluded(service));
-            if is_vain || now.since(since) >= LONGEST_WAIT {
+            if self.is_vain(&opening.packet, now.since(since)) {
                 let routing = self.refuse(&opening.packet);
                 self.carry_out(routing, &opening.bytes, actions);
                 continue;
@@ -83,6 +81,16 @@
         self.waiting = remaining;
     }
 
+    /// Whether no target can answer an opening of this age in time for its caller.
+    fn is_vain(&self, packet: &FlowPacket, age: Duration) -> bool {
+        let Some(entry) = self.flows.peek(&packet.key) else {
+            return true;
+        };
+        let (terms, _) = self.routes.terms(packet.key.service, entry.service);
+        let useful_for = Duration::from_millis(terms.timeout_ms.into());
+        age >= LONGEST_WAIT.min(useful_for) || self.is_wholly_excluded(entry.service)
+    }
+
     /// When the opening was first sent, or `None` when it no longer waits.
     fn waits_since(&self, opening: &WaitingOpening) -> Option<Instant> {
         match &self.flows.peek(&opening.packet.key)?.stage {
--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -29,6 +29,8 @@
     pub priority: u8,
     /// Time in which a request should be answered, in milliseconds.
     pub aim_ms: u32,
+    /// Time after which an answer is of no use any more, in milliseconds.
+    pub timeout_ms: u32,
 }
 
 impl Default for RouteTerms {
@@ -36,6 +38,7 @@
         Self {
             priority: u8::MAX,
             aim_ms: 300,
+            timeout_ms: u32::MAX,
         }
     }
 }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -38,6 +38,8 @@
     pub age_ms: u16,
     /// Time in which its request should be answered, in milliseconds.
     pub aim_ms: u32,
+    /// Time after which its answer is of no use any more, in milliseconds.
+    pub timeout_ms: u32,
     /// Whether its route matters more than another of the same service.
     pub is_urgent: bool,
     /// Requests that the balancer believes the target to hold or to have
--- a/crates/woodladder-core/tests/flow_admission_queue.rs
+++ b/crates/woodladder-core/tests/flow_admission_queue.rs
@@ -192,6 +192,20 @@
     assert_eq!(agent.load().queued, 0);
 }
 
+/// An answer that comes after its caller has given up helps nobody.
+#[test]
+fn an_opening_whose_answer_would_come_too_late_is_given_back() {
+    let mut agent = busy_agent();
+    let terms = OpeningTerms {
+        timeout_ms: 500,
+        ..opening_terms()
+    };
+    offer(&mut agent, 100, terms, 20);
+    keep_busy(&mut agent, 520);
+    assert_eq!(given_back(&mut agent, 300), []);
+    assert_eq!(given_back(&mut agent, 519), [(100, ReturnReason::Expired)]);
+}
+
 /// A target that has stopped to answer keeps openings from others that would.
 #[test]
 fn openings_do_not_wait_for_a_target_that_is_stuck() {
--- a/crates/woodladder-core/tests/flow_route_terms.rs
+++ b/crates/woodladder-core/tests/flow_route_terms.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use flow_support::*;
-use woodladder_core::flow::balancer::{Balancer, Routing};
+use woodladder_core::flow::balancer::{Balancer, BalancerAction, Routing};
 use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
 use woodladder_core::flow::identity::FlowKey;
-use woodladder_core::flow::message::{ForwardPurpose, OpeningTerms};
+use woodladder_core::flow::message::{ForwardPurpose, OpeningTerms, TargetReport, TargetState};
 
 /// Route whose requests matter more than those of route 1.
 const URGENT_ROUTE: u8 = 2;
@@ -22,7 +22,11 @@
             service: kitchen(),
             weight: 1,
         }],
-        terms: RouteTerms { priority, aim_ms },
+        terms: RouteTerms {
+            priority,
+            aim_ms,
+            ..RouteTerms::default()
+        },
     }
 }
 
@@ -77,3 +81,34 @@
     assert!(!terms_on(&mut balancer, 1, 1).is_urgent);
     assert!(!terms_on(&mut balancer, PATIENT_ROUTE, 2).is_urgent);
 }
+
+#[test]
+fn an_opening_without_a_target_is_refused_when_its_answer_would_be_too_late() {
+    let mut hurried = route(1, 2, 300);
+    hurried.terms.timeout_ms = 500;
+    let mut balancer = balancer_of(vec![hurried, route(PATIENT_ROUTE, 2, 300)]);
+    let leaving = TargetReport {
+        state: TargetState::Leaving,
+        ..report(2, 2)
+    };
+    tell(&mut balancer, 2, &leaving, at(10_000));
+    for number in [1, PATIENT_ROUTE] {
+        let key = FlowKey {
+            service: route_address(number),
+            ..flow(9)
+        };
+        arrive(&mut balancer, &opening(key, 0), at(10_010));
+    }
+    let mut resets = |now| {
+        let mut actions = Vec::new();
+        balancer.tick(at(now), &mut actions);
+        let resets = actions.iter().filter_map(|action| match action {
+            BalancerAction::Reset(reset) => Some(reset.key.service),
+            _ => None,
+        });
+        resets.collect::<Vec<_>>()
+    };
+    assert_eq!(resets(10_500), []);
+    assert_eq!(resets(10_510), [route_address(1)]);
+    assert_eq!(resets(11_000), []);
+}
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -263,6 +263,7 @@
     OpeningTerms {
         age_ms: 0,
         aim_ms: 300,
+        timeout_ms: u32::MAX,
         is_urgent: false,
         believed_load: None,
     }
