--- a/crates/woodladder-core/src/flow/agent/decision.rs
+++ b/crates/woodladder-core/src/flow/agent/decision.rs
@@ -103,6 +103,10 @@
     pub declined: u64,
     /// Openings that have waited in the agent's queue.
     pub queued: u64,
+    /// Openings given back because the target may be cold and has had its share.
+    pub held_cold: u64,
+    /// Openings given back because the target's zone is excluded.
+    pub held_excluded: u64,
     /// Openings that have waited there for too long.
     pub expired: u64,
     /// Packets of open flows handed to the target.
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/openings.rs
@@ -58,6 +58,7 @@
             return Delivery::plain();
         }
         if let Some(reason) = self.reason_to_decline(header, now) {
+            self.counters.held_excluded += u64::from(reason == ReturnReason::ZoneExcluded);
             return self.give_back(reason);
         }
         if self.queue.is_empty() && self.target_has_room() && self.openings_left(now) != Some(0) {
@@ -69,6 +70,7 @@
         }
         if self.openings_left(now) == Some(0) && terms.believed_load.is_some() {
             self.load.openings_left = Some(0);
+            self.counters.held_cold += 1;
             return self.give_back(ReturnReason::WarmingUp);
         }
         if self.queue.is_full() || self.is_underestimated(terms) || self.is_stuck(now) {
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -36,6 +36,16 @@
                 "Openings that had to wait in the queue.",
                 counters.queued,
             ),
+            (
+                "openings_held_cold_total",
+                "Openings given back because the target may be cold.",
+                counters.held_cold,
+            ),
+            (
+                "openings_held_excluded_total",
+                "Openings given back because the target's zone is excluded.",
+                counters.held_excluded,
+            ),
             (
                 "openings_expired_total",
                 "Openings given up after the longest wait in the queue.",
