--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -30,9 +30,7 @@
 const SILENT_WHEN_ASKED: Duration = Duration::from_millis(400);
 /// Time without an answer to repeated questions after which the flows of an
 /// agent count as lost. A question is repeated [`QUESTION_INTERVAL`] apart, so
-/// that several in a row must get lost for a living agent to be taken for dead, and
-/// one whose answers wait on a full link for half a second is not: with 0.6 s, 923
-/// requests fail under a surge of twice the usual callers, and 356 with this.
+/// that several in a row must get lost for a living agent to be taken for dead.
 const LOST_WHEN_ASKED: Duration = Duration::from_millis(1000);
 /// Time between two questions to an agent that has not answered.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(150);
--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -12,9 +12,12 @@
 const ASK_AGAIN: Duration = Duration::from_millis(5000);
 /// Time between two looks whether the node has to watch.
 const STAND_BY: Duration = Duration::from_millis(100);
-/// The same before the store's first answer: a node that has just started can do
-/// nothing for its callers without a configuration.
+/// The same for [`STARTING_FOR`] after the node's start: one that has just started can
+/// do nothing for its callers without a configuration.
 const STAND_BY_AT_START: Duration = Duration::from_millis(10);
+/// Time in which every node has heard a configuration from others, or has had its
+/// turn to read it.
+const STARTING_FOR: Duration = Duration::from_secs(2);
 
 /// Time after a change in which no other is asked for, so that changes in quick
 /// succession cost one call. Far shorter than the time that a change has to
@@ -39,6 +42,7 @@
     in_flight: bool,
     backoff: Backoff,
     heard_at: Option<Instant>,
+    started_at: Instant,
 }
 
 impl ConfigurationWatch {
@@ -52,6 +56,7 @@
             in_flight: false,
             backoff: Backoff::new(seed),
             heard_at: None,
+            started_at: now,
         }
     }
 
@@ -73,9 +78,11 @@
         let Some(wait) = wait else {
             // Changes meanwhile are not heard here, so the next call is a read.
             self.revision = None;
-            let pause = match self.heard_at {
-                Some(_) => STAND_BY,
-                None => STAND_BY_AT_START,
+            let is_starting = now.since(self.started_at) < STARTING_FOR;
+            let pause = if is_starting {
+                STAND_BY_AT_START
+            } else {
+                STAND_BY
             };
             return NextCall::At(now + pause);
         };
--- a/crates/woodladder-core/tests/flow_store_session.rs
+++ b/crates/woodladder-core/tests/flow_store_session.rs
@@ -270,3 +270,17 @@
         StoreCall::EndLease { lease: 4 }
     );
 }
+
+/// A node that has just started has nothing for its callers; one that others keep
+/// informed must not wake up for nothing.
+#[test]
+fn a_node_that_need_not_watch_looks_often_only_after_its_start() {
+    let mut watch = ConfigurationWatch::new(1, at(0));
+    assert_eq!(watch.next(None, at(0)), NextCall::At(at(10)));
+    assert_eq!(watch.next(None, at(1990)), NextCall::At(at(2000)));
+    assert_eq!(watch.next(None, at(2000)), NextCall::At(at(2100)));
+    assert_eq!(
+        call(watch.next(WAIT, at(2100))),
+        StoreCall::ReadConfiguration
+    );
+}
