--- /dev/null
+++ b/crates/woodladder/src/command/fleet_report.rs
@@ -0,0 +1,67 @@
+//! `woodladder fleet-report`.
+
+use std::path::PathBuf;
+
+use clap::Args;
+
+use super::failure::Failure;
+use super::output::print_json;
+use crate::explain;
+use crate::fleet_report::{self, FleetReport};
+
+pub(super) const HELP: &str = "Examples:
+  woodladder fleet-report --logs /var/log/woodladder
+  woodladder fleet-report --logs day.log --json";
+
+/// Arguments of the command.
+#[derive(Args, Debug)]
+pub struct FleetReportArguments {
+    /// A directory of log files, or one file
+    #[arg(long)]
+    logs: PathBuf,
+    /// Print JSON
+    #[arg(long)]
+    json: bool,
+}
+
+impl FleetReportArguments {
+    pub(super) fn run(&self) -> Result<(), Failure> {
+        let lines = explain::read_directory(&self.logs)
+            .map_err(|error| Failure::Refused(error.to_string()))?;
+        let report = fleet_report::report(&lines);
+        if self.json {
+            return print_json(&report);
+        }
+        print!("{}", render(&report));
+        Ok(())
+    }
+}
+
+fn render(report: &FleetReport) -> String {
+    let mut text = String::new();
+    for total in &report.totals {
+        text.push_str(&format!(
+            "{:<9} {:<9} {:<20} {:>5} nodes {:>9} {:>12} B, most {}\n",
+            total.role,
+            total.direction,
+            total.kind,
+            total.nodes,
+            total.count,
+            total.bytes,
+            total.most
+        ));
+    }
+    for spread in &report.spreads {
+        text.push_str(&format!(
+            "{:<22} {:<22} {:>5} nodes, after the first: median {} ms, 99th of 100 {} ms, \
+             last {} ms\n",
+            spread.event,
+            spread.subject,
+            spread.nodes,
+            spread.median_ms,
+            spread.late_ms,
+            spread.last_ms
+        ));
+    }
+    text
+}
--- a/crates/woodladder/src/command/mod.rs
+++ b/crates/woodladder/src/command/mod.rs
@@ -8,6 +8,7 @@
 mod check_settings;
 mod explain;
 mod failure;
+mod fleet_report;
 mod key;
 mod key_file;
 mod nodes;
@@ -58,6 +59,9 @@
     /// Explain one request or flow from the logs of all nodes
     #[command(after_help = explain::HELP)]
     Explain(explain::ExplainArguments),
+    /// Add up what a fleet exchanged, and how fast news reached all of it, from logs
+    #[command(after_help = fleet_report::HELP)]
+    FleetReport(fleet_report::FleetReportArguments),
     /// Check settings without running anything
     #[command(after_help = check_settings::HELP)]
     CheckSettings(check_settings::CheckSettingsCommand),
@@ -75,6 +79,7 @@
             Command::Roll(arguments) => arguments.run(),
             Command::Status(arguments) => arguments.run(),
             Command::Explain(arguments) => arguments.run(),
+            Command::FleetReport(arguments) => arguments.run(),
             Command::CheckSettings(command) => command.run(),
         };
         match result {
--- a/crates/woodladder/src/lib.rs
+++ b/crates/woodladder/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod endpoint;
 pub mod explain;
+pub mod fleet_report;
 pub mod log;
 pub mod process;
 pub mod settings;
