--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/announcements.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::super::balancer::OWN_ZONE_FIRST_FOR;
 use super::super::identity::NodeAddress;
 use super::super::message::{BalancerGreeting, PeerMessage, SnapshotRequest, TargetReport};
 use super::super::note::Note;
@@ -84,25 +85,34 @@
         }
         let asked = Duration::from_millis(greeting.report_interval_ms.into());
         self.reports.asked(from, asked, now);
-        self.learn_version(from, greeting.version, now, actions);
+        self.learn_version(from, greeting, now, actions);
     }
 
+    /// Fetches a greater version, from a node of the own zone if one has it soon.
     fn learn_version(
         &mut self,
         from: NodeAddress,
-        version: u64,
+        greeting: &BalancerGreeting,
         now: Instant,
         actions: &mut Vec<AgentAction>,
     ) {
-        let pending = self
+        if greeting.version <= self.routes.version() {
+            return;
+        }
+        let heard_at = *self.newer_heard_at.get_or_insert(now);
+        let has_waited = now.since(heard_at) >= OWN_ZONE_FIRST_FOR;
+        let knows_nothing = self.routes.version() == 0;
+        let is_near = greeting.zone == self.options.zone;
+        let is_pending = self
             .fetch
             .is_some_and(|(_, since)| now.since(since) < FETCH_TIMEOUT);
-        if version <= self.routes.version() || pending {
+        if is_pending || !(is_near || knows_nothing || has_waited) {
             return;
         }
         self.fetch = Some((from, now));
         let request = SnapshotRequest {
             known_version: self.routes.version(),
+            wants_nodes: knows_nothing,
         };
         actions.push(AgentAction::FetchSnapshot { from, request });
     }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -143,6 +143,8 @@
     target: Target,
     routes: RouteTable,
     version_known_at: Instant,
+    /// When a greater version than the own was first heard of.
+    newer_heard_at: Option<Instant>,
     excluded_zones: ExcludedZones,
     /// When a node last told which zones are excluded.
     zones_heard_at: Option<Instant>,
@@ -177,6 +179,7 @@
             target: Target::unknown(now),
             routes: RouteTable::default(),
             version_known_at: now,
+            newer_heard_at: None,
             excluded_zones: ExcludedZones::default(),
             zones_heard_at: None,
             warm_up: WarmUp::default(),
@@ -297,6 +300,7 @@
             return;
         }
         self.version_known_at = now;
+        self.newer_heard_at = None;
         self.notes.add(Note::ConfigurationAdopted {
             version: self.routes.version(),
             former,
--- a/crates/woodladder-core/src/flow/balancer/agent_census.rs
+++ b/crates/woodladder-core/src/flow/balancer/agent_census.rs
@@ -77,7 +77,24 @@
             return;
         }
         let peer = peers[self.sought % peers.len()];
-        if self.fetch_from(peer, now, actions) {
+        if self.fetch_from(peer, true, now, actions) {
+            self.sought += 1;
+        }
+    }
+
+    /// Asks a balancer that was just found which nodes it knows: it may have been
+    /// parted from this one. Just after a start many are found at once: the first is
+    /// asked, and [`Self::seek_complete_snapshot`] goes on with one after the other.
+    pub(super) fn ask_found_balancer(
+        &mut self,
+        balancer: NodeAddress,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        let knows_nothing = self.routes.version() == 0;
+        let is_starting = now.since(self.listening_since) < SEEKS_COMPLETE_FOR;
+        let asks = knows_nothing || !is_starting || self.sought == 0;
+        if asks && self.fetch_from(balancer, true, now, actions) {
             self.sought += 1;
         }
     }
@@ -134,8 +151,8 @@
             .take(usize::try_from(left).unwrap_or(0))
             .collect();
         self.named_agents_greeted += u32::try_from(due.len()).unwrap_or(0);
-        let again_at = now + self.agent_greeting_period();
         for agent in due {
+            let again_at = now + self.next_greeting_after(agent);
             if let Some(named) = self.named_agents.get_mut(&agent) {
                 named.first_greeted_at.get_or_insert(now);
                 named.greeted_at = now;
@@ -178,7 +195,7 @@
         self.listen_anew(now);
         let peer = self.peers.confirmed().find(|peer| *peer != from);
         if let Some(peer) = peer {
-            self.fetch_from(peer, now, actions);
+            self.fetch_from(peer, true, now, actions);
         }
     }
 }
--- a/crates/woodladder-core/src/flow/balancer/greeting_periods.rs
+++ b/crates/woodladder-core/src/flow/balancer/greeting_periods.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use super::super::identity::NodeAddress;
+use super::super::identity::{NodeAddress, address_hash};
 use super::super::pace::round_time;
 use super::Balancer;
 
@@ -47,9 +47,12 @@
 const RELAYING_GREETING_SPACING: Duration = Duration::from_micros(2500);
 
 impl Balancer {
-    /// Time between two reports of an agent that this balancer asks for.
+    /// Time between two reports of an agent that this balancer asks for. Agents that
+    /// it was only named count too: at a start it would else ask each for many
+    /// reports until it knows all of them, half a million in a fleet of 986.
     pub(super) fn report_interval(&self) -> Duration {
-        let agents = u32::try_from(self.directory.len()).unwrap_or(u32::MAX);
+        let agents = self.directory.len() + self.named_agents.len();
+        let agents = u32::try_from(agents).unwrap_or(u32::MAX);
         self.report_spacing()
             .saturating_mul(agents)
             .max(MINIMUM_REPORT_INTERVAL)
@@ -70,6 +73,14 @@
         self.report_interval().saturating_mul(REPORTS_A_GREETING)
     }
 
+    /// Time until an agent is greeted again: a part of the period stated to it that
+    /// differs by agent, so that agents greeted together at a start are not ever after.
+    pub(super) fn next_greeting_after(&self, agent: NodeAddress) -> Duration {
+        let part = u32::try_from(address_hash(agent) % 1000).unwrap_or(0);
+        let period = self.agent_greeting_period();
+        period / 2 + period * part / 2000
+    }
+
     /// Balancers of the own zone greeted at a time.
     pub(super) fn greeted_members(&self) -> usize {
         self.zone_members
--- a/crates/woodladder-core/src/flow/balancer/greetings.rs
+++ b/crates/woodladder-core/src/flow/balancer/greetings.rs
@@ -4,9 +4,7 @@
 use std::time::Duration;
 
 use super::super::identity::NodeAddress;
-use super::super::message::{
-    BalancerGreeting, MAXIMUM_NAMED_BALANCERS, PeerMessage, SnapshotRequest, TargetReport,
-};
+use super::super::message::{BalancerGreeting, MAXIMUM_NAMED_BALANCERS, PeerMessage, TargetReport};
 use super::super::note::Note;
 use super::super::pace::milliseconds;
 use super::super::zone_members::Member;
@@ -16,9 +14,6 @@
 
 /// An agent that reports this many times as often as asked is greeted at once.
 const MUCH_TOO_OFTEN: u32 = 2;
-/// Time after which a request for a snapshot counts as lost.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-
 impl Balancer {
     pub(super) fn greeted(
         &mut self,
@@ -41,7 +36,7 @@
         if is_new {
             self.notes.add(Note::BalancerFound { balancer: from });
             self.greet(from, now, actions);
-            self.fetch_from(from, now, actions);
+            self.ask_found_balancer(from, now, actions);
         }
         if greeting.version == 0 && self.routes.version() > 0 {
             // It has just started and can do with what this one knows.
@@ -55,7 +50,7 @@
         }
         self.adopt_zones(&greeting.excluded_zones, Some(from));
         self.confirmation_heard(greeting, now);
-        self.learn_version(from, greeting.version, now, actions);
+        self.learn_version(from, greeting.zone, greeting.version, now, actions);
     }
 
     pub(super) fn member_greeted(
@@ -70,7 +65,7 @@
         };
         if greeting.zone == self.options.zone {
             let greets_within = Duration::from_millis(greeting.next_within_ms.into());
-            self.zone_members.heard(from, member, greets_within, now);
+            self.zone_members.greeted(from, member, greets_within, now);
         }
         self.peers.stated(from, member);
     }
@@ -129,40 +124,6 @@
         }
     }
 
-    pub(super) fn learn_version(
-        &mut self,
-        from: NodeAddress,
-        version: u64,
-        now: Instant,
-        actions: &mut Vec<BalancerAction>,
-    ) {
-        if version > self.routes.version() {
-            self.fetch_from(from, now, actions);
-        }
-    }
-
-    /// Asks a node for a snapshot unless another is awaited; says whether it
-    /// does.
-    pub(super) fn fetch_from(
-        &mut self,
-        from: NodeAddress,
-        now: Instant,
-        actions: &mut Vec<BalancerAction>,
-    ) -> bool {
-        let pending = self
-            .fetch
-            .is_some_and(|(_, since)| now.since(since) < FETCH_TIMEOUT);
-        if pending {
-            return false;
-        }
-        self.fetch = Some((from, now));
-        let request = SnapshotRequest {
-            known_version: self.routes.version(),
-        };
-        actions.push(BalancerAction::FetchSnapshot { from, request });
-        true
-    }
-
     /// Greets an agent and promises it the next greeting. What was promised is kept
     /// when the fleet has grown meanwhile, because agents forget a balancer that
     /// breaks it and cease to report.
@@ -172,7 +133,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
-        let again_at = now + self.agent_greeting_period();
+        let again_at = now + self.next_greeting_after(agent);
         self.directory.greeted(agent, again_at);
         self.greet(agent, now, actions);
     }
@@ -206,8 +167,12 @@
         }
     }
 
+    /// Greets balancers that are due, and tells of a configuration just adopted.
     pub(super) fn greet_peers(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.greet_relaying_members(now, actions);
+        if std::mem::take(&mut self.tells_zone) {
+            self.tell_zone(now, actions);
+        }
         if now.since(self.greeted_peers_at) < PEER_GREETING_INTERVAL {
             return;
         }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -40,7 +40,7 @@
                 if !is_found {
                     self.correct_report_interval(from, &report, now, actions);
                 }
-                self.learn_version(from, report.version, now, actions);
+                self.learn_version(from, report.zone, report.version, now, actions);
             }
             PeerMessage::Returned {
                 reason,
@@ -50,7 +50,9 @@
             } => {
                 self.adopt_zones(&excluded_zones, Some(from));
                 self.directory.loaded(from, load, now);
-                self.learn_version(from, version, now, actions);
+                if let Some(zone) = self.directory.agent(from).map(|record| record.zone) {
+                    self.learn_version(from, zone, version, now, actions);
+                }
                 if let Some((packet, bytes)) = packet {
                     self.returned(from, reason, packet, bytes, now, actions);
                 }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -8,6 +8,7 @@
 
 mod agent_census;
 mod decision;
+mod dissemination;
 mod established;
 mod exclusion;
 mod forwarding;
@@ -19,6 +20,7 @@
 mod relay;
 mod search;
 mod search_outcome;
+mod snapshots;
 mod store_duty;
 mod waiting;
 
@@ -30,7 +32,6 @@
 use super::directory::Directory;
 use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
-use super::message::{Snapshot, SnapshotRequest};
 use super::note::{Note, Notes};
 use super::packet::{CallerReset, FlowPacket, PacketKind, ResetReason};
 use super::parts::PartShares;
@@ -41,6 +42,7 @@
 use crate::clock::Instant;
 
 pub use decision::{BalancerAction, BalancerCounters, BalancerOptions};
+pub use dissemination::OWN_ZONE_FIRST_FOR;
 pub use forwarding::{DropReason, Routing};
 pub use readiness::NotReadyReason;
 pub use search::{FIRST_ASKED, SEARCHES_A_TICK};
@@ -120,6 +122,9 @@
     /// When the store last confirmed the configuration, here or to a balancer
     /// that has told so.
     confirmed_at: Option<Instant>,
+    /// A version later than the own one, and when the store confirmed it to a balancer
+    /// that has told so.
+    later_confirmation: Option<(u64, Instant)>,
     /// Whether the balancer had to watch the store at its last tick.
     watched: bool,
     /// Whether the settings name other balancers.
@@ -128,6 +133,10 @@
     others_begin_here: bool,
     /// Whether the store has just given a configuration that others lack.
     tells_all: bool,
+    /// Whether the nodes of the zone are to be told of a configuration just adopted.
+    tells_zone: bool,
+    /// When a greater version than the own was first heard of.
+    newer_heard_at: Option<Instant>,
     excluded_zones: ExcludedZones,
     /// Whether every node is to be told of the excluded zones at once.
     tells_zones: bool,
@@ -184,10 +193,13 @@
             peer_round: 0,
             named_in_greetings: Vec::new(),
             confirmed_at: None,
+            later_confirmation: None,
             watched: false,
             has_seeds: false,
             others_begin_here: false,
             tells_all: false,
+            tells_zone: false,
+            newer_heard_at: None,
             excluded_zones: ExcludedZones::default(),
             tells_zones: false,
             greeted_peers_at: Instant::ORIGIN,
@@ -273,60 +285,6 @@
         }
     }
 
-    /// Takes what another node knows.
-    pub fn snapshot(
-        &mut self,
-        from: NodeAddress,
-        snapshot: Snapshot,
-        now: Instant,
-        actions: &mut Vec<BalancerAction>,
-    ) {
-        if self.fetch.is_some_and(|(asked, _)| asked == from) {
-            self.fetch = None;
-        }
-        if let Some(configuration) = snapshot.configuration {
-            self.adopt(Arc::new(configuration), Some(from));
-        }
-        self.adopt_zones(&snapshot.excluded_zones, Some(from));
-        for balancer in snapshot.balancers {
-            self.name_peer(balancer, now, actions);
-        }
-        self.has_complete_snapshot |= snapshot.knows_all_agents;
-        for agent in snapshot.agents {
-            if self.directory.agent(agent).is_none() {
-                self.name_agent(agent);
-            }
-        }
-        self.greet_next_named_agents(now, actions);
-    }
-
-    /// A request for a snapshot failed.
-    pub fn snapshot_failed(&mut self, from: NodeAddress) {
-        if self.fetch.is_some_and(|(asked, _)| asked == from) {
-            self.fetch = None;
-        }
-    }
-
-    /// What this node tells others that ask for a snapshot.
-    #[must_use]
-    pub fn answer_snapshot(&self, request: &SnapshotRequest) -> Snapshot {
-        let mut balancers: Vec<NodeAddress> = self.peers.addresses().collect();
-        balancers.push(self.options.address);
-        let agents = self
-            .directory
-            .agents()
-            .filter(|record| !record.is_given_up())
-            .map(|record| record.address);
-        Snapshot::for_request(
-            request,
-            self.routes.current(),
-            &self.excluded_zones,
-            balancers,
-            agents.collect(),
-            self.was_complete,
-        )
-    }
-
     /// Begins a planned stop: not ready any more, forwards on.
     pub fn leave(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.leaving = true;
@@ -350,6 +308,9 @@
         // store gave it.
         self.greeted_peers_at = Instant::ORIGIN;
         self.tells_all |= from.is_none();
+        self.tells_zone = true;
+        self.newer_heard_at = None;
+        self.confirmation_adopted();
         self.notes.add(Note::ConfigurationAdopted {
             version: self.routes.version(),
             former,
--- a/crates/woodladder-core/src/flow/balancer/store_duty.rs
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -61,18 +61,34 @@
         self.confirmed_at = Some(now);
     }
 
-    /// Takes in how old another balancer's knowledge is. It says nothing when
-    /// that balancer knows a later version, or none.
+    /// Takes in how old another balancer's knowledge is. Of a later version than the
+    /// own one it counts only once that version is adopted here.
     pub(super) fn confirmation_heard(&mut self, greeting: &BalancerGreeting, now: Instant) {
         let Some(age) = greeting.confirmed_ago_ms else {
             return;
         };
-        if greeting.version == 0 || greeting.version > self.routes.version() {
+        if greeting.version == 0 {
             return;
         }
         let age = Duration::from_millis(age.into());
         let confirmed_at = Instant::from_origin(now.since_origin().saturating_sub(age));
-        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        if greeting.version > self.routes.version() {
+            self.later_confirmation = Some((greeting.version, confirmed_at));
+        } else {
+            self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        }
+    }
+
+    /// A configuration was adopted: what was heard of its confirmation counts now. A
+    /// balancer that has just started would else read the store although it was told
+    /// everything, 109 of 304 in a start of all.
+    pub(super) fn confirmation_adopted(&mut self) {
+        if let Some((version, confirmed_at)) = self.later_confirmation
+            && version <= self.routes.version()
+        {
+            self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+            self.later_confirmation = None;
+        }
     }
 
     /// Time since the store confirmed the configuration, here or elsewhere;
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -12,26 +12,11 @@
 
 use rustc_hash::FxHashMap;
 
-use super::identity::{Incarnation, NodeAddress, ServiceKey, ZoneKey};
-use super::message::{TargetLoad, TargetReport, TargetState};
-use super::pace::silence_limit;
+use super::agent_record::AgentRecord;
+use super::identity::{Incarnation, NodeAddress, ServiceKey};
+use super::message::{TargetLoad, TargetReport};
 use crate::clock::Instant;
 
-/// Reports that may be missing before an agent counts as silent.
-const MISSED_REPORTS: f64 = 3.0;
-/// Least silence after which an agent gets no new flow.
-const MINIMUM_SILENCE: Duration = Duration::from_millis(350);
-/// Reports that may be missing before the flows of an agent count as lost.
-const MISSED_REPORTS_OF_LOST: f64 = 5.0;
-/// Least silence after which the flows of an agent count as lost.
-const MINIMUM_SILENCE_OF_LOST: Duration = Duration::from_millis(650);
-/// Least silence after which an agent is forgotten.
-pub const FORGET_AFTER: Duration = Duration::from_secs(20);
-/// Reports that may be missing before an agent is forgotten: more than those after
-/// which its flows count as lost.
-const MISSED_REPORTS_OF_FORGOTTEN: f64 = 6.0;
-/// Time without an answer to a question after which an agent gets no new flow.
-const SILENT_WHEN_ASKED: Duration = Duration::from_millis(400);
 /// Time without an answer to repeated questions after which the flows of an
 /// agent count as lost. A question is repeated [`QUESTION_INTERVAL`] apart, so
 /// that several in a row must get lost for a living agent to be taken for dead.
@@ -41,52 +26,6 @@
 /// Another agent must have been heard within this time for an unanswered
 /// question to say anything: otherwise the balancer itself may be cut off.
 const HEARS_OTHERS_WITHIN: Duration = Duration::from_millis(300);
-/// Age at which a statement of how many openings a cold target may still be handed
-/// is over: the span that it is about.
-const OPENINGS_LEFT_HOLD_FOR: Duration = Duration::from_millis(1000);
-/// Openings without an answer after which an agent counts as silent.
-const SUSPECT_UNANSWERED: u32 = 2;
-
-/// One agent and its target.
-#[derive(Clone, Debug)]
-pub struct AgentRecord {
-    /// The agent.
-    pub address: NodeAddress,
-    /// Service of its target.
-    pub service: ServiceKey,
-    /// Zone of the machine.
-    pub zone: ZoneKey,
-    /// Whether the target takes flows.
-    pub state: TargetState,
-    /// Requests that the target works on at the same time.
-    pub capacity: u16,
-    /// Last stated load.
-    pub load: TargetLoad,
-    /// Configuration that the agent knows.
-    pub version: u64,
-    /// Incarnation that the flows known here belong to.
-    pub incarnation: Option<Incarnation>,
-    /// When the agent was last heard.
-    pub heard_at: Instant,
-    /// When the load was stated.
-    pub load_at: Instant,
-    /// Flows sent there since its load was last stated.
-    pub sent_since: u32,
-    /// Openings in a row that it has not answered.
-    pub unanswered: u32,
-    /// When the target stops being slow from its start.
-    pub warm_at: Instant,
-    epoch: u64,
-    sequence: u64,
-    interval: Duration,
-    counted_lost: bool,
-    /// When it is to be greeted again, as the last greeting to it has promised.
-    greet_again_at: Instant,
-    /// When it was first asked something that it has not answered yet.
-    asked_at: Option<Instant>,
-    /// When it was last asked.
-    asked_again_at: Instant,
-}
 
 /// What a report or the passing of time has changed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -116,73 +55,6 @@
     services: FxHashMap<ServiceKey, Vec<NodeAddress>>,
 }
 
-impl AgentRecord {
-    /// Whether the agent may be sent new flows as far as its reports tell.
-    #[must_use]
-    pub fn is_live(&self, now: Instant) -> bool {
-        let limit = silence_limit(self.interval, MISSED_REPORTS, MINIMUM_SILENCE);
-        let owes_answer = self.owes_answer_for(now) >= SILENT_WHEN_ASKED;
-        now.since(self.heard_at) < limit && self.unanswered < SUSPECT_UNANSWERED && !owes_answer
-    }
-
-    /// Time since the agent was asked something that it has not answered; zero
-    /// when it owes no answer.
-    #[must_use]
-    pub fn owes_answer_for(&self, now: Instant) -> Duration {
-        self.asked_at.map_or(Duration::ZERO, |at| now.since(at))
-    }
-
-    fn heard(&mut self, now: Instant) {
-        self.heard_at = now;
-        self.unanswered = 0;
-        self.asked_at = None;
-    }
-
-    /// Requests that the target holds or has queued, with those that were sent
-    /// there since its load was stated.
-    #[must_use]
-    pub fn believed_load(&self) -> u16 {
-        let sent_since = u16::try_from(self.sent_since).unwrap_or(u16::MAX);
-        self.load.requests().saturating_add(sent_since)
-    }
-
-    /// Openings that the target may still be handed, as far as is known: a cold
-    /// target bears few a second. What was said longer ago than that says nothing.
-    #[must_use]
-    pub fn openings_left(&self, now: Instant) -> Option<u16> {
-        let is_recent = now.since(self.load_at) < OPENINGS_LEFT_HOLD_FOR;
-        let stated = self.load.openings_left.filter(|_| is_recent)?;
-        let sent_since = u16::try_from(self.sent_since).unwrap_or(u16::MAX);
-        Some(stated.saturating_sub(sent_since))
-    }
-
-    /// Whether the agent's flows count as lost.
-    #[must_use]
-    pub fn is_given_up(&self) -> bool {
-        self.counted_lost
-    }
-
-    fn is_lost(&self, now: Instant) -> bool {
-        let limit = silence_limit(
-            self.interval,
-            MISSED_REPORTS_OF_LOST,
-            MINIMUM_SILENCE_OF_LOST,
-        );
-        now.since(self.heard_at) >= limit
-    }
-
-    fn is_forgotten(&self, now: Instant) -> bool {
-        let limit = silence_limit(self.interval, MISSED_REPORTS_OF_FORGOTTEN, FORGET_AFTER);
-        now.since(self.heard_at) >= limit
-    }
-
-    fn take_load(&mut self, load: TargetLoad, now: Instant) {
-        self.load = load;
-        self.load_at = now;
-        self.sent_since = 0;
-    }
-}
-
 impl Directory {
     /// Agents known.
     #[must_use]
--- a/crates/woodladder-core/src/flow/identity.rs
+++ b/crates/woodladder-core/src/flow/identity.rs
@@ -86,6 +86,13 @@
     xxh3_64(&address_bytes(address))
 }
 
+/// A hash of two nodes that is the same at every node: the highest among several
+/// second ones chooses one of them for the first.
+#[must_use]
+pub fn pair_hash(first: NodeAddress, second: NodeAddress) -> u64 {
+    xxh3_64_with_seed(&address_bytes(second), address_hash(first))
+}
+
 fn address_bytes(address: NodeAddress) -> [u8; 6] {
     let mut bytes = [0; 6];
     bytes[..4].copy_from_slice(&address.ip().octets());
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -289,6 +289,9 @@
     /// Version that the asking node knows; the configuration is left out when
     /// there is no greater one.
     pub known_version: u64,
+    /// Whether it wants to know balancers and agents too, which are a third of a
+    /// snapshot of 986 nodes and 256 routes.
+    pub wants_nodes: bool,
 }
 
 /// What a node knows.
@@ -376,12 +379,19 @@
         let configuration = configuration
             .filter(|known| known.version > request.known_version)
             .map(|known| Configuration::clone(known));
-        Self {
+        let without_nodes = Self {
             configuration,
             excluded_zones: excluded_zones.clone(),
+            ..Self::default()
+        };
+        if !request.wants_nodes {
+            return without_nodes;
+        }
+        Self {
             balancers,
             agents,
             knows_all_agents,
+            ..without_nodes
         }
     }
 }
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -8,6 +8,7 @@
 //! events.
 
 pub mod agent;
+pub mod agent_record;
 pub mod balancer;
 pub mod configuration;
 pub mod directory;
--- a/crates/woodladder-core/src/flow/pace.rs
+++ b/crates/woodladder-core/src/flow/pace.rs
@@ -24,6 +24,20 @@
     step.saturating_mul(u32::try_from(steps).unwrap_or(u32::MAX))
 }
 
+/// At most `count` of the receivers, beginning at the one numbered `start`, so that
+/// calls with growing starts go round all of them.
+pub fn some_from<T: Copy>(
+    receivers: impl Iterator<Item = T>,
+    start: usize,
+    count: usize,
+) -> Vec<T> {
+    let all: Vec<T> = receivers.collect();
+    let count = count.min(all.len());
+    (start..start + count)
+        .filter_map(|index| all.get(index % all.len()).copied())
+        .collect()
+}
+
 /// Milliseconds of a duration as messages state them.
 #[must_use]
 pub fn milliseconds(duration: Duration) -> u32 {
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::identity::NodeAddress;
-use super::pace::silence_limit;
+use super::pace::{silence_limit, some_from};
 use super::zone_members::Member;
 use crate::clock::Instant;
 
@@ -153,11 +153,7 @@
     /// that calls with growing starts go round all of them.
     #[must_use]
     pub fn some_from(&self, start: usize, count: usize) -> Vec<NodeAddress> {
-        let all: Vec<NodeAddress> = self.addresses().collect();
-        let count = count.min(all.len());
-        (start..start + count)
-            .filter_map(|index| all.get(index % all.len()).copied())
-            .collect()
+        some_from(self.addresses(), start, count)
     }
 
     /// Balancers that knew a lesser configuration when they last greeted.
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -5,7 +5,8 @@
 //! rendezvous hashing where a service has more targets than are compared, so
 //! that a later search for the flow begins among the same few.
 
-use super::directory::{AgentRecord, Directory};
+use super::agent_record::AgentRecord;
+use super::directory::Directory;
 use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, NodeAddress, ServiceKey, ZoneKey};
 use super::message::TargetState;
--- a/crates/woodladder-core/src/flow/zone_members.rs
+++ b/crates/woodladder-core/src/flow/zone_members.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use super::identity::NodeAddress;
-use super::pace::silence_limit;
+use super::pace::{silence_limit, some_from};
 use super::peers::MAXIMUM_BALANCERS;
 use crate::clock::Instant;
 
@@ -67,7 +67,7 @@
 impl ZoneMembers {
     /// Takes in what a balancer of the zone says of itself; it greets again within
     /// a time.
-    pub fn heard(
+    pub fn greeted(
         &mut self,
         address: NodeAddress,
         member: Member,
@@ -119,6 +119,14 @@
             .map(|(address, record)| (record.member.capacity, *address))
     }
 
+    /// Members that were heard lately, whether they serve or not.
+    pub fn heard(&self, now: Instant) -> impl Iterator<Item = NodeAddress> + '_ {
+        self.records
+            .iter()
+            .filter(move |(_, record)| record.is_heard(SILENT_AFTER, SILENT_AFTER_PERIODS, now))
+            .map(|(address, _)| *address)
+    }
+
     /// Members that have at most this capacity.
     #[must_use]
     pub fn known_up_to(&self, most: u32) -> Vec<NodeAddress> {
@@ -154,11 +162,7 @@
     /// that calls with growing starts go round all of them.
     #[must_use]
     pub fn some_from(&self, start: usize, count: usize) -> Vec<NodeAddress> {
-        let all: Vec<NodeAddress> = self.records.keys().copied().collect();
-        let count = count.min(all.len());
-        (start..start + count)
-            .filter_map(|index| all.get(index % all.len()).copied())
-            .collect()
+        some_from(self.records.keys().copied(), start, count)
     }
 
     /// Whether the balancer with this address and capacity should stand by,
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_dissemination.rs
@@ -0,0 +1,132 @@
+//! How a configuration crosses between zones few times and still reaches all.
+
+mod flow_support;
+
+use std::time::Duration;
+
+use flow_support::*;
+use woodladder_core::flow::balancer::{
+    Balancer, BalancerAction, BalancerOptions, OWN_ZONE_FIRST_FOR,
+};
+use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
+use woodladder_core::flow::message::{BalancerGreeting, PeerMessage, TargetReport};
+
+/// Balancers of the tests' zone.
+const ZONE_SIZE: u8 = 20;
+/// Balancers of another zone.
+const FAR: [u8; 2] = [100, 101];
+
+fn greeting_of(zone: &str, version: u64) -> BalancerGreeting {
+    BalancerGreeting {
+        zone: ZoneKey::named(zone),
+        version,
+        ..peer_greeting()
+    }
+}
+
+/// The balancers of a zone, each of which knows all others and version 1.
+fn zone() -> impl Iterator<Item = Balancer> {
+    (1..=ZONE_SIZE).map(member)
+}
+
+fn member(number: u8) -> Balancer {
+    let options = BalancerOptions {
+        address: node(number),
+        zone: ZoneKey::named("a"),
+        capacity: CAPACITY,
+        flow_capacity: 1000,
+        flow_retention: Duration::from_secs(30),
+    };
+    let mut balancer = Balancer::new(options, at(0));
+    balancer.configuration(configuration(1));
+    for other in (1..=ZONE_SIZE).filter(|other| *other != number) {
+        hear(&mut balancer, other, greeting_of("a", 1), 10_000);
+        // What it asked of those that it has just found.
+        balancer.snapshot_failed(node(other));
+    }
+    for far in FAR {
+        hear(&mut balancer, far, greeting_of("b", 1), 10_000);
+        balancer.snapshot_failed(node(far));
+    }
+    balancer
+}
+
+fn hear(
+    balancer: &mut Balancer,
+    from: u8,
+    greeting: BalancerGreeting,
+    now: u64,
+) -> Vec<BalancerAction> {
+    send(balancer, from, PeerMessage::Greeting(greeting), at(now))
+}
+
+fn fetches_from(actions: &[BalancerAction], node: NodeAddress) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, BalancerAction::FetchSnapshot { from, .. } if *from == node))
+}
+
+#[test]
+fn only_the_first_of_a_zone_fetch_from_another_at_once() {
+    let fetching = zone()
+        .map(|mut balancer| hear(&mut balancer, 100, greeting_of("b", 2), 10_100))
+        .filter(|actions| fetches_from(actions, node(100)))
+        .count();
+    assert_eq!(fetching, 3);
+}
+
+#[test]
+fn the_others_fetch_from_their_own_zone_or_after_a_moment_from_anywhere() {
+    let waits = |(_, balancer): &mut (u8, Balancer)| {
+        let actions = hear(balancer, 100, greeting_of("b", 2), 10_100);
+        !fetches_from(&actions, node(100))
+    };
+    let mut others: Vec<(u8, Balancer)> = (1..=ZONE_SIZE).zip(zone()).collect();
+    others.retain_mut(waits);
+    assert_eq!(others.len(), usize::from(ZONE_SIZE) - 3);
+    let later = 10_100 + u64::try_from(OWN_ZONE_FIRST_FOR.as_millis()).expect("time");
+    for (number, mut balancer) in others {
+        let mut asks_near = balancer.clone();
+        let neighbour = number % ZONE_SIZE + 1;
+        let actions = hear(&mut asks_near, neighbour, greeting_of("a", 2), 10_150);
+        assert!(fetches_from(&actions, node(neighbour)));
+        let actions = hear(&mut balancer, 101, greeting_of("b", 2), later - 1);
+        assert!(!fetches_from(&actions, node(101)));
+        let actions = hear(&mut balancer, 101, greeting_of("b", 2), later);
+        assert!(fetches_from(&actions, node(101)));
+    }
+}
+
+/// Agents are greeted rarely in a large fleet, so each of a zone is told by one of
+/// its balancers as soon as that one knows.
+#[test]
+fn each_agent_of_a_zone_is_told_by_one_of_its_balancers() {
+    let mut told = vec![0; 10];
+    for mut balancer in zone() {
+        for agent in 0..10 {
+            let report = TargetReport {
+                zone: ZoneKey::named("a"),
+                ..report(150 + agent, 1)
+            };
+            tell(&mut balancer, 150 + agent, &report, at(10_100));
+        }
+        balancer.tick(at(10_110), &mut Vec::new());
+        balancer.configuration(configuration(2));
+        let mut actions = Vec::new();
+        balancer.tick(at(10_120), &mut actions);
+        for action in actions {
+            if let BalancerAction::Send {
+                to,
+                message: PeerMessage::Greeting(greeting),
+            } = action
+            {
+                let number = to.ip().octets()[3];
+                if (150..160).contains(&number) {
+                    assert_eq!(greeting.version, 2);
+                    told[usize::from(number - 150)] += 1;
+                }
+            }
+        }
+    }
+    assert_eq!(told, vec![1; 10]);
+}
--- a/crates/woodladder-core/tests/flow_store_duty.rs
+++ b/crates/woodladder-core/tests/flow_store_duty.rs
@@ -108,6 +108,19 @@
     assert!(watching(&fleet, 14_600) <= WATCHERS);
 }
 
+/// A balancer that has just started hears of a version before it has fetched it.
+#[test]
+fn a_confirmation_of_a_later_version_counts_once_that_is_adopted() {
+    let mut balancer = balancer_on(1);
+    balancer.configuration(configuration(3));
+    hear(&mut balancer, 2, greeting(5, Some(200)), 1000);
+    balancer.configuration(configuration(4));
+    assert_eq!(balancer.confirmed_ago(at(1100)), None);
+    balancer.configuration(configuration(5));
+    let ago = balancer.confirmed_ago(at(1100));
+    assert_eq!(ago, Some(Duration::from_millis(300)));
+}
+
 /// The confirmation is of the version that its sender knows, or of one later
 /// than that.
 #[test]
