Agents report each 100 ms to balancers that have not greeted yet; lists after 0.3 to 0.6 s

Until a balancer knows an agent its target's flows are not found. Test: an_agent_reports_often_to_the_few_that_it_begins_with.

--- a/crates/woodladder-core/src/flow/agent/report_schedule.rs
+++ b/crates/woodladder-core/src/flow/agent/report_schedule.rs
@@ -12,8 +12,11 @@
 
 /// Least time between two reports to one balancer.
 const LEAST_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two reports to a balancer that has not greeted yet.
-const UNCONFIRMED_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two reports to a balancer that has not greeted yet: at a start of
+/// everything the few that the settings name may start a moment later, and until one
+/// of them knows the agent its target's flows are not found. Many such balancers
+/// stretch it.
+const UNCONFIRMED_INTERVAL: Duration = Duration::from_millis(100);
 /// Reports of one agent are at least this far apart on average, whatever the
 /// balancers ask for: a hundredth of a small machine's processor.
 const LEAST_SPACING: Duration = Duration::from_millis(12);
--- a/crates/woodladder-core/src/flow/store_session/list.rs
+++ b/crates/woodladder-core/src/flow/store_session/list.rs
@@ -11,8 +11,9 @@
 const USUAL_PAUSE: Duration = Duration::from_secs(60);
 /// Time between lists while none is heard.
 const URGENT_PAUSE: Duration = Duration::from_millis(600);
-/// Longest time after its start in which a node leaves it to balancers to greet it.
-const OTHERS_FIRST_FOR: Duration = Duration::from_secs(2);
+/// Longest time after its start in which a node leaves it to balancers to greet it:
+/// some reports to those that the settings name.
+const OTHERS_FIRST_FOR: Duration = Duration::from_millis(600);
 /// Lists of old answers before a fresh one is asked for.
 const STALE_LISTS: u32 = 2;
 
--- a/crates/woodladder-core/tests/flow_fleet_size.rs
+++ b/crates/woodladder-core/tests/flow_fleet_size.rs
@@ -369,6 +369,20 @@
     assert_eq!(reports(true, 600), 1);
 }
 
+/// The balancers that the settings name may start a moment after the agent.
+#[test]
+fn an_agent_reports_often_to_the_few_that_it_begins_with() {
+    let mut agent = agent();
+    agent.listed(&[node(1), node(2), node(3)], at(0));
+    let mut reports = 0;
+    for now in (0..400).step_by(25) {
+        let mut actions = Vec::new();
+        agent.tick(at(now), &mut actions);
+        reports += actions.len();
+    }
+    assert_eq!(reports, 3 * 4);
+}
+
 /// An agent that each of many balancers has greeted once and asked for the reports
 /// that they ask for at that size.
 #[test]
