--- a/crates/woodladder-core/src/flow/balancer/greetings.rs
+++ b/crates/woodladder-core/src/flow/balancer/greetings.rs
@@ -14,6 +14,7 @@
 
 /// An agent that reports this many times as often as asked is greeted at once.
 const MUCH_TOO_OFTEN: u32 = 2;
+
 impl Balancer {
     pub(super) fn greeted(
         &mut self,
