--- /dev/null
+++ b/crates/woodladder-core/src/flow/activation.rs
@@ -0,0 +1,80 @@
+//! Which optional mechanisms act, by what the operators' configuration and the
+//! machine's settings state.
+//!
+//! Each mechanism names its condition here, in terms that an operator can look up.
+//! Nodes log the outcome at each change ([`super::note::Note::MechanismsChanged`])
+//! and show it in their metrics.
+
+use super::configuration::{Configuration, RouteTerms};
+
+/// When a caller sends a packet that nobody has acknowledged for the last time
+/// before its attempt is likely to be over, in milliseconds.
+const LAST_EARLY_REPETITION_MS: u32 = 3000;
+/// Most that a balancer forwards with the whole of a core, in kilobits a second:
+/// full packets of 1.2 kilobytes, some 30 microseconds each.
+const FORWARDED_BY_A_CORE: u64 = 320_000;
+/// Thousandths in a whole.
+const THOUSANDTHS: u64 = 1000;
+
+/// The mechanisms that act at one node.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ActiveMechanisms {
+    /// Agents tell balancers which flows their targets hold, and balancers record
+    /// the flows that they know at the store: some route's timeout leaves a caller
+    /// one repetition at most after an outage.
+    pub locates_flows: bool,
+    /// Requests on open flows wait for a slot together with new flows: routes of
+    /// different priority share a service.
+    pub orders_requests: bool,
+    /// Packets leave in an order of their own, at the rate of the link: the link is
+    /// full before the processor is.
+    pub paces_link: bool,
+}
+
+impl ActiveMechanisms {
+    /// The mechanisms that act at a balancer under a configuration, on a machine with this
+    /// processor, in thousandths of a core, and this link rate, in kilobits a second,
+    /// if it is known.
+    #[must_use]
+    pub fn of(configuration: &Configuration, capacity: u32, link_rate: Option<u32>) -> Self {
+        let has_short_timeout = configuration
+            .routes
+            .iter()
+            .any(|route| leaves_no_time(&route.terms));
+        Self {
+            locates_flows: has_short_timeout,
+            orders_requests: shares_a_service(configuration),
+            paces_link: link_rate.is_some_and(|rate| link_binds(capacity, rate)),
+        }
+    }
+
+    /// The mechanisms that act at an agent, which does not choose how its machine's
+    /// link is used.
+    #[must_use]
+    pub fn at_agent(configuration: &Configuration) -> Self {
+        Self::of(configuration, 0, None)
+    }
+}
+
+/// Whether an answer is of no use any more when a caller repeats a packet for the
+/// last time early on.
+fn leaves_no_time(terms: &RouteTerms) -> bool {
+    terms.timeout_ms <= LAST_EARLY_REPETITION_MS
+}
+
+/// Whether routes of different priority lead to one service.
+fn shares_a_service(configuration: &Configuration) -> bool {
+    let mut priorities = std::collections::BTreeMap::new();
+    configuration.routes.iter().any(|route| {
+        route.parts.iter().any(|part| {
+            let first = *priorities
+                .entry(part.service)
+                .or_insert(route.terms.priority);
+            first != route.terms.priority
+        })
+    })
+}
+
+fn link_binds(capacity: u32, link_rate: u32) -> bool {
+    u64::from(link_rate) < u64::from(capacity) * FORWARDED_BY_A_CORE / THOUSANDTHS
+}
--- a/crates/woodladder-core/src/flow/agent/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -1,19 +1,19 @@
 //! Admission of new flows by the target's true state and load.
 //!
 //! An opening goes to the target when the target can begin with its request at
-//! once; else it waits in the agent's own queue ([`super::admission_queue`]).
+//! once; else it waits in the agent's own queue ([`crate::flow::agent::admission::queue`]).
 //! It is given back only when the target takes no flow, when the balancer was
 //! mistaken about the load, or when it has waited too long.
 
 use std::time::Duration;
 
-use super::super::identity::NodeAddress;
-use super::super::message::{ForwardHeader, OpeningTerms, PeerMessage, ReturnReason, TargetState};
-use super::super::note::Note;
-use super::super::packet::FlowPacket;
-use super::admission_queue::QueuedOpening;
-use super::{Agent, AgentAction, Delivery, FlowState, HeldFlow};
 use crate::clock::Instant;
+use crate::flow::agent::admission::queue::QueuedOpening;
+use crate::flow::agent::{Agent, AgentAction, Delivery, FlowState, HeldFlow};
+use crate::flow::identity::NodeAddress;
+use crate::flow::message::{ForwardHeader, OpeningTerms, PeerMessage, ReturnReason, TargetState};
+use crate::flow::note::Note;
+use crate::flow::packet::FlowPacket;
 
 /// Time that a balancer has to reach the version that an agent knows before
 /// its openings under a lesser one are given back.
@@ -37,7 +37,7 @@
 const FIRST_SERVICE_TIME: Duration = Duration::from_millis(50);
 
 impl Agent {
-    pub(super) fn opening(
+    pub(crate) fn opening(
         &mut self,
         from: NodeAddress,
         header: &ForwardHeader,
@@ -266,7 +266,7 @@
 
     /// Puts a flow into the table, and takes the former flow of the same ends
     /// out of the load.
-    pub(super) fn replace_flow(
+    pub(in crate::flow::agent) fn replace_flow(
         &mut self,
         opening: &FlowPacket,
         state: FlowState,
--- a/crates/woodladder-core/src/flow/agent/admission_queue.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/queue.rs
@@ -9,10 +9,10 @@
 
 use std::time::Duration;
 
-use super::super::identity::{FlowKey, NodeAddress};
-use super::super::message::ForwardHeader;
-use super::super::packet::FlowPacket;
 use crate::clock::Instant;
+use crate::flow::identity::{FlowKey, NodeAddress};
+use crate::flow::message::ForwardHeader;
+use crate::flow::packet::FlowPacket;
 
 /// Most openings that wait at one agent.
 pub const CAPACITY: usize = 128;
@@ -21,7 +21,7 @@
 
 /// An opening that waits.
 #[derive(Clone, Debug)]
-pub(super) struct QueuedOpening {
+pub(crate) struct QueuedOpening {
     /// Balancer that sent it.
     pub balancer: NodeAddress,
     /// What the balancer said with it.
@@ -42,7 +42,7 @@
 
 /// Openings that wait at one agent.
 #[derive(Clone, Debug, Default)]
-pub(super) struct AdmissionQueue {
+pub(crate) struct AdmissionQueue {
     openings: Vec<QueuedOpening>,
 }
 
--- a/crates/woodladder-core/src/flow/agent/warm_up.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
@@ -11,9 +11,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::super::note::Note;
-use super::Agent;
 use crate::clock::Instant;
+use crate::flow::agent::Agent;
+use crate::flow::note::Note;
 
 /// Span in which requests are counted: a second, and what packets from the agent
 /// to the target beside it may differ in their time under way.
@@ -47,7 +47,7 @@
 
 /// The requests that the target was handed lately, and whether it may be cold.
 #[derive(Clone, Debug, Default)]
-pub(super) struct WarmUp {
+pub(crate) struct WarmUp {
     handed: VecDeque<Instant>,
     /// Since when it is not known whether the target is cold.
     doubted_since: Option<Instant>,
@@ -57,7 +57,7 @@
 
 impl WarmUp {
     /// Counts a request that the target is handed.
-    pub(super) fn count(&mut self, now: Instant) {
+    pub(crate) fn count(&mut self, now: Instant) {
         self.forget_old(now);
         self.handed.push_back(now);
     }
@@ -76,7 +76,7 @@
     }
 
     /// A heartbeat tells whether the target is cold.
-    pub(super) fn told(&mut self, now: Instant) {
+    pub(crate) fn told(&mut self, now: Instant) {
         if self.confirmed_from.is_none_or(|from| now >= from) {
             self.doubted_since = None;
             self.confirmed_from = None;
@@ -86,7 +86,7 @@
 
 impl Agent {
     /// It is no longer known whether the target is cold.
-    pub(super) fn doubt_warmth(&mut self, doubt: WarmUpDoubt, now: Instant) {
+    pub(crate) fn doubt_warmth(&mut self, doubt: WarmUpDoubt, now: Instant) {
         self.warm_up.doubted_since = Some(now);
         let wait = match doubt {
             WarmUpDoubt::OutOfTouch => HEARTBEAT_UNDER_WAY,
@@ -103,7 +103,7 @@
 
     /// Requests that the target may still be handed within the present second;
     /// `None` when it is warm or nothing is stated for its service.
-    pub(super) fn openings_left(&self, now: Instant) -> Option<u16> {
+    pub(crate) fn openings_left(&self, now: Instant) -> Option<u16> {
         let limit = self.warm_up_limit()?;
         if !self.may_be_cold(now) {
             return None;
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -6,24 +6,18 @@
 //! target sends. Once a target has said that it leaves, no new flow reaches
 //! it through this agent, whatever any balancer believes.
 
-mod admission_queue;
-mod announcements;
+mod admission;
 mod decision;
-mod exclusion;
-mod failure_record;
 mod flows;
-mod heartbeat;
-mod load;
-mod openings;
-mod report_schedule;
-mod request_outcome;
+mod reporting;
 mod search;
-mod warm_up;
+mod target;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::activation::ActiveMechanisms;
 use super::configuration::{Configuration, RouteTable};
 use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
@@ -36,18 +30,18 @@
 use super::peers::BalancerPeers;
 use super::store_session::ListNeed;
 use super::table::FlowTable;
-use admission_queue::AdmissionQueue;
-use failure_record::FailureRecord;
-use report_schedule::ReportSchedule;
-use warm_up::WarmUp;
+use admission::queue::AdmissionQueue;
+use admission::warm_up::WarmUp;
+use reporting::report_schedule::ReportSchedule;
+use target::failure_record::FailureRecord;
 
 use crate::clock::Instant;
 
-pub use admission_queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
+pub use admission::queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
+pub use admission::warm_up::{WarmUpBounds, WarmUpDoubt};
 pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
-pub use failure_record::{AnswerKind, Suspicion};
-pub use heartbeat::{Heartbeat, HeartbeatError};
-pub use warm_up::{WarmUpBounds, WarmUpDoubt};
+pub use target::failure_record::{AnswerKind, Suspicion};
+pub use target::heartbeat::{Heartbeat, HeartbeatError};
 
 /// Settings of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -142,6 +136,7 @@
     options: AgentOptions,
     target: Target,
     routes: RouteTable,
+    mechanisms: ActiveMechanisms,
     version_known_at: Instant,
     /// When a greater version than the own was first heard of.
     newer_heard_at: Option<Instant>,
@@ -178,6 +173,7 @@
             options,
             target: Target::unknown(now),
             routes: RouteTable::default(),
+            mechanisms: ActiveMechanisms::default(),
             version_known_at: now,
             newer_heard_at: None,
             excluded_zones: ExcludedZones::default(),
@@ -213,6 +209,12 @@
         self.load
     }
 
+    /// The optional mechanisms that act here.
+    #[must_use]
+    pub fn mechanisms(&self) -> ActiveMechanisms {
+        self.mechanisms
+    }
+
     /// Configuration that the agent knows.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -307,6 +309,17 @@
             routes: self.routes.current().map_or(0, |it| it.routes.len()),
             from: Some(from),
         });
+        self.choose_mechanisms();
+    }
+
+    fn choose_mechanisms(&mut self) {
+        let Some(configuration) = self.routes.current() else {
+            return;
+        };
+        let next = ActiveMechanisms::at_agent(configuration);
+        if std::mem::replace(&mut self.mechanisms, next) != next {
+            self.notes.add(Note::MechanismsChanged { active: next });
+        }
     }
 
     fn set_state(&mut self, state: TargetState) {
--- a/crates/woodladder-core/src/flow/agent/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use super::super::balancer::OWN_ZONE_FIRST_FOR;
-use super::super::identity::NodeAddress;
-use super::super::message::{BalancerGreeting, PeerMessage, SnapshotRequest, TargetReport};
-use super::super::note::Note;
-use super::report_schedule::DueReport;
-use super::{Agent, AgentAction, WarmUpDoubt};
 use crate::clock::Instant;
+use crate::flow::agent::reporting::report_schedule::DueReport;
+use crate::flow::agent::{Agent, AgentAction, WarmUpDoubt};
+use crate::flow::balancer::OWN_ZONE_FIRST_FOR;
+use crate::flow::identity::NodeAddress;
+use crate::flow::message::{BalancerGreeting, PeerMessage, SnapshotRequest, TargetReport};
+use crate::flow::note::Note;
 
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -48,7 +48,7 @@
     }
 
     /// Remembers a balancer; a new one is sent a report with the next tick.
-    pub(super) fn name_balancer(&mut self, balancer: NodeAddress, now: Instant) {
+    pub(crate) fn name_balancer(&mut self, balancer: NodeAddress, now: Instant) {
         if balancer != self.options.address && self.balancers.named(balancer, now) {
             self.reports.add(balancer, now);
         }
@@ -189,6 +189,7 @@
             former_heard_ms: self.target.former_beat_at.map_or(0, |at| {
                 u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
             }),
+            knows_all_flows: self.knows_all_flows(now),
             zone: self.options.zone,
             state: self.target.state,
             capacity: self.target.capacity,
--- a/crates/woodladder-core/src/flow/agent/exclusion.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/exclusion.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use super::super::excluded_zones::ExcludedZones;
-use super::super::identity::NodeAddress;
-use super::super::note::Note;
-use super::{Agent, WarmUpDoubt};
 use crate::clock::Instant;
+use crate::flow::agent::{Agent, WarmUpDoubt};
+use crate::flow::excluded_zones::ExcludedZones;
+use crate::flow::identity::NodeAddress;
+use crate::flow::note::Note;
 
 /// Time without word of the excluded zones after which the zone may have been
 /// excluded and taken back unheard: longer than the rounds in which even one
@@ -20,7 +20,7 @@
         self.excluded_zones.excludes(self.options.zone)
     }
 
-    pub(super) fn adopt_zones(&mut self, zones: &ExcludedZones, from: NodeAddress, now: Instant) {
+    pub(crate) fn adopt_zones(&mut self, zones: &ExcludedZones, from: NodeAddress, now: Instant) {
         let heard_at = self.zones_heard_at.replace(now);
         let was_out_of_touch = heard_at.is_none_or(|at| now.since(at) >= UNHEARD_FOR);
         let was_excluded = self.is_excluded();
--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/reporting/mod.rs
@@ -0,0 +1,5 @@
+//! What the agent tells balancers, and what theirs teach it.
+
+pub(crate) mod announcements;
+pub(crate) mod exclusion;
+pub(crate) mod report_schedule;
--- a/crates/woodladder-core/src/flow/agent/report_schedule.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/report_schedule.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::super::identity::NodeAddress;
 use crate::clock::Instant;
+use crate::flow::identity::NodeAddress;
 
 /// Least time between two reports to one balancer.
 const LEAST_INTERVAL: Duration = Duration::from_millis(100);
@@ -32,22 +32,22 @@
 
 /// A report that is due.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct DueReport {
+pub(crate) struct DueReport {
     /// Its receiver.
-    pub(super) balancer: NodeAddress,
+    pub(crate) balancer: NodeAddress,
     /// Time to the next one.
-    pub(super) interval: Duration,
+    pub(crate) interval: Duration,
 }
 
 /// The balancers that are sent reports.
 #[derive(Clone, Debug, Default)]
-pub(super) struct ReportSchedule {
+pub(crate) struct ReportSchedule {
     entries: BTreeMap<NodeAddress, Entry>,
 }
 
 impl ReportSchedule {
     /// Takes in the interval that a balancer asks for.
-    pub(super) fn asked(&mut self, balancer: NodeAddress, interval: Duration, now: Instant) {
+    pub(crate) fn asked(&mut self, balancer: NodeAddress, interval: Duration, now: Instant) {
         let interval = interval.max(LEAST_INTERVAL);
         self.add(balancer, now);
         if let Some(entry) = self.entries.get_mut(&balancer) {
@@ -57,7 +57,7 @@
     }
 
     /// Adds a balancer, which is due a report at once.
-    pub(super) fn add(&mut self, balancer: NodeAddress, now: Instant) {
+    pub(crate) fn add(&mut self, balancer: NodeAddress, now: Instant) {
         self.entries.entry(balancer).or_insert(Entry {
             asked: None,
             due_at: now,
@@ -66,7 +66,7 @@
     }
 
     /// Makes a report due to one balancer.
-    pub(super) fn due_now(&mut self, balancer: NodeAddress, now: Instant) {
+    pub(crate) fn due_now(&mut self, balancer: NodeAddress, now: Instant) {
         self.add(balancer, now);
         if let Some(entry) = self.entries.get_mut(&balancer) {
             entry.due_at = now;
@@ -74,24 +74,24 @@
     }
 
     /// Makes a report due to every balancer.
-    pub(super) fn all_due(&mut self, now: Instant) {
+    pub(crate) fn all_due(&mut self, now: Instant) {
         for entry in self.entries.values_mut() {
             entry.due_at = now;
         }
     }
 
     /// Forgets the balancers for which `is_known` does not hold.
-    pub(super) fn retain(&mut self, is_known: impl Fn(NodeAddress) -> bool) {
+    pub(crate) fn retain(&mut self, is_known: impl Fn(NodeAddress) -> bool) {
         self.entries.retain(|balancer, _| is_known(*balancer));
     }
 
     /// Whether a balancer waits for its first report.
-    pub(super) fn has_new(&self) -> bool {
+    pub(crate) fn has_new(&self) -> bool {
         self.entries.values().any(|entry| !entry.was_sent)
     }
 
     /// The reports that are due now, which counts as sending them.
-    pub(super) fn take_due(&mut self, now: Instant) -> Vec<DueReport> {
+    pub(crate) fn take_due(&mut self, now: Instant) -> Vec<DueReport> {
         let stretch = self.stretch();
         let mut due = Vec::new();
         for (balancer, entry) in &mut self.entries {
--- a/crates/woodladder-core/src/flow/agent/failure_record.rs
+++ b/crates/woodladder-core/src/flow/agent/target/failure_record.rs
@@ -51,7 +51,7 @@
 
 /// FailureRecord of one incarnation's requests, with decaying weights.
 #[derive(Clone, Debug)]
-pub(super) struct FailureRecord {
+pub(crate) struct FailureRecord {
     successes: f64,
     failures: f64,
     decayed_at: Instant,
--- a/crates/woodladder-core/src/flow/agent/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -5,10 +5,10 @@
 
 use std::time::Duration;
 
-use super::super::identity::{Incarnation, ServiceKey};
-use super::super::message::TargetState;
-use super::{Agent, Presence, Target};
 use crate::clock::Instant;
+use crate::flow::agent::{Agent, Presence, Target};
+use crate::flow::identity::{Incarnation, ServiceKey};
+use crate::flow::message::TargetState;
 
 /// Earlier incarnations that are told apart from a new one.
 const REMEMBERED_INCARNATIONS: usize = 16;
@@ -135,7 +135,7 @@
     }
 
     /// Notices a target that answers no opening.
-    pub(super) fn watch_target(&mut self, now: Instant) {
+    pub(crate) fn watch_target(&mut self, now: Instant) {
         let Some(since) = self.target.unanswered_since else {
             return;
         };
--- a/crates/woodladder-core/src/flow/agent/load.rs
+++ b/crates/woodladder-core/src/flow/agent/target/load.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::super::identity::FlowKey;
-use super::super::note::Note;
-use super::{Agent, FlowState};
 use crate::clock::Instant;
+use crate::flow::agent::{Agent, FlowState};
+use crate::flow::identity::FlowKey;
+use crate::flow::note::Note;
 
 /// A new sample counts for one part in this many of the mean service time.
 const MEAN_DIVISOR: u32 = 8;
@@ -15,7 +15,7 @@
 const OPENING_AT_MOST: Duration = Duration::from_millis(1000);
 
 impl Agent {
-    pub(super) fn answered(&mut self, key: &FlowKey, now: Instant) {
+    pub(crate) fn answered(&mut self, key: &FlowKey, now: Instant) {
         let Some(flow) = self.flows.use_flow(key) else {
             return;
         };
@@ -39,7 +39,7 @@
     }
 
     /// The target closes its side, so it answers no request any more.
-    pub(super) fn end_request(&mut self, key: &FlowKey) {
+    pub(crate) fn end_request(&mut self, key: &FlowKey) {
         if let Some(flow) = self.flows.use_flow(key)
             && flow.busy_since.take().is_some()
         {
@@ -48,7 +48,7 @@
     }
 
     /// A flow no longer counts as an opening that will become a request.
-    pub(super) fn stop_expecting(&mut self, key: &FlowKey) {
+    pub(crate) fn stop_expecting(&mut self, key: &FlowKey) {
         if let Some(flow) = self.flows.use_flow(key)
             && flow.is_expected
         {
@@ -59,7 +59,7 @@
 
     /// Counts the load anew from the table, leaving out what has waited too
     /// long to be true.
-    pub(super) fn count_load(&mut self, now: Instant) {
+    pub(crate) fn count_load(&mut self, now: Instant) {
         let mut busy = 0u16;
         let mut opening = 0u16;
         let mut flows = 0u32;
--- a/crates/woodladder-core/src/flow/agent/request_outcome.rs
+++ b/crates/woodladder-core/src/flow/agent/target/request_outcome.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::super::identity::FlowKey;
-use super::super::note::Note;
-use super::{Agent, AnswerKind, Suspicion};
 use crate::clock::Instant;
+use crate::flow::agent::{Agent, AnswerKind, Suspicion};
+use crate::flow::identity::FlowKey;
+use crate::flow::note::Note;
 
 /// Service times after which a request that its caller gives up counts as a
 /// failure of the target.
@@ -33,13 +33,13 @@
 
     /// Whether the outcome of a flow's request was still awaited; it is not any
     /// more.
-    pub(super) fn take_awaited(&mut self, key: &FlowKey) -> bool {
+    pub(crate) fn take_awaited(&mut self, key: &FlowKey) -> bool {
         self.flows
             .use_flow(key)
             .is_some_and(|flow| std::mem::take(&mut flow.awaits_outcome))
     }
 
-    pub(super) fn count_outcome(&mut self, succeeded: bool, now: Instant) {
+    pub(crate) fn count_outcome(&mut self, succeeded: bool, now: Instant) {
         self.failures.count(succeeded, now);
         self.load.failed_percent = self.failures.failed_percent();
         self.counters.failed += u64::from(!succeeded);
@@ -47,7 +47,7 @@
 
     /// The caller gave a request up; when it has waited for far longer than
     /// requests take, the target has failed it.
-    pub(super) fn count_abandoned(&mut self, key: &FlowKey, now: Instant) {
+    pub(crate) fn count_abandoned(&mut self, key: &FlowKey, now: Instant) {
         let usual = Duration::from_micros(self.load.service_time_us.into());
         let patience = (usual * ABANDONED_AFTER).max(LEAST_PATIENCE);
         let since = self.flows.peek(key).and_then(|flow| flow.busy_since);
@@ -57,7 +57,7 @@
     }
 
     /// Lets evidence of failures fade.
-    pub(super) fn watch_outcomes(&mut self, now: Instant) {
+    pub(crate) fn watch_outcomes(&mut self, now: Instant) {
         let suspicion = self.failures.tick(now);
         self.load.failed_percent = self.failures.failed_percent();
         if let Some(suspicion) = suspicion {
--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -16,6 +16,9 @@
     pub zone: ZoneKey,
     /// Processor that it may use, in thousandths of a core.
     pub capacity: u32,
+    /// Rate of its machine's link in each direction, in kilobits a second; `None`
+    /// when it is not known.
+    pub link_rate: Option<u32>,
     /// Most flows in the table.
     pub flow_capacity: usize,
     /// Least time that a flow at rest stays in the table.
--- a/crates/woodladder-core/src/flow/balancer/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/established.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use super::super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
-use super::super::message::{ForwardHeader, ForwardPurpose};
-use super::super::packet::{FlowPacket, PacketKind, ResetReason};
-use super::forwarding::Routing;
-use super::{Acceptance, Balancer, BalancerAction, Stage};
 use crate::clock::Instant;
+use crate::flow::balancer::forwarding::routing::Routing;
+use crate::flow::balancer::{Acceptance, Balancer, BalancerAction, Stage};
+use crate::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
+use crate::flow::message::{ForwardHeader, ForwardPurpose};
+use crate::flow::packet::{FlowPacket, PacketKind, ResetReason};
 
 /// Time from a caller's opening within which it acknowledges an acceptance.
 const OPENING_LASTS: Duration = Duration::from_millis(2500);
@@ -16,7 +16,7 @@
 const FARTHEST_ACKNOWLEDGEMENT: u32 = 1 << 20;
 
 impl Balancer {
-    pub(super) fn route_established(
+    pub(crate) fn route_established(
         &mut self,
         packet: &FlowPacket,
         bytes: &[u8],
@@ -48,7 +48,7 @@
         }
     }
 
-    pub(super) fn header(&self, service: ServiceKey, purpose: ForwardPurpose) -> ForwardHeader {
+    pub(crate) fn header(&self, service: ServiceKey, purpose: ForwardPurpose) -> ForwardHeader {
         ForwardHeader {
             service,
             version: self.routes.version(),
@@ -59,7 +59,7 @@
     /// Resets the flows of a target that has ended; `ended` is the incarnation and
     /// when it was last heard, and `None` when the agent itself is lost. Returns
     /// how many.
-    pub(super) fn reset_flows_of(
+    pub(crate) fn reset_flows_of(
         &mut self,
         agent: NodeAddress,
         ended: Option<(Incarnation, Instant)>,
@@ -93,7 +93,7 @@
     }
 }
 
-impl super::FlowEntry {
+impl crate::flow::balancer::FlowEntry {
     /// Whether the caller has sent this packet's data before, because nobody has
     /// acknowledged it.
     fn is_repeated(&mut self, packet: &FlowPacket) -> bool {
--- a/crates/woodladder-core/src/flow/balancer/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use super::super::directory::Directory;
-use super::super::identity::{FlowKey, NodeAddress, ServiceKey};
-use super::super::message::{ForwardHeader, ForwardPurpose, OpeningTerms, ReturnReason};
-use super::super::note::Note;
-use super::super::packet::{FlowPacket, ResetReason};
-use super::super::selection::{Choice, Chosen};
-use super::forwarding::{DropReason, Routing};
-use super::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::clock::Instant;
+use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
+use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
+use crate::flow::directory::Directory;
+use crate::flow::identity::{FlowKey, NodeAddress, ServiceKey};
+use crate::flow::message::{ForwardHeader, ForwardPurpose, OpeningTerms, ReturnReason};
+use crate::flow::note::Note;
+use crate::flow::packet::{FlowPacket, ResetReason};
+use crate::flow::selection::{Choice, Chosen};
 
 /// Targets that one opening is offered to before it waits.
 const MAXIMUM_TRIES: usize = 4;
@@ -25,7 +25,7 @@
 ];
 
 impl Balancer {
-    pub(super) fn route_opening(
+    pub(crate) fn route_opening(
         &mut self,
         packet: &FlowPacket,
         bytes: &[u8],
@@ -126,7 +126,7 @@
 
     /// Sends an opening to the best target that was not asked before; `None`
     /// when there is none.
-    pub(super) fn offer(&mut self, packet: &FlowPacket, now: Instant) -> Option<Routing> {
+    pub(crate) fn offer(&mut self, packet: &FlowPacket, now: Instant) -> Option<Routing> {
         let entry = self.flows.peek(&packet.key)?;
         let Stage::Opening { tried, since, .. } = &entry.stage else {
             return None;
@@ -210,7 +210,7 @@
     }
 
     /// An agent gave an opening back: it goes to the next target at once.
-    pub(super) fn opening_returned(
+    pub(crate) fn opening_returned(
         &mut self,
         from: NodeAddress,
         packet: &FlowPacket,
@@ -266,13 +266,13 @@
     }
 
     /// Refuses an opening, of which nothing has run.
-    pub(super) fn refuse(&mut self, packet: &FlowPacket) -> Routing {
+    pub(crate) fn refuse(&mut self, packet: &FlowPacket) -> Routing {
         self.flows.remove(&packet.key);
         Routing::Reset(self.reset(packet.key, 0, ResetReason::NoTarget, 0))
     }
 
     /// An agent says that an opening waits in its queue.
-    pub(super) fn opening_queued(&mut self, from: NodeAddress, key: &FlowKey) {
+    pub(crate) fn opening_queued(&mut self, from: NodeAddress, key: &FlowKey) {
         if let Some(entry) = self.flows.use_flow(key)
             && let Stage::Opening {
                 awaited, is_queued, ..
@@ -282,7 +282,7 @@
         }
     }
 
-    pub(super) fn carry_out(
+    pub(crate) fn carry_out(
         &self,
         routing: Routing,
         bytes: &[u8],
--- a/crates/woodladder-core/src/flow/balancer/relay.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/relay.rs
@@ -8,10 +8,10 @@
 //! balancers hand one flow to the same place. A relaying balancer holds no
 //! flows, and so never resets one.
 
-use super::super::identity::{FlowKey, NodeAddress};
-use super::super::packet::FlowPacket;
-use super::{Balancer, BalancerAction, Routing};
 use crate::clock::Instant;
+use crate::flow::balancer::{Balancer, BalancerAction, Routing};
+use crate::flow::identity::{FlowKey, NodeAddress};
+use crate::flow::packet::FlowPacket;
 
 /// How many times larger than the own processor another balancer's must be.
 const LARGER_BY: u32 = 4;
@@ -20,7 +20,7 @@
     /// Finds the balancers that packets are handed to: the much larger ones of
     /// the own zone, or those of all zones when there is none. Empty when the
     /// own balancer decides itself.
-    pub(super) fn choose_relay_receivers(&mut self, now: Instant) {
+    pub(crate) fn choose_relay_receivers(&mut self, now: Instant) {
         let least = self.options.capacity.saturating_mul(LARGER_BY);
         let near = self.zone_members.able_from(least, now);
         self.relay_receivers = if near.is_empty() {
@@ -32,13 +32,13 @@
 
     /// Whether balancers of this processor, in thousandths of a core, hand their
     /// packets to one of the own size.
-    pub(super) fn is_much_larger_than(&self, capacity: u32) -> bool {
+    pub(crate) fn is_much_larger_than(&self, capacity: u32) -> bool {
         capacity <= self.options.capacity / LARGER_BY
     }
 
     /// Finds the balancers of the zone that hand packets to this one and must
     /// notice its end soon.
-    pub(super) fn find_relaying_members(&mut self) {
+    pub(crate) fn find_relaying_members(&mut self) {
         self.relaying_members = self
             .zone_members
             .known_up_to(self.options.capacity / LARGER_BY);
@@ -46,7 +46,7 @@
 
     /// The larger balancer that takes this flow; `None` when the own balancer
     /// decides itself.
-    pub(super) fn relay_receiver(&self, key: FlowKey) -> Option<NodeAddress> {
+    pub(crate) fn relay_receiver(&self, key: FlowKey) -> Option<NodeAddress> {
         self.relay_receivers
             .iter()
             .copied()
@@ -54,7 +54,7 @@
     }
 
     /// Hands a packet on and forgets all flows: the larger balancers hold them.
-    pub(super) fn relay(&mut self, to: NodeAddress) -> Routing {
+    pub(crate) fn relay(&mut self, to: NodeAddress) -> Routing {
         self.counters.relayed += 1;
         if !self.flows.is_empty() {
             self.flows.retain(|_, _| false);
@@ -66,7 +66,7 @@
 
     /// Takes a packet that a smaller balancer has handed on. It is not handed
     /// on again.
-    pub(super) fn relayed(
+    pub(crate) fn relayed(
         &mut self,
         packet: &FlowPacket,
         bytes: &[u8],
--- a/crates/woodladder-core/src/flow/balancer/forwarding.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/routing.rs
@@ -1,8 +1,8 @@
 //! What happens to a packet of a caller.
 
-use super::super::identity::NodeAddress;
-use super::super::message::ForwardHeader;
-use super::super::packet::CallerReset;
+use crate::flow::identity::NodeAddress;
+use crate::flow::message::ForwardHeader;
+use crate::flow::packet::CallerReset;
 
 /// Where a packet goes.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/woodladder-core/src/flow/balancer/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/waiting.rs
@@ -7,11 +7,11 @@
 
 use std::time::Duration;
 
-use super::super::note::Note;
-use super::super::packet::FlowPacket;
-use super::forwarding::{DropReason, Routing};
-use super::{Balancer, BalancerAction, Stage};
 use crate::clock::Instant;
+use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
+use crate::flow::balancer::{Balancer, BalancerAction, Stage};
+use crate::flow::note::Note;
+use crate::flow::packet::FlowPacket;
 
 /// Most openings that wait.
 const CAPACITY: usize = 2048;
@@ -19,7 +19,7 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(1200);
 /// An opening that waits.
 #[derive(Clone, Debug)]
-pub(super) struct WaitingOpening {
+pub(crate) struct WaitingOpening {
     packet: FlowPacket,
     bytes: Vec<u8>,
 }
@@ -31,7 +31,7 @@
         self.waiting.len()
     }
 
-    pub(super) fn wait_for_target(&mut self, packet: &FlowPacket, bytes: &[u8]) -> Routing {
+    pub(crate) fn wait_for_target(&mut self, packet: &FlowPacket, bytes: &[u8]) -> Routing {
         let Some(entry) = self.flows.use_flow(&packet.key) else {
             return Routing::Drop(DropReason::Ended);
         };
@@ -60,7 +60,7 @@
     }
 
     /// Offers the waiting openings to targets that have room by now.
-    pub(super) fn serve_waiting(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn serve_waiting(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         let waiting = std::mem::take(&mut self.waiting);
         let mut remaining = Vec::with_capacity(waiting.len());
         for opening in waiting.into_iter().rev() {
--- a/crates/woodladder-core/src/flow/balancer/agent_census.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/agent_census.rs
@@ -9,10 +9,10 @@
 
 use std::time::Duration;
 
-use super::super::identity::NodeAddress;
-use super::super::message::PeerMessage;
-use super::{Balancer, BalancerAction};
 use crate::clock::Instant;
+use crate::flow::balancer::{Balancer, BalancerAction};
+use crate::flow::identity::NodeAddress;
+use crate::flow::message::PeerMessage;
 
 /// Least time of listening when another balancer has told all agents.
 const LEAST_LISTENING: Duration = Duration::from_millis(200);
@@ -40,17 +40,17 @@
 
 /// An agent that another node has named.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct NamedAgent {
+pub(crate) struct NamedAgent {
     /// When it was first greeted; `None` while its turn has not come.
     first_greeted_at: Option<Instant>,
     greeted_at: Instant,
     /// When it is to be greeted again, as the last greeting to it has promised.
-    pub(super) greet_again_at: Option<Instant>,
+    pub(crate) greet_again_at: Option<Instant>,
 }
 
 impl Balancer {
     /// Whether the balancer knows every agent.
-    pub(super) fn knows_all_agents(&self, now: Instant) -> bool {
+    pub(crate) fn knows_all_agents(&self, now: Instant) -> bool {
         let listened = now.since(self.listening_since);
         let has_listened = if self.has_complete_snapshot {
             listened >= LEAST_LISTENING
@@ -63,7 +63,7 @@
 
     /// Asks one balancer after the other which agents it knows, until one knows
     /// all of them.
-    pub(super) fn seek_complete_snapshot(
+    pub(crate) fn seek_complete_snapshot(
         &mut self,
         now: Instant,
         actions: &mut Vec<BalancerAction>,
@@ -85,7 +85,7 @@
     /// Asks a balancer that was just found which nodes it knows: it may have been
     /// parted from this one. Just after a start many are found at once: the first is
     /// asked, and [`Self::seek_complete_snapshot`] goes on with one after the other.
-    pub(super) fn ask_found_balancer(
+    pub(crate) fn ask_found_balancer(
         &mut self,
         balancer: NodeAddress,
         now: Instant,
@@ -100,7 +100,7 @@
     }
 
     /// Another node has named an agent that was not heard yet.
-    pub(super) fn name_agent(&mut self, agent: NodeAddress) {
+    pub(crate) fn name_agent(&mut self, agent: NodeAddress) {
         let named = NamedAgent {
             first_greeted_at: None,
             greeted_at: Instant::ORIGIN,
@@ -111,7 +111,7 @@
 
     /// Greets the agents that others have named until they are heard, and gives
     /// those up that stay silent.
-    pub(super) fn greet_named_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn greet_named_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.named_agents_greeted = 0;
         self.named_agents.retain(|_, named| {
             named
@@ -122,14 +122,14 @@
     }
 
     /// Agents that this balancer can afford to greet between two ticks.
-    pub(super) fn agents_greeted_a_tick(&self) -> u32 {
+    pub(crate) fn agents_greeted_a_tick(&self) -> u32 {
         (self.options.capacity / PROCESSOR_PER_GREETING).max(LEAST_GREETED_A_TICK)
     }
 
     /// Greets as many of the named agents as may be greeted before the next tick. A
     /// start of everything has each balancer named all agents at once; greeting
     /// them at once would cost a small machine half a second.
-    pub(super) fn greet_next_named_agents(
+    pub(crate) fn greet_next_named_agents(
         &mut self,
         now: Instant,
         actions: &mut Vec<BalancerAction>,
@@ -163,7 +163,7 @@
     }
 
     /// Asks the agents that owe an answer.
-    pub(super) fn ask_doubted_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn ask_doubted_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         for to in self.directory.take_doubted(now) {
             self.counters.probes += 1;
             let message = PeerMessage::Probe;
@@ -172,7 +172,7 @@
     }
 
     /// The balancer may have missed agents: it listens as after a start.
-    pub(super) fn listen_anew(&mut self, now: Instant) {
+    pub(crate) fn listen_anew(&mut self, now: Instant) {
         self.listening_since = now;
         self.has_complete_snapshot = false;
         self.was_complete = false;
@@ -180,7 +180,7 @@
 
     /// An agent is heard; when none was for long, the balancer was cut off and
     /// asks another balancer which agents there are now.
-    pub(super) fn notice_return(
+    pub(crate) fn notice_return(
         &mut self,
         from: NodeAddress,
         now: Instant,
--- a/crates/woodladder-core/src/flow/balancer/dissemination.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/dissemination.rs
@@ -9,9 +9,9 @@
 
 use std::time::Duration;
 
-use super::super::identity::{NodeAddress, ZoneKey, address_hash, pair_hash};
-use super::{Balancer, BalancerAction};
 use crate::clock::Instant;
+use crate::flow::balancer::{Balancer, BalancerAction};
+use crate::flow::identity::{NodeAddress, ZoneKey, address_hash, pair_hash};
 
 /// Balancers of a zone that fetch from other zones at once: one may be cut off, and
 /// another may just have ended.
@@ -22,7 +22,7 @@
 
 impl Balancer {
     /// Another node of a zone knows a version; a greater one is fetched.
-    pub(super) fn learn_version(
+    pub(crate) fn learn_version(
         &mut self,
         from: NodeAddress,
         zone: ZoneKey,
@@ -52,7 +52,7 @@
 
     /// Tells the nodes of the zone that a configuration was adopted: the first
     /// balancers tell the others, and each tells the agents that are its own to tell.
-    pub(super) fn tell_zone(&self, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn tell_zone(&self, now: Instant, actions: &mut Vec<BalancerAction>) {
         let version = self.routes.version();
         if self.is_first_of_zone(now) {
             for peer in self.peers.behind(version) {
--- a/crates/woodladder-core/src/flow/balancer/exclusion.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/exclusion.rs
@@ -1,10 +1,10 @@
 //! Zones that take no new flows: what the balancer knows, and whom it tells.
 
-use super::super::excluded_zones::ExcludedZones;
-use super::super::identity::{NodeAddress, ServiceKey};
-use super::super::note::Note;
-use super::Balancer;
 use crate::clock::Instant;
+use crate::flow::balancer::Balancer;
+use crate::flow::excluded_zones::ExcludedZones;
+use crate::flow::identity::{NodeAddress, ServiceKey};
+use crate::flow::note::Note;
 
 impl Balancer {
     /// Takes the excluded zones that the store gave.
@@ -18,7 +18,7 @@
         &self.excluded_zones
     }
 
-    pub(super) fn adopt_zones(&mut self, zones: &ExcludedZones, from: Option<NodeAddress>) {
+    pub(crate) fn adopt_zones(&mut self, zones: &ExcludedZones, from: Option<NodeAddress>) {
         let formerly = self.excluded_zones.zones.len();
         if !self.excluded_zones.adopt(zones) {
             return;
@@ -38,7 +38,7 @@
 
     /// Whether every target of a service stands in an excluded zone, so that an
     /// opening has nothing to wait for.
-    pub(super) fn is_wholly_excluded(&self, service: ServiceKey) -> bool {
+    pub(crate) fn is_wholly_excluded(&self, service: ServiceKey) -> bool {
         let agents = self.directory.agents_of(service);
         let mut records = agents
             .iter()
--- a/crates/woodladder-core/src/flow/balancer/greeting_periods.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/greeting_periods.rs
@@ -2,15 +2,15 @@
 //!
 //! Every kind has a bounded rate, so the time between two greetings to one
 //! receiver follows from how many receivers there are; each greeting states it
-//! ([`super::super::pace`]). At 304 balancers and 682 agents a balancer of an eighth
+//! ([`crate::flow::pace`]). At 304 balancers and 682 agents a balancer of an eighth
 //! of a core sends some 80 greetings a second; when each agent was greeted every
 //! ten seconds and each zone member every half second it sent some 220.
 
 use std::time::Duration;
 
-use super::super::identity::{NodeAddress, address_hash};
-use super::super::pace::round_time;
-use super::Balancer;
+use crate::flow::balancer::Balancer;
+use crate::flow::identity::{NodeAddress, address_hash};
+use crate::flow::pace::round_time;
 
 /// Reports of all agents to a small balancer are at least this far apart, which
 /// bounds what they cost it: about a hundredth of an eighth of a core.
@@ -28,9 +28,9 @@
 /// Reports that an agent sends between two greetings to it.
 const REPORTS_A_GREETING: u32 = 4;
 /// Time between greetings to other balancers.
-pub(super) const PEER_GREETING_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const PEER_GREETING_INTERVAL: Duration = Duration::from_millis(250);
 /// Balancers of any zone greeted at a time.
-pub(super) const GREETED_PEERS: usize = 6;
+pub(crate) const GREETED_PEERS: usize = 6;
 /// Least number of balancers of the own zone greeted at a time.
 const LEAST_GREETED_MEMBERS: usize = 6;
 /// Most balancers of the own zone greeted at a time: 40 a second, where half of a
@@ -50,7 +50,7 @@
     /// Time between two reports of an agent that this balancer asks for. Agents that
     /// it was only named count too: at a start it would else ask each for many
     /// reports until it knows all of them, half a million in a fleet of 986.
-    pub(super) fn report_interval(&self) -> Duration {
+    pub(crate) fn report_interval(&self) -> Duration {
         let agents = self.directory.len() + self.named_agents.len();
         let agents = u32::try_from(agents).unwrap_or(u32::MAX);
         self.report_spacing()
@@ -69,20 +69,20 @@
     }
 
     /// Time in which each agent is greeted once.
-    pub(super) fn agent_greeting_period(&self) -> Duration {
+    pub(crate) fn agent_greeting_period(&self) -> Duration {
         self.report_interval().saturating_mul(REPORTS_A_GREETING)
     }
 
     /// Time until an agent is greeted again: a part of the period stated to it that
     /// differs by agent, so that agents greeted together at a start are not ever after.
-    pub(super) fn next_greeting_after(&self, agent: NodeAddress) -> Duration {
+    pub(crate) fn next_greeting_after(&self, agent: NodeAddress) -> Duration {
         let part = u32::try_from(address_hash(agent) % 1000).unwrap_or(0);
         let period = self.agent_greeting_period();
         period / 2 + period * part / 2000
     }
 
     /// Balancers of the own zone greeted at a time.
-    pub(super) fn greeted_members(&self) -> usize {
+    pub(crate) fn greeted_members(&self) -> usize {
         self.zone_members
             .len()
             .div_ceil(MEMBER_ROUNDS)
@@ -91,13 +91,13 @@
 
     /// Time between two greetings to each balancer that hands its packets to this
     /// one.
-    pub(super) fn relaying_greeting_period(&self) -> Duration {
+    pub(crate) fn relaying_greeting_period(&self) -> Duration {
         let relaying = u32::try_from(self.relaying_members.len()).unwrap_or(u32::MAX);
         LEAST_RELAYING_INTERVAL.max(RELAYING_GREETING_SPACING.saturating_mul(relaying))
     }
 
     /// Time until a node is greeted again, whatever else it is told.
-    pub(super) fn greeting_period(&self, to: NodeAddress) -> Duration {
+    pub(crate) fn greeting_period(&self, to: NodeAddress) -> Duration {
         if !self.peers.knows(to) {
             return self.agent_greeting_period();
         }
--- a/crates/woodladder-core/src/flow/balancer/greetings.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/greetings.rs
@@ -3,20 +3,20 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::super::identity::NodeAddress;
-use super::super::message::{BalancerGreeting, MAXIMUM_NAMED_BALANCERS, PeerMessage, TargetReport};
-use super::super::note::Note;
-use super::super::pace::milliseconds;
-use super::super::zone_members::Member;
-use super::greeting_periods::{GREETED_PEERS, PEER_GREETING_INTERVAL};
-use super::{Balancer, BalancerAction};
 use crate::clock::Instant;
+use crate::flow::balancer::membership::greeting_periods::{GREETED_PEERS, PEER_GREETING_INTERVAL};
+use crate::flow::balancer::{Balancer, BalancerAction};
+use crate::flow::identity::NodeAddress;
+use crate::flow::message::{BalancerGreeting, MAXIMUM_NAMED_BALANCERS, PeerMessage, TargetReport};
+use crate::flow::note::Note;
+use crate::flow::pace::milliseconds;
+use crate::flow::zone_members::Member;
 
 /// An agent that reports this many times as often as asked is greeted at once.
 const MUCH_TOO_OFTEN: u32 = 2;
 
 impl Balancer {
-    pub(super) fn greeted(
+    pub(crate) fn greeted(
         &mut self,
         from: NodeAddress,
         greeting: &BalancerGreeting,
@@ -54,7 +54,7 @@
         self.learn_version(from, greeting.zone, greeting.version, now, actions);
     }
 
-    pub(super) fn member_greeted(
+    pub(crate) fn member_greeted(
         &mut self,
         from: NodeAddress,
         greeting: &BalancerGreeting,
@@ -62,6 +62,7 @@
     ) {
         let member = Member {
             capacity: greeting.capacity,
+            link_rate: greeting.link_rate,
             is_able: greeting.is_able && !greeting.leaving,
         };
         if greeting.zone == self.options.zone {
@@ -71,7 +72,7 @@
         self.peers.stated(from, member);
     }
 
-    pub(super) fn name_peer(
+    pub(crate) fn name_peer(
         &mut self,
         balancer: NodeAddress,
         now: Instant,
@@ -82,7 +83,7 @@
         }
     }
 
-    pub(super) fn greet(&self, to: NodeAddress, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn greet(&self, to: NodeAddress, now: Instant, actions: &mut Vec<BalancerAction>) {
         let message = PeerMessage::Greeting(self.greeting(to, now));
         actions.push(BalancerAction::Send { to, message });
     }
@@ -99,6 +100,7 @@
             hears_agents: self.hears_agents(now),
             zone: self.options.zone,
             capacity: self.options.capacity,
+            link_rate: self.options.link_rate,
             is_able: self.able(now).is_ok(),
             balancers: self.named_in_greetings.clone(),
         }
@@ -112,7 +114,7 @@
     /// Tells an agent that reports much more often than asked for what is asked:
     /// what this balancer needs has changed since it last greeted that agent, and
     /// the next greeting may be a minute away. The agent's reports bound the rate.
-    pub(super) fn correct_report_interval(
+    pub(crate) fn correct_report_interval(
         &mut self,
         agent: NodeAddress,
         report: &TargetReport,
@@ -128,7 +130,7 @@
     /// Greets an agent and promises it the next greeting. What was promised is kept
     /// when the fleet has grown meanwhile, because agents forget a balancer that
     /// breaks it and cease to report.
-    pub(super) fn greet_agent(
+    pub(crate) fn greet_agent(
         &mut self,
         agent: NodeAddress,
         now: Instant,
@@ -140,7 +142,7 @@
     }
 
     /// Greets the agents that are due.
-    pub(super) fn greet_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn greet_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         if std::mem::take(&mut self.tells_zones) {
             self.greet_everyone(now, actions);
         }
@@ -169,7 +171,7 @@
     }
 
     /// Greets balancers that are due, and tells of a configuration just adopted.
-    pub(super) fn greet_peers(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn greet_peers(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.greet_relaying_members(now, actions);
         if std::mem::take(&mut self.tells_zone) {
             self.tell_zone(now, actions);
--- a/crates/woodladder-core/src/flow/balancer/readiness.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/readiness.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::{Balancer, BalancerOptions};
 use crate::clock::Instant;
+use crate::flow::balancer::{Balancer, BalancerOptions};
 
 /// Silence of all agents after which the balancer counts as cut off, when the
 /// other balancers are silent too or hear agents themselves. Reports of all agents
@@ -66,7 +66,7 @@
     }
 
     /// Whether the balancer could serve, whatever the others of its zone bear.
-    pub(super) fn able(&self, now: Instant) -> Result<(), NotReadyReason> {
+    pub(crate) fn able(&self, now: Instant) -> Result<(), NotReadyReason> {
         if self.leaving {
             return Err(NotReadyReason::Leaving);
         }
@@ -94,7 +94,7 @@
     }
 
     /// Whether an agent was heard lately.
-    pub(super) fn hears_agents(&self, now: Instant) -> bool {
+    pub(crate) fn hears_agents(&self, now: Instant) -> bool {
         self.last_agent_heard
             .is_some_and(|heard_at| now.since(heard_at) < HEARS_WITHIN)
     }
--- a/crates/woodladder-core/src/flow/balancer/snapshots.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/snapshots.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::identity::NodeAddress;
-use super::super::message::{Snapshot, SnapshotRequest};
-use super::{Balancer, BalancerAction};
 use crate::clock::Instant;
+use crate::flow::balancer::{Balancer, BalancerAction};
+use crate::flow::identity::NodeAddress;
+use crate::flow::message::{Snapshot, SnapshotRequest};
 
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -68,7 +68,7 @@
 
     /// Asks a node for a snapshot unless another is awaited; says whether it
     /// does.
-    pub(super) fn fetch_from(
+    pub(crate) fn fetch_from(
         &mut self,
         from: NodeAddress,
         wants_nodes: bool,
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -6,28 +6,18 @@
 //! node; agents come from their reports. Its table of flows is a cache: a flow
 //! that is not in it is searched for among the targets of its route.
 
-mod agent_census;
 mod decision;
-mod dissemination;
-mod established;
-mod exclusion;
 mod forwarding;
-mod greeting_periods;
-mod greetings;
+mod membership;
 mod messages;
-mod opening;
-mod readiness;
-mod relay;
 mod search;
-mod search_outcome;
-mod snapshots;
 mod store_duty;
-mod waiting;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::activation::ActiveMechanisms;
 use super::configuration::{Configuration, RouteTable};
 use super::directory::Directory;
 use super::excluded_zones::ExcludedZones;
@@ -42,9 +32,9 @@
 use crate::clock::Instant;
 
 pub use decision::{BalancerAction, BalancerCounters, BalancerOptions};
-pub use dissemination::OWN_ZONE_FIRST_FOR;
-pub use forwarding::{DropReason, Routing};
-pub use readiness::NotReadyReason;
+pub use forwarding::routing::{DropReason, Routing};
+pub use membership::dissemination::OWN_ZONE_FIRST_FOR;
+pub use membership::readiness::NotReadyReason;
 pub use search::{FIRST_ASKED, SEARCHES_A_TICK};
 pub use store_duty::{REGISTERED, WATCHERS};
 
@@ -100,6 +90,7 @@
 pub struct Balancer {
     options: BalancerOptions,
     routes: RouteTable,
+    mechanisms: ActiveMechanisms,
     shares: PartShares,
     traffic: RouteTraffic,
     directory: Directory,
@@ -157,7 +148,7 @@
     /// Whether this balancer knew all agents at its last tick.
     was_complete: bool,
     /// Agents that other nodes have named and that were not heard yet.
-    named_agents: BTreeMap<NodeAddress, agent_census::NamedAgent>,
+    named_agents: BTreeMap<NodeAddress, membership::agent_census::NamedAgent>,
     /// How many of them were greeted since the last tick.
     named_agents_greeted: u32,
     /// Flows that are searched for.
@@ -167,7 +158,7 @@
     /// Packets of searches handed over since the last tick.
     packets_handed: u32,
     /// Openings that wait for a target, the newest last.
-    waiting: Vec<waiting::WaitingOpening>,
+    waiting: Vec<forwarding::waiting::WaitingOpening>,
 }
 
 impl Balancer {
@@ -177,6 +168,7 @@
         Self {
             options,
             routes: RouteTable::default(),
+            mechanisms: ActiveMechanisms::default(),
             shares: PartShares::default(),
             traffic: RouteTraffic::default(),
             directory: Directory::default(),
@@ -227,6 +219,12 @@
         &self.routes
     }
 
+    /// The optional mechanisms that act here.
+    #[must_use]
+    pub fn mechanisms(&self) -> ActiveMechanisms {
+        self.mechanisms
+    }
+
     /// Known targets.
     #[must_use]
     pub fn directory(&self) -> &Directory {
@@ -317,6 +315,18 @@
             routes: self.routes.current().map_or(0, |it| it.routes.len()),
             from,
         });
+        self.choose_mechanisms();
+    }
+
+    fn choose_mechanisms(&mut self) {
+        let Some(configuration) = self.routes.current() else {
+            return;
+        };
+        let options = &self.options;
+        let next = ActiveMechanisms::of(configuration, options.capacity, options.link_rate);
+        if std::mem::replace(&mut self.mechanisms, next) != next {
+            self.notes.add(Note::MechanismsChanged { active: next });
+        }
     }
 
     fn reset(
--- a/crates/woodladder-core/src/flow/balancer/search.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -3,19 +3,21 @@
 //! The packet goes at once to the first targets of the flow's route, at most
 //! [`FIRST_ASKED`] of them, and each further packet to the first of those that
 //! have not denied. All others are asked by queries, and get the packet when they
-//! cannot tell without one. How a search ends is in [`super::search_outcome`].
+//! cannot tell without one. How a search ends is in [`crate::flow::balancer::search::outcome`].
+
+pub(crate) mod outcome;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::super::identity::{FlowKey, NodeAddress, ServiceKey};
-use super::super::message::{ForwardHeader, ForwardPurpose};
-use super::super::note::Note;
-use super::super::packet::{FlowPacket, PacketKind};
-use super::super::selection::first_candidates;
-use super::forwarding::{DropReason, Routing};
-use super::{Balancer, FlowEntry, Stage};
 use crate::clock::Instant;
+use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
+use crate::flow::balancer::{Balancer, FlowEntry, Stage};
+use crate::flow::identity::{FlowKey, NodeAddress, ServiceKey};
+use crate::flow::message::{ForwardHeader, ForwardPurpose};
+use crate::flow::note::Note;
+use crate::flow::packet::{FlowPacket, PacketKind};
+use crate::flow::selection::first_candidates;
 
 /// Targets that a packet of an unknown flow goes to.
 pub const FIRST_ASKED: usize = 24;
@@ -39,10 +41,10 @@
 
 /// A search for one flow.
 #[derive(Clone, Debug)]
-pub(super) struct Search {
-    pub(super) denied: BTreeSet<NodeAddress>,
+pub(crate) struct Search {
+    pub(crate) denied: BTreeSet<NodeAddress>,
     started_at: Instant,
-    pub(super) queried_at: Option<Instant>,
+    pub(crate) queried_at: Option<Instant>,
     /// The caller's latest packet; empty when none is at hand.
     packet: Vec<u8>,
     /// When agents that could not tell without a packet were last handed it.
@@ -65,7 +67,7 @@
 
     /// Whether one of the first targets may hold the flow and has had no time yet to
     /// show it. `may_answer` says whether an agent is believed to live.
-    pub(super) fn awaits_first(
+    pub(crate) fn awaits_first(
         &self,
         may_answer: impl Fn(NodeAddress) -> bool,
         now: Instant,
@@ -76,7 +78,7 @@
 
     /// The packet, when it is to be handed to an agent that could not tell
     /// without one; counts as handing it over.
-    pub(super) fn packet_for(&mut self, agent: NodeAddress, now: Instant) -> Option<Vec<u8>> {
+    pub(crate) fn packet_for(&mut self, agent: NodeAddress, now: Instant) -> Option<Vec<u8>> {
         let handed_at = self.handed.get(&agent);
         let is_due = handed_at.is_none_or(|at| now.since(*at) >= HANDED_AGAIN_AFTER);
         if self.packet.is_empty() || !is_due {
@@ -86,13 +88,13 @@
         Some(self.packet.clone())
     }
 
-    pub(super) fn is_over(&self, now: Instant) -> bool {
+    pub(crate) fn is_over(&self, now: Instant) -> bool {
         now.since(self.started_at) >= SEARCH_LASTS
     }
 }
 
 impl Balancer {
-    pub(super) fn search_unknown(
+    pub(crate) fn search_unknown(
         &mut self,
         packet: &FlowPacket,
         bytes: &[u8],
@@ -125,7 +127,7 @@
 
     /// The flow was opened through another balancer, while this one waited or
     /// asked a target that the caller did not choose.
-    pub(super) fn search_opened_elsewhere(
+    pub(crate) fn search_opened_elsewhere(
         &mut self,
         packet: &FlowPacket,
         bytes: &[u8],
@@ -144,7 +146,7 @@
     /// Begins a search when the agent that is believed to hold a flow denies
     /// it; says whether it did. `bytes` are the packet that was denied, if it
     /// came back.
-    pub(super) fn search_when_holder_denies(
+    pub(crate) fn search_when_holder_denies(
         &mut self,
         from: NodeAddress,
         key: &FlowKey,
@@ -163,7 +165,7 @@
     }
 
     /// A further packet of a flow that is searched for.
-    pub(super) fn search_on(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
+    pub(crate) fn search_on(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         let key = packet.key;
         let Some(search) = self.search_of(&key) else {
             return Routing::Drop(DropReason::HolderUnknown);
@@ -177,7 +179,7 @@
         self.ask_open(key)
     }
 
-    pub(super) fn begin_search(&mut self, key: FlowKey) -> Routing {
+    pub(crate) fn begin_search(&mut self, key: FlowKey) -> Routing {
         self.searching.push(key);
         self.counters.searched += 1;
         let routing = self.ask_open(key);
@@ -193,7 +195,7 @@
         routing
     }
 
-    pub(super) fn search_of(&mut self, key: &FlowKey) -> Option<&mut Search> {
+    pub(crate) fn search_of(&mut self, key: &FlowKey) -> Option<&mut Search> {
         match &mut self.flows.use_flow(key)?.stage {
             Stage::Searching(search) => Some(search),
             _ => None,
@@ -225,7 +227,7 @@
 
     /// Services that the flow may have been opened with: those of its route
     /// and those that the route had before.
-    pub(super) fn likely_services(&self, key: FlowKey) -> Vec<ServiceKey> {
+    pub(crate) fn likely_services(&self, key: FlowKey) -> Vec<ServiceKey> {
         let route = self.routes.route(key.service);
         let parts = route.map_or(&[][..], |route| route.parts.as_slice());
         let mut services: Vec<ServiceKey> = parts.iter().map(|part| part.service).collect();
--- a/crates/woodladder-core/src/flow/balancer/search_outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -7,17 +7,17 @@
 //! that has restarted beside a running target cannot tell: it is handed the
 //! packet, which the target gives back when it does not hold the flow. The flow is
 //! reset only when each of them has denied and the balancer knows all of them
-//! ([`super::agent_census`]).
+//! ([`crate::flow::balancer::membership::agent_census`]).
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
-use super::super::message::{ForwardPurpose, MAXIMUM_KEYS, PeerMessage};
-use super::super::note::Note;
-use super::super::packet::{FlowPacket, ResetReason};
-use super::{Balancer, BalancerAction, Stage};
 use crate::clock::Instant;
+use crate::flow::balancer::{Balancer, BalancerAction, Stage};
+use crate::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
+use crate::flow::message::{ForwardPurpose, MAXIMUM_KEYS, PeerMessage};
+use crate::flow::note::Note;
+use crate::flow::packet::{FlowPacket, ResetReason};
 
 /// Time between two queries for one flow.
 const QUERY_INTERVAL: Duration = Duration::from_millis(120);
@@ -40,7 +40,7 @@
 
     /// An agent says that its target does not hold a flow that it was sent a
     /// packet of; the packet goes to the others.
-    pub(super) fn held_elsewhere(
+    pub(crate) fn held_elsewhere(
         &mut self,
         from: NodeAddress,
         packet: &FlowPacket,
@@ -56,7 +56,7 @@
     }
 
     /// An agent says that its target does not hold flows searched for.
-    pub(super) fn denied(
+    pub(crate) fn denied(
         &mut self,
         from: NodeAddress,
         keys: &[FlowKey],
@@ -83,7 +83,7 @@
     /// by the caller's packet. Where a flow is not likely to be, that counts as a
     /// denial: its packets must not reach another service, so nothing more can be
     /// learned.
-    pub(super) fn undecided(
+    pub(crate) fn undecided(
         &mut self,
         from: NodeAddress,
         keys: &[FlowKey],
@@ -152,7 +152,7 @@
     }
 
     /// Asks again for the flows that are searched for.
-    pub(super) fn pursue_searches(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+    pub(crate) fn pursue_searches(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.searches_begun = 0;
         self.packets_handed = 0;
         if self.searching.is_empty() {
@@ -200,7 +200,7 @@
     }
 
     /// A target holds a flow that was searched for.
-    pub(super) fn located(
+    pub(crate) fn located(
         &mut self,
         agent: NodeAddress,
         key: FlowKey,
--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -31,6 +31,8 @@
     pub aim_ms: u32,
     /// Time after which an answer is of no use any more, in milliseconds.
     pub timeout_ms: u32,
+    /// Whether a request that may have run can be sent again.
+    pub is_repeatable: bool,
 }
 
 impl Default for RouteTerms {
@@ -39,6 +41,7 @@
             priority: u8::MAX,
             aim_ms: 300,
             timeout_ms: u32::MAX,
+            is_repeatable: false,
         }
     }
 }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -13,7 +13,7 @@
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
-pub const PROTOCOL_VERSION: u8 = 7;
+pub const PROTOCOL_VERSION: u8 = 8;
 /// Most balancers that a greeting names.
 pub const MAXIMUM_NAMED_BALANCERS: usize = 12;
 
@@ -108,13 +108,17 @@
     /// Flows accepted by the target that have sent no request yet, and
     /// openings without an answer.
     pub opening: u16,
-    /// Openings in the agent's queue, of which the target knows nothing yet.
+    /// Openings and requests of open flows in the agent's queue, of which the target
+    /// knows nothing yet.
     pub queued: u16,
     /// Open flows.
     pub flows: u32,
     /// Running mean of the time to the first byte of an answer, in
     /// microseconds; zero before the first answer.
     pub service_time_us: u32,
+    /// Work that the open flows at rest are expected to ask for, in thousandths of a
+    /// slot; `None` before enough of them were seen.
+    pub resting_work: Option<u16>,
     /// Share of the latest requests that the target has failed, in percent.
     pub failed_percent: u8,
     /// Openings that the target may still be handed within a second because it may
@@ -146,6 +150,9 @@
     /// Time since the last heartbeat of the incarnation before, in milliseconds:
     /// flows that were opened later may be open at the present one.
     pub former_heard_ms: u32,
+    /// Whether the agent knows every open flow of the target: it has run since the
+    /// target began, or for longer than a flow lives.
+    pub knows_all_flows: bool,
     /// Zone of the machine.
     pub zone: ZoneKey,
     /// Whether it takes flows.
@@ -188,6 +195,8 @@
     pub zone: ZoneKey,
     /// Processor that it may use, in thousandths of a core.
     pub capacity: u32,
+    /// Rate of its machine's link, in kilobits a second; `None` when it is not known.
+    pub link_rate: Option<u32>,
     /// Whether it could serve callers: it knows routes and hears agents.
     pub is_able: bool,
     /// Other balancers that it knows.
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -7,6 +7,7 @@
 //! shell translates a platform's packets, heartbeats and store into their
 //! events.
 
+pub mod activation;
 pub mod agent;
 pub mod agent_record;
 pub mod balancer;
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::activation::ActiveMechanisms;
 use super::agent::WarmUpDoubt;
 use super::identity::{FlowKey, Incarnation, NodeAddress};
 use super::message::{ReturnReason, TargetLoad, TargetState};
@@ -81,6 +82,11 @@
         /// Node that it came from; `None` for the store.
         from: Option<NodeAddress>,
     },
+    /// Other optional mechanisms act than before.
+    MechanismsChanged {
+        /// Those that act now.
+        active: ActiveMechanisms,
+    },
     /// Other zones than before take no new flows.
     ZonesExcluded {
         /// Zones that are excluded from now on.
--- a/crates/woodladder-core/src/flow/zone_members.rs
+++ b/crates/woodladder-core/src/flow/zone_members.rs
@@ -38,6 +38,8 @@
 pub struct Member {
     /// Processor that it may use, in thousandths of a core.
     pub capacity: u32,
+    /// Rate of its machine's link, in kilobits a second; `None` when it is not known.
+    pub link_rate: Option<u32>,
     /// Whether it could serve: it knows routes and agents and does not leave.
     pub is_able: bool,
 }
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_activation.rs
@@ -0,0 +1,60 @@
+//! Under which configurations and settings the optional mechanisms act.
+
+mod flow_support;
+
+use flow_support::*;
+use woodladder_core::flow::activation::ActiveMechanisms;
+use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
+
+fn route(number: u8, priority: u8, timeout_ms: u32) -> Route {
+    Route {
+        address: route_address(number),
+        parts: vec![RoutePart {
+            service: kitchen(),
+            weight: 1,
+        }],
+        terms: RouteTerms {
+            priority,
+            timeout_ms,
+            ..RouteTerms::default()
+        },
+    }
+}
+
+fn configuration(routes: Vec<Route>) -> Configuration {
+    Configuration {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        idle_timeout_ms: 15_000,
+    }
+}
+
+#[test]
+fn nothing_acts_for_patient_routes_of_one_priority_on_wide_links() {
+    let even = configuration(vec![route(1, 2, 10_000), route(2, 2, 10_000)]);
+    let active = ActiveMechanisms::of(&even, 250, Some(1_000_000));
+    assert_eq!(active, ActiveMechanisms::default());
+}
+
+#[test]
+fn flows_are_located_when_a_timeout_leaves_one_repetition_at_most() {
+    let patient = configuration(vec![route(1, 2, 3001)]);
+    let impatient = configuration(vec![route(1, 2, 3001), route(2, 2, 3000)]);
+    assert!(!ActiveMechanisms::of(&patient, 250, None).locates_flows);
+    assert!(ActiveMechanisms::of(&impatient, 250, None).locates_flows);
+}
+
+#[test]
+fn requests_are_ordered_when_routes_of_different_priority_share_a_service() {
+    let shared = configuration(vec![route(1, 2, 10_000), route(2, 1, 10_000)]);
+    assert!(ActiveMechanisms::of(&shared, 250, None).orders_requests);
+}
+
+#[test]
+fn a_link_is_paced_when_it_is_full_before_the_processor_is() {
+    let any = configuration(vec![route(1, 2, 10_000)]);
+    assert!(ActiveMechanisms::of(&any, 120, Some(10_000)).paces_link);
+    assert!(!ActiveMechanisms::of(&any, 120, Some(200_000)).paces_link);
+    assert!(!ActiveMechanisms::of(&any, 120, None).paces_link);
+}
--- a/crates/woodladder-core/tests/flow_dissemination.rs
+++ b/crates/woodladder-core/tests/flow_dissemination.rs
@@ -34,6 +34,7 @@
         address: node(number),
         zone: ZoneKey::named("a"),
         capacity: CAPACITY,
+        link_rate: None,
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
     };
--- a/crates/woodladder-core/tests/flow_fleet_size.rs
+++ b/crates/woodladder-core/tests/flow_fleet_size.rs
@@ -55,6 +55,7 @@
         address: balancer_node(index),
         zone: zone_of(index),
         capacity: capacity_of(index),
+        link_rate: None,
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
     };
@@ -211,6 +212,7 @@
                 let greeting = BalancerGreeting {
                     zone: zone_of(index),
                     capacity: capacity_of(index),
+                    link_rate: None,
                     next_within_ms: u32::try_from(greeted_within).expect("time"),
                     ..peer_greeting()
                 };
--- a/crates/woodladder-core/tests/flow_small_balancers.rs
+++ b/crates/woodladder-core/tests/flow_small_balancers.rs
@@ -20,6 +20,7 @@
     BalancerGreeting {
         zone: ZoneKey::named(zone),
         capacity,
+        link_rate: None,
         ..peer_greeting()
     }
 }
@@ -30,6 +31,7 @@
         address: node(1),
         zone: ZoneKey::named("a"),
         capacity,
+        link_rate: None,
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
     };
@@ -189,6 +191,7 @@
     let mut members = ZoneMembers::default();
     let member = Member {
         capacity: LARGE,
+        link_rate: None,
         is_able: true,
     };
     // What a larger balancer says to those that hand it their packets.
--- a/crates/woodladder-core/tests/flow_store_duty.rs
+++ b/crates/woodladder-core/tests/flow_store_duty.rs
@@ -20,6 +20,7 @@
         address: node(number),
         zone: ZoneKey::named("a"),
         capacity: CAPACITY,
+        link_rate: None,
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
     };
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -114,6 +114,7 @@
         address: node(1),
         zone: ZoneKey::named("a"),
         capacity: CAPACITY,
+        link_rate: None,
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
     };
@@ -126,6 +127,7 @@
         address: node(1),
         zone: ZoneKey::named("a"),
         capacity: CAPACITY,
+        link_rate: None,
         flow_capacity: 100_000,
         flow_retention: Duration::from_secs(30),
     };
@@ -153,6 +155,7 @@
         service: kitchen(),
         incarnation: Some(Incarnation(u64::from(agent))),
         former_heard_ms: 0,
+        knows_all_flows: false,
         zone: ZoneKey::named("a"),
         state: TargetState::Ready,
         capacity: 7,
@@ -331,6 +334,7 @@
         hears_agents: true,
         zone: ZoneKey::named("a"),
         capacity: CAPACITY,
+        link_rate: None,
         is_able: true,
         balancers: vec![],
     }
--- a/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -8,6 +8,7 @@
             address: balancer_address(index),
             zone: ZoneKey::default(),
             capacity: self.capacities[index],
+            link_rate: None,
             flow_capacity: 10_000,
             flow_retention: Duration::from_secs(30),
         };
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -108,6 +108,7 @@
             "Share of the latest requests that the target failed.",
             f64::from(load.failed_percent) / 100.0,
         );
+        text.mechanisms(core.mechanisms());
         text.gauge("flows_open", "Open flows.", f64::from(load.flows));
         text.gauge(
             "flows_known",
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -61,6 +61,8 @@
     pub zone: ZoneKey,
     /// Processor that it may use, in thousandths of a core.
     pub capacity: u32,
+    /// Rate of its machine's link, in kilobits a second; `None` when it is not known.
+    pub link_rate: Option<u32>,
     /// Nodes to greet before any is known.
     pub seeds: Vec<NodeAddress>,
     /// Least time that a flow at rest is remembered.
@@ -96,6 +98,7 @@
             address: config.peer_address,
             zone: config.zone,
             capacity: config.capacity,
+            link_rate: config.link_rate,
             flow_capacity: FLOW_CAPACITY,
             flow_retention: config.flow_retention,
         };
--- a/crates/woodladder-node/src/balancer/figures.rs
+++ b/crates/woodladder-node/src/balancer/figures.rs
@@ -129,6 +129,7 @@
             "Whether the node calls the store.",
             if watches { 1.0 } else { 0.0 },
         );
+        text.mechanisms(core.mechanisms());
         text.gauge("flows", "Flows in the table.", count(core.flow_count()));
         text.gauge(
             "openings_waiting",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -204,6 +204,12 @@
                     "version" => version, "former" => former, "routes" => routes,
                     "from" => source, "left_out" => left_out);
             }
+            Note::MechanismsChanged { active } => {
+                info!(log, "node: optional mechanisms changed"; "event" => event,
+                    "locates_flows" => active.locates_flows,
+                    "orders_requests" => active.orders_requests,
+                    "paces_link" => active.paces_link, "left_out" => left_out);
+            }
             Note::ZonesExcluded {
                 excluded,
                 formerly,
@@ -308,6 +314,7 @@
         Note::FlowLocated { .. } => ("flow_located", Ordinary),
         Note::FlowReset { .. } => ("flow_reset", Important),
         Note::ConfigurationAdopted { .. } => ("configuration_adopted", Important),
+        Note::MechanismsChanged { .. } => ("mechanisms_changed", Important),
         Note::ZonesExcluded { .. } => ("zones_excluded", Important),
         Note::WarmthDoubted { .. } => ("warmth_doubted", Important),
         Note::AgentFound { .. } => ("agent_found", Important),
--- a/crates/woodladder-node/src/metrics.rs
+++ b/crates/woodladder-node/src/metrics.rs
@@ -3,6 +3,8 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use woodladder_core::flow::activation::ActiveMechanisms;
+
 /// Upper bounds of a latency histogram's buckets, in seconds.
 const BOUNDS: [f64; 11] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
@@ -56,6 +58,27 @@
         }
     }
 
+    /// Adds which optional mechanisms act.
+    pub fn mechanisms(&mut self, active: ActiveMechanisms) {
+        let acts = [
+            ("locates_flows", active.locates_flows),
+            ("orders_requests", active.orders_requests),
+            ("paces_link", active.paces_link),
+        ];
+        self.head(
+            "mechanism_active",
+            "Whether an optional mechanism acts.",
+            "gauge",
+        );
+        for (name, is_active) in acts {
+            let value = u8::from(is_active);
+            let _infallible = writeln!(
+                self.text,
+                "woodladder_mechanism_active{{mechanism=\"{name}\"}} {value}"
+            );
+        }
+    }
+
     /// Adds a value that may fall.
     pub fn gauge(&mut self, name: &str, help: &str, value: f64) {
         self.head(name, help, "gauge");
