--- a/crates/woodladder-core/src/configuration/bundle_source/document.rs
+++ b/crates/woodladder-core/src/configuration/bundle_source/document.rs
@@ -1,10 +1,9 @@
 //! A parsed TOML text with its line numbers.
 
-use std::ops::Range;
-
 use toml::Spanned;
 use toml::de::DeTable;
 
+use super::lines::Lines;
 use super::reader::{KeyPlace, TableReader};
 use crate::finding::{Finding, Findings, Place};
 
@@ -16,11 +15,6 @@
     lines: Lines,
 }
 
-/// Finds the line of a byte.
-pub(super) struct Lines {
-    ends: Vec<usize>,
-}
-
 impl<'a> Document<'a> {
     /// Parses a text; what cannot be parsed becomes findings.
     pub(super) fn parse(text: &'a str, findings: &mut Findings) -> Self {
@@ -49,15 +43,3 @@
         TableReader::new(self.table.get_ref(), place, &self.lines)
     }
 }
-
-impl Lines {
-    fn new(text: &str) -> Self {
-        let ends = text.match_indices('\n').map(|(index, _)| index).collect();
-        Self { ends }
-    }
-
-    /// Line of a span's start, counted from one.
-    pub(super) fn line(&self, span: &Range<usize>) -> usize {
-        self.ends.partition_point(|end| *end < span.start) + 1
-    }
-}
--- a/crates/woodladder-core/src/configuration/bundle_source/mod.rs
+++ b/crates/woodladder-core/src/configuration/bundle_source/mod.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod document;
+mod lines;
 mod reader;
 mod render;
 
--- a/crates/woodladder-core/src/configuration/bundle_source/reader.rs
+++ b/crates/woodladder-core/src/configuration/bundle_source/reader.rs
@@ -6,7 +6,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
-use super::document::Lines;
+use super::lines::Lines;
 use crate::configuration::bundle::TargetState;
 use crate::finding::{Finding, Findings, Place};
 
--- a/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
@@ -14,6 +14,7 @@
 use crate::clock::Instant;
 use crate::flow::agent::Agent;
 use crate::flow::note::Note;
+use crate::flow::warm_up_doubt::WarmUpDoubt;
 
 /// Span in which requests are counted: a second, and what packets from the agent
 /// to the target beside it may differ in their time under way.
@@ -34,17 +35,6 @@
     pub slack: u32,
 }
 
-/// Why it is not known whether the target is cold.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum WarmUpDoubt {
-    /// Its zone was excluded until now.
-    ZoneTakenBack,
-    /// It was silent, so it may have started again.
-    Silent,
-    /// The agent did not run or hear of excluded zones for a while.
-    OutOfTouch,
-}
-
 /// The requests that the target was handed lately, and whether it may be cold.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WarmUp {
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -37,8 +37,9 @@
 
 use crate::clock::Instant;
 
+pub use super::warm_up_doubt::WarmUpDoubt;
 pub use admission::queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
-pub use admission::warm_up::{WarmUpBounds, WarmUpDoubt};
+pub use admission::warm_up::WarmUpBounds;
 pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
 pub use target::failure_record::{AnswerKind, Suspicion};
 pub use target::heartbeat::{Heartbeat, HeartbeatError};
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -25,4 +25,5 @@
 pub mod selection;
 pub mod store_session;
 pub mod table;
+pub mod warm_up_doubt;
 pub mod zone_members;
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use super::activation::ActiveMechanisms;
-use super::agent::WarmUpDoubt;
 use super::identity::{FlowKey, Incarnation, NodeAddress};
 use super::message::{ReturnReason, TargetLoad, TargetState};
 use super::packet::ResetReason;
+use super::warm_up_doubt::WarmUpDoubt;
 
 /// One decision or one change of what a node believes.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -5,7 +5,7 @@
 
 use super::identity::NodeAddress;
 use super::pace::{silence_limit, some_from};
-use super::zone_members::Member;
+use super::zone_members::{MAXIMUM_BALANCERS, Member};
 use crate::clock::Instant;
 
 /// Least silence after which a balancer that has greeted is forgotten.
@@ -23,9 +23,6 @@
 /// not grow with the time between greetings: as many of them come in it at any
 /// size, and a few serving balancers are enough.
 const SERVING_FOR: Duration = Duration::from_secs(3);
-/// Most balancers remembered, which bounds memory only: six times the size that
-/// the deployment is designed for.
-pub const MAXIMUM_BALANCERS: usize = 4096;
 
 /// A balancer as another node knows it.
 #[derive(Clone, Copy, Debug)]
--- a/crates/woodladder-core/src/flow/zone_members.rs
+++ b/crates/woodladder-core/src/flow/zone_members.rs
@@ -13,9 +13,11 @@
 
 use super::identity::NodeAddress;
 use super::pace::{silence_limit, some_from};
-use super::peers::MAXIMUM_BALANCERS;
 use crate::clock::Instant;
 
+/// Most balancers remembered, which bounds memory only: six times the size that
+/// the deployment is designed for.
+pub const MAXIMUM_BALANCERS: usize = 4096;
 /// Least silence after which a larger balancer is handed no packets any more: two
 /// greetings in a row must be lost for a living one to be passed over, which costs
 /// searches for its flows and no request. What is handed to a dead one is lost until
--- a/crates/woodladder-core/src/target/request/event.rs
+++ b/crates/woodladder-core/src/target/request/event.rs
@@ -5,12 +5,9 @@
 use crate::clock::Instant;
 
 use super::outcome::{Refusal, UnknownReason};
+use super::request_id::RequestId;
 use super::stage::SendPermit;
 
-/// Identifies a request at one target; never used for another one there.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RequestId(pub u64);
-
 /// What happens to requests. Events for a request without a place in the
 /// table, such as one already answered, are ignored.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/woodladder-core/src/target/request/mod.rs
+++ b/crates/woodladder-core/src/target/request/mod.rs
@@ -14,12 +14,14 @@
 mod event;
 mod options;
 mod outcome;
+mod request_id;
 mod stage;
 mod store;
 mod table;
 
-pub use event::{RequestAction, RequestEvent, RequestId};
+pub use event::{RequestAction, RequestEvent};
 pub use options::RequestOptions;
 pub use outcome::{Refusal, RefusalReason, UnknownReason};
+pub use request_id::RequestId;
 pub use stage::SendPermit;
 pub use table::{RequestCounts, RequestTable};
--- /dev/null
+++ b/crates/woodladder-core/src/target/request/request_id.rs
@@ -0,0 +1,5 @@
+//! Names of requests.
+
+/// Identifies a request at one target; never used for another one there.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct RequestId(pub u64);
--- a/crates/woodladder-core/src/target/request/stage.rs
+++ b/crates/woodladder-core/src/target/request/stage.rs
@@ -5,8 +5,8 @@
 
 use crate::clock::Instant;
 
-use super::event::RequestId;
 use super::outcome::{Refusal, RefusalReason};
+use super::request_id::RequestId;
 
 /// Permission to write one request to the back end once. From the moment that
 /// it is given, the request may have run.
--- a/crates/woodladder-core/src/target/request/store.rs
+++ b/crates/woodladder-core/src/target/request/store.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::Instant;
 
-use super::event::RequestId;
+use super::request_id::RequestId;
 use super::stage::Stage;
 
 /// What the caller stated about a request.
--- a/crates/woodladder-core/src/target/request/table.rs
+++ b/crates/woodladder-core/src/target/request/table.rs
@@ -7,9 +7,10 @@
 use crate::clock::Instant;
 
 use super::estimate::Estimate;
-use super::event::{RequestAction, RequestEvent, RequestId};
+use super::event::{RequestAction, RequestEvent};
 use super::options::RequestOptions;
 use super::outcome::{RefusalReason, UnknownReason};
+use super::request_id::RequestId;
 use super::stage::{Queued, Stage};
 use super::store::{Request, Store, Terms};
 
--- a/crates/woodladder-lab/src/command/measure.rs
+++ b/crates/woodladder-lab/src/command/measure.rs
@@ -13,7 +13,8 @@
 use woodladder_lab::measure::figures::Figures;
 use woodladder_lab::measure::options::Policy;
 use woodladder_lab::measure::packets;
-use woodladder_lab::measure::report::{Report, ReportError};
+use woodladder_lab::measure::report::Report;
+use woodladder_lab::measure::report_error::ReportError;
 
 /// Seeds unless others are asked for.
 const DEFAULT_SEEDS: &str = "0..8";
--- a/crates/woodladder-lab/src/demo/cluster.rs
+++ b/crates/woodladder-lab/src/demo/cluster.rs
@@ -1,7 +1,5 @@
 //! The processes of one deployment: starting them and waiting until they are ready.
 
-use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,6 +9,7 @@
 
 use super::administration::Administration;
 use super::arguments::{Arguments, Flag};
+use super::error::ClusterError;
 use super::files::Files;
 use super::plan::{
     ADMIN_PORT_OFFSET, BACK_END_ADMIN_PORT, Deployment, EGRESS_PORT, HTTP_PORT, MACHINE_LIST_PORT,
@@ -19,35 +18,12 @@
 use super::process::{DemoProcess, StopResult};
 use super::wiring::Wiring;
 
-/// Name that the agents' certificate carries.
-pub const SERVER_NAME: &str = "woodladder.test";
 const DEFAULT_FEED_INTERVAL: Duration = Duration::from_millis(500);
 /// Tells apart the log files of commands.
 static COMMANDS: AtomicU64 = AtomicU64::new(1);
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const COMMAND_LIMIT: Duration = Duration::from_secs(30);
 
-/// Why the demo could not go on.
-#[derive(Debug)]
-pub enum ClusterError {
-    /// A file or process could not be made.
-    System(io::Error),
-    /// The certificate could not be made.
-    Certificate(rcgen::Error),
-    /// A process did not become ready in time.
-    NotReady {
-        /// Its name.
-        name: String,
-    },
-    /// A command of the operator failed.
-    Command {
-        /// Its name.
-        name: String,
-        /// What it printed.
-        output: String,
-    },
-}
-
 /// How a deployment is started.
 #[derive(Clone, Debug)]
 pub struct ClusterOptions {
@@ -315,28 +291,3 @@
         })
     }
 }
-
-impl fmt::Display for ClusterError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::System(error) => write!(formatter, "the system refused: {error}"),
-            Self::Certificate(error) => write!(formatter, "no certificate: {error}"),
-            Self::NotReady { name } => write!(formatter, "{name} did not become ready"),
-            Self::Command { name, output } => write!(formatter, "{name} failed:\n{output}"),
-        }
-    }
-}
-
-impl std::error::Error for ClusterError {}
-
-impl From<io::Error> for ClusterError {
-    fn from(error: io::Error) -> Self {
-        Self::System(error)
-    }
-}
-
-impl From<rcgen::Error> for ClusterError {
-    fn from(error: rcgen::Error) -> Self {
-        Self::Certificate(error)
-    }
-}
--- a/crates/woodladder-lab/src/demo/files.rs
+++ b/crates/woodladder-lab/src/demo/files.rs
@@ -5,7 +5,7 @@
 use rcgen::{CertifiedKey, generate_simple_self_signed};
 use rustls::pki_types::CertificateDer;
 
-use super::cluster::{ClusterError, SERVER_NAME};
+use super::error::{ClusterError, SERVER_NAME};
 use super::plan::Deployment;
 
 #[derive(Debug)]
--- a/crates/woodladder-lab/src/demo/launch.rs
+++ b/crates/woodladder-lab/src/demo/launch.rs
@@ -6,7 +6,8 @@
 use woodladder_core::configuration::bundle::Target;
 
 use super::arguments::{Arguments, Flag};
-use super::cluster::{Cluster, ClusterError};
+use super::cluster::Cluster;
+use super::error::ClusterError;
 use super::plan::{
     ADMIN_PORT_OFFSET, BACK_END_ADMIN_PORT, BACK_END_PORT, CONTROL_PORT, DATA_PORT, HTTP_PORT,
     MACHINE_LIST_PORT, Machine, STORE_PORT,
--- a/crates/woodladder-lab/src/demo/mod.rs
+++ b/crates/woodladder-lab/src/demo/mod.rs
@@ -11,6 +11,7 @@
 mod administration;
 mod arguments;
 mod cluster;
+mod error;
 mod evidence;
 mod files;
 mod imbalance;
@@ -32,7 +33,8 @@
 
 pub use administration::{Administration, AdministrationError};
 pub use arguments::Flag;
-pub use cluster::{Cluster, ClusterError, ClusterOptions, CommandEnd, RunningCommand, SERVER_NAME};
+pub use cluster::{Cluster, ClusterOptions, CommandEnd, RunningCommand};
+pub use error::{ClusterError, SERVER_NAME};
 pub use evidence::execution_logs;
 pub use imbalance::{BackEndLoad, Imbalance, imbalance};
 pub use loopback::{LoopbackNetwork, NetworkReservation};
--- a/crates/woodladder-lab/src/demo/story.rs
+++ b/crates/woodladder-lab/src/demo/story.rs
@@ -7,7 +7,8 @@
 use woodladder_core::identifier::TargetId;
 
 use super::administration::Administration;
-use super::cluster::{Cluster, ClusterError};
+use super::cluster::Cluster;
+use super::error::ClusterError;
 use super::evidence::{self, Times};
 use super::plan::{BACK_END_ADMIN_PORT, Machine};
 use super::process::{DemoProcess, StopResult};
--- a/crates/woodladder-lab/src/demo/surge.rs
+++ b/crates/woodladder-lab/src/demo/surge.rs
@@ -7,7 +7,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 
-use super::cluster::{Cluster, SERVER_NAME};
+use super::cluster::Cluster;
+use super::error::SERVER_NAME;
 use super::plan::Load;
 use crate::stand_in::caller::{
     Caller, CallerConfig, CallerEndpoints, EndpointsConfig, FeedWatch, Operation, OutcomeLog,
--- a/crates/woodladder-lab/src/fault_proxy/server.rs
+++ b/crates/woodladder-lab/src/fault_proxy/server.rs
@@ -13,7 +13,8 @@
 use super::tcp::TcpRelay;
 use super::udp::UdpRelay;
 use crate::stand_in::error::StandInError;
-use crate::stand_in::http_server::{Gate, HttpServer};
+use crate::stand_in::gate::Gate;
+use crate::stand_in::http_server::HttpServer;
 use crate::stand_in::socket::{bind_udp, bound_address};
 
 /// Streams of the generator between two routes, so that their draws never meet.
--- a/crates/woodladder-lab/src/measure/mod.rs
+++ b/crates/woodladder-lab/src/measure/mod.rs
@@ -13,6 +13,7 @@
 pub mod packets;
 pub mod plot;
 pub mod report;
+pub mod report_error;
 pub mod way;
 pub mod workload;
 pub mod world;
--- a/crates/woodladder-lab/src/measure/plot.rs
+++ b/crates/woodladder-lab/src/measure/plot.rs
@@ -5,7 +5,7 @@
 use plotters::prelude::*;
 
 use super::figures::{Figures, ImbalanceFigure};
-use super::report::ReportError;
+use super::report_error::ReportError;
 use super::way::Way;
 use super::workload::Workload;
 
--- a/crates/woodladder-lab/src/measure/report.rs
+++ b/crates/woodladder-lab/src/measure/report.rs
@@ -1,13 +1,13 @@
 //! The whole report: JSON, one Markdown page, and plots beside it.
 
-use std::fmt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use serde::Serialize;
 
 use super::decision::DecisionFigures;
 use super::figures::Figures;
-use super::packets::{PacketError, PacketFigures};
+use super::packets::PacketFigures;
+use super::report_error::ReportError;
 use super::{markdown, plot};
 
 /// Name of the page in the report's directory.
@@ -27,29 +27,6 @@
     pub packets: Option<PacketFigures>,
 }
 
-/// Why a report could not be written.
-#[derive(Debug)]
-pub enum ReportError {
-    /// The system's error at a file.
-    File {
-        /// The file.
-        path: PathBuf,
-        /// The error.
-        error: std::io::Error,
-    },
-    /// A plot could not be drawn.
-    Plot {
-        /// Its file.
-        path: PathBuf,
-        /// The library's message.
-        message: String,
-    },
-    /// The figures could not be encoded.
-    Encoding(serde_json::Error),
-    /// The packet path could not be measured.
-    Packets(PacketError),
-}
-
 impl Report {
     /// The report as JSON.
     ///
@@ -99,20 +76,3 @@
         error,
     }
 }
-
-impl fmt::Display for ReportError {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::File { path, error } => {
-                write!(formatter, "{} cannot be written: {error}", path.display())
-            }
-            Self::Plot { path, message } => {
-                write!(formatter, "{} cannot be drawn: {message}", path.display())
-            }
-            Self::Packets(error) => error.fmt(formatter),
-            Self::Encoding(error) => write!(formatter, "the figures cannot be encoded: {error}"),
-        }
-    }
-}
-
-impl std::error::Error for ReportError {}
--- a/crates/woodladder-lab/src/platform/day.rs
+++ b/crates/woodladder-lab/src/platform/day.rs
@@ -14,10 +14,10 @@
 use super::address::Network;
 use super::links::Links;
 use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, TARGETS, ZONES, added_route, kitchen_route,
-    print_route,
+    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
 };
 use super::store_state::StoreFault;
+use super::zones::ZONES;
 
 /// Machine of the target that is added.
 const ADDED_TARGET: u8 = 24;
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -20,6 +20,7 @@
 mod store;
 mod store_state;
 mod target;
+mod zones;
 
 pub use day::{DayOptions, DayReport, run};
 pub use oracle::{Oracle, Violation};
--- a/crates/woodladder-lab/src/platform/node_process.rs
+++ b/crates/woodladder-lab/src/platform/node_process.rs
@@ -14,7 +14,7 @@
     CONTROL_PORT, DATAGRAM_PORT, METRICS_PORT, Network, OUTBOUND_PORT, PEER_PORT, READY_PORT,
     STORE_PORT, TARGET_PORT,
 };
-use super::site::zone_of;
+use super::zones::zone_of;
 
 /// A whole core, in thousandths.
 const WHOLE_CORE: u32 = 1000;
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -28,6 +28,7 @@
 use super::store::{self, SharedStore};
 use super::store_state::StoreFault;
 use super::target::{COLD_FOR, Target};
+use super::zones::{CALLERS, zone_of};
 
 /// Prefix of the keys of excluded zones.
 const EXCLUSIONS_PREFIX: &str = "op/evacuate/";
@@ -44,14 +45,8 @@
     (23, "kitchen"),
     (31, "print"),
 ];
-/// Zones of the targets and of their agents. The balancers are all in the first.
-pub const ZONES: [&str; 2] = ["a", "b"];
-/// First machine of the second zone's targets.
-const SECOND_ZONE_FROM: u8 = 23;
 /// Requests a second that a cold target bears.
 const COLD_RATE: f64 = 20.0;
-/// Machines of callers.
-const CALLERS: [u8; 3] = [101, 102, 103];
 
 /// Why a site could not be run.
 #[derive(Debug)]
@@ -107,11 +102,6 @@
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
 
-/// Zone of a machine.
-pub fn zone_of(machine: u8) -> &'static str {
-    ZONES[usize::from(machine >= SECOND_ZONE_FROM && machine < CALLERS[0])]
-}
-
 /// Address of the kitchen's route.
 pub fn kitchen_route() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -21,12 +21,12 @@
 use super::links::{self, LinkRule, Links};
 use super::oracle::STORE;
 use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, TARGETS, ZONES, added_route, kitchen_route,
-    print_route,
+    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
 };
 use super::soak_plan::{EXCLUDED_BY, Strike, StrikeKind, plan, processors};
 use super::soak_report::SoakReport;
 use super::store_state::StoreFault;
+use super::zones::ZONES;
 use crate::fault_proxy::{Cut, FaultProxy, FaultProxyConfig, FaultRule, Route};
 
 /// Time for everything to settle after the last fault: longer than any
--- a/crates/woodladder-lab/src/simulation/agent/mod.rs
+++ b/crates/woodladder-lab/src/simulation/agent/mod.rs
@@ -24,7 +24,8 @@
 use woodladder_core::target::slow_start::{EffectiveSlots, SlowStart, SlowStartOptions};
 
 use crate::simulation::agent_flows::AgentFlows;
-use crate::simulation::agent_requests::{AgentRequests, Means};
+use crate::simulation::agent_means::Means;
+use crate::simulation::agent_requests::AgentRequests;
 use crate::simulation::back_end::{BackEnd, BackEndStep, ConnectionId};
 use crate::simulation::frame::{Content, FirstIdentifier, Frame, Payload};
 use crate::simulation::log::Entry;
--- a/crates/woodladder-lab/src/simulation/agent_request_frames.rs
+++ b/crates/woodladder-lab/src/simulation/agent_request_frames.rs
@@ -3,7 +3,7 @@
 
 use woodladder_core::clock::Instant;
 
-use super::agent_requests::Means;
+use super::agent_means::Means;
 use super::back_end::ConnectionId;
 use super::frame::{FirstIdentifier, Frame, RequestFrame};
 use super::log::{AttemptId, Entry};
--- a/crates/woodladder-lab/src/simulation/agent_requests.rs
+++ b/crates/woodladder-lab/src/simulation/agent_requests.rs
@@ -10,13 +10,12 @@
     RequestTable,
 };
 
-use super::agent_flows::AgentFlows;
+use super::agent_means::Means;
 use super::agent_request_frames::{Served, send_refusal, write_request};
-use super::back_end::{BackEnd, BackEndStep, ConnectionId};
+use super::back_end::{BackEndStep, ConnectionId};
 use super::frame::{FirstIdentifier, Frame, RequestFrame};
 use super::log::{AttemptId, Entry};
 use super::mutation::Mutation;
-use super::node::Surroundings;
 use super::output::Output;
 use super::random::Random;
 use super::seen::Seen;
@@ -33,16 +32,6 @@
     retry_after: u32,
 }
 
-/// What request handling works on.
-pub struct Means<'a, 'b> {
-    /// Clock, logs and the way out.
-    pub around: &'a mut Surroundings<'b>,
-    /// The agent's flows.
-    pub flows: &'a mut AgentFlows,
-    /// The back end.
-    pub back_end: &'a mut BackEnd,
-}
-
 /// Requests of one agent.
 #[derive(Debug)]
 pub struct AgentRequests {
--- a/crates/woodladder-lab/src/simulation/mod.rs
+++ b/crates/woodladder-lab/src/simulation/mod.rs
@@ -15,6 +15,7 @@
 
 pub mod agent;
 pub mod agent_flows;
+pub mod agent_means;
 mod agent_request_frames;
 pub mod agent_requests;
 pub mod back_end;
--- a/crates/woodladder-lab/src/stand_in/back_end/server.rs
+++ b/crates/woodladder-lab/src/stand_in/back_end/server.rs
@@ -14,7 +14,8 @@
 use super::{admin, feed, operation, status};
 use crate::stand_in::error::StandInError;
 use crate::stand_in::execution_log::ExecutionLog;
-use crate::stand_in::http_server::{Gate, HttpServer};
+use crate::stand_in::gate::Gate;
+use crate::stand_in::http_server::HttpServer;
 
 /// A running back end. Dropping it stops it.
 #[derive(Debug)]
--- a/crates/woodladder-lab/src/stand_in/back_end/shared.rs
+++ b/crates/woodladder-lab/src/stand_in/back_end/shared.rs
@@ -15,8 +15,8 @@
 use super::load::{LoadHistory, LoadReport};
 use crate::stand_in::clock::{MonotonicClock, unix_milliseconds};
 use crate::stand_in::execution_log::{ExecutionRecorder, WrongServiceArrival};
+use crate::stand_in::gate::Gate;
 use crate::stand_in::headers;
-use crate::stand_in::http_server::Gate;
 
 #[derive(Debug)]
 pub(super) struct Shared {
--- a/crates/woodladder-lab/src/stand_in/fabric/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/fabric/mod.rs
@@ -24,7 +24,8 @@
 use self::counters::Counters;
 use self::delay_line::DelayLine;
 use super::error::StandInError;
-use super::http_server::{Gate, HttpServer};
+use super::gate::Gate;
+use super::http_server::HttpServer;
 use super::socket::{bind_udp, bound_address};
 
 /// How the fabric is set up.
--- a/crates/woodladder-lab/src/stand_in/incoming.rs
+++ b/crates/woodladder-lab/src/stand_in/incoming.rs
@@ -12,7 +12,7 @@
 use volo::net::conn::Conn;
 use volo::net::incoming::{Incoming, MakeIncoming};
 
-use super::http_server::Gate;
+use super::gate::Gate;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
--- a/crates/woodladder-lab/src/stand_in/machine_list/server.rs
+++ b/crates/woodladder-lab/src/stand_in/machine_list/server.rs
@@ -14,7 +14,8 @@
 use super::state::{Machine, MachineListOverride, MachineListState};
 use crate::stand_in::clock::MonotonicClock;
 use crate::stand_in::error::StandInError;
-use crate::stand_in::http_server::{Gate, HttpServer, json_answer, read_json, text_answer};
+use crate::stand_in::gate::Gate;
+use crate::stand_in::http_server::{HttpServer, json_answer, read_json, text_answer};
 
 /// How the machine list is set up.
 #[derive(Clone, Debug)]
--- a/crates/woodladder-lab/src/stand_in/mod.rs
+++ b/crates/woodladder-lab/src/stand_in/mod.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod execution_log;
 pub mod fabric;
+pub mod gate;
 pub mod headers;
 pub mod http_server;
 mod incoming;
--- a/crates/woodladder-lab/src/stand_in/store/server.rs
+++ b/crates/woodladder-lab/src/stand_in/store/server.rs
@@ -17,7 +17,8 @@
 use super::state::{StoreOperation, StoreOutcome, StoreState};
 use super::{admin, kv, session};
 use crate::stand_in::error::StandInError;
-use crate::stand_in::http_server::{Gate, HttpServer};
+use crate::stand_in::gate::Gate;
+use crate::stand_in::http_server::HttpServer;
 
 /// Largest value, in bytes.
 const VALUE_LIMIT: usize = 512 * 1024;
--- a/crates/woodladder-lab/src/stand_in/store/shared.rs
+++ b/crates/woodladder-lab/src/stand_in/store/shared.rs
@@ -11,7 +11,7 @@
 use super::fault::{DownMode, StoreFault};
 use super::state::{StoreOperation, StoreOutcome, StoreState};
 use crate::stand_in::clock::MonotonicClock;
-use crate::stand_in::http_server::Gate;
+use crate::stand_in::gate::Gate;
 
 /// A watcher: one connection's blocking reads of one key.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
--- a/crates/woodladder-lab/tests/stand_in_fabric.rs
+++ b/crates/woodladder-lab/tests/stand_in_fabric.rs
@@ -12,7 +12,8 @@
 use volo_http::server::Router;
 use volo_http::server::route::get;
 use woodladder_lab::stand_in::fabric::{BalancerEndpoint, Fabric, FabricConfig, FabricCounters};
-use woodladder_lab::stand_in::http_server::{Gate, HttpServer};
+use woodladder_lab::stand_in::gate::Gate;
+use woodladder_lab::stand_in::http_server::HttpServer;
 use woodladder_lab::stand_in::proxy_header::{self, ProxiedAddresses};
 
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
