Expected work of flows at rest, and targets of unequal speed filled by it

Cause: each open flow counts 0.05 of a slot whatever its route and target, so targets that differ by 2.2 in speed get equal numbers of flows. Agents state the work of their flows at rest, learned by route from requests after the first of a flow; balancers use it where a fifth of the targets takes 1.5 to 4 times as long.

--- a/crates/woodladder-core/src/flow/agent/admission/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -277,6 +277,7 @@
         let flow = HeldFlow {
             state,
             is_expected: state == FlowState::Offered,
+            has_answered: false,
             balancer,
             since: now,
             busy_since: None,
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -3,6 +3,7 @@
 use super::super::identity::{FlowKey, NodeAddress};
 use super::super::message::{PeerMessage, ReturnReason, TargetState};
 use super::super::packet::{FlowPacket, PacketKind};
+use super::target::resting_work::RestingWork;
 use super::{
     Agent, AnswerBody, Delivery, Departure, FailureRecord, FlowState, HeldFlow, WarmUpDoubt,
     not_held,
@@ -183,6 +184,7 @@
         let flow = HeldFlow {
             state: FlowState::Open,
             is_expected: false,
+            has_answered: false,
             balancer: self.options.address,
             since: now,
             busy_since: None,
@@ -236,6 +238,7 @@
         self.accepted.retain(|(_, at)| *at > last_beat);
         self.load.service_time_us = 0;
         self.failures = FailureRecord::new(now);
+        self.resting_work = RestingWork::new(now);
         self.load.failed_percent = 0;
         self.count_load(now);
     }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -34,6 +34,7 @@
 use admission::warm_up::WarmUp;
 use reporting::report_schedule::ReportSchedule;
 use target::failure_record::FailureRecord;
+use target::resting_work::RestingWork;
 
 use crate::clock::Instant;
 
@@ -85,6 +86,8 @@
     state: FlowState,
     /// Whether it counts as an opening that will become a request.
     is_expected: bool,
+    /// Whether the target has answered a request of it.
+    has_answered: bool,
     /// Balancer that sent the last packet.
     balancer: NodeAddress,
     /// When the state began.
@@ -153,6 +156,7 @@
     accepted: VecDeque<(FlowKey, Instant)>,
     load: TargetLoad,
     failures: FailureRecord,
+    resting_work: RestingWork,
     /// When the target last began an answer, or had nothing to answer.
     progress_at: Instant,
     started_at: Instant,
@@ -186,6 +190,7 @@
             accepted: VecDeque::new(),
             load: TargetLoad::default(),
             failures: FailureRecord::new(now),
+            resting_work: RestingWork::new(now),
             progress_at: now,
             started_at: now,
             reports: ReportSchedule::default(),
--- a/crates/woodladder-core/src/flow/agent/search.rs
+++ b/crates/woodladder-core/src/flow/agent/search.rs
@@ -111,6 +111,7 @@
         let flow = HeldFlow {
             state: FlowState::Unconfirmed,
             is_expected: false,
+            has_answered: false,
             balancer: from,
             since: now,
             busy_since: None,
--- a/crates/woodladder-core/src/flow/agent/target/load.rs
+++ b/crates/woodladder-core/src/flow/agent/target/load.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::agent::target::resting_work::RestingFlows;
 use crate::flow::agent::{Agent, FlowState};
 use crate::flow::identity::FlowKey;
 use crate::flow::note::Note;
@@ -24,6 +25,7 @@
         };
         let service_time = now.since(since);
         self.progress_at = now;
+        self.count_resting_work(key, service_time);
         self.load.busy = self.load.busy.saturating_sub(1);
         self.counters.answered += 1;
         let sample = u32::try_from(service_time.as_micros()).unwrap_or(u32::MAX);
@@ -63,7 +65,8 @@
         let mut busy = 0u16;
         let mut opening = 0u16;
         let mut flows = 0u32;
-        for (_, flow) in self.flows.iter_mut() {
+        let mut resting = RestingFlows::default();
+        for (key, flow) in self.flows.iter_mut() {
             let waited = flow.busy_since.map(|since| now.since(since));
             if waited.is_some_and(|waited| waited >= BUSY_AT_MOST) {
                 flow.busy_since = None;
@@ -72,7 +75,12 @@
             flow.is_expected &= now.since(flow.since) < OPENING_AT_MOST;
             opening += u16::from(flow.is_expected);
             flows += u32::from(flow.state == FlowState::Open);
+            if flow.state == FlowState::Open && flow.busy_since.is_none() && flow.has_answered {
+                *resting.entry(key.service).or_default() += 1;
+            }
         }
+        self.resting_work.count(&resting, now);
+        self.load.resting_work = self.resting_work.expected();
         self.load.busy = busy;
         self.load.opening = opening;
         self.load.flows = flows;
--- a/crates/woodladder-core/src/flow/selection.rs
+++ b/crates/woodladder-core/src/flow/selection.rs
@@ -14,8 +14,23 @@
 
 /// Targets whose load is compared for one flow.
 pub const COMPARED_TARGETS: usize = 24;
-/// Part of a slot that an open flow at rest is expected to take.
+/// Part of a slot that an open flow at rest is expected to take where its target does
+/// not state it.
 const SLOT_PER_FLOW: f64 = 0.05;
+/// How many times the median's work a flow at rest takes at the slower targets for
+/// targets to count as uneven: beyond what a few hundred requests differ by chance.
+const UNEVEN_FROM: f64 = 1.5;
+/// The same up to which they count as uneven: beyond it the slower ones are in
+/// trouble, and are avoided by their service time.
+const UNEVEN_UP_TO: f64 = 4.0;
+/// Fewest targets whose work is compared.
+const LEAST_COMPARED: usize = 5;
+/// Fewest flows at rest by which a target's work of one is told.
+const LEAST_FLOWS: u32 = 8;
+/// Utilization from which the expected wait grows in proportion only.
+const MAXIMUM_UTILIZATION: f64 = 0.9;
+/// Thousandths in a whole.
+const THOUSANDTHS: f64 = 1000.0;
 /// Work of a target that has just started takes this much longer.
 const WARM_UP_FACTOR: f64 = 1.8;
 /// Part of its slots by which a target in another zone counts as more loaded
@@ -141,12 +156,22 @@
     }
 
     fn score(&self, record: &AgentRecord, usual: &Usual, now: Instant) -> f64 {
-        let load = &record.load;
         let waiting = f64::from(record.believed_load());
-        let at_rest = f64::from(load.flows) * SLOT_PER_FLOW;
         let slots = f64::from(record.capacity.max(1));
-        let occupied = (waiting + at_rest + 1.0) / slots;
-        occupied * slowdown(record, usual, now)
+        let slowdown = slowdown(record, usual, now);
+        let occupied = match usual.work_per_flow {
+            Some(usual) => {
+                // The request that comes with the flow counts alike everywhere: most
+                // of what the flow will ask comes later.
+                let at_rest = resting_work(record, usual) / slots;
+                (waiting * slowdown + 1.0) / slots + expected_wait(at_rest)
+            }
+            None => {
+                let at_rest = f64::from(record.load.flows) * SLOT_PER_FLOW;
+                (waiting + at_rest + 1.0) / slots * slowdown
+            }
+        };
+        occupied
             + exhaustion(record, now)
             + unreliability(record, usual)
             + self.distance(record)
@@ -169,6 +194,9 @@
     service_time: f64,
     /// Median share of failures, in percent.
     failed_percent: f64,
+    /// Median work of a flow at rest, in slots, where targets differ in it: elsewhere
+    /// the number of flows says the same.
+    work_per_flow: Option<f64>,
 }
 
 impl Usual {
@@ -180,10 +208,50 @@
         Self {
             service_time: median(times.filter(|time| *time > 0).collect()),
             failed_percent: median(failures.collect()),
+            work_per_flow: uneven_work_per_flow(records),
         }
     }
 }
 
+/// The median work of a flow at rest, in slots, when a fifth of the targets at least
+/// takes much longer over it than the median.
+fn uneven_work_per_flow(records: &[&AgentRecord]) -> Option<f64> {
+    let mut known: Vec<f64> = records
+        .iter()
+        .filter_map(|record| work_per_flow(record))
+        .collect();
+    if known.len() < LEAST_COMPARED || known.len() * 2 < records.len() {
+        return None;
+    }
+    known.sort_unstable_by(f64::total_cmp);
+    let median = known[known.len() / 2];
+    let slow = known[known.len() * 4 / 5];
+    let is_uneven = (median * UNEVEN_FROM..=median * UNEVEN_UP_TO).contains(&slow);
+    is_uneven.then_some(median)
+}
+
+/// Work of one flow at rest, in slots; `None` when the target does not state it or has
+/// too few flows to tell.
+fn work_per_flow(record: &AgentRecord) -> Option<f64> {
+    let work = f64::from(record.load.resting_work?) / THOUSANDTHS;
+    (record.load.flows >= LEAST_FLOWS).then(|| work / f64::from(record.load.flows))
+}
+
+/// Work of a target's flows at rest, in slots: as stated, or what as many flows take
+/// elsewhere.
+fn resting_work(record: &AgentRecord, usual_per_flow: f64) -> f64 {
+    record.load.resting_work.map_or_else(
+        || f64::from(record.load.flows) * usual_per_flow,
+        |stated| f64::from(stated) / THOUSANDTHS,
+    )
+}
+
+/// Requests that wait on average, for each slot, where flows at rest will take this
+/// part of all slots: the queue grows without bound as they take all.
+fn expected_wait(utilization: f64) -> f64 {
+    utilization / (1.0 - utilization.min(MAXIMUM_UTILIZATION))
+}
+
 /// How much longer requests take at a target than usual.
 fn slowdown(record: &AgentRecord, usual: &Usual, now: Instant) -> f64 {
     let warm_up = if now < record.warm_at {
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_uneven_targets.rs
@@ -0,0 +1,174 @@
+//! Load: long flows on targets of unequal speed. A quarter of the targets takes more
+//! than twice as long over each request, and most requests come over flows that were
+//! placed long before, so it counts what a flow will ask at the target it is given.
+
+mod flow_support;
+
+use flow_support::*;
+use woodladder_core::flow::agent::Agent;
+use woodladder_core::flow::directory::Directory;
+use woodladder_core::flow::excluded_zones::ExcludedZones;
+use woodladder_core::flow::identity::{FlowKey, ZoneKey};
+use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, TargetReport};
+use woodladder_core::flow::packet::PacketKind;
+use woodladder_core::flow::selection::Choice;
+
+/// Targets of the service.
+const TARGETS: u8 = 24;
+/// Flows that are placed.
+const FLOWS: u16 = 2000;
+/// Requests a second of a flow.
+const REQUESTS_A_SECOND: f64 = 0.32;
+/// Seconds that a request takes at a fast target.
+const FAST: f64 = 0.011;
+/// Seconds that it takes at a slow one.
+const SLOW: f64 = 0.024;
+/// Busiest against mean that is aimed at.
+const IMBALANCE_AT_MOST: f64 = 1.10;
+
+fn service_time(target: u8) -> f64 {
+    if target.is_multiple_of(4) { SLOW } else { FAST }
+}
+
+/// Work of the flows that a target holds, in slots.
+fn work(target: u8, flows: u32) -> f64 {
+    f64::from(flows) * REQUESTS_A_SECOND * service_time(target)
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(number: f64) -> u32 {
+    number as u32
+}
+
+fn target_report(target: u8, sequence: u64, flows: u32, states_work: bool) -> TargetReport {
+    let mut report = report(target, sequence);
+    report.capacity = 2;
+    report.load.flows = flows;
+    report.load.service_time_us = whole(service_time(target) * 1e6);
+    let thousandths = u16::try_from(whole(work(target, flows) * 1000.0)).expect("few slots");
+    report.load.resting_work = states_work.then_some(thousandths);
+    report
+}
+
+/// Places flows one after the other; a report comes after each tenth. Returns the
+/// busiest target's work against the mean.
+fn imbalance(states_work: bool) -> f64 {
+    let mut directory = Directory::default();
+    let mut flows = [0u32; TARGETS as usize];
+    let mut changes = Vec::new();
+    let mut sequence = 0;
+    let zones = ExcludedZones::default();
+    for number in 0..FLOWS {
+        if number.is_multiple_of(10) {
+            sequence += 1;
+            for target in 0..TARGETS {
+                let held = flows[usize::from(target)];
+                let report = target_report(target, sequence, held, states_work);
+                directory.report(node(target), &report, at(1000), &mut changes);
+            }
+        }
+        let choice = Choice {
+            directory: &directory,
+            excluded_zones: &zones,
+            zone: ZoneKey::named("a"),
+            key: flow(number),
+            service: kitchen(),
+            tried: &[],
+            bytes_per_flow: 0,
+        };
+        let chosen = choice.best(at(1000)).expect("a target");
+        let target = (0..TARGETS)
+            .find(|target| node(*target) == chosen.agent)
+            .expect("a known target");
+        flows[usize::from(target)] += 1;
+        if let Some(record) = directory.agent_mut(chosen.agent) {
+            record.sent_since += 1;
+        }
+    }
+    let works: Vec<f64> = (0..TARGETS)
+        .map(|target| work(target, flows[usize::from(target)]))
+        .collect();
+    let mean = works.iter().sum::<f64>() / f64::from(TARGETS);
+    works.into_iter().fold(0.0, f64::max) / mean
+}
+
+#[test]
+fn work_not_the_number_of_flows_is_spread_evenly() {
+    let by_count = imbalance(false);
+    let by_work = imbalance(true);
+    assert!(by_work <= IMBALANCE_AT_MOST, "{by_work}");
+    assert!(by_count > by_work, "{by_count} {by_work}");
+}
+
+/// Opens a flow at the agent and lets it ask, with this long between requests and for
+/// each answer.
+fn ask(agent: &mut Agent, key: FlowKey, start: u64, requests: u32, pause: u64, takes: u64) {
+    open_at(agent, key, at(start));
+    let established = header(1, ForwardPurpose::Established);
+    let mut next = 2001;
+    for number in 0..requests {
+        let asked = start + u64::from(number) * pause;
+        if number > 0 {
+            let request = packet(key, PacketKind::Data, next, 5001 + number, 50);
+            next += 50;
+            forward_to(agent, &established, &request, at(asked));
+        }
+        let answer = packet(key, PacketKind::Data, 5001 + number, next, 1);
+        agent.departing(&answer, None, at(asked + takes));
+    }
+}
+
+fn stated_work(agent: &mut Agent, now: u64) -> Option<u16> {
+    let mut actions = Vec::new();
+    agent.message(node(1), &PeerMessage::Probe, at(now), &mut actions);
+    agent.load().resting_work
+}
+
+#[test]
+fn nothing_is_stated_before_enough_requests_were_seen() {
+    let mut agent = agent();
+    ask(&mut agent, flow(1), 1000, 10, 100, 20);
+    assert_eq!(stated_work(&mut agent, 2100), None);
+}
+
+#[test]
+fn a_flow_that_asks_ten_times_a_second_for_twenty_milliseconds_takes_a_fifth_of_a_slot() {
+    let mut agent = agent();
+    for step in 0..10 {
+        let _counted = stated_work(&mut agent, 1000 + step * 50);
+    }
+    for second in 0..10u64 {
+        ask(&mut agent, flow(1), 1000 + second * 1000, 10, 100, 20);
+        stated_work(&mut agent, 1990 + second * 1000);
+    }
+    let stated = stated_work(&mut agent, 11_000).expect("stated");
+    assert!((150..=300).contains(&stated), "{stated}");
+}
+
+#[test]
+fn flows_of_a_single_request_state_no_work_to_come() {
+    let mut agent = agent();
+    for number in 0..100u16 {
+        ask(
+            &mut agent,
+            flow(number),
+            1000 + u64::from(number) * 50,
+            1,
+            100,
+            20,
+        );
+    }
+    assert_eq!(stated_work(&mut agent, 7000), None);
+}
+
+#[test]
+fn a_target_that_began_again_states_nothing_of_its_former_start() {
+    let mut agent = agent();
+    for second in 0..10u64 {
+        ask(&mut agent, flow(1), 1000 + second * 1000, 10, 100, 20);
+        stated_work(&mut agent, 1990 + second * 1000);
+    }
+    assert!(stated_work(&mut agent, 11_000).is_some());
+    agent.heartbeat(&beat(2, 1), at(11_001)).expect("heartbeat");
+    assert_eq!(stated_work(&mut agent, 11_010), None);
+}
