--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -109,6 +109,13 @@
             f64::from(load.failed_percent) / 100.0,
         );
         text.mechanisms(core.mechanisms());
+        if let Some(work) = load.resting_work {
+            text.gauge(
+                "resting_work_slots",
+                "Work that the open flows at rest are expected to ask for, in slots.",
+                f64::from(work) / 1000.0,
+            );
+        }
         text.gauge("flows_open", "Open flows.", f64::from(load.flows));
         text.gauge(
             "flows_known",
