Tell starts of a target under one name apart by when they began

Cause: the incarnation was the name alone, so heartbeats of a new start under the former name were dropped as late until their number passed the former count.

The incarnation is the name and when the start began; the name alone where the latter is not stated, as before. One that began later follows at once. One that did not, by the clock, may be a late message or a new start after the time of day went back: it follows when it goes on for two heartbeats while the known start stays silent, or when that one has deregistered. Weighed against it: comparing with the agent's own time of day, which holds only where both clocks step together. Balancers weigh the same way what an agent says after its own restart, since it has forgotten which starts were replaced; reports of an agent's former process are dropped. A deregistration by name alone is not heeded where a start of that name was replaced and the present one has not said that it leaves.

--- a/crates/woodladder-core/src/flow/agent/decision.rs
+++ b/crates/woodladder-core/src/flow/agent/decision.rs
@@ -125,4 +125,10 @@
     pub dropped: u64,
     /// Heartbeats taken.
     pub heartbeats: u64,
+    /// Heartbeats of starts that a later one has replaced.
+    pub heartbeats_replaced: u64,
+    /// Heartbeats of starts that may be older than the known one.
+    pub heartbeats_unproven: u64,
+    /// Deregistrations that may be of a former start.
+    pub deregistrations_ignored: u64,
 }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -29,6 +29,7 @@
 use super::packet::FlowPacket;
 use super::peers::BalancerPeers;
 use super::store_session::ListNeed;
+use super::succession::Succession;
 use super::table::FlowTable;
 use admission::queue::AdmissionQueue;
 use admission::warm_up::WarmUp;
@@ -111,11 +112,27 @@
     Absent,
 }
 
+/// A start of the target that a later one has replaced.
+#[derive(Clone, Copy, Debug)]
+struct ReplacedStart {
+    incarnation: Incarnation,
+    /// The incarnation by its name alone.
+    name: Incarnation,
+}
+
 #[derive(Clone, Debug)]
 struct Target {
     state: TargetState,
     incarnation: Option<Incarnation>,
-    replaced: Vec<Incarnation>,
+    /// The incarnation by its name alone.
+    name: Option<Incarnation>,
+    /// When it began, by what it says, in milliseconds of Unix time.
+    born_ms: Option<u64>,
+    replaced: Vec<ReplacedStart>,
+    succession: Succession,
+    /// Whether it has said that it is gone.
+    is_deregistered: bool,
+    first_beat_at: Option<Instant>,
     sequence: u64,
     capacity: u16,
     warm_at: Instant,
@@ -378,7 +395,12 @@
         Self {
             state: TargetState::Unknown,
             incarnation: None,
+            name: None,
+            born_ms: None,
             replaced: Vec::new(),
+            succession: Succession::default(),
+            is_deregistered: false,
+            first_beat_at: None,
             sequence: 0,
             capacity: 0,
             warm_at: now,
--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -186,6 +186,7 @@
             sequence: self.report_sequence,
             service: self.options.service,
             incarnation: self.target.incarnation,
+            born_ms: self.target.born_ms,
             former_heard_ms: self.target.former_beat_at.map_or(0, |at| {
                 u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
             }),
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -6,14 +6,18 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::flow::agent::{Agent, Presence, Target};
+use crate::flow::agent::{Agent, Presence, ReplacedStart, Target};
 use crate::flow::identity::{Incarnation, ServiceKey};
 use crate::flow::message::TargetState;
+use crate::flow::succession::TargetStart;
 
 /// Earlier incarnations that are told apart from a new one.
 const REMEMBERED_INCARNATIONS: usize = 16;
 /// Number of the first heartbeat of an incarnation.
 const FIRST_SEQUENCE: u64 = 1;
+/// Time between two heartbeats of one incarnation that shows that it was alive in
+/// between: heartbeats that were held up come together.
+const ALIVE_BETWEEN: Duration = Duration::from_millis(500);
 /// Time without any packet of the target, while openings wait for an answer,
 /// after which it counts as unresponsive.
 const UNANSWERED_AT_MOST: Duration = Duration::from_millis(450);
@@ -23,6 +27,10 @@
 pub struct Heartbeat {
     /// Incarnation that sends it.
     pub incarnation: Incarnation,
+    /// The incarnation by its name alone; the same for all starts under one name.
+    pub name: Incarnation,
+    /// When it began, in milliseconds of Unix time, where it says so.
+    pub born_ms: Option<u64>,
     /// Service of the target.
     pub service: ServiceKey,
     /// Whether it says that it leaves.
@@ -42,6 +50,9 @@
     WrongService,
     /// Its incarnation was replaced by a later one.
     Replaced,
+    /// It may be older than the incarnation that is known, and has not shown yet
+    /// that it lives.
+    Unproven,
 }
 
 impl HeartbeatError {
@@ -51,6 +62,7 @@
         match self {
             Self::WrongService => "wrong_service",
             Self::Replaced => "replaced",
+            Self::Unproven => "unproven",
         }
     }
 }
@@ -65,15 +77,23 @@
         if beat.service != self.options.service {
             return Err(HeartbeatError::WrongService);
         }
-        if self.target.replaced.contains(&beat.incarnation) {
+        if self.target.has_replaced(beat.incarnation) {
+            self.counters.heartbeats_replaced += 1;
             return Err(HeartbeatError::Replaced);
         }
-        self.counters.heartbeats += 1;
         if self.target.incarnation != Some(beat.incarnation) {
+            if !self.target.is_followed_by(beat, now) {
+                self.counters.heartbeats_unproven += 1;
+                return Err(HeartbeatError::Unproven);
+            }
             self.replace_target(beat, now);
         } else if beat.sequence <= self.target.sequence {
+            self.counters.heartbeats += 1;
             return Ok(());
         }
+        self.counters.heartbeats += 1;
+        self.target.succession.confirm_known();
+        self.target.first_beat_at.get_or_insert(now);
         self.target.sequence = beat.sequence;
         self.target.beat_at = Some(now);
         self.target.unanswered_since = None;
@@ -88,13 +108,26 @@
         Ok(())
     }
 
-    /// The target says that it is gone; it may still serve its flows.
+    /// The target says that it is gone; it may still serve its flows. `incarnation`
+    /// may be its name alone. When a start of that name was replaced here and the
+    /// present one has not said that it leaves, the former one's message may be late:
+    /// nothing changes.
     pub fn deregister(&mut self, incarnation: Incarnation) {
-        if self.target.incarnation.is_none() {
-            self.target.incarnation = Some(incarnation);
-        }
-        if self.target.incarnation == Some(incarnation) {
-            self.set_state(TargetState::Leaving);
+        let target = &mut self.target;
+        let says_start = target.incarnation == Some(incarnation);
+        let says_name = target.name == Some(incarnation);
+        let leaves = target.state == TargetState::Leaving;
+        match target.incarnation {
+            // Which start it means is not known, so none is taken for it.
+            None => {
+                target.name = Some(incarnation);
+                self.set_state(TargetState::Leaving);
+            }
+            Some(_) if says_start || (says_name && (leaves || !target.has_namesake())) => {
+                target.is_deregistered = true;
+                self.set_state(TargetState::Leaving);
+            }
+            Some(_) => self.counters.deregistrations_ignored += 1,
         }
     }
 
@@ -102,11 +135,22 @@
         let former = self.target.clone();
         self.target = Target::unknown(now);
         self.target.incarnation = Some(beat.incarnation);
+        self.target.name = Some(beat.name);
+        self.target.born_ms = beat.born_ms;
         self.target.began_later =
-            former.began_later || former.incarnation.is_some() || beat.sequence <= FIRST_SEQUENCE;
+            former.began_later || former.has_lived_here(beat) || beat.sequence <= FIRST_SEQUENCE;
         self.target.replaced = former.replaced;
         self.target.former_beat_at = former.beat_at;
+        if former.incarnation.is_none() && former.name == Some(beat.incarnation) {
+            // This very start was deregistered before it was heard.
+            self.target.state = TargetState::Leaving;
+        }
         if let Some(ended) = former.incarnation {
+            let name = former.name.unwrap_or(ended);
+            let ended = ReplacedStart {
+                incarnation: ended,
+                name,
+            };
             self.target.replaced.push(ended);
             let surplus = self
                 .target
@@ -145,3 +189,43 @@
         }
     }
 }
+
+impl Target {
+    fn has_replaced(&self, incarnation: Incarnation) -> bool {
+        let mut replaced = self.replaced.iter();
+        replaced.any(|start| start.incarnation == incarnation)
+    }
+
+    /// Whether a start under the present one's name was replaced here.
+    fn has_namesake(&self) -> bool {
+        let mut replaced = self.replaced.iter();
+        replaced.any(|start| Some(start.name) == self.name)
+    }
+
+    /// Whether the sender of a heartbeat takes the place of this one.
+    fn is_followed_by(&mut self, beat: &Heartbeat, now: Instant) -> bool {
+        let Some(incarnation) = self.incarnation else {
+            return true;
+        };
+        if self.is_deregistered {
+            return true;
+        }
+        let known = TargetStart {
+            incarnation,
+            born_ms: self.born_ms,
+        };
+        let next = TargetStart {
+            incarnation: beat.incarnation,
+            born_ms: beat.born_ms,
+        };
+        self.succession.follows(&known, &next, beat.sequence, now)
+    }
+
+    /// Whether it was alive while the agent ran, so that one that follows it began
+    /// later than the agent. A single heartbeat may have been held up since before.
+    fn has_lived_here(&self, next: &Heartbeat) -> bool {
+        let span = self.first_beat_at.zip(self.beat_at);
+        let was_heard_twice = span.is_some_and(|(first, last)| last.since(first) >= ALIVE_BETWEEN);
+        self.incarnation.is_some() && (next.born_ms.is_none() || was_heard_twice)
+    }
+}
--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use super::identity::{Incarnation, NodeAddress, ServiceKey, ZoneKey};
-use super::message::{TargetLoad, TargetState};
+use super::message::{TargetLoad, TargetReport, TargetState};
 use super::pace::silence_limit;
+use super::succession::{Succession, TargetStart};
 use crate::clock::Instant;
 
 /// Reports that may be missing before an agent counts as silent.
@@ -47,6 +48,11 @@
     pub version: u64,
     /// Incarnation that the flows known here belong to.
     pub incarnation: Option<Incarnation>,
+    /// When that incarnation began by what it says, in milliseconds of Unix time.
+    pub(super) born_ms: Option<u64>,
+    pub(super) succession: Succession,
+    /// The agent's start before the present one.
+    pub(super) former_epoch: Option<u64>,
     /// When the agent was last heard.
     pub heard_at: Instant,
     /// When the load was stated.
@@ -91,6 +97,41 @@
         self.asked_at = None;
     }
 
+    /// Takes the incarnation of a report; returns the one that has ended. An agent that
+    /// has restarted may have heard a late heartbeat of a former start first, so its
+    /// word is weighed; what it says later, it has weighed itself.
+    pub(super) fn take_incarnation(
+        &mut self,
+        report: &TargetReport,
+        now: Instant,
+    ) -> Option<Incarnation> {
+        let next = report.incarnation?;
+        let known = self.incarnation;
+        if known == Some(next) {
+            self.succession.confirm_known();
+            return None;
+        }
+        let is_weighed = report.epoch == self.epoch && !self.succession.is_open();
+        if let (Some(incarnation), false) = (known, is_weighed) {
+            let born_ms = self.born_ms;
+            let known = TargetStart {
+                incarnation,
+                born_ms,
+            };
+            let next = TargetStart {
+                incarnation: next,
+                born_ms: report.born_ms,
+            };
+            let sequence = report.sequence;
+            if !self.succession.follows(&known, &next, sequence, now) {
+                return None;
+            }
+        }
+        self.incarnation = Some(next);
+        self.born_ms = report.born_ms;
+        known
+    }
+
     /// Requests that the target holds or has queued, with those that were sent
     /// there since its load was stated.
     #[must_use]
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -15,6 +15,7 @@
 use super::agent_record::AgentRecord;
 use super::identity::{Incarnation, NodeAddress, ServiceKey};
 use super::message::{TargetLoad, TargetReport};
+use super::succession::Succession;
 use crate::clock::Instant;
 
 /// Time without an answer to repeated questions after which the flows of an
@@ -109,7 +110,8 @@
     ) {
         let known = self.agents.get(&address);
         if known.is_some_and(|record| {
-            record.epoch == report.epoch && record.sequence >= report.sequence
+            let is_late = record.epoch == report.epoch && record.sequence >= report.sequence;
+            is_late || record.former_epoch == Some(report.epoch)
         }) {
             return;
         }
@@ -132,17 +134,17 @@
             record.counted_lost = false;
             changes.push(DirectoryChange::Found(address));
         }
-        if let Some(next) = report.incarnation {
-            if let Some(ended) = record.incarnation.filter(|ended| *ended != next) {
-                let since = Duration::from_millis(report.former_heard_ms.into());
-                let last_heard = now.since_origin().saturating_sub(since);
-                changes.push(DirectoryChange::Replaced {
-                    agent: address,
-                    ended,
-                    last_heard: Instant::from_origin(last_heard),
-                });
-            }
-            record.incarnation = Some(next);
+        if let Some(ended) = record.take_incarnation(report, now) {
+            let since = Duration::from_millis(report.former_heard_ms.into());
+            let last_heard = now.since_origin().saturating_sub(since);
+            changes.push(DirectoryChange::Replaced {
+                agent: address,
+                ended,
+                last_heard: Instant::from_origin(last_heard),
+            });
+        }
+        if record.epoch != report.epoch {
+            record.former_epoch = Some(record.epoch);
         }
         record.epoch = report.epoch;
         record.sequence = report.sequence;
@@ -270,6 +272,9 @@
                 load: report.load,
                 version: report.version,
                 incarnation: None,
+                born_ms: None,
+                succession: Succession::default(),
+                former_epoch: None,
                 heard_at: now,
                 load_at: now,
                 sent_since: 0,
--- a/crates/woodladder-core/src/flow/identity.rs
+++ b/crates/woodladder-core/src/flow/identity.rs
@@ -54,6 +54,16 @@
     pub fn named(identifier: &str) -> Self {
         Self(xxh3_64(identifier.as_bytes()))
     }
+
+    /// The start of the target with this identifier at a time of its own, in
+    /// milliseconds of Unix time: one identifier may start several times.
+    #[must_use]
+    pub fn born(identifier: &str, born_ms: u64) -> Self {
+        Self(xxh3_64_with_seed(
+            &born_ms.to_be_bytes(),
+            Self::named(identifier).0,
+        ))
+    }
 }
 
 /// A zone, by a hash of its name.
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -147,6 +147,8 @@
     pub service: ServiceKey,
     /// Its incarnation, when a heartbeat has told it.
     pub incarnation: Option<Incarnation>,
+    /// When the incarnation began by what it says, in milliseconds of Unix time.
+    pub born_ms: Option<u64>,
     /// Time since the last heartbeat of the incarnation before, in milliseconds:
     /// flows that were opened later may be open at the present one.
     pub former_heard_ms: u32,
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -24,5 +24,6 @@
 pub mod route_traffic;
 pub mod selection;
 pub mod store_session;
+pub mod succession;
 pub mod table;
 pub mod zone_members;
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_rebirth.rs
@@ -0,0 +1,294 @@
+//! A target that starts again under its former name is another one: nothing of the
+//! former start lasts, and no late message of it changes anything.
+
+mod flow_support;
+
+use flow_support::*;
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::{Agent, Heartbeat, HeartbeatError};
+use woodladder_core::flow::balancer::{Balancer, BalancerAction};
+use woodladder_core::flow::identity::Incarnation;
+use woodladder_core::flow::message::{
+    ForwardPurpose, PeerMessage, TargetLoad, TargetReport, TargetState,
+};
+use woodladder_core::flow::succession::{PROVEN_BY_SILENCE, Succession, TargetStart};
+
+const NAME: &str = "i-7f3a";
+/// When the first start began, in milliseconds of Unix time.
+const BORN: u64 = 1_790_000_000_000;
+
+/// A heartbeat of the start under [`NAME`] that began so long after the first one.
+fn beat_of(after: i64, sequence: u64) -> Heartbeat {
+    let born = BORN.checked_add_signed(after).expect("a time");
+    Heartbeat {
+        incarnation: Incarnation::born(NAME, born),
+        name: Incarnation::named(NAME),
+        born_ms: Some(born),
+        ..beat(0, sequence)
+    }
+}
+
+/// A report of an agent whose target is that start.
+fn report_of(after: i64, epoch: u64, sequence: u64) -> TargetReport {
+    let beat = beat_of(after, 1);
+    TargetReport {
+        epoch,
+        incarnation: Some(beat.incarnation),
+        born_ms: beat.born_ms,
+        ..report(2, sequence)
+    }
+}
+
+/// An agent whose target of the first start has sent many heartbeats.
+fn agent_of_first_start() -> Agent {
+    let mut agent = empty_agent();
+    for (sequence, time) in [(1, 0), (2, 1000), (90, 2000)] {
+        agent
+            .heartbeat(&beat_of(0, sequence), at(time))
+            .expect("taken");
+    }
+    agent
+}
+
+fn milliseconds(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).expect("short")
+}
+
+#[test]
+fn a_new_start_under_the_former_name_is_taken_at_once_though_its_count_begins_anew() {
+    let mut agent = agent_of_first_start();
+    open_at(&mut agent, flow(1), at(1900));
+    assert_eq!(agent.load().flows, 1);
+    let cold = Heartbeat {
+        capacity: 3,
+        ..beat_of(3000, 1)
+    };
+    agent.heartbeat(&cold, at(3000)).expect("taken");
+    assert_eq!(agent.load().flows, 0);
+    let request = header(1, ForwardPurpose::Established);
+    let delivery = forward_to(&mut agent, &request, &data(flow(1), 1101, 5001), at(3001));
+    assert!(!is_delivered(&delivery), "{delivery:?}");
+}
+
+#[test]
+fn a_late_heartbeat_of_the_former_start_changes_nothing_whatever_its_number() {
+    let mut agent = agent_of_first_start();
+    agent.heartbeat(&beat_of(3000, 1), at(3000)).expect("taken");
+    open_at(&mut agent, flow(1), at(3100));
+    for (sequence, time) in [(91, 3200), (4000, 3300), (u64::MAX, 9000)] {
+        let late = Heartbeat {
+            leaving: true,
+            ..beat_of(0, sequence)
+        };
+        assert_eq!(
+            agent.heartbeat(&late, at(time)),
+            Err(HeartbeatError::Replaced)
+        );
+    }
+    assert_eq!(agent.target_state(), TargetState::Ready);
+    assert_eq!(agent.load().flows, 1);
+    assert_eq!(agent.counters().heartbeats_replaced, 3);
+}
+
+#[test]
+fn a_start_between_that_was_never_heard_does_not_take_the_place_of_the_last_one() {
+    let mut agent = agent_of_first_start();
+    agent.heartbeat(&beat_of(3000, 1), at(3000)).expect("taken");
+    let between = beat_of(2500, 1);
+    let refused = agent.heartbeat(&between, at(3100));
+    assert_eq!(refused, Err(HeartbeatError::Unproven));
+    agent.heartbeat(&beat_of(3000, 2), at(4000)).expect("taken");
+    let again = agent.heartbeat(&beat_of(2500, 2), at(9000));
+    assert_eq!(again, Err(HeartbeatError::Unproven));
+    assert_eq!(agent.counters().heartbeats_unproven, 2);
+}
+
+#[test]
+fn a_start_whose_clock_went_back_is_taken_once_the_known_one_stays_silent() {
+    let mut agent = agent_of_first_start();
+    let begin = 3000;
+    let first = agent.heartbeat(&beat_of(-5000, 1), at(begin));
+    assert_eq!(first, Err(HeartbeatError::Unproven));
+    let early = begin + milliseconds(PROVEN_BY_SILENCE) - 1;
+    let second = agent.heartbeat(&beat_of(-5000, 2), at(early));
+    assert_eq!(second, Err(HeartbeatError::Unproven));
+    agent
+        .heartbeat(&beat_of(-5000, 3), at(early + 1))
+        .expect("taken");
+    let late = agent.heartbeat(&beat_of(0, 91), at(early + 2));
+    assert_eq!(late, Err(HeartbeatError::Replaced));
+}
+
+#[test]
+fn a_start_whose_clock_went_back_follows_one_that_has_deregistered_at_once() {
+    let mut agent = agent_of_first_start();
+    let leaving = Heartbeat {
+        leaving: true,
+        ..beat_of(0, 91)
+    };
+    agent.heartbeat(&leaving, at(3000)).expect("taken");
+    agent.deregister(Incarnation::named(NAME));
+    agent
+        .heartbeat(&beat_of(-5000, 1), at(3100))
+        .expect("taken");
+    assert_eq!(agent.target_state(), TargetState::Ready);
+}
+
+#[test]
+fn a_heartbeat_that_does_not_say_when_its_start_began_does_not_replace_one_that_did() {
+    let mut agent = agent_of_first_start();
+    let foreign = Heartbeat {
+        incarnation: Incarnation::named(NAME),
+        born_ms: None,
+        ..beat_of(0, 500)
+    };
+    assert_eq!(
+        agent.heartbeat(&foreign, at(2100)),
+        Err(HeartbeatError::Unproven)
+    );
+    agent.heartbeat(&beat_of(0, 91), at(3000)).expect("taken");
+    assert_eq!(
+        agent.heartbeat(&foreign, at(9000)),
+        Err(HeartbeatError::Unproven)
+    );
+}
+
+#[test]
+fn a_late_deregistration_of_the_former_start_does_not_make_the_new_one_leave() {
+    for former in [Incarnation::born(NAME, BORN), Incarnation::named(NAME)] {
+        let mut agent = agent_of_first_start();
+        agent.heartbeat(&beat_of(3000, 1), at(3000)).expect("taken");
+        agent.deregister(former);
+        assert_eq!(agent.target_state(), TargetState::Ready);
+        assert_eq!(agent.counters().deregistrations_ignored, 1);
+    }
+}
+
+#[test]
+fn a_deregistration_of_the_present_start_is_heeded() {
+    let mut agent = agent_of_first_start();
+    agent.deregister(Incarnation::named(NAME));
+    assert_eq!(agent.target_state(), TargetState::Leaving);
+    let mut agent = agent_of_first_start();
+    agent.heartbeat(&beat_of(3000, 1), at(3000)).expect("taken");
+    let start = beat_of(3000, 1).incarnation;
+    agent.deregister(start);
+    assert_eq!(agent.target_state(), TargetState::Leaving);
+}
+
+#[test]
+fn a_deregistration_before_any_heartbeat_names_no_start() {
+    let mut agent = empty_agent();
+    agent.deregister(Incarnation::named(NAME));
+    assert_eq!(agent.target_state(), TargetState::Leaving);
+    agent.heartbeat(&beat_of(0, 40), at(100)).expect("taken");
+    assert_eq!(agent.target_state(), TargetState::Ready);
+}
+
+/// After its own start, an agent may hear a late heartbeat of a former start first.
+/// What follows it then may have lived before the agent, with flows.
+#[test]
+fn a_single_late_heartbeat_does_not_make_a_restarted_agent_deny_living_flows() {
+    let mut agent = empty_agent();
+    agent.heartbeat(&beat_of(0, 90), at(100)).expect("taken");
+    agent.heartbeat(&beat_of(3000, 40), at(200)).expect("taken");
+    let search = header(1, ForwardPurpose::Established);
+    let delivery = forward_to(&mut agent, &search, &data(flow(1), 1101, 5001), at(300));
+    assert!(is_delivered(&delivery), "{delivery:?}");
+}
+
+/// Opens a flow at agent 2, whose target is the start that began so long after the
+/// first one.
+fn balancer_with_flow(after: i64) -> Balancer {
+    let mut balancer = balancer(&[]);
+    tell(&mut balancer, 2, &report_of(after, 1, 1), at(10_000));
+    arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
+    let acceptance = PeerMessage::Accepted {
+        key: flow(1),
+        sequence: 5000,
+        incarnation: Some(beat_of(after, 1).incarnation),
+        load: TargetLoad::default(),
+    };
+    send(&mut balancer, 2, acceptance, at(10_011));
+    arrive(&mut balancer, &data(flow(1), 1001, 5001), at(10_012));
+    balancer
+}
+
+fn resets(balancer: &mut Balancer, report: &TargetReport, now: Instant) -> usize {
+    let actions = tell(balancer, 2, report, now);
+    actions
+        .iter()
+        .filter(|action| matches!(action, BalancerAction::Reset(_)))
+        .count()
+}
+
+#[test]
+fn flows_of_the_former_start_are_reset_once_and_at_once() {
+    let mut balancer = balancer_with_flow(0);
+    let next = report_of(3000, 1, 2);
+    assert_eq!(resets(&mut balancer, &next, at(10_100)), 1);
+    let again = report_of(3000, 1, 3);
+    assert_eq!(resets(&mut balancer, &again, at(10_200)), 0);
+}
+
+#[test]
+fn a_restarted_agent_that_has_heard_a_late_heartbeat_resets_no_living_flow() {
+    let mut balancer = balancer_with_flow(3000);
+    for sequence in 1..=10 {
+        let late = report_of(0, 2, sequence);
+        assert_eq!(resets(&mut balancer, &late, at(10_100 + 100 * sequence)), 0);
+    }
+    let present = report_of(3000, 2, 11);
+    assert_eq!(resets(&mut balancer, &present, at(11_200)), 0);
+    let next = report_of(6000, 2, 12);
+    assert_eq!(resets(&mut balancer, &next, at(11_300)), 1);
+}
+
+#[test]
+fn a_restarted_agent_is_believed_about_a_clock_that_went_back_when_it_goes_on() {
+    let mut balancer = balancer_with_flow(0);
+    let mut reset = 0;
+    for sequence in 1..=30 {
+        let next = report_of(-5000, 2, sequence);
+        reset += resets(&mut balancer, &next, at(10_100 + 100 * sequence));
+    }
+    assert_eq!(reset, 1);
+}
+
+#[test]
+fn a_late_report_of_an_agents_former_process_changes_nothing() {
+    let mut balancer = balancer_with_flow(0);
+    tell(&mut balancer, 2, &report_of(0, 2, 1), at(10_100));
+    let late = report_of(-9000, 1, 90);
+    assert_eq!(resets(&mut balancer, &late, at(10_200)), 0);
+    let late = report_of(9000, 1, 91);
+    assert_eq!(resets(&mut balancer, &late, at(10_300)), 0);
+}
+
+#[test]
+fn only_one_that_surely_began_later_follows_without_proof() {
+    let start = |number, born_ms| TargetStart {
+        incarnation: Incarnation(number),
+        born_ms,
+    };
+    for (known, next, follows) in [
+        (None, None, true),
+        (None, Some(1), true),
+        (Some(1), Some(2), true),
+        (Some(2), Some(2), false),
+        (Some(2), Some(1), false),
+        (Some(2), None, false),
+    ] {
+        let mut succession = Succession::default();
+        let followed = succession.follows(&start(1, known), &start(2, next), 1, at(0));
+        assert_eq!(followed, follows, "{known:?} {next:?}");
+        assert_eq!(succession.is_open(), !follows);
+        succession.confirm_known();
+        let later = at(milliseconds(PROVEN_BY_SILENCE));
+        let followed = succession.follows(&start(1, known), &start(2, next), 2, later);
+        assert_eq!(
+            followed, follows,
+            "a claim lapses when the known one is heard"
+        );
+    }
+}
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -154,6 +154,7 @@
         sequence,
         service: kitchen(),
         incarnation: Some(Incarnation(u64::from(agent))),
+        born_ms: None,
         former_heard_ms: 0,
         knows_all_flows: false,
         zone: ZoneKey::named("a"),
@@ -243,6 +244,8 @@
 pub fn beat(incarnation: u64, sequence: u64) -> Heartbeat {
     Heartbeat {
         incarnation: Incarnation(incarnation),
+        name: Incarnation(incarnation),
+        born_ms: None,
         service: kitchen(),
         leaving: false,
         capacity: 7,
--- a/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -85,6 +85,8 @@
         target.beats += 1;
         let beat = Heartbeat {
             incarnation: target.incarnation,
+            name: target.incarnation,
+            born_ms: None,
             service: target.service,
             leaving: target.leaving,
             capacity: 7,
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -78,6 +78,21 @@
                 counters.failed,
             ),
             ("heartbeats_total", "Heartbeats taken.", counters.heartbeats),
+            (
+                "heartbeats_replaced_total",
+                "Heartbeats of starts that a later one has replaced.",
+                counters.heartbeats_replaced,
+            ),
+            (
+                "heartbeats_unproven_total",
+                "Heartbeats of starts that may be older than the known one.",
+                counters.heartbeats_unproven,
+            ),
+            (
+                "deregistrations_ignored_total",
+                "Deregistrations that may be of a former start.",
+                counters.deregistrations_ignored,
+            ),
             (
                 "refused_packets_total",
                 "Datagrams that cannot be read.",
