--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -52,7 +52,8 @@
     name: String,
     service: String,
     machine: Ipv4Addr,
-    socket: UdpSocket,
+    /// `None` after its end, so that the next start can have the address.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
     oracle: Rc<RefCell<Oracle>>,
     flows: RefCell<BTreeMap<Ends, Flow>>,
     zone: &'static str,
@@ -93,7 +94,7 @@
             name: name.to_owned(),
             service: service.to_owned(),
             machine,
-            socket: UdpSocket::bind(address).await?,
+            socket: RefCell::new(Some(Rc::new(UdpSocket::bind(address).await?))),
             oracle,
             flows: RefCell::default(),
             zone,
@@ -133,6 +134,7 @@
     /// Ends at once, as in a crash.
     pub fn end(&self) {
         self.has_ended.set(true);
+        self.socket.take();
         self.oracle.borrow_mut().ended(&self.name);
     }
 
@@ -165,9 +167,10 @@
 
     async fn serve(self: Rc<Self>, listener: TcpListener) {
         let mut buffer = [0; MAXIMUM_DATAGRAM];
-        while !self.has_ended.get() {
+        let socket = || self.socket.borrow().clone();
+        while let Some(socket) = socket() {
             let wait = Duration::from_millis(50);
-            if let Ok(Ok(length)) = timeout(wait, self.socket.recv(&mut buffer)).await
+            if let Ok(Ok(length)) = timeout(wait, socket.recv(&mut buffer)).await
                 && let Some(packet) = Packet::read(&buffer[..length])
             {
                 self.receive(packet);
@@ -313,7 +316,9 @@
     fn send(&self, packet: &Packet) {
         let outbound = SocketAddrV4::new(self.machine, OUTBOUND_PORT);
         // A lost datagram is sent again by the caller.
-        let _lost = self.socket.try_send_to(&packet.write(), outbound.into());
+        if let Some(socket) = self.socket.borrow().as_ref() {
+            let _lost = socket.try_send_to(&packet.write(), outbound.into());
+        }
     }
 
     async fn beat(self: Rc<Self>) {
