Count broken promises at the node that can know them

A balancer and an agent each keep counts of openings put behind less urgent ones, handed over after the caller has left, held past the timeout, held to the end untried, refused beside a free target or after an acceptance, of flows that were reset though held, and of the time that a leaving target waits after a heartbeat that was not taken, shown as woodladder_promises_broken_total.

--- a/crates/woodladder-core/src/flow/agent/admission/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -14,6 +14,7 @@
 use crate::flow::message::{ForwardHeader, OpeningTerms, PeerMessage, ReturnReason, TargetState};
 use crate::flow::note::Note;
 use crate::flow::packet::FlowPacket;
+use crate::flow::promises::DecidedOpening;
 
 /// Time that a balancer has to reach the version that an agent knows before
 /// its openings under a lesser one are given back.
@@ -65,6 +66,7 @@
             if self.load.busy == 0 {
                 self.progress_at = now;
             }
+            self.promises.handed_over(&decided(terms), false);
             self.hand_over(from, header, packet, now);
             return Delivery::plain();
         }
@@ -214,6 +216,9 @@
                 self.return_queued(vec![opening], ReturnReason::StaleVersion, now, actions);
                 continue;
             }
+            let decided = opening.decided(now);
+            let urgent_waits = self.queue.has_urgent();
+            self.promises.handed_over(&decided, urgent_waits);
             self.hand_over(opening.balancer, &opening.header, &opening.packet, now);
             actions.push(AgentAction::Deliver {
                 balancer: opening.balancer,
@@ -255,6 +260,7 @@
             let reason = self
                 .reason_to_decline(&opening.header, now)
                 .unwrap_or(usual_reason);
+            self.promises.given_up(&opening.decided(now));
             self.counters.declined += 1;
             actions.push(AgentAction::Return {
                 to: opening.balancer,
@@ -287,3 +293,11 @@
         self.flows.insert(opening.key, flow, now);
     }
 }
+
+fn decided(terms: &OpeningTerms) -> DecidedOpening {
+    DecidedOpening {
+        age: Duration::from_millis(terms.age_ms.into()),
+        timeout: Duration::from_millis(terms.timeout_ms.into()),
+        is_urgent: terms.is_urgent,
+    }
+}
--- a/crates/woodladder-core/src/flow/agent/admission/queue.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/queue.rs
@@ -13,6 +13,7 @@
 use crate::flow::identity::{FlowKey, NodeAddress};
 use crate::flow::message::ForwardHeader;
 use crate::flow::packet::FlowPacket;
+use crate::flow::promises::DecidedOpening;
 
 /// Most openings that wait at one agent.
 pub const CAPACITY: usize = 128;
@@ -56,6 +57,15 @@
 }
 
 impl QueuedOpening {
+    /// What promises are about.
+    pub fn decided(&self, now: Instant) -> DecidedOpening {
+        DecidedOpening {
+            age: now.since(self.first_sent),
+            timeout: self.timeout,
+            is_urgent: self.is_urgent,
+        }
+    }
+
     fn is_vain(&self, expected: Duration, now: Instant) -> bool {
         let age = now.since(self.first_sent);
         age >= LONGEST_WAIT || age + expected >= self.timeout
@@ -95,6 +105,11 @@
             .any(|opening| opening.packet.key == *key)
     }
 
+    /// Whether an opening of a more urgent route waits.
+    pub fn has_urgent(&self) -> bool {
+        self.openings.iter().any(|opening| opening.is_urgent)
+    }
+
     /// Adds an opening.
     pub fn push(&mut self, opening: QueuedOpening) {
         self.openings.push(opening);
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -28,6 +28,7 @@
 use super::note::{Note, Notes};
 use super::packet::FlowPacket;
 use super::peers::BalancerPeers;
+use super::promises::{BrokenPromises, PromiseWatch};
 use super::store_session::ListNeed;
 use super::succession::Succession;
 use super::table::FlowTable;
@@ -180,6 +181,7 @@
     ticked_at: Option<Instant>,
     notes: Notes,
     counters: AgentCounters,
+    promises: PromiseWatch,
 }
 
 impl Agent {
@@ -211,6 +213,7 @@
             ticked_at: None,
             notes: Notes::default(),
             counters: AgentCounters::default(),
+            promises: PromiseWatch::default(),
         }
     }
 
@@ -267,6 +270,12 @@
         &self.counters
     }
 
+    /// How often each promise was broken here.
+    #[must_use]
+    pub fn broken_promises(&self) -> &BrokenPromises {
+        self.promises.broken()
+    }
+
     /// Notes for the log and how many were left out.
     pub fn take_notes(&mut self) -> (Vec<Note>, u64) {
         self.notes.take()
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -74,6 +74,18 @@
     /// # Errors
     /// [`HeartbeatError`] when it is not taken; nothing has changed.
     pub fn heartbeat(&mut self, beat: &Heartbeat, now: Instant) -> Result<(), HeartbeatError> {
+        let taken = self.take_heartbeat(beat, now);
+        match taken {
+            Ok(()) => self.promises.leaving_taken(beat.incarnation, now),
+            // One that was replaced has ended and waits for nothing.
+            Err(HeartbeatError::Replaced) => {}
+            Err(_) if beat.leaving => self.promises.leaving_not_taken(beat.incarnation, now),
+            Err(_) => {}
+        }
+        taken
+    }
+
+    fn take_heartbeat(&mut self, beat: &Heartbeat, now: Instant) -> Result<(), HeartbeatError> {
         if beat.service != self.options.service {
             return Err(HeartbeatError::WrongService);
         }
--- a/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -7,7 +7,9 @@
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::flow::directory::Directory;
 use crate::flow::identity::{FlowKey, NodeAddress, ServiceKey};
-use crate::flow::message::{ForwardHeader, ForwardPurpose, OpeningTerms, ReturnReason};
+use crate::flow::message::{
+    ForwardHeader, ForwardPurpose, OpeningTerms, ReturnReason, TargetState,
+};
 use crate::flow::note::Note;
 use crate::flow::packet::{FlowPacket, ResetReason};
 use crate::flow::selection::{Choice, Chosen};
@@ -67,6 +69,7 @@
             },
         };
         self.flows.insert(packet.key, entry, now);
+        self.promises.opened(&packet.key);
         self.offer_or_wait(packet, bytes, now)
     }
 
@@ -238,7 +241,10 @@
         tried.push(from);
         let is_exhausted = tried.len() >= MAXIMUM_TRIES;
         let routing = match reason {
-            ReturnReason::Expired => self.refuse(packet),
+            ReturnReason::Expired => {
+                self.promises.held_to_the_end();
+                self.refuse(packet)
+            }
             ReturnReason::StaleVersion => self.reopen_under_new_version(packet, bytes, now),
             _ if is_exhausted => self.wait_for_target(packet, bytes),
             _ => self.offer_or_wait(packet, bytes, now),
@@ -267,10 +273,30 @@
 
     /// Refuses an opening, of which nothing has run.
     pub(crate) fn refuse(&mut self, packet: &FlowPacket) -> Routing {
-        self.flows.remove(&packet.key);
+        if let Some(entry) = self.flows.remove(&packet.key) {
+            let was_accepted = match &entry.stage {
+                Stage::Opening { accepted, .. } => !accepted.is_empty(),
+                Stage::Held { .. } | Stage::Searching(_) => true,
+            };
+            let has_free_target = self.has_free_target(entry.service);
+            self.promises.refused(was_accepted, has_free_target);
+        }
         Routing::Reset(self.reset(packet.key, 0, ResetReason::NoTarget, 0))
     }
 
+    /// Whether a live target of a service has a free slot, as far as is known.
+    fn has_free_target(&self, service: ServiceKey) -> bool {
+        let now = self.ticked_at.unwrap_or(self.started_at);
+        let agents = self.directory.agents_of(service).iter();
+        let mut records = agents.filter_map(|agent| self.directory.agent(*agent));
+        records.any(|record| {
+            record.state == TargetState::Ready
+                && record.is_live(now)
+                && !self.excluded_zones.excludes(record.zone)
+                && record.believed_load() < record.capacity
+        })
+    }
+
     /// An agent says that an opening waits in its queue.
     pub(crate) fn opening_queued(&mut self, from: NodeAddress, key: &FlowKey) {
         if let Some(entry) = self.flows.use_flow(key)
--- a/crates/woodladder-core/src/flow/balancer/forwarding/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/waiting.rs
@@ -12,6 +12,7 @@
 use crate::flow::balancer::{Balancer, BalancerAction, Stage};
 use crate::flow::note::Note;
 use crate::flow::packet::FlowPacket;
+use crate::flow::promises::DecidedOpening;
 
 /// Most openings that wait.
 const CAPACITY: usize = 2048;
@@ -67,7 +68,12 @@
             let Some(since) = self.waits_since(&opening) else {
                 continue;
             };
-            if self.is_vain(&opening.packet, now.since(since)) {
+            let age = now.since(since);
+            if self.is_vain(&opening.packet, age) {
+                self.promises.held_to_the_end();
+                if let Some(decided) = self.decided(&opening.packet, age) {
+                    self.promises.given_up(&decided);
+                }
                 let routing = self.refuse(&opening.packet);
                 self.carry_out(routing, &opening.bytes, actions);
                 continue;
@@ -91,6 +97,16 @@
         age >= LONGEST_WAIT.min(useful_for) || self.is_wholly_excluded(entry.service)
     }
 
+    fn decided(&self, packet: &FlowPacket, age: Duration) -> Option<DecidedOpening> {
+        let service = self.flows.peek(&packet.key)?.service;
+        let (terms, is_urgent) = self.routes.terms(packet.key.service, service);
+        Some(DecidedOpening {
+            age,
+            timeout: Duration::from_millis(terms.timeout_ms.into()),
+            is_urgent,
+        })
+    }
+
     /// When the opening was first sent, or `None` when it no longer waits.
     fn waits_since(&self, opening: &WaitingOpening) -> Option<Instant> {
         match &self.flows.peek(&opening.packet.key)?.stage {
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -26,6 +26,7 @@
 use super::packet::{CallerReset, FlowPacket, PacketKind, ResetReason};
 use super::parts::PartShares;
 use super::peers::BalancerPeers;
+use super::promises::{BrokenPromises, PromiseWatch};
 use super::route_traffic::RouteTraffic;
 use super::table::FlowTable;
 use super::zone_members::ZoneMembers;
@@ -103,6 +104,7 @@
     flows: FlowTable<FlowEntry>,
     notes: Notes,
     counters: BalancerCounters,
+    promises: PromiseWatch,
     leaving: bool,
     ticked_at: Option<Instant>,
     started_at: Instant,
@@ -179,6 +181,7 @@
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
             notes: Notes::default(),
             counters: BalancerCounters::default(),
+            promises: PromiseWatch::default(),
             leaving: false,
             ticked_at: None,
             started_at: now,
@@ -343,6 +346,10 @@
             ResetReason::HeldNowhere => &mut self.counters.reset_held_nowhere,
         };
         *counter += 1;
+        if matches!(reason, ResetReason::TargetEnded | ResetReason::HeldNowhere) {
+            let now = self.ticked_at.unwrap_or(self.started_at);
+            self.promises.reset_as_gone(key, now);
+        }
         self.notes.add(Note::FlowReset {
             key,
             reason,
@@ -351,6 +358,12 @@
         CallerReset { key, sequence }
     }
 
+    /// How often each promise was broken here.
+    #[must_use]
+    pub fn broken_promises(&self) -> &BrokenPromises {
+        self.promises.broken()
+    }
+
     /// Decides about a packet of a caller; `bytes` are the packet as it came.
     pub fn caller_packet(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         self.counters.packets += 1;
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -207,6 +207,7 @@
         incarnation: Option<Incarnation>,
         now: Instant,
     ) {
+        self.promises.is_held(&key, now);
         let Some(record) = self.directory.agent(agent) else {
             return;
         };
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -21,6 +21,7 @@
 pub mod packet;
 pub mod parts;
 pub mod peers;
+pub mod promises;
 pub mod route_traffic;
 pub mod selection;
 pub mod store_session;
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -101,6 +101,12 @@
         ] {
             text.counter(name, help, value);
         }
+        text.counters(
+            "promises_broken_total",
+            "Promises broken, by kind; milliseconds for those about a wait.",
+            "promise",
+            core.broken_promises().by_name(),
+        );
         text.counters(
             "store_calls_total",
             "Calls to the store.",
