Link budget: bulk openings wait while enough flows share a link, paced sending

Cause: senders have up to 16 packets under way whatever the link carries. On links of 10 Mbit/s several uploads at a time lose packets in the full link, repeat them after 200 ms and doubling, and hold the targets' slots meanwhile, so openings wait 1.2 s and are refused (4,119 tries 'cut'). Change: flow/link: use of the link in both directions, routes that bring many bytes soon after their opening, at most so many of their flows at a time as fit in 50 ms of the link (3 at 10 Mbit/s), the other openings wait at the balancer that they came to, also where it hands its packets on; what leaves is ordered and paced.

--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -44,6 +44,13 @@
         /// The packet.
         packet: Vec<u8>,
     },
+    /// Hand a caller's packet to a larger balancer.
+    Relay {
+        /// The balancer.
+        to: NodeAddress,
+        /// The packet.
+        packet: Vec<u8>,
+    },
     /// Reset a flow towards its caller.
     Reset(CallerReset),
     /// Ask a node for a snapshot and pass it to [`Balancer::snapshot`].
@@ -86,6 +93,10 @@
     pub probes: u64,
     /// Packets of searches handed to agents that could not tell without one.
     pub search_packets: u64,
+    /// Openings that had to wait because the link was shared by enough flows.
+    pub put_off_for_link: u64,
+    /// Openings refused because their turn on the link came too late.
+    pub refused_for_link: u64,
     /// Packets dropped.
     pub dropped: u64,
 }
--- /dev/null
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/link_share.rs
@@ -0,0 +1,96 @@
+//! Openings of routes that bring many bytes wait while the link is shared by enough
+//! flows.
+
+use crate::clock::Instant;
+use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
+use crate::flow::balancer::{Balancer, BalancerAction};
+use crate::flow::link::LinkBudget;
+use crate::flow::link::bulk_admission::BulkDecision;
+use crate::flow::note::Note;
+use crate::flow::packet::FlowPacket;
+
+impl Balancer {
+    /// What the machine's link bears; `None` where it does not bind.
+    #[must_use]
+    pub fn paced_link(&self) -> Option<&LinkBudget> {
+        self.link.as_ref().filter(|_| self.mechanisms.paces_link)
+    }
+
+    /// Counts a datagram that has come over the link.
+    pub fn datagram_arrived(&mut self, length: usize, now: Instant) {
+        if let Some(link) = &mut self.link {
+            link.arrived(length, now);
+        }
+    }
+
+    /// Counts a datagram that has left over the link.
+    pub fn datagram_left(&mut self, length: usize, now: Instant) {
+        if let Some(link) = &mut self.link {
+            link.left(length, now);
+        }
+    }
+
+    /// Whether openings that waited for the link may go on.
+    #[must_use]
+    pub fn may_release_openings(&self) -> bool {
+        self.paced_link()
+            .is_some_and(LinkBudget::has_room_for_waiting)
+    }
+
+    /// What becomes of a packet because of the link; `None` when it goes on.
+    pub(crate) fn hold_for_link(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        now: Instant,
+    ) -> Option<Routing> {
+        self.paced_link()?;
+        let terms = self.routes.route(packet.key.service)?.terms;
+        let link = self.link.as_mut()?;
+        let waited_before = link.openings_waiting();
+        match link.caller_packet(packet, bytes, terms, now) {
+            BulkDecision::Go => None,
+            BulkDecision::Wait => {
+                let (under_way, waiting) = (link.flows_under_way(), link.openings_waiting());
+                if waiting > waited_before {
+                    self.counters.put_off_for_link += 1;
+                    self.notes.add(Note::OpeningPutOff {
+                        key: packet.key,
+                        under_way,
+                        waiting,
+                    });
+                }
+                Some(Routing::Drop(DropReason::LinkShared))
+            }
+            BulkDecision::Refuse => Some(self.refuse_for_link(packet, now, now)),
+        }
+    }
+
+    /// Sends openings on whose turn on the link has come, and refuses those that have
+    /// waited for too long.
+    pub fn release_openings(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+        if self.paced_link().is_none() {
+            return;
+        }
+        let Some(link) = &mut self.link else {
+            return;
+        };
+        for opening in link.release(now) {
+            let routing = if opening.goes {
+                self.relay_or_route(&opening.packet, &opening.bytes, now)
+            } else {
+                self.refuse_for_link(&opening.packet, opening.since, now)
+            };
+            self.carry_out(routing, &opening.bytes, actions);
+        }
+    }
+
+    fn refuse_for_link(&mut self, packet: &FlowPacket, since: Instant, now: Instant) -> Routing {
+        self.counters.refused_for_link += 1;
+        self.notes.add(Note::OpeningRefusedForLink {
+            key: packet.key,
+            waited: now.since(since),
+        });
+        self.refuse(packet)
+    }
+}
--- a/crates/woodladder-core/src/flow/balancer/forwarding/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/mod.rs
@@ -2,6 +2,7 @@
 //! larger balancers.
 
 pub(crate) mod established;
+pub(crate) mod link_share;
 pub(crate) mod opening;
 pub(crate) mod relay;
 pub(crate) mod routing;
--- a/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -306,7 +306,11 @@
                 );
             }
             Routing::Reset(reset) => actions.push(BalancerAction::Reset(reset)),
-            Routing::Relay(_) | Routing::Drop(_) => {}
+            Routing::Relay(to) => actions.push(BalancerAction::Relay {
+                to,
+                packet: bytes.to_vec(),
+            }),
+            Routing::Drop(_) => {}
         }
     }
 }
--- a/crates/woodladder-core/src/flow/balancer/forwarding/routing.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/routing.rs
@@ -37,6 +37,8 @@
     HolderUnknown,
     /// More flows are searched for than is allowed at a time.
     TooManySearches,
+    /// The link is shared by enough flows; the opening waits for one of them to end.
+    LinkShared,
     /// The flow is reset or has ended already.
     Ended,
 }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -149,6 +149,9 @@
     #[must_use]
     pub fn tick_interval(&self) -> Duration {
         let is_waited_for = !self.waiting.is_empty()
+            || self
+                .paced_link()
+                .is_some_and(|link| link.openings_waiting() > 0)
             || !self.searching.is_empty()
             || !self.named_agents.is_empty()
             || self.directory.doubts_any();
@@ -173,6 +176,7 @@
         self.ask_doubted_agents(now, actions);
         self.note_store_duty(now);
         self.was_complete = self.knows_all_agents(now);
+        self.release_openings(now, actions);
         self.serve_waiting(now, actions);
         self.pursue_searches(now, actions);
         self.greet_agents(now, actions);
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -22,6 +22,7 @@
 use super::directory::Directory;
 use super::excluded_zones::ExcludedZones;
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
+use super::link::LinkBudget;
 use super::note::{Note, Notes};
 use super::packet::{CallerReset, FlowPacket, PacketKind, ResetReason};
 use super::parts::PartShares;
@@ -96,6 +97,8 @@
     directory: Directory,
     peers: BalancerPeers,
     zone_members: ZoneMembers,
+    /// What the machine's link bears, when its rate is known.
+    link: Option<LinkBudget>,
     /// Larger balancers that callers' packets are handed to.
     relay_receivers: Vec<NodeAddress>,
     /// Smaller balancers of the zone that hand their packets to this one.
@@ -174,6 +177,7 @@
             directory: Directory::default(),
             peers: BalancerPeers::default(),
             zone_members: ZoneMembers::default(),
+            link: options.link_rate.map(LinkBudget::new),
             relay_receivers: Vec::new(),
             relaying_members: Vec::new(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
@@ -302,6 +306,9 @@
             .retain(|address| routes.route(address).is_some());
         self.traffic
             .retain(|address| routes.route(address).is_some());
+        if let Some(link) = &mut self.link {
+            link.retain(|address| routes.route(address).is_some());
+        }
         // The others are told with the next tick, and all at once when the
         // store gave it.
         self.greeted_peers_at = Instant::ORIGIN;
@@ -354,6 +361,13 @@
     /// Decides about a packet of a caller; `bytes` are the packet as it came.
     pub fn caller_packet(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         self.counters.packets += 1;
+        match self.hold_for_link(packet, bytes, now) {
+            Some(routing) => routing,
+            None => self.relay_or_route(packet, bytes, now),
+        }
+    }
+
+    fn relay_or_route(&mut self, packet: &FlowPacket, bytes: &[u8], now: Instant) -> Routing {
         match self.relay_receiver(packet.key) {
             Some(receiver) => self.relay(receiver),
             None => self.route(packet, bytes, now),
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod excluded_zones;
 pub mod identity;
+pub mod link;
 pub mod message;
 pub mod note;
 pub mod pace;
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -39,6 +39,22 @@
         /// Configuration that chose the service.
         version: u64,
     },
+    /// An opening waits until fewer flows share the link.
+    OpeningPutOff {
+        /// The flow.
+        key: FlowKey,
+        /// Flows that share the link.
+        under_way: usize,
+        /// Openings that wait, this one included.
+        waiting: usize,
+    },
+    /// An opening was refused, because its turn on the link comes too late.
+    OpeningRefusedForLink {
+        /// The flow.
+        key: FlowKey,
+        /// Time that it has waited.
+        waited: Duration,
+    },
     /// An agent gave a packet back.
     PacketReturned {
         /// The flow.
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_bulk_admission.rs
@@ -0,0 +1,290 @@
+//! How many flows that bring many bytes share a link at a time.
+
+mod flow_support;
+
+use std::time::Duration;
+
+use flow_support::*;
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::configuration::RouteTerms;
+use woodladder_core::flow::identity::FlowKey;
+use woodladder_core::flow::link::LinkBudget;
+use woodladder_core::flow::link::bulk_admission::{BulkDecision, ReleasedOpening};
+use woodladder_core::flow::link::scheduler::Urgency;
+use woodladder_core::flow::packet::{FlowPacket, PacketKind};
+
+/// Kilobits a second: a small machine's link.
+const RATE: u32 = 10_000;
+/// Data of a full packet, in bytes.
+const FULL: u16 = 1200;
+/// Full packets of one request of the bulk route.
+const PACKETS: u32 = 33;
+
+const TERMS: RouteTerms = RouteTerms {
+    priority: 2,
+    aim_ms: 800,
+    timeout_ms: 10_000,
+    is_repeatable: true,
+};
+
+fn upload(key: FlowKey, number: u32, payload: u16) -> FlowPacket {
+    packet(
+        key,
+        PacketKind::Data,
+        1001 + number * u32::from(FULL),
+        5001,
+        payload,
+    )
+}
+
+fn give(link: &mut LinkBudget, packet: &FlowPacket, now: Instant) -> BulkDecision {
+    link.caller_packet(packet, b"packet", TERMS, now)
+}
+
+fn open(link: &mut LinkBudget, port: u16, now: Instant) -> BulkDecision {
+    give(link, &opening(flow(port), 0), now)
+}
+
+/// A flow's data, all at once; the last packet is short.
+fn send_all(link: &mut LinkBudget, port: u16, now: Instant) {
+    for number in 0..PACKETS {
+        give(link, &upload(flow(port), number, FULL), now);
+    }
+    give(link, &upload(flow(port), PACKETS, 400), now);
+}
+
+/// A link that knows its route to bring 40 kilobytes a flow.
+fn link() -> LinkBudget {
+    let mut link = LinkBudget::new(RATE);
+    for port in 1..4 {
+        open(&mut link, port, at(0));
+        send_all(&mut link, port, at(1));
+    }
+    assert_eq!(open(&mut link, 10, at(2000)), BulkDecision::Go);
+    give(
+        &mut link,
+        &packet(flow(10), PacketKind::Reset, 1001, 0, 0),
+        at(2000),
+    );
+    assert_eq!(link.flows_under_way(), 0);
+    link
+}
+
+/// A link that is shared by as many flows as it bears; returns how many.
+fn shared_link() -> (LinkBudget, u16) {
+    let mut link = link();
+    let most = u16::try_from(link.most_sharing()).expect("few");
+    for port in 100..100 + most {
+        assert_eq!(open(&mut link, port, at(2100)), BulkDecision::Go);
+        give(&mut link, &upload(flow(port), 0, FULL), at(2100));
+    }
+    (link, most)
+}
+
+fn ports(released: &[ReleasedOpening]) -> Vec<u16> {
+    released
+        .iter()
+        .map(|opening| opening.packet.key.caller.port())
+        .collect()
+}
+
+#[test]
+fn before_anything_is_known_of_a_route_nothing_waits() {
+    let mut link = LinkBudget::new(RATE);
+    for port in 1..200 {
+        assert_eq!(open(&mut link, port, at(0)), BulkDecision::Go);
+    }
+}
+
+#[test]
+fn flows_that_bring_little_at_a_time_never_wait_however_many_share_the_link() {
+    let mut link = LinkBudget::new(RATE);
+    for port in 1..500_u16 {
+        let now = at(u64::from(port) * 10);
+        assert_eq!(open(&mut link, port, now), BulkDecision::Go);
+        give(&mut link, &data(flow(port), 1001, 5001), now);
+    }
+    let request = data(flow(1), 1001, 5001);
+    assert_eq!(link.urgency(&request), Urgency::Urgent);
+}
+
+#[test]
+fn a_long_flow_that_brings_as_much_in_small_parts_is_no_bulk() {
+    let mut link = LinkBudget::new(RATE);
+    for port in 1..10 {
+        open(&mut link, port, at(0));
+    }
+    for second in 0..60_u64 {
+        for port in 1..10 {
+            give(&mut link, &upload(flow(port), 0, 900), at(second * 1000));
+        }
+    }
+    open(&mut link, 50, at(61_000));
+    assert_eq!(link.urgency(&upload(flow(50), 0, FULL)), Urgency::Urgent);
+}
+
+#[test]
+fn a_burst_of_uploads_waits_beyond_what_the_link_bears_and_all_get_their_turn() {
+    let (mut link, most) = shared_link();
+    for port in 200..210 {
+        assert_eq!(open(&mut link, port, at(2101)), BulkDecision::Wait);
+    }
+    assert!(link.release(at(2102)).is_empty());
+    assert_eq!(link.flows_under_way(), usize::from(most));
+    let mut served = Vec::new();
+    // One flow of 40 kilobytes ends each 33 milliseconds.
+    let mut sending: Vec<u16> = (100..100 + most).collect();
+    for step in 1..=10 {
+        let now = at(2101 + step * 33);
+        send_all(&mut link, sending.remove(0), now);
+        for port in &sending {
+            give(&mut link, &upload(flow(*port), 1, FULL), now);
+        }
+        let released = link.release(now);
+        assert!(released.iter().all(|opening| opening.goes));
+        assert!(link.flows_under_way() <= usize::from(most));
+        sending.extend(ports(&released));
+        served.extend(ports(&released));
+    }
+    assert_eq!(served, (200..210).collect::<Vec<u16>>());
+}
+
+#[test]
+fn open_flows_are_never_held() {
+    let (mut link, _) = shared_link();
+    for port in 300..340 {
+        let decision = give(&mut link, &upload(flow(port), 5, FULL), at(2101));
+        assert_eq!(decision, BulkDecision::Go);
+    }
+}
+
+#[test]
+fn a_flow_that_stops_in_the_middle_gives_its_share_back() {
+    let (mut link, most) = shared_link();
+    assert_eq!(open(&mut link, 200, at(2110)), BulkDecision::Wait);
+    assert!(link.release(at(2150)).is_empty());
+    let released = link.release(at(2170));
+    assert_eq!(ports(&released), vec![200]);
+    assert!(link.flows_under_way() <= usize::from(most));
+}
+
+#[test]
+fn on_a_link_slower_than_stated_no_more_flows_come_together() {
+    let (mut link, most) = shared_link();
+    for step in 0..30 {
+        let now = at(2100 + step * 50);
+        // Each flow gets one packet through in the time of many.
+        for port in 100..100 + most {
+            give(&mut link, &upload(flow(port), 1, FULL), now);
+        }
+        open(&mut link, 400 + u16::try_from(step).expect("few"), now);
+        assert!(link.release(now).iter().all(|opening| !opening.goes));
+        assert!(link.flows_under_way() <= usize::from(most));
+    }
+}
+
+#[test]
+fn those_that_can_be_in_time_go_before_those_that_cannot() {
+    let (mut link, most) = shared_link();
+    open(&mut link, 200, at(2100));
+    open(&mut link, 201, at(2101));
+    for now in (2100..2650).step_by(50) {
+        for port in 100..100 + most {
+            give(&mut link, &upload(flow(port), 1, FULL), at(now));
+        }
+        link.release(at(now));
+    }
+    open(&mut link, 202, at(2650));
+    open(&mut link, 203, at(2651));
+    send_all(&mut link, 100, at(2655));
+    assert_eq!(ports(&link.release(at(2655))), vec![202]);
+}
+
+#[test]
+fn a_copy_of_a_waiting_opening_replaces_it_and_a_caller_that_ends_leaves_the_queue() {
+    let (mut link, _) = shared_link();
+    open(&mut link, 200, at(2101));
+    let copy = opening(flow(200), 1);
+    assert_eq!(give(&mut link, &copy, at(2151)), BulkDecision::Wait);
+    assert_eq!(link.openings_waiting(), 1);
+    let released = link.release(at(2300));
+    assert_eq!(released[0].packet, copy);
+
+    open(&mut link, 201, at(2301));
+    give(
+        &mut link,
+        &packet(flow(201), PacketKind::Reset, 1001, 0, 0),
+        at(2302),
+    );
+    assert_eq!(link.openings_waiting(), 0);
+}
+
+#[test]
+fn an_opening_is_refused_only_when_its_turn_comes_too_late_and_never_with_room() {
+    let (mut link, _) = shared_link();
+    let mut refused = 0;
+    for port in 200..300 {
+        match open(&mut link, port, at(2101)) {
+            BulkDecision::Wait => assert_eq!(refused, 0),
+            BulkDecision::Refuse => refused += 1,
+            BulkDecision::Go => panic!("the link is full"),
+        }
+    }
+    // 40 kilobytes take 32 milliseconds: 37 of them fill 1.2 seconds.
+    assert!((30..40).contains(&link.openings_waiting()));
+    assert_eq!(refused + link.openings_waiting(), 100);
+    let mut idle = self::link();
+    assert_eq!(open(&mut idle, 200, at(2101)), BulkDecision::Go);
+}
+
+#[test]
+fn a_copy_whose_first_opening_was_not_seen_here_is_neither_held_nor_refused() {
+    let (mut link, _) = shared_link();
+    for port in 200..300 {
+        open(&mut link, port, at(2101));
+    }
+    let copy = opening(flow(500), 1);
+    assert_eq!(give(&mut link, &copy, at(2101)), BulkDecision::Go);
+}
+
+#[test]
+fn what_has_waited_to_the_end_of_its_attempt_is_refused() {
+    let (mut link, most) = shared_link();
+    open(&mut link, 200, at(2101));
+    let mut ended = Vec::new();
+    for now in (2101..3400).step_by(25) {
+        for port in 100..100 + most {
+            give(&mut link, &upload(flow(port), 1, FULL), at(now));
+        }
+        ended.extend(link.release(at(now)));
+    }
+    assert_eq!(ended.len(), 1);
+    assert!(!ended[0].goes);
+    assert_eq!(ended[0].since, at(2101));
+}
+
+#[test]
+fn after_a_pause_of_the_process_nothing_is_held_by_flows_that_were_under_way() {
+    let (mut link, most) = shared_link();
+    for port in 200..203 {
+        open(&mut link, port, at(2101));
+    }
+    let released = link.release(at(2901));
+    assert_eq!(released.len(), usize::from(most.min(3)));
+    assert!(released.iter().all(|opening| opening.goes));
+}
+
+#[test]
+fn use_of_the_link_is_measured_in_both_directions_and_forgotten_after_a_second() {
+    let mut link = LinkBudget::new(RATE);
+    for millisecond in 0..1000 {
+        link.arrived(597, at(millisecond));
+        link.left(97, at(millisecond));
+    }
+    assert_eq!(link.rates(at(999)), (5000, 1000));
+    let (incoming, outgoing) = link.rates(at(1000) + Duration::from_millis(500));
+    // Half of the window has passed; it moves by eighths.
+    assert!((1875..=3125).contains(&incoming), "{incoming}");
+    assert!((375..=625).contains(&outgoing), "{outgoing}");
+    assert_eq!(link.rates(at(2100)), (0, 0));
+}
--- a/crates/woodladder-core/tests/flow_exploration_world/mod.rs
+++ b/crates/woodladder-core/tests/flow_exploration_world/mod.rs
@@ -163,6 +163,7 @@
                 }
                 BalancerAction::Reset(_) => self.was_reset = true,
                 BalancerAction::FetchSnapshot { .. } => {}
+                BalancerAction::Relay { .. } => panic!("no larger balancer is known"),
             }
         }
     }
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_link_scheduler.rs
@@ -0,0 +1,229 @@
+//! What leaves over a full link: order, pace and bounds.
+
+mod flow_support;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use flow_support::*;
+use proptest::prelude::*;
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::identity::FlowKey;
+use woodladder_core::flow::link::LINK_HEADER;
+use woodladder_core::flow::link::scheduler::{LONGEST_QUEUED, LinkScheduler, Placement, Urgency};
+
+/// Kilobits a second: a small machine's link.
+const RATE: u32 = 10_000;
+/// Largest datagram, in bytes.
+const LARGEST: usize = 1300;
+
+fn bulk(port: u16) -> Placement {
+    Placement {
+        length: LARGEST,
+        flow: Some(flow(port)),
+        urgency: Urgency::Bulk,
+    }
+}
+
+fn urgent(port: u16) -> Placement {
+    Placement {
+        length: 90,
+        flow: Some(flow(port)),
+        urgency: Urgency::Urgent,
+    }
+}
+
+/// Time that a datagram takes on a link.
+fn link_time(length: usize, rate: u32) -> Duration {
+    let bits = u64::try_from((length + LINK_HEADER) * 8).expect("small");
+    Duration::from_nanos(bits * 1_000_000 / u64::from(rate))
+}
+
+/// Offers bulk until some of it waits; returns how many passed.
+fn fill(scheduler: &mut LinkScheduler<u32>, port: u16, now: Instant) -> u32 {
+    for number in 0..1000 {
+        if scheduler.offer(number, bulk(port), now).is_none() {
+            return number;
+        }
+    }
+    panic!("the link never fills");
+}
+
+#[test]
+fn with_room_on_the_link_every_datagram_passes_at_once() {
+    // Half of the link's rate, in full packets.
+    let mut scheduler = LinkScheduler::new(RATE);
+    for number in 0..1000 {
+        let now = at(2 * number);
+        assert_eq!(scheduler.offer(number, bulk(1), now), Some(number));
+    }
+    assert_eq!(scheduler.next_release(), None);
+    assert_eq!(scheduler.totals().queued, 0);
+}
+
+#[test]
+fn an_urgent_packet_waits_for_one_packets_time_behind_any_amount_of_bulk() {
+    let mut scheduler = LinkScheduler::new(RATE);
+    let passed = fill(&mut scheduler, 1, at(0));
+    for number in passed..passed + 50 {
+        scheduler.offer(number, bulk(1), at(0));
+    }
+    assert_eq!(scheduler.offer(777, urgent(2), at(0)), None);
+    let due = scheduler.next_release().expect("something waits");
+    assert!(due.since(at(0)) <= link_time(LARGEST, RATE) * 11 / 10);
+    assert_eq!(scheduler.release(due), Some(777));
+}
+
+#[test]
+fn an_urgent_packet_does_not_overtake_bulk_of_its_own_flow() {
+    let mut scheduler = LinkScheduler::new(RATE);
+    let first = fill(&mut scheduler, 1, at(0));
+    scheduler.offer(777, urgent(1), at(0));
+    assert_eq!(scheduler.release(at(20)), Some(first));
+    assert_eq!(scheduler.release(at(20)), Some(777));
+}
+
+#[test]
+fn a_full_queue_drops_new_bulk_and_lets_an_urgent_packet_in() {
+    let mut scheduler = LinkScheduler::new(RATE);
+    for number in 0..2000 {
+        scheduler.offer(number, bulk(1), at(0));
+    }
+    let bound = link_time(LARGEST, RATE).as_nanos();
+    let most = LONGEST_QUEUED.as_nanos() / bound * 11 / 10;
+    assert!(scheduler.queued_bytes() as u128 <= most * LARGEST as u128);
+    let dropped = scheduler.totals().dropped_full;
+    assert!(dropped > 1700, "{dropped}");
+    assert_eq!(scheduler.offer(7777, urgent(2), at(0)), None);
+    assert_eq!(scheduler.release(at(20)), Some(7777));
+}
+
+#[test]
+fn a_paused_process_sends_nothing_that_is_of_no_use_any_more() {
+    let mut scheduler = LinkScheduler::new(RATE);
+    fill(&mut scheduler, 1, at(0));
+    let late = at(0) + LONGEST_QUEUED;
+    assert_eq!(scheduler.release(late), None);
+    assert_eq!(scheduler.totals().dropped_late, 1);
+    assert_eq!(scheduler.queued_bytes(), 0);
+    assert_eq!(scheduler.next_release(), None);
+    assert_eq!(scheduler.offer(5, bulk(1), late), Some(5));
+}
+
+#[derive(Clone, Debug)]
+struct Offered {
+    after_us: u64,
+    port: u16,
+    length: usize,
+    is_bulk: bool,
+}
+
+fn offered() -> impl Strategy<Value = Offered> {
+    (0_u64..1500, 1_u16..6, 60_usize..LARGEST, any::<bool>()).prop_map(
+        |(after_us, port, length, is_bulk)| Offered {
+            after_us,
+            port,
+            length,
+            is_bulk,
+        },
+    )
+}
+
+struct Sent {
+    number: usize,
+    length: usize,
+    key: FlowKey,
+    offered_at: Instant,
+    sent_at: Instant,
+}
+
+/// Offers everything at its time, with a shell that releases what is due.
+fn play(rate: u32, arrivals: &[Offered]) -> Vec<Sent> {
+    let mut scheduler = LinkScheduler::new(rate);
+    let mut sent = Vec::new();
+    let mut now = at(1000);
+    let mut offered_at = Vec::new();
+    let mut record = |number: usize, offered_at: Instant, now: Instant| {
+        let arrival = &arrivals[number];
+        sent.push(Sent {
+            number,
+            length: arrival.length,
+            key: flow(arrival.port),
+            offered_at,
+            sent_at: now,
+        });
+    };
+    for (number, arrival) in arrivals.iter().enumerate() {
+        let next = now + Duration::from_micros(arrival.after_us);
+        while let Some(due) = scheduler.next_release().filter(|due| *due <= next) {
+            now = now.max(due);
+            while let Some(released) = scheduler.release(now) {
+                record(released, offered_at[released], now);
+            }
+        }
+        now = next;
+        offered_at.push(now);
+        let placement = Placement {
+            length: arrival.length,
+            flow: Some(flow(arrival.port)),
+            urgency: if arrival.is_bulk {
+                Urgency::Bulk
+            } else {
+                Urgency::Urgent
+            },
+        };
+        if let Some(number) = scheduler.offer(number, placement, now) {
+            record(number, now, now);
+        }
+    }
+    while let Some(due) = scheduler.next_release() {
+        now = now.max(due);
+        while let Some(released) = scheduler.release(now) {
+            record(released, offered_at[released], now);
+        }
+    }
+    sent
+}
+
+proptest! {
+    #[test]
+    fn order_pace_and_waits_are_bounded(
+        rate in 2000_u32..50_000,
+        arrivals in prop::collection::vec(offered(), 1..1500),
+    ) {
+        let sent = play(rate, &arrivals);
+        let mut latest: HashMap<FlowKey, usize> = HashMap::new();
+        for datagram in &sent {
+            if let Some(before) = latest.insert(datagram.key, datagram.number) {
+                prop_assert!(before < datagram.number, "a flow's packets changed places");
+            }
+            let waited = datagram.sent_at.since(datagram.offered_at);
+            prop_assert!(waited < LONGEST_QUEUED);
+        }
+        let second = Duration::from_secs(1);
+        for (index, first) in sent.iter().enumerate() {
+            let bytes: usize = sent[index..]
+                .iter()
+                .take_while(|it| it.sent_at.since(first.sent_at) < second)
+                .map(|it| it.length + LINK_HEADER)
+                .sum();
+            prop_assert!(bytes as u64 * 8 <= u64::from(rate) * 1000);
+        }
+    }
+
+    #[test]
+    fn nothing_is_lost_while_what_leaves_is_below_the_rate(
+        arrivals in prop::collection::vec(offered(), 1..800),
+    ) {
+        // 1,400 bytes at most each 750 microseconds are 15 megabits a second.
+        let sent = play(20_000, &arrivals);
+        let fits = arrivals.chunks(40).all(|part| {
+            let bytes: usize = part.iter().map(|it| it.length + LINK_HEADER).sum();
+            let time: u64 = part.iter().map(|it| it.after_us).sum();
+            bytes as u64 * 8 <= time * 19
+        });
+        if fits {
+            prop_assert_eq!(sent.len(), arrivals.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_link_share.rs
@@ -0,0 +1,136 @@
+//! A balancer on a small link: openings of bulk routes wait at it, also when it
+//! hands its packets to larger ones.
+
+mod flow_support;
+
+use std::time::Duration;
+
+use flow_support::*;
+use woodladder_core::flow::balancer::{
+    Balancer, BalancerAction, BalancerOptions, DropReason, Routing,
+};
+use woodladder_core::flow::identity::ZoneKey;
+use woodladder_core::flow::message::{BalancerGreeting, PeerMessage};
+use woodladder_core::flow::packet::PacketKind;
+
+/// Data of a full packet, in bytes.
+const FULL: u16 = 1200;
+
+/// A balancer of a core's eighth behind a link of this rate, ten seconds after its
+/// start, that has seen uploads of 40 kilobytes.
+fn balancer_behind(link_rate: Option<u32>) -> Balancer {
+    let options = BalancerOptions {
+        address: node(1),
+        zone: ZoneKey::named("a"),
+        capacity: 120,
+        link_rate,
+        flow_capacity: 1000,
+        flow_retention: Duration::from_secs(30),
+    };
+    let mut balancer = Balancer::new(options, at(0));
+    balancer.configuration(configuration(1));
+    tell(&mut balancer, 9, &report(9, 1), at(10_000));
+    for port in 1..4 {
+        arrive(&mut balancer, &opening(flow(port), 0), at(10_000));
+        upload(&mut balancer, port, 33, 10_001);
+        finish(&mut balancer, port, 10_002);
+    }
+    arrive(&mut balancer, &opening(flow(4), 0), at(11_100));
+    finish(&mut balancer, 4, 11_101);
+    tell(&mut balancer, 9, &report(9, 2), at(11_190));
+    balancer
+}
+
+fn upload(balancer: &mut Balancer, port: u16, packets: u32, now: u64) {
+    for number in 0..packets {
+        let sequence = 1001 + number * u32::from(FULL);
+        let data = packet(flow(port), PacketKind::Data, sequence, 5001, FULL);
+        arrive(balancer, &data, at(now));
+    }
+}
+
+fn finish(balancer: &mut Balancer, port: u16, now: u64) {
+    let finish = packet(flow(port), PacketKind::Finish, 50_000, 5001, 0);
+    arrive(balancer, &finish, at(now));
+}
+
+/// Opens flows until one has to wait; returns those that went on.
+fn open_until_one_waits(balancer: &mut Balancer, now: u64) -> Vec<u16> {
+    let mut went_on = Vec::new();
+    for port in 100..200 {
+        let routing = arrive(balancer, &opening(flow(port), 0), at(now));
+        if routing == Routing::Drop(DropReason::LinkShared) {
+            return went_on;
+        }
+        went_on.push(port);
+    }
+    panic!("none waits");
+}
+
+fn release(balancer: &mut Balancer, now: u64) -> Vec<BalancerAction> {
+    let mut actions = Vec::new();
+    balancer.release_openings(at(now), &mut actions);
+    actions
+}
+
+#[test]
+fn on_a_wide_link_or_one_of_unknown_rate_no_opening_waits() {
+    for link_rate in [None, Some(200_000), Some(1_000_000)] {
+        let mut balancer = balancer_behind(link_rate);
+        for port in 100..150 {
+            let routing = arrive(&mut balancer, &opening(flow(port), 0), at(11_200));
+            let waits = Routing::Drop(DropReason::LinkShared);
+            assert_ne!(routing, waits, "{link_rate:?}");
+        }
+        assert!(balancer.paced_link().is_none());
+    }
+}
+
+#[test]
+fn a_waiting_opening_goes_to_a_target_when_a_flow_before_it_ends() {
+    let mut balancer = balancer_behind(Some(10_000));
+    let went_on = open_until_one_waits(&mut balancer, 11_200);
+    assert_eq!(balancer.counters().put_off_for_link, 1);
+    assert!(!balancer.may_release_openings());
+    assert!(release(&mut balancer, 11_210).is_empty());
+    finish(&mut balancer, went_on[0], 11_220);
+    assert!(balancer.may_release_openings());
+    let actions = release(&mut balancer, 11_220);
+    let forwarded = matches!(&actions[..], [BalancerAction::Forward { to, .. }] if *to == node(9));
+    assert!(forwarded, "{actions:?}");
+}
+
+#[test]
+fn a_balancer_that_hands_its_packets_on_holds_openings_too() {
+    let mut balancer = balancer_behind(Some(10_000));
+    let larger = BalancerGreeting {
+        capacity: 500,
+        link_rate: Some(200_000),
+        ..peer_greeting()
+    };
+    send(&mut balancer, 2, PeerMessage::Greeting(larger), at(11_190));
+    let mut actions = Vec::new();
+    balancer.tick(at(11_195), &mut actions);
+    let went_on = open_until_one_waits(&mut balancer, 11_200);
+    finish(&mut balancer, went_on[0], 11_220);
+    let actions = release(&mut balancer, 11_220);
+    let relayed = matches!(&actions[..], [BalancerAction::Relay { to, .. }] if *to == node(2));
+    assert!(relayed, "{actions:?}");
+}
+
+#[test]
+fn an_opening_that_has_waited_to_the_end_is_reset_and_counted() {
+    let mut balancer = balancer_behind(Some(10_000));
+    let went_on = open_until_one_waits(&mut balancer, 11_200);
+    let flows = balancer.flow_count();
+    for now in (11_200..12_390).step_by(40) {
+        for port in &went_on {
+            upload(&mut balancer, *port, 1, now);
+        }
+    }
+    let actions = release(&mut balancer, 12_400);
+    let is_reset = matches!(&actions[..], [BalancerAction::Reset(_)]);
+    assert!(is_reset, "{actions:?}");
+    assert_eq!(balancer.counters().refused_for_link, 1);
+    assert_eq!(balancer.flow_count(), flows);
+}
--- a/crates/woodladder-lab/src/flow_simulation/world/actions.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/actions.rs
@@ -10,6 +10,10 @@
                 BalancerAction::Forward { to, header, packet } => {
                     self.forward(from, to, header, &packet_bytes::read(&packet));
                 }
+                BalancerAction::Relay { to, packet } => {
+                    let packet = packet_bytes::read(&packet);
+                    self.send(from, to, PeerMessage::Relay, Some(packet));
+                }
                 BalancerAction::Reset(reset) => self.reset(from, &reset),
                 BalancerAction::FetchSnapshot {
                     from: node,
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -6,6 +6,7 @@
 //! no caller's packet has come for a while.
 
 mod figures;
+mod outgoing;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -25,9 +26,10 @@
 };
 use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
 use woodladder_core::flow::message::PeerMessage;
-use woodladder_core::flow::packet::CallerReset;
+use woodladder_core::flow::packet::FlowPacket;
 use woodladder_core::flow::store_session::{BalancerList, BalancerRegistration};
 
+use self::outgoing::OutgoingQueue;
 use crate::carrier::Carrier;
 use crate::decision_log::DecisionLog;
 use crate::node_clock::NodeClock;
@@ -79,6 +81,7 @@
     clock: NodeClock,
     peers: PeerLink,
     callers: UdpSocket,
+    outgoing: Option<OutgoingQueue>,
     decisions: RefCell<DecisionLog>,
     timer: TickTimer,
     logger: Logger,
@@ -108,6 +111,7 @@
             clock,
             peers: PeerLink::open(config.peer_bind)?,
             callers: peer_socket::open(config.caller_address)?,
+            outgoing: config.link_rate.map(OutgoingQueue::new),
             decisions: RefCell::new(DecisionLog::new(logger.clone())),
             timer: TickTimer::default(),
             logger,
@@ -137,6 +141,7 @@
         self.act(|core, now, actions| core.seeded(&self.config.seeds, now, actions));
         spawn_local(Rc::clone(&self).tick());
         spawn_local(Rc::clone(&self).log_messages());
+        spawn_local(Rc::clone(&self).send_queued());
         let registration = self.start_store_sessions(store);
         let leaving = Rc::clone(&registration.1);
         stop.notified().await;
@@ -238,36 +243,41 @@
         });
     }
 
-    fn caller_packet(&self, bytes: &mut [u8]) {
+    fn caller_packet(self: &Rc<Self>, bytes: &mut [u8]) {
         let now = self.clock.now();
         self.packet_at.set(now);
+        self.core.borrow_mut().datagram_arrived(bytes.len(), now);
         let Ok(packet) = self.carrier.read_from_caller(bytes) else {
             self.refused_packets.set(self.refused_packets.get() + 1);
             return;
         };
         let routing = self.core.borrow_mut().caller_packet(&packet, bytes, now);
         self.timer.shorten(self.core.borrow().tick_interval());
+        self.send_routed(routing, &packet, bytes);
+        if self.core.borrow().may_release_openings() {
+            self.act(Balancer::release_openings);
+        }
+    }
+
+    fn send_routed(&self, routing: Routing, packet: &FlowPacket, bytes: &[u8]) {
         match routing {
             Routing::One { to, header } => {
-                self.peers.send(&PeerMessage::Forward(header), bytes, to)
+                self.send_packet(&PeerMessage::Forward(header), packet, bytes, to);
             }
             Routing::Several(receivers) => {
                 for (to, header) in receivers {
-                    self.peers.send(&PeerMessage::Forward(header), bytes, to);
+                    self.send_packet(&PeerMessage::Forward(header), packet, bytes, to);
                 }
             }
-            Routing::Relay(to) => self.peers.send(&PeerMessage::Relay, bytes, to),
+            Routing::Relay(to) => self.send_packet(&PeerMessage::Relay, packet, bytes, to),
             Routing::Reset(reset) => self.reset(&reset),
             Routing::Drop(_) => {}
         }
     }
 
-    fn reset(&self, reset: &CallerReset) {
-        let to = SocketAddrV4::new(*reset.key.caller.ip(), self.config.caller_port);
-        peer_socket::send(&self.callers, &self.carrier.write_reset(reset), to);
-    }
-
     fn peer_datagram(self: &Rc<Self>, from: NodeAddress, datagram: &[u8]) {
+        let now = self.clock.now();
+        self.core.borrow_mut().datagram_arrived(datagram.len(), now);
         let Ok((message, rest)) = self.peers.read(datagram) else {
             return;
         };
@@ -317,14 +327,17 @@
 
     fn carry_out(self: &Rc<Self>, action: BalancerAction) {
         match action {
-            BalancerAction::Send { to, message } => self.peers.send(&message, &[], to),
+            BalancerAction::Send { to, message } => self.send_message(&message, to),
             BalancerAction::Forward {
                 to,
                 header,
                 mut packet,
             } => {
                 self.carrier.clear_marks(&mut packet);
-                self.peers.send(&PeerMessage::Forward(header), &packet, to);
+                self.send_own_packet(&PeerMessage::Forward(header), &packet, to);
+            }
+            BalancerAction::Relay { to, packet } => {
+                self.send_own_packet(&PeerMessage::Relay, &packet, to);
             }
             BalancerAction::Reset(reset) => self.reset(&reset),
             BalancerAction::FetchSnapshot { from, request } => {
@@ -341,6 +354,14 @@
         }
     }
 
+    /// Sends a message with a packet that was read before.
+    fn send_own_packet(&self, message: &PeerMessage, bytes: &[u8], to: NodeAddress) {
+        match self.carrier.read_from_caller(bytes) {
+            Ok(packet) => self.send_packet(message, &packet, bytes, to),
+            Err(_) => self.refused_packets.set(self.refused_packets.get() + 1),
+        }
+    }
+
     /// Address of the machine.
     #[must_use]
     pub fn machine(&self) -> Ipv4Addr {
--- a/crates/woodladder-node/src/balancer/figures.rs
+++ b/crates/woodladder-node/src/balancer/figures.rs
@@ -1,5 +1,8 @@
 //! Figures of the balancer's process.
 
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::balancer::Balancer;
+
 use crate::metrics::{MetricsText, count, wide};
 
 use super::BalancerNode;
@@ -85,6 +88,16 @@
                 "Packets handed to agents that could not tell without one.",
                 counters.search_packets,
             ),
+            (
+                "openings_put_off_for_link_total",
+                "Openings that waited because enough flows shared the link.",
+                counters.put_off_for_link,
+            ),
+            (
+                "openings_refused_for_link_total",
+                "Openings whose turn on the link came too late.",
+                counters.refused_for_link,
+            ),
             (
                 "dropped_packets_total",
                 "Packets dropped by decision.",
@@ -130,6 +143,7 @@
             if watches { 1.0 } else { 0.0 },
         );
         text.mechanisms(core.mechanisms());
+        self.link_figures(&core, now, &mut text);
         text.gauge("flows", "Flows in the table.", count(core.flow_count()));
         text.gauge(
             "openings_waiting",
@@ -161,4 +175,58 @@
         text.gauge("ready", "Whether the node is ready.", ready);
         text.finish()
     }
+
+    fn link_figures(&self, core: &Balancer, now: Instant, text: &mut MetricsText) {
+        if let Some(link) = core.paced_link() {
+            let (incoming, outgoing) = link.rates(now);
+            for (name, help, value) in [
+                (
+                    "link_rate_kbps",
+                    "Rate of the link in each direction.",
+                    u64::from(link.rate()),
+                ),
+                (
+                    "link_in_kbps",
+                    "Use of the link by what comes, over a second.",
+                    incoming,
+                ),
+                (
+                    "link_out_kbps",
+                    "Use of the link by what leaves, over a second.",
+                    outgoing,
+                ),
+            ] {
+                text.gauge(name, help, wide(value));
+            }
+            text.gauge(
+                "link_bulk_flows",
+                "Flows of routes that bring many bytes under way.",
+                count(link.flows_under_way()),
+            );
+            text.gauge(
+                "link_openings_waiting",
+                "Openings that wait for the link.",
+                count(link.openings_waiting()),
+            );
+        }
+        if let Some(queue) = &self.outgoing {
+            let totals = queue.totals();
+            text.gauge(
+                "link_queue_bytes",
+                "Bytes that wait to leave.",
+                count(queue.queued_bytes()),
+            );
+            text.counter(
+                "link_queued_total",
+                "Datagrams that waited to leave.",
+                totals.queued,
+            );
+            text.counters(
+                "link_dropped_total",
+                "Datagrams dropped before the link.",
+                "reason",
+                [("late", totals.dropped_late), ("full", totals.dropped_full)],
+            );
+        }
+    }
 }
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -138,6 +138,20 @@
                     "flow" => %key, "copy" => copy, "known" => known, "version" => version,
                     "left_out" => left_out);
             }
+            Note::OpeningPutOff {
+                key,
+                under_way,
+                waiting,
+            } => {
+                info!(log, "balancer: opening waits for the link"; "event" => event,
+                    "flow" => %key, "under_way" => under_way, "waiting" => waiting,
+                    "left_out" => left_out);
+            }
+            Note::OpeningRefusedForLink { key, waited } => {
+                warn!(log, "balancer: opening refused for the link"; "event" => event,
+                    "flow" => %key, "waited_ms" => milliseconds(*waited),
+                    "left_out" => left_out);
+            }
             Note::PacketReturned { key, agent, reason } => {
                 info!(log, "balancer: packet returned"; "event" => event, "flow" => %key,
                     "agent" => %agent, "reason" => ?reason, "left_out" => left_out);
@@ -309,6 +323,8 @@
         Note::FlowSent { tried: 0, .. } => ("flow_sent", Ordinary),
         Note::FlowSent { .. } => ("flow_sent_again", Important),
         Note::FlowWithoutTarget { .. } => ("flow_without_target", Important),
+        Note::OpeningPutOff { .. } => ("opening_put_off", Ordinary),
+        Note::OpeningRefusedForLink { .. } => ("opening_refused_for_link", Important),
         Note::PacketReturned { .. } => ("packet_returned", Important),
         Note::SearchStarted { .. } => ("search_started", Ordinary),
         Note::FlowLocated { .. } => ("flow_located", Ordinary),
--- a/crates/woodladder-node/src/peer_link.rs
+++ b/crates/woodladder-node/src/peer_link.rs
@@ -54,9 +54,20 @@
 
     /// Sends a message, followed by a packet or by nothing.
     pub fn send(&self, message: &PeerMessage, packet: &[u8], to: SocketAddrV4) {
+        let datagram = self.encode(message, packet);
+        self.send_datagram(&datagram, to);
+    }
+
+    /// The datagram of a message, followed by a packet or by nothing; it counts as sent.
+    pub fn encode(&self, message: &PeerMessage, packet: &[u8]) -> Vec<u8> {
         let datagram = message.encode(packet);
         add(&self.sent, message, datagram.len());
-        peer_socket::send(&self.socket, &datagram, to);
+        datagram
+    }
+
+    /// Sends a datagram of [`Self::encode`].
+    pub fn send_datagram(&self, datagram: &[u8], to: SocketAddrV4) {
+        peer_socket::send(&self.socket, datagram, to);
     }
 
     /// Hands each datagram to `handle`, until the process ends.
