Two windows of bulk at a time on a link of 10 Mbit/s

Cause: with three windows together in a link of 10 Mbit/s packets are still lost. One leaves the link at rest while the next flow opens. What stays is late in the zone whose share of the burst fills its links. Change: as many windows as fit in 35 ms of the link, two at least.

--- a/crates/woodladder-core/src/flow/link/mod.rs
+++ b/crates/woodladder-core/src/flow/link/mod.rs
@@ -22,7 +22,7 @@
 /// Bytes that a sender may have under way: 16 packets of 1,200 bytes.
 pub const WINDOW: u64 = 16 * 1200;
 /// Time for which packets may wait before the link without being lost or repeated.
-const LINK_QUEUE: Duration = Duration::from_millis(50);
+const LINK_QUEUE: Duration = Duration::from_millis(35);
 /// Least number of flows that share a link: one sends while another waits for
 /// acknowledgements.
 const LEAST_SHARING: u64 = 2;
