--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use super::super::activation::usable_capacity;
 use super::super::identity::{NodeAddress, ZoneKey};
 use super::super::message::{ForwardHeader, PeerMessage, SnapshotRequest};
 use super::super::packet::CallerReset;
@@ -25,6 +26,14 @@
     pub flow_retention: Duration,
 }
 
+impl BalancerOptions {
+    /// Processor that it can use for forwarding, in thousandths of a core.
+    #[must_use]
+    pub fn usable_capacity(&self) -> u32 {
+        usable_capacity(self.capacity, self.link_rate)
+    }
+}
+
 /// What the shell carries out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BalancerAction {
@@ -44,6 +53,13 @@
         /// The packet.
         packet: Vec<u8>,
     },
+    /// Hand a caller's packet to a larger balancer.
+    Relay {
+        /// The balancer.
+        to: NodeAddress,
+        /// The packet.
+        packet: Vec<u8>,
+    },
     /// Reset a flow towards its caller.
     Reset(CallerReset),
     /// Ask a node for a snapshot and pass it to [`Balancer::snapshot`].
@@ -86,6 +102,10 @@
     pub probes: u64,
     /// Packets of searches handed to agents that could not tell without one.
     pub search_packets: u64,
+    /// Openings that had to wait because the link was shared by enough flows.
+    pub put_off_for_link: u64,
+    /// Openings refused because their turn on the link came too late.
+    pub refused_for_link: u64,
     /// Packets dropped.
     pub dropped: u64,
 }
