--- a/crates/woodladder-core/src/flow/activation.rs
+++ b/crates/woodladder-core/src/flow/activation.rs
@@ -56,6 +56,14 @@
     }
 }
 
+/// Whether the flows of a route are worth recording where [`ActiveMechanisms::locates_flows`]
+/// acts: a request on a flow whose target is gone fails, because it may not be sent again or
+/// because there is no time left for it.
+#[must_use]
+pub fn is_worth_recording(terms: &RouteTerms) -> bool {
+    !terms.is_repeatable || leaves_no_time(terms)
+}
+
 /// Whether an answer is of no use any more when a caller repeats a packet for the
 /// last time early on.
 fn leaves_no_time(terms: &RouteTerms) -> bool {
--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -78,6 +78,8 @@
     pub reset_target_ended: u64,
     /// Resets because no target holds the flow.
     pub reset_held_nowhere: u64,
+    /// Resets because the target that held the flow, as was recorded, does not.
+    pub reset_holder_denied: u64,
     /// Packets handed to larger balancers.
     pub relayed: u64,
     /// Packets that smaller balancers have handed on.
--- a/crates/woodladder-core/src/flow/balancer/forwarding/relay.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/relay.rs
@@ -14,7 +14,7 @@
 use crate::flow::packet::FlowPacket;
 
 /// How many times larger than the own processor another balancer's must be.
-const LARGER_BY: u32 = 4;
+pub(crate) const LARGER_BY: u32 = 4;
 
 impl Balancer {
     /// Finds the balancers that packets are handed to: the much larger ones of
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -37,6 +37,7 @@
                 self.last_agent_heard = Some(now);
                 let is_found = changes.contains(&DirectoryChange::Found(from));
                 self.apply(changes, now, actions);
+                self.recorded_agent_heard(from, report.knows_all_flows, now, actions);
                 if !is_found {
                     self.correct_report_interval(from, &report, now, actions);
                 }
@@ -97,7 +98,8 @@
     fn agent_ended(&mut self, agent: NodeAddress, actions: &mut Vec<BalancerAction>) {
         self.named_agents.remove(&agent);
         if self.directory.remove(agent) {
-            let flows = self.reset_flows_of(agent, None, actions);
+            let flows = self.reset_flows_of(agent, None, actions)
+                + self.recorded_agent_ended(agent, actions);
             self.notes.add(Note::AgentStopped { agent, flows });
         }
     }
@@ -119,7 +121,10 @@
         });
         if packet.kind == PacketKind::Open {
             self.opening_returned(from, packet, bytes, reason, now, actions);
-        } else {
+            return;
+        }
+        let is_denied = reason == ReturnReason::NotHeld;
+        if !(is_denied && self.reset_recorded(from, packet.key, actions)) {
             self.held_elsewhere(from, packet, bytes, now, actions);
         }
     }
@@ -174,6 +179,7 @@
         self.note_store_duty(now);
         self.was_complete = self.knows_all_agents(now);
         self.serve_waiting(now, actions);
+        self.pursue_recorded_flows(now, actions);
         self.pursue_searches(now, actions);
         self.greet_agents(now, actions);
         self.greet_peers(now, actions);
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -7,6 +7,7 @@
 //! that is not in it is searched for among the targets of its route.
 
 mod decision;
+mod flow_records;
 mod forwarding;
 mod membership;
 mod messages;
@@ -32,6 +33,7 @@
 use crate::clock::Instant;
 
 pub use decision::{BalancerAction, BalancerCounters, BalancerOptions};
+pub use flow_records::FlowRecordCounters;
 pub use forwarding::routing::{DropReason, Routing};
 pub use membership::dissemination::OWN_ZONE_FIRST_FOR;
 pub use membership::readiness::NotReadyReason;
@@ -157,6 +159,8 @@
     searches_begun: u32,
     /// Packets of searches handed over since the last tick.
     packets_handed: u32,
+    /// The record of held flows at the store.
+    records: flow_records::FlowRecords,
     /// Openings that wait for a target, the newest last.
     waiting: Vec<forwarding::waiting::WaitingOpening>,
 }
@@ -209,6 +213,7 @@
             searching: Vec::new(),
             searches_begun: 0,
             packets_handed: 0,
+            records: flow_records::FlowRecords::new(options.address, now),
             waiting: Vec::new(),
         }
     }
@@ -286,6 +291,7 @@
     /// Begins a planned stop: not ready any more, forwards on.
     pub fn leave(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.leaving = true;
+        self.records.leave(now);
         let known: Vec<NodeAddress> = self.peers.addresses().collect();
         for address in known {
             self.greet(address, now, actions);
@@ -341,6 +347,7 @@
             ResetReason::NoTarget => &mut self.counters.reset_no_target,
             ResetReason::TargetEnded => &mut self.counters.reset_target_ended,
             ResetReason::HeldNowhere => &mut self.counters.reset_held_nowhere,
+            ResetReason::HolderDenied => &mut self.counters.reset_holder_denied,
         };
         *counter += 1;
         self.notes.add(Note::FlowReset {
@@ -365,7 +372,10 @@
         self.traffic.bytes(packet.key.service, bytes.len());
         let routing = match packet.kind {
             _ if packet.key.caller.ip() == own_address => Routing::Drop(DropReason::Forged),
-            PacketKind::Open => self.route_opening(packet, bytes, now),
+            PacketKind::Open => {
+                self.recorded_superseded(&packet.key);
+                self.route_opening(packet, bytes, now)
+            }
             PacketKind::Accept => Routing::Drop(DropReason::Forged),
             _ => self.route_established(packet, bytes, now),
         };
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -64,6 +64,9 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         for key in keys {
+            if self.reset_recorded(from, *key, actions) {
+                continue;
+            }
             if self.search_when_holder_denies(from, key, &[], now) {
                 self.searching.push(*key);
                 self.notes.add(Note::SearchStarted {
@@ -90,6 +93,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
+        self.recorded_undecided(from, keys, now);
         let Some(service) = self.directory.agent(from).map(|record| record.service) else {
             return;
         };
@@ -211,6 +215,7 @@
             return;
         };
         let service = record.service;
+        self.recorded_located(agent, key, now);
         if let Some(entry) = self.flows.use_flow(&key)
             && matches!(entry.stage, Stage::Searching(_))
         {
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -4,6 +4,7 @@
 
 use super::activation::ActiveMechanisms;
 use super::agent::WarmUpDoubt;
+use super::flow_record::{RecordError, RecordNeed, RestoreTotals};
 use super::identity::{FlowKey, Incarnation, NodeAddress};
 use super::message::{ReturnReason, TargetLoad, TargetState};
 use super::packet::ResetReason;
@@ -151,6 +152,30 @@
         /// heard of; `None` when that is not known.
         confirmed_ago: Option<Duration>,
     },
+    /// What the record of flows at the store is needed for has changed.
+    FlowRecording {
+        /// What it is needed for now.
+        need: RecordNeed,
+        /// Balancers that decide about flows.
+        balancers: usize,
+    },
+    /// The record of flows that was written before the start was read.
+    FlowRecordRead {
+        /// Flows in it.
+        flows: usize,
+        /// Its age by the time of day.
+        age: Duration,
+    },
+    /// A record of flows is of no use.
+    FlowRecordRefused {
+        /// Why.
+        error: RecordError,
+    },
+    /// It is settled what became of the flows of a record.
+    FlowRecordRestored {
+        /// What became of them.
+        totals: RestoreTotals,
+    },
     /// Another balancer is heard for the first time.
     BalancerFound {
         /// The balancer.
--- a/crates/woodladder-core/src/flow/packet.rs
+++ b/crates/woodladder-core/src/flow/packet.rs
@@ -53,6 +53,9 @@
     TargetEnded,
     /// Every target of the route said that it does not hold the flow.
     HeldNowhere,
+    /// The target that held the flow before the balancer's start, as was recorded, does
+    /// not hold it.
+    HolderDenied,
 }
 
 impl ResetReason {
@@ -64,6 +67,7 @@
             Self::NoTarget => "no_target",
             Self::TargetEnded => "target_ended",
             Self::HeldNowhere => "held_nowhere",
+            Self::HolderDenied => "holder_denied",
         }
     }
 
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -123,6 +123,14 @@
             .collect()
     }
 
+    /// Processors, in thousandths of a core, of the balancers that live.
+    pub fn capacities(&self, now: Instant) -> impl Iterator<Item = u32> + '_ {
+        self.records
+            .values()
+            .filter(move |record| record.is_counted(now))
+            .filter_map(|record| record.member.map(|member| member.capacity))
+    }
+
     /// Forgets a balancer.
     pub fn remove(&mut self, address: NodeAddress) -> bool {
         self.records.remove(&address).is_some()
--- a/crates/woodladder-core/src/flow/store_session/backoff.rs
+++ b/crates/woodladder-core/src/flow/store_session/backoff.rs
@@ -12,32 +12,32 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1500);
 
 #[derive(Clone, Debug)]
-pub(super) struct Backoff {
+pub(crate) struct Backoff {
     random: ChaCha8Rng,
     failures: u32,
 }
 
 impl Backoff {
-    pub(super) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64) -> Self {
         Self {
             random: ChaCha8Rng::seed_from_u64(seed),
             failures: 0,
         }
     }
 
-    pub(super) fn succeeded(&mut self) {
+    pub(crate) fn succeeded(&mut self) {
         self.failures = 0;
     }
 
     /// The pause after one more failure: from half to the whole of its bound.
-    pub(super) fn failed(&mut self) -> Duration {
+    pub(crate) fn failed(&mut self) -> Duration {
         let doubled = FIRST_PAUSE.saturating_mul(1 << self.failures.min(6));
         self.failures = self.failures.saturating_add(1);
         self.spread(doubled.min(LONGEST_PAUSE))
     }
 
     /// A random time from half of a duration to the whole of it.
-    pub(super) fn spread(&mut self, duration: Duration) -> Duration {
+    pub(crate) fn spread(&mut self, duration: Duration) -> Duration {
         duration.mul_f64(self.random.random_range(0.5..=1.0))
     }
 }
--- a/crates/woodladder-core/src/flow/store_session/mod.rs
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -17,12 +17,13 @@
 use super::excluded_zones::ZoneChange;
 use super::identity::{NodeAddress, ZoneKey};
 
+pub(super) use backoff::Backoff;
 pub use list::{BalancerList, ListNeed};
 pub use registration::BalancerRegistration;
 pub use watch::{ConfigurationWatch, OperatorState};
 
 /// A call to the store.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreCall {
     /// Read the configuration and the excluded zones as they are now.
     ReadConfiguration,
@@ -59,10 +60,19 @@
         /// less.
         stale: bool,
     },
+    /// Read this balancer's record of flows.
+    ReadFlowRecord,
+    /// Write this balancer's record of flows.
+    WriteFlowRecord {
+        /// Revision that the entry must have; zero when there must be none.
+        revision: u64,
+        /// The record.
+        bytes: Vec<u8>,
+    },
 }
 
 /// Kinds of calls, for counts.
-pub const CALL_KINDS: [&str; 7] = [
+pub const CALL_KINDS: [&str; 9] = [
     "read_configuration",
     "await_configuration",
     "grant_lease",
@@ -70,6 +80,8 @@
     "end_lease",
     "register",
     "list_balancers",
+    "read_flow_record",
+    "write_flow_record",
 ];
 
 impl StoreCall {
@@ -84,6 +96,8 @@
             Self::EndLease { .. } => 4,
             Self::Register { .. } => 5,
             Self::ListBalancers { .. } => 6,
+            Self::ReadFlowRecord => 7,
+            Self::WriteFlowRecord { .. } => 8,
         }
     }
 }
@@ -125,6 +139,23 @@
     Done,
     /// The balancers entered.
     Balancers(Vec<NodeAddress>),
+    /// This balancer's record of flows.
+    FlowRecord {
+        /// Its bytes; `None` when there is none.
+        value: Option<Vec<u8>>,
+        /// Revision of its last change; zero when there is none.
+        revision: u64,
+    },
+    /// The record of flows was written.
+    FlowRecordWritten {
+        /// Its revision now.
+        revision: u64,
+    },
+    /// The record of flows has another revision than was expected; nothing was done.
+    FlowRecordChanged {
+        /// Its revision; zero when there is none.
+        revision: u64,
+    },
     /// The store refuses for now; nothing was done.
     Refused,
     /// No answer came; a write may have taken effect, or may yet.
@@ -132,7 +163,7 @@
 }
 
 /// A call that is due, or when to ask again.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum NextCall {
     /// Make this call now.
     Now(StoreCall),
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -137,6 +137,7 @@
         self.act(|core, now, actions| core.seeded(&self.config.seeds, now, actions));
         spawn_local(Rc::clone(&self).tick());
         spawn_local(Rc::clone(&self).log_messages());
+        let record_due = self.start_flow_record(store());
         let registration = self.start_store_sessions(store);
         let leaving = Rc::clone(&registration.1);
         stop.notified().await;
@@ -144,12 +145,38 @@
         registration.0.borrow_mut().leave(self.clock.now());
         leaving.notify_one();
         self.act(|core, now, actions| core.leave(now, actions));
+        record_due.notify_one();
         self.drain().await;
         self.peers.log("balancer", &self.logger);
         info!(self.logger, "balancer: stopped"; "event" => "stopped");
         Ok(())
     }
 
+    /// Keeps the record of flows; a notification makes it look at once.
+    fn start_flow_record<S: Store + 'static>(self: &Rc<Self>, store: S) -> Rc<Notify> {
+        let record_due = Rc::new(Notify::new());
+        let deciding = Rc::clone(self);
+        let answered = Rc::clone(self);
+        spawn_local(store::keep_flow_record(
+            store,
+            self.clock,
+            Rc::clone(&self.contact),
+            Rc::clone(&record_due),
+            move || {
+                let clock = deciding.clock;
+                let mut core = deciding.core.borrow_mut();
+                core.next_record_call(clock.time_of_day(), clock.now())
+            },
+            move |reply| {
+                let time_of_day = answered.clock.time_of_day();
+                answered.act(|core, now, actions| {
+                    core.record_reply(reply, time_of_day, now, actions);
+                });
+            },
+        ));
+        record_due
+    }
+
     fn start_store_sessions<S: Store + 'static>(
         self: &Rc<Self>,
         store: impl Fn() -> S,
--- a/crates/woodladder-node/src/balancer/figures.rs
+++ b/crates/woodladder-node/src/balancer/figures.rs
@@ -12,6 +12,8 @@
         let now = self.clock.now();
         let core = self.core.borrow();
         let counters = core.counters();
+        let recorded = core.record_counters();
+        let restored = core.restore_totals();
         let (answers, refusals, failures) = self.contact.totals();
         let mut text = MetricsText::default();
         for (name, help, value) in [
@@ -65,6 +67,41 @@
                 "Resets of flows held nowhere.",
                 counters.reset_held_nowhere,
             ),
+            (
+                "resets_holder_denied_total",
+                "Resets of recorded flows that their target does not hold.",
+                counters.reset_holder_denied,
+            ),
+            (
+                "flow_record_writes_total",
+                "Records of flows written to the store.",
+                recorded.writes,
+            ),
+            (
+                "restored_flows_total",
+                "Flows in the record that was read at the start.",
+                restored.recorded,
+            ),
+            (
+                "restored_flows_held_total",
+                "Recorded flows that their target holds.",
+                restored.held,
+            ),
+            (
+                "restored_flows_denied_total",
+                "Recorded flows that their agent has denied.",
+                restored.denied,
+            ),
+            (
+                "restored_flows_superseded_total",
+                "Recorded flows that were opened anew meanwhile.",
+                restored.superseded,
+            ),
+            (
+                "restored_flows_unproven_total",
+                "Recorded flows dropped without a proof of what became of them.",
+                restored.unproven,
+            ),
             (
                 "relayed_packets_total",
                 "Packets handed to larger balancers.",
@@ -130,6 +167,21 @@
             if watches { 1.0 } else { 0.0 },
         );
         text.mechanisms(core.mechanisms());
+        text.gauge(
+            "flow_record_flows",
+            "Flows in the last record written.",
+            wide(recorded.flows),
+        );
+        text.gauge(
+            "flow_record_bytes",
+            "Bytes of the last record written.",
+            wide(recorded.bytes),
+        );
+        text.gauge(
+            "restored_record_age_ms",
+            "Age of the record that was read at the start.",
+            wide(recorded.age_ms),
+        );
         text.gauge("flows", "Flows in the table.", count(core.flow_count()));
         text.gauge(
             "openings_waiting",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -266,6 +266,24 @@
                     "confirmed_ago_ms" => confirmed_ago.map(milliseconds),
                     "left_out" => left_out);
             }
+            Note::FlowRecording { need, balancers } => {
+                info!(log, "balancer: record of flows changed its use"; "event" => event,
+                    "need" => ?need, "balancers" => balancers, "left_out" => left_out);
+            }
+            Note::FlowRecordRead { flows, age } => {
+                info!(log, "balancer: record of flows read"; "event" => event,
+                    "flows" => flows, "age_ms" => milliseconds(*age), "left_out" => left_out);
+            }
+            Note::FlowRecordRefused { error } => {
+                warn!(log, "balancer: record of flows not used"; "event" => event,
+                    "error" => error.name(), "left_out" => left_out);
+            }
+            Note::FlowRecordRestored { totals } => {
+                info!(log, "balancer: recorded flows settled"; "event" => event,
+                    "recorded" => totals.recorded, "held" => totals.held,
+                    "denied" => totals.denied, "superseded" => totals.superseded,
+                    "unproven" => totals.unproven, "left_out" => left_out);
+            }
             Note::BalancerFound { balancer } => {
                 info!(log, "node: balancer found"; "event" => event, "balancer" => %balancer,
                     "left_out" => left_out);
@@ -322,6 +340,10 @@
         Note::AgentStopped { .. } => ("agent_stopped", Important),
         Note::TargetReplaced { .. } => ("target_replaced", Important),
         Note::StoreDuty { .. } => ("store_duty", Important),
+        Note::FlowRecording { .. } => ("flow_recording", Important),
+        Note::FlowRecordRead { .. } => ("flow_record_read", Important),
+        Note::FlowRecordRefused { .. } => ("flow_record_refused", Important),
+        Note::FlowRecordRestored { .. } => ("flow_record_restored", Important),
         Note::BalancerFound { .. } => ("balancer_found", Important),
         Note::BalancerLost { .. } => ("balancer_lost", Important),
         Note::Stalled { .. } => ("stalled", Important),
--- a/crates/woodladder-node/src/node_clock.rs
+++ b/crates/woodladder-node/src/node_clock.rs
@@ -1,6 +1,6 @@
 //! The steady clock of the process as the core counts time.
 
-use std::time::{Duration, Instant as SystemInstant};
+use std::time::{Duration, Instant as SystemInstant, SystemTime, UNIX_EPOCH};
 
 use woodladder_core::clock::Instant;
 
@@ -23,6 +23,13 @@
         }
     }
 
+    /// The time of day of the machine, in milliseconds since 1970; it may be wrong.
+    #[must_use]
+    pub fn time_of_day(&self) -> u64 {
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
+        since_1970.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// The time now.
     #[must_use]
     pub fn now(&self) -> Instant {
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -101,6 +101,32 @@
     }
 }
 
+/// Keeps the record of a balancer's flows until the process ends. `next` says what
+/// is called, and `answered` takes each reply.
+pub async fn keep_flow_record(
+    mut store: impl Store,
+    clock: NodeClock,
+    contact: Rc<StoreContact>,
+    leaving: Rc<tokio::sync::Notify>,
+    mut next: impl FnMut() -> NextCall,
+    mut answered: impl FnMut(StoreReply),
+) {
+    loop {
+        match next() {
+            NextCall::At(at) => {
+                tokio::select! {
+                    () = sleep(at.since(clock.now())) => {}
+                    () = leaving.notified() => {}
+                }
+            }
+            NextCall::Now(call) => {
+                contact.count(&call);
+                answered(store.call(call).await);
+            }
+        }
+    }
+}
+
 /// Whether the store answers, for logs and metrics.
 #[derive(Debug, Default)]
 pub struct StoreContact {
