An agent denies recorded flows of an incarnation that it knows to have ended

Cause: after a loss of all power a quarter of the recorded flows stayed without a proof, since targets begin with their agents and most agents cannot say that they have seen each flow of theirs. Change: a flow is recorded only when its incarnation has sent a heartbeat since it was open, reports tell the age of that heartbeat, and an agent that is asked with the incarnation denies when its process has had a heartbeat of another one and has no such flow in its table.

--- a/crates/woodladder-core/src/flow/agent/search.rs
+++ b/crates/woodladder-core/src/flow/agent/search.rs
@@ -1,6 +1,6 @@
 //! Searches of balancers: whether the target holds a flow.
 
-use super::super::identity::{FlowKey, NodeAddress};
+use super::super::identity::{FlowKey, Incarnation, NodeAddress};
 use super::super::message::{MAXIMUM_KEYS, PeerMessage, TargetState};
 use super::super::packet::{FlowPacket, PacketKind};
 use super::{Agent, AgentAction, AnswerBody, Delivery, FlowState, HeldFlow, Presence, not_held};
@@ -51,15 +51,15 @@
         })
     }
 
-    /// Answers a query for flows.
+    /// Answers a query for flows. `knows_all` says that the target holds none of them
+    /// that is not in the table.
     pub(super) fn locate(
         &mut self,
         from: NodeAddress,
         keys: &[FlowKey],
-        now: Instant,
+        knows_all: bool,
         actions: &mut Vec<AgentAction>,
     ) {
-        let knows_all = self.knows_all_flows(now);
         let mut denied = Vec::new();
         let mut undecided = Vec::new();
         for key in keys.iter().take(MAXIMUM_KEYS) {
@@ -98,6 +98,16 @@
         has_seen_all || (self.target.began_later && self.flows.overflowed_at().is_none())
     }
 
+    /// Whether each flow of an incarnation is in the table or has ended with it: the
+    /// target has sent this process a heartbeat as another one. If that began later, the
+    /// flows have ended; if it began earlier, it lived after this process had started,
+    /// which has then seen each flow of the later one.
+    pub(super) fn has_ended(&self, incarnation: Incarnation) -> bool {
+        let has_heard = self.target.beat_at.is_some();
+        let is_another = self.target.incarnation.is_some_and(|it| it != incarnation);
+        has_heard && is_another && self.flows.overflowed_at().is_none()
+    }
+
     /// The flow may be open at the target, which alone can tell.
     pub(super) fn try_target(
         &mut self,
--- a/crates/woodladder-core/src/flow/balancer/flow_records.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records.rs
@@ -9,17 +9,18 @@
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::flow::flow_record::record::MAXIMUM_FLOWS;
 use crate::flow::flow_record::{
-    FlowRecord, RecordError, RecordNeed, RecordRestorer, RecordSession, RecordStep, RestoreTotals,
+    AgentKnowledge, FlowRecord, RecordError, RecordNeed, RecordRestorer, RecordSession, RecordStep, RestoreTotals,
     RestoredFlow, write_period,
 };
 use crate::flow::identity::{FlowKey, Incarnation, NodeAddress, address_hash};
-use crate::flow::message::{MAXIMUM_KEYS, PeerMessage};
+use crate::flow::message::{MAXIMUM_KEYS, PeerMessage, TargetReport};
 use crate::flow::note::Note;
 use crate::flow::packet::ResetReason;
 use crate::flow::store_session::{NextCall, StoreCall, StoreReply};
 
-/// Time for which a flow must have been open to be recorded: flows of one request
-/// have ended by then as a rule.
+/// Time from a flow's opening to the heartbeat after which it is recorded: flows of
+/// one request have ended by then as a rule, and a heartbeat of an incarnation before
+/// the one that opened the flow is not under way for as long.
 const OPEN_FOR: Duration = Duration::from_millis(500);
 /// Flows asked for between two ticks. Each may be answered by a reset, of some 30
 /// microseconds.
@@ -146,7 +147,7 @@
     }
 
     fn write_record(&mut self, time_of_day: u64, now: Instant) -> NextCall {
-        let record = self.flow_record(time_of_day, now);
+        let record = self.flow_record(time_of_day);
         let fingerprint = record.fingerprint();
         let session = &mut self.records.session;
         let Some(revision) = session.offer(fingerprint, record.is_empty(), now) else {
@@ -161,12 +162,12 @@
     /// The flows that this balancer knows to be held, those whose requests may not be
     /// sent again first, and then those used last.
     #[must_use]
-    pub fn flow_record(&self, time_of_day: u64, now: Instant) -> FlowRecord {
+    pub fn flow_record(&self, time_of_day: u64) -> FlowRecord {
         let mut first = Vec::new();
         let mut others = Vec::new();
         for (key, entry) in self.flows.iter() {
             let (terms, _) = self.routes.terms(key.service, entry.service);
-            let Some((agent, incarnation)) = entry.lasting_holder(now) else {
+            let Some((agent, incarnation)) = self.certain_holder(entry) else {
                 continue;
             };
             let is_wanted = self.routes.route(key.service).is_some() && is_worth_recording(&terms);
@@ -183,6 +184,24 @@
         FlowRecord::of(self.options.address, time_of_day, flows)
     }
 
+    /// The target that holds a flow, when its present incarnation has sent a heartbeat
+    /// since the flow was open: the flow is then not one of a later incarnation, of which
+    /// no heartbeat was heard yet.
+    fn certain_holder(&self, entry: &FlowEntry) -> Option<(NodeAddress, Incarnation)> {
+        let Stage::Held {
+            agent,
+            incarnation: Some(incarnation),
+            since,
+        } = &entry.stage
+        else {
+            return None;
+        };
+        let record = self.directory.agent(*agent)?;
+        let is_present = record.incarnation == Some(*incarnation);
+        let was_confirmed = record.beaten_at.is_some_and(|at| at >= *since + OPEN_FOR);
+        (is_present && was_confirmed && !entry.finished).then_some((*agent, *incarnation))
+    }
+
     fn check_record(&self, bytes: &[u8], time_of_day: u64) -> Result<FlowRecord, RecordError> {
         let record = FlowRecord::decode(bytes)?;
         if record.balancer != self.options.address {
@@ -210,9 +229,12 @@
             age: Duration::from_millis(age_ms),
         });
         // Agents may have been heard before: their next report may be long in coming.
-        let heard: Vec<NodeAddress> = self.directory.agents().map(|it| it.address).collect();
-        for agent in heard {
-            self.records.restorer.heard(agent, false);
+        for agent in self.directory.agents() {
+            let knowledge = AgentKnowledge {
+                knows_all_flows: false,
+                incarnation: agent.incarnation,
+            };
+            self.records.restorer.heard(agent.address, knowledge);
         }
         self.ask_recorded_flows(now, actions);
     }
@@ -221,25 +243,33 @@
     pub(crate) fn recorded_agent_heard(
         &mut self,
         agent: NodeAddress,
-        knows_all_flows: bool,
+        report: &TargetReport,
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
         if self.records.restorer.awaits(agent) {
-            self.records.restorer.heard(agent, knows_all_flows);
+            let knowledge = AgentKnowledge {
+                knows_all_flows: report.knows_all_flows,
+                incarnation: report.incarnation,
+            };
+            self.records.restorer.heard(agent, knowledge);
             self.ask_recorded_flows(now, actions);
         }
     }
 
     fn ask_recorded_flows(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         let left = ASKED_A_TICK.saturating_sub(self.records.asked_this_tick);
-        for (to, keys) in self.records.restorer.due(left, now) {
-            self.records.asked_this_tick += keys.len();
-            for batch in keys.chunks(MAXIMUM_KEYS) {
-                let message = PeerMessage::Locate {
+        for question in self.records.restorer.due(left, now) {
+            self.records.asked_this_tick += question.keys.len();
+            for batch in question.keys.chunks(MAXIMUM_KEYS) {
+                let message = PeerMessage::LocateRecorded {
+                    incarnation: question.incarnation,
                     keys: batch.to_vec(),
                 };
-                actions.push(BalancerAction::Send { to, message });
+                actions.push(BalancerAction::Send {
+                    to: question.agent,
+                    message,
+                });
             }
         }
     }
@@ -375,17 +405,3 @@
         self.records.restorer.superseded(key);
     }
 }
-
-impl FlowEntry {
-    /// Who holds the flow, when it has been open for long enough to be recorded.
-    fn lasting_holder(&self, now: Instant) -> Option<(NodeAddress, Incarnation)> {
-        match &self.stage {
-            Stage::Held {
-                agent,
-                incarnation: Some(incarnation),
-                since,
-            } if !self.finished && now.since(*since) >= OPEN_FOR => Some((*agent, *incarnation)),
-            _ => None,
-        }
-    }
-}
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -37,7 +37,7 @@
                 self.last_agent_heard = Some(now);
                 let is_found = changes.contains(&DirectoryChange::Found(from));
                 self.apply(changes, now, actions);
-                self.recorded_agent_heard(from, report.knows_all_flows, now, actions);
+                self.recorded_agent_heard(from, &report, now, actions);
                 if !is_found {
                     self.correct_report_interval(from, &report, now, actions);
                 }
@@ -89,7 +89,10 @@
             }
             PeerMessage::Farewell => self.agent_ended(from, actions),
             PeerMessage::Greeting(greeting) => self.greeted(from, &greeting, now, actions),
-            PeerMessage::Forward(_) | PeerMessage::Locate { .. } | PeerMessage::Probe => {
+            PeerMessage::Forward(_)
+            | PeerMessage::Locate { .. }
+            | PeerMessage::LocateRecorded { .. }
+            | PeerMessage::Probe => {
                 self.counters.dropped += 1;
             }
         }
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -144,6 +144,10 @@
             }
             record.incarnation = Some(next);
         }
+        record.beaten_at = report.heard_ms.map(|age| {
+            let age = Duration::from_millis(age.into());
+            Instant::from_origin(now.since_origin().saturating_sub(age))
+        });
         record.epoch = report.epoch;
         record.sequence = report.sequence;
         record.state = report.state;
@@ -270,6 +274,7 @@
                 load: report.load,
                 version: report.version,
                 incarnation: None,
+                beaten_at: None,
                 heard_at: now,
                 load_at: now,
                 sent_since: 0,
--- a/crates/woodladder-core/src/flow/flow_record/restorer.rs
+++ b/crates/woodladder-core/src/flow/flow_record/restorer.rs
@@ -54,10 +54,24 @@
     pub unproven: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct AgentState {
-    is_heard: bool,
-    knows_all_flows: bool,
+/// What an agent can tell of its target's flows, as far as its reports show.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgentKnowledge {
+    /// Whether it knows all of them.
+    pub knows_all_flows: bool,
+    /// Incarnation of the target.
+    pub incarnation: Option<Incarnation>,
+}
+
+/// One question to an agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordQuestion {
+    /// The agent.
+    pub agent: NodeAddress,
+    /// The incarnation that held the flows.
+    pub incarnation: Incarnation,
+    /// The flows.
+    pub keys: Vec<FlowKey>,
 }
 
 /// The recorded flows that wait for an answer.
@@ -65,7 +79,8 @@
 pub struct RecordRestorer {
     flows: FxHashMap<FlowKey, RestoredFlow>,
     by_agent: BTreeMap<NodeAddress, Vec<FlowKey>>,
-    agents: BTreeMap<NodeAddress, AgentState>,
+    /// The agents that were heard.
+    agents: BTreeMap<NodeAddress, AgentKnowledge>,
     taken_at: Option<Instant>,
     totals: RestoreTotals,
 }
@@ -114,19 +129,14 @@
         self.by_agent.contains_key(&agent)
     }
 
-    /// An agent was heard, and says whether it knows all flows of its target. One
-    /// that begins to know them is asked again for what it could not tell.
-    pub fn heard(&mut self, agent: NodeAddress, knows_all_flows: bool) {
+    /// An agent was heard. One that knows more than before is asked again for what it
+    /// could not tell.
+    pub fn heard(&mut self, agent: NodeAddress, knowledge: AgentKnowledge) {
         if !self.awaits(agent) {
             return;
         }
-        let state = self.agents.entry(agent).or_default();
-        let begins_to_know = knows_all_flows && !state.knows_all_flows;
-        *state = AgentState {
-            is_heard: true,
-            knows_all_flows,
-        };
-        if begins_to_know {
+        let former = self.agents.insert(agent, knowledge);
+        if former.is_some_and(|former| former != knowledge) {
             for key in self.by_agent.get(&agent).into_iter().flatten() {
                 if let Some(flow) = self.flows.get_mut(key) {
                     flow.asked_at = None;
@@ -138,16 +148,15 @@
 
     /// At most `most` flows that are to be asked for now, by agent, which counts as
     /// asking.
-    pub fn due(&mut self, most: usize, now: Instant) -> Vec<(NodeAddress, Vec<FlowKey>)> {
+    pub fn due(&mut self, most: usize, now: Instant) -> Vec<RecordQuestion> {
         let mut left = most;
         let mut questions = Vec::new();
         for (agent, keys) in &self.by_agent {
-            let is_heard = self.agents.get(agent).is_some_and(|state| state.is_heard);
-            if !is_heard || left == 0 {
+            if !self.agents.contains_key(agent) || left == 0 {
                 continue;
             }
             let flows = &mut self.flows;
-            let mut asked = Vec::new();
+            let mut asked: BTreeMap<u64, Vec<FlowKey>> = BTreeMap::new();
             for key in keys {
                 let Some(flow) = flows.get_mut(key) else {
                     continue;
@@ -157,13 +166,15 @@
                     .is_some_and(|at| now.since(at) < QUESTION_INTERVAL);
                 if left > 0 && !was_asked && !flow.is_undecided {
                     flow.asked_at = Some(now);
-                    asked.push(*key);
+                    asked.entry(flow.incarnation.0).or_default().push(*key);
                     left -= 1;
                 }
             }
-            if !asked.is_empty() {
-                questions.push((*agent, asked));
-            }
+            questions.extend(asked.into_iter().map(|(incarnation, keys)| RecordQuestion {
+                agent: *agent,
+                incarnation: Incarnation(incarnation),
+                keys,
+            }));
         }
         questions
     }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -150,6 +150,9 @@
     /// Time since the last heartbeat of the incarnation before, in milliseconds:
     /// flows that were opened later may be open at the present one.
     pub former_heard_ms: u32,
+    /// Time since the last heartbeat of the present incarnation, in milliseconds; `None`
+    /// while the agent has heard none.
+    pub heard_ms: Option<u32>,
     /// Whether the agent knows every open flow of the target: it has run since the
     /// target began, or for longer than a flow lives.
     pub knows_all_flows: bool,
@@ -273,10 +276,18 @@
     Relay,
     /// Balancer to agents and balancers.
     Greeting(BalancerGreeting),
+    /// Balancer to agent: does the target hold these flows, which this incarnation of it
+    /// held? Answered as [`PeerMessage::Locate`] is.
+    LocateRecorded {
+        /// The incarnation, of which the agent had a heartbeat after each flow was open.
+        incarnation: Incarnation,
+        /// The flows, at most [`MAXIMUM_KEYS`].
+        keys: Vec<FlowKey>,
+    },
 }
 
 /// Kinds of messages, for counts.
-pub const MESSAGE_KINDS: [&str; 13] = [
+pub const MESSAGE_KINDS: [&str; 14] = [
     "forward",
     "returned",
     "locate",
@@ -290,6 +301,7 @@
     "farewell",
     "relay",
     "greeting",
+    "locate_recorded",
 ];
 
 /// Asks a node for what it knows; sent over a stream.
@@ -345,6 +357,7 @@
             Self::Farewell => 10,
             Self::Relay => 11,
             Self::Greeting(_) => 12,
+            Self::LocateRecorded { .. } => 13,
         }
     }
 
