Balancers ask recorded agents at once whether they are there

Ruled out: a read of the store's list by each agent at its start, which a large fleet was spared on purpose. Denials of recorded flows have a message of their own now, so that they say nothing of a later flow between the same ends, and numbers far from the record are another flow's.

--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -31,13 +31,9 @@
     ) {
         match message {
             PeerMessage::Greeting(greeting) => self.greeted(from, greeting, now, actions),
-            PeerMessage::Locate { keys } => {
-                let knows_all = self.knows_all_flows(now);
-                self.locate(from, keys, knows_all, actions);
-            }
+            PeerMessage::Locate { keys } => self.locate(from, keys, None, now, actions),
             PeerMessage::LocateRecorded { incarnation, keys } => {
-                let knows_all = self.knows_all_flows(now) || self.has_ended(*incarnation);
-                self.locate(from, keys, knows_all, actions);
+                self.locate(from, keys, Some(*incarnation), now, actions);
             }
             PeerMessage::Probe => {
                 self.name_balancer(from, now);
--- a/crates/woodladder-core/src/flow/agent/search.rs
+++ b/crates/woodladder-core/src/flow/agent/search.rs
@@ -51,15 +51,17 @@
         })
     }
 
-    /// Answers a query for flows. `knows_all` says that the target holds none of them
-    /// that is not in the table.
+    /// Answers a query for flows, which an incarnation held if `recorded` names one.
     pub(super) fn locate(
         &mut self,
         from: NodeAddress,
         keys: &[FlowKey],
-        knows_all: bool,
+        recorded: Option<Incarnation>,
+        now: Instant,
         actions: &mut Vec<AgentAction>,
     ) {
+        let has_ended = recorded.is_some_and(|incarnation| self.has_ended(incarnation));
+        let knows_all = has_ended || self.knows_all_flows(now);
         let mut denied = Vec::new();
         let mut undecided = Vec::new();
         for key in keys.iter().take(MAXIMUM_KEYS) {
@@ -73,7 +75,13 @@
         }
         if !denied.is_empty() {
             self.counters.denied += 1;
-            let message = PeerMessage::NotHeld { keys: denied };
+            let message = match recorded {
+                Some(incarnation) => PeerMessage::RecordedNotHeld {
+                    incarnation,
+                    keys: denied,
+                },
+                None => PeerMessage::NotHeld { keys: denied },
+            };
             actions.push(AgentAction::Send { to: from, message });
         }
         if !undecided.is_empty() {
--- a/crates/woodladder-core/src/flow/balancer/flow_records.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records.rs
@@ -9,13 +9,13 @@
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::flow::flow_record::record::MAXIMUM_FLOWS;
 use crate::flow::flow_record::{
-    AgentKnowledge, FlowRecord, RecordError, RecordNeed, RecordRestorer, RecordSession, RecordStep, RestoreTotals,
-    RestoredFlow, write_period,
+    AgentKnowledge, FlowRecord, RecordError, RecordNeed, RecordRestorer, RecordSession, RecordStep,
+    RestoreTotals, RestoredFlow, write_period,
 };
 use crate::flow::identity::{FlowKey, Incarnation, NodeAddress, address_hash};
 use crate::flow::message::{MAXIMUM_KEYS, PeerMessage, TargetReport};
 use crate::flow::note::Note;
-use crate::flow::packet::ResetReason;
+use crate::flow::packet::{FlowPacket, ResetReason};
 use crate::flow::store_session::{NextCall, StoreCall, StoreReply};
 
 /// Time from a flow's opening to the heartbeat after which it is recorded: flows of
@@ -177,7 +177,13 @@
                 &mut first
             };
             if is_wanted && list.len() < MAXIMUM_FLOWS {
-                list.push((*key, agent, incarnation, entry.acknowledged, entry.caller_next));
+                list.push((
+                    *key,
+                    agent,
+                    incarnation,
+                    entry.acknowledged,
+                    entry.caller_next,
+                ));
             }
         }
         let flows = first.into_iter().chain(others);
@@ -236,9 +242,20 @@
             };
             self.records.restorer.heard(agent.address, knowledge);
         }
+        self.probe_recorded_agents(now, actions);
         self.ask_recorded_flows(now, actions);
     }
 
+    /// After a start of everything the agents know only the balancers of their settings,
+    /// which may be the last to start.
+    fn probe_recorded_agents(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+        for to in self.records.restorer.agents_to_probe(now) {
+            self.counters.probes += 1;
+            let message = PeerMessage::Probe;
+            actions.push(BalancerAction::Send { to, message });
+        }
+    }
+
     /// An agent has reported: it is asked for the flows that it held.
     pub(crate) fn recorded_agent_heard(
         &mut self,
@@ -286,10 +303,27 @@
             self.notes.add(Note::FlowRecordRestored { totals });
         }
         if !self.records.restorer.is_empty() {
+            self.probe_recorded_agents(now, actions);
             self.ask_recorded_flows(now, actions);
         }
     }
 
+    /// An agent denies flows that an incarnation of its target held.
+    pub(crate) fn recorded_not_held(
+        &mut self,
+        from: NodeAddress,
+        incarnation: Incarnation,
+        keys: &[FlowKey],
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        for key in keys {
+            let flow = self.records.restorer.held_by(from, key);
+            if flow.is_some_and(|flow| flow.incarnation == incarnation) {
+                self.reset_recorded(from, *key, actions);
+            }
+        }
+    }
+
     /// An agent denies a flow. When the record names it as the flow's holder, the
     /// flow is gone and is reset. Says whether that was so.
     pub(crate) fn reset_recorded(
@@ -298,20 +332,24 @@
         key: FlowKey,
         actions: &mut Vec<BalancerAction>,
     ) -> bool {
-        if self.records.restorer.is_empty() || self.is_newer_than_record(&key, from) {
-            return false;
-        }
-        let Some(flow) = self.records.restorer.denied(from, &key) else {
+        let Some(flow) = self.records.restorer.held_by(from, &key) else {
             return false;
         };
-        self.reset_restored(key, flow, actions);
-        true
+        if self.is_newer_than_record(&key, &flow) {
+            self.records.restorer.superseded(&key);
+            return false;
+        }
+        let is_proven = self.records.restorer.denied(from, &key).is_some();
+        if is_proven {
+            self.reset_restored(key, &flow, actions);
+        }
+        is_proven
     }
 
     fn reset_restored(
         &mut self,
         key: FlowKey,
-        flow: RestoredFlow,
+        flow: &RestoredFlow,
         actions: &mut Vec<BalancerAction>,
     ) {
         let entry = self.flows.remove(&key);
@@ -321,11 +359,14 @@
     }
 
     /// Whether the table tells that the flow is another one than the record names.
-    fn is_newer_than_record(&self, key: &FlowKey, holder: NodeAddress) -> bool {
-        self.flows.peek(key).is_some_and(|entry| match &entry.stage {
-            Stage::Opening { .. } => true,
-            Stage::Held { agent, .. } => *agent != holder,
-            Stage::Searching(_) => false,
+    fn is_newer_than_record(&self, key: &FlowKey, flow: &RestoredFlow) -> bool {
+        self.flows.peek(key).is_some_and(|entry| {
+            let is_elsewhere = match &entry.stage {
+                Stage::Opening { .. } => true,
+                Stage::Held { agent, .. } => *agent != flow.agent,
+                Stage::Searching(_) => false,
+            };
+            is_elsewhere || !flow.may_have_reached(entry.acknowledged)
         })
     }
 
@@ -337,8 +378,8 @@
     ) -> usize {
         let mut count = 0;
         for (key, flow) in self.records.restorer.ended(agent) {
-            if !self.is_newer_than_record(&key, agent) {
-                self.reset_restored(key, flow, actions);
+            if !self.is_newer_than_record(&key, &flow) {
+                self.reset_restored(key, &flow, actions);
                 count += 1;
             }
         }
@@ -369,8 +410,17 @@
 
     /// Puts the flow of an unknown packet into the table when the record names its
     /// holder and that has been heard.
-    pub(crate) fn place_recorded(&mut self, key: FlowKey, now: Instant) -> Option<NodeAddress> {
+    pub(crate) fn place_recorded(
+        &mut self,
+        packet: &FlowPacket,
+        now: Instant,
+    ) -> Option<NodeAddress> {
+        let key = packet.key;
         let flow = self.records.restorer.flow(&key)?;
+        if !flow.may_have_reached(packet.acknowledgement) {
+            self.records.restorer.superseded(&key);
+            return None;
+        }
         let record = self.directory.agent(flow.agent)?;
         if record.is_given_up() {
             return None;
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -59,6 +59,9 @@
                 }
             }
             PeerMessage::NotHeld { keys } => self.denied(from, &keys, now, actions),
+            PeerMessage::RecordedNotHeld { incarnation, keys } => {
+                self.recorded_not_held(from, incarnation, &keys, actions);
+            }
             PeerMessage::MayBeHeld { keys } => self.undecided(from, &keys, now, actions),
             PeerMessage::Accepted {
                 key,
--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -114,7 +114,7 @@
             // Its target may hold the flow; the caller awaits no answer.
             return self.ask_first(packet.key, &BTreeSet::new());
         }
-        if self.place_recorded(packet.key, now).is_some() {
+        if self.place_recorded(packet, now).is_some() {
             return self.route_established(packet, bytes, now);
         }
         let entry = FlowEntry {
--- a/crates/woodladder-core/src/flow/flow_record/restorer.rs
+++ b/crates/woodladder-core/src/flow/flow_record/restorer.rs
@@ -23,6 +23,18 @@
 /// Time between two questions for a flow that was not answered.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two questions to an agent whether it is there.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a record was read in which its agents are asked whether they are there:
+/// machines of one outage come back within it. Later ones are heard by their reports.
+const PROBES_FOR: Duration = Duration::from_secs(2);
+
+/// Most bytes that a target can have sent on a flow since it was recorded. Numbers of
+/// another flow begin anywhere in 32 bits.
+const FARTHEST_PROGRESS: u32 = 1 << 20;
+/// Bytes by which a packet that later ones have overtaken may lie behind the record.
+const OVERTAKEN: u32 = 1 << 16;
+
 /// A recorded flow of which it is not known yet what became of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RestoredFlow {
@@ -39,6 +51,18 @@
     is_undecided: bool,
 }
 
+impl RestoredFlow {
+    /// Whether the caller's acknowledgement can have come from the recorded one to this
+    /// one. Otherwise the packet is of a later flow between the same ends.
+    #[must_use]
+    pub fn may_have_reached(&self, acknowledged: u32) -> bool {
+        let from_least = acknowledged
+            .wrapping_sub(self.acknowledged)
+            .wrapping_add(OVERTAKEN);
+        from_least <= OVERTAKEN + FARTHEST_PROGRESS
+    }
+}
+
 /// What became of the flows of a record.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RestoreTotals {
@@ -82,6 +106,7 @@
     /// The agents that were heard.
     agents: BTreeMap<NodeAddress, AgentKnowledge>,
     taken_at: Option<Instant>,
+    probed_at: Instant,
     totals: RestoreTotals,
 }
 
@@ -146,6 +171,18 @@
         }
     }
 
+    /// Agents that were not heard yet and are to be asked now whether they are there,
+    /// which counts as asking them.
+    pub fn agents_to_probe(&mut self, now: Instant) -> Vec<NodeAddress> {
+        let is_early = self.taken_at.is_some_and(|at| now.since(at) < PROBES_FOR);
+        if !is_early || now.since(self.probed_at) < PROBE_INTERVAL {
+            return Vec::new();
+        }
+        self.probed_at = now;
+        let is_unheard = |agent: &&NodeAddress| !self.agents.contains_key(agent);
+        self.by_agent.keys().filter(is_unheard).copied().collect()
+    }
+
     /// At most `most` flows that are to be asked for now, by agent, which counts as
     /// asking.
     pub fn due(&mut self, most: usize, now: Instant) -> Vec<RecordQuestion> {
--- a/crates/woodladder-core/src/flow/flow_record/session.rs
+++ b/crates/woodladder-core/src/flow/flow_record/session.rs
@@ -62,7 +62,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stage {
     /// The record is to be read; since when that is tried.
-    Reading { since: Option<Instant> },
+    Reading {
+        since: Option<Instant>,
+    },
     Writing,
     /// A last write is due as part of a planned stop.
     Leaving,
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -277,17 +277,25 @@
     /// Balancer to agents and balancers.
     Greeting(BalancerGreeting),
     /// Balancer to agent: does the target hold these flows, which this incarnation of it
-    /// held? Answered as [`PeerMessage::Locate`] is.
+    /// held? Answered as [`PeerMessage::Locate`] is, but for denials.
     LocateRecorded {
         /// The incarnation, of which the agent had a heartbeat after each flow was open.
         incarnation: Incarnation,
         /// The flows, at most [`MAXIMUM_KEYS`].
         keys: Vec<FlowKey>,
     },
+    /// Agent to balancer: the target does not hold the flows that this incarnation of it
+    /// held. Later flows between the same ends may be there.
+    RecordedNotHeld {
+        /// The incarnation.
+        incarnation: Incarnation,
+        /// The flows.
+        keys: Vec<FlowKey>,
+    },
 }
 
 /// Kinds of messages, for counts.
-pub const MESSAGE_KINDS: [&str; 14] = [
+pub const MESSAGE_KINDS: [&str; 15] = [
     "forward",
     "returned",
     "locate",
@@ -302,6 +310,7 @@
     "relay",
     "greeting",
     "locate_recorded",
+    "recorded_not_held",
 ];
 
 /// Asks a node for what it knows; sent over a stream.
@@ -358,6 +367,7 @@
             Self::Relay => 11,
             Self::Greeting(_) => 12,
             Self::LocateRecorded { .. } => 13,
+            Self::RecordedNotHeld { .. } => 14,
         }
     }
 
