--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -9,7 +9,6 @@
 use crate::flow::identity::NodeAddress;
 use crate::flow::message::{BalancerGreeting, PeerMessage, SnapshotRequest, TargetReport};
 use crate::flow::note::Note;
-use crate::flow::pace::milliseconds;
 
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -193,7 +192,6 @@
             former_heard_ms: self.target.former_beat_at.map_or(0, |at| {
                 u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
             }),
-            heard_ms: self.target.beat_at.map(|at| milliseconds(now.since(at))),
             knows_all_flows: self.knows_all_flows(now),
             zone: self.options.zone,
             state: self.target.state,
--- a/crates/woodladder-core/src/flow/agent/search.rs
+++ b/crates/woodladder-core/src/flow/agent/search.rs
@@ -48,6 +48,7 @@
         Some(PeerMessage::Located {
             key: *key,
             incarnation: self.target.incarnation,
+            heartbeat: self.load.heartbeat,
         })
     }
 
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -75,6 +75,7 @@
             return Ok(());
         }
         self.target.sequence = beat.sequence;
+        self.load.heartbeat = beat.sequence;
         self.target.beat_at = Some(now);
         self.target.unanswered_since = None;
         self.target.capacity = beat.capacity;
--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -47,8 +47,8 @@
     pub version: u64,
     /// Incarnation that the flows known here belong to.
     pub incarnation: Option<Incarnation>,
-    /// When the agent last had a heartbeat of it.
-    pub beaten_at: Option<Instant>,
+    /// Number of its last heartbeat that was reported.
+    pub heartbeat: u64,
     /// When the agent was last heard.
     pub heard_at: Instant,
     /// When the load was stated.
--- a/crates/woodladder-core/src/flow/balancer/flow_records.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records.rs
@@ -18,10 +18,10 @@
 use crate::flow::packet::{FlowPacket, ResetReason};
 use crate::flow::store_session::{NextCall, StoreCall, StoreReply};
 
-/// Time from a flow's opening to the heartbeat after which it is recorded: flows of
-/// one request have ended by then as a rule, and a heartbeat of an incarnation before
-/// the one that opened the flow is not under way for as long.
-const OPEN_FOR: Duration = Duration::from_millis(500);
+/// Heartbeats of its target after which a flow is recorded. The first may have been under
+/// way from an incarnation that had ended when the flow was opened; a target sends the
+/// second only when the first is answered or given up.
+const CONFIRMED_BY: u64 = 2;
 /// Flows asked for between two ticks. Each may be answered by a reset, of some 30
 /// microseconds.
 const ASKED_A_TICK: usize = 256;
@@ -190,22 +190,24 @@
         FlowRecord::of(self.options.address, time_of_day, flows)
     }
 
-    /// The target that holds a flow, when its present incarnation has sent a heartbeat
-    /// since the flow was open: the flow is then not one of a later incarnation, of which
-    /// no heartbeat was heard yet.
+    /// The target that holds a flow, when its incarnation has sent heartbeats since the
+    /// flow was open: the flow is then not one of a later incarnation, of which no heartbeat
+    /// was heard yet. Heartbeats are told apart by their numbers, not by time, because
+    /// reports can be late.
     fn certain_holder(&self, entry: &FlowEntry) -> Option<(NodeAddress, Incarnation)> {
         let Stage::Held {
             agent,
             incarnation: Some(incarnation),
-            since,
+            heartbeat,
+            ..
         } = &entry.stage
         else {
             return None;
         };
         let record = self.directory.agent(*agent)?;
         let is_present = record.incarnation == Some(*incarnation);
-        let was_confirmed = record.beaten_at.is_some_and(|at| at >= *since + OPEN_FOR);
-        (is_present && was_confirmed && !entry.finished).then_some((*agent, *incarnation))
+        let is_confirmed = record.heartbeat >= heartbeat.saturating_add(CONFIRMED_BY);
+        (is_present && is_confirmed && !entry.finished).then_some((*agent, *incarnation))
     }
 
     fn check_record(&self, bytes: &[u8], time_of_day: u64) -> Result<FlowRecord, RecordError> {
@@ -444,6 +446,7 @@
             stage: Stage::Held {
                 agent: flow.agent,
                 incarnation: record.incarnation.filter(|it| *it == flow.incarnation),
+                heartbeat: 0,
                 since: now,
             },
         };
--- a/crates/woodladder-core/src/flow/balancer/forwarding/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/established.rs
@@ -74,6 +74,7 @@
                     agent: holder,
                     incarnation,
                     since,
+                    ..
                 } => {
                     let has_ended = ended.is_none_or(|(ended, last_heard)| {
                         *incarnation == Some(ended) && *since <= last_heard
@@ -124,14 +125,15 @@
         }
         let supposed = awaited
             .filter(|_| accepted.is_empty() && !is_queued)
-            .map(|agent| (agent, None));
+            .map(|agent| (agent, None, 0));
         let held = chosen_by_caller(accepted, acknowledgement)
-            .map(|acceptance| (acceptance.agent, acceptance.incarnation))
+            .map(|it| (it.agent, it.incarnation, it.heartbeat))
             .or(supposed);
-        if let Some((agent, incarnation)) = held {
+        if let Some((agent, incarnation, heartbeat)) = held {
             self.stage = Stage::Held {
                 agent,
                 incarnation,
+                heartbeat,
                 since: now,
             };
         }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -74,6 +74,7 @@
                     agent: from,
                     sequence,
                     incarnation,
+                    heartbeat: load.heartbeat,
                 };
                 self.accepted(key, acceptance);
             }
@@ -81,8 +82,12 @@
                 self.directory.loaded(from, load, now);
                 self.opening_queued(from, &key);
             }
-            PeerMessage::Located { key, incarnation } => {
-                self.located(from, key, incarnation, now);
+            PeerMessage::Located {
+                key,
+                incarnation,
+                heartbeat,
+            } => {
+                self.located(from, key, incarnation, heartbeat, now);
             }
             PeerMessage::Relay => {
                 if let Some((packet, bytes)) = packet {
@@ -147,9 +152,13 @@
                 }
             }
             Stage::Held {
-                agent, incarnation, ..
+                agent,
+                incarnation,
+                heartbeat,
+                ..
             } if *agent == acceptance.agent => {
                 *incarnation = acceptance.incarnation;
+                *heartbeat = acceptance.heartbeat;
             }
             _ => {}
         }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -48,6 +48,8 @@
     agent: NodeAddress,
     sequence: u32,
     incarnation: Option<Incarnation>,
+    /// Number of the target's last heartbeat.
+    heartbeat: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -68,6 +70,9 @@
     Held {
         agent: NodeAddress,
         incarnation: Option<Incarnation>,
+        /// Number of the target's last heartbeat when the flow was opened, or found by a
+        /// search.
+        heartbeat: u64,
         /// When it was opened, or found by a search, as far as is known here.
         since: Instant,
     },
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -209,6 +209,7 @@
         agent: NodeAddress,
         key: FlowKey,
         incarnation: Option<Incarnation>,
+        heartbeat: u64,
         now: Instant,
     ) {
         let Some(record) = self.directory.agent(agent) else {
@@ -223,6 +224,7 @@
             entry.stage = Stage::Held {
                 agent,
                 incarnation,
+                heartbeat,
                 since: now,
             };
             self.notes.add(Note::FlowLocated { key, agent });
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -144,10 +144,7 @@
             }
             record.incarnation = Some(next);
         }
-        record.beaten_at = report.heard_ms.map(|age| {
-            let age = Duration::from_millis(age.into());
-            Instant::from_origin(now.since_origin().saturating_sub(age))
-        });
+        record.heartbeat = report.load.heartbeat;
         record.epoch = report.epoch;
         record.sequence = report.sequence;
         record.state = report.state;
@@ -274,7 +271,7 @@
                 load: report.load,
                 version: report.version,
                 incarnation: None,
-                beaten_at: None,
+                heartbeat: 0,
                 heard_at: now,
                 load_at: now,
                 sent_since: 0,
--- a/crates/woodladder-core/src/flow/flow_record/restorer.rs
+++ b/crates/woodladder-core/src/flow/flow_record/restorer.rs
@@ -106,7 +106,7 @@
     /// The agents that were heard.
     agents: BTreeMap<NodeAddress, AgentKnowledge>,
     taken_at: Option<Instant>,
-    probed_at: Instant,
+    probed_at: Option<Instant>,
     totals: RestoreTotals,
 }
 
@@ -175,10 +175,13 @@
     /// which counts as asking them.
     pub fn agents_to_probe(&mut self, now: Instant) -> Vec<NodeAddress> {
         let is_early = self.taken_at.is_some_and(|at| now.since(at) < PROBES_FOR);
-        if !is_early || now.since(self.probed_at) < PROBE_INTERVAL {
+        let is_due = self
+            .probed_at
+            .is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
+        if !is_early || !is_due {
             return Vec::new();
         }
-        self.probed_at = now;
+        self.probed_at = Some(now);
         let is_unheard = |agent: &&NodeAddress| !self.agents.contains_key(agent);
         self.by_agent.keys().filter(is_unheard).copied().collect()
     }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -121,6 +121,9 @@
     pub resting_work: Option<u16>,
     /// Share of the latest requests that the target has failed, in percent.
     pub failed_percent: u8,
+    /// Number of the target's last heartbeat, zero before the first: it tells which flows
+    /// were open before which heartbeat.
+    pub heartbeat: u64,
     /// Openings that the target may still be handed within a second because it may
     /// be cold; `None` when it is not limited.
     pub openings_left: Option<u16>,
@@ -150,9 +153,6 @@
     /// Time since the last heartbeat of the incarnation before, in milliseconds:
     /// flows that were opened later may be open at the present one.
     pub former_heard_ms: u32,
-    /// Time since the last heartbeat of the present incarnation, in milliseconds; `None`
-    /// while the agent has heard none.
-    pub heard_ms: Option<u32>,
     /// Whether the agent knows every open flow of the target: it has run since the
     /// target began, or for longer than a flow lives.
     pub knows_all_flows: bool,
@@ -259,6 +259,8 @@
         key: FlowKey,
         /// Incarnation of the target.
         incarnation: Option<Incarnation>,
+        /// Number of its last heartbeat, zero before the first.
+        heartbeat: u64,
     },
     /// Agent to balancer: whether the target holds these flows can only be
     /// told by the target itself, from a packet.
--- a/crates/woodladder-core/tests/flow_load.rs
+++ b/crates/woodladder-core/tests/flow_load.rs
@@ -60,6 +60,7 @@
         agent.load(),
         TargetLoad {
             service_time_us: 50_000,
+            heartbeat: 1,
             ..TargetLoad::default()
         }
     );
@@ -80,6 +81,7 @@
         // successes that are assumed.
         let expected = TargetLoad {
             failed_percent: if from_target { 25 } else { 0 },
+            heartbeat: 1,
             ..TargetLoad::default()
         };
         assert_eq!(agent.load(), expected);
--- a/crates/woodladder-core/tests/flow_search.rs
+++ b/crates/woodladder-core/tests/flow_search.rs
@@ -76,6 +76,7 @@
     let located = PeerMessage::Located {
         key: flow(1),
         incarnation: None,
+        heartbeat: 1,
     };
     send(&mut balancer, 3, located, at(10_610));
     let routing = arrive(&mut balancer, &data(flow(1), 101, 77), at(10_620));
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -155,7 +155,6 @@
         service: kitchen(),
         incarnation: Some(Incarnation(u64::from(agent))),
         former_heard_ms: 0,
-        heard_ms: Some(0),
         knows_all_flows: false,
         zone: ZoneKey::named("a"),
         state: TargetState::Ready,
