--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -30,7 +30,10 @@
     ) {
         match message {
             PeerMessage::Greeting(greeting) => self.greeted(from, greeting, now, actions),
-            PeerMessage::Locate { keys } => self.locate(from, keys, now, actions),
+            PeerMessage::Locate { keys } => self.locate(from, keys, None, now, actions),
+            PeerMessage::LocateRecorded { incarnation, keys } => {
+                self.locate(from, keys, Some(*incarnation), now, actions);
+            }
             PeerMessage::Probe => {
                 self.name_balancer(from, now);
                 self.reports.due_now(from, now);
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -107,6 +107,7 @@
         self.target.succession.confirm_known();
         self.target.first_beat_at.get_or_insert(now);
         self.target.sequence = beat.sequence;
+        self.load.heartbeat = beat.sequence;
         self.target.beat_at = Some(now);
         self.target.unanswered_since = None;
         self.target.capacity = beat.capacity;
--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -53,6 +53,8 @@
     pub(super) succession: Succession,
     /// The agent's start before the present one.
     pub(super) former_epoch: Option<u64>,
+    /// Number of its last heartbeat that was reported.
+    pub heartbeat: u64,
     /// When the agent was last heard.
     pub heard_at: Instant,
     /// When the load was stated.
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -37,6 +37,7 @@
                 self.last_agent_heard = Some(now);
                 let is_found = changes.contains(&DirectoryChange::Found(from));
                 self.apply(changes, now, actions);
+                self.recorded_agent_heard(from, &report, now, actions);
                 if !is_found {
                     self.correct_report_interval(from, &report, now, actions);
                 }
@@ -58,6 +59,9 @@
                 }
             }
             PeerMessage::NotHeld { keys } => self.denied(from, &keys, now, actions),
+            PeerMessage::RecordedNotHeld { incarnation, keys } => {
+                self.recorded_not_held(from, incarnation, &keys, actions);
+            }
             PeerMessage::MayBeHeld { keys } => self.undecided(from, &keys, now, actions),
             PeerMessage::Accepted {
                 key,
@@ -70,6 +74,7 @@
                     agent: from,
                     sequence,
                     incarnation,
+                    heartbeat: load.heartbeat,
                 };
                 self.accepted(key, acceptance);
             }
@@ -77,8 +82,12 @@
                 self.directory.loaded(from, load, now);
                 self.opening_queued(from, &key);
             }
-            PeerMessage::Located { key, incarnation } => {
-                self.located(from, key, incarnation, now);
+            PeerMessage::Located {
+                key,
+                incarnation,
+                heartbeat,
+            } => {
+                self.located(from, key, incarnation, heartbeat, now);
             }
             PeerMessage::Relay => {
                 if let Some((packet, bytes)) = packet {
@@ -88,7 +97,10 @@
             }
             PeerMessage::Farewell => self.agent_ended(from, actions),
             PeerMessage::Greeting(greeting) => self.greeted(from, &greeting, now, actions),
-            PeerMessage::Forward(_) | PeerMessage::Locate { .. } | PeerMessage::Probe => {
+            PeerMessage::Forward(_)
+            | PeerMessage::Locate { .. }
+            | PeerMessage::LocateRecorded { .. }
+            | PeerMessage::Probe => {
                 self.counters.dropped += 1;
             }
         }
@@ -97,7 +109,8 @@
     fn agent_ended(&mut self, agent: NodeAddress, actions: &mut Vec<BalancerAction>) {
         self.named_agents.remove(&agent);
         if self.directory.remove(agent) {
-            let flows = self.reset_flows_of(agent, None, actions);
+            let flows = self.reset_flows_of(agent, None, actions)
+                + self.recorded_agent_ended(agent, actions);
             self.notes.add(Note::AgentStopped { agent, flows });
         }
     }
@@ -119,7 +132,10 @@
         });
         if packet.kind == PacketKind::Open {
             self.opening_returned(from, packet, bytes, reason, now, actions);
-        } else {
+            return;
+        }
+        let is_denied = reason == ReturnReason::NotHeld;
+        if !(is_denied && self.reset_recorded(from, packet.key, actions)) {
             self.held_elsewhere(from, packet, bytes, now, actions);
         }
     }
@@ -136,9 +152,13 @@
                 }
             }
             Stage::Held {
-                agent, incarnation, ..
+                agent,
+                incarnation,
+                heartbeat,
+                ..
             } if *agent == acceptance.agent => {
                 *incarnation = acceptance.incarnation;
+                *heartbeat = acceptance.heartbeat;
             }
             _ => {}
         }
@@ -178,6 +198,7 @@
         self.was_complete = self.knows_all_agents(now);
         self.release_openings(now, actions);
         self.serve_waiting(now, actions);
+        self.pursue_recorded_flows(now, actions);
         self.pursue_searches(now, actions);
         self.greet_agents(now, actions);
         self.greet_peers(now, actions);
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -64,6 +64,9 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         for key in keys {
+            if self.reset_recorded(from, *key, actions) {
+                continue;
+            }
             if self.search_when_holder_denies(from, key, &[], now) {
                 self.searching.push(*key);
                 self.notes.add(Note::SearchStarted {
@@ -90,6 +93,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
+        self.recorded_undecided(from, keys, now);
         let Some(service) = self.directory.agent(from).map(|record| record.service) else {
             return;
         };
@@ -205,6 +209,7 @@
         agent: NodeAddress,
         key: FlowKey,
         incarnation: Option<Incarnation>,
+        heartbeat: u64,
         now: Instant,
     ) {
         self.promises.is_held(&key, now);
@@ -212,6 +217,7 @@
             return;
         };
         let service = record.service;
+        self.recorded_located(agent, key, now);
         if let Some(entry) = self.flows.use_flow(&key)
             && matches!(entry.stage, Stage::Searching(_))
         {
@@ -219,6 +225,7 @@
             entry.stage = Stage::Held {
                 agent,
                 incarnation,
+                heartbeat,
                 since: now,
             };
             self.notes.add(Note::FlowLocated { key, agent });
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -146,6 +146,7 @@
         if record.epoch != report.epoch {
             record.former_epoch = Some(record.epoch);
         }
+        record.heartbeat = report.load.heartbeat;
         record.epoch = report.epoch;
         record.sequence = report.sequence;
         record.state = report.state;
@@ -275,6 +276,7 @@
                 born_ms: None,
                 succession: Succession::default(),
                 former_epoch: None,
+                heartbeat: 0,
                 heard_at: now,
                 load_at: now,
                 sent_since: 0,
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -121,6 +121,9 @@
     pub resting_work: Option<u16>,
     /// Share of the latest requests that the target has failed, in percent.
     pub failed_percent: u8,
+    /// Number of the target's last heartbeat, zero before the first: it tells which flows
+    /// were open before which heartbeat.
+    pub heartbeat: u64,
     /// Openings that the target may still be handed within a second because it may
     /// be cold; `None` when it is not limited.
     pub openings_left: Option<u16>,
@@ -258,6 +261,8 @@
         key: FlowKey,
         /// Incarnation of the target.
         incarnation: Option<Incarnation>,
+        /// Number of its last heartbeat, zero before the first.
+        heartbeat: u64,
     },
     /// Agent to balancer: whether the target holds these flows can only be
     /// told by the target itself, from a packet.
@@ -275,10 +280,26 @@
     Relay,
     /// Balancer to agents and balancers.
     Greeting(BalancerGreeting),
+    /// Balancer to agent: does the target hold these flows, which this incarnation of it
+    /// held? Answered as [`PeerMessage::Locate`] is, but for denials.
+    LocateRecorded {
+        /// The incarnation, of which the agent had a heartbeat after each flow was open.
+        incarnation: Incarnation,
+        /// The flows, at most [`MAXIMUM_KEYS`].
+        keys: Vec<FlowKey>,
+    },
+    /// Agent to balancer: the target does not hold the flows that this incarnation of it
+    /// held. Later flows between the same ends may be there.
+    RecordedNotHeld {
+        /// The incarnation.
+        incarnation: Incarnation,
+        /// The flows.
+        keys: Vec<FlowKey>,
+    },
 }
 
 /// Kinds of messages, for counts.
-pub const MESSAGE_KINDS: [&str; 13] = [
+pub const MESSAGE_KINDS: [&str; 15] = [
     "forward",
     "returned",
     "locate",
@@ -292,6 +313,8 @@
     "farewell",
     "relay",
     "greeting",
+    "locate_recorded",
+    "recorded_not_held",
 ];
 
 /// Asks a node for what it knows; sent over a stream.
@@ -347,6 +370,8 @@
             Self::Farewell => 10,
             Self::Relay => 11,
             Self::Greeting(_) => 12,
+            Self::LocateRecorded { .. } => 13,
+            Self::RecordedNotHeld { .. } => 14,
         }
     }
 
--- a/crates/woodladder-core/tests/flow_promises.rs
+++ b/crates/woodladder-core/tests/flow_promises.rs
@@ -183,6 +183,7 @@
         let located = PeerMessage::Located {
             key: flow(1),
             incarnation: None,
+            heartbeat: 0,
         };
         send(&mut balancer, 2, located, at(10_100));
     }
