Agents tell which flows are open; searches begin with these agents

Cause: a balancer that got a packet of an unknown flow sent the whole packet to up to 24 agents of each service, and asked all others after 200 ms. Machines of 0.09 of a core and 10 Mbit/s fell seconds behind.

Ruled out: filters and full lists in each report (bytes); a summary as proof that a flow is gone (it may be older than the flow).

Change: reports carry numbered changes of the flows open for longer than 300 ms, as fingerprints of 32 bits; a balancer that misses some asks for the list, within a bound on bytes. A packet of an unknown flow goes to the agents that tell it. Where none does, or these deny, the packet is kept, all agents are asked by a small question within a budget of processor, and the holder is handed the packet.

--- a/crates/woodladder-core/src/flow/agent/decision.rs
+++ b/crates/woodladder-core/src/flow/agent/decision.rs
@@ -125,4 +125,6 @@
     pub dropped: u64,
     /// Heartbeats taken.
     pub heartbeats: u64,
+    /// Parts of lists of flows sent to balancers.
+    pub list_parts: u64,
 }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -32,6 +32,7 @@
 use super::table::FlowTable;
 use admission::queue::AdmissionQueue;
 use admission::warm_up::WarmUp;
+use reporting::flow_statements::FlowStatements;
 use reporting::report_schedule::ReportSchedule;
 use target::failure_record::FailureRecord;
 
@@ -40,6 +41,7 @@
 pub use admission::queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
 pub use admission::warm_up::{WarmUpBounds, WarmUpDoubt};
 pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
+pub use reporting::flow_statements;
 pub use target::failure_record::{AnswerKind, Suspicion};
 pub use target::heartbeat::{Heartbeat, HeartbeatError};
 
@@ -157,6 +159,7 @@
     started_at: Instant,
     reports: ReportSchedule,
     report_sequence: u64,
+    statements: FlowStatements,
     /// Whether something has changed that every balancer must know.
     report_due: bool,
     fetch: Option<(NodeAddress, Instant)>,
@@ -189,6 +192,7 @@
             started_at: now,
             reports: ReportSchedule::default(),
             report_sequence: 0,
+            statements: FlowStatements::new(options.epoch, now),
             report_due: false,
             fetch: None,
             ticked_at: None,
--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::agent::reporting::flow_statements::TOLD_FROM_AGE;
 use crate::flow::agent::reporting::report_schedule::DueReport;
-use crate::flow::agent::{Agent, AgentAction, WarmUpDoubt};
+use crate::flow::agent::{Agent, AgentAction, FlowState, WarmUpDoubt};
 use crate::flow::balancer::OWN_ZONE_FIRST_FOR;
+use crate::flow::held_flows::FlowFingerprint;
 use crate::flow::identity::NodeAddress;
 use crate::flow::message::{BalancerGreeting, PeerMessage, SnapshotRequest, TargetReport};
 use crate::flow::note::Note;
@@ -36,10 +38,34 @@
                 self.reports.due_now(from, now);
                 self.report_where_due(now, actions);
             }
+            PeerMessage::ListFlows => self.list_flows(from, now, actions),
             _ => self.counters.dropped += 1,
         }
     }
 
+    /// Sends a balancer the list of flows that it has asked for.
+    fn list_flows(&mut self, to: NodeAddress, now: Instant, actions: &mut Vec<AgentAction>) {
+        for part in self.statements.list(now) {
+            self.counters.list_parts += 1;
+            let message = PeerMessage::FlowList(part);
+            actions.push(AgentAction::Send { to, message });
+        }
+    }
+
+    /// Looks which flows there are to tell.
+    fn look_at_flows(&mut self, now: Instant) {
+        if !self.mechanisms.locates_flows || !self.statements.is_due(now) {
+            return;
+        }
+        let told = self
+            .flows
+            .iter()
+            .filter(|(_, flow)| flow.state == FlowState::Open)
+            .filter(|(_, flow)| now.since(flow.since) >= TOLD_FROM_AGE)
+            .map(|(key, _)| FlowFingerprint::of(key));
+        self.statements.look(told, now);
+    }
+
     /// Takes the balancers that the store or the settings name.
     pub fn listed(&mut self, balancers: &[NodeAddress], now: Instant) {
         for balancer in balancers {
@@ -77,6 +103,7 @@
             self.notes.add(Note::BalancerFound { balancer: from });
         }
         if is_new || greeting.asks_for_report {
+            self.statements.forget_balancer(from);
             self.reports.due_now(from, now);
             self.report_where_due(now, actions);
         }
@@ -155,6 +182,8 @@
         }
         let balancers = &self.balancers;
         self.reports.retain(|balancer| balancers.knows(balancer));
+        self.statements
+            .retain_balancers(|balancer| balancers.knows(balancer));
         self.serve_queue(now, actions);
         if std::mem::take(&mut self.report_due) {
             self.reports.all_due(now);
@@ -169,8 +198,15 @@
         }
         self.count_load(now);
         self.load.openings_left = self.openings_left(now);
+        self.look_at_flows(now);
         for DueReport { balancer, interval } in due {
-            let message = PeerMessage::Report(self.report(interval, now));
+            let report = self.report(interval, now);
+            let message = if self.mechanisms.locates_flows {
+                let flows = self.statements.statement_for(balancer);
+                PeerMessage::ReportWithFlows { report, flows }
+            } else {
+                PeerMessage::Report(report)
+            };
             actions.push(AgentAction::Send {
                 to: balancer,
                 message,
--- a/crates/woodladder-core/src/flow/agent/reporting/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod announcements;
 pub(crate) mod exclusion;
+pub mod flow_statements;
 pub(crate) mod report_schedule;
--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -88,4 +88,16 @@
     pub search_packets: u64,
     /// Packets dropped.
     pub dropped: u64,
+    /// Searches that began with agents that tell the flow.
+    pub searched_by_list: u64,
+    /// Flows found at an agent that had told them.
+    pub located_by_list: u64,
+    /// Flows found by questions to all agents.
+    pub located_by_question: u64,
+    /// Questions about unknown flows sent to agents.
+    pub questions: u64,
+    /// Questions about one flow that were put off to spare the processor.
+    pub questions_put_off: u64,
+    /// Lists of flows asked for.
+    pub lists_asked: u64,
 }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -4,7 +4,7 @@
 
 use super::super::directory::DirectoryChange;
 use super::super::identity::NodeAddress;
-use super::super::message::{PeerMessage, ReturnReason};
+use super::super::message::{PeerMessage, ReturnReason, TargetReport};
 use super::super::note::Note;
 use super::super::packet::{FlowPacket, PacketKind};
 use super::{Acceptance, Balancer, BalancerAction, STALL, Stage};
@@ -12,6 +12,8 @@
 
 /// Time between ticks while something waits for one.
 const SHORT_TICK: Duration = Duration::from_millis(25);
+/// Time between ticks while questions about unknown flows are gathered.
+const GATHERING_TICK: Duration = Duration::from_millis(4);
 /// Time between ticks while nothing does.
 const LONG_TICK: Duration = Duration::from_millis(50);
 /// Acceptances remembered for one opening.
@@ -30,18 +32,12 @@
     ) {
         self.directory.heard(from, now);
         match message {
-            PeerMessage::Report(report) => {
-                self.notice_return(from, now, actions);
-                let mut changes = Vec::new();
-                self.directory.report(from, &report, now, &mut changes);
-                self.last_agent_heard = Some(now);
-                let is_found = changes.contains(&DirectoryChange::Found(from));
-                self.apply(changes, now, actions);
-                if !is_found {
-                    self.correct_report_interval(from, &report, now, actions);
-                }
-                self.learn_version(from, report.zone, report.version, now, actions);
+            PeerMessage::Report(report) => self.reported(from, &report, now, actions),
+            PeerMessage::ReportWithFlows { report, flows } => {
+                self.reported(from, &report, now, actions);
+                self.flow_index.stated(from, report.epoch, &flows);
             }
+            PeerMessage::FlowList(part) => self.flow_index.list_part(from, part),
             PeerMessage::Returned {
                 reason,
                 load,
@@ -78,7 +74,7 @@
                 self.opening_queued(from, &key);
             }
             PeerMessage::Located { key, incarnation } => {
-                self.located(from, key, incarnation, now);
+                self.located(from, key, incarnation, now, actions);
             }
             PeerMessage::Relay => {
                 if let Some((packet, bytes)) = packet {
@@ -88,14 +84,37 @@
             }
             PeerMessage::Farewell => self.agent_ended(from, actions),
             PeerMessage::Greeting(greeting) => self.greeted(from, &greeting, now, actions),
-            PeerMessage::Forward(_) | PeerMessage::Locate { .. } | PeerMessage::Probe => {
+            PeerMessage::Forward(_)
+            | PeerMessage::Locate { .. }
+            | PeerMessage::Probe
+            | PeerMessage::ListFlows => {
                 self.counters.dropped += 1;
             }
         }
     }
 
+    fn reported(
+        &mut self,
+        from: NodeAddress,
+        report: &TargetReport,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        self.notice_return(from, now, actions);
+        let mut changes = Vec::new();
+        self.directory.report(from, report, now, &mut changes);
+        self.last_agent_heard = Some(now);
+        let is_found = changes.contains(&DirectoryChange::Found(from));
+        self.apply(changes, now, actions);
+        if !is_found {
+            self.correct_report_interval(from, report, now, actions);
+        }
+        self.learn_version(from, report.zone, report.version, now, actions);
+    }
+
     fn agent_ended(&mut self, agent: NodeAddress, actions: &mut Vec<BalancerAction>) {
         self.named_agents.remove(&agent);
+        self.flow_index.forget(agent);
         if self.directory.remove(agent) {
             let flows = self.reset_flows_of(agent, None, actions);
             self.notes.add(Note::AgentStopped { agent, flows });
@@ -152,7 +171,11 @@
             || !self.searching.is_empty()
             || !self.named_agents.is_empty()
             || self.directory.doubts_any();
-        if is_waited_for { SHORT_TICK } else { LONG_TICK }
+        match (self.unasked.is_empty(), is_waited_for) {
+            (false, _) => GATHERING_TICK,
+            (true, true) => SHORT_TICK,
+            (true, false) => LONG_TICK,
+        }
     }
 
     /// Does what is due; to be called again after [`Self::tick_interval`].
@@ -174,6 +197,7 @@
         self.note_store_duty(now);
         self.was_complete = self.knows_all_agents(now);
         self.serve_waiting(now, actions);
+        self.ask_for_lists(now, actions);
         self.pursue_searches(now, actions);
         self.greet_agents(now, actions);
         self.greet_peers(now, actions);
@@ -234,7 +258,7 @@
                         flows,
                     });
                 }
-                DirectoryChange::Forgotten(_) => {}
+                DirectoryChange::Forgotten(agent) => self.flow_index.forget(agent),
             }
         }
     }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -35,6 +35,8 @@
 pub use forwarding::routing::{DropReason, Routing};
 pub use membership::dissemination::OWN_ZONE_FIRST_FOR;
 pub use membership::readiness::NotReadyReason;
+pub use search::flow_index::FlowIndex;
+pub use search::work_budget::WorkBudget;
 pub use search::{FIRST_ASKED, SEARCHES_A_TICK};
 pub use store_duty::{REGISTERED, WATCHERS};
 
@@ -153,8 +155,16 @@
     named_agents_greeted: u32,
     /// Flows that are searched for.
     searching: Vec<FlowKey>,
-    /// Searches begun since the last tick.
+    /// What agents tell of their flows.
+    flow_index: search::flow_index::FlowIndex,
+    questions: search::work_budget::WorkBudget,
+    list_bytes: search::work_budget::WorkBudget,
+    /// Flows about which all agents are to be asked with the next tick.
+    unasked: Vec<FlowKey>,
+    /// Searches begun since they were last counted anew.
     searches_begun: u32,
+    /// When searches were last counted anew and all gone through.
+    searches_counted_at: Instant,
     /// Packets of searches handed over since the last tick.
     packets_handed: u32,
     /// Openings that wait for a target, the newest last.
@@ -207,7 +217,12 @@
             named_agents: BTreeMap::new(),
             named_agents_greeted: 0,
             searching: Vec::new(),
+            flow_index: search::flow_index::FlowIndex::default(),
+            questions: search::work_budget::WorkBudget::of_questions(options.capacity, now),
+            list_bytes: search::work_budget::WorkBudget::of_list_bytes(options.link_rate, now),
+            unasked: Vec::new(),
             searches_begun: 0,
+            searches_counted_at: Instant::ORIGIN,
             packets_handed: 0,
             waiting: Vec::new(),
         }
--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -3,15 +3,20 @@
 //! The packet goes at once to the first targets of the flow's route, at most
 //! [`FIRST_ASKED`] of them, and each further packet to the first of those that
 //! have not denied. All others are asked by queries, and get the packet when they
-//! cannot tell without one. How a search ends is in [`crate::flow::balancer::search::outcome`].
+//! cannot tell without one. Where agents tell which flows they hold, a search begins
+//! with those: [`named_holders`]. How a search ends is in [`crate::flow::balancer::search::outcome`].
 
+pub mod flow_index;
+pub(crate) mod named_holders;
 pub(crate) mod outcome;
+pub mod work_budget;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::clock::Instant;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
+use crate::flow::balancer::search::named_holders::NAMED_ANSWER_WITHIN;
 use crate::flow::balancer::{Balancer, FlowEntry, Stage};
 use crate::flow::identity::{FlowKey, NodeAddress, ServiceKey};
 use crate::flow::message::{ForwardHeader, ForwardPurpose};
@@ -47,10 +52,14 @@
     pub(crate) queried_at: Option<Instant>,
     /// The caller's latest packet; empty when none is at hand.
     packet: Vec<u8>,
+    /// Packets that wait until it is known who holds the flow, the oldest first.
+    kept: Vec<Vec<u8>>,
     /// When agents that could not tell without a packet were last handed it.
     handed: BTreeMap<NodeAddress, Instant>,
     /// The first targets that the packet went to.
     first_asked: Vec<NodeAddress>,
+    /// Time that these have to answer.
+    first_answer_within: Duration,
 }
 
 impl Search {
@@ -60,8 +69,10 @@
             started_at: now,
             queried_at: None,
             packet: packet.to_vec(),
+            kept: Vec::new(),
             handed: BTreeMap::new(),
             first_asked: Vec::new(),
+            first_answer_within: FIRST_ANSWER_WITHIN,
         }
     }
 
@@ -73,7 +84,8 @@
         now: Instant,
     ) -> bool {
         let is_open = |agent: &NodeAddress| !self.denied.contains(agent) && may_answer(*agent);
-        now.since(self.started_at) < FIRST_ANSWER_WITHIN && self.first_asked.iter().any(is_open)
+        now.since(self.started_at) < self.first_answer_within
+            && self.first_asked.iter().any(is_open)
     }
 
     /// The packet, when it is to be handed to an agent that could not tell
@@ -112,7 +124,12 @@
         self.searches_begun += 1;
         if packet.kind == PacketKind::Reset {
             // Its target may hold the flow; the caller awaits no answer.
-            return self.ask_first(packet.key, &BTreeSet::new());
+            let nobody = BTreeSet::new();
+            let named = self.to_named(packet.key, &nobody);
+            if !named.is_empty() {
+                return Routing::Several(named);
+            }
+            return self.ask_first(packet.key, &nobody);
         }
         let entry = FlowEntry {
             service,
@@ -188,8 +205,13 @@
             _ => Vec::new(),
         };
         let asked = first_asked.len();
+        let is_by_list = self.mechanisms.locates_flows;
+        self.counters.searched_by_list += u64::from(is_by_list && asked > 0);
         if let Some(search) = self.search_of(&key) {
             search.first_asked = first_asked;
+            if is_by_list {
+                search.first_answer_within = NAMED_ANSWER_WITHIN;
+            }
         }
         self.notes.add(Note::SearchStarted { key, asked });
         routing
@@ -204,6 +226,9 @@
 
     /// The packet goes to the first targets that have not denied.
     fn ask_open(&mut self, key: FlowKey) -> Routing {
+        if self.mechanisms.locates_flows {
+            return self.ask_named(key);
+        }
         let denied = self
             .search_of(&key)
             .map_or_else(BTreeSet::new, |search| search.denied.clone());
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -21,6 +21,8 @@
 
 /// Time between two queries for one flow.
 const QUERY_INTERVAL: Duration = Duration::from_millis(120);
+/// Least time between two rounds through all searches, when single ones begin between.
+const ALL_SEARCHES_EVERY: Duration = Duration::from_millis(20);
 /// Flows asked for in one round of queries.
 const QUERIED_FLOWS: usize = 4096;
 /// Packets handed to agents that cannot tell without one, between two ticks. The
@@ -75,6 +77,10 @@
                 continue;
             };
             search.denied.insert(from);
+            let is_unasked = search.queried_at.is_none();
+            if is_unasked && self.mechanisms.locates_flows {
+                self.unasked.push(*key);
+            }
         }
         self.conclude(keys, now, actions);
     }
@@ -139,10 +145,17 @@
             let Some(search) = self.search_of(key) else {
                 continue;
             };
-            if search.is_over(now) || !holders.iter().all(|agent| search.denied.contains(agent)) {
+            // Counting first spares the comparison, which is made for each answer.
+            let may_be_all = search.denied.len() >= holders.len();
+            if !may_be_all
+                || search.is_over(now)
+                || !holders.iter().all(|agent| search.denied.contains(agent))
+            {
                 continue;
             }
             let count = search.denied.len();
+            let waited = now.since(search.started_at);
+            self.notes.add(Note::AbsenceProved { key: *key, waited });
             if let Some(entry) = self.flows.remove(key) {
                 let sequence = entry.acknowledged;
                 let reset = self.reset(*key, sequence, ResetReason::HeldNowhere, count);
@@ -153,50 +166,74 @@
 
     /// Asks again for the flows that are searched for.
     pub(crate) fn pursue_searches(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+        let unasked = std::mem::take(&mut self.unasked);
+        if !unasked.is_empty() && !self.is_time_for_all(now) {
+            // A tick between two others, for the flows that have just come.
+            return self.ask_about(&unasked, now, actions);
+        }
+        self.searches_counted_at = now;
         self.searches_begun = 0;
         self.packets_handed = 0;
         if self.searching.is_empty() {
             return;
         }
-        let holders: BTreeSet<NodeAddress> = self.possible_holders().into_iter().collect();
-        let mut queries: BTreeMap<NodeAddress, Vec<FlowKey>> = BTreeMap::new();
-        let mut undecided = Vec::new();
         let mut searching = std::mem::take(&mut self.searching);
         searching.truncate(QUERIED_FLOWS);
-        for key in searching {
-            let Some(search) = self.search_of(&key) else {
+        searching.retain(|key| {
+            self.search_of(key)
+                .is_some_and(|search| !search.is_over(now))
+        });
+        self.ask_about(&searching, now, actions);
+        self.conclude(&searching, now, actions);
+        self.searching.append(&mut searching);
+    }
+
+    fn is_time_for_all(&self, now: Instant) -> bool {
+        now.since(self.searches_counted_at) >= ALL_SEARCHES_EVERY
+    }
+
+    /// Asks all possible holders about those of the flows for which it is time.
+    fn ask_about(&mut self, keys: &[FlowKey], now: Instant, actions: &mut Vec<BalancerAction>) {
+        let is_bounded = self.mechanisms.locates_flows;
+        let is_put_off = is_bounded && !self.questions.has_left(now);
+        let holders: BTreeSet<NodeAddress> = self.possible_holders().into_iter().collect();
+        let mut queries: BTreeMap<NodeAddress, Vec<FlowKey>> = BTreeMap::new();
+        let mut put_off = 0;
+        for key in keys {
+            let Some(search) = self.search_of(key) else {
                 continue;
             };
-            if search.is_over(now) {
-                continue;
-            }
-            undecided.push(key);
             let is_due = match search.queried_at {
                 None => !search.awaits_first(|agent| holders.contains(&agent), now),
                 Some(at) => now.since(at) >= QUERY_INTERVAL,
             };
-            if is_due {
-                search.queried_at = Some(now);
-                for agent in holders
-                    .iter()
-                    .filter(|agent| !search.denied.contains(agent))
-                {
-                    queries.entry(*agent).or_default().push(key);
-                }
+            if !is_due {
+                continue;
+            }
+            if is_put_off {
+                put_off += 1;
+                continue;
+            }
+            search.queried_at = Some(now);
+            let open = holders
+                .iter()
+                .filter(|agent| !search.denied.contains(agent));
+            for agent in open {
+                queries.entry(*agent).or_default().push(*key);
             }
         }
-        self.searching = undecided;
+        self.counters.questions_put_off += put_off;
         for (to, keys) in queries {
             self.directory.doubt(to, now);
             for batch in keys.chunks(MAXIMUM_KEYS) {
+                self.counters.questions += 1;
+                self.questions.spend(1);
                 let message = PeerMessage::Locate {
                     keys: batch.to_vec(),
                 };
                 actions.push(BalancerAction::Send { to, message });
             }
         }
-        let searching = self.searching.clone();
-        self.conclude(&searching, now, actions);
     }
 
     /// A target holds a flow that was searched for.
@@ -206,21 +243,43 @@
         key: FlowKey,
         incarnation: Option<Incarnation>,
         now: Instant,
+        actions: &mut Vec<BalancerAction>,
     ) {
         let Some(record) = self.directory.agent(agent) else {
             return;
         };
         let service = record.service;
-        if let Some(entry) = self.flows.use_flow(&key)
-            && matches!(entry.stage, Stage::Searching(_))
-        {
+        let Some(search) = self.search_of(&key) else {
+            return;
+        };
+        let waited = now.since(search.started_at);
+        let was_named = search.was_named(agent);
+        if self.mechanisms.locates_flows {
+            let (terms, _) = self.routes.terms(key.service, service);
+            let is_awaited = waited < Duration::from_millis(terms.timeout_ms.into());
+            if is_awaited {
+                self.hand_kept(agent, service, &key, actions);
+            }
+            let counter = if was_named {
+                &mut self.counters.located_by_list
+            } else {
+                &mut self.counters.located_by_question
+            };
+            *counter += 1;
+        }
+        if let Some(entry) = self.flows.use_flow(&key) {
             entry.service = service;
             entry.stage = Stage::Held {
                 agent,
                 incarnation,
                 since: now,
             };
-            self.notes.add(Note::FlowLocated { key, agent });
+            self.notes.add(Note::FlowLocated {
+                key,
+                agent,
+                waited,
+                was_named,
+            });
         }
     }
 }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -10,6 +10,7 @@
 
 use super::configuration::Configuration;
 use super::excluded_zones::ExcludedZones;
+use super::held_flows::{FlowListPart, FlowStatement};
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
@@ -273,10 +274,21 @@
     Relay,
     /// Balancer to agents and balancers.
     Greeting(BalancerGreeting),
+    /// Agent to balancer: a report, and what flows the target holds.
+    ReportWithFlows {
+        /// The report.
+        report: TargetReport,
+        /// The flows.
+        flows: FlowStatement,
+    },
+    /// Balancer to agent: send the list of all flows.
+    ListFlows,
+    /// Agent to balancer: a part of that list.
+    FlowList(FlowListPart),
 }
 
 /// Kinds of messages, for counts.
-pub const MESSAGE_KINDS: [&str; 13] = [
+pub const MESSAGE_KINDS: [&str; 16] = [
     "forward",
     "returned",
     "locate",
@@ -290,6 +302,9 @@
     "farewell",
     "relay",
     "greeting",
+    "report_with_flows",
+    "list_flows",
+    "flow_list",
 ];
 
 /// Asks a node for what it knows; sent over a stream.
@@ -345,6 +360,9 @@
             Self::Farewell => 10,
             Self::Relay => 11,
             Self::Greeting(_) => 12,
+            Self::ReportWithFlows { .. } => 13,
+            Self::ListFlows => 14,
+            Self::FlowList(_) => 15,
         }
     }
 
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -14,6 +14,7 @@
 pub mod configuration;
 pub mod directory;
 pub mod excluded_zones;
+pub mod held_flows;
 pub mod identity;
 pub mod message;
 pub mod note;
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -61,6 +61,17 @@
         key: FlowKey,
         /// Its agent.
         agent: NodeAddress,
+        /// Time since the search began.
+        waited: Duration,
+        /// Whether the agent had told the flow before it was asked.
+        was_named: bool,
+    },
+    /// Every agent has denied a flow: it is open nowhere.
+    AbsenceProved {
+        /// The flow.
+        key: FlowKey,
+        /// Time since the search began.
+        waited: Duration,
     },
     /// A flow was reset towards its caller.
     FlowReset {
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -78,6 +78,11 @@
                 counters.failed,
             ),
             ("heartbeats_total", "Heartbeats taken.", counters.heartbeats),
+            (
+                "flow_list_parts_total",
+                "Parts of lists of flows sent to balancers.",
+                counters.list_parts,
+            ),
             (
                 "refused_packets_total",
                 "Datagrams that cannot be read.",
--- a/crates/woodladder-node/src/balancer/figures.rs
+++ b/crates/woodladder-node/src/balancer/figures.rs
@@ -75,6 +75,36 @@
                 "Packets that smaller balancers have handed on.",
                 counters.taken_over,
             ),
+            (
+                "searches_by_list_total",
+                "Searches that began with agents that tell the flow.",
+                counters.searched_by_list,
+            ),
+            (
+                "flows_located_by_list_total",
+                "Flows found at an agent that had told them.",
+                counters.located_by_list,
+            ),
+            (
+                "flows_located_by_question_total",
+                "Flows found by questions to all agents.",
+                counters.located_by_question,
+            ),
+            (
+                "search_questions_total",
+                "Questions about unknown flows sent to agents.",
+                counters.questions,
+            ),
+            (
+                "search_questions_put_off_total",
+                "Questions about one flow put off to spare the processor.",
+                counters.questions_put_off,
+            ),
+            (
+                "flow_lists_asked_total",
+                "Lists of flows asked for.",
+                counters.lists_asked,
+            ),
             (
                 "agent_probes_total",
                 "Questions to agents that left something unanswered.",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -146,9 +146,19 @@
                 info!(log, "balancer: flow searched for"; "event" => event, "flow" => %key,
                     "asked" => asked, "left_out" => left_out);
             }
-            Note::FlowLocated { key, agent } => {
+            Note::FlowLocated {
+                key,
+                agent,
+                waited,
+                was_named,
+            } => {
                 info!(log, "balancer: flow located"; "event" => event, "flow" => %key,
-                    "agent" => %agent, "left_out" => left_out);
+                    "agent" => %agent, "waited_ms" => milliseconds(*waited),
+                    "was_named" => was_named, "left_out" => left_out);
+            }
+            Note::AbsenceProved { key, waited } => {
+                info!(log, "balancer: flow held nowhere"; "event" => event, "flow" => %key,
+                    "waited_ms" => milliseconds(*waited), "left_out" => left_out);
             }
             Note::FlowReset {
                 key,
@@ -312,6 +322,7 @@
         Note::PacketReturned { .. } => ("packet_returned", Important),
         Note::SearchStarted { .. } => ("search_started", Ordinary),
         Note::FlowLocated { .. } => ("flow_located", Ordinary),
+        Note::AbsenceProved { .. } => ("absence_proved", Ordinary),
         Note::FlowReset { .. } => ("flow_reset", Important),
         Note::ConfigurationAdopted { .. } => ("configuration_adopted", Important),
         Note::MechanismsChanged { .. } => ("mechanisms_changed", Important),
