An agent may deny when its target had no heartbeat answered before; searches that wait are logged

Cause: 60 of 66 agents cannot deny after a loss of everything, because the first heartbeat that reaches them is not the target's first: targets start before agents.

Ruled out: the target's packets prove nothing about flows at rest; the machine's start is not told.

Change: a target whose heartbeat was answered sends the next an interval later, so one that is younger than half an interval had none answered, and holds no flow that came before. Searches that last longer than 300 ms are noted with the agent that is awaited.

--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -60,6 +60,8 @@
     first_asked: Vec<NodeAddress>,
     /// Time that these have to answer.
     first_answer_within: Duration,
+    /// Whether it was noted that the search goes on for long.
+    is_noted: bool,
 }
 
 impl Search {
@@ -73,6 +75,7 @@
             handed: BTreeMap::new(),
             first_asked: Vec::new(),
             first_answer_within: FIRST_ANSWER_WITHIN,
+            is_noted: false,
         }
     }
 
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -23,6 +23,8 @@
 const QUERY_INTERVAL: Duration = Duration::from_millis(120);
 /// Least time between two rounds through all searches, when single ones begin between.
 const ALL_SEARCHES_EVERY: Duration = Duration::from_millis(20);
+/// Age from which a search counts as long.
+const NOTED_AFTER: Duration = Duration::from_millis(300);
 /// Flows asked for in one round of queries.
 const QUERIED_FLOWS: usize = 4096;
 /// Packets handed to agents that cannot tell without one, between two ticks. The
@@ -185,9 +187,42 @@
         });
         self.ask_about(&searching, now, actions);
         self.conclude(&searching, now, actions);
+        self.note_long_searches(&searching, now);
         self.searching.append(&mut searching);
     }
 
+    /// Notes once for each search that goes on for long whom it waits for.
+    fn note_long_searches(&mut self, keys: &[FlowKey], now: Instant) {
+        if !self.mechanisms.locates_flows {
+            return;
+        }
+        let knows_all = self.knows_all_agents(now);
+        let mut holders = None;
+        for key in keys {
+            let Some(search) = self.search_of(key) else {
+                continue;
+            };
+            let waited = now.since(search.started_at);
+            if search.is_noted || waited < NOTED_AFTER {
+                continue;
+            }
+            search.is_noted = true;
+            let denied = search.denied.clone();
+            let handed: BTreeSet<NodeAddress> = search.handed.keys().copied().collect();
+            let holders = holders.get_or_insert_with(|| self.possible_holders());
+            let mut open = holders.iter().filter(|agent| !denied.contains(agent));
+            let awaited = open.next().copied();
+            self.notes.add(Note::SearchWaits {
+                key: *key,
+                waited,
+                open: awaited.map_or(0, |_| 1 + open.count()),
+                awaited,
+                is_undecided: awaited.is_some_and(|agent| handed.contains(&agent)),
+                knows_all,
+            });
+        }
+    }
+
     fn is_time_for_all(&self, now: Instant) -> bool {
         now.since(self.searches_counted_at) >= ALL_SEARCHES_EVERY
     }
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -66,6 +66,21 @@
         /// Whether the agent had told the flow before it was asked.
         was_named: bool,
     },
+    /// A search goes on for long.
+    SearchWaits {
+        /// The flow.
+        key: FlowKey,
+        /// Time since the search began.
+        waited: Duration,
+        /// Agents that have not denied the flow.
+        open: usize,
+        /// One of them.
+        awaited: Option<NodeAddress>,
+        /// Whether that one has said that only its target can tell.
+        is_undecided: bool,
+        /// Whether the balancer knows all agents.
+        knows_all: bool,
+    },
     /// Every agent has denied a flow: it is open nowhere.
     AbsenceProved {
         /// The flow.
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -71,6 +71,8 @@
     pub flow_retention: Duration,
     /// Longest life of a flow.
     pub flow_lifetime: Duration,
+    /// Time between two heartbeats of the target; zero when it is not known.
+    pub heartbeat_interval: Duration,
     /// What cold targets may be handed; `None` for no limit.
     pub warm_up: Option<WarmUpBounds>,
 }
@@ -108,8 +110,12 @@
             flow_lifetime: config.flow_lifetime,
             warm_up: config.warm_up,
         };
+        let mut core = Agent::new(options, clock.now());
+        if !config.heartbeat_interval.is_zero() {
+            core.expect_heartbeats_each(config.heartbeat_interval);
+        }
         Ok(Rc::new(Self {
-            core: RefCell::new(Agent::new(options, clock.now())),
+            core: RefCell::new(core),
             carrier,
             clock,
             peers: PeerLink::open(config.peer_bind)?,
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -156,6 +156,20 @@
                     "agent" => %agent, "waited_ms" => milliseconds(*waited),
                     "was_named" => was_named, "left_out" => left_out);
             }
+            Note::SearchWaits {
+                key,
+                waited,
+                open,
+                awaited,
+                is_undecided,
+                knows_all,
+            } => {
+                warn!(log, "balancer: flow not located yet"; "event" => event, "flow" => %key,
+                    "waited_ms" => milliseconds(*waited), "agents_open" => open,
+                    "awaited" => awaited.map(|agent| agent.to_string()),
+                    "is_undecided" => is_undecided, "knows_all" => knows_all,
+                    "left_out" => left_out);
+            }
             Note::AbsenceProved { key, waited } => {
                 info!(log, "balancer: flow held nowhere"; "event" => event, "flow" => %key,
                     "waited_ms" => milliseconds(*waited), "left_out" => left_out);
@@ -322,6 +336,7 @@
         Note::PacketReturned { .. } => ("packet_returned", Important),
         Note::SearchStarted { .. } => ("search_started", Ordinary),
         Note::FlowLocated { .. } => ("flow_located", Ordinary),
+        Note::SearchWaits { .. } => ("search_waits", Important),
         Note::AbsenceProved { .. } => ("absence_proved", Ordinary),
         Note::FlowReset { .. } => ("flow_reset", Important),
         Note::ConfigurationAdopted { .. } => ("configuration_adopted", Important),
