Agents that cannot tell are handed the packet at once; tests of what agents tell

Cause: an agent that cannot tell was asked, answered so, and was handed the packet, and was asked again each 120 ms meanwhile.

Change: its reports say that it cannot tell, so it is handed the packet instead of the question, within a part of the link. A list that is not sent for lack of budget is not sorted either.

Tests: statements lost, late, doubled, of a former start, wrong (one by one and as a property); bounds on bytes at 100, 1,000 and 4,000 nodes.

--- a/crates/woodladder-core/src/flow/agent/reporting/flow_statements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/flow_statements.rs
@@ -194,14 +194,14 @@
     /// flows, or other balancers have just been sent as much as may be sent. It asks
     /// again then.
     pub fn list(&mut self, now: Instant) -> Vec<FlowListPart> {
-        let flows = self.sorted();
-        let parts = flows.len().div_ceil(MOST_FINGERPRINTS).max(1);
+        let parts = self.open.len().div_ceil(MOST_FINGERPRINTS).max(1);
         self.refill(now);
         let cost = parts as f64;
         if self.has_too_many || self.list_parts_left < cost {
             return Vec::new();
         }
         self.list_parts_left -= cost;
+        let flows = self.sorted();
         let part_of = |part: usize| FlowListPart {
             epoch: self.epoch,
             last: self.last,
--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -41,6 +41,8 @@
     pub state: TargetState,
     /// Requests that the target works on at the same time.
     pub capacity: u16,
+    /// Whether the agent has said that it knows each open flow of its target.
+    pub knows_all_flows: bool,
     /// Last stated load.
     pub load: TargetLoad,
     /// Configuration that the agent knows.
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -159,6 +159,7 @@
     flow_index: search::flow_index::FlowIndex,
     questions: search::work_budget::WorkBudget,
     list_bytes: search::work_budget::WorkBudget,
+    packet_bytes: search::work_budget::WorkBudget,
     /// Flows about which all agents are to be asked with the next tick.
     unasked: Vec<FlowKey>,
     /// Searches begun since they were last counted anew.
@@ -219,6 +220,7 @@
             searching: Vec::new(),
             flow_index: search::flow_index::FlowIndex::default(),
             questions: search::work_budget::WorkBudget::of_questions(options.capacity, now),
+            packet_bytes: search::work_budget::WorkBudget::of_packet_bytes(options.link_rate, now),
             list_bytes: search::work_budget::WorkBudget::of_list_bytes(options.link_rate, now),
             unasked: Vec::new(),
             searches_begun: 0,
--- a/crates/woodladder-core/src/flow/balancer/search/named_holders.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/named_holders.rs
@@ -4,7 +4,7 @@
 //! When it names none, or these deny, the packet is kept, all agents are asked by a
 //! small question, and the one that holds the flow is handed the packet.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::clock::Instant;
@@ -13,7 +13,7 @@
 use crate::flow::balancer::{Balancer, BalancerAction};
 use crate::flow::held_flows::FlowFingerprint;
 use crate::flow::identity::{FlowKey, NodeAddress, ServiceKey};
-use crate::flow::message::{ForwardHeader, ForwardPurpose, PeerMessage};
+use crate::flow::message::{ForwardHeader, ForwardPurpose, PeerMessage, TargetState};
 
 /// Packets of one flow that are kept while it is searched for: what a caller sends
 /// before it awaits an answer, in small requests.
@@ -44,6 +44,11 @@
         if has_them { Vec::new() } else { kept }
     }
 
+    /// Whether a packet is at hand.
+    pub(crate) fn has_packet(&self) -> bool {
+        !self.packet.is_empty()
+    }
+
     /// Whether an agent was among the first asked.
     pub(crate) fn was_named(&self, agent: NodeAddress) -> bool {
         self.first_asked.contains(&agent)
@@ -117,6 +122,42 @@
         }));
     }
 
+    /// Takes the agents out of a round of questions that cannot answer them without a
+    /// packet, and hands these the packets at once.
+    pub(crate) fn hand_to_undecided(
+        &mut self,
+        queries: &mut BTreeMap<NodeAddress, Vec<FlowKey>>,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        let undecided: Vec<(NodeAddress, ServiceKey)> = queries
+            .keys()
+            .filter_map(|agent| self.directory.agent(*agent))
+            .filter(|record| !record.knows_all_flows && record.state != TargetState::Unknown)
+            .map(|record| (record.address, record.service))
+            .collect();
+        for (agent, service) in undecided {
+            let keys = queries.remove(&agent).unwrap_or_default();
+            let (with_packet, without): (Vec<FlowKey>, Vec<FlowKey>) =
+                keys.into_iter().partition(|key| {
+                    let is_likely = self.likely_services(*key).contains(&service);
+                    is_likely
+                        && self
+                            .search_of(key)
+                            .is_some_and(|search| search.has_packet())
+                });
+            if !without.is_empty() {
+                queries.insert(agent, without);
+            }
+            if !with_packet.is_empty() {
+                self.directory.doubt(agent, now);
+            }
+            for key in with_packet {
+                self.hand_packet(agent, service, key, now, actions);
+            }
+        }
+    }
+
     /// Asks agents for the lists of their flows of which something is missing here.
     pub(crate) fn ask_for_lists(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         if !self.mechanisms.locates_flows || !self.list_bytes.has_left(now) {
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -111,7 +111,7 @@
     }
 
     /// Hands the packet of a search to an agent that cannot tell without one.
-    fn hand_packet(
+    pub(crate) fn hand_packet(
         &mut self,
         agent: NodeAddress,
         service: ServiceKey,
@@ -119,7 +119,9 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
-        if self.packets_handed >= PACKETS_A_TICK {
+        let is_bounded = self.mechanisms.locates_flows;
+        let is_spent = is_bounded && !self.packet_bytes.has_left(now);
+        if self.packets_handed >= PACKETS_A_TICK || is_spent {
             return;
         }
         let packet = self
@@ -129,6 +131,9 @@
             return;
         };
         self.packets_handed += 1;
+        let bytes = u32::try_from(packet.len()).unwrap_or(u32::MAX);
+        self.packet_bytes.spend(bytes);
+        self.questions.spend(1);
         self.counters.search_packets += 1;
         actions.push(BalancerAction::Forward {
             to: agent,
@@ -257,6 +262,9 @@
                 queries.entry(*agent).or_default().push(*key);
             }
         }
+        if is_bounded {
+            self.hand_to_undecided(&mut queries, now, actions);
+        }
         self.counters.questions_put_off += put_off;
         for (to, keys) in queries {
             self.directory.doubt(to, now);
--- a/crates/woodladder-core/src/flow/balancer/search/work_budget.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/work_budget.rs
@@ -10,6 +10,8 @@
 const PART_FOR_QUESTIONS: f64 = 0.5;
 /// Part of the link that lists of flows may take.
 const PART_FOR_LISTS: f64 = 0.05;
+/// Part of the link that packets handed to agents that cannot tell may take.
+const PART_FOR_PACKETS: f64 = 0.4;
 /// Rate taken for a link whose rate is not known, in kilobits a second.
 const UNKNOWN_LINK_RATE: u32 = 10_000;
 /// Bytes a second in one kilobit a second.
@@ -43,6 +45,14 @@
         Self::of_rate(rate * BYTES_IN_KILOBIT * PART_FOR_LISTS, now)
     }
 
+    /// Bytes of callers' packets that a link bears for searches, given in kilobits a
+    /// second.
+    #[must_use]
+    pub fn of_packet_bytes(link_rate: Option<u32>, now: Instant) -> Self {
+        let rate = f64::from(link_rate.unwrap_or(UNKNOWN_LINK_RATE));
+        Self::of_rate(rate * BYTES_IN_KILOBIT * PART_FOR_PACKETS, now)
+    }
+
     fn of_rate(a_second: f64, now: Instant) -> Self {
         Self {
             a_second,
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -147,6 +147,7 @@
         record.epoch = report.epoch;
         record.sequence = report.sequence;
         record.state = report.state;
+        record.knows_all_flows = report.knows_all_flows;
         record.capacity = report.capacity;
         record.version = report.version;
         record.interval = Duration::from_millis(report.interval_ms.into());
@@ -266,6 +267,7 @@
                 service: report.service,
                 zone: report.zone,
                 state: report.state,
+                knows_all_flows: report.knows_all_flows,
                 capacity: report.capacity,
                 load: report.load,
                 version: report.version,
--- /dev/null
+++ b/crates/woodladder-core/tests/flow_held_flows.rs
@@ -0,0 +1,565 @@
+//! What agents tell of their open flows, and what a balancer makes of it: statements
+//! that are lost, late, of a former start, or wrong, and bounds on their bytes.
+
+mod flow_support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use flow_support::*;
+use proptest::prelude::*;
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::flow_statements::{FlowStatements, LIST_PARTS_A_SECOND};
+use woodladder_core::flow::agent::{AgentAction, FirstBeat};
+use woodladder_core::flow::balancer::{Balancer, BalancerAction, FlowIndex, WorkBudget};
+use woodladder_core::flow::configuration::Configuration;
+use woodladder_core::flow::held_flows::{
+    FlowFingerprint, FlowStatement, MOST_TOLD_FLOWS, StatementCoverage,
+};
+use woodladder_core::flow::identity::{FlowKey, NodeAddress};
+use woodladder_core::flow::message::PeerMessage;
+use woodladder_core::flow::packet::PacketKind;
+
+const EPOCH: u64 = 7;
+
+fn prints(numbers: impl IntoIterator<Item = u32>) -> Vec<FlowFingerprint> {
+    numbers.into_iter().map(FlowFingerprint).collect()
+}
+
+fn told_by(index: &FlowIndex, agent: NodeAddress, among: u32) -> BTreeSet<u32> {
+    (0..among)
+        .filter(|number| index.holders(FlowFingerprint(*number)).contains(&agent))
+        .collect()
+}
+
+fn complete(flows: &[FlowKey]) -> FlowStatement {
+    FlowStatement {
+        coverage: StatementCoverage::Complete,
+        first: 0,
+        last: 0,
+        open: flows.iter().map(FlowFingerprint::of).collect(),
+        closed: Vec::new(),
+    }
+}
+
+/// A configuration under which flows are located: a route with a short timeout.
+fn locating_configuration() -> Configuration {
+    let mut locating = Configuration::clone(&configuration(1));
+    for route in &mut locating.routes {
+        route.terms.timeout_ms = 1400;
+    }
+    locating
+}
+
+/// A balancer that locates flows, and agents that know all flows of their targets; the
+/// first `tellers` of them tell these flows.
+fn locating_balancer(agents: &[u8], tellers: &[(u8, &[FlowKey])]) -> Balancer {
+    let mut balancer = empty_balancer();
+    balancer.configuration(locating_configuration().into());
+    for agent in agents {
+        let mut report = report(*agent, 1);
+        report.knows_all_flows = true;
+        let told = tellers.iter().find(|(teller, _)| teller == agent);
+        let flows = complete(told.map_or(&[], |(_, flows)| *flows));
+        let message = PeerMessage::ReportWithFlows { report, flows };
+        send(&mut balancer, *agent, message, at(10_000));
+    }
+    balancer
+}
+
+fn tick(balancer: &mut Balancer, now: u64) -> Vec<BalancerAction> {
+    let mut actions = Vec::new();
+    balancer.tick(at(now), &mut actions);
+    actions
+}
+
+fn asked(actions: &[BalancerAction]) -> Vec<NodeAddress> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            BalancerAction::Send {
+                to,
+                message: PeerMessage::Locate { .. },
+            } => Some(*to),
+            _ => None,
+        })
+        .collect()
+}
+
+fn handed(actions: &[BalancerAction]) -> Vec<NodeAddress> {
+    actions
+        .iter()
+        .filter_map(|action| match action {
+            BalancerAction::Forward { to, .. } => Some(*to),
+            _ => None,
+        })
+        .collect()
+}
+
+fn has_reset(actions: &[BalancerAction]) -> bool {
+    actions
+        .iter()
+        .any(|action| matches!(action, BalancerAction::Reset(_)))
+}
+
+fn located(key: FlowKey) -> PeerMessage {
+    PeerMessage::Located {
+        key,
+        incarnation: None,
+    }
+}
+
+fn not_held(key: FlowKey) -> PeerMessage {
+    PeerMessage::NotHeld { keys: vec![key] }
+}
+
+#[test]
+fn a_packet_goes_only_to_the_agent_that_tells_its_flow() {
+    let mut balancer = locating_balancer(&[2, 3, 4], &[(3, &[flow(1)])]);
+    let routing = arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    assert_eq!(receivers(&routing), vec![node(3)]);
+    assert!(asked(&tick(&mut balancer, 10_510)).is_empty());
+    let actions = send(&mut balancer, 3, located(flow(1)), at(10_512));
+    assert!(handed(&actions).is_empty(), "the packet was sent twice");
+    assert_eq!(balancer.counters().located_by_list, 1);
+}
+
+/// The summary is missing, or older than the flow.
+#[test]
+fn a_flow_that_nobody_tells_is_asked_for_and_its_holder_is_handed_the_packet() {
+    let mut balancer = locating_balancer(&[2, 3, 4], &[]);
+    let routing = arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    assert!(receivers(&routing).is_empty());
+    assert!(balancer.tick_interval() <= Duration::from_millis(5));
+    assert_eq!(asked(&tick(&mut balancer, 10_504)).len(), 3);
+    let actions = send(&mut balancer, 4, located(flow(1)), at(10_506));
+    assert_eq!(handed(&actions), vec![node(4)]);
+    assert_eq!(balancer.counters().located_by_question, 1);
+}
+
+#[test]
+fn a_kept_packet_is_not_handed_over_when_its_answer_is_of_no_use_any_more() {
+    let mut balancer = locating_balancer(&[2, 3], &[]);
+    arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    let actions = send(&mut balancer, 3, located(flow(1)), at(11_900));
+    assert!(handed(&actions).is_empty());
+}
+
+/// The summary is wrong: by a liar, by chance, or by a flow that has closed.
+#[test]
+fn when_the_agent_that_tells_the_flow_denies_all_others_are_asked_at_once() {
+    let mut balancer = locating_balancer(&[2, 3, 4], &[(3, &[flow(1)])]);
+    arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    send(&mut balancer, 3, not_held(flow(1)), at(10_502));
+    assert_eq!(asked(&tick(&mut balancer, 10_506)), vec![node(2), node(4)]);
+    let actions = send(&mut balancer, 2, located(flow(1)), at(10_508));
+    assert_eq!(handed(&actions), vec![node(2)]);
+}
+
+/// The agent that told the flow is cut off or gone.
+#[test]
+fn when_the_agent_that_tells_the_flow_is_silent_all_are_asked_before_the_caller_repeats() {
+    let mut balancer = locating_balancer(&[2, 3, 4], &[(3, &[flow(1)])]);
+    arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    assert!(asked(&tick(&mut balancer, 10_540)).is_empty());
+    assert_eq!(asked(&tick(&mut balancer, 10_565)).len(), 3);
+}
+
+/// All lists are complete and none names the flow, which may have been opened since.
+#[test]
+fn no_list_proves_that_a_flow_is_gone() {
+    let mut balancer = locating_balancer(&[2, 3], &[]);
+    arrive(&mut balancer, &data(flow(1), 1, 77), at(11_000));
+    assert!(!has_reset(&tick(&mut balancer, 11_010)));
+    assert!(!has_reset(&send(
+        &mut balancer,
+        2,
+        not_held(flow(1)),
+        at(11_020)
+    )));
+    assert!(has_reset(&send(
+        &mut balancer,
+        3,
+        not_held(flow(1)),
+        at(11_030)
+    )));
+}
+
+/// A fingerprint that two flows share.
+#[test]
+fn an_agent_of_another_service_is_not_handed_the_packet() {
+    let mut balancer = locating_balancer(&[2], &[]);
+    let mut other = report(3, 1);
+    other.service = print();
+    let flows = complete(&[flow(1)]);
+    let message = PeerMessage::ReportWithFlows {
+        report: other,
+        flows,
+    };
+    send(&mut balancer, 3, message, at(10_000));
+    let routing = arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    assert!(receivers(&routing).is_empty());
+}
+
+#[test]
+fn an_agent_known_to_be_undecided_is_handed_the_packet_without_a_question() {
+    let mut balancer = locating_balancer(&[2], &[]);
+    tell(&mut balancer, 3, &report(3, 1), at(10_000));
+    arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    let actions = tick(&mut balancer, 10_504);
+    assert_eq!(asked(&actions), vec![node(2)]);
+    assert_eq!(handed(&actions), vec![node(3)]);
+}
+
+#[test]
+fn what_a_former_start_of_an_agent_has_told_is_forgotten() {
+    let mut index = FlowIndex::default();
+    let statement = |open: &[u32]| FlowStatement {
+        coverage: StatementCoverage::Complete,
+        first: 0,
+        last: 5,
+        open: prints(open.iter().copied()),
+        closed: Vec::new(),
+    };
+    index.stated(node(2), 1, &statement(&[1, 2]));
+    index.stated(node(2), 2, &statement(&[3]));
+    assert_eq!(told_by(&index, node(2), 10), BTreeSet::from([3]));
+    index.forget(node(2));
+    assert!(index.is_empty());
+}
+
+#[test]
+fn a_late_statement_changes_nothing() {
+    let mut statements = FlowStatements::new(EPOCH, at(0));
+    let mut index = FlowIndex::default();
+    statements.look(prints([1]).into_iter(), at(0));
+    let first = statements.statement_for(node(1));
+    statements.look(prints([2]).into_iter(), at(200));
+    let second = statements.statement_for(node(1));
+    index.stated(node(9), EPOCH, &second);
+    index.stated(node(9), EPOCH, &first);
+    index.stated(node(9), EPOCH, &second);
+    index.stated(node(9), EPOCH, &first);
+    assert_eq!(told_by(&index, node(9), 10), BTreeSet::from([2]));
+}
+
+#[test]
+fn the_loss_of_one_report_costs_nothing() {
+    let mut statements = FlowStatements::new(EPOCH, at(0));
+    let mut index = FlowIndex::default();
+    let mut now = 0;
+    for round in 0..20_u32 {
+        now += 200;
+        statements.look(prints(round..round + 5).into_iter(), at(now));
+        let statement = statements.statement_for(node(1));
+        if round % 2 == 0 {
+            index.stated(node(9), EPOCH, &statement);
+            assert!(index.is_complete(node(9)), "round {round}");
+            let open: BTreeSet<u32> = (round..round + 5).collect();
+            assert_eq!(told_by(&index, node(9), 40), open);
+        }
+    }
+}
+
+#[test]
+fn a_gap_is_noticed_and_the_list_is_asked_for_once_in_a_while() {
+    let mut statements = FlowStatements::new(EPOCH, at(0));
+    let mut index = FlowIndex::default();
+    index.stated(node(9), EPOCH, &statements.statement_for(node(1)));
+    for round in 1..4_u32 {
+        statements.look(
+            prints(round..round + 5).into_iter(),
+            at(u64::from(round) * 200),
+        );
+        let statement = statements.statement_for(node(1));
+        if round == 3 {
+            index.stated(node(9), EPOCH, &statement);
+        }
+    }
+    assert!(!index.is_complete(node(9)));
+    let ask =
+        |index: &mut FlowIndex, now: u64| index.take_incomplete([node(9)].into_iter(), 4, at(now));
+    assert_eq!(ask(&mut index, 1000), vec![node(9)]);
+    assert!(ask(&mut index, 1100).is_empty());
+    for part in statements.list(at(1100)) {
+        index.list_part(node(9), part);
+    }
+    assert!(index.is_complete(node(9)));
+    assert_eq!(told_by(&index, node(9), 40), (3..8).collect());
+}
+
+/// One step of the random course: flows open and close, and statements are lost, late or
+/// doubled; the agent starts again; the balancer asks for lists.
+#[derive(Clone, Debug)]
+enum Step {
+    Flows(BTreeSet<u32>),
+    Report { is_lost: bool },
+    Late(usize),
+    Restart,
+    AskForList { is_lost: bool },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => proptest::collection::btree_set(0..40_u32, 0..20).prop_map(Step::Flows),
+        4 => any::<bool>().prop_map(|is_lost| Step::Report { is_lost }),
+        2 => (0..8_usize).prop_map(Step::Late),
+        1 => Just(Step::Restart),
+        2 => any::<bool>().prop_map(|is_lost| Step::AskForList { is_lost }),
+    ]
+}
+
+proptest! {
+    /// Whatever was lost, late, doubled or of a former start: when the index says that it
+    /// is complete after a report of the present start, it holds what that report states.
+    #[test]
+    fn an_index_that_is_complete_is_right(steps in proptest::collection::vec(step(), 1..80)) {
+        let mut epoch = 1;
+        let mut now = 0;
+        let mut open = BTreeSet::new();
+        let mut statements = FlowStatements::new(epoch, at(now));
+        let mut index = FlowIndex::default();
+        let mut sent: Vec<(u64, FlowStatement)> = Vec::new();
+        for step in steps {
+            now += 150;
+            match step {
+                Step::Flows(flows) => {
+                    open = flows;
+                    statements.look(prints(open.iter().copied()).into_iter(), at(now));
+                }
+                Step::Report { is_lost } => {
+                    let statement = statements.statement_for(node(1));
+                    sent.push((epoch, statement.clone()));
+                    if !is_lost {
+                        index.stated(node(9), epoch, &statement);
+                        if index.is_complete(node(9)) {
+                            prop_assert_eq!(&told_by(&index, node(9), 40), &open);
+                        }
+                    }
+                }
+                Step::Late(back) => {
+                    if let Some((epoch, statement)) = sent.iter().rev().nth(back) {
+                        index.stated(node(9), *epoch, statement);
+                    }
+                }
+                Step::Restart => {
+                    epoch += 1;
+                    open = BTreeSet::new();
+                    statements = FlowStatements::new(epoch, at(now));
+                }
+                Step::AskForList { is_lost } => {
+                    let parts = statements.list(at(now));
+                    for part in parts.into_iter().filter(|_| !is_lost) {
+                        index.list_part(node(9), part);
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn an_agent_with_too_many_flows_tells_none() {
+    let mut statements = FlowStatements::new(EPOCH, at(0));
+    let flows = u32::try_from(MOST_TOLD_FLOWS).expect("a small number") + 1;
+    statements.look(prints(0..flows).into_iter(), at(0));
+    let statement = statements.statement_for(node(1));
+    assert_eq!(statement.coverage, StatementCoverage::Nothing);
+    assert!(statements.list(at(0)).is_empty());
+    let mut index = FlowIndex::default();
+    index.stated(node(9), EPOCH, &statement);
+    assert!(
+        index
+            .take_incomplete([node(9)].into_iter(), 1, at(10))
+            .is_empty()
+    );
+}
+
+/// Datagrams of reports and lists stay below 1,200 bytes, whatever has changed.
+#[test]
+fn each_datagram_is_small() {
+    let mut statements = FlowStatements::new(EPOCH, at(0));
+    statements.statement_for(node(1));
+    for round in 0..4_u32 {
+        let flows = prints(round * 4000..round * 4000 + 4000);
+        statements.look(flows.into_iter(), at(u64::from(round) * 200));
+        let flows = statements.statement_for(node(1));
+        let report = report(9, 1);
+        let datagram = PeerMessage::ReportWithFlows { report, flows }.encode(b"");
+        assert!(datagram.len() <= 1200, "{}", datagram.len());
+        for part in statements.list(at(u64::from(round) * 2000)) {
+            let datagram = PeerMessage::FlowList(part).encode(b"");
+            assert!(datagram.len() <= 1200, "{}", datagram.len());
+        }
+    }
+}
+
+/// An agent that 100, 1,000 or 4,000 balancers ask at once for its list, and which none of
+/// them stops asking, sends as many bytes a second.
+#[test]
+fn the_lists_of_an_agent_are_bounded_at_any_number_of_balancers() {
+    const SECONDS: u32 = 10;
+    for balancers in [100, 1000, 4000] {
+        let mut statements = FlowStatements::new(EPOCH, at(0));
+        statements.look(prints(0..2000).into_iter(), at(0));
+        let mut parts = 0;
+        for round in 0..SECONDS * 2 {
+            let now = at(u64::from(round) * 500);
+            parts += (0..balancers)
+                .map(|_| statements.list(now).len())
+                .sum::<usize>();
+        }
+        let bound = usize::try_from(LIST_PARTS_A_SECOND * (SECONDS + 1)).expect("small");
+        assert!(parts <= bound, "{balancers} balancers: {parts} parts");
+        assert!(parts > 0);
+    }
+}
+
+/// A balancer that misses the lists of 100, 1,000 or 4,000 agents asks for as many bytes a
+/// second: 5 percent of its link, and a tenth of a second's worth at the beginning.
+#[test]
+fn the_lists_that_a_balancer_asks_for_are_bounded_at_any_number_of_agents() {
+    const FLOWS: u32 = 2000;
+    const SECONDS: u64 = 10;
+    const BYTES_A_SECOND: u64 = 62_500;
+    for agents in [100_u32, 1000, 4000] {
+        let mut balancer = wide_balancer();
+        balancer.configuration(std::sync::Arc::new(Configuration {
+            version: 2,
+            ..locating_configuration()
+        }));
+        let mut asked = 0;
+        for step in 0..SECONDS * 40 {
+            let now = at(10_000 + step * 25);
+            if step % 4 == 0 {
+                report_all(&mut balancer, agents, step, FLOWS, now);
+            }
+            let mut actions = Vec::new();
+            balancer.tick(now, &mut actions);
+            asked += actions
+                .iter()
+                .filter(|action| {
+                    matches!(
+                        action,
+                        BalancerAction::Send {
+                            message: PeerMessage::ListFlows,
+                            ..
+                        }
+                    )
+                })
+                .count();
+        }
+        let bytes = u64::try_from(asked).expect("small") * u64::from(FLOWS) * 4;
+        // A round may overdraw the budget by the lists of one tick.
+        let bound = BYTES_A_SECOND * (SECONDS + 1) + 4 * u64::from(FLOWS) * 4;
+        assert!(bytes <= bound, "{agents} agents: {bytes} bytes");
+        assert!(asked > 0);
+    }
+}
+
+/// Reports of many agents that have each missed something.
+fn report_all(balancer: &mut Balancer, agents: u32, sequence: u64, flows: u32, now: Instant) {
+    for agent in 0..agents {
+        let [_, _, high, low] = agent.to_be_bytes();
+        let address = NodeAddress::new([10, 9, high, low].into(), 7160);
+        let mut report = report(2, sequence + 1);
+        report.load.flows = flows;
+        report.interval_ms = 1000;
+        let statement = FlowStatement {
+            coverage: StatementCoverage::Changes,
+            first: 50,
+            last: 50,
+            open: Vec::new(),
+            closed: Vec::new(),
+        };
+        let message = PeerMessage::ReportWithFlows {
+            report,
+            flows: statement,
+        };
+        balancer.message(address, message, None, now, &mut Vec::new());
+    }
+}
+
+/// A machine of 0.09 of a core asks 750 questions a second: half of its processor.
+#[test]
+fn questions_are_bounded_by_the_processor() {
+    let mut budget = WorkBudget::of_questions(90, at(0));
+    let mut asked = 0;
+    for step in 0..1000_u64 {
+        if budget.has_left(at(step * 10)) {
+            budget.spend(100);
+            asked += 100;
+        }
+    }
+    assert!((7000..=7700).contains(&asked), "{asked}");
+}
+
+#[test]
+fn an_agent_tells_flows_that_stay_open_and_answers_with_its_list() {
+    let mut agent = agent();
+    let snapshot = woodladder_core::flow::message::Snapshot {
+        configuration: Some(locating_configuration()),
+        ..Default::default()
+    };
+    agent.snapshot(node(1), snapshot, at(0));
+    agent.listed(&[node(1)], at(0));
+    open_at(&mut agent, flow(1), at(1000));
+    assert_eq!(stated(&mut agent, 1200), Some(Vec::new()));
+    assert_eq!(
+        stated(&mut agent, 3000),
+        Some(vec![FlowFingerprint::of(&flow(1))])
+    );
+    let mut actions = Vec::new();
+    agent.message(node(1), &PeerMessage::ListFlows, at(3100), &mut actions);
+    let is_list = |action: &AgentAction| {
+        matches!(action, AgentAction::Send { message: PeerMessage::FlowList(part), .. }
+            if part.open == vec![FlowFingerprint::of(&flow(1))])
+    };
+    assert!(actions.iter().any(is_list));
+    agent.departing(
+        &packet(flow(1), PacketKind::Reset, 5001, 1201, 0),
+        None,
+        at(3200),
+    );
+    let mut actions = Vec::new();
+    agent.tick(at(5000), &mut actions);
+    assert!(actions.iter().any(|action| matches!(
+        action,
+        AgentAction::Send { message: PeerMessage::ReportWithFlows { flows, .. }, .. }
+            if flows.closed == vec![FlowFingerprint::of(&flow(1))]
+    )));
+}
+
+/// The open flows that the report at a moment states.
+fn stated(
+    agent: &mut woodladder_core::flow::agent::Agent,
+    now: u64,
+) -> Option<Vec<FlowFingerprint>> {
+    let mut actions = Vec::new();
+    agent.tick(at(now), &mut actions);
+    actions.into_iter().find_map(|action| match action {
+        AgentAction::Send {
+            message: PeerMessage::ReportWithFlows { flows, .. },
+            ..
+        } => Some(flows.open),
+        _ => None,
+    })
+}
+
+/// A target that is younger than half an interval had no heartbeat answered before.
+#[test]
+fn the_first_heartbeat_proves_that_none_was_answered_before() {
+    let interval = Some(Duration::from_millis(800));
+    let warm_up = Duration::from_millis(2000);
+    let with_left = |left: u64| FirstBeat {
+        warm_up_left: Duration::from_millis(left),
+    };
+    assert!(with_left(1700).is_first_answered(warm_up, interval));
+    // An earlier agent may have answered one 400 ms ago, with a roughly kept interval.
+    assert!(!with_left(1600).is_first_answered(warm_up, interval));
+    // Warm already, slower than stated, nothing stated, no interval known.
+    assert!(!with_left(0).is_first_answered(warm_up, interval));
+    assert!(!with_left(2500).is_first_answered(warm_up, interval));
+    assert!(!with_left(1700).is_first_answered(Duration::ZERO, interval));
+    assert!(!with_left(1700).is_first_answered(warm_up, None));
+}
