--- a/crates/woodladder-core/src/flow/balancer/search/work_budget.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/work_budget.rs
@@ -6,8 +6,9 @@
 
 /// Processor that one question and its answer take, in microseconds: two datagrams.
 const QUESTION_TAKES_US: f64 = 30.0;
-/// Part of the processor that questions may take; packets of known flows keep the other.
-const PART_FOR_QUESTIONS: f64 = 0.5;
+/// Part of the processor that questions may take. They are many only when nearly no flow
+/// is known, after a loss of everything; packets of known flows keep the rest.
+const PART_FOR_QUESTIONS: f64 = 0.8;
 /// Part of the link that lists of flows may take.
 const PART_FOR_LISTS: f64 = 0.05;
 /// Part of the link that packets handed to agents that cannot tell may take.
