A silent agent without a target is waited for 400 ms

Cause: after a loss of everything six machines without a target vanish one after the other, and each holds up every proof for a second.

Ruled out: taking an older list for an answer; a shorter bound for all agents.

Change: an agent that last said that it has had no target since its start, and leaves questions unanswered for 400 ms, is not waited for. It can hold a flow only if its target began, took one and had it moved to another balancer within that silence.

--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -25,6 +25,9 @@
 /// Age at which a statement of how many openings a cold target may still be handed
 /// is over: the span that it is about.
 const OPENINGS_LEFT_HOLD_FOR: Duration = Duration::from_millis(1000);
+/// Time without an answer to repeated questions after which an agent without a target is
+/// not waited for: three questions and as many searches go unanswered.
+const GONE_WITHOUT_TARGET_AFTER: Duration = Duration::from_millis(400);
 /// Openings without an answer after which an agent counts as silent.
 const SUSPECT_UNANSWERED: u32 = 2;
 
@@ -117,6 +120,19 @@
         self.counted_lost
     }
 
+    /// Whether the agent last said that it has had no target since it started, and has
+    /// left several questions in a row unanswered. It can hold a flow only if its target
+    /// began, took a flow and had it moved to another balancer within this silence, all
+    /// of it heard by others and none by this one.
+    #[must_use]
+    pub fn is_gone_without_target(&self, now: Instant) -> bool {
+        let had_no_target = self.state == TargetState::Unknown
+            && self.incarnation.is_none()
+            && self.knows_all_flows
+            && self.load.flows == 0;
+        had_no_target && self.owes_answer_for(now) >= GONE_WITHOUT_TARGET_AFTER
+    }
+
     pub(super) fn is_lost(&self, now: Instant) -> bool {
         let limit = silence_limit(
             self.interval,
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -34,10 +34,12 @@
 impl Balancer {
     /// Every agent whose target may hold a flow: of all services, because the
     /// route may have led elsewhere before this balancer started.
-    fn possible_holders(&self) -> Vec<NodeAddress> {
+    fn possible_holders(&self, now: Instant) -> Vec<NodeAddress> {
+        let locates = self.mechanisms.locates_flows;
         self.directory
             .agents()
             .filter(|record| !record.is_given_up())
+            .filter(|record| !(locates && record.is_gone_without_target(now)))
             .map(|record| record.address)
             .collect()
     }
@@ -161,7 +163,7 @@
         if keys.is_empty() || !self.knows_all_agents(now) {
             return;
         }
-        let holders = self.possible_holders();
+        let holders = self.possible_holders(now);
         for key in keys {
             let Some(search) = self.search_of(key) else {
                 continue;
@@ -228,7 +230,7 @@
             search.is_noted = true;
             let denied = search.denied.clone();
             let handed: BTreeSet<NodeAddress> = search.handed.keys().copied().collect();
-            let holders = holders.get_or_insert_with(|| self.possible_holders());
+            let holders = holders.get_or_insert_with(|| self.possible_holders(now));
             let mut open = holders.iter().filter(|agent| !denied.contains(agent));
             let awaited = open.next().copied();
             self.notes.add(Note::SearchWaits {
@@ -249,7 +251,7 @@
     /// Asks all possible holders about those of the flows for which it is time.
     fn ask_about(&mut self, keys: &[FlowKey], now: Instant, actions: &mut Vec<BalancerAction>) {
         let is_bounded = self.mechanisms.locates_flows;
-        let holders: BTreeSet<NodeAddress> = self.possible_holders().into_iter().collect();
+        let holders: BTreeSet<NodeAddress> = self.possible_holders(now).into_iter().collect();
         let undecided = if is_bounded {
             self.undecided_agents()
         } else {
--- a/crates/woodladder-core/tests/flow_held_flows.rs
+++ b/crates/woodladder-core/tests/flow_held_flows.rs
@@ -16,8 +16,8 @@
 use woodladder_core::flow::held_flows::{
     FlowFingerprint, FlowStatement, MOST_TOLD_FLOWS, StatementCoverage,
 };
-use woodladder_core::flow::identity::{FlowKey, NodeAddress};
-use woodladder_core::flow::message::PeerMessage;
+use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress};
+use woodladder_core::flow::message::{PeerMessage, TargetReport, TargetState};
 use woodladder_core::flow::packet::PacketKind;
 
 const EPOCH: u64 = 7;
@@ -185,6 +185,53 @@
     )));
 }
 
+/// Agents 2 and 3, of which the second is as `change` makes it, a search that the first has
+/// denied, and the second silent from 10,500 ms on; whether the flow is reset by `until`.
+fn is_reset_with_silent(change: impl Fn(&mut TargetReport), until: u64) -> bool {
+    let mut balancer = locating_balancer(&[2], &[]);
+    let mut silent = report(3, 1);
+    silent.knows_all_flows = true;
+    silent.state = TargetState::Unknown;
+    silent.incarnation = None;
+    change(&mut silent);
+    let message = PeerMessage::ReportWithFlows {
+        report: silent,
+        flows: complete(&[]),
+    };
+    send(&mut balancer, 3, message, at(10_480));
+    arrive(&mut balancer, &data(flow(1), 1, 77), at(10_500));
+    let mut any_reset = false;
+    for (sequence, now) in (10_504..until).step_by(25).enumerate() {
+        any_reset |= has_reset(&tick(&mut balancer, now));
+        let mut living = report(2, 2 + sequence as u64);
+        living.knows_all_flows = true;
+        any_reset |= has_reset(&tell(&mut balancer, 2, &living, at(now)));
+        any_reset |= has_reset(&send(&mut balancer, 2, not_held(flow(1)), at(now)));
+    }
+    any_reset
+}
+
+/// A machine whose agent had no target vanishes: it is asked repeatedly for 400 ms.
+#[test]
+fn a_silent_agent_without_a_target_is_not_waited_for_as_long_as_another() {
+    assert!(!is_reset_with_silent(|_| {}, 10_880));
+    assert!(is_reset_with_silent(|_| {}, 11_000));
+}
+
+#[test]
+fn a_silent_agent_that_may_have_a_target_is_waited_for() {
+    let changes: [fn(&mut TargetReport); 5] = [
+        |report| report.state = TargetState::Ready,
+        |report| report.state = TargetState::Leaving,
+        |report| report.incarnation = Some(Incarnation(3)),
+        |report| report.knows_all_flows = false,
+        |report| report.load.flows = 1,
+    ];
+    for change in changes {
+        assert!(!is_reset_with_silent(change, 11_100));
+    }
+}
+
 /// A fingerprint that two flows share.
 #[test]
 fn an_agent_of_another_service_is_not_handed_the_packet() {
