--- a/crates/woodladder-core/src/flow/agent/decision.rs
+++ b/crates/woodladder-core/src/flow/agent/decision.rs
@@ -131,4 +131,6 @@
     pub heartbeats_unproven: u64,
     /// Deregistrations that may be of a former start.
     pub deregistrations_ignored: u64,
+    /// Parts of lists of flows sent to balancers.
+    pub list_parts: u64,
 }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -34,6 +34,7 @@
 use super::table::FlowTable;
 use admission::queue::AdmissionQueue;
 use admission::warm_up::WarmUp;
+use reporting::flow_statements::FlowStatements;
 use reporting::report_schedule::ReportSchedule;
 use target::failure_record::FailureRecord;
 use target::resting_work::RestingWork;
@@ -44,7 +45,9 @@
 pub use admission::queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
 pub use admission::warm_up::WarmUpBounds;
 pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
+pub use reporting::flow_statements;
 pub use target::failure_record::{AnswerKind, Suspicion};
+pub use target::first_beat::FirstBeat;
 pub use target::heartbeat::{Heartbeat, HeartbeatError};
 
 /// Settings of an agent.
@@ -147,9 +150,11 @@
     sent_at: Option<Instant>,
     unanswered_since: Option<Instant>,
     presence: Presence,
-    /// Whether the target began while the agent ran, so that the agent has
-    /// seen each of its flows.
+    /// Whether the target began while the agent ran, or had no heartbeat answered
+    /// before, so that the agent has seen each of its flows.
     began_later: bool,
+    /// The first heartbeat, until it was judged.
+    first_beat: Option<target::first_beat::FirstBeat>,
 }
 
 /// The agent's state.
@@ -180,6 +185,9 @@
     started_at: Instant,
     reports: ReportSchedule,
     report_sequence: u64,
+    statements: FlowStatements,
+    /// Time between two heartbeats of the target, when it is known.
+    heartbeat_interval: Option<Duration>,
     /// Whether something has changed that every balancer must know.
     report_due: bool,
     fetch: Option<(NodeAddress, Instant)>,
@@ -214,6 +222,8 @@
             started_at: now,
             reports: ReportSchedule::default(),
             report_sequence: 0,
+            statements: FlowStatements::new(options.epoch, now),
+            heartbeat_interval: None,
             report_due: false,
             fetch: None,
             ticked_at: None,
@@ -342,6 +352,7 @@
             from: Some(from),
         });
         self.choose_mechanisms();
+        self.judge_first_beat();
     }
 
     fn choose_mechanisms(&mut self) {
@@ -425,6 +436,7 @@
             unanswered_since: None,
             presence: Presence::NotAsked,
             began_later: false,
+            first_beat: None,
         }
     }
 }
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -21,6 +21,10 @@
 
 /// Time between two queries for one flow.
 const QUERY_INTERVAL: Duration = Duration::from_millis(120);
+/// Least time between two rounds through all searches, when single ones begin between.
+const ALL_SEARCHES_EVERY: Duration = Duration::from_millis(20);
+/// Age from which a search counts as long.
+const NOTED_AFTER: Duration = Duration::from_millis(300);
 /// Flows asked for in one round of queries.
 const QUERIED_FLOWS: usize = 4096;
 /// Packets handed to agents that cannot tell without one, between two ticks. The
@@ -30,10 +34,12 @@
 impl Balancer {
     /// Every agent whose target may hold a flow: of all services, because the
     /// route may have led elsewhere before this balancer started.
-    fn possible_holders(&self) -> Vec<NodeAddress> {
+    fn possible_holders(&self, now: Instant) -> Vec<NodeAddress> {
+        let locates = self.mechanisms.locates_flows;
         self.directory
             .agents()
             .filter(|record| !record.is_given_up())
+            .filter(|record| !(locates && record.is_gone_without_target(now)))
             .map(|record| record.address)
             .collect()
     }
@@ -78,6 +84,10 @@
                 continue;
             };
             search.denied.insert(from);
+            let is_unasked = search.queried_at.is_none();
+            if is_unasked && self.mechanisms.locates_flows {
+                self.unasked.push(*key);
+            }
         }
         self.conclude(keys, now, actions);
     }
@@ -106,7 +116,8 @@
         }
     }
 
-    /// Hands the packet of a search to an agent that cannot tell without one.
+    /// Hands the packet of a search to an agent that cannot tell without one, if another
+    /// may be handed over now.
     fn hand_packet(
         &mut self,
         agent: NodeAddress,
@@ -115,9 +126,24 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
-        if self.packets_handed >= PACKETS_A_TICK {
-            return;
+        let is_possible = if self.mechanisms.locates_flows {
+            self.may_ask_about_another(now)
+        } else {
+            self.packets_handed < PACKETS_A_TICK
+        };
+        if is_possible {
+            self.give_packet(agent, service, key, now, actions);
         }
+    }
+
+    pub(crate) fn give_packet(
+        &mut self,
+        agent: NodeAddress,
+        service: ServiceKey,
+        key: FlowKey,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
         let packet = self
             .search_of(&key)
             .and_then(|search| search.packet_for(agent, now));
@@ -125,6 +151,9 @@
             return;
         };
         self.packets_handed += 1;
+        let bytes = u32::try_from(packet.len()).unwrap_or(u32::MAX);
+        self.packet_bytes.spend(bytes);
+        self.questions.spend(1);
         self.counters.search_packets += 1;
         actions.push(BalancerAction::Forward {
             to: agent,
@@ -138,15 +167,22 @@
         if keys.is_empty() || !self.knows_all_agents(now) {
             return;
         }
-        let holders = self.possible_holders();
+        let holders = self.possible_holders(now);
         for key in keys {
             let Some(search) = self.search_of(key) else {
                 continue;
             };
-            if search.is_over(now) || !holders.iter().all(|agent| search.denied.contains(agent)) {
+            // Counting first spares the comparison, which is made for each answer.
+            let may_be_all = search.denied.len() >= holders.len();
+            if !may_be_all
+                || search.is_over(now)
+                || !holders.iter().all(|agent| search.denied.contains(agent))
+            {
                 continue;
             }
             let count = search.denied.len();
+            let waited = now.since(search.started_at);
+            self.notes.add(Note::AbsenceProved { key: *key, waited });
             if let Some(entry) = self.flows.remove(key) {
                 let sequence = entry.acknowledged;
                 let reset = self.reset(*key, sequence, ResetReason::HeldNowhere, count);
@@ -157,50 +193,114 @@
 
     /// Asks again for the flows that are searched for.
     pub(crate) fn pursue_searches(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
+        let unasked = std::mem::take(&mut self.unasked);
+        if !unasked.is_empty() && !self.is_time_for_all(now) {
+            // A tick between two others, for the flows that have just come.
+            return self.ask_about(&unasked, now, actions);
+        }
+        self.searches_counted_at = now;
         self.searches_begun = 0;
         self.packets_handed = 0;
         if self.searching.is_empty() {
             return;
         }
-        let holders: BTreeSet<NodeAddress> = self.possible_holders().into_iter().collect();
-        let mut queries: BTreeMap<NodeAddress, Vec<FlowKey>> = BTreeMap::new();
-        let mut undecided = Vec::new();
         let mut searching = std::mem::take(&mut self.searching);
         searching.truncate(QUERIED_FLOWS);
-        for key in searching {
-            let Some(search) = self.search_of(&key) else {
+        searching.retain(|key| {
+            self.search_of(key)
+                .is_some_and(|search| !search.is_over(now))
+        });
+        self.ask_about(&searching, now, actions);
+        self.conclude(&searching, now, actions);
+        self.note_long_searches(&searching, now);
+        self.searching.append(&mut searching);
+    }
+
+    /// Notes once for each search that goes on for long whom it waits for.
+    fn note_long_searches(&mut self, keys: &[FlowKey], now: Instant) {
+        if !self.mechanisms.locates_flows {
+            return;
+        }
+        let knows_all = self.knows_all_agents(now);
+        let mut holders = None;
+        for key in keys {
+            let Some(search) = self.search_of(key) else {
                 continue;
             };
-            if search.is_over(now) {
+            let waited = now.since(search.started_at);
+            if search.is_noted || waited < NOTED_AFTER {
                 continue;
             }
-            undecided.push(key);
+            search.is_noted = true;
+            let denied = search.denied.clone();
+            let handed: BTreeSet<NodeAddress> = search.handed.keys().copied().collect();
+            let holders = holders.get_or_insert_with(|| self.possible_holders(now));
+            let mut open = holders.iter().filter(|agent| !denied.contains(agent));
+            let awaited = open.next().copied();
+            self.notes.add(Note::SearchWaits {
+                key: *key,
+                waited,
+                open: awaited.map_or(0, |_| 1 + open.count()),
+                awaited,
+                is_undecided: awaited.is_some_and(|agent| handed.contains(&agent)),
+                knows_all,
+            });
+        }
+    }
+
+    fn is_time_for_all(&self, now: Instant) -> bool {
+        now.since(self.searches_counted_at) >= ALL_SEARCHES_EVERY
+    }
+
+    /// Asks all possible holders about those of the flows for which it is time.
+    fn ask_about(&mut self, keys: &[FlowKey], now: Instant, actions: &mut Vec<BalancerAction>) {
+        let is_bounded = self.mechanisms.locates_flows;
+        let holders: BTreeSet<NodeAddress> = self.possible_holders(now).into_iter().collect();
+        let undecided = if is_bounded {
+            self.undecided_agents()
+        } else {
+            BTreeMap::new()
+        };
+        let mut queries: BTreeMap<NodeAddress, Vec<FlowKey>> = BTreeMap::new();
+        for key in keys {
+            let Some(search) = self.search_of(key) else {
+                continue;
+            };
             let is_due = match search.queried_at {
                 None => !search.awaits_first(|agent| holders.contains(&agent), now),
                 Some(at) => now.since(at) >= QUERY_INTERVAL,
             };
-            if is_due {
-                search.queried_at = Some(now);
-                for agent in holders
-                    .iter()
-                    .filter(|agent| !search.denied.contains(agent))
-                {
-                    queries.entry(*agent).or_default().push(key);
-                }
+            if !is_due {
+                continue;
+            }
+            if is_bounded && !self.may_ask_about_another(now) {
+                self.counters.questions_put_off += 1;
+                continue;
+            }
+            let Some(search) = self.search_of(key) else {
+                continue;
+            };
+            search.queried_at = Some(now);
+            let open: Vec<NodeAddress> = holders
+                .iter()
+                .filter(|agent| !search.denied.contains(agent))
+                .copied()
+                .collect();
+            for agent in self.hand_to_undecided(*key, open, &undecided, now, actions) {
+                queries.entry(agent).or_default().push(*key);
             }
         }
-        self.searching = undecided;
         for (to, keys) in queries {
             self.directory.doubt(to, now);
             for batch in keys.chunks(MAXIMUM_KEYS) {
+                self.counters.questions += 1;
+                self.questions.spend(1);
                 let message = PeerMessage::Locate {
                     keys: batch.to_vec(),
                 };
                 actions.push(BalancerAction::Send { to, message });
             }
         }
-        let searching = self.searching.clone();
-        self.conclude(&searching, now, actions);
     }
 
     /// A target holds a flow that was searched for.
@@ -211,6 +311,7 @@
         incarnation: Option<Incarnation>,
         heartbeat: u64,
         now: Instant,
+        actions: &mut Vec<BalancerAction>,
     ) {
         self.promises.is_held(&key, now);
         let Some(record) = self.directory.agent(agent) else {
@@ -218,9 +319,25 @@
         };
         let service = record.service;
         self.recorded_located(agent, key, now);
-        if let Some(entry) = self.flows.use_flow(&key)
-            && matches!(entry.stage, Stage::Searching(_))
-        {
+        let Some(search) = self.search_of(&key) else {
+            return;
+        };
+        let waited = now.since(search.started_at);
+        let was_named = search.was_named(agent);
+        if self.mechanisms.locates_flows {
+            let (terms, _) = self.routes.terms(key.service, service);
+            let is_awaited = waited < Duration::from_millis(terms.timeout_ms.into());
+            if is_awaited {
+                self.hand_kept(agent, service, &key, actions);
+            }
+            let counter = if was_named {
+                &mut self.counters.located_by_list
+            } else {
+                &mut self.counters.located_by_question
+            };
+            *counter += 1;
+        }
+        if let Some(entry) = self.flows.use_flow(&key) {
             entry.service = service;
             entry.stage = Stage::Held {
                 agent,
@@ -228,7 +345,12 @@
                 heartbeat,
                 since: now,
             };
-            self.notes.add(Note::FlowLocated { key, agent });
+            self.notes.add(Note::FlowLocated {
+                key,
+                agent,
+                waited,
+                was_named,
+            });
         }
     }
 }
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -10,6 +10,7 @@
 
 use super::configuration::Configuration;
 use super::excluded_zones::ExcludedZones;
+use super::held_flows::{FlowListPart, FlowStatement};
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 
 /// First byte of each datagram: the version of this protocol.
@@ -296,10 +297,21 @@
         /// The flows.
         keys: Vec<FlowKey>,
     },
+    /// Agent to balancer: a report, and what flows the target holds.
+    ReportWithFlows {
+        /// The report.
+        report: TargetReport,
+        /// The flows.
+        flows: FlowStatement,
+    },
+    /// Balancer to agent: send the list of all flows.
+    ListFlows,
+    /// Agent to balancer: a part of that list.
+    FlowList(FlowListPart),
 }
 
 /// Kinds of messages, for counts.
-pub const MESSAGE_KINDS: [&str; 15] = [
+pub const MESSAGE_KINDS: [&str; 18] = [
     "forward",
     "returned",
     "locate",
@@ -315,6 +327,9 @@
     "greeting",
     "locate_recorded",
     "recorded_not_held",
+    "report_with_flows",
+    "list_flows",
+    "flow_list",
 ];
 
 /// Asks a node for what it knows; sent over a stream.
@@ -372,6 +387,9 @@
             Self::Greeting(_) => 12,
             Self::LocateRecorded { .. } => 13,
             Self::RecordedNotHeld { .. } => 14,
+            Self::ReportWithFlows { .. } => 15,
+            Self::ListFlows => 16,
+            Self::FlowList(_) => 17,
         }
     }
 
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod excluded_zones;
 pub mod flow_record;
+pub mod held_flows;
 pub mod identity;
 pub mod link;
 pub mod message;
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -93,6 +93,11 @@
                 "Deregistrations that may be of a former start.",
                 counters.deregistrations_ignored,
             ),
+            (
+                "flow_list_parts_total",
+                "Parts of lists of flows sent to balancers.",
+                counters.list_parts,
+            ),
             (
                 "refused_packets_total",
                 "Datagrams that cannot be read.",
