--- a/crates/woodladder-core/src/flow/activation.rs
+++ b/crates/woodladder-core/src/flow/activation.rs
@@ -6,6 +6,7 @@
 //! and show it in their metrics.
 
 use super::configuration::{Configuration, RouteTerms};
+use super::identity::ServiceKey;
 
 /// When a caller sends a packet that nobody has acknowledged for the last time
 /// before its attempt is likely to be over, in milliseconds.
@@ -43,16 +44,20 @@
             .any(|route| leaves_no_time(&route.terms));
         Self {
             locates_flows: has_short_timeout,
-            orders_requests: shares_a_service(configuration),
+            orders_requests: shares_a_service(configuration, |_| true),
             paces_link: link_rate.is_some_and(|rate| link_binds(capacity, rate)),
         }
     }
 
     /// The mechanisms that act at an agent, which does not choose how its machine's
-    /// link is used.
+    /// link is used, and orders requests only if routes of different priority share the
+    /// service of its own target.
     #[must_use]
-    pub fn at_agent(configuration: &Configuration) -> Self {
-        Self::of(configuration, 0, None)
+    pub fn at_agent(configuration: &Configuration, service: ServiceKey) -> Self {
+        Self {
+            orders_requests: shares_a_service(configuration, |other| other == service),
+            ..Self::of(configuration, 0, None)
+        }
     }
 }
 
@@ -62,11 +67,12 @@
     terms.timeout_ms <= LAST_EARLY_REPETITION_MS
 }
 
-/// Whether routes of different priority lead to one service.
-fn shares_a_service(configuration: &Configuration) -> bool {
+/// Whether routes of different priority lead to one of the services that count.
+fn shares_a_service(configuration: &Configuration, counts: impl Fn(ServiceKey) -> bool) -> bool {
     let mut priorities = std::collections::BTreeMap::new();
     configuration.routes.iter().any(|route| {
-        route.parts.iter().any(|part| {
+        let parts = route.parts.iter().filter(|part| counts(part.service));
+        parts.into_iter().any(|part| {
             let first = *priorities
                 .entry(part.service)
                 .or_insert(route.terms.priority);
--- a/crates/woodladder-core/src/flow/agent/admission/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::agent::admission::holding::NextWork;
 use crate::flow::agent::admission::queue::QueuedOpening;
 use crate::flow::agent::{Agent, AgentAction, Delivery, FlowState, HeldFlow};
 use crate::flow::identity::NodeAddress;
@@ -27,7 +28,7 @@
 /// expected; after it, another opening may take the place.
 const SEQUEL_WITHIN: Duration = Duration::from_millis(50);
 /// Time of the packets between an opening and the answer to its request.
-const EXCHANGE: Duration = Duration::from_millis(8);
+pub(crate) const EXCHANGE: Duration = Duration::from_millis(8);
 /// Expected times of an answer without any after which a full target counts as
 /// stuck.
 const STUCK_AFTER: u32 = 5;
@@ -61,7 +62,7 @@
             self.counters.held_excluded += u64::from(reason == ReturnReason::ZoneExcluded);
             return self.give_back(reason);
         }
-        if self.queue.is_empty() && self.target_has_room() && self.openings_left(now) != Some(0) {
+        if self.queue.is_empty() && self.held.is_empty() && self.target_has_room() && self.openings_left(now) != Some(0) {
             if self.load.busy == 0 {
                 self.progress_at = now;
             }
@@ -76,6 +77,10 @@
         if self.queue.is_full() || self.is_underestimated(terms) || self.is_stuck(now) {
             return self.give_back(ReturnReason::Saturated);
         }
+        if self.comes_too_late(&packet.key, terms, now) {
+            self.counters.refused_hopeless += 1;
+            return self.give_back(ReturnReason::Saturated);
+        }
         self.enqueue(from, header, terms, packet, bytes, now)
     }
 
@@ -96,8 +101,9 @@
         None
     }
 
-    fn target_has_room(&self) -> bool {
-        let handed_over = u32::from(self.load.busy) + u32::from(self.load.opening);
+    pub(crate) fn target_has_room(&self) -> bool {
+        let counted = u32::from(self.load.busy) + u32::from(self.load.opening);
+        let handed_over = counted.saturating_sub(self.doubtful.into());
         handed_over * WHOLE < u32::from(self.target.capacity) * HANDED_OVER
     }
 
@@ -112,7 +118,7 @@
 
     /// Whether the target has begun no answer for far longer than requests
     /// take, although it holds all that it can begin with.
-    fn is_stuck(&self, now: Instant) -> bool {
+    pub(crate) fn is_stuck(&self, now: Instant) -> bool {
         let limit = (self.expected_answer() * STUCK_AFTER).max(LEAST_STUCK);
         !self.target_has_room() && now.since(self.progress_at) >= limit
     }
@@ -152,12 +158,13 @@
         })
     }
 
-    fn count_queue(&mut self) {
-        self.load.queued = u16::try_from(self.queue.len()).unwrap_or(u16::MAX);
+    pub(crate) fn count_queue(&mut self) {
+        let waiting = self.queue.len() + self.held.len();
+        self.load.queued = u16::try_from(waiting).unwrap_or(u16::MAX);
     }
 
     /// Time from handing an opening over to the answer of its request.
-    fn expected_answer(&self) -> Duration {
+    pub(crate) fn expected_answer(&self) -> Duration {
         let service_time = match self.load.service_time_us {
             0 => FIRST_SERVICE_TIME,
             known => Duration::from_micros(known.into()),
@@ -186,40 +193,57 @@
         });
     }
 
-    /// Hands queued openings over while the target has room, and gives back
-    /// those that it cannot take or that have waited too long. To be called
-    /// after each event.
+    /// Hands over what waits while the target has room, and gives back the openings
+    /// that it cannot take or that have waited too long. To be called after each event.
     pub fn serve_queue(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
-        if self.queue.is_empty() {
+        if self.queue.is_empty() && self.held.is_empty() {
             return;
         }
         if self.target.state != TargetState::Ready || self.is_excluded() {
             let all = self.queue.take_all();
-            return self.return_queued(all, ReturnReason::NoTarget, now, actions);
+            self.return_queued(all, ReturnReason::NoTarget, now, actions);
         }
         self.give_up_accepted(now);
         if self.is_stuck(now) {
             let all = self.queue.take_all();
-            return self.return_queued(all, ReturnReason::Saturated, now, actions);
+            self.return_queued(all, ReturnReason::Saturated, now, actions);
+        }
+        if self.cannot_hold(now) {
+            return self.release_all(now, actions);
+        }
+        self.give_up_hopeless(now, actions);
+        while self.target_has_room() {
+            match self.next_work(now) {
+                Some(NextWork::Opening(opening)) => self.serve_opening(opening, now, actions),
+                Some(NextWork::Request(key)) => self.release(&key, now, actions),
+                None => break,
+            }
         }
-        let expired = self.queue.take_expired(self.expected_answer(), now);
+    }
+
+    fn give_up_hopeless(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
+        self.drop_hopeless(now);
+        let expired = self.take_expired(now);
         self.counters.expired += u64::try_from(expired.len()).unwrap_or(0);
         self.return_queued(expired, ReturnReason::Expired, now, actions);
-        while self.target_has_room() && self.openings_left(now) != Some(0) {
-            let Some(opening) = self.queue.take_next(self.expected_answer(), now) else {
-                break;
-            };
-            self.count_queue();
-            if self.reason_to_decline(&opening.header, now).is_some() {
-                self.return_queued(vec![opening], ReturnReason::StaleVersion, now, actions);
-                continue;
-            }
-            self.hand_over(opening.balancer, &opening.header, &opening.packet, now);
-            actions.push(AgentAction::Deliver {
-                balancer: opening.balancer,
-                packet: opening.bytes,
-            });
+    }
+
+    fn serve_opening(
+        &mut self,
+        opening: QueuedOpening,
+        now: Instant,
+        actions: &mut Vec<AgentAction>,
+    ) {
+        self.count_queue();
+        if self.reason_to_decline(&opening.header, now).is_some() {
+            return self.return_queued(vec![opening], ReturnReason::StaleVersion, now, actions);
         }
+        self.hand_over(opening.balancer, &opening.header, &opening.packet, now);
+        actions.push(AgentAction::Deliver {
+            balancer: opening.balancer,
+            packet: opening.bytes,
+            begins_request: None,
+        });
     }
 
     /// Takes openings out of the load that the target has accepted and whose
--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/admission/order.rs
@@ -0,0 +1,143 @@
+//! The order in which work that waits for a target is handed to it.
+//!
+//! Work whose answer can still be in time goes first, and among it the work of routes
+//! that matter more. The other groups take what is left, the late ones last, but each
+//! has a share so that none starves. The share never makes urgent work late: it is
+//! granted only while all urgent work that can be in time would be so afterwards, too.
+//!
+//! Within a group the newest goes first. While a target keeps up, nothing waits long
+//! enough for the order within a group to matter; while it does not, some of the group
+//! will be late, and the newest first makes the fewest late.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+
+/// Slots in a row that go to a greater group while a lesser one waits, before the
+/// lesser one is given one.
+const SHARE_EVERY: u32 = 8;
+
+/// What the order needs of one piece of work: an opening, or a request on an open flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WaitingWork {
+    /// When the caller first sent it, as far as that is known.
+    pub first_sent: Instant,
+    /// Time from then in which it should be answered.
+    pub aim: Duration,
+    /// Time from handing it over to the first byte of its answer.
+    pub expected: Duration,
+    /// Whether its route matters more than another one of the same service.
+    pub is_urgent: bool,
+    /// Whether it may be handed over now; an opening may not while a cold target has had
+    /// its share.
+    pub is_allowed: bool,
+}
+
+/// Groups of work, the greatest first in turn.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum WorkGroup {
+    /// Cannot be in time.
+    Late,
+    /// Cannot be in time, and its route matters more.
+    LateUrgent,
+    /// Can be in time.
+    InTime,
+    /// Can be in time, and its route matters more.
+    InTimeUrgent,
+}
+
+impl WaitingWork {
+    /// The group that it is in.
+    #[must_use]
+    pub fn group(&self, now: Instant) -> WorkGroup {
+        let is_in_time = now.since(self.first_sent) + self.expected <= self.aim;
+        match (is_in_time, self.is_urgent) {
+            (true, true) => WorkGroup::InTimeUrgent,
+            (true, false) => WorkGroup::InTime,
+            (false, true) => WorkGroup::LateUrgent,
+            (false, false) => WorkGroup::Late,
+        }
+    }
+
+    /// How long it may still wait if it is to be in time.
+    fn slack(&self, now: Instant) -> Duration {
+        let spent = now.since(self.first_sent) + self.expected;
+        self.aim.saturating_sub(spent)
+    }
+}
+
+/// Chooses what is handed over next; remembers what was passed over.
+#[derive(Clone, Debug, Default)]
+pub struct ServingOrder {
+    /// Slots that went to a greater group while a lesser one waited.
+    passed_over: u32,
+}
+
+impl ServingOrder {
+    /// Place of the work that is handed over next to a target with this many slots;
+    /// `None` when none waits that may be.
+    pub fn choose(&mut self, waiting: &[WaitingWork], slots: u16, now: Instant) -> Option<usize> {
+        let first = best(waiting, now, |_| true)?;
+        let greatest = waiting[first].group(now);
+        let Some(lesser) = best(waiting, now, |group| group < greatest) else {
+            self.passed_over = 0;
+            return Some(first);
+        };
+        self.passed_over += 1;
+        let is_due = self.passed_over >= SHARE_EVERY;
+        if is_due && has_slack_for(&waiting[lesser], waiting, slots, now) {
+            self.passed_over = 0;
+            return Some(lesser);
+        }
+        Some(first)
+    }
+}
+
+/// The greatest group's newest work among the groups for which `may` holds.
+fn best(
+    waiting: &[WaitingWork],
+    now: Instant,
+    may: impl Fn(WorkGroup) -> bool,
+) -> Option<usize> {
+    waiting
+        .iter()
+        .enumerate()
+        .filter(|(_, work)| work.is_allowed && may(work.group(now)))
+        .max_by_key(|(_, work)| (work.group(now), work.first_sent))
+        .map(|(index, _)| index)
+}
+
+/// Whether all urgent work that can be in time would still be so when `other` is handed
+/// over first.
+fn has_slack_for(other: &WaitingWork, waiting: &[WaitingWork], slots: u16, now: Instant) -> bool {
+    let mut urgent: Vec<&WaitingWork> = waiting
+        .iter()
+        .filter(|work| work.group(now) == WorkGroup::InTimeUrgent)
+        .collect();
+    urgent.sort_by_key(|work| work.slack(now));
+    let slots = u32::from(slots.max(1));
+    let mut before = other.expected;
+    urgent.iter().all(|work| {
+        // A slot is free at the latest when one piece of work has ended.
+        let begins_after = other.expected + before / slots;
+        before += work.expected;
+        begins_after <= work.slack(now)
+    })
+}
+
+/// When work would begin that waits behind other work, from now on.
+#[must_use]
+pub fn expected_wait(
+    work: &WaitingWork,
+    waiting: &[WaitingWork],
+    slots: u16,
+    now: Instant,
+) -> Duration {
+    let group = work.group(now);
+    let before: Duration = waiting
+        .iter()
+        .filter(|other| other.group(now) > group)
+        .map(|other| other.expected)
+        .sum();
+    before / u32::from(slots.max(1))
+}
--- a/crates/woodladder-core/src/flow/agent/admission/queue.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/queue.rs
@@ -113,14 +113,30 @@
     }
 
     /// Takes the openings that have waited for as long as they may, or whose answers
-    /// would come too late to be of use, when one is expected this long after an
-    /// opening is handed to the target.
-    pub fn take_expired(&mut self, expected: Duration, now: Instant) -> Vec<QueuedOpening> {
+    /// would come too late to be of use, when one is expected as long after an
+    /// opening is handed to the target as `expected` says.
+    pub fn take_expired(
+        &mut self,
+        expected: impl Fn(&FlowKey) -> Duration,
+        now: Instant,
+    ) -> Vec<QueuedOpening> {
         self.openings
-            .extract_if(.., |opening| opening.is_vain(expected, now))
+            .extract_if(.., |opening| {
+                opening.is_vain(expected(&opening.packet.key), now)
+            })
             .collect()
     }
 
+    /// The openings that wait.
+    pub fn iter(&self) -> impl Iterator<Item = &QueuedOpening> {
+        self.openings.iter()
+    }
+
+    /// Takes the opening at a place among [`Self::iter`].
+    pub fn take(&mut self, place: usize) -> Option<QueuedOpening> {
+        (place < self.openings.len()).then(|| self.openings.swap_remove(place))
+    }
+
     /// Takes all openings.
     pub fn take_all(&mut self) -> Vec<QueuedOpening> {
         std::mem::take(&mut self.openings)
--- a/crates/woodladder-core/src/flow/agent/decision.rs
+++ b/crates/woodladder-core/src/flow/agent/decision.rs
@@ -1,6 +1,6 @@
 //! What an agent decides, for the shell to carry out.
 
-use super::super::identity::NodeAddress;
+use super::super::identity::{FlowKey, NodeAddress};
 use super::super::message::{PeerMessage, SnapshotRequest};
 
 /// What happens to a packet that a balancer sent.
@@ -18,7 +18,7 @@
     Queued(PeerMessage),
     /// It does not; the balancer is told.
     Answer(PeerMessage, AnswerBody),
-    /// It does not; nobody is told.
+    /// It does not, or waits in the agent's queue; nobody is told.
     Drop,
 }
 
@@ -66,13 +66,15 @@
         /// The message.
         message: PeerMessage,
     },
-    /// Hand an opening to the target, marked so that the target's return of it
-    /// names the balancer.
+    /// Hand a packet that has waited to the target, marked so that the target's return
+    /// of it names the balancer.
     Deliver {
         /// The balancer that sent it.
         balancer: NodeAddress,
-        /// The opening.
+        /// The packet.
         packet: Vec<u8>,
+        /// The flow whose request begins with it, if one does.
+        begins_request: Option<FlowKey>,
     },
     /// Give an opening back.
     Return {
@@ -109,6 +111,16 @@
     pub held_excluded: u64,
     /// Openings that have waited there for too long.
     pub expired: u64,
+    /// Openings given back because they would have been answered too late.
+    pub refused_hopeless: u64,
+    /// Requests of open flows that have waited.
+    pub requests_held: u64,
+    /// Repetitions of packets that waited, dropped.
+    pub held_copies: u64,
+    /// Requests of open flows dropped because their callers have left.
+    pub held_hopeless: u64,
+    /// Requests of open flows handed to a target that was not heard, stuck or replaced.
+    pub held_released: u64,
     /// Packets of open flows handed to the target.
     pub delivered: u64,
     /// Searches that were denied.
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -14,9 +14,13 @@
         &mut self,
         from: NodeAddress,
         packet: &FlowPacket,
+        bytes: &[u8],
         now: Instant,
     ) -> Delivery {
         if self.flows.use_flow(&packet.key).is_some() {
+            if self.waits(from, packet, bytes, now) {
+                return Delivery::Drop;
+            }
             let begins_request = self.count_delivery(from, packet, now);
             return Delivery::Deliver {
                 tell: None,
@@ -206,6 +210,9 @@
     }
 
     pub(super) fn forget_flow(&mut self, key: &FlowKey) {
+        if self.held.forget(key) > 0 {
+            self.count_queue();
+        }
         let Some(flow) = self.flows.remove(key) else {
             return;
         };
@@ -235,6 +242,7 @@
         }
         self.accepted.retain(|(_, at)| *at > last_beat);
         self.load.service_time_us = 0;
+        self.service_times.clear();
         self.failures = FailureRecord::new(now);
         self.load.failed_percent = 0;
         self.count_load(now);
@@ -242,7 +250,7 @@
 }
 
 /// Whether one number of a wrapping sequence lies after another.
-fn is_after(one: u32, other: u32) -> bool {
+pub(super) fn is_after(one: u32, other: u32) -> bool {
     let distance = one.wrapping_sub(other);
     distance != 0 && distance < u32::MAX / 2
 }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -37,7 +37,12 @@
 
 use crate::clock::Instant;
 
+pub use admission::held_requests::{
+    HELD_BYTES, HELD_FLOWS, HELD_PACKETS, Held, HeldPacket, HeldRequest, HeldRequests, HeldTerms,
+};
+pub use admission::order::{ServingOrder, WaitingWork, WorkGroup, expected_wait};
 pub use admission::queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
+pub use admission::service_times::ServiceTimes;
 pub use admission::warm_up::{WarmUpBounds, WarmUpDoubt};
 pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
 pub use target::failure_record::{AnswerKind, Suspicion};
@@ -147,6 +152,14 @@
     balancers: BalancerPeers,
     flows: FlowTable<HeldFlow>,
     queue: AdmissionQueue,
+    /// Requests of open flows that wait together with the openings.
+    held: HeldRequests,
+    order: ServingOrder,
+    service_times: ServiceTimes,
+    /// Requests at work that are most likely not answered any more.
+    doubtful: u16,
+    /// Whether the process is about to end.
+    is_stopping: bool,
     /// Openings that the target has accepted and whose callers have not sent a
     /// request yet, the oldest first.
     accepted: VecDeque<(FlowKey, Instant)>,
@@ -182,6 +195,11 @@
             balancers: BalancerPeers::default(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
             queue: AdmissionQueue::default(),
+            held: HeldRequests::default(),
+            order: ServingOrder::default(),
+            service_times: ServiceTimes::default(),
+            doubtful: 0,
+            is_stopping: false,
             accepted: VecDeque::new(),
             load: TargetLoad::default(),
             failures: FailureRecord::new(now),
@@ -293,6 +311,7 @@
 
     /// Begins a planned stop: no new flow, forwards on.
     pub fn leave(&mut self) {
+        self.is_stopping = true;
         self.set_state(TargetState::Leaving);
     }
 
@@ -316,7 +335,7 @@
         let Some(configuration) = self.routes.current() else {
             return;
         };
-        let next = ActiveMechanisms::at_agent(configuration);
+        let next = ActiveMechanisms::at_agent(configuration, self.options.service);
         if std::mem::replace(&mut self.mechanisms, next) != next {
             self.notes.add(Note::MechanismsChanged { active: next });
         }
@@ -353,8 +372,8 @@
         }
         match header.purpose {
             ForwardPurpose::Open(terms) => self.opening(from, header, &terms, packet, bytes, now),
-            ForwardPurpose::Established => self.established(from, packet, now),
-            ForwardPurpose::Search => self.search(from, packet, now),
+            ForwardPurpose::Established => self.established(from, packet, bytes, now),
+            ForwardPurpose::Search => self.search(from, packet, bytes, now),
         }
     }
 
--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -130,7 +130,7 @@
     /// shorten it.
     #[must_use]
     pub fn tick_interval(&self) -> Duration {
-        if self.report_due || self.reports.has_new() || !self.queue.is_empty() {
+        if self.report_due || self.reports.has_new() || self.work_waits() {
             SHORT_TICK
         } else {
             LONG_TICK
@@ -155,6 +155,9 @@
         }
         let balancers = &self.balancers;
         self.reports.retain(|balancer| balancers.knows(balancer));
+        if self.work_waits() {
+            self.count_doubtful(now);
+        }
         self.serve_queue(now, actions);
         if std::mem::take(&mut self.report_due) {
             self.reports.all_due(now);
--- a/crates/woodladder-core/src/flow/agent/search.rs
+++ b/crates/woodladder-core/src/flow/agent/search.rs
@@ -11,6 +11,7 @@
         &mut self,
         from: NodeAddress,
         packet: &FlowPacket,
+        bytes: &[u8],
         now: Instant,
     ) -> Delivery {
         if let Some(flow) = self.flows.use_flow(&packet.key) {
@@ -21,6 +22,10 @@
                 }
                 FlowState::Open | FlowState::Closing => {}
             }
+            if self.waits(from, packet, bytes, now) {
+                let located = self.located(&packet.key);
+                return located.map_or(Delivery::Drop, Delivery::Queued);
+            }
             let begins_request = self.count_delivery(from, packet, now);
             let tell = self.located(&packet.key);
             return Delivery::Deliver {
--- a/crates/woodladder-core/src/flow/agent/target/load.rs
+++ b/crates/woodladder-core/src/flow/agent/target/load.rs
@@ -23,6 +23,7 @@
             return;
         };
         let service_time = now.since(since);
+        self.service_times.add(key.service, service_time);
         self.progress_at = now;
         self.load.busy = self.load.busy.saturating_sub(1);
         self.counters.answered += 1;
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -209,6 +209,31 @@
         /// Time that a request is expected to take once it is handed over.
         expected: Duration,
     },
+    /// A request on an open flow waits until the own target can begin with it.
+    RequestHeld {
+        /// The flow.
+        key: FlowKey,
+        /// Whether its route matters more than another one of the service.
+        is_urgent: bool,
+        /// Load of the target, this request included.
+        load: TargetLoad,
+        /// Time that the request is expected to take once it is handed over.
+        expected: Duration,
+    },
+    /// A request on an open flow that has waited was handed to the own target.
+    RequestReleased {
+        /// The flow.
+        key: FlowKey,
+        /// Time that it has waited.
+        waited: Duration,
+    },
+    /// A request on an open flow that waited is dropped: its caller has left.
+    RequestGivenUp {
+        /// The flow.
+        key: FlowKey,
+        /// Time that it has waited.
+        waited: Duration,
+    },
     /// The own target ended one request of a flow.
     RequestAnswered {
         /// The flow.
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -24,7 +24,7 @@
     Agent, AgentAction, AgentOptions, AnswerBody, Delivery, Departure, Heartbeat, HeartbeatError,
     Presence, WarmUpBounds,
 };
-use woodladder_core::flow::identity::{Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::message::{ForwardHeader, PeerMessage, TargetState};
 use woodladder_core::flow::note::Note;
 use woodladder_core::flow::store_session::BalancerList;
@@ -88,6 +88,7 @@
     logger: Logger,
     refused_packets: Cell<u64>,
     service_times: RefCell<LatencyHistogram>,
+    queue_waits: RefCell<LatencyHistogram>,
     contact: Rc<StoreContact>,
 }
 
@@ -119,6 +120,7 @@
             logger,
             refused_packets: Cell::new(0),
             service_times: RefCell::new(LatencyHistogram::default()),
+            queue_waits: RefCell::new(LatencyHistogram::default()),
             contact: Rc::new(StoreContact::default()),
             config,
         }))
@@ -246,10 +248,8 @@
                 if let Some(message) = tell {
                     self.peers.send(&message, &[], from);
                 }
-                if begins_request && let Some(id) = self.carrier.request_id(bytes) {
-                    let busy = self.core.borrow().load().busy;
-                    let flow = packet.key.to_string();
-                    self.decisions.borrow_mut().request(&flow, id, busy, now);
+                if begins_request {
+                    self.log_request(&packet.key, bytes);
                 }
             }
             Delivery::Queued(message) => {
@@ -267,6 +267,16 @@
         self.act(|core, now, actions| core.serve_queue(now, actions));
     }
 
+    /// Logs that a request has reached the target.
+    fn log_request(&self, key: &FlowKey, bytes: &[u8]) {
+        if let Some(id) = self.carrier.request_id(bytes) {
+            let busy = self.core.borrow().load().busy;
+            let now = self.clock.now();
+            let mut decisions = self.decisions.borrow_mut();
+            decisions.request(&key.to_string(), id, busy, now);
+        }
+    }
+
     /// Sends a packet to the target, marked so that its return names `balancer`.
     fn hand_over(&self, balancer: NodeAddress, mut packet: Vec<u8>) {
         self.carrier.mark(&mut packet, *balancer.ip());
@@ -354,8 +364,14 @@
         let (notes, dropped) = self.core.borrow_mut().take_notes();
         let now = self.clock.now();
         for note in &notes {
-            if let Note::RequestAnswered { service_time, .. } = note {
-                self.service_times.borrow_mut().record(*service_time);
+            match note {
+                Note::RequestAnswered { service_time, .. } => {
+                    self.service_times.borrow_mut().record(*service_time);
+                }
+                Note::RequestReleased { waited, .. } => {
+                    self.queue_waits.borrow_mut().record(*waited);
+                }
+                _ => {}
             }
         }
         self.decisions.borrow_mut().write(notes, dropped, now);
@@ -376,7 +392,16 @@
             AgentAction::Send { to, message } => {
                 self.peers.send(&message, &[], to);
             }
-            AgentAction::Deliver { balancer, packet } => self.hand_over(balancer, packet),
+            AgentAction::Deliver {
+                balancer,
+                packet,
+                begins_request,
+            } => {
+                if let Some(key) = begins_request {
+                    self.log_request(&key, &packet);
+                }
+                self.hand_over(balancer, packet);
+            }
             AgentAction::Return {
                 to,
                 message,
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -181,6 +181,27 @@
                     "busy" => load.busy, "opening" => load.opening, "queued" => load.queued,
                     "expected_ms" => milliseconds(*expected), "left_out" => left_out);
             }
+            Note::RequestHeld {
+                key,
+                is_urgent,
+                load,
+                expected,
+            } => {
+                info!(log, "agent: request on an open flow queued"; "event" => event,
+                    "flow" => %key, "urgent" => is_urgent, "busy" => load.busy,
+                    "opening" => load.opening, "queued" => load.queued,
+                    "expected_ms" => milliseconds(*expected), "left_out" => left_out);
+            }
+            Note::RequestReleased { key, waited } => {
+                info!(log, "agent: queued request handed over"; "event" => event,
+                    "flow" => %key, "waited_ms" => milliseconds(*waited),
+                    "left_out" => left_out);
+            }
+            Note::RequestGivenUp { key, waited } => {
+                info!(log, "agent: queued request dropped after its timeout"; "event" => event,
+                    "flow" => %key, "waited_ms" => milliseconds(*waited),
+                    "left_out" => left_out);
+            }
             Note::RequestAnswered { key, service_time } => {
                 debug!(log, "agent: request answered"; "event" => event, "flow" => %key,
                     "service_ms" => milliseconds(*service_time), "left_out" => left_out);
@@ -329,6 +350,9 @@
         Note::TargetSuspicion { .. } => ("target_suspicion", Important),
         Note::FlowOffered { .. } => ("flow_offered", Ordinary),
         Note::OpeningQueued { .. } => ("opening_queued", Important),
+        Note::RequestHeld { .. } => ("request_queued", Ordinary),
+        Note::RequestReleased { .. } => ("request_released", Ordinary),
+        Note::RequestGivenUp { .. } => ("request_given_up", Important),
         Note::RequestAnswered { .. } => ("request_answered", Ordinary),
     }
 }
