--- a/crates/woodladder-core/src/flow/agent/admission/held_requests.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/held_requests.rs
@@ -107,6 +107,14 @@
         self.requests.contains_key(key)
     }
 
+    /// Whether a flow's request that waits was given up before.
+    #[must_use]
+    pub fn was_given_up(&self, key: &FlowKey) -> bool {
+        self.requests
+            .get(key)
+            .is_some_and(|request| request.is_revived)
+    }
+
     /// All that wait.
     pub fn iter(&self) -> impl Iterator<Item = (&FlowKey, &HeldRequest)> {
         self.requests.iter()
--- a/crates/woodladder-core/src/flow/agent/admission/holding.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/holding.rs
@@ -27,6 +27,19 @@
 /// Least such time.
 const LEAST_DOUBTFUL: Duration = Duration::from_millis(500);
 
+/// How much waits, by kind and importance.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WaitingCounts {
+    /// Openings of routes that matter more than another one of the service.
+    pub urgent_openings: usize,
+    /// Other openings.
+    pub openings: usize,
+    /// Requests on open flows of such routes.
+    pub urgent_requests: usize,
+    /// Other requests on open flows.
+    pub requests: usize,
+}
+
 /// What is handed over next.
 pub(crate) enum NextWork {
     /// An opening.
@@ -53,9 +66,7 @@
         if self.passes_at_once(now) {
             return false;
         }
-        let (terms, is_urgent) = self
-            .routes
-            .terms(packet.key.service, self.options.service);
+        let (terms, is_urgent) = self.routes.terms(packet.key.service, self.options.service);
         let terms = HeldTerms {
             aim: Duration::from_millis(terms.aim_ms.into()),
             timeout: Duration::from_millis(terms.timeout_ms.into()),
@@ -64,7 +75,8 @@
         if self.held.hold(from, packet, bytes, terms, now) != Held::Waits {
             return false;
         }
-        self.counters.requests_held += 1;
+        let is_repeated = self.held.was_given_up(&packet.key);
+        self.counters.requests_held += u64::from(!is_repeated);
         self.count_queue();
         self.notes.add(Note::RequestHeld {
             key: packet.key,
@@ -215,7 +227,7 @@
             return;
         };
         self.count_queue();
-        self.notes.add(Note::RequestReleased {
+        self.notes.add(Note::WorkReleased {
             key: *key,
             waited: now.since(request.held_at),
         });
@@ -250,6 +262,23 @@
         self.count_queue();
     }
 
+    /// What waits, by kind and importance.
+    #[must_use]
+    pub fn waiting_counts(&self) -> WaitingCounts {
+        let urgent_openings = self.queue.iter().filter(|it| it.is_urgent).count();
+        let urgent_requests = self
+            .held
+            .iter()
+            .filter(|(_, request)| request.terms.is_urgent)
+            .count();
+        WaitingCounts {
+            urgent_openings,
+            openings: self.queue.len() - urgent_openings,
+            urgent_requests,
+            requests: self.held.len() - urgent_requests,
+        }
+    }
+
     /// Whether an opening or a request of an open flow waits.
     pub(crate) fn work_waits(&self) -> bool {
         !self.queue.is_empty() || !self.held.is_empty()
--- a/crates/woodladder-core/src/flow/agent/admission/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -62,7 +62,11 @@
             self.counters.held_excluded += u64::from(reason == ReturnReason::ZoneExcluded);
             return self.give_back(reason);
         }
-        if self.queue.is_empty() && self.held.is_empty() && self.target_has_room() && self.openings_left(now) != Some(0) {
+        if self.queue.is_empty()
+            && self.held.is_empty()
+            && self.target_has_room()
+            && self.openings_left(now) != Some(0)
+        {
             if self.load.busy == 0 {
                 self.progress_at = now;
             }
@@ -142,6 +146,7 @@
             aim: Duration::from_millis(terms.aim_ms.into()),
             timeout: Duration::from_millis(terms.timeout_ms.into()),
             is_urgent: terms.is_urgent,
+            queued_at: now,
         });
         self.counters.queued += 1;
         self.count_queue();
@@ -239,6 +244,10 @@
             return self.return_queued(vec![opening], ReturnReason::StaleVersion, now, actions);
         }
         self.hand_over(opening.balancer, &opening.header, &opening.packet, now);
+        self.notes.add(Note::WorkReleased {
+            key: opening.packet.key,
+            waited: now.since(opening.queued_at),
+        });
         actions.push(AgentAction::Deliver {
             balancer: opening.balancer,
             packet: opening.bytes,
--- a/crates/woodladder-core/src/flow/agent/admission/order.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/order.rs
@@ -94,11 +94,7 @@
 }
 
 /// The greatest group's newest work among the groups for which `may` holds.
-fn best(
-    waiting: &[WaitingWork],
-    now: Instant,
-    may: impl Fn(WorkGroup) -> bool,
-) -> Option<usize> {
+fn best(waiting: &[WaitingWork], now: Instant, may: impl Fn(WorkGroup) -> bool) -> Option<usize> {
     waiting
         .iter()
         .enumerate()
--- a/crates/woodladder-core/src/flow/agent/admission/queue.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/queue.rs
@@ -38,6 +38,8 @@
     pub timeout: Duration,
     /// Whether its route matters more than another of the same service.
     pub is_urgent: bool,
+    /// When it began to wait.
+    pub queued_at: Instant,
 }
 
 /// Openings that wait at one agent.
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -40,6 +40,7 @@
 pub use admission::held_requests::{
     HELD_BYTES, HELD_FLOWS, HELD_PACKETS, Held, HeldPacket, HeldRequest, HeldRequests, HeldTerms,
 };
+pub use admission::holding::WaitingCounts;
 pub use admission::order::{ServingOrder, WaitingWork, WorkGroup, expected_wait};
 pub use admission::queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
 pub use admission::service_times::ServiceTimes;
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -220,8 +220,9 @@
         /// Time that the request is expected to take once it is handed over.
         expected: Duration,
     },
-    /// A request on an open flow that has waited was handed to the own target.
-    RequestReleased {
+    /// An opening, or a request on an open flow, that has waited was handed to the own
+    /// target.
+    WorkReleased {
         /// The flow.
         key: FlowKey,
         /// Time that it has waited.
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -368,7 +368,7 @@
                 Note::RequestAnswered { service_time, .. } => {
                     self.service_times.borrow_mut().record(*service_time);
                 }
-                Note::RequestReleased { waited, .. } => {
+                Note::WorkReleased { waited, .. } => {
                     self.queue_waits.borrow_mut().record(*waited);
                 }
                 _ => {}
--- a/crates/woodladder-node/src/agent/figures.rs
+++ b/crates/woodladder-node/src/agent/figures.rs
@@ -51,6 +51,31 @@
                 "Openings given up after the longest wait in the queue.",
                 counters.expired,
             ),
+            (
+                "openings_refused_hopeless_total",
+                "Openings given back because they would have been answered too late.",
+                counters.refused_hopeless,
+            ),
+            (
+                "requests_held_total",
+                "Requests of open flows that had to wait in the queue.",
+                counters.requests_held,
+            ),
+            (
+                "request_copies_dropped_total",
+                "Repetitions of packets that waited in the queue.",
+                counters.held_copies,
+            ),
+            (
+                "requests_given_up_total",
+                "Requests of open flows dropped from the queue after their timeout.",
+                counters.held_hopeless,
+            ),
+            (
+                "requests_released_total",
+                "Requests of open flows handed over untimely: the target is stuck or not heard.",
+                counters.held_released,
+            ),
             (
                 "delivered_packets_total",
                 "Packets of open flows delivered.",
@@ -100,9 +125,26 @@
         );
         text.gauge(
             "openings_queued",
-            "Openings that wait in the queue.",
+            "Openings and requests of open flows that wait in the queue.",
             f64::from(load.queued),
         );
+        let waiting = core.waiting_counts();
+        text.gauges(
+            "work_queued",
+            "What waits in the queue, by kind and importance.",
+            "kind",
+            [
+                ("urgent_opening", count(waiting.urgent_openings)),
+                ("opening", count(waiting.openings)),
+                ("urgent_request", count(waiting.urgent_requests)),
+                ("request", count(waiting.requests)),
+            ],
+        );
+        text.histogram(
+            "queue_wait_seconds",
+            "Time that openings and requests of open flows waited until they were handed over.",
+            &self.queue_waits.borrow(),
+        );
         text.gauge(
             "target_failed_ratio",
             "Share of the latest requests that the target failed.",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -192,8 +192,8 @@
                     "opening" => load.opening, "queued" => load.queued,
                     "expected_ms" => milliseconds(*expected), "left_out" => left_out);
             }
-            Note::RequestReleased { key, waited } => {
-                info!(log, "agent: queued request handed over"; "event" => event,
+            Note::WorkReleased { key, waited } => {
+                info!(log, "agent: queued work handed over"; "event" => event,
                     "flow" => %key, "waited_ms" => milliseconds(*waited),
                     "left_out" => left_out);
             }
@@ -351,7 +351,7 @@
         Note::FlowOffered { .. } => ("flow_offered", Ordinary),
         Note::OpeningQueued { .. } => ("opening_queued", Important),
         Note::RequestHeld { .. } => ("request_queued", Ordinary),
-        Note::RequestReleased { .. } => ("request_released", Ordinary),
+        Note::WorkReleased { .. } => ("queued_work_released", Ordinary),
         Note::RequestGivenUp { .. } => ("request_given_up", Important),
         Note::RequestAnswered { .. } => ("request_answered", Ordinary),
     }
--- a/crates/woodladder-node/src/metrics.rs
+++ b/crates/woodladder-node/src/metrics.rs
@@ -85,6 +85,21 @@
         let _infallible = writeln!(self.text, "woodladder_{name} {value}");
     }
 
+    /// Adds a value that may fall for each value of a label.
+    pub fn gauges<const N: usize>(
+        &mut self,
+        name: &str,
+        help: &str,
+        label: &str,
+        values: [(&str, f64); N],
+    ) {
+        self.head(name, help, "gauge");
+        for (kind, value) in values {
+            let _infallible =
+                writeln!(self.text, "woodladder_{name}{{{label}=\"{kind}\"}} {value}");
+        }
+    }
+
     /// Adds a histogram.
     pub fn histogram(&mut self, name: &str, help: &str, histogram: &LatencyHistogram) {
         self.head(name, help, "histogram");
