--- a/crates/woodladder-core/src/flow/agent/admission/order.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/order.rs
@@ -1,9 +1,11 @@
 //! The order in which work that waits for a target is handed to it.
 //!
 //! Work whose answer can still be in time goes first, and among it the work of routes
-//! that matter more. The other groups take what is left, the late ones last, but each
-//! has a share so that none starves. The share never makes urgent work late: it is
-//! granted only while all urgent work that can be in time would be so afterwards, too.
+//! that matter more. Late work takes what is left: a slot that it is given is taken from
+//! work that would have been in time. Other work has a share beside urgent work that is
+//! in time or late like it, so that it does not starve. The share never makes urgent work
+//! late: it is granted only while all urgent work that can be in time would be so
+//! afterwards, too.
 //!
 //! Within a group the earliest deadline goes first among the work that would still be in
 //! time if it took twice as long as expected; then the newest. So work that has waited
@@ -15,8 +17,8 @@
 
 use crate::clock::Instant;
 
-/// Slots in a row that go to a greater group while a lesser one waits, before the
-/// lesser one is given one.
+/// Slots in a row that go to urgent work while other work waits that is in time or late
+/// like it, before that is given one.
 const SHARE_EVERY: u32 = 8;
 
 /// What the order needs of one piece of work: an opening, or a request on an open flow.
@@ -48,6 +50,17 @@
     InTimeUrgent,
 }
 
+impl WorkGroup {
+    /// The group of other work that is in time or late like urgent work of this one.
+    fn beside(self) -> Option<Self> {
+        match self {
+            Self::InTimeUrgent => Some(Self::InTime),
+            Self::LateUrgent => Some(Self::Late),
+            Self::InTime | Self::Late => None,
+        }
+    }
+}
+
 impl WaitingWork {
     /// The group that it is in.
     #[must_use]
@@ -82,7 +95,7 @@
 /// Chooses what is handed over next; remembers what was passed over.
 #[derive(Clone, Debug, Default)]
 pub struct ServingOrder {
-    /// Slots that went to a greater group while a lesser one waited.
+    /// Slots that went to urgent work while such other work waited.
     passed_over: u32,
 }
 
@@ -92,7 +105,8 @@
     pub fn choose(&mut self, waiting: &[WaitingWork], slots: u16, now: Instant) -> Option<usize> {
         let first = best(waiting, now, |_| true)?;
         let greatest = waiting[first].group(now);
-        let Some(lesser) = best(waiting, now, |group| group < greatest) else {
+        let beside = greatest.beside();
+        let Some(lesser) = best(waiting, now, |group| Some(group) == beside) else {
             self.passed_over = 0;
             return Some(first);
         };
--- a/crates/woodladder-core/tests/flow_serving_order.rs
+++ b/crates/woodladder-core/tests/flow_serving_order.rs
@@ -82,7 +82,11 @@
             let work = kind.work_ms * spread;
             all.push(Arrival {
                 sent_ms: now,
-                ready_ms: if outage.contains(&now) { outage.end } else { now },
+                ready_ms: if outage.contains(&now) {
+                    outage.end
+                } else {
+                    now
+                },
                 work_ms: (work as u64).max(1),
                 kind,
             });
@@ -97,12 +101,22 @@
     vec![
         Load {
             name: "one class ten times",
-            arrivals: arrivals(2.0, |now| if middle(now) { (1.0, 10.0) } else { (1.0, 1.0) }, 0..0, 1),
+            arrivals: arrivals(
+                2.0,
+                |now| if middle(now) { (1.0, 10.0) } else { (1.0, 1.0) },
+                0..0,
+                1,
+            ),
             slots: |_| 2,
         },
         Load {
             name: "all 2.2 times",
-            arrivals: arrivals(2.0, |now| if middle(now) { (2.2, 2.2) } else { (1.0, 1.0) }, 0..0, 2),
+            arrivals: arrivals(
+                2.0,
+                |now| if middle(now) { (2.2, 2.2) } else { (1.0, 1.0) },
+                0..0,
+                2,
+            ),
             slots: |_| 2,
         },
         Load {
@@ -211,7 +225,11 @@
 /// Requests on open flows go first, the oldest first; then openings.
 fn openings_only(load: &Load) -> Outcome {
     serve(load, |work, _, _, now| {
-        let oldest = position(work, |it| !it.is_urgent, |it| std::cmp::Reverse(it.first_sent));
+        let oldest = position(
+            work,
+            |it| !it.is_urgent,
+            |it| std::cmp::Reverse(it.first_sent),
+        );
         oldest.or_else(|| position(work, |_| true, |it| (it.group(now), it.first_sent)))
     })
 }
@@ -227,12 +245,20 @@
 /// The earliest deadline first among those with a margin.
 fn with_margin(load: &Load, percent: u32) -> Outcome {
     serve(load, |work, _, _, now| {
-        position(work, |_| true, |it| {
-            let spent = now.since(it.first_sent) + it.expected;
-            let has_margin = spent + it.expected * percent / 100 <= it.aim;
-            let age = now.since(it.first_sent).as_millis() as i64;
-            (it.group(now), has_margin, if has_margin { age } else { -age })
-        })
+        position(
+            work,
+            |_| true,
+            |it| {
+                let spent = now.since(it.first_sent) + it.expected;
+                let has_margin = spent + it.expected * percent / 100 <= it.aim;
+                let age = now.since(it.first_sent).as_millis() as i64;
+                (
+                    it.group(now),
+                    has_margin,
+                    if has_margin { age } else { -age },
+                )
+            },
+        )
     })
 }
 
