--- /dev/null
+++ b/crates/woodladder-core/tests/flow_held_exploration.rs
@@ -0,0 +1,315 @@
+//! Random courses of callers, an agent that holds requests and a target, with packets
+//! that are lost, repeated and come through different balancers.
+
+mod flow_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use flow_support::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::{Agent, AgentAction, Delivery, Heartbeat};
+use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
+use woodladder_core::flow::identity::FlowKey;
+use woodladder_core::flow::message::{ForwardPurpose, Snapshot};
+use woodladder_core::flow::packet::{FlowPacket, PacketKind};
+
+const SEEDS: u64 = 200;
+const FLOWS: u16 = 8;
+const LENGTH_MS: u64 = 4000;
+const SLOTS: u16 = 2;
+/// Requests that a target of two slots is handed at once.
+const HANDED_OVER: u16 = 3;
+const PACKET_BYTES: u32 = 100;
+/// Pauses of a caller before it sends a packet again, in milliseconds.
+const PAUSES: [u64; 4] = [200, 400, 800, 1600];
+
+fn at(milliseconds: u64) -> Instant {
+    flow_support::at(10_000 + milliseconds)
+}
+
+/// A caller that sends one request after the other on its flow, each in one to three
+/// packets, and repeats what is not answered.
+struct Caller {
+    key: FlowKey,
+    next: u32,
+    packets: Vec<u32>,
+    sends: usize,
+    send_at: u64,
+}
+
+/// The target's side of the flows: what it has, and what it works on.
+#[derive(Default)]
+struct Target {
+    /// Packets that have arrived, by the caller's port.
+    arrived: BTreeMap<u16, BTreeSet<u32>>,
+    /// When the answer of a flow's request begins.
+    answers: BTreeMap<u16, u64>,
+}
+
+struct World {
+    random: ChaCha8Rng,
+    agent: Agent,
+    callers: Vec<Caller>,
+    target: Target,
+    seed: u64,
+}
+
+fn route(number: u8, priority: u8) -> Route {
+    Route {
+        address: route_address(number),
+        parts: vec![RoutePart {
+            service: kitchen(),
+            weight: 1,
+        }],
+        terms: RouteTerms {
+            priority,
+            aim_ms: 250,
+            timeout_ms: 1000,
+            is_repeatable: false,
+        },
+    }
+}
+
+fn ordering_agent() -> Agent {
+    let mut agent = empty_agent();
+    let snapshot = Snapshot {
+        configuration: Some(Configuration {
+            version: 1,
+            routes: vec![route(1, 2), route(2, 1)],
+            services: Vec::new(),
+            idle_timeout_ms: 15_000,
+        }),
+        ..Snapshot::default()
+    };
+    agent.snapshot(node(1), snapshot, flow_support::at(0));
+    let beat = Heartbeat {
+        capacity: SLOTS,
+        ..beat(1, 1)
+    };
+    agent
+        .heartbeat(&beat, flow_support::at(0))
+        .expect("heartbeat");
+    agent
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut agent = ordering_agent();
+        let mut callers = Vec::new();
+        for port in 1..=FLOWS {
+            let key = FlowKey {
+                service: route_address(1 + u8::from(port % 3 == 0)),
+                ..flow(port)
+            };
+            open_at(&mut agent, key, at(0));
+            agent.departing(&data(key, 5001, 1101), None, at(1));
+            callers.push(Caller {
+                key,
+                next: 1101,
+                packets: Vec::new(),
+                sends: 0,
+                send_at: u64::from(port) * 7,
+            });
+        }
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            agent,
+            callers,
+            target: Target::default(),
+            seed,
+        }
+    }
+
+    fn run(&mut self) {
+        for now in 2..LENGTH_MS {
+            for index in 0..self.callers.len() {
+                if now >= self.callers[index].send_at {
+                    self.send(index, now);
+                }
+            }
+            self.answer(now);
+            let mut actions = Vec::new();
+            if now % 25 == 0 {
+                self.agent.tick(at(now), &mut actions);
+            }
+            self.agent.serve_queue(at(now), &mut actions);
+            self.carry_out(actions, now);
+            self.check_work_conserving(now);
+        }
+    }
+
+    fn send(&mut self, index: usize, now: u64) {
+        let count = self.random.random_range(1..=3u32);
+        let caller = &mut self.callers[index];
+        if caller.packets.is_empty() {
+            caller.packets = (0..count)
+                .map(|it| caller.next + it * PACKET_BYTES)
+                .collect();
+            caller.next += count * PACKET_BYTES;
+        }
+        let pause = PAUSES[caller.sends.min(PAUSES.len() - 1)];
+        caller.sends += 1;
+        caller.send_at = now + pause;
+        let (key, packets) = (caller.key, caller.packets.clone());
+        for sequence in packets {
+            if self.random.random_bool(0.05) {
+                continue;
+            }
+            let balancer = self.random.random_range(1..=2);
+            self.forward(balancer, &data(key, sequence, 5101), now);
+        }
+    }
+
+    fn forward(&mut self, balancer: u8, packet: &FlowPacket, now: u64) {
+        let header = header(1, ForwardPurpose::Established);
+        let bytes = bytes_of(packet);
+        let delivery = self
+            .agent
+            .forwarded(node(balancer), &header, packet, &bytes, at(now));
+        match delivery {
+            Delivery::Deliver { .. } => self.arrive(packet.key, packet.sequence, false, now),
+            Delivery::Drop => {}
+            other => panic!("seed {}: {other:?}", self.seed),
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<AgentAction>, now: u64) {
+        for action in actions {
+            if let AgentAction::Deliver { packet, .. } = action {
+                let (key, sequence) = read(&packet);
+                self.arrive(key, sequence, true, now);
+            }
+        }
+    }
+
+    fn arrive(&mut self, key: FlowKey, sequence: u32, has_waited: bool, now: u64) {
+        let port = key.caller.port();
+        let is_new = self
+            .target
+            .arrived
+            .entry(port)
+            .or_default()
+            .insert(sequence);
+        assert!(
+            is_new || !has_waited,
+            "seed {}: {key} {sequence} handed over twice",
+            self.seed
+        );
+        if !is_new {
+            return;
+        }
+        let caller = self.callers.iter().find(|caller| caller.key == key);
+        let arrived = &self.target.arrived[&port];
+        let is_whole = caller.is_some_and(|it| it.packets.iter().all(|one| arrived.contains(one)));
+        if is_whole {
+            let work = self.random.random_range(5..80);
+            self.target.answers.insert(port, now + work);
+        }
+    }
+
+    fn answer(&mut self, now: u64) {
+        let due: Vec<u16> = self
+            .target
+            .answers
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(port, _)| *port)
+            .collect();
+        for port in due {
+            self.target.answers.remove(&port);
+            let caller = &mut self.callers[usize::from(port) - 1];
+            let answer = packet(caller.key, PacketKind::Data, 5101, caller.next, 100);
+            self.agent.departing(&answer, None, at(now));
+            caller.packets.clear();
+            caller.sends = 0;
+            caller.send_at = now + self.random.random_range(0..60);
+        }
+    }
+
+    /// Nothing waits while the target has room.
+    fn check_work_conserving(&self, now: u64) {
+        let load = self.agent.load();
+        assert!(
+            load.queued == 0 || load.busy + load.opening >= HANDED_OVER,
+            "seed {} at {now} ms: {load:?}",
+            self.seed
+        );
+    }
+}
+
+fn bytes_of(packet: &FlowPacket) -> Vec<u8> {
+    let port = packet.key.caller.port().to_be_bytes();
+    let route = packet.key.service.ip().octets()[3];
+    [&port[..], &[route], &packet.sequence.to_be_bytes()].concat()
+}
+
+fn read(bytes: &[u8]) -> (FlowKey, u32) {
+    let key = FlowKey {
+        service: route_address(bytes[2]),
+        ..flow(u16::from_be_bytes([bytes[0], bytes[1]]))
+    };
+    let sequence = u32::from_be_bytes([bytes[3], bytes[4], bytes[5], bytes[6]]);
+    (key, sequence)
+}
+
+/// No packet that has waited is handed over twice, no slot idles while anything waits,
+/// each request is answered, and packets that none lost arrive in their order.
+#[test]
+fn holding_doubles_nothing_idles_nothing_and_loses_nothing() {
+    let mut held = 0;
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        world.run();
+        held += world.agent.counters().requests_held;
+        for caller in &world.callers {
+            let answered = caller.next - 1101;
+            assert!(
+                answered >= 5 * PACKET_BYTES,
+                "seed {seed}: {} stands still at {answered}",
+                caller.key
+            );
+        }
+    }
+    assert!(held > SEEDS * 100, "requests are held: {held}");
+}
+
+/// The packets of a request that waits leave in their order, in whichever they came.
+#[test]
+fn what_has_waited_leaves_in_the_order_of_its_bytes() {
+    for seed in 0..SEEDS {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut agent = ordering_agent();
+        for port in 1..=4 {
+            open_at(&mut agent, flow(port), at(0));
+            agent.departing(&data(flow(port), 5001, 1101), None, at(1));
+        }
+        let header = header(1, ForwardPurpose::Established);
+        for port in 1..=HANDED_OVER {
+            forward_to(&mut agent, &header, &data(flow(port), 1101, 5101), at(10));
+        }
+        let mut sequences: Vec<u32> = (0..6).map(|it| 1101 + it * PACKET_BYTES).collect();
+        for place in (1..sequences.len()).rev() {
+            sequences.swap(place, random.random_range(0..=place));
+        }
+        for sequence in sequences {
+            let packet = data(flow(4), sequence, 5101);
+            let bytes = bytes_of(&packet);
+            let delivery = agent.forwarded(node(1), &header, &packet, &bytes, at(20));
+            assert_eq!(delivery, Delivery::Drop);
+        }
+        agent.departing(&data(flow(1), 5101, 1201), None, at(40));
+        let mut actions = Vec::new();
+        agent.serve_queue(at(40), &mut actions);
+        let left: Vec<u32> = actions
+            .iter()
+            .filter_map(|action| match action {
+                AgentAction::Deliver { packet, .. } => Some(read(packet).1),
+                _ => None,
+            })
+            .collect();
+        let in_order: Vec<u32> = (0..6).map(|it| 1101 + it * PACKET_BYTES).collect();
+        assert_eq!(left, in_order, "seed {seed}");
+    }
+}
