--- a/crates/woodladder-core/src/flow/agent/admission/order.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/order.rs
@@ -21,6 +21,10 @@
 /// like it, before that is given one.
 const SHARE_EVERY: u32 = 8;
 
+/// Expected times of work that are left beside its own when it is handed over early
+/// enough: few requests take longer, and the way to the caller needs its time, too.
+const MARGIN: u32 = 1;
+
 /// What the order needs of one piece of work: an opening, or a request on an open flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WaitingWork {
@@ -76,7 +80,7 @@
 
     /// Its place within its group, the greatest first.
     fn place(&self, now: Instant) -> (bool, Reverse<Instant>, Instant) {
-        let has_margin = self.slack(now) >= self.expected;
+        let has_margin = self.slack(now) >= self.expected * MARGIN;
         let deadline = if has_margin {
             self.first_sent + self.aim
         } else {
