--- a/crates/woodladder-core/src/flow/agent/admission/holding.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/holding.rs
@@ -40,6 +40,14 @@
     pub requests: usize,
 }
 
+impl WaitingCounts {
+    /// All work of routes that matter more than another one of the service.
+    #[must_use]
+    pub fn urgent(&self) -> usize {
+        self.urgent_openings + self.urgent_requests
+    }
+}
+
 /// What is handed over next.
 pub(crate) enum NextWork {
     /// An opening.
@@ -81,6 +89,7 @@
         self.notes.add(Note::RequestHeld {
             key: packet.key,
             is_urgent,
+            urgent_waiting: self.waiting_counts().urgent() - usize::from(is_urgent),
             load: self.load,
             expected: self.expected_of(&packet.key),
         });
--- a/crates/woodladder-core/src/flow/note.rs
+++ b/crates/woodladder-core/src/flow/note.rs
@@ -215,6 +215,9 @@
         key: FlowKey,
         /// Whether its route matters more than another one of the service.
         is_urgent: bool,
+        /// Openings and requests that wait, too, and whose routes matter more than
+        /// another one of the service.
+        urgent_waiting: usize,
         /// Load of the target, this request included.
         load: TargetLoad,
         /// Time that the request is expected to take once it is handed over.
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -184,11 +184,13 @@
             Note::RequestHeld {
                 key,
                 is_urgent,
+                urgent_waiting,
                 load,
                 expected,
             } => {
                 info!(log, "agent: request on an open flow queued"; "event" => event,
                     "flow" => %key, "urgent" => is_urgent, "busy" => load.busy,
+                    "urgent_waiting" => urgent_waiting,
                     "opening" => load.opening, "queued" => load.queued,
                     "expected_ms" => milliseconds(*expected), "left_out" => left_out);
             }
--- a/crates/woodladder/src/explain/mod.rs
+++ b/crates/woodladder/src/explain/mod.rs
@@ -87,7 +87,10 @@
     }
     own.sort_by_key(|line| line.at_ms);
     let surroundings = surroundings(&own, lines);
-    let verdict = Verdict::of(&own, &surroundings);
+    // A request with a line of its own has reached a target.
+    let is_delivered = own.iter().any(|line| line.text("request") == Some(key));
+    let waiting = Verdict::of_waiting(&own).filter(|_| !is_delivered);
+    let verdict = waiting.unwrap_or_else(|| Verdict::of(&own, &surroundings));
     Some(Explanation {
         key: key.to_owned(),
         missing: missing(&own, lines),
--- a/crates/woodladder/tests/explain.rs
+++ b/crates/woodladder/tests/explain.rs
@@ -120,6 +120,47 @@
     );
 }
 
+/// A request on an open flow waited beside its target; what it waited behind is named.
+#[test]
+fn a_request_that_waits_beside_its_target_names_what_it_waits_behind() {
+    let queued = flow_line(
+        1000,
+        "side-1",
+        "request_queued",
+        ",\"urgent\":false,\"busy\":2,\"opening\":1,\"queued\":5,\"urgent_waiting\":3",
+    );
+    let released = flow_line(
+        1200,
+        "side-1",
+        "queued_work_released",
+        ",\"waited_ms\":199.0",
+    );
+    let given_up = flow_line(4000, "side-1", "request_given_up", ",\"waited_ms\":3000.0");
+    let delivered = flow_line(1195, "side-1", "request_delivered", ",\"request\":\"a1b2\"");
+    let verdict = |key: &str, lines: &[&String]| {
+        let text = lines.iter().map(|line| line.as_str()).collect::<String>();
+        explained(key, &[("side.log", text)])
+            .expect("known")
+            .verdict
+    };
+    let node = "side-1".to_owned();
+    let behind = "3 at work or expected, 4 waiting, 3 of them urgent".to_owned();
+    let waiting = Verdict::Waiting {
+        node: node.clone(),
+        behind: behind.clone(),
+    };
+    assert_eq!(verdict(FLOW, &[&queued]), waiting);
+    let dropped = Verdict::GivenUp { node, behind };
+    assert_eq!(verdict(FLOW, &[&queued, &given_up]), dropped);
+    let course = [&queued, &delivered, &released];
+    for key in [FLOW, "a1b2"] {
+        let reached = verdict(key, &course);
+        assert!(matches!(reached, Verdict::DeliveredWithoutAnswer { .. }));
+    }
+    let of_another = verdict("a1b2", &[&delivered, &released, &queued]);
+    assert!(matches!(of_another, Verdict::DeliveredWithoutAnswer { .. }));
+}
+
 /// Every target was full, and the opening waited in vain.
 #[test]
 fn a_request_refused_for_load_names_the_wait() {
