--- a/crates/woodladder-core/tests/flow_held_requests.rs
+++ b/crates/woodladder-core/tests/flow_held_requests.rs
@@ -151,7 +151,7 @@
 
 #[test]
 fn a_request_passes_at_once_while_the_target_has_room() {
-    let mut agent = full([2, 1]);
+    let agent = full([2, 1]);
     assert_eq!((agent.load().busy, agent.load().queued), (HANDED_OVER, 0));
 }
 
