--- a/crates/woodladder-core/src/flow/agent/admission/holding.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/holding.rs
@@ -296,7 +296,7 @@
     /// Counts the requests at work for so long that the target has more likely dropped
     /// than not answered them yet.
     pub(crate) fn count_doubtful(&mut self, now: Instant) {
-        if !self.mechanisms.orders_requests {
+        if !self.mechanisms.orders_requests || !self.work_waits() {
             self.doubtful = 0;
             return;
         }
--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -155,9 +155,7 @@
         }
         let balancers = &self.balancers;
         self.reports.retain(|balancer| balancers.knows(balancer));
-        if self.work_waits() {
-            self.count_doubtful(now);
-        }
+        self.count_doubtful(now);
         self.serve_queue(now, actions);
         if std::mem::take(&mut self.report_due) {
             self.reports.all_due(now);
--- a/crates/woodladder-core/tests/flow_activation.rs
+++ b/crates/woodladder-core/tests/flow_activation.rs
@@ -51,6 +51,27 @@
     assert!(ActiveMechanisms::of(&shared, 250, None).orders_requests);
 }
 
+/// What routes share at other services is no matter of an agent's.
+#[test]
+fn an_agent_orders_requests_only_when_routes_share_its_own_service() {
+    let elsewhere = |number, priority| Route {
+        parts: vec![RoutePart {
+            service: print(),
+            weight: 1,
+        }],
+        ..route(number, priority, 10_000)
+    };
+    let shared = configuration(vec![
+        elsewhere(1, 2),
+        elsewhere(2, 1),
+        route(3, 2, 10_000),
+        route(4, 2, 10_000),
+    ]);
+    assert!(ActiveMechanisms::of(&shared, 250, None).orders_requests);
+    assert!(ActiveMechanisms::at_agent(&shared, print()).orders_requests);
+    assert!(!ActiveMechanisms::at_agent(&shared, kitchen()).orders_requests);
+}
+
 #[test]
 fn a_link_is_paced_when_it_is_full_before_the_processor_is() {
     let any = configuration(vec![route(1, 2, 10_000)]);
--- a/crates/woodladder-core/tests/flow_held_requests.rs
+++ b/crates/woodladder-core/tests/flow_held_requests.rs
@@ -513,3 +513,25 @@
     let mut idle = rested([2, 1]);
     assert!(is_delivered(&open(&mut idle, 102, 20)), "there is room");
 }
+
+/// A balancer whose report is out of date believes in less load; what is held counts.
+#[test]
+fn an_opening_of_a_balancer_with_a_stale_report_is_given_back() {
+    let open = |agent: &mut Agent, port, believed| {
+        let terms = OpeningTerms {
+            believed_load: Some(believed),
+            ..opening_terms()
+        };
+        let header = header(1, ForwardPurpose::Open(terms));
+        forward_to(agent, &header, &opening(flow(port), 0), at(120))
+    };
+    let mut agent = full([2, 1]);
+    for port in 4..=6 {
+        send_packet(&mut agent, &request(flow(port), 1), 110);
+    }
+    assert_eq!(agent.load().requests(), HANDED_OVER + 3);
+    let stale = open(&mut agent, 100, HANDED_OVER);
+    assert!(matches!(stale, Delivery::Answer(..)), "{stale:?}");
+    let fresh = open(&mut agent, 101, HANDED_OVER + 3);
+    assert!(matches!(fresh, Delivery::Queued(_)), "{fresh:?}");
+}
