--- a/crates/woodladder-core/src/flow/agent/admission/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::flow::agent::admission::holding::NextWork;
+use crate::flow::agent::admission::choosing::NextWork;
 use crate::flow::agent::admission::queue::QueuedOpening;
 use crate::flow::agent::{Agent, AgentAction, Delivery, FlowState, HeldFlow};
 use crate::flow::identity::NodeAddress;
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -37,10 +37,10 @@
 
 use crate::clock::Instant;
 
+pub use admission::choosing::WaitingCounts;
 pub use admission::held_requests::{
     HELD_BYTES, HELD_FLOWS, HELD_PACKETS, Held, HeldPacket, HeldRequest, HeldRequests, HeldTerms,
 };
-pub use admission::holding::WaitingCounts;
 pub use admission::order::{ServingOrder, WaitingWork, WorkGroup, expected_wait};
 pub use admission::queue::{CAPACITY as QUEUE_CAPACITY, LONGEST_WAIT};
 pub use admission::service_times::ServiceTimes;
--- a/crates/woodladder-lab/src/flow_simulation/world/actions.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/actions.rs
@@ -25,7 +25,9 @@
         for action in actions {
             match action {
                 AgentAction::Send { to, message } => self.send(from, to, message, None),
-                AgentAction::Deliver { balancer, packet } => {
+                AgentAction::Deliver {
+                    balancer, packet, ..
+                } => {
                     let index = (0..AGENTS).find(|index| agent_address(*index) == from);
                     if let Some(index) = index {
                         self.deliver(index, balancer, &packet_bytes::read(&packet));
