--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -160,7 +160,7 @@
     /// shorten it.
     #[must_use]
     pub fn tick_interval(&self) -> Duration {
-        if self.report_due || self.reports.has_new() || !self.queue.is_empty() {
+        if self.report_due || self.reports.has_new() || self.work_waits() {
             SHORT_TICK
         } else {
             LONG_TICK
@@ -187,6 +187,7 @@
         self.reports.retain(|balancer| balancers.knows(balancer));
         self.statements
             .retain_balancers(|balancer| balancers.knows(balancer));
+        self.count_doubtful(now);
         self.serve_queue(now, actions);
         if std::mem::take(&mut self.report_due) {
             self.reports.all_due(now);
--- a/crates/woodladder-core/src/flow/agent/target/load.rs
+++ b/crates/woodladder-core/src/flow/agent/target/load.rs
@@ -24,6 +24,7 @@
             return;
         };
         let service_time = now.since(since);
+        self.service_times.add(key.service, service_time);
         self.progress_at = now;
         self.count_resting_work(key, service_time);
         self.load.busy = self.load.busy.saturating_sub(1);
