--- /dev/null
+++ b/crates/woodladder-core/tests/flow_foreign_bytes.rs
@@ -0,0 +1,85 @@
+//! Bytes that no node of this version has written: datagrams and snapshots are read
+//! whole or refused, and what a damaged one says by chance breaks nothing.
+
+mod flow_support;
+
+use flow_support::*;
+use proptest::prelude::*;
+use woodladder_core::flow::balancer::BalancerAction;
+use woodladder_core::flow::message::{PeerMessage, Snapshot, SnapshotRequest};
+
+fn encoded(message: &PeerMessage) -> Vec<u8> {
+    message.encode(&[])
+}
+
+fn whole_snapshot() -> Vec<u8> {
+    let snapshot = Snapshot {
+        configuration: Some((*configuration(7)).clone()),
+        balancers: vec![node(1), node(2)],
+        agents: vec![node(3), node(4)],
+        ..Snapshot::default()
+    };
+    borsh::to_vec(&snapshot).expect("a value")
+}
+
+/// Bytes of which one is changed, or of which the end is missing.
+fn damaged(whole: Vec<u8>) -> impl Strategy<Value = Vec<u8>> {
+    let length = whole.len();
+    (0..length, any::<u8>(), any::<bool>()).prop_map(move |(at, value, cuts)| {
+        let mut bytes = whole.clone();
+        if cuts {
+            bytes.truncate(at);
+        } else {
+            bytes[at] = value;
+        }
+        bytes
+    })
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _read = PeerMessage::decode(&bytes).is_ok();
+        let _read = borsh::from_slice::<Snapshot>(&bytes).is_ok();
+        let _read = borsh::from_slice::<SnapshotRequest>(&bytes).is_ok();
+    }
+
+    #[test]
+    fn a_snapshot_that_was_cut_off_is_refused(end in 0..whole_snapshot().len()) {
+        let bytes = &whole_snapshot()[..end];
+        prop_assert!(borsh::from_slice::<Snapshot>(bytes).is_err());
+    }
+
+    #[test]
+    fn a_damaged_report_resets_no_flow_of_another_agent(
+        bytes in damaged(encoded(&PeerMessage::Report(report(2, 5)))),
+    ) {
+        let mut balancer = balancer(&[2, 3]);
+        arrive(&mut balancer, &opening(flow(1), 0), at(10_010));
+        let Ok((message, _)) = PeerMessage::decode(&bytes) else {
+            return Ok(());
+        };
+        let actions = send(&mut balancer, 4, message, at(10_020));
+        let resets = actions
+            .iter()
+            .filter(|action| matches!(action, BalancerAction::Reset(_)))
+            .count();
+        prop_assert_eq!(resets, 0);
+    }
+
+    #[test]
+    fn a_damaged_snapshot_does_not_take_an_earlier_configurations_place(
+        bytes in damaged(whole_snapshot()),
+    ) {
+        let mut agent = agent();
+        let known = Snapshot {
+            configuration: Some((*configuration(9)).clone()),
+            ..Snapshot::default()
+        };
+        agent.snapshot(node(1), known, at(10));
+        if let Ok(snapshot) = borsh::from_slice::<Snapshot>(&bytes) {
+            agent.snapshot(node(1), snapshot, at(20));
+        }
+        prop_assert!(agent.version() >= 9);
+    }
+}
