Tests: the oracle sees packets of a former start; explain names a replacement

The oracle's check had no test in which it strikes; the start of an agent is now stated, so that one can be built. A request at work when its target began again is explained by the balancer's target_replaced line, or by the reset.

--- a/crates/woodladder-lab/src/platform/oracle.rs
+++ b/crates/woodladder-lab/src/platform/oracle.rs
@@ -237,8 +237,8 @@
     }
 
     /// The agent of a machine starts: it knows no flow of the target beside it yet.
-    pub fn agent_started(&mut self, machine: u8) {
-        self.agents.insert(machine, Instant::now());
+    pub fn agent_started(&mut self, machine: u8, at: Instant) {
+        self.agents.insert(machine, at);
     }
 
     /// A packet of a flow of its former start reaches a target whose first heartbeat was
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -277,7 +277,9 @@
 
     /// Starts an agent, after the end of the one that ran on the machine.
     pub fn start_agent(&mut self, machine: u8, service: &str) -> io::Result<()> {
-        self.oracle.borrow_mut().agent_started(machine);
+        self.oracle
+            .borrow_mut()
+            .agent_started(machine, std::time::Instant::now());
         self.start_node(machine, &NodeRole::Agent(service.to_owned()))
     }
 
--- a/crates/woodladder-lab/tests/platform_oracle.rs
+++ b/crates/woodladder-lab/tests/platform_oracle.rs
@@ -134,16 +134,29 @@
 fn a_flow_of_a_former_start_at_the_next_one_is_seen() {
     let mut oracle = oracle();
     let now = Instant::now();
-    let acknowledged = now.checked_sub(Duration::from_secs(1)).expect("later");
-    // Without an agent that has heard the former start, nothing is held against it.
-    oracle.former_flow_reached(ends(), "i-21-1", acknowledged);
-    oracle.agent_started(21);
-    oracle.former_flow_reached(ends(), "i-21-1", acknowledged);
-    assert_eq!(oracle.violations(), []);
-    // The agent has run for long before the start.
-    let much_later = now + Duration::from_secs(3);
-    oracle.former_flow_reached(ends(), "i-21-1", much_later);
-    assert_eq!(oracle.violations(), [], "still being handed over");
+    let ago = |seconds| {
+        now.checked_sub(Duration::from_secs(seconds))
+            .expect("earlier")
+    };
+    oracle.former_flow_reached(ends(), "i-21-1", ago(1));
+    assert_eq!(oracle.violations(), [], "no agent is known");
+    oracle.agent_started(21, ago(2));
+    oracle.former_flow_reached(ends(), "i-21-1", ago(1));
+    assert_eq!(oracle.violations(), [], "the agent began with the target");
+    oracle.agent_started(21, ago(9));
+    oracle.former_flow_reached(ends(), "i-21-1", now);
+    assert_eq!(oracle.violations(), [], "the packet may be on its way");
+    oracle.disturb(21);
+    oracle.former_flow_reached(ends(), "i-21-1", ago(1));
+    assert_eq!(oracle.violations(), [], "the machine is disturbed");
+    oracle.former_flow_reached(ends(), "i-22-1", ago(1));
+    oracle.agent_started(22, ago(9));
+    oracle.former_flow_reached(ends(), "i-22-1", ago(1));
+    let seen = oracle.violations();
+    assert!(
+        matches!(seen, [Violation::FormerFlowReached(_)]),
+        "{seen:?}"
+    );
 }
 
 #[test]
--- a/crates/woodladder/tests/explain.rs
+++ b/crates/woodladder/tests/explain.rs
@@ -186,3 +186,36 @@
             .any(|it| it.contains("edge-1 left out 12 lines"))
     );
 }
+
+/// The target crashed with the request at work and began again under its name.
+#[test]
+fn a_request_whose_target_began_again_names_the_replacement() {
+    let replaced = |agent: &str| {
+        let fields = format!(",\"agent\":\"{agent}\",\"ended\":\"80aa\",\"flows_reset\":12");
+        line(1700, "edge-1", "target_replaced", &fields)
+    };
+    let balancer = [
+        flow_line(1000, "edge-1", "flow_sent", ",\"agent\":\"10.0.0.9:7000\""),
+        replaced("10.0.0.9:7000"),
+        replaced("10.0.0.8:7000"),
+    ];
+    let delivered = ",\"request\":\"a1b2\",\"busy\":3";
+    let agent = flow_line(1005, "side-1", "request_delivered", delivered);
+    let files = [("edge.log", balancer.concat()), ("side.log", agent.clone())];
+    let explanation = explained("a1b2", &files).expect("known");
+    assert_eq!(explanation.surroundings.len(), 1);
+    let text = explanation.verdict.to_string();
+    assert!(text.contains("target_replaced of 10.0.0.9:7000"), "{text}");
+    let reset = ",\"reason\":\"target_ended\",\"retry_is_safe\":false";
+    let with_reset = [
+        balancer.concat(),
+        flow_line(1701, "edge-1", "flow_reset", reset),
+    ];
+    let files = [("edge.log", with_reset.concat()), ("side.log", agent)];
+    let explanation = explained("a1b2", &files).expect("known");
+    let text = explanation.verdict.to_string();
+    assert_eq!(
+        text,
+        "reset by edge-1: target_ended; the request may have run"
+    );
+}
