--- a/crates/woodladder-core/src/flow/activation.rs
+++ b/crates/woodladder-core/src/flow/activation.rs
@@ -56,8 +56,8 @@
     }
 }
 
-/// Whether the flows of a route are worth recording where [`ActiveMechanisms::locates_flows`]
-/// acts: a request on a flow whose target is gone fails, because it may not be sent again or
+/// Whether the flows of a route are worth recording where
+/// [`ActiveMechanisms::locates_flows`] acts: a request on a flow whose target is gone fails, because it may not be sent again or
 /// because there is no time left for it.
 #[must_use]
 pub fn is_worth_recording(terms: &RouteTerms) -> bool {
--- a/crates/woodladder-core/src/flow/store_session/mod.rs
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Three small machines, each with at most one call under way: the watch of
 //! the configuration, the registration of a balancer under a lease, and the
-//! list of balancers. A store that is slow, down or that refuses this node
+//! list of balancers. A fourth is [`super::flow_record::session`]. A store that is slow, down or that refuses this node
 //! costs retries with growing pauses; what the node holds stays in use.
 
 mod backoff;
