--- a/crates/woodladder-core/tests/flow_record_property.rs
+++ b/crates/woodladder-core/tests/flow_record_property.rs
@@ -379,7 +379,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(3000))]
+    #![proptest_config(ProptestConfig::with_cases(10_000))]
     #[test]
     fn no_course_of_events_resets_a_recorded_flow_whose_target_lives(
         events in prop::collection::vec(event(), 1..120)
