Relaying and standby by processor and link together

Cause: who decides was compared by processor alone. A machine with 0.3 of a core behind 10 or 15 Mbit/s decided itself, and copies of searched packets filled its link. Change: what a machine can use is its processor, or as much of it as keeps up with its link when that is less; relay, standby and greetings compare that. Machines with wide links compare as before. On the opticians' site the comparison comes out as before: its machines differ in both.

--- a/crates/woodladder-core/src/flow/activation.rs
+++ b/crates/woodladder-core/src/flow/activation.rs
@@ -76,5 +76,14 @@
 }
 
 fn link_binds(capacity: u32, link_rate: u32) -> bool {
-    u64::from(link_rate) < u64::from(capacity) * FORWARDED_BY_A_CORE / THOUSANDTHS
+    usable_capacity(capacity, Some(link_rate)) < capacity
+}
+
+/// Processor that a machine can use for forwarding, in thousandths of a core: what it
+/// has, or as much as keeps up with its link, in kilobits a second, when that is less.
+#[must_use]
+pub fn usable_capacity(capacity: u32, link_rate: Option<u32>) -> u32 {
+    let for_link = |rate: u32| u64::from(rate) * THOUSANDTHS / FORWARDED_BY_A_CORE;
+    let by_link = link_rate.map_or(u64::MAX, for_link);
+    capacity.min(u32::try_from(by_link).unwrap_or(u32::MAX))
 }
--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use super::super::activation::usable_capacity;
 use super::super::identity::{NodeAddress, ZoneKey};
 use super::super::message::{ForwardHeader, PeerMessage, SnapshotRequest};
 use super::super::packet::CallerReset;
@@ -25,6 +26,14 @@
     pub flow_retention: Duration,
 }
 
+impl BalancerOptions {
+    /// Processor that it can use for forwarding, in thousandths of a core.
+    #[must_use]
+    pub fn usable_capacity(&self) -> u32 {
+        usable_capacity(self.capacity, self.link_rate)
+    }
+}
+
 /// What the shell carries out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BalancerAction {
--- a/crates/woodladder-core/src/flow/balancer/forwarding/relay.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/relay.rs
@@ -1,7 +1,7 @@
 //! Relaying by a small balancer to much larger ones.
 //!
 //! Routers give every ready balancer of a zone the same share, so a machine
-//! with a fraction of the others' processor gets as many packets as they do. It
+//! with a fraction of the others' processor or link gets as many packets as they do. It
 //! cannot afford to follow targets, tables and searches: it hands each packet
 //! to a larger balancer, which decides as if the packet had come to it. The
 //! larger one is chosen by rendezvous hashing of the flow, so all small
@@ -13,7 +13,7 @@
 use crate::flow::identity::{FlowKey, NodeAddress};
 use crate::flow::packet::FlowPacket;
 
-/// How many times larger than the own processor another balancer's must be.
+/// How many times larger than the own usable processor another balancer's must be.
 const LARGER_BY: u32 = 4;
 
 impl Balancer {
@@ -21,7 +21,7 @@
     /// the own zone, or those of all zones when there is none. Empty when the
     /// own balancer decides itself.
     pub(crate) fn choose_relay_receivers(&mut self, now: Instant) {
-        let least = self.options.capacity.saturating_mul(LARGER_BY);
+        let least = self.options.usable_capacity().saturating_mul(LARGER_BY);
         let near = self.zone_members.able_from(least, now);
         self.relay_receivers = if near.is_empty() {
             self.peers.able_from(least, now)
@@ -30,10 +30,10 @@
         };
     }
 
-    /// Whether balancers of this processor, in thousandths of a core, hand their
+    /// Whether balancers of this usable processor, in thousandths of a core, hand their
     /// packets to one of the own size.
     pub(crate) fn is_much_larger_than(&self, capacity: u32) -> bool {
-        capacity <= self.options.capacity / LARGER_BY
+        capacity <= self.options.usable_capacity() / LARGER_BY
     }
 
     /// Finds the balancers of the zone that hand packets to this one and must
@@ -41,7 +41,7 @@
     pub(crate) fn find_relaying_members(&mut self) {
         self.relaying_members = self
             .zone_members
-            .known_up_to(self.options.capacity / LARGER_BY);
+            .known_up_to(self.options.usable_capacity() / LARGER_BY);
     }
 
     /// The larger balancer that takes this flow; `None` when the own balancer
--- a/crates/woodladder-core/src/flow/balancer/membership/readiness.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/readiness.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::flow::balancer::{Balancer, BalancerOptions};
+use crate::flow::balancer::Balancer;
 
 /// Silence of all agents after which the balancer counts as cut off, when the
 /// other balancers are silent too or hear agents themselves. Reports of all agents
@@ -56,10 +56,11 @@
     /// [`NotReadyReason`] when it is not.
     pub fn ready(&self, now: Instant) -> Result<(), NotReadyReason> {
         self.able(now)?;
-        let BalancerOptions {
-            address, capacity, ..
-        } = self.options;
-        if self.zone_members.stands_by(address, capacity, now) {
+        let capacity = self.options.usable_capacity();
+        if self
+            .zone_members
+            .stands_by(self.options.address, capacity, now)
+        {
             return Err(NotReadyReason::Standby);
         }
         Ok(())
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -103,7 +103,7 @@
         }
     }
 
-    /// Balancers that were heard lately, could serve, and have at least this
+    /// Balancers that were heard lately, could serve, and can use at least this
     /// capacity.
     #[must_use]
     pub fn able_from(&self, least: u32, now: Instant) -> Vec<NodeAddress> {
@@ -113,7 +113,7 @@
                 .is_some_and(|at| now.since(at) < SERVING_FOR);
             let is_large = record
                 .member
-                .is_some_and(|member| member.is_able && member.capacity >= least);
+                .is_some_and(|member| member.is_able && member.usable_capacity() >= least);
             is_heard && is_large
         };
         self.records
--- a/crates/woodladder-core/src/flow/zone_members.rs
+++ b/crates/woodladder-core/src/flow/zone_members.rs
@@ -5,12 +5,14 @@
 //! balancers ready uses all of them. Among unequal machines an even spread
 //! overloads the small ones, so the smallest stand by: of all allowed sizes of
 //! the set of ready balancers, the one is taken whose balancers together bear
-//! most when each gets the same share. Every balancer decides this for itself
+//! most when each gets the same share. What a balancer bears follows from its
+//! processor and its link, whichever binds. Every balancer decides this for itself
 //! from the greetings of the others.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::activation::usable_capacity;
 use super::identity::NodeAddress;
 use super::pace::{silence_limit, some_from};
 use super::peers::MAXIMUM_BALANCERS;
@@ -44,6 +46,14 @@
     pub is_able: bool,
 }
 
+impl Member {
+    /// Processor that it can use for forwarding, in thousandths of a core.
+    #[must_use]
+    pub fn usable_capacity(&self) -> u32 {
+        usable_capacity(self.capacity, self.link_rate)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
     member: Member,
@@ -100,12 +110,12 @@
         }
     }
 
-    /// Members that serve and have at least this capacity.
+    /// Members that serve and can use at least this capacity.
     #[must_use]
     pub fn able_from(&self, least: u32, now: Instant) -> Vec<NodeAddress> {
         self.records
             .iter()
-            .filter(|(_, record)| record.member.is_able && record.member.capacity >= least)
+            .filter(|(_, record)| record.member.is_able && record.member.usable_capacity() >= least)
             .filter(|(_, record)| {
                 record.is_heard(RECEIVER_SILENT_AFTER, RECEIVER_SILENT_AFTER_PERIODS, now)
             })
@@ -118,7 +128,7 @@
             .iter()
             .filter(|(_, record)| record.member.is_able)
             .filter(move |(_, record)| record.is_heard(SILENT_AFTER, SILENT_AFTER_PERIODS, now))
-            .map(|(address, record)| (record.member.capacity, *address))
+            .map(|(address, record)| (record.member.usable_capacity(), *address))
     }
 
     /// Members that were heard lately, whether they serve or not.
@@ -129,23 +139,23 @@
             .map(|(address, _)| *address)
     }
 
-    /// Members that have at most this capacity.
+    /// Members that can use at most this capacity.
     #[must_use]
     pub fn known_up_to(&self, most: u32) -> Vec<NodeAddress> {
         self.records
             .iter()
-            .filter(|(_, record)| record.member.capacity <= most)
+            .filter(|(_, record)| record.member.usable_capacity() <= most)
             .map(|(address, _)| *address)
             .collect()
     }
 
-    /// Processor of a balancer of the zone, in thousandths of a core, when it is
-    /// known.
+    /// Processor that a balancer of the zone can use, in thousandths of a core, when
+    /// it is known.
     #[must_use]
     pub fn capacity_of(&self, address: NodeAddress) -> Option<u32> {
         self.records
             .get(&address)
-            .map(|record| record.member.capacity)
+            .map(|record| record.member.usable_capacity())
     }
 
     /// Members known besides the own balancer.
@@ -167,7 +177,7 @@
         some_from(self.records.keys().copied(), start, count)
     }
 
-    /// Whether the balancer with this address and capacity should stand by,
+    /// Whether the balancer with this address and usable capacity should stand by,
     /// because the zone bears more without it.
     #[must_use]
     pub fn stands_by(&self, address: NodeAddress, capacity: u32, now: Instant) -> bool {
