A planned stop goes on while openings wait for the link; bound of urgent packets as a property

Cause: a stop could end 0.7 s after the last packet with openings still held here, which have no other way on than their callers' copies. Change: openings that wait count as activity of the stop, at most as long as it may last.

--- a/crates/woodladder-core/src/flow/balancer/forwarding/link_share.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/link_share.rs
@@ -30,6 +30,13 @@
         }
     }
 
+    /// Whether openings wait for the link.
+    #[must_use]
+    pub fn holds_openings(&self) -> bool {
+        self.paced_link()
+            .is_some_and(|link| link.openings_waiting() > 0)
+    }
+
     /// Whether openings that waited for the link may go on.
     #[must_use]
     pub fn may_release_openings(&self) -> bool {
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -149,9 +149,7 @@
     #[must_use]
     pub fn tick_interval(&self) -> Duration {
         let is_waited_for = !self.waiting.is_empty()
-            || self
-                .paced_link()
-                .is_some_and(|link| link.openings_waiting() > 0)
+            || self.holds_openings()
             || !self.searching.is_empty()
             || !self.named_agents.is_empty()
             || self.directory.doubts_any();
--- a/crates/woodladder-core/tests/flow_link_scheduler.rs
+++ b/crates/woodladder-core/tests/flow_link_scheduler.rs
@@ -211,6 +211,31 @@
         }
     }
 
+    #[test]
+    fn no_urgent_packet_waits_behind_bulk_for_longer_than_one_packet(
+        rate in 2000_u32..50_000,
+        backlog in 0_u32..200,
+        after_us in 0_u64..20_000,
+    ) {
+        let mut scheduler = LinkScheduler::new(rate);
+        for number in 0..backlog {
+            scheduler.offer(number, bulk(1), at(1000));
+        }
+        let mut now = at(1000);
+        let comes_at = now + Duration::from_micros(after_us);
+        while let Some(due) = scheduler.next_release().filter(|due| *due <= comes_at) {
+            now = now.max(due);
+            while scheduler.release(now).is_some() {}
+        }
+        if scheduler.offer(777, urgent(2), comes_at).is_none() {
+            let due = scheduler.next_release().expect("it waits");
+            // The pace is some hundredths below the rate.
+            let one_packet = link_time(LARGEST, rate) * 11 / 10;
+            prop_assert!(due.since(comes_at) <= one_packet);
+            prop_assert_eq!(scheduler.release(due.max(comes_at)), Some(777));
+        }
+    }
+
     #[test]
     fn nothing_is_lost_while_what_leaves_is_below_the_rate(
         arrivals in prop::collection::vec(offered(), 1..800),
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -3,7 +3,7 @@
 //! # Lifecycle
 //! [`BalancerNode::new`] opens its sockets; [`BalancerNode::run`] starts the tasks and
 //! returns when a planned stop has ended. During the stop it forwards on until
-//! no caller's packet has come for a while.
+//! no caller's packet has come for a while and no opening waits for the link.
 
 mod figures;
 mod outgoing;
@@ -208,7 +208,8 @@
             sleep(TICK).await;
             let now = self.clock.now();
             let elapsed = now.since(started);
-            let is_quiet = now.since(self.packet_at.get()) >= QUIET;
+            let holds_openings = self.core.borrow().holds_openings();
+            let is_quiet = now.since(self.packet_at.get()) >= QUIET && !holds_openings;
             if elapsed >= self.config.stop_timeout || (elapsed >= LEAST_DRAIN && is_quiet) {
                 return;
             }
