Pace what leaves at 99% of the link, 4 ms ahead at most

Cause: relayed packets are as many bytes out as in, so a pace of 97% is itself the narrowest place of a nearly full link.

--- a/crates/woodladder-core/src/flow/link/scheduler.rs
+++ b/crates/woodladder-core/src/flow/link/scheduler.rs
@@ -16,10 +16,10 @@
 
 /// Share of the link's rate that is used, in percent: the rest covers what a burst
 /// adds within a second.
-const PACED_PERCENT: u64 = 97;
-/// How far ahead of its rate the link may be handed datagrams. Timers of the shell are
-/// no finer.
-const BURST: Duration = Duration::from_millis(10);
+const PACED_PERCENT: u64 = 99;
+/// How far ahead of its rate the link may be handed datagrams: some of the shell's
+/// timers.
+const BURST: Duration = Duration::from_millis(4);
 /// Longest wait of a datagram. Its sender repeats it after 200 milliseconds.
 pub const LONGEST_QUEUED: Duration = Duration::from_millis(150);
 /// Nanoseconds that one bit takes at one kilobit a second.
