--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -9,6 +9,7 @@
 pub mod flow_index;
 pub(crate) mod named_holders;
 pub(crate) mod outcome;
+pub(crate) mod rounds;
 pub mod work_budget;
 
 use std::collections::{BTreeMap, BTreeSet};
