--- a/crates/woodladder-core/src/flow/agent/admission/choosing.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/choosing.rs
@@ -71,6 +71,7 @@
             .map(|opening| WaitingWork {
                 first_sent: opening.first_sent,
                 aim: opening.aim,
+                timeout: opening.timeout.min(LONGEST_WAIT),
                 expected: self.expected_of(&opening.packet.key),
                 is_urgent: opening.is_urgent,
                 is_allowed: may_open,
@@ -82,6 +83,7 @@
             waiting.push(WaitingWork {
                 first_sent: request.first_seen,
                 aim: request.terms.aim,
+                timeout: request.terms.timeout,
                 expected: self.expected_of(key),
                 is_urgent: request.terms.is_urgent,
                 is_allowed: true,
@@ -117,6 +119,7 @@
         let opening = WaitingWork {
             first_sent: Instant::from_origin(now.since_origin().saturating_sub(age)),
             aim: Duration::from_millis(terms.aim_ms.into()),
+            timeout: Duration::from_millis(terms.timeout_ms.into()).min(LONGEST_WAIT),
             expected: self.expected_of(key),
             is_urgent: terms.is_urgent,
             is_allowed: true,
--- a/crates/woodladder-core/src/flow/agent/admission/order.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/order.rs
@@ -7,8 +7,9 @@
 //! late: it is granted only while all urgent work that can be in time would be so
 //! afterwards, too.
 //!
-//! Within a group the earliest deadline goes first among the work that would still be in
-//! time if it took twice as long as expected; then the newest. So work that has waited
+//! Within a group the earliest deadline goes first among the work that would still meet it
+//! if it took twice as long as expected; then the newest. The deadline is the aim of work
+//! that can be in time and the timeout of late work. So work that has waited
 //! goes before its aim passes, and when not all of a group can be in time, slots don't go
 //! to work on the brink of being late.
 
@@ -32,6 +33,8 @@
     pub first_sent: Instant,
     /// Time from then in which it should be answered.
     pub aim: Duration,
+    /// Time from then after which an answer is of no use any more.
+    pub timeout: Duration,
     /// Time from handing it over to the first byte of its answer.
     pub expected: Duration,
     /// Whether its route matters more than another one of the same service.
@@ -80,9 +83,15 @@
 
     /// Its place within its group, the greatest first.
     fn place(&self, now: Instant) -> (bool, Reverse<Instant>, Instant) {
-        let has_margin = self.slack(now) >= self.expected * MARGIN;
+        let spent = now.since(self.first_sent) + self.expected;
+        let limit = if spent <= self.aim {
+            self.aim
+        } else {
+            self.timeout
+        };
+        let has_margin = spent + self.expected * MARGIN <= limit;
         let deadline = if has_margin {
-            self.first_sent + self.aim
+            self.first_sent + limit
         } else {
             Instant::ORIGIN
         };
--- a/crates/woodladder-core/tests/flow_serving_order.rs
+++ b/crates/woodladder-core/tests/flow_serving_order.rs
@@ -142,6 +142,7 @@
     WaitingWork {
         first_sent: instant(arrival.sent_ms),
         aim: Duration::from_millis(arrival.kind.aim_ms),
+        timeout: Duration::from_millis(arrival.kind.timeout_ms),
         expected: Duration::from_millis(arrival.kind.work_ms as u64 + EXCHANGE_MS),
         is_urgent: arrival.kind.is_urgent,
         is_allowed: true,
@@ -347,6 +348,7 @@
     WaitingWork {
         first_sent: instant(now - random.random_range(0..400)),
         aim: Duration::from_millis(random.random_range(100..400)),
+        timeout: Duration::from_millis(3000),
         expected: Duration::from_millis(random.random_range(5..60)),
         is_urgent: random.random_bool(0.4),
         is_allowed: random.random_bool(0.9),
@@ -402,6 +404,7 @@
     let urgent = WaitingWork {
         first_sent: instant(1000),
         aim: Duration::from_millis(300),
+        timeout: Duration::from_millis(3000),
         expected: Duration::from_millis(40),
         is_urgent: true,
         is_allowed: true,
@@ -431,3 +434,24 @@
     let other = times.expected(route(2)).expect("known");
     assert!(other > Duration::from_millis(85), "{other:?}");
 }
+
+/// Late work, too, goes to the one whose caller leaves first, so that none waits until
+/// its timeout while others come later.
+#[test]
+fn among_late_work_the_one_whose_caller_leaves_first_goes_first() {
+    let late = |first_sent| WaitingWork {
+        first_sent: instant(first_sent),
+        aim: Duration::from_millis(250),
+        timeout: Duration::from_millis(3000),
+        expected: Duration::from_millis(40),
+        is_urgent: false,
+        is_allowed: true,
+    };
+    let choose = |work: &[WaitingWork]| ServingOrder::default().choose(work, 2, instant(10_000));
+    assert_eq!(choose(&[late(9500), late(7500), late(9000)]), Some(1));
+    assert_eq!(
+        choose(&[late(9500), late(7010)]),
+        Some(0),
+        "too late for it"
+    );
+}
