--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -53,7 +53,6 @@
 pub use decision::{AgentAction, AgentCounters, AnswerBody, Delivery, Departure};
 pub use reporting::flow_statements;
 pub use target::failure_record::{AnswerKind, Suspicion};
-pub use target::first_beat::FirstBeat;
 pub use target::heartbeat::{Heartbeat, HeartbeatError};
 
 /// Settings of an agent.
@@ -156,11 +155,9 @@
     sent_at: Option<Instant>,
     unanswered_since: Option<Instant>,
     presence: Presence,
-    /// Whether the target began while the agent ran, or had no heartbeat answered
-    /// before, so that the agent has seen each of its flows.
+    /// Whether the target began while the agent ran, so that the agent has seen each of
+    /// its flows.
     began_later: bool,
-    /// The first heartbeat, until it was judged.
-    first_beat: Option<target::first_beat::FirstBeat>,
 }
 
 /// The agent's state.
@@ -200,8 +197,6 @@
     reports: ReportSchedule,
     report_sequence: u64,
     statements: FlowStatements,
-    /// Time between two heartbeats of the target, when it is known.
-    heartbeat_interval: Option<Duration>,
     /// Whether something has changed that every balancer must know.
     report_due: bool,
     fetch: Option<(NodeAddress, Instant)>,
@@ -242,7 +237,6 @@
             reports: ReportSchedule::default(),
             report_sequence: 0,
             statements: FlowStatements::new(options.epoch, now),
-            heartbeat_interval: None,
             report_due: false,
             fetch: None,
             ticked_at: None,
@@ -372,7 +366,6 @@
             from: Some(from),
         });
         self.choose_mechanisms();
-        self.judge_first_beat();
     }
 
     fn choose_mechanisms(&mut self) {
@@ -456,7 +449,6 @@
             unanswered_since: None,
             presence: Presence::NotAsked,
             began_later: false,
-            first_beat: None,
         }
     }
 }
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::flow::agent::target::first_beat::FirstBeat;
 use crate::flow::agent::{Agent, Presence, ReplacedStart, Target};
 use crate::flow::identity::{Incarnation, ServiceKey};
 use crate::flow::message::TargetState;
@@ -153,12 +152,6 @@
         self.target.born_ms = beat.born_ms;
         self.target.began_later =
             former.began_later || former.has_lived_here(beat) || beat.sequence <= FIRST_SEQUENCE;
-        if former.incarnation.is_none() {
-            self.target.first_beat = Some(FirstBeat {
-                warm_up_left: beat.warm_up,
-            });
-            self.judge_first_beat();
-        }
         self.target.replaced = former.replaced;
         self.target.former_beat_at = former.beat_at;
         if former.incarnation.is_none() && former.name == Some(beat.incarnation) {
@@ -183,24 +176,6 @@
         self.report_due = true;
     }
 
-    /// States the time between two heartbeats of a target.
-    pub fn expect_heartbeats_each(&mut self, interval: Duration) {
-        self.heartbeat_interval = Some(interval);
-    }
-
-    /// Concludes from the first heartbeat, once the configuration is known, whether the
-    /// agent has seen each of the target's flows.
-    pub(crate) fn judge_first_beat(&mut self) {
-        if self.routes.current().is_none() {
-            return;
-        }
-        let warm_up = self.routes.warm_up_time(self.options.service);
-        if let Some(first_beat) = self.target.first_beat.take() {
-            self.target.began_later |=
-                first_beat.is_first_answered(warm_up, self.heartbeat_interval);
-        }
-    }
-
     /// Whether it should be asked if the target listens: before the first sign
     /// of it.
     #[must_use]
--- a/crates/woodladder-core/src/flow/agent/target/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/target/mod.rs
@@ -1,7 +1,6 @@
 //! What the agent knows of its target: heartbeats, load, and how requests end.
 
 pub(crate) mod failure_record;
-pub mod first_beat;
 pub(crate) mod heartbeat;
 pub(crate) mod load;
 pub(crate) mod request_outcome;
--- a/crates/woodladder-core/tests/flow_held_flows.rs
+++ b/crates/woodladder-core/tests/flow_held_flows.rs
@@ -9,8 +9,8 @@
 use flow_support::*;
 use proptest::prelude::*;
 use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::AgentAction;
 use woodladder_core::flow::agent::flow_statements::{FlowStatements, LIST_PARTS_A_SECOND};
-use woodladder_core::flow::agent::{AgentAction, FirstBeat};
 use woodladder_core::flow::balancer::{Balancer, BalancerAction, FlowIndex, WorkBudget};
 use woodladder_core::flow::configuration::Configuration;
 use woodladder_core::flow::held_flows::{
@@ -594,21 +594,3 @@
         _ => None,
     })
 }
-
-/// A target that is younger than half an interval had no heartbeat answered before.
-#[test]
-fn the_first_heartbeat_proves_that_none_was_answered_before() {
-    let interval = Some(Duration::from_millis(800));
-    let warm_up = Duration::from_millis(2000);
-    let with_left = |left: u64| FirstBeat {
-        warm_up_left: Duration::from_millis(left),
-    };
-    assert!(with_left(1700).is_first_answered(warm_up, interval));
-    // An earlier agent may have answered one 400 ms ago, with a roughly kept interval.
-    assert!(!with_left(1600).is_first_answered(warm_up, interval));
-    // Warm already, slower than stated, nothing stated, no interval known.
-    assert!(!with_left(0).is_first_answered(warm_up, interval));
-    assert!(!with_left(2500).is_first_answered(warm_up, interval));
-    assert!(!with_left(1700).is_first_answered(Duration::ZERO, interval));
-    assert!(!with_left(1700).is_first_answered(warm_up, None));
-}
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -71,8 +71,6 @@
     pub flow_retention: Duration,
     /// Longest life of a flow.
     pub flow_lifetime: Duration,
-    /// Time between two heartbeats of the target; zero when it is not known.
-    pub heartbeat_interval: Duration,
     /// What cold targets may be handed; `None` for no limit.
     pub warm_up: Option<WarmUpBounds>,
 }
@@ -111,12 +109,8 @@
             flow_lifetime: config.flow_lifetime,
             warm_up: config.warm_up,
         };
-        let mut core = Agent::new(options, clock.now());
-        if !config.heartbeat_interval.is_zero() {
-            core.expect_heartbeats_each(config.heartbeat_interval);
-        }
         Ok(Rc::new(Self {
-            core: RefCell::new(core),
+            core: RefCell::new(Agent::new(options, clock.now())),
             carrier,
             clock,
             peers: PeerLink::open(config.peer_bind)?,
