--- a/crates/woodladder-core/src/flow/activation.rs
+++ b/crates/woodladder-core/src/flow/activation.rs
@@ -11,8 +11,7 @@
 /// When a caller sends a packet that nobody has acknowledged for the last time
 /// before its attempt is likely to be over, in milliseconds.
 const LAST_EARLY_REPETITION_MS: u32 = 3000;
-/// Most that a balancer forwards with the whole of a core, in kilobits a second:
-/// full packets of 1.2 kilobytes, some 30 microseconds each.
+/// Most that a balancer forwards with the whole of a core, in kilobits a second.
 const FORWARDED_BY_A_CORE: u64 = 320_000;
 /// Thousandths in a whole.
 const THOUSANDTHS: u64 = 1000;
@@ -62,8 +61,8 @@
 }
 
 /// Whether the flows of a route are worth recording where
-/// [`ActiveMechanisms::locates_flows`] acts: a request on a flow whose target is gone fails, because it may not be sent again or
-/// because there is no time left for it.
+/// [`ActiveMechanisms::locates_flows`] acts: a request on a flow whose target is gone
+/// fails, because it may not be sent again or because there is no time left for it.
 #[must_use]
 pub fn is_worth_recording(terms: &RouteTerms) -> bool {
     !terms.is_repeatable || leaves_no_time(terms)
--- a/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
@@ -109,11 +109,8 @@
     /// operators state nothing, or state that nothing limits it. While the
     /// configuration is not known, a cold target is handed nothing.
     ///
-    /// The bounds allow more than the stated rate, but a target falls over beyond
-    /// that: on a day with 2 a second, two zones that are emptied and return cold,
-    /// and a release, targets fall over 26 times with the stated rate as the limit,
-    /// 50 times with the bounds, 228 times without a limit; answers are late for
-    /// 118, 770 and 7,623 requests of 53,000.
+    /// The bounds allow more than the stated rate, but a target may fall over beyond
+    /// that rate.
     fn warm_up_limit(&self) -> Option<usize> {
         let bounds = self.options.warm_up?;
         let rate = self.routes.warm_up_rate(self.options.service);
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -382,7 +382,11 @@
             ResetReason::HolderDenied => &mut self.counters.reset_holder_denied,
         };
         *counter += 1;
-        if matches!(reason, ResetReason::TargetEnded | ResetReason::HeldNowhere) {
+        let counts_as_gone = matches!(
+            reason,
+            ResetReason::TargetEnded | ResetReason::HeldNowhere | ResetReason::HolderDenied
+        );
+        if counts_as_gone {
             let now = self.ticked_at.unwrap_or(self.started_at);
             self.promises.reset_as_gone(key, now);
         }
--- a/crates/woodladder-core/src/flow/balancer/search/flow_index.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/flow_index.rs
@@ -26,8 +26,8 @@
     flows: FxHashSet<FlowFingerprint>,
     /// Number of the last change up to which nothing is missing.
     complete_to: Option<u32>,
-    /// Whether the agent tells its flows at all.
-    tells_nothing: bool,
+    /// Whether the agent has too many flows to list.
+    has_too_many: bool,
     asked_at: Option<Instant>,
     pending: Option<PendingList>,
 }
@@ -72,14 +72,14 @@
     pub fn is_complete(&self, agent: NodeAddress) -> bool {
         self.agents
             .get(&agent)
-            .is_some_and(|known| known.tells_nothing || known.complete_to.is_some())
+            .is_some_and(|known| known.has_too_many || known.complete_to.is_some())
     }
 
     /// Takes in what a report of an agent's start `epoch` states.
     pub fn stated(&mut self, agent: NodeAddress, epoch: u64, statement: &FlowStatement) {
         self.begin_epoch(agent, epoch);
         let known = self.agents.entry(agent).or_default();
-        known.tells_nothing = statement.coverage == StatementCoverage::Nothing;
+        known.has_too_many = statement.coverage == StatementCoverage::Nothing;
         match statement.coverage {
             StatementCoverage::Nothing => {
                 known.complete_to = None;
@@ -163,7 +163,7 @@
             let Some(known) = self.agents.get_mut(&agent) else {
                 continue;
             };
-            let is_missing = !known.tells_nothing && known.complete_to.is_none();
+            let is_missing = !known.has_too_many && known.complete_to.is_none();
             let is_due = known
                 .asked_at
                 .is_none_or(|at| now.since(at) >= ASKS_AGAIN_AFTER);
--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -34,11 +34,9 @@
 /// Time after which an agent that could not tell gets the packet again.
 const HANDED_AGAIN_AFTER: Duration = Duration::from_millis(400);
 /// Time that the first targets have to show whether one of them holds the flow,
-/// before all others are asked. Those that do not hold it give the packet back at
-/// once; the one that does shows it with its answer. It is the pause before a
-/// caller's first repetition. After a restart of all agents beside running targets
-/// nearly every flow is found among the first, and asking the others meanwhile cost
-/// 160 packets a flow: 0.2 GB between zones at 682 agents.
+/// before all others are asked: the pause before a caller's first repetition. Those
+/// that do not hold it give the packet back at once; the one that does shows it with
+/// its answer.
 const FIRST_ANSWER_WITHIN: Duration = Duration::from_millis(200);
 /// Searches that begin between two ticks. More are left to the callers' next
 /// copies, so that packets of flows that never existed are not multiplied
--- a/crates/woodladder-core/src/flow/balancer/search/rounds.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/rounds.rs
@@ -33,7 +33,8 @@
             return;
         }
         let mut searching = std::mem::take(&mut self.searching);
-        searching.truncate(QUERIED_FLOWS);
+        // The others are asked about in later rounds.
+        let later = searching.split_off(searching.len().min(QUERIED_FLOWS));
         searching.retain(|key| {
             self.search_of(key)
                 .is_some_and(|search| !search.is_over(now))
@@ -41,6 +42,7 @@
         self.ask_about(&searching, now, actions);
         self.conclude(&searching, now, actions);
         self.note_long_searches(&searching, now);
+        self.searching.extend(later);
         self.searching.append(&mut searching);
     }
 
--- a/crates/woodladder-core/src/flow/flow_record/record.rs
+++ b/crates/woodladder-core/src/flow/flow_record/record.rs
@@ -157,11 +157,14 @@
     }
 
     /// The record's bytes.
+    ///
+    /// # Panics
+    /// Never: writing to a vector has no error.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = vec![LAYOUT];
-        // Writing to a vector cannot fail.
-        let _written = self.serialize(&mut bytes);
+        self.serialize(&mut bytes)
+            .expect("a vector takes all bytes");
         bytes
     }
 
--- a/crates/woodladder-core/src/flow/flow_record/session.rs
+++ b/crates/woodladder-core/src/flow/flow_record/session.rs
@@ -78,6 +78,8 @@
     began_at: Instant,
     due_at: Instant,
     in_flight: bool,
+    /// Whether the write in flight is the last one of a planned stop.
+    is_final_write: bool,
     /// Revision of the entry; zero when there is none.
     revision: u64,
     period: Duration,
@@ -97,6 +99,7 @@
             began_at: now,
             due_at: now,
             in_flight: false,
+            is_final_write: false,
             revision: 0,
             period: LONGEST_PERIOD,
             written: None,
@@ -148,6 +151,7 @@
     pub fn offer(&mut self, fingerprint: u64, is_empty: bool, now: Instant) -> Option<u64> {
         let is_known = self.written == Some(fingerprint);
         let is_needless = is_empty && self.revision == 0;
+        self.is_final_write = self.stage == Stage::Leaving;
         if is_known || is_needless {
             self.advance(now);
             return None;
@@ -207,9 +211,11 @@
     }
 
     fn advance(&mut self, now: Instant) {
-        if self.stage == Stage::Leaving {
-            self.stage = Stage::Ended;
+        match (self.stage, self.is_final_write) {
+            (Stage::Leaving, true) => self.stage = Stage::Ended,
+            // A write from before the stop has ended: the last one is due now.
+            (Stage::Leaving, false) => self.due_at = now,
+            _ => self.due_at = now + self.period,
         }
-        self.due_at = now + self.period;
     }
 }
--- a/crates/woodladder-core/src/flow/zone_members.rs
+++ b/crates/woodladder-core/src/flow/zone_members.rs
@@ -23,8 +23,7 @@
 /// Least silence after which a larger balancer is handed no packets any more: two
 /// greetings in a row must be lost for a living one to be passed over, which costs
 /// searches for its flows and no request. What is handed to a dead one is lost until
-/// then: on a day on which 15% of the machines freeze twice, 201 requests fail with
-/// 900 ms, and 137 with 600 ms.
+/// then.
 const RECEIVER_SILENT_AFTER: Duration = Duration::from_millis(450);
 /// The same in times between its greetings.
 const RECEIVER_SILENT_AFTER_PERIODS: f64 = 3.0;
--- a/crates/woodladder-core/tests/flow_record.rs
+++ b/crates/woodladder-core/tests/flow_record.rs
@@ -228,6 +228,25 @@
     assert_eq!(next_step(&mut session, time + 60, 60_000), None);
 }
 
+#[test]
+fn a_planned_stop_during_a_write_writes_once_more() {
+    let mut session = RecordSession::new(1, at(0));
+    session.next(NEED, at(0));
+    let read = StoreReply::FlowRecord {
+        value: None,
+        revision: 0,
+    };
+    session.reply(read, at(5));
+    let (time, _) = next_step(&mut session, 10, 10_000).expect("a step");
+    session.offer(7, false, at(time));
+    session.leave(at(time + 2));
+    session.reply(StoreReply::FlowRecordWritten { revision: 40 }, at(time + 5));
+    assert_eq!(session.next(NEED, at(time + 5)), RecordStep::Collect);
+    assert_eq!(session.offer(8, false, at(time + 5)), Some(40));
+    session.reply(StoreReply::FlowRecordWritten { revision: 41 }, at(time + 9));
+    assert_eq!(next_step(&mut session, time + 9, 60_000), None);
+}
+
 #[test]
 fn a_planned_stop_before_the_record_was_read_writes_nothing() {
     let mut session = RecordSession::new(1, at(0));
