A flow that is open has no opening that waits for the link

Cause: data or an acknowledgement of a key left its waiting opening in place, though a copy may have opened the flow through another balancer; its release replaced the flow's Held or Searching entry by Opening and offered it to another target. A late duplicate of an open flow's opening could be held or refused as well, and a refusal reset the flow.

Change: any packet that is not an opening removes the waiting entry; release forgets openings of flows known here that have not finished, and a refusal at arrival drops such a duplicate. A finished entry does not count, so a new flow that uses its key again gets its turn.

Tests: one at the admission and three at the balancer failed before (a_flow_that_sends_data..., a_waiting_opening_is_not_offered..., a_late_duplicate..., a_duplicate_that_is_refused_at_once...); one keeps the reuse of a finished flow's key.

--- a/crates/woodladder-core/src/flow/balancer/forwarding/link_share.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/link_share.rs
@@ -3,11 +3,13 @@
 
 use crate::clock::Instant;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
-use crate::flow::balancer::{Balancer, BalancerAction};
+use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry};
+use crate::flow::identity::FlowKey;
 use crate::flow::link::LinkBudget;
 use crate::flow::link::bulk_admission::BulkDecision;
 use crate::flow::note::Note;
 use crate::flow::packet::FlowPacket;
+use crate::flow::table::FlowTable;
 
 impl Balancer {
     /// What the machine's link bears; `None` where it does not bind.
@@ -69,6 +71,10 @@
                 }
                 Some(Routing::Drop(DropReason::LinkShared))
             }
+            // A late duplicate: refusing it would end the flow.
+            BulkDecision::Refuse if is_open(&self.flows, &packet.key) => {
+                Some(Routing::Drop(DropReason::LinkShared))
+            }
             BulkDecision::Refuse => Some(self.refuse_for_link(packet, now, now)),
         }
     }
@@ -82,6 +88,8 @@
         let Some(link) = &mut self.link else {
             return;
         };
+        // Their flows were opened by other copies of the openings.
+        link.forget_waiting(|key| is_open(&self.flows, key));
         for opening in link.release(now) {
             let routing = if opening.goes {
                 self.relay_or_route(&opening.packet, &opening.bytes, now)
@@ -101,3 +109,9 @@
         self.refuse(packet)
     }
 }
+
+/// Whether a flow is open or being opened, as far as is known here; a new flow may
+/// have the key of one that has finished.
+fn is_open(flows: &FlowTable<FlowEntry>, key: &FlowKey) -> bool {
+    flows.peek(key).is_some_and(|entry| !entry.finished)
+}
--- a/crates/woodladder-core/src/flow/link/bulk_admission.rs
+++ b/crates/woodladder-core/src/flow/link/bulk_admission.rs
@@ -123,13 +123,13 @@
         BulkDecision::Wait
     }
 
-    /// Takes any other packet of a bulk route's flow.
+    /// Takes any other packet of a bulk route's flow: its caller does not wait for an
+    /// opening any more, of which a copy may have gone through another balancer.
     pub fn packet(&mut self, packet: &FlowPacket, now: Instant) {
+        self.forget_waiting(|key| *key == packet.key);
         match packet.kind {
             PacketKind::Finish | PacketKind::Reset => {
                 self.under_way.remove(&packet.key);
-                self.waiting
-                    .retain(|waiting| waiting.packet.key != packet.key);
             }
             PacketKind::Data if packet.payload > 0 => self.data(packet, now),
             _ => {}
@@ -149,6 +149,11 @@
         }
     }
 
+    /// Forgets waiting openings of these flows.
+    pub fn forget_waiting(&mut self, is_of: impl Fn(&FlowKey) -> bool) {
+        self.waiting.retain(|waiting| !is_of(&waiting.packet.key));
+    }
+
     /// Openings whose wait ends now, in the order in which they are to go.
     pub fn release(&mut self, limit: usize, now: Instant) -> Vec<ReleasedOpening> {
         let mut released = Vec::new();
--- a/crates/woodladder-core/src/flow/link/mod.rs
+++ b/crates/woodladder-core/src/flow/link/mod.rs
@@ -14,6 +14,7 @@
 use self::scheduler::Urgency;
 use self::usage::LinkUsage;
 use super::configuration::RouteTerms;
+use super::identity::FlowKey;
 use super::packet::{FlowPacket, PacketKind};
 use crate::clock::Instant;
 
@@ -92,6 +93,11 @@
         decision
     }
 
+    /// Forgets waiting openings of these flows.
+    pub fn forget_waiting(&mut self, is_of: impl Fn(&FlowKey) -> bool) {
+        self.admission.forget_waiting(is_of);
+    }
+
     /// Openings whose wait ends now.
     pub fn release(&mut self, now: Instant) -> Vec<ReleasedOpening> {
         if self.admission.waiting() == 0 {
--- a/crates/woodladder-core/tests/flow_bulk_admission.rs
+++ b/crates/woodladder-core/tests/flow_bulk_admission.rs
@@ -288,3 +288,16 @@
     assert!((375..=625).contains(&outgoing), "{outgoing}");
     assert_eq!(link.rates(at(2100)), (0, 0));
 }
+
+#[test]
+fn a_flow_that_sends_data_has_no_opening_that_waits() {
+    let (mut link, _) = shared_link();
+    open(&mut link, 200, at(2101));
+    open(&mut link, 201, at(2101));
+    // A copy of the opening went through another balancer.
+    give(&mut link, &upload(flow(200), 0, FULL), at(2110));
+    let acknowledgement = packet(flow(201), PacketKind::Data, 1001, 5001, 0);
+    give(&mut link, &acknowledgement, at(2110));
+    assert_eq!(link.openings_waiting(), 0);
+    assert!(link.release(at(2400)).is_empty());
+}
--- a/crates/woodladder-core/tests/flow_link_share.rs
+++ b/crates/woodladder-core/tests/flow_link_share.rs
@@ -10,7 +10,7 @@
     Balancer, BalancerAction, BalancerOptions, DropReason, Routing,
 };
 use woodladder_core::flow::identity::ZoneKey;
-use woodladder_core::flow::message::{BalancerGreeting, PeerMessage};
+use woodladder_core::flow::message::{BalancerGreeting, PeerMessage, TargetLoad};
 use woodladder_core::flow::packet::PacketKind;
 
 /// Data of a full packet, in bytes.
@@ -134,3 +134,88 @@
     assert_eq!(balancer.counters().refused_for_link, 1);
     assert_eq!(balancer.flow_count(), flows);
 }
+
+/// Target 9 accepts a flow.
+fn accept(balancer: &mut Balancer, port: u16, now: u64) {
+    let accepted = PeerMessage::Accepted {
+        key: flow(port),
+        sequence: 5000,
+        incarnation: None,
+        load: TargetLoad::default(),
+    };
+    send(balancer, 9, accepted, at(now));
+}
+
+#[test]
+fn a_waiting_opening_is_not_offered_when_its_flow_was_opened_elsewhere() {
+    let mut balancer = balancer_behind(Some(10_000));
+    let went_on = open_until_one_waits(&mut balancer, 11_200);
+    let held = went_on[went_on.len() - 1] + 1;
+    upload(&mut balancer, held, 1, 11_210);
+    for port in &went_on {
+        finish(&mut balancer, *port, 11_220);
+    }
+    let actions = release(&mut balancer, 11_300);
+    assert!(actions.is_empty(), "{actions:?}");
+    assert!(!balancer.holds_openings());
+}
+
+#[test]
+fn a_late_duplicate_of_an_open_flows_opening_neither_opens_nor_resets_it() {
+    for release_at in [11_500, 12_800] {
+        let mut balancer = balancer_behind(Some(10_000));
+        arrive(&mut balancer, &opening(flow(50), 0), at(11_200));
+        accept(&mut balancer, 50, 11_201);
+        upload(&mut balancer, 50, 1, 11_202);
+        let went_on = open_until_one_waits(&mut balancer, 11_300);
+        let routing = arrive(&mut balancer, &opening(flow(50), 0), at(11_301));
+        assert_eq!(routing, Routing::Drop(DropReason::LinkShared));
+        for now in (11_310..release_at).step_by(40) {
+            for port in &went_on {
+                upload(&mut balancer, *port, 1, now);
+            }
+        }
+        let flows = balancer.flow_count();
+        let actions = release(&mut balancer, release_at + 100);
+        let is_of_held = |action: &BalancerAction| match action {
+            BalancerAction::Reset(reset) => reset.key == flow(50),
+            _ => false,
+        };
+        assert!(!actions.iter().any(is_of_held), "{actions:?}");
+        // The one that waited first.
+        assert!(actions.len() <= 1, "{actions:?}");
+        assert!(balancer.flow_count() >= flows);
+        let data = packet(flow(50), PacketKind::Data, 2201, 5001, FULL);
+        let routing = arrive(&mut balancer, &data, at(release_at + 101));
+        assert_eq!(receivers(&routing), vec![node(9)]);
+    }
+}
+
+#[test]
+fn a_duplicate_that_is_refused_at_once_does_not_reset_its_open_flow() {
+    let mut balancer = balancer_behind(Some(10_000));
+    arrive(&mut balancer, &opening(flow(50), 0), at(11_200));
+    accept(&mut balancer, 50, 11_201);
+    upload(&mut balancer, 50, 1, 11_202);
+    open_until_one_waits(&mut balancer, 11_300);
+    for port in 200..400 {
+        arrive(&mut balancer, &opening(flow(port), 0), at(11_300));
+    }
+    assert!(balancer.counters().refused_for_link > 0);
+    let routing = arrive(&mut balancer, &opening(flow(50), 0), at(11_301));
+    assert_eq!(routing, Routing::Drop(DropReason::LinkShared));
+}
+
+#[test]
+fn a_new_flow_with_the_key_of_one_that_has_finished_gets_its_turn() {
+    let mut balancer = balancer_behind(Some(10_000));
+    let went_on = open_until_one_waits(&mut balancer, 11_200);
+    let waiting = went_on[went_on.len() - 1] + 1;
+    finish(&mut balancer, waiting, 11_201);
+    let routing = arrive(&mut balancer, &opening(flow(4), 0), at(11_202));
+    assert_eq!(routing, Routing::Drop(DropReason::LinkShared));
+    finish(&mut balancer, went_on[0], 11_220);
+    let actions = release(&mut balancer, 11_220);
+    let forwarded = matches!(&actions[..], [BalancerAction::Forward { to, .. }] if *to == node(9));
+    assert!(forwarded, "{actions:?}");
+}
