Openings that wait for the link end with their route's timeout

Cause: they were held for 1,200 ms from their arrival whatever timeout_ms said and whenever the caller had first sent them; with all of them late the newest went on though no answer could come in time; and a refusal after a wait was told to no promise counter.

Change: BulkTerms has the timeout, waiting entries the time of first sending, as the copies tell (FlowPacket::first_sent, moved from opening.rs unchanged). A wait ends at the age of 1,200 ms or of the timeout less the transfer, whichever is smaller: later than that its bytes cannot come in time. An opening whose turn comes after its timeout is refused at once. A refusal after a wait is told to held_to_the_end and given_up, as for openings that wait for a target.

Tests: three at the admission and one at the balancer failed before.

--- a/crates/woodladder-core/src/flow/balancer/forwarding/link_share.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/link_share.rs
@@ -1,14 +1,17 @@
 //! Openings of routes that bring many bytes wait while the link is shared by enough
 //! flows.
 
+use std::time::Duration;
+
 use crate::clock::Instant;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry};
 use crate::flow::identity::FlowKey;
 use crate::flow::link::LinkBudget;
-use crate::flow::link::bulk_admission::BulkDecision;
+use crate::flow::link::bulk_admission::{BulkDecision, ReleasedOpening};
 use crate::flow::note::Note;
 use crate::flow::packet::FlowPacket;
+use crate::flow::promises::DecidedOpening;
 use crate::flow::table::FlowTable;
 
 impl Balancer {
@@ -94,12 +97,24 @@
             let routing = if opening.goes {
                 self.relay_or_route(&opening.packet, &opening.bytes, now)
             } else {
+                self.ended_untried(&opening, now);
                 self.refuse_for_link(&opening.packet, opening.since, now)
             };
             self.carry_out(routing, &opening.bytes, actions);
         }
     }
 
+    fn ended_untried(&mut self, opening: &ReleasedOpening, now: Instant) {
+        self.promises.held_to_the_end();
+        if let Some(route) = self.routes.route(opening.packet.key.service) {
+            self.promises.given_up(&DecidedOpening {
+                age: now.since(opening.first_sent),
+                timeout: Duration::from_millis(route.terms.timeout_ms.into()),
+                is_urgent: false,
+            });
+        }
+    }
+
     fn refuse_for_link(&mut self, packet: &FlowPacket, since: Instant, now: Instant) -> Routing {
         self.counters.refused_for_link += 1;
         self.notes.add(Note::OpeningRefusedForLink {
--- a/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -1,7 +1,5 @@
 //! New flows: choice of service and target, and further tries.
 
-use std::time::Duration;
-
 use crate::clock::Instant;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
@@ -19,12 +17,6 @@
 /// Agents that may give one opening back because their targets hold more than
 /// was believed.
 const TRIES_BY_LOAD: usize = 1;
-/// Time between an opening and its copies, as callers send them.
-const COPY_DELAYS: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(200),
-    Duration::from_millis(600),
-];
 
 impl Balancer {
     pub(crate) fn route_opening(
@@ -61,7 +53,7 @@
             caller_next: packet.sequence.wrapping_add(1),
             finished: false,
             stage: Stage::Opening {
-                since: first_sent(packet.acknowledgement, now),
+                since: packet.first_sent(now),
                 tried: Vec::new(),
                 awaited: None,
                 is_queued: false,
@@ -104,7 +96,7 @@
         };
         match repeat {
             Some(agent) => {
-                let since = first_sent(packet.acknowledgement, now);
+                let since = packet.first_sent(now);
                 let terms = self.terms_of(packet, service, since, now);
                 Some(Routing::One {
                     to: agent,
@@ -346,15 +338,3 @@
         .agent(agent)
         .is_some_and(|record| record.is_live(now))
 }
-
-/// When the caller sent the opening for the first time, from the copies that it
-/// says it has sent since.
-fn first_sent(copy: u32, now: Instant) -> Instant {
-    let index = usize::try_from(copy).unwrap_or(usize::MAX);
-    let delay = COPY_DELAYS
-        .get(index)
-        .or(COPY_DELAYS.last())
-        .copied()
-        .unwrap_or_default();
-    Instant::from_origin(now.since_origin().saturating_sub(delay))
-}
--- a/crates/woodladder-core/src/flow/link/bulk_admission.rs
+++ b/crates/woodladder-core/src/flow/link/bulk_admission.rs
@@ -25,10 +25,20 @@
 pub struct BulkTerms {
     /// Time in which its request should be answered.
     pub aim: Duration,
+    /// Time after which an answer is of no use any more.
+    pub timeout: Duration,
     /// Time that its bytes take on the link alone.
     pub transfer: Duration,
 }
 
+impl BulkTerms {
+    /// Age, counted from the first sending, from which an opening does not go any
+    /// more: what its bytes take on the link is left of its timeout.
+    fn longest_wait(&self) -> Duration {
+        LONGEST_WAIT.min(self.timeout.saturating_sub(self.transfer))
+    }
+}
+
 /// What happens to an opening.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BulkDecision {
@@ -50,6 +60,8 @@
     pub bytes: Vec<u8>,
     /// When it came.
     pub since: Instant,
+    /// When its caller sent it for the first time.
+    pub first_sent: Instant,
     /// Whether it goes on; it is refused otherwise.
     pub goes: bool,
 }
@@ -67,13 +79,18 @@
     bytes: Vec<u8>,
     terms: BulkTerms,
     since: Instant,
+    first_sent: Instant,
 }
 
 impl Waiting {
+    fn is_vain(&self, now: Instant) -> bool {
+        now.since(self.first_sent) >= self.terms.longest_wait()
+    }
+
     /// Whether it is answered within its aim when it begins now; half of the aim is
     /// left for what its packets meet on their way.
     fn is_in_time(&self, now: Instant) -> bool {
-        now.since(self.since) + self.terms.transfer <= self.terms.aim / 2
+        now.since(self.first_sent) + self.terms.transfer <= self.terms.aim / 2
     }
 }
 
@@ -103,6 +120,7 @@
             // The latest copy tells how old the opening is.
             known.packet = *packet;
             known.bytes = bytes.to_vec();
+            known.first_sent = known.first_sent.min(packet.first_sent(now));
             return BulkDecision::Wait;
         }
         self.expire(now);
@@ -119,6 +137,7 @@
             bytes: bytes.to_vec(),
             terms,
             since: now,
+            first_sent: packet.first_sent(now),
         });
         BulkDecision::Wait
     }
@@ -160,7 +179,7 @@
         self.expire(now);
         let mut index = 0;
         while index < self.waiting.len() {
-            if now.since(self.waiting[index].since) >= LONGEST_WAIT {
+            if self.waiting[index].is_vain(now) {
                 released.push(ended(self.waiting.remove(index), false));
             } else {
                 index += 1;
@@ -195,7 +214,7 @@
     }
 
     /// The opening that goes next: the oldest of those that can still be answered in
-    /// time, or the newest when none can.
+    /// time, or the newest when none can; none of them is vain.
     fn next(&self, now: Instant) -> Option<usize> {
         let in_time = self
             .waiting
@@ -208,7 +227,7 @@
     /// when those before it take as long as the link needs for their bytes.
     fn turn_comes_late(&self, terms: BulkTerms, limit: usize) -> bool {
         let before = u32::try_from(self.waiting.len() + limit).unwrap_or(u32::MAX);
-        terms.transfer.saturating_mul(before) > LONGEST_WAIT
+        terms.transfer.saturating_mul(before) > LONGEST_WAIT.min(terms.timeout)
     }
 
     fn begin(&mut self, key: FlowKey, now: Instant) {
@@ -230,6 +249,7 @@
         packet: waiting.packet,
         bytes: waiting.bytes,
         since: waiting.since,
+        first_sent: waiting.first_sent,
         goes,
     }
 }
--- a/crates/woodladder-core/src/flow/link/mod.rs
+++ b/crates/woodladder-core/src/flow/link/mod.rs
@@ -167,6 +167,7 @@
         let transfer = self.routes.mean(route) * BITS / u64::from(self.rate);
         BulkTerms {
             aim: Duration::from_millis(terms.aim_ms.into()),
+            timeout: Duration::from_millis(terms.timeout_ms.into()),
             transfer: Duration::from_millis(transfer),
         }
     }
--- a/crates/woodladder-core/src/flow/packet.rs
+++ b/crates/woodladder-core/src/flow/packet.rs
@@ -1,6 +1,16 @@
 //! What the decisions need of one packet; its layout belongs to the shell.
 
+use std::time::Duration;
+
 use super::identity::FlowKey;
+use crate::clock::Instant;
+
+/// Time between an opening and its copies, as callers send them.
+const COPY_DELAYS: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(200),
+    Duration::from_millis(600),
+];
 
 /// What a packet does to its flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -33,6 +43,21 @@
     pub payload: u16,
 }
 
+impl FlowPacket {
+    /// When the caller sent this opening, which has come now, for the first time, from
+    /// the copies that it says it has sent since.
+    #[must_use]
+    pub fn first_sent(&self, now: Instant) -> Instant {
+        let index = usize::try_from(self.acknowledgement).unwrap_or(usize::MAX);
+        let delay = COPY_DELAYS
+            .get(index)
+            .or(COPY_DELAYS.last())
+            .copied()
+            .unwrap_or_default();
+        Instant::from_origin(now.since_origin().saturating_sub(delay))
+    }
+}
+
 /// A reset that the balancer sends to a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerReset {
--- a/crates/woodladder-core/tests/flow_bulk_admission.rs
+++ b/crates/woodladder-core/tests/flow_bulk_admission.rs
@@ -301,3 +301,67 @@
     assert_eq!(link.openings_waiting(), 0);
     assert!(link.release(at(2400)).is_empty());
 }
+
+/// Keeps a link's flows under way, and returns when and what it releases until then.
+fn released_until(
+    link: &mut LinkBudget,
+    most: u16,
+    times: std::ops::Range<u64>,
+) -> Vec<(u64, ReleasedOpening)> {
+    let mut ended = Vec::new();
+    for now in times.step_by(25) {
+        for port in 100..100 + most {
+            give(link, &upload(flow(port), 1, FULL), at(now));
+        }
+        let released = link.release(at(now));
+        ended.extend(released.into_iter().map(|opening| (now, opening)));
+    }
+    ended
+}
+
+#[test]
+fn no_opening_waits_for_longer_than_the_timeout_of_its_route() {
+    let (mut link, most) = shared_link();
+    let terms = RouteTerms {
+        timeout_ms: 500,
+        ..TERMS
+    };
+    let decision = link.caller_packet(&opening(flow(200), 0), b"packet", terms, at(2100));
+    assert_eq!(decision, BulkDecision::Wait);
+    let ended = released_until(&mut link, most, 2100..3400);
+    assert_eq!(ended.len(), 1);
+    assert!(!ended[0].1.goes);
+    assert!(ended[0].0 <= 2600, "{}", ended[0].0);
+}
+
+#[test]
+fn an_openings_wait_counts_from_when_its_caller_first_sent_it() {
+    let (mut link, most) = shared_link();
+    assert!(released_until(&mut link, most, 2100..2201).is_empty());
+    // The opening was 100 milliseconds on its way, its copy none.
+    open(&mut link, 200, at(2200));
+    give(&mut link, &opening(flow(200), 1), at(2300));
+    let ended = released_until(&mut link, most, 2300..3600);
+    assert_eq!(ended.len(), 1);
+    assert!(!ended[0].1.goes);
+    assert_eq!(ended[0].1.first_sent, at(2100));
+    assert!((3300..3325).contains(&ended[0].0), "{}", ended[0].0);
+}
+
+#[test]
+fn an_opening_that_cannot_be_answered_before_its_timeout_does_not_go() {
+    let (mut link, _) = shared_link();
+    let terms = RouteTerms {
+        timeout_ms: 400,
+        ..TERMS
+    };
+    open(&mut link, 200, at(2101));
+    link.caller_packet(&opening(flow(201), 0), b"packet", terms, at(2102));
+    // Its bytes alone take 32 milliseconds.
+    let released = link.release(at(2102 + 390));
+    let went: Vec<(u16, bool)> = released
+        .iter()
+        .map(|opening| (opening.packet.key.caller.port(), opening.goes))
+        .collect();
+    assert_eq!(went, vec![(201, false), (200, true)]);
+}
--- a/crates/woodladder-core/tests/flow_link_share.rs
+++ b/crates/woodladder-core/tests/flow_link_share.rs
@@ -219,3 +219,22 @@
     let forwarded = matches!(&actions[..], [BalancerAction::Forward { to, .. }] if *to == node(9));
     assert!(forwarded, "{actions:?}");
 }
+
+#[test]
+fn an_opening_that_was_held_past_the_timeout_of_its_route_is_counted() {
+    let mut balancer = balancer_behind(Some(10_000));
+    let mut hurried = (*configuration(2)).clone();
+    hurried.routes[0].terms.timeout_ms = 500;
+    balancer.configuration(std::sync::Arc::new(hurried));
+    let went_on = open_until_one_waits(&mut balancer, 11_200);
+    for now in (11_200..11_700).step_by(40) {
+        for port in &went_on {
+            upload(&mut balancer, *port, 1, now);
+        }
+    }
+    let actions = release(&mut balancer, 11_710);
+    let is_reset = matches!(&actions[..], [BalancerAction::Reset(_)]);
+    assert!(is_reset, "{actions:?}");
+    assert_eq!(balancer.broken_promises().held_past_timeout, 1);
+    assert_eq!(balancer.broken_promises().held_untried, 1);
+}
