--- a/crates/woodladder-core/src/flow/link/scheduler.rs
+++ b/crates/woodladder-core/src/flow/link/scheduler.rs
@@ -178,10 +178,12 @@
     fn queue(&mut self, queued: Queued<T>, waits_in_bulk: bool, now: Instant) {
         self.drop_late(now);
         let length = queued.placement.length;
-        while !waits_in_bulk
-            && self.queued_bytes + length > self.most_bytes
-            && self.drop_newest_bulk()
-        {}
+        loop {
+            let is_full = self.queued_bytes + length > self.most_bytes;
+            if waits_in_bulk || !is_full || !self.drop_newest_bulk() {
+                break;
+            }
+        }
         if self.queued_bytes + length > self.most_bytes {
             self.totals.dropped_full += 1;
             return;
