Forget that a request was given up once it passes

Cause: the mark of a given-up request was cleared only when the flow's next request was held or the flow ended. When the caller's repetition passed at once, or found no place, the flow's next request that waited took over the first one's age and was never given up. Ruled out: clearing it in each branch of holding, which a further way past the queue would miss. Change: the mark is cleared where the agent counts that a request begins. Two tests, for a repetition that finds room and one that finds no place, fail without it and pass with it.

--- a/crates/woodladder-core/src/flow/agent/admission/held_requests.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/held_requests.rs
@@ -183,6 +183,12 @@
         Some(request)
     }
 
+    /// A flow's request has gone to the target: if it was given up before, that is
+    /// forgotten, since the flow's next request is another one.
+    pub fn passed(&mut self, key: &FlowKey) {
+        self.given_up.remove(key);
+    }
+
     /// Forgets what is known of a flow that has ended; says how many packets waited.
     pub fn forget(&mut self, key: &FlowKey) -> usize {
         self.given_up.remove(key);
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -72,6 +72,7 @@
         let is_head = flow.awaits_outcome && packet.sequence == flow.request_start;
         if begins_request {
             flow.busy_since = Some(now);
+            self.held.passed(&packet.key);
             if self.load.busy == 0 {
                 self.progress_at = now;
             }
--- a/crates/woodladder-core/tests/flow_held_requests.rs
+++ b/crates/woodladder-core/tests/flow_held_requests.rs
@@ -5,7 +5,9 @@
 
 use flow_support::*;
 use woodladder_core::clock::Instant;
-use woodladder_core::flow::agent::{Agent, AgentAction, Delivery, HELD_FLOWS, Heartbeat};
+use woodladder_core::flow::agent::{
+    Agent, AgentAction, Delivery, HELD_BYTES, HELD_FLOWS, Heartbeat,
+};
 use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
 use woodladder_core::flow::identity::FlowKey;
 use woodladder_core::flow::message::{
@@ -290,29 +292,35 @@
 /// until the first request that had to wait, at 110 ms, has passed its timeout.
 fn overfull_until_timeout() -> Agent {
     let mut agent = agent_of([2, 2]);
-    open_at(&mut agent, flow(200), at(0));
-    answer(&mut agent, flow(200), 0, 30);
-    for port in 1..=OVERFULL {
+    for port in (1..=OVERFULL).chain([200, 201]) {
         open_at(&mut agent, flow(port), at(0));
         answer(&mut agent, flow(port), 0, 30);
     }
+    overfill_until_timeout(&mut agent, 1, 100);
+    agent
+}
+
+/// Hands the target the requests with this number of all flows and lets that of flow 200
+/// wait, 10 ms later, until it has passed its timeout.
+fn overfill_until_timeout(agent: &mut Agent, number: u32, begin: u64) {
+    let before = *agent.counters();
+    adopt(agent, 2 * u64::from(number), [2, 2]);
     for port in 1..=OVERFULL {
-        let delivery = send_packet(&mut agent, &request(flow(port), 1), 100);
+        let delivery = send_packet(agent, &request(flow(port), number), begin);
         assert!(is_delivered(&delivery), "{delivery:?}");
     }
-    adopt(&mut agent, 2, [2, 1]);
-    assert_eq!(
-        send_packet(&mut agent, &request(flow(200), 1), 110),
-        Delivery::Drop
-    );
-    let end = 110 + u64::from(TIMEOUT_MS);
-    for (port, now) in (1..).zip((120..end).step_by(100)) {
-        answer(&mut agent, flow(port), 1, now);
-        assert_eq!(served(&mut agent, now), []);
+    adopt(agent, 2 * u64::from(number) + 1, [2, 1]);
+    let last = send_packet(agent, &request(flow(200), number), begin + 10);
+    assert_eq!(last, Delivery::Drop);
+    assert_eq!(agent.counters().requests_held, before.requests_held + 1);
+    let end = begin + 10 + u64::from(TIMEOUT_MS);
+    for (port, now) in (1..).zip((begin + 20..end).step_by(100)) {
+        answer(agent, flow(port), number, now);
+        assert_eq!(served(agent, now), []);
     }
-    assert_eq!(agent.counters().held_hopeless, 0);
-    assert_eq!(served(&mut agent, end), []);
-    agent
+    assert_eq!(agent.counters().held_hopeless, before.held_hopeless);
+    assert_eq!(served(agent, end), []);
+    assert_eq!(agent.counters().held_hopeless, before.held_hopeless + 1);
 }
 
 /// A caller that has left sends nothing any more; its request is not run for nobody.
@@ -348,6 +356,36 @@
     assert!(is_delivered(&next), "{next:?}");
 }
 
+/// That a request was given up is forgotten with it: the next one is given up in its turn.
+#[test]
+fn a_dropped_request_that_passes_when_it_is_repeated_leaves_no_mark() {
+    let mut agent = overfull_until_timeout();
+    for port in 1..=OVERFULL {
+        answer(&mut agent, flow(port), 1, 3200);
+    }
+    let repeated = send_packet(&mut agent, &request(flow(200), 1), 3210);
+    assert!(is_delivered(&repeated), "{repeated:?}");
+    answer(&mut agent, flow(200), 1, 3240);
+    overfill_until_timeout(&mut agent, 2, 3250);
+}
+
+#[test]
+fn a_dropped_request_that_finds_no_place_when_it_is_repeated_leaves_no_mark() {
+    let mut agent = overfull_until_timeout();
+    let large = request(flow(201), 1);
+    let header = header(1, ForwardPurpose::Established);
+    let waits = agent.forwarded(node(1), &header, &large, &vec![0; HELD_BYTES], at(3150));
+    assert_eq!(waits, Delivery::Drop);
+    let repeated = send_packet(&mut agent, &request(flow(200), 1), 3160);
+    assert!(is_delivered(&repeated), "{repeated:?}");
+    for port in (1..=OVERFULL).chain([200]) {
+        answer(&mut agent, flow(port), 1, 3200);
+    }
+    served(&mut agent, 3200);
+    answer(&mut agent, flow(201), 1, 3240);
+    overfill_until_timeout(&mut agent, 2, 3250);
+}
+
 #[test]
 fn a_reset_by_the_caller_drops_what_waits_and_reaches_the_target() {
     let mut agent = full([2, 1]);
