Remember a given-up request from when it was given up

Cause: how long its caller had been silent was measured from the request's first packet. With a timeout of 30 s or more the request was forgotten at the next call, so a repetition counted as a new one and was given up again. Ruled out: remembering for longer than the timeout, since the silence that matters begins when the request is given up. Change: the time of giving up is kept beside the first packet's and decides. A test with a timeout of 40 s fails without it and passes with it.

--- a/crates/woodladder-core/src/flow/agent/admission/held_requests.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/held_requests.rs
@@ -73,12 +73,20 @@
     Full,
 }
 
+/// What is remembered of a request that was given up.
+#[derive(Clone, Copy, Debug)]
+struct GivenUpRequest {
+    /// When its first packet came.
+    first_seen: Instant,
+    /// When it was given up. Its caller has been silent since then.
+    given_up_at: Instant,
+}
+
 /// Requests of open flows that wait, by flow.
 #[derive(Clone, Debug, Default)]
 pub struct HeldRequests {
     requests: FxHashMap<FlowKey, HeldRequest>,
-    /// First packets' times of requests that were given up.
-    given_up: FxHashMap<FlowKey, Instant>,
+    given_up: FxHashMap<FlowKey, GivenUpRequest>,
     bytes: usize,
 }
 
@@ -132,17 +140,17 @@
         if self.requests.len() >= HELD_FLOWS || self.bytes + bytes.len() > HELD_BYTES {
             return Held::Full;
         }
-        let given_up_at = self.given_up.remove(&packet.key);
+        let given_up = self.given_up.remove(&packet.key);
         let request = HeldRequest {
             balancer: from,
             terms,
-            first_seen: given_up_at.unwrap_or(now),
+            first_seen: given_up.map_or(now, |request| request.first_seen),
             held_at: now,
             packets: vec![HeldPacket {
                 packet: *packet,
                 bytes: bytes.to_vec(),
             }],
-            is_revived: given_up_at.is_some(),
+            is_revived: given_up.is_some(),
         };
         self.bytes += bytes.len();
         self.requests.insert(packet.key, request);
@@ -209,7 +217,11 @@
         let mut given_up = Vec::new();
         for key in hopeless {
             if let Some(request) = self.take(&key) {
-                self.given_up.insert(key, request.first_seen);
+                let remembered = GivenUpRequest {
+                    first_seen: request.first_seen,
+                    given_up_at: now,
+                };
+                self.given_up.insert(key, remembered);
                 given_up.push((key, request));
             }
         }
@@ -218,7 +230,8 @@
 
     /// Forgets given-up requests whose callers have been silent for this long.
     pub fn forget_silent(&mut self, after: Duration, now: Instant) {
-        self.given_up.retain(|_, at| now.since(*at) < after);
+        self.given_up
+            .retain(|_, request| now.since(request.given_up_at) < after);
     }
 
     /// The flows that wait, those whose requests came first in front.
--- a/crates/woodladder-core/tests/flow_held_requests.rs
+++ b/crates/woodladder-core/tests/flow_held_requests.rs
@@ -3,10 +3,12 @@
 
 mod flow_support;
 
+use std::time::Duration;
+
 use flow_support::*;
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{
-    Agent, AgentAction, Delivery, HELD_BYTES, HELD_FLOWS, Heartbeat,
+    Agent, AgentAction, Delivery, HELD_BYTES, HELD_FLOWS, Heartbeat, Held, HeldRequests, HeldTerms,
 };
 use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
 use woodladder_core::flow::identity::FlowKey;
@@ -386,6 +388,40 @@
     overfill_until_timeout(&mut agent, 2, 3250);
 }
 
+/// A caller's silence begins when its request is given up, however long that waited.
+#[test]
+fn a_dropped_request_is_remembered_from_when_it_was_given_up() {
+    const REMEMBERED: Duration = Duration::from_secs(30);
+    let timeout = REMEMBERED + Duration::from_secs(10);
+    let terms = HeldTerms {
+        aim: Duration::from_millis(250),
+        timeout,
+        is_urgent: false,
+    };
+    let hold = |held: &mut HeldRequests, now| {
+        let packet = request(flow(1), 1);
+        let kept = held.hold(node(1), &packet, &bytes_of(&packet), terms, now);
+        assert_eq!(kept, Held::Waits);
+    };
+    let dropped_at = at(0) + timeout;
+    let mut held = HeldRequests::default();
+    hold(&mut held, at(0));
+    assert_eq!(held.give_up_hopeless(dropped_at).len(), 1);
+    let mut silent = held.clone();
+
+    let repeated_at = dropped_at + (REMEMBERED - Duration::from_millis(1));
+    held.forget_silent(REMEMBERED, repeated_at);
+    hold(&mut held, repeated_at);
+    assert!(held.was_given_up(&flow(1)));
+    let ages: Vec<Instant> = held.iter().map(|(_, request)| request.first_seen).collect();
+    assert_eq!(ages, [at(0)]);
+    assert!(held.give_up_hopeless(repeated_at + timeout).is_empty());
+
+    silent.forget_silent(REMEMBERED, dropped_at + REMEMBERED);
+    hold(&mut silent, dropped_at + REMEMBERED);
+    assert!(!silent.was_given_up(&flow(1)));
+}
+
 #[test]
 fn a_reset_by_the_caller_drops_what_waits_and_reaches_the_target() {
     let mut agent = full([2, 1]);
