One type for the groups of waiting work

The queue of openings had a copy of the serving order's groups. Both now take the group from one function; which order acts when is unchanged: the queue's own where requests on open flows do not wait, the serving order elsewhere. The module comment of the queue says so. No behaviour changes.

--- a/crates/woodladder-core/src/flow/agent/admission/order.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/order.rs
@@ -58,6 +58,17 @@
 }
 
 impl WorkGroup {
+    /// The group of work that can or cannot be in time, of a route that matters more
+    /// than another one of the same service or does not.
+    pub(crate) fn of(is_in_time: bool, is_urgent: bool) -> Self {
+        match (is_in_time, is_urgent) {
+            (true, true) => Self::InTimeUrgent,
+            (true, false) => Self::InTime,
+            (false, true) => Self::LateUrgent,
+            (false, false) => Self::Late,
+        }
+    }
+
     /// The group of other work that is in time or late like urgent work of this one.
     fn beside(self) -> Option<Self> {
         match self {
@@ -73,12 +84,7 @@
     #[must_use]
     pub fn group(&self, now: Instant) -> WorkGroup {
         let is_in_time = now.since(self.first_sent) + self.expected <= self.aim;
-        match (is_in_time, self.is_urgent) {
-            (true, true) => WorkGroup::InTimeUrgent,
-            (true, false) => WorkGroup::InTime,
-            (false, true) => WorkGroup::LateUrgent,
-            (false, false) => WorkGroup::Late,
-        }
+        WorkGroup::of(is_in_time, self.is_urgent)
     }
 
     /// Its place within its group, the greatest first.
--- a/crates/woodladder-core/src/flow/agent/admission/queue.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/queue.rs
@@ -4,12 +4,18 @@
 //! request in it is late. Openings wait here instead: nothing of them has run,
 //! and the agent can choose. Those whose requests can still be answered in time
 //! go first, and among these the ones of routes that matter more; late ones
-//! get what is left. Within a group the newest goes first, so that a surge that
-//! is over makes nobody late who came after it.
+//! get what is left.
+//!
+//! Where requests on open flows wait, too, [`crate::flow::agent::admission::order`]
+//! chooses among openings and requests together, with its own order within a group and
+//! its share for work that is not urgent. Otherwise [`AdmissionQueue::take_next`] chooses:
+//! within a group the newest goes first, so that a surge that is over makes nobody late
+//! who came after it.
 
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::agent::admission::order::WorkGroup;
 use crate::flow::identity::{FlowKey, NodeAddress};
 use crate::flow::message::ForwardHeader;
 use crate::flow::packet::FlowPacket;
@@ -49,15 +55,6 @@
     openings: Vec<QueuedOpening>,
 }
 
-/// The order in which groups of openings are served, the greatest first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Group {
-    Late,
-    LateUrgent,
-    InTime,
-    InTimeUrgent,
-}
-
 impl QueuedOpening {
     /// What promises are about.
     pub fn decided(&self, now: Instant) -> DecidedOpening {
@@ -73,14 +70,9 @@
         age >= LONGEST_WAIT || age + expected >= self.timeout
     }
 
-    fn group(&self, expected: Duration, now: Instant) -> Group {
+    fn group(&self, expected: Duration, now: Instant) -> WorkGroup {
         let is_in_time = now.since(self.first_sent) + expected <= self.aim;
-        match (is_in_time, self.is_urgent) {
-            (true, true) => Group::InTimeUrgent,
-            (true, false) => Group::InTime,
-            (false, true) => Group::LateUrgent,
-            (false, false) => Group::Late,
-        }
+        WorkGroup::of(is_in_time, self.is_urgent)
     }
 }
 
@@ -118,7 +110,7 @@
     }
 
     /// Takes the opening that is to be served next, when an answer is expected
-    /// this long after it is handed to the target.
+    /// this long after it is handed to the target and requests on open flows do not wait.
     pub fn take_next(&mut self, expected: Duration, now: Instant) -> Option<QueuedOpening> {
         let best = self
             .openings
