Count as put behind only what can still be in time

Cause: the count rose whenever an urgent opening stayed behind another one, also when the urgent one was late and work that could be in time went first, as the order intends. Ruled out: leaving out what has its share, too: the queue does not know why an opening was chosen, and the urgent one that waits is in time. Change: only urgent openings that can still be in time count.

--- a/crates/woodladder-core/src/flow/agent/admission/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -245,7 +245,9 @@
         if self.reason_to_decline(&opening.header, now).is_some() {
             return self.return_queued(vec![opening], ReturnReason::StaleVersion, now, actions);
         }
-        let urgent_waits = self.queue.has_urgent();
+        let urgent_waits = self
+            .queue
+            .has_urgent_in_time(|key| self.expected_of(key), now);
         self.promises
             .handed_over(&opening.decided(now), urgent_waits);
         self.hand_over(opening.balancer, &opening.header, &opening.packet, now);
--- a/crates/woodladder-core/src/flow/agent/admission/queue.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/queue.rs
@@ -99,9 +99,17 @@
             .any(|opening| opening.packet.key == *key)
     }
 
-    /// Whether an opening of a more urgent route waits.
-    pub fn has_urgent(&self) -> bool {
-        self.openings.iter().any(|opening| opening.is_urgent)
+    /// Whether an opening of a more urgent route waits that can still be in time, when an
+    /// answer is expected as long after an opening is handed to the target as `expected`
+    /// says.
+    pub fn has_urgent_in_time(
+        &self,
+        expected: impl Fn(&FlowKey) -> Duration,
+        now: Instant,
+    ) -> bool {
+        self.openings.iter().any(|opening| {
+            opening.group(expected(&opening.packet.key), now) == WorkGroup::InTimeUrgent
+        })
     }
 
     /// Adds an opening.
--- a/crates/woodladder-core/src/flow/promises.rs
+++ b/crates/woodladder-core/src/flow/promises.rs
@@ -2,7 +2,7 @@
 //!
 //! | promise | who counts | when |
 //! | --- | --- | --- |
-//! | more urgent first | agent | an opening is handed over while a more urgent one waits |
+//! | more urgent first | agent | an opening is handed over while a more urgent one waits that can still be in time |
 //! | no work for a caller that has left | agent | an opening is handed over after its route's timeout |
 //! | not held past the timeout | both | an opening that waited is given back after it |
 //! | not held to the end untried | balancer | an opening has waited for as long as it may, then is refused |
@@ -30,7 +30,8 @@
 /// How often each promise was broken, in the order of [`BrokenPromises::by_name`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct BrokenPromises {
-    /// Openings that were handed over before a more urgent one.
+    /// Openings that were handed over before a more urgent one that could still be in
+    /// time, also those that had their share where requests wait, too.
     pub put_behind: u64,
     /// Openings that were handed over after their callers had left.
     pub worked_for_nobody: u64,
@@ -94,7 +95,7 @@
     }
 
     /// An opening is handed to the target; `urgent_waits` says whether one of a more
-    /// urgent route stays behind.
+    /// urgent route stays behind that can still be in time.
     pub fn handed_over(&mut self, opening: &DecidedOpening, urgent_waits: bool) {
         self.broken.put_behind += u64::from(urgent_waits && !opening.is_urgent);
         self.broken.worked_for_nobody += u64::from(opening.age >= opening.timeout);
