--- a/crates/woodladder-core/src/flow/agent/admission/choosing.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/choosing.rs
@@ -4,9 +4,9 @@
 
 use crate::clock::Instant;
 use crate::flow::agent::Agent;
-use crate::flow::agent::admission::openings::EXCHANGE;
 use crate::flow::agent::admission::order::{WaitingWork, expected_wait};
 use crate::flow::agent::admission::queue::{LONGEST_WAIT, QueuedOpening};
+use crate::flow::agent::admission::service_times::EXCHANGE;
 use crate::flow::identity::FlowKey;
 use crate::flow::message::OpeningTerms;
 
--- a/crates/woodladder-core/src/flow/agent/admission/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/mod.rs
@@ -1,5 +1,5 @@
-//! What reaches the target and when: the queue of openings and of requests on open flows, and the limit on what
-//! a cold target is handed.
+//! What reaches the target and when: the queue of openings and of requests on open
+//! flows, and the limit on what a cold target is handed.
 
 pub(crate) mod choosing;
 pub(crate) mod held_requests;
--- a/crates/woodladder-core/src/flow/agent/admission/openings.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/openings.rs
@@ -10,6 +10,7 @@
 use crate::clock::Instant;
 use crate::flow::agent::admission::choosing::NextWork;
 use crate::flow::agent::admission::queue::QueuedOpening;
+use crate::flow::agent::admission::service_times::EXCHANGE;
 use crate::flow::agent::{Agent, AgentAction, Delivery, FlowState, HeldFlow};
 use crate::flow::identity::NodeAddress;
 use crate::flow::message::{ForwardHeader, OpeningTerms, PeerMessage, ReturnReason, TargetState};
@@ -28,8 +29,6 @@
 /// Time from a target's acceptance within which the caller's request is
 /// expected; after it, another opening may take the place.
 const SEQUEL_WITHIN: Duration = Duration::from_millis(50);
-/// Time of the packets between an opening and the answer to its request.
-pub(crate) const EXCHANGE: Duration = Duration::from_millis(8);
 /// Expected times of an answer without any after which a full target counts as
 /// stuck.
 const STUCK_AFTER: u32 = 5;
--- a/crates/woodladder-core/src/flow/agent/admission/service_times.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/service_times.rs
@@ -5,6 +5,8 @@
 
 use rustc_hash::FxHashMap;
 
+/// Time of the packets between an opening and the answer to its request.
+pub(crate) const EXCHANGE: Duration = Duration::from_millis(8);
 /// Most routes that are told apart; requests of others count by the mean of all.
 const ROUTES: usize = 256;
 /// Samples before a route's own time is used.
