The scripted server of the caller's tests keeps a connection that it leaves open

Cause: after its go-away the server ended the connection at once when no request was under way there, so a request on its way was cut off (outcome unknown) in place of being rejected as not processed, which the test expects. Ruled out: the caller, which names honestly what it saw.

--- a/crates/woodladder-lab/tests/support/h3_server.rs
+++ b/crates/woodladder-lab/tests/support/h3_server.rs
@@ -144,6 +144,11 @@
             }
         };
         let Ok(Some(resolver)) = accepted else {
+            // The connection lasts until the caller closes it: a request under way is
+            // rejected as not processed rather than cut off.
+            if leaving && stays_open(&quic).await {
+                continue;
+            }
             return;
         };
         let shared = shared.clone();
@@ -156,6 +161,14 @@
     }
 }
 
+/// Waits a moment; says whether the connection is still open.
+async fn stays_open(quic: &quinn::Connection) -> bool {
+    const LOOK_AGAIN: std::time::Duration = std::time::Duration::from_millis(5);
+    tokio::time::timeout(LOOK_AGAIN, quic.closed())
+        .await
+        .is_err()
+}
+
 async fn respond(path: &str, mut stream: Stream, shared: &Shared, quic: &quinn::Connection) {
     shared.paths.lock().expect("paths").push(path.to_owned());
     let step = shared.script.lock().expect("script").pop_front();
