Flows are located by lists and questions while there are few agents and balancers

Ruled out: larger budgets. Change: balancers that know more than 160 agents search as before, agents that know more than 64 balancers tell nothing.

--- a/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/announcements.rs
@@ -14,6 +14,8 @@
 
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Most balancers that are told which flows are open: each change goes to all of them.
+const MOST_TOLD_BALANCERS: usize = 64;
 /// Time between ticks while something waits for one.
 const SHORT_TICK: Duration = Duration::from_millis(25);
 /// Time between ticks while nothing does.
@@ -57,7 +59,7 @@
 
     /// Looks which flows there are to tell.
     fn look_at_flows(&mut self, now: Instant) {
-        if !self.mechanisms.locates_flows || !self.statements.is_due(now) {
+        if !self.tells_flows() || !self.statements.is_due(now) {
             return;
         }
         let told = self
@@ -195,6 +197,12 @@
         self.report_where_due(now, actions);
     }
 
+    /// Whether reports tell which flows are open: where that is called for, and while
+    /// there are few enough balancers to tell.
+    fn tells_flows(&self) -> bool {
+        self.mechanisms.locates_flows && self.balancers.len() <= MOST_TOLD_BALANCERS
+    }
+
     fn report_where_due(&mut self, now: Instant, actions: &mut Vec<AgentAction>) {
         let due = self.reports.take_due(now);
         if due.is_empty() {
@@ -205,7 +213,7 @@
         self.look_at_flows(now);
         for DueReport { balancer, interval } in due {
             let report = self.report(interval, now);
-            let message = if self.mechanisms.locates_flows {
+            let message = if self.tells_flows() {
                 let flows = self.statements.statement_for(balancer);
                 PeerMessage::ReportWithFlows { report, flows }
             } else {
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -44,6 +44,9 @@
 pub use search::{FIRST_ASKED, SEARCHES_A_TICK};
 pub use store_duty::{REGISTERED, WATCHERS};
 
+/// Most agents that are all asked about one flow: questions and answers of more take
+/// longer than the packets to the first targets that they replace.
+const MOST_ASKED_AGENTS: usize = 160;
 /// A pause between two ticks after which the process counts as stalled.
 const STALL: Duration = Duration::from_millis(400);
 
@@ -259,6 +262,13 @@
         self.mechanisms
     }
 
+    /// Whether flows are located by what agents tell and by questions to all of them:
+    /// where that is called for, and while there are few enough agents to ask.
+    #[must_use]
+    pub fn locates_flows(&self) -> bool {
+        self.mechanisms.locates_flows && self.directory.len() <= MOST_ASKED_AGENTS
+    }
+
     /// Known targets.
     #[must_use]
     pub fn directory(&self) -> &Directory {
--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -210,7 +210,7 @@
             _ => Vec::new(),
         };
         let asked = first_asked.len();
-        let is_by_list = self.mechanisms.locates_flows;
+        let is_by_list = self.locates_flows();
         self.counters.searched_by_list += u64::from(is_by_list && asked > 0);
         if let Some(search) = self.search_of(&key) {
             search.first_asked = first_asked;
@@ -231,7 +231,7 @@
 
     /// The packet goes to the first targets that have not denied.
     fn ask_open(&mut self, key: FlowKey) -> Routing {
-        if self.mechanisms.locates_flows {
+        if self.locates_flows() {
             return self.ask_named(key);
         }
         let denied = self
--- a/crates/woodladder-core/src/flow/balancer/search/named_holders.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/named_holders.rs
@@ -168,7 +168,7 @@
 
     /// Asks agents for the lists of their flows of which something is missing here.
     pub(crate) fn ask_for_lists(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
-        if !self.mechanisms.locates_flows || !self.list_bytes.has_left(now) {
+        if !self.locates_flows() || !self.list_bytes.has_left(now) {
             return;
         }
         let agents = self
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -26,7 +26,7 @@
     /// Every agent whose target may hold a flow: of all services, because the
     /// route may have led elsewhere before this balancer started.
     pub(crate) fn possible_holders(&self, now: Instant) -> Vec<NodeAddress> {
-        let locates = self.mechanisms.locates_flows;
+        let locates = self.locates_flows();
         self.directory
             .agents()
             .filter(|record| !record.is_given_up())
@@ -76,7 +76,7 @@
             };
             search.denied.insert(from);
             let is_unasked = search.queried_at.is_none();
-            if is_unasked && self.mechanisms.locates_flows {
+            if is_unasked && self.locates_flows() {
                 self.unasked.push(*key);
             }
         }
@@ -117,7 +117,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
-        let is_possible = if self.mechanisms.locates_flows {
+        let is_possible = if self.locates_flows() {
             self.may_ask_about_another(now)
         } else {
             self.packets_handed < PACKETS_A_TICK
@@ -208,7 +208,7 @@
         };
         let waited = now.since(search.started_at);
         let was_named = search.was_named(agent);
-        if self.mechanisms.locates_flows {
+        if self.locates_flows() {
             let (terms, _) = self.routes.terms(key.service, service);
             let is_awaited = waited < Duration::from_millis(terms.timeout_ms.into());
             if is_awaited {
--- a/crates/woodladder-core/src/flow/balancer/search/rounds.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/rounds.rs
@@ -48,7 +48,7 @@
 
     /// Notes once for each search that goes on for long whom it waits for.
     fn note_long_searches(&mut self, keys: &[FlowKey], now: Instant) {
-        if !self.mechanisms.locates_flows {
+        if !self.locates_flows() {
             return;
         }
         let knows_all = self.knows_all_agents(now);
@@ -84,7 +84,7 @@
 
     /// Asks all possible holders about those of the flows for which it is time.
     fn ask_about(&mut self, keys: &[FlowKey], now: Instant, actions: &mut Vec<BalancerAction>) {
-        let is_bounded = self.mechanisms.locates_flows;
+        let is_bounded = self.locates_flows();
         let holders: BTreeSet<NodeAddress> = self.possible_holders(now).into_iter().collect();
         let undecided = if is_bounded {
             self.undecided_agents()
