A failed test of the cluster keeps its processes' logs

The logs lay in a temporary directory that went with the panic, so a failure that occurs once left nothing to trace. A test that panics now keeps the directory and prints where it is; a passed one removes it as before.

--- a/crates/woodladder-lab/tests/support/cluster.rs
+++ b/crates/woodladder-lab/tests/support/cluster.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test binary uses a part")]
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -93,13 +93,38 @@
 pub struct Setup {
     pub options: ClusterOptions,
     pub idle_timeout: Duration,
-    directory: TempDir,
+    directory: LogDirectory,
+}
+
+/// The directory of the processes' settings and logs. A failed test keeps it and
+/// prints where it is; otherwise it is removed.
+struct LogDirectory(Option<TempDir>);
+
+impl LogDirectory {
+    fn create() -> Self {
+        Self(Some(tempfile::tempdir().expect("directory")))
+    }
+
+    fn path(&self) -> &Path {
+        let directory = self.0.as_ref();
+        directory.expect("kept until it is dropped").path()
+    }
+}
+
+impl Drop for LogDirectory {
+    fn drop(&mut self) {
+        if std::thread::panicking()
+            && let Some(directory) = self.0.take()
+        {
+            eprintln!("logs of the processes: {}", directory.keep().display());
+        }
+    }
 }
 
 impl Setup {
     /// Three balancers, with these paths behind fault proxies.
     pub fn with_faults_on(paths: &[FaultPath]) -> Self {
-        let directory = tempfile::tempdir().expect("directory");
+        let directory = LogDirectory::create();
         let program = PathBuf::from(env!("CARGO_BIN_EXE_woodladder-lab"));
         let mut options = ClusterOptions::new(program, directory.path());
         options.wiring = Wiring::through(paths);
@@ -154,7 +179,7 @@
     wiring: Wiring,
     endpoints: CallerEndpoints,
     kept_logs: Vec<ExecutionLog>,
-    _directory: TempDir,
+    _directory: LogDirectory,
 }
 
 impl World {
