Agent: a request is counted as open before it is accepted

What callers saw: in a planned stop, a request that the agent had accepted and whose body was still on its way ended with the connection (H3_NO_ERROR) in place of an answer, so its outcome was unknown.

Cause: a connection decided on a request and left the counting to the task that it spawned. A drain that began between the two saw no open request, was drained at once, and the agent closed while the request waited for its body.

A request that needs no body was not cut: the request table refuses what is registered after the drain has begun to refuse.

Fix: the request is counted first, then decided on. A drain that knows of the request waits for its end; one that is past it refuses the request.

--- a/crates/woodladder/src/agent/connection.rs
+++ b/crates/woodladder/src/agent/connection.rs
@@ -2,6 +2,7 @@
 //! agent drains.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::agent_context::AgentContext;
-use super::counters::{GaugeGuard, RequestOutcome};
+use super::counters::RequestOutcome;
 use super::error_response::NotRunReason;
 use super::request::{self, CallerRequest, RequestCompletion};
 use super::shared_drain::DrainStage;
@@ -181,6 +182,9 @@
         let Some(stream_end) = self.last_accepted.take() else {
             return;
         };
+        // Counted before the decision: a drain that knows of the request waits
+        // for its end, and one that is past refusing requests refuses it.
+        let open = OpenRequest::new(Arc::clone(&self.context));
         let refusal = self.refusal();
         if refusal.is_none() && !self.had_request {
             self.context
@@ -188,9 +192,8 @@
                 .request_arrived(self.flow.hash);
         }
         self.had_request = true;
-        let context = Arc::clone(&self.context);
         self.requests
-            .spawn(serve_stream(resolver, stream_end, refusal, context));
+            .spawn(serve_stream(resolver, stream_end, refusal, open));
     }
 
     fn refusal(&self) -> Option<NotRunReason> {
@@ -207,9 +210,9 @@
     resolver: Resolver,
     mut stream_end: StreamEnd,
     refusal: Option<NotRunReason>,
-    context: Arc<AgentContext>,
+    open: OpenRequest,
 ) {
-    let open = OpenRequest::new(&context);
+    let context = &open.context;
     let deadline = context.limits.default_deadline;
     let Ok(Ok(request)) = timeout(deadline, resolve(resolver)).await else {
         return;
@@ -217,7 +220,7 @@
     let completion = tokio::select! {
         biased;
         _ = &mut stream_end => RequestCompletion::reset(RequestOutcome::Cancelled),
-        completion = request::run(request, refusal, &context) => completion,
+        completion = request::run(request, refusal, context) => completion,
     };
     context.counters.count_request(completion.outcome);
     if completion.stream_finished {
@@ -241,22 +244,25 @@
 
 /// Counts a request as open until this guard is dropped, and reports the
 /// beginning and the end to the drain.
-struct OpenRequest<'a> {
-    gauge: Option<GaugeGuard<'a>>,
-    context: &'a AgentContext,
+struct OpenRequest {
+    context: Arc<AgentContext>,
 }
 
-impl<'a> OpenRequest<'a> {
-    fn new(context: &'a AgentContext) -> Self {
-        let gauge = Some(GaugeGuard::new(&context.counters.open_requests));
+impl OpenRequest {
+    fn new(context: Arc<AgentContext>) -> Self {
+        context
+            .counters
+            .open_requests
+            .fetch_add(1, Ordering::AcqRel);
         context.admission_control.activity_changed();
-        Self { gauge, context }
+        Self { context }
     }
 }
 
-impl Drop for OpenRequest<'_> {
+impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.gauge = None;
+        let counters = &self.context.counters;
+        counters.open_requests.fetch_sub(1, Ordering::AcqRel);
         self.context.admission_control.activity_changed();
     }
 }
--- a/crates/woodladder/tests/agent_support/caller.rs
+++ b/crates/woodladder/tests/agent_support/caller.rs
@@ -59,6 +59,12 @@
         stream
     }
 
+    /// Sends the head of a request whose body follows.
+    pub async fn send_head(&self, request: Request<()>) -> Stream {
+        let mut sender = self.sender.clone();
+        sender.send_request(request).await.unwrap()
+    }
+
     /// Continues from another local address, as after a change of network.
     pub fn change_address(&self) {
         let socket = UdpSocket::bind(ANY_PORT).unwrap();
