Agent: status, metrics and log say what a stopping agent waits for

A stopping agent that lived on could not be told apart from one with a slow request, one that had not heard the signal, and one whose connections did not close: the status had neither phase, stage nor reasons of the drain, nor the age of what was open.

/status now has them under 'drain', with the number of open requests and connections and the age and stage of the oldest of each. /metrics has the stage, the number of reasons and both ages.

One count of open requests and connections serves the drain, the metrics and the status (open_work).

--- a/crates/woodladder-lab/tests/promise_planned_stop.rs
+++ b/crates/woodladder-lab/tests/promise_planned_stop.rs
@@ -91,6 +91,39 @@
     assert_eq!(report.violations, [], "{:?}", report.totals);
 }
 
+/// Guards against a stopping agent of which nobody can tell why it still lives.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_status_of_a_stopping_agent_names_what_it_waits_for() {
+    let mut world = started().await;
+    let asked = long_requests(&world).await;
+    let busy = busy_target(&world).await;
+    world.cluster.agents[busy].terminate();
+
+    let machine = world.target(busy);
+    let mut drain = None;
+    eventually_async("the agent refuses requests", async || {
+        let status = world.status(machine).await;
+        drain = status.and_then(|status| status.drain);
+        let stage = drain.as_ref().map(|drain| drain.stage.as_str());
+        stage == Some("refusing")
+    })
+    .await;
+    let drain = drain.expect("status");
+    assert_eq!(drain.phase, "leaving");
+    assert_eq!(drain.reasons, ["signal"]);
+    assert!(drain.open_requests > 0 && drain.open_connections > 0);
+    let oldest_request = drain.oldest_request.expect("a request is open");
+    assert_eq!(oldest_request.stage, "awaiting_answer");
+    assert!(oldest_request.age_ms > 0);
+    let oldest_connection = drain.oldest_connection.expect("a connection is open");
+    assert_eq!(oldest_connection.stage, "refusing");
+    assert!(oldest_connection.age_ms >= oldest_request.age_ms);
+
+    assert_eq!(answered(asked).await, REQUESTS);
+    let agent = &mut world.cluster.agents[busy];
+    assert_eq!(agent.wait(PATIENCE).await, StopResult::Clean);
+}
+
 /// The same stop without the drain cuts the requests.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_are_cut_by_an_agent_that_does_not_drain() {
--- a/crates/woodladder/src/agent/acceptor.rs
+++ b/crates/woodladder/src/agent/acceptor.rs
@@ -9,8 +9,8 @@
 
 use super::agent_context::AgentContext;
 use super::connection::{self, Flow};
-use super::counters::GaugeGuard;
 use super::ingress::Ingress;
+use super::open_work::ConnectionStage;
 use super::rejected_flows::Rejection;
 
 /// Accepts connections until the endpoint is closed.
@@ -31,10 +31,13 @@
 }
 
 async fn serve(incoming: Incoming, flow: Flow, context: Arc<AgentContext>) {
-    let open = GaugeGuard::new(&context.counters.open_connections);
+    let open = context
+        .counters
+        .open_connections
+        .open(ConnectionStage::Handshake);
     context.admission_control.connection_opened(flow.hash);
     match incoming.await {
-        Ok(connection) => connection::serve(connection, flow, Arc::clone(&context)).await,
+        Ok(connection) => connection::serve(connection, flow, &open, Arc::clone(&context)).await,
         Err(error) => debug!(context.logger, "agent: handshake failed"; "error" => %error),
     }
     drop(open);
--- a/crates/woodladder/src/agent/admission_control.rs
+++ b/crates/woodladder/src/agent/admission_control.rs
@@ -17,16 +17,14 @@
 use woodladder_core::target::admission::{
     Admission, AdmissionOptions, Decision, TargetConditions, TargetIdentity,
 };
-use woodladder_core::target::drain::{
-    Activity, Drain, DrainAction, DrainEvent, DrainPhase, DrainReason,
-};
+use woodladder_core::target::drain::{Activity, Drain, DrainAction, DrainEvent, DrainReason};
 use woodladder_core::target::load::Usage;
 use woodladder_core::target::request::RequestEvent;
 
 use super::clock::Clock;
 use super::counters::Counters;
 use super::request_scheduler::RequestScheduler;
-use super::shared_drain::{DrainStage, SharedDrain};
+use super::shared_drain::{DrainStage, DrainState, SharedDrain};
 
 /// Admission and drain of one agent, shared by all of its tasks.
 pub(super) struct AdmissionControl {
@@ -104,8 +102,8 @@
     pub(super) fn activity_changed(&self) {
         self.report_drain_event_with(|| {
             DrainEvent::Activity(Activity {
-                requests: saturating_u32(self.counters.open_requests.load(Ordering::Acquire)),
-                connections: saturating_u32(self.counters.open_connections.load(Ordering::Acquire)),
+                requests: saturating_u32(self.counters.open_requests.count()),
+                connections: saturating_u32(self.counters.open_connections.count()),
             })
         });
     }
@@ -166,9 +164,9 @@
         self.reconnects.subscribe()
     }
 
-    /// Phase of the drain.
-    pub(super) fn phase(&self) -> DrainPhase {
-        self.drain.phase()
+    /// State of the drain.
+    pub(super) fn drain_state(&self) -> DrainState {
+        self.drain.state()
     }
 
     fn refresh_routing_table(&self, admission: &mut Admission, now: Instant) {
@@ -216,9 +214,7 @@
             busy_slots: counts.busy,
             queued: counts.queued,
             slots: self.scheduler.effective_slots(),
-            open_connections: saturating_u32(
-                self.counters.open_connections.load(Ordering::Acquire),
-            ),
+            open_connections: saturating_u32(self.counters.open_connections.count()),
             connection_limit: self.connection_limit.load(Ordering::Relaxed),
         }
     }
--- a/crates/woodladder/src/agent/connection.rs
+++ b/crates/woodladder/src/agent/connection.rs
@@ -2,7 +2,6 @@
 //! agent drains.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +14,7 @@
 use super::agent_context::AgentContext;
 use super::counters::RequestOutcome;
 use super::error_response::NotRunReason;
+use super::open_work::{ConnectionStage, OpenWorkGuard, RequestStage};
 use super::request::{self, CallerRequest, RequestCompletion};
 use super::shared_drain::DrainStage;
 use super::stream::{CallerConnection, LastAcceptedStream, StreamEnd};
@@ -53,8 +53,13 @@
     pub(super) declined: bool,
 }
 
-/// Serves a connection until it ends.
-pub(super) async fn serve(connection: quinn::Connection, flow: Flow, context: Arc<AgentContext>) {
+/// Serves a connection until it ends. `open` counts the connection as open.
+pub(super) async fn serve(
+    connection: quinn::Connection,
+    flow: Flow,
+    open: &OpenWorkGuard<ConnectionStage>,
+    context: Arc<AgentContext>,
+) {
     let last_accepted = LastAcceptedStream::default();
     let transport = CallerConnection::new(connection, last_accepted.clone());
     let built = server::builder()
@@ -65,8 +70,10 @@
     let Ok(http) = built else {
         return;
     };
+    open.set_stage(ConnectionStage::Serving);
     let connection = Connection {
         http,
+        open,
         last_accepted,
         flow,
         drain_stages: context.admission_control.subscribe_stage(),
@@ -82,8 +89,9 @@
     connection.run().await;
 }
 
-struct Connection {
+struct Connection<'a> {
     http: Http,
+    open: &'a OpenWorkGuard<ConnectionStage>,
     last_accepted: LastAcceptedStream,
     flow: Flow,
     drain_stages: watch::Receiver<DrainStage>,
@@ -103,7 +111,7 @@
     context: Arc<AgentContext>,
 }
 
-impl Connection {
+impl Connection<'_> {
     /// Serves the connection until it ends. Dropping `self` closes the
     /// connection and cancels the requests that are still open.
     async fn run(mut self) {
@@ -155,6 +163,7 @@
         }
         if stage >= DrainStage::Refusing && self.goaway_stage < DrainStage::Refusing {
             self.goaway_stage = DrainStage::Refusing;
+            self.open.set_stage(ConnectionStage::Refusing);
             self.close_at = Some(Instant::now() + CLOSE_DELAY);
             self.http.shutdown(LAST_GOAWAY_OFFSET).await?;
         }
@@ -168,6 +177,7 @@
             return Ok(());
         }
         self.goaway_stage = DrainStage::CallersNotified;
+        self.open.set_stage(ConnectionStage::CallerNotified);
         self.goaway_preceded_requests = !self.had_request;
         self.http.shutdown(FIRST_GOAWAY_OFFSET).await
     }
@@ -175,6 +185,7 @@
     /// Waits for the open requests to end, after the caller has stopped opening
     /// requests.
     async fn finish_open_requests(mut self) {
+        self.open.set_stage(ConnectionStage::AwaitingRequests);
         while self.requests.join_next().await.is_some() {}
     }
 
@@ -212,7 +223,7 @@
     refusal: Option<NotRunReason>,
     open: OpenRequest,
 ) {
-    let context = &open.context;
+    let context = &open.report.context;
     let deadline = context.limits.default_deadline;
     let Ok(Ok(request)) = timeout(deadline, resolve(resolver)).await else {
         return;
@@ -220,10 +231,11 @@
     let completion = tokio::select! {
         biased;
         _ = &mut stream_end => RequestCompletion::reset(RequestOutcome::Cancelled),
-        completion = request::run(request, refusal, context) => completion,
+        completion = request::run(request, refusal, &open.work, context) => completion,
     };
     context.counters.count_request(completion.outcome);
     if completion.stream_finished {
+        open.work.set_stage(RequestStage::AwaitingAcknowledgement);
         // Waits until the caller has acknowledged the whole stream. If the
         // connection is lost first, the result no longer matters.
         let _ = stream_end.await;
@@ -245,24 +257,32 @@
 /// Counts a request as open until this guard is dropped, and reports the
 /// beginning and the end to the drain.
 struct OpenRequest {
+    work: OpenWorkGuard<RequestStage>,
+    // Dropped after `work`, so that it reports a count without this request.
+    report: ActivityReport,
+}
+
+/// Reports the open requests and connections to the drain when dropped.
+struct ActivityReport {
     context: Arc<AgentContext>,
 }
 
 impl OpenRequest {
     fn new(context: Arc<AgentContext>) -> Self {
-        context
+        let work = context
             .counters
             .open_requests
-            .fetch_add(1, Ordering::AcqRel);
+            .open(RequestStage::ReceivingHead);
         context.admission_control.activity_changed();
-        Self { context }
+        Self {
+            work,
+            report: ActivityReport { context },
+        }
     }
 }
 
-impl Drop for OpenRequest {
+impl Drop for ActivityReport {
     fn drop(&mut self) {
-        let counters = &self.context.counters;
-        counters.open_requests.fetch_sub(1, Ordering::AcqRel);
         self.context.admission_control.activity_changed();
     }
 }
--- a/crates/woodladder/src/agent/counters.rs
+++ b/crates/woodladder/src/agent/counters.rs
@@ -1,9 +1,12 @@
 //! Counters of an agent, and the status made from them.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use woodladder_core::identifier::Sequence;
-use woodladder_core::target::drain::DrainPhase;
+
+use super::open_work::{ConnectionStage, OldestWork, OpenWork, RequestStage};
+use super::shared_drain::DrainState;
 
 /// Why an agent dropped a datagram.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -102,8 +105,8 @@
     pub(super) refused: AtomicU64,
     pub(super) handed_on: AtomicU64,
     pub(super) relayed_datagrams: AtomicU64,
-    pub(super) open_connections: AtomicUsize,
-    pub(super) open_requests: AtomicUsize,
+    pub(super) open_connections: Arc<OpenWork<ConnectionStage>>,
+    pub(super) open_requests: Arc<OpenWork<RequestStage>>,
     pub(super) open_feeds: AtomicUsize,
     drops: [AtomicU64; DatagramDropReason::ALL.len()],
     outcomes: [AtomicU64; RequestOutcome::ALL.len()],
@@ -209,8 +212,8 @@
 /// State and counters of an agent at one moment.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct AgentStatus {
-    /// Phase of the agent's drain.
-    pub drain_phase: DrainPhase,
+    /// State of the agent's drain.
+    pub drain: DrainState,
     /// Greatest sequence of a roll seen in an envelope that is later than the
     /// sequence of the agent's own roll; zero when there was none.
     pub newest_sequence_seen: Sequence,
@@ -231,6 +234,10 @@
     pub connections: usize,
     /// Requests that are open now, feeds included.
     pub open_requests: usize,
+    /// The connection that was opened first, of those open now.
+    pub oldest_connection: Option<OldestWork<ConnectionStage>>,
+    /// The request that was opened first, of those open now.
+    pub oldest_request: Option<OldestWork<RequestStage>>,
     /// Feeds that are open now.
     pub feeds: usize,
     /// Ended requests since the start, by outcome.
--- a/crates/woodladder/src/agent/handle.rs
+++ b/crates/woodladder/src/agent/handle.rs
@@ -197,7 +197,7 @@
         } = &*self.context;
         let counts = scheduler.counts();
         AgentStatus {
-            drain_phase: admission_control.phase(),
+            drain: admission_control.drain_state(),
             newest_sequence_seen: self.ingress.newest_sequence(),
             flows: counters.flow_counts(),
             drops: counters.drop_counts(),
@@ -205,8 +205,10 @@
             slots: scheduler.slots(),
             effective_slots: scheduler.effective_slots().whole(),
             queued_requests: counts.queued,
-            connections: counters.open_connections.load(Ordering::Acquire),
-            open_requests: counters.open_requests.load(Ordering::Acquire),
+            connections: counters.open_connections.count(),
+            open_requests: counters.open_requests.count(),
+            oldest_connection: counters.open_connections.oldest(),
+            oldest_request: counters.open_requests.oldest(),
             feeds: counters.open_feeds.load(Ordering::Acquire),
             request_outcomes: counters.outcome_counts(),
         }
--- a/crates/woodladder/src/agent/mod.rs
+++ b/crates/woodladder/src/agent/mod.rs
@@ -18,6 +18,7 @@
 mod headers;
 mod health;
 mod ingress;
+mod open_work;
 mod permitted_body;
 mod quic;
 mod rejected_flows;
@@ -36,5 +37,6 @@
 pub use error_response::NotRunReason;
 pub use handle::{Agent, AgentHandle, AgentStartError};
 pub use headers::{DEADLINE_HEADER, OUTCOME_HEADER, REASON_HEADER, REPEATABLE_HEADER};
+pub use open_work::{ConnectionStage, OldestWork, RequestStage};
 pub use quic::QuicConfigError;
-pub use shared_drain::{DrainStage, SharedDrain};
+pub use shared_drain::{DrainStage, DrainState, SharedDrain};
--- a/crates/woodladder/src/agent/request.rs
+++ b/crates/woodladder/src/agent/request.rs
@@ -21,6 +21,7 @@
 use super::counters::{GaugeGuard, RequestOutcome};
 use super::error_response::{self, NotRunReason};
 use super::headers;
+use super::open_work::{OpenWorkGuard, RequestStage};
 use super::permitted_body::PermittedBody;
 use super::request_body::{self, Receiver};
 use super::request_scheduler::RequestHandle;
@@ -78,11 +79,12 @@
     BackEnd,
 }
 
-/// Handles one request. With a `refusal` the request is answered as not run
-/// for that reason.
+/// Handles one request and records its stages in `open`. With a `refusal` the
+/// request is answered as not run for that reason.
 pub(super) async fn run(
     request: CallerRequest,
     refusal: Option<NotRunReason>,
+    open: &OpenWorkGuard<RequestStage>,
     context: &AgentContext,
 ) -> RequestCompletion {
     let CallerRequest {
@@ -92,8 +94,9 @@
     } = request;
     let answer = match refusal {
         Some(reason) => Err(context.not_run(reason)),
-        None => dispatch(parts, receiver, context).await,
+        None => dispatch(parts, receiver, open, context).await,
     };
+    open.set_stage(RequestStage::SendingAnswer);
     match answer {
         Ok(answer) => relay(sender, answer, context).await,
         Err(RequestFailure::NotRun {
@@ -115,18 +118,22 @@
 async fn dispatch(
     mut parts: Parts,
     receiver: Receiver,
+    open: &OpenWorkGuard<RequestStage>,
     context: &AgentContext,
 ) -> Result<BackEndAnswer, RequestFailure> {
     let time_limit = answer_timeout(&parts, context)?;
     let deadline = context.clock.now() + time_limit;
+    open.set_stage(RequestStage::ReceivingBody);
     let body = timeout(time_limit, request_body::receive_body(&parts, receiver))
         .await
         .map_err(|_| context.not_run(NotRunReason::Refused(RefusalReason::WaitedTooLong)))?
         .map_err(|_| RequestFailure::Cancelled)?;
+    open.set_stage(RequestStage::Queued);
     let mut handle = context
         .scheduler
         .register(deadline, parts.method.is_idempotent());
     await_dispatch(&mut handle).await?;
+    open.set_stage(RequestStage::AwaitingAnswer);
 
     let dispatched_at = context.clock.now();
     let authority = parts.uri.authority().map(ToString::to_string);
--- a/crates/woodladder/src/agent/shared_drain.rs
+++ b/crates/woodladder/src/agent/shared_drain.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::watch;
 use woodladder_core::clock::Instant;
-use woodladder_core::target::drain::{Drain, DrainAction, DrainEvent, DrainPhase};
+use woodladder_core::target::drain::{Drain, DrainAction, DrainEvent, DrainPhase, DrainReason};
 
 /// Stage of an agent's drain, in the order in which a drain advances. Connections
 /// announce the stages up to [`Self::Refusing`] to callers;
@@ -24,6 +24,17 @@
     Drained,
 }
 
+/// State of a drain at one moment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DrainState {
+    /// How far the drain has come.
+    pub phase: DrainPhase,
+    /// Stage that was published last.
+    pub stage: DrainStage,
+    /// Reasons to leave that hold now.
+    pub reasons: Vec<DrainReason>,
+}
+
 /// The drain, and the stage that follows from its last action.
 ///
 /// One lock covers creating an event, handling it and carrying out its actions,
@@ -37,6 +48,19 @@
     stage: watch::Sender<DrainStage>,
 }
 
+impl DrainStage {
+    /// Name in the status and in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::CallersNotified => "callers_notified",
+            Self::Refusing => "refusing",
+            Self::Drained => "drained",
+        }
+    }
+}
+
 impl SharedDrain {
     /// Wraps a drain that has not begun.
     #[must_use]
@@ -70,6 +94,17 @@
         self.lock().phase()
     }
 
+    /// Phase, stage and reasons, all read under the same lock.
+    #[must_use]
+    pub fn state(&self) -> DrainState {
+        let drain = self.lock();
+        DrainState {
+            phase: drain.phase(),
+            stage: *self.stage.borrow(),
+            reasons: drain.reasons().collect(),
+        }
+    }
+
     /// Whether new flows are accepted.
     #[must_use]
     pub fn takes_new_flows(&self) -> bool {
--- a/crates/woodladder/src/daemon/agent.rs
+++ b/crates/woodladder/src/daemon/agent.rs
@@ -15,6 +15,7 @@
 use woodladder_core::packets::routing_table::RoutingTable;
 use woodladder_core::target::drain::{DrainPhase, DrainReason};
 
+use super::drain_report::{collect_drain_figures, drain_status, log_drain, log_drain_state};
 use super::status::StatusSource;
 use crate::agent::{Agent, AgentConfig, AgentHandle, AgentKeys, AgentStatus};
 use crate::control::{ControlPlane, ControlPlaneConfig, RoutingTableInstaller};
@@ -43,10 +44,12 @@
     async fn status(&self) -> NodeStatus {
         let mut status = self.status_source.status().await;
         let agent = self.agent.status();
-        if status.not_ready.is_none() && agent.drain_phase != DrainPhase::Serving {
+        if status.not_ready.is_none() && agent.drain.phase != DrainPhase::Serving {
             status.not_ready = Some(NotReadyReason::Leaving);
         }
         status.figures.append(collect_figures(&agent));
+        status.figures.append(collect_drain_figures(&agent));
+        status.drain = Some(drain_status(&agent));
         status
     }
 }
@@ -206,13 +209,16 @@
     info!(logger, "agent: stopping as planned"; "timeout" => ?settings.drain_timeout);
     let announced_at = tokio::time::Instant::now();
     agent.begin_drain(DrainReason::Signal);
-    if timeout(settings.drain_timeout, agent.wait_until_drained())
-        .await
-        .is_err()
-    {
-        warn!(logger, "agent: stopped with streams still open");
+    tokio::select! {
+        drained = timeout(settings.drain_timeout, agent.wait_until_drained()) => {
+            if drained.is_err() {
+                warn!(logger, "agent: stopped with streams still open");
+            }
+        }
+        () = log_drain(agent, logger) => {}
     }
     sleep_until(announced_at + MINIMUM_LEAVE_TIME).await;
+    log_drain_state(agent, logger, "agent: closing");
     agent.close().await;
     info!(logger, "agent: stopped");
 }
--- a/crates/woodladder/src/daemon/mod.rs
+++ b/crates/woodladder/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 
 mod agent;
 mod balancer;
+mod drain_report;
 mod status;
 
 pub use agent::run as run_agent;
--- a/crates/woodladder/src/daemon/status.rs
+++ b/crates/woodladder/src/daemon/status.rs
@@ -38,6 +38,7 @@
             snapshot: None,
             peers: PeerCounts::default(),
             uptime_seconds: self.started_at.elapsed().as_secs(),
+            drain: None,
             figures: Figures::new(),
         };
         if let Some(control) = self.control.status().await {
--- a/crates/woodladder/src/endpoint/mod.rs
+++ b/crates/woodladder/src/endpoint/mod.rs
@@ -7,11 +7,13 @@
 //! | `/status` | [`NodeStatus`] as JSON |
 //! | `/metrics` | Prometheus text: readiness, sequence, bundle version, number of known nodes, uptime, and all counters and gauges |
 
+mod drain_status;
 mod figures;
 mod prometheus_text;
 mod server;
 mod status;
 
+pub use drain_status::{DrainStatus, OldestWorkStatus};
 pub use figures::Figures;
 pub use prometheus_text::render_prometheus;
 pub use server::{StatusProvider, StatusServer};
--- a/crates/woodladder/src/endpoint/status.rs
+++ b/crates/woodladder/src/endpoint/status.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::drain_status::DrainStatus;
 use super::figures::Figures;
 
 /// Kind of node.
@@ -83,6 +84,9 @@
     pub peers: PeerCounts,
     /// Seconds since the process started.
     pub uptime_seconds: u64,
+    /// What an agent's drain waits for; `None` for a balancer.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub drain: Option<DrainStatus>,
     /// Counters and gauges of the node's components.
     #[serde(rename = "counters")]
     pub figures: Figures,
--- a/crates/woodladder/tests/agent_drain.rs
+++ b/crates/woodladder/tests/agent_drain.rs
@@ -82,7 +82,7 @@
 /// Sends the body of an accepted request, which the agent must still answer.
 async fn finish_accepted(steps: usize, stream: &mut Stream, test_bed: &mut TestBed) {
     assert_ne!(
-        test_bed.agent().status().drain_phase,
+        test_bed.agent().status().drain.phase,
         DrainPhase::Drained,
         "drained with a request accepted {steps} steps before"
     );
--- a/crates/woodladder/tests/agent_flows.rs
+++ b/crates/woodladder/tests/agent_flows.rs
@@ -111,12 +111,12 @@
     exchange.write_chunk("data: still here\n\n").await;
     let event = next_chunk(&mut feed).await.unwrap();
     assert_eq!(event.as_deref(), Some(&b"data: still here\n\n"[..]));
-    assert_ne!(test_bed.agent().status().drain_phase, DrainPhase::Drained);
+    assert_ne!(test_bed.agent().status().drain.phase, DrainPhase::Drained);
 
     exchange.write(b"0\r\n\r\n").await;
     assert_eq!(next_chunk(&mut feed).await.unwrap(), None);
     within("the drain", test_bed.agent().wait_until_drained()).await;
-    assert_eq!(test_bed.agent().status().drain_phase, DrainPhase::Drained);
+    assert_eq!(test_bed.agent().status().drain.phase, DrainPhase::Drained);
     within("the connection", caller.connection.closed()).await;
 }
 
