Soak of planned stops; test that an agent ends beside callers that ignore GOAWAY

soak_planned_stops draws stops, repeated signals, pauses, restarts and rolls from a seed, in series and overlapping, on real processes, while 32 callers use their open connections without a pause and 12 feeds tick. Each stopped process must end by itself, and the oracle finds no request or feed that was cut.

--- /dev/null
+++ b/crates/woodladder-lab/tests/soak_planned_stops.rs
@@ -0,0 +1,303 @@
+//! Planned stops, restarts, pauses and rolls in series and overlapping, drawn from
+//! seeds, while callers keep using their open connections until a process is gone.
+//!
+//! Each stopped process must end by itself with code zero, and no request or feed
+//! may be cut. By hand, with other seeds:
+//!
+//! ```sh
+//! WOODLADDER_SOAK_SEEDS=100..150 cargo test -p woodladder-lab --test soak_planned_stops
+//! ```
+
+#[path = "support/cluster.rs"]
+mod cluster;
+#[path = "support/stop_plan.rs"]
+mod stop_plan;
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use cluster::{ARCHIVE, DESK, PATIENCE, Setup, World, bundle, end_feeds, wait_ticks};
+use stop_plan::{BALANCERS, Change, Node, PlannedChange, plan};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use woodladder_lab::demo::{DemoProcess, Flag, Machine};
+use woodladder_lab::stand_in::caller::{Caller, Operation};
+use woodladder_lab::stand_in::oracle::OracleSettings;
+
+/// Seeds of a run without [`SEEDS_VARIABLE`].
+const SEEDS: Range<u64> = 1..4;
+/// Environment variable with other seeds, as `FIRST..END`.
+const SEEDS_VARIABLE: &str = "WOODLADDER_SOAK_SEEDS";
+/// Time in which the changes of one seed come.
+const LENGTH: Duration = Duration::from_secs(10);
+/// Time between two looks at the processes.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// Ticks that each feed must show after the changes.
+const TICKS: u64 = 10;
+const DESK_CALLERS: usize = 24;
+const ARCHIVE_CALLERS: usize = 8;
+/// Places of the targets of each service.
+const SERVICES: [Range<usize>; 2] = [0..3, 3..5];
+const PLANNED: OracleSettings = OracleSettings {
+    leaving_limit_ms: 5_000,
+    refusal_limit_ms: None,
+    planned_changes_only: true,
+    all_logs_present: true,
+};
+
+/// Callers that ask without a pause, each on the connection that it has.
+struct Load {
+    stop: Arc<AtomicBool>,
+    tasks: JoinSet<()>,
+}
+
+impl Load {
+    fn start(world: &World) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let next = Arc::new(AtomicU64::new(1));
+        let mut tasks = JoinSet::new();
+        for position in 0..DESK_CALLERS + ARCHIVE_CALLERS {
+            let service = if position < DESK_CALLERS {
+                DESK
+            } else {
+                ARCHIVE
+            };
+            let caller = world.caller(service);
+            tasks.spawn(ask_until(caller, Arc::clone(&next), Arc::clone(&stop)));
+        }
+        Self { stop, tasks }
+    }
+
+    async fn end(mut self) {
+        self.stop.store(true, Ordering::Release);
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+async fn ask_until(caller: Caller, next: Arc<AtomicU64>, stop: Arc<AtomicBool>) {
+    while !stop.load(Ordering::Acquire) {
+        let id = next.fetch_add(1, Ordering::AcqRel);
+        caller.ask(Operation::change(id)).await;
+    }
+}
+
+/// A deployment whose nodes are stopped, restarted and paused.
+struct Soak {
+    world: World,
+    seed: u64,
+    begun: Instant,
+    /// Nodes that were asked to stop and have not ended, with the time of the
+    /// first request.
+    stopping: BTreeMap<Node, Instant>,
+    /// Nodes that were started again and are not ready yet.
+    joining: Vec<Node>,
+    paused: BTreeMap<Node, Instant>,
+    version: u64,
+    stops: usize,
+}
+
+impl Soak {
+    async fn start(seed: u64) -> Self {
+        let mut setup = Setup::with_faults_on(&[]);
+        setup.options.balancers = BALANCERS;
+        Self {
+            world: setup.start().await,
+            seed,
+            begun: Instant::now(),
+            stopping: BTreeMap::new(),
+            joining: Vec::new(),
+            paused: BTreeMap::new(),
+            version: 1,
+            stops: 0,
+        }
+    }
+
+    async fn run(&mut self, planned: Vec<PlannedChange>) {
+        self.begun = Instant::now();
+        for PlannedChange { at, change } in planned {
+            while self.begun.elapsed() < at {
+                self.look().await;
+            }
+            println!("seed {}: {at:?} {change:?}", self.seed);
+            match change {
+                Change::Stop(node) => self.stop(node),
+                Change::Pause(node, pause) => self.pause(node, pause),
+                Change::Roll(leaving) => self.roll(leaving).await,
+            }
+        }
+        while !(self.stopping.is_empty() && self.joining.is_empty() && self.paused.is_empty()) {
+            self.look().await;
+        }
+    }
+
+    /// Sends SIGTERM, unless too few other nodes would be left to serve. A node
+    /// that stops already gets the signal again.
+    fn stop(&mut self, node: Node) {
+        if !self.stopping.contains_key(&node) && !self.may_lack(node) {
+            return;
+        }
+        self.stops += usize::from(!self.stopping.contains_key(&node));
+        self.stopping.entry(node).or_insert_with(Instant::now);
+        self.process(node).terminate();
+    }
+
+    fn pause(&mut self, node: Node, pause: Duration) {
+        if !self.stopping.contains_key(&node) && !self.may_lack(node) {
+            return;
+        }
+        self.process(node).freeze();
+        self.paused.insert(node, Instant::now() + pause);
+    }
+
+    async fn roll(&mut self, leaving: Option<usize>) {
+        let targets = &self.world.cluster.deployment.bundle.targets;
+        let leaving: Vec<u32> = leaving
+            .filter(|place| self.may_lack(Node::Agent(*place)))
+            .map(|place| targets[place].id.0)
+            .into_iter()
+            .collect();
+        self.version += 1;
+        let text = bundle(self.version, &leaving, &[]);
+        let cluster = &self.world.cluster;
+        cluster.write_bundle(self.version, &text).expect("bundle");
+        cluster.sign(self.version).await.expect("sign");
+        let flags = [Flag::new("--timeout", "2s")];
+        let end = cluster.roll(self.version, &flags).await.expect("roll");
+        assert!(end.output.contains("accepted: "), "{}", end.output);
+    }
+
+    /// Lets due pauses end, restarts nodes that have ended, and notes those that
+    /// are ready.
+    async fn look(&mut self) {
+        sleep(LOOK_INTERVAL).await;
+        let now = Instant::now();
+        let due: Vec<Node> = due_nodes(&self.paused, |until| *until <= now);
+        for node in due {
+            self.process(node).thaw();
+            self.paused.remove(&node);
+        }
+        let stopping: Vec<Node> = self.stopping.keys().copied().collect();
+        for node in stopping {
+            self.look_at_stopping(node).await;
+        }
+        let mut joining = std::mem::take(&mut self.joining);
+        let mut still_joining = Vec::new();
+        for node in joining.drain(..) {
+            let status = self.world.status(self.machine(node)).await;
+            let is_ready = status.is_some_and(|status| status.not_ready.is_none());
+            let is_leaving = self.stopping.contains_key(&node);
+            if !is_ready && !is_leaving {
+                still_joining.push(node);
+            }
+        }
+        self.joining = still_joining;
+    }
+
+    async fn look_at_stopping(&mut self, node: Node) {
+        let asked_at = self.stopping[&node];
+        if let Some(status) = self.process(node).ended().expect("process") {
+            assert!(status.success(), "seed {}: {node:?}: {status}", self.seed);
+            self.stopping.remove(&node);
+            self.paused.remove(&node);
+            self.restart(node);
+        } else if asked_at.elapsed() > PATIENCE {
+            let status = self.world.status(self.machine(node)).await;
+            panic!("seed {}: {node:?} does not end: {status:?}", self.seed);
+        }
+    }
+
+    fn restart(&mut self, node: Node) {
+        let cluster = &mut self.world.cluster;
+        let started = match node {
+            Node::Agent(place) => cluster.start_agent(place, &[]),
+            Node::Balancer(place) => cluster.start_balancer(place, &[]),
+        };
+        started.expect("started again");
+        self.joining.push(node);
+    }
+
+    /// Whether the service, or the callers, can do without this node now: another
+    /// one of its kind serves undisturbed.
+    fn may_lack(&self, node: Node) -> bool {
+        let others: Vec<Node> = match node {
+            Node::Agent(place) => {
+                let service = SERVICES.iter().find(|places| places.contains(&place));
+                let places = service.cloned().expect("a service");
+                places.map(Node::Agent).collect()
+            }
+            Node::Balancer(_) => (0..BALANCERS).map(Node::Balancer).collect(),
+        };
+        others
+            .into_iter()
+            .filter(|other| *other != node)
+            .any(|other| self.is_undisturbed(other))
+    }
+
+    fn is_undisturbed(&self, node: Node) -> bool {
+        !self.stopping.contains_key(&node)
+            && !self.paused.contains_key(&node)
+            && !self.joining.contains(&node)
+    }
+
+    fn machine(&self, node: Node) -> Machine {
+        match node {
+            Node::Agent(place) => self.world.target(place),
+            Node::Balancer(place) => self.world.balancer(place),
+        }
+    }
+
+    fn process(&mut self, node: Node) -> &mut DemoProcess {
+        match node {
+            Node::Agent(place) => &mut self.world.cluster.agents[place],
+            Node::Balancer(place) => &mut self.world.cluster.balancers[place],
+        }
+    }
+}
+
+fn due_nodes(nodes: &BTreeMap<Node, Instant>, is_due: impl Fn(&Instant) -> bool) -> Vec<Node> {
+    let due = nodes.iter().filter(|(_, at)| is_due(at));
+    due.map(|(node, _)| *node).collect()
+}
+
+async fn soak(seed: u64) {
+    let mut soak = Soak::start(seed).await;
+    let mut feeds = soak.world.open_feeds(DESK, 8).await;
+    feeds.extend(soak.world.open_feeds(ARCHIVE, 4).await);
+    let load = Load::start(&soak.world);
+    soak.run(plan(seed, LENGTH)).await;
+    load.end().await;
+    wait_ticks("the changes are over", &feeds, TICKS).await;
+    end_feeds(feeds).await;
+    let report = soak.world.judge(&PLANNED).await;
+    println!("seed {seed}: {} stops, {:?}", soak.stops, report.totals);
+    assert_eq!(report.violations, [], "seed {seed}: {:?}", report.totals);
+    assert!(report.totals.answered > 100, "seed {seed}");
+}
+
+fn seeds() -> Range<u64> {
+    let Ok(text) = std::env::var(SEEDS_VARIABLE) else {
+        return SEEDS;
+    };
+    let (first, end) = text.split_once("..").expect("seeds as FIRST..END");
+    first.parse().expect("first seed")..end.parse().expect("end of the seeds")
+}
+
+/// Guards against a stopping node that lives on or cuts work, and against one that
+/// does so only while others stop, are paused or come back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stopping_nodes_end_and_cut_nothing() {
+    for seed in seeds() {
+        soak(seed).await;
+    }
+}
+
+#[test]
+fn a_seed_gives_the_same_plan_each_time() {
+    for seed in 0..50 {
+        assert_eq!(plan(seed, LENGTH), plan(seed, LENGTH));
+    }
+    assert_ne!(plan(1, LENGTH), plan(2, LENGTH));
+}
--- a/crates/woodladder/tests/agent_drain.rs
+++ b/crates/woodladder/tests/agent_drain.rs
@@ -1,18 +1,23 @@
-//! Requests that arrive while an agent begins to drain, at every moment.
+//! Requests that arrive while an agent drains: at the moment when the drain begins,
+//! and from callers that do not heed GOAWAY.
 
 mod agent_support;
 
 use std::future::poll_fn;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::Poll;
 use std::time::Duration;
 
-use agent_support::caller::{Stream, head};
-use agent_support::{LOCALHOST, TestBed, eventually};
+use agent_support::back_end::BackEnd;
+use agent_support::caller::{Caller, Stream, body, field, head};
+use agent_support::{LOCALHOST, TestBed, eventually, within};
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use tokio::runtime::Builder;
-use tokio::time::timeout;
-use woodladder::agent::Limits;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+use woodladder::agent::{Limits, OUTCOME_HEADER};
 use woodladder_core::target::drain::{DrainPhase, DrainReason};
 
 /// More task steps than a request takes from the caller to its decision.
@@ -22,6 +27,11 @@
 /// Time in which a request that is refused gets its answer.
 const REFUSAL_TIME: Duration = Duration::from_millis(50);
 
+/// Time that the back end takes for a request.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+const CALLERS: usize = 4;
+const REQUESTS_AT_A_TIME: usize = 3;
+
 /// How the agent decided on a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Treatment {
@@ -122,3 +132,69 @@
     assert_eq!(treatments.first(), Some(&Treatment::Refused));
     assert_eq!(treatments.last(), Some(&Treatment::Accepted));
 }
+
+/// Asks without a pause until the connection closes; returns the number of whole
+/// answers. Everything else must be a refusal as not run, or a rejected stream.
+async fn ask_until_closed(caller: Arc<Caller>) -> usize {
+    let mut whole = 0;
+    while caller.connection.close_reason().is_none() {
+        let Ok(mut stream) = caller.try_get("/").await else {
+            continue;
+        };
+        let Ok(head) = stream.recv_response().await else {
+            continue;
+        };
+        if head.status() == StatusCode::OK {
+            body(&mut stream).await.expect("the whole answer");
+            whole += 1;
+        } else {
+            assert_eq!(head.status(), StatusCode::SERVICE_UNAVAILABLE);
+            assert_eq!(field(&head, OUTCOME_HEADER.as_str()), Some("not-run"));
+        }
+    }
+    whole
+}
+
+/// Counts and answers every request, each after a short time.
+async fn answer_requests(mut back_end: BackEnd, ran: Arc<AtomicUsize>) {
+    loop {
+        let exchange = back_end.next().await;
+        ran.fetch_add(1, Ordering::AcqRel);
+        sleep(SERVICE_TIME).await;
+        exchange.answer("whole").await;
+    }
+}
+
+/// Guards against an agent that never ends since callers that do not heed GOAWAY
+/// keep a request open at each moment.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_agent_ends_although_callers_ignore_goaway() {
+    let mut test_bed = TestBed::start(Limits::default()).await;
+    let back_end = std::mem::replace(
+        &mut test_bed.nodes[0].back_end,
+        BackEnd::refusing_connections().await,
+    );
+    let ran = Arc::new(AtomicUsize::new(0));
+    let answering = tokio::spawn(answer_requests(back_end, Arc::clone(&ran)));
+    let mut tasks = JoinSet::new();
+    for _ in 0..CALLERS {
+        let chain = &test_bed.certificate.chain;
+        let connecting = Caller::connect_ignoring_goaway(test_bed.fabric.service_address, chain);
+        let caller = Arc::new(connecting.await.unwrap());
+        for _ in 0..REQUESTS_AT_A_TIME {
+            tasks.spawn(ask_until_closed(Arc::clone(&caller)));
+        }
+    }
+    sleep(Duration::from_millis(300)).await;
+    test_bed.agent().begin_drain(DrainReason::Signal);
+    within("the drain", test_bed.agent().wait_until_drained()).await;
+    test_bed.agent().close().await;
+
+    let mut whole = 0;
+    while let Some(answers) = within("the callers", tasks.join_next()).await {
+        whole += answers.unwrap();
+    }
+    answering.abort();
+    assert_eq!(whole, ran.load(Ordering::Acquire), "work was cut");
+    assert!(whole > 0);
+}
--- a/crates/woodladder/tests/agent_support/caller.rs
+++ b/crates/woodladder/tests/agent_support/caller.rs
@@ -27,6 +27,22 @@
     pub async fn connect(
         service: SocketAddr,
         chain: &[CertificateDer<'static>],
+    ) -> Result<Self, quinn::ConnectionError> {
+        Self::connect_with(service, chain, true).await
+    }
+
+    /// A caller that never reads a GOAWAY and goes on opening requests.
+    pub async fn connect_ignoring_goaway(
+        service: SocketAddr,
+        chain: &[CertificateDer<'static>],
+    ) -> Result<Self, quinn::ConnectionError> {
+        Self::connect_with(service, chain, false).await
+    }
+
+    async fn connect_with(
+        service: SocketAddr,
+        chain: &[CertificateDer<'static>],
+        heeds_goaway: bool,
     ) -> Result<Self, quinn::ConnectionError> {
         let mut endpoint = quinn::Endpoint::client(ANY_PORT).unwrap();
         endpoint.set_default_client_config(config(chain));
@@ -35,7 +51,12 @@
         let transport = h3_quinn::Connection::new(connection.clone());
         let (mut driver, sender) = h3::client::new(transport).await.unwrap();
         let driver = tokio::spawn(async move {
-            std::future::poll_fn(|context| driver.poll_close(context)).await;
+            if heeds_goaway {
+                std::future::poll_fn(|context| driver.poll_close(context)).await;
+            } else {
+                std::future::pending::<()>().await;
+            }
+            drop(driver);
         });
         Ok(Self {
             connection,
