Agent: closing takes a bounded time beside distant callers

What operators saw: a drained agent lived on for as long as the transport kept its closed connections, which is three probe timeouts of the slowest of them.

Cause: AgentHandle::close waited for the endpoint to be idle without a limit; the transport discards a closed connection after three probe timeouts, and these grow with the round-trip time and its variation.

Fix: close waits at most CLOSE_TIMEOUT (2 s), as wait_until_drained does.

--- a/crates/woodladder/src/agent/handle.rs
+++ b/crates/woodladder/src/agent/handle.rs
@@ -37,8 +37,8 @@
 /// Interval at which the agent checks the configuration in force and advances
 /// the drain's timer.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time that a drained agent waits for its connections to close, each
-/// [`CLOSE_DELAY`] after its last GOAWAY.
+/// Longest time that an agent waits for its connections to close: when it has
+/// drained, each [`CLOSE_DELAY`] after its last GOAWAY, and when it closes them.
 const CLOSE_TIMEOUT: Duration = CLOSE_DELAY.saturating_mul(4);
 /// Error code H3_NO_ERROR (RFC 9114, section 8.1).
 const H3_NO_ERROR: VarInt = VarInt::from_u32(0x100);
@@ -214,10 +214,12 @@
         }
     }
 
-    /// Closes all connections and the endpoint at once.
+    /// Closes all connections and the endpoint at once. Waits a bounded time for
+    /// the transport to discard them, which takes it three probe timeouts of each
+    /// connection; the callers are told before that.
     pub async fn close(&self) {
         self.endpoint.close(H3_NO_ERROR, &[]);
-        self.endpoint.wait_idle().await;
+        let _ = timeout(CLOSE_TIMEOUT, self.endpoint.wait_idle()).await;
     }
 
     fn spawn_tasks(&self, health_path: Option<String>) {
--- a/crates/woodladder/tests/agent_drain.rs
+++ b/crates/woodladder/tests/agent_drain.rs
@@ -16,7 +16,7 @@
 use http::{Request, StatusCode};
 use tokio::runtime::Builder;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use woodladder::agent::{Limits, OUTCOME_HEADER};
 use woodladder_core::target::drain::{DrainPhase, DrainReason};
 
@@ -29,6 +29,11 @@
 
 /// Time that the back end takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Time that a datagram takes between an agent and a distant caller.
+const DISTANT_DELAY: Duration = Duration::from_secs(1);
+/// A drained agent allows its connections 2 s to close; closing at once must not
+/// take longer. The rest is for a busy machine.
+const CLOSE_LIMIT: Duration = Duration::from_secs(3);
 const CALLERS: usize = 4;
 const REQUESTS_AT_A_TIME: usize = 3;
 
@@ -198,3 +203,22 @@
     assert_eq!(whole, ran.load(Ordering::Acquire), "work was cut");
     assert!(whole > 0);
 }
+
+/// Guards against a stop that takes as long as the slowest caller's transport:
+/// closing waited until each connection had been silent for three of its probe
+/// timeouts, which grow with the round-trip time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_agent_closes_at_once_beside_a_distant_caller() {
+    let mut test_bed = TestBed::start(Limits::default()).await;
+    test_bed.fabric.set_delay(DISTANT_DELAY);
+    let caller = test_bed.caller().await;
+    let mut stream = caller.get("/").await;
+    test_bed.back_end().next().await.answer("far").await;
+    assert_eq!(head(&mut stream).await.status(), StatusCode::OK);
+    assert_eq!(test_bed.agent().status().connections, 1);
+    let begin = Instant::now();
+    test_bed.agent().close().await;
+    let elapsed = begin.elapsed();
+    assert!(elapsed <= CLOSE_LIMIT, "closed after {elapsed:?}");
+    within("the connection", caller.connection.closed()).await;
+}
--- a/crates/woodladder/tests/agent_support/fabric.rs
+++ b/crates/woodladder/tests/agent_support/fabric.rs
@@ -2,7 +2,9 @@
 //! into envelopes, and takes the PROXY header off datagrams of agents.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use ppp::v2::{Addresses, Header};
@@ -24,6 +26,8 @@
 pub struct Fabric {
     pub service_address: SocketAddr,
     pub egress_address: SocketAddr,
+    /// Time in milliseconds that each datagram takes, in either direction.
+    delay_ms: Arc<AtomicU64>,
     routing_table: Arc<Mutex<Option<SharedRoutingTable>>>,
     tamper: Arc<Mutex<Option<Tamper>>>,
 }
@@ -32,9 +36,11 @@
     pub async fn start(keys: AgentKeys) -> Self {
         let front = Arc::new(UdpSocket::bind(ANY_PORT).await.unwrap());
         let egress = UdpSocket::bind(ANY_PORT).await.unwrap();
+        let delay_ms = Arc::new(AtomicU64::new(0));
         let fabric = Self {
             service_address: front.local_addr().unwrap(),
             egress_address: egress.local_addr().unwrap(),
+            delay_ms: Arc::clone(&delay_ms),
             routing_table: Arc::default(),
             tamper: Arc::default(),
         };
@@ -43,12 +49,19 @@
             keys,
             routing_table: Arc::clone(&fabric.routing_table),
             tamper: Arc::clone(&fabric.tamper),
+            delay_ms: Arc::clone(&delay_ms),
         };
         tokio::spawn(balancer.run(Arc::clone(&front)));
-        tokio::spawn(deliver(egress, front));
+        tokio::spawn(deliver(egress, front, delay_ms));
         fabric
     }
 
+    /// Makes each datagram take this time, in either direction.
+    pub fn set_delay(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap();
+        self.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
     pub fn set_routing_table(&self, routing_table: &SharedRoutingTable) {
         *self.routing_table.lock().unwrap() = Some(Arc::clone(routing_table));
     }
@@ -63,18 +76,19 @@
     keys: AgentKeys,
     routing_table: Arc<Mutex<Option<SharedRoutingTable>>>,
     tamper: Arc<Mutex<Option<Tamper>>>,
+    delay_ms: Arc<AtomicU64>,
 }
 
 impl Balancer {
     async fn run(self, front: Arc<UdpSocket>) {
-        let back = UdpSocket::bind(ANY_PORT).await.unwrap();
+        let back = Arc::new(UdpSocket::bind(ANY_PORT).await.unwrap());
         let mut received = [0; MAXIMUM_DATAGRAM_LENGTH];
         let mut enveloped = Vec::new();
         loop {
             let (length, caller) = front.recv_from(&mut received).await.unwrap();
             let datagram = &received[..length];
             if let Some(to) = self.envelop(caller, datagram, &mut enveloped) {
-                back.send_to(&enveloped, to).await.unwrap();
+                send_after(&self.delay_ms, &back, &enveloped, to).await;
             }
         }
     }
@@ -103,7 +117,7 @@
     }
 }
 
-async fn deliver(egress: UdpSocket, front: Arc<UdpSocket>) {
+async fn deliver(egress: UdpSocket, front: Arc<UdpSocket>, delay_ms: Arc<AtomicU64>) {
     let mut received = [0; MAXIMUM_DATAGRAM_LENGTH];
     loop {
         let (length, _) = egress.recv_from(&mut received).await.unwrap();
@@ -115,9 +129,26 @@
         assert_eq!(source, front.local_addr().unwrap());
         let caller = (addresses.destination_address, addresses.destination_port);
         let start = header.len();
-        front
-            .send_to(&received[start..length], SocketAddr::from(caller))
-            .await
-            .unwrap();
+        let datagram = &received[start..length];
+        send_after(&delay_ms, &front, datagram, SocketAddr::from(caller)).await;
+    }
+}
+
+/// Sends a datagram, at once or after the delay that is set.
+async fn send_after(
+    delay_ms: &AtomicU64,
+    socket: &Arc<UdpSocket>,
+    datagram: &[u8],
+    to: SocketAddr,
+) {
+    let delay = Duration::from_millis(delay_ms.load(Ordering::Relaxed));
+    if delay.is_zero() {
+        socket.send_to(datagram, to).await.unwrap();
+        return;
     }
+    let (socket, datagram) = (Arc::clone(socket), datagram.to_vec());
+    tokio::spawn(async move {
+        tokio::time::sleep(delay).await;
+        socket.send_to(&datagram, to).await.unwrap();
+    });
 }
