--- a/crates/woodladder-lab/tests/soak_planned_stops.rs
+++ b/crates/woodladder-lab/tests/soak_planned_stops.rs
@@ -5,7 +5,7 @@
 //! may be cut. By hand, with other seeds:
 //!
 //! ```sh
-//! WOODLADDER_SOAK_SEEDS=100..150 cargo test -p woodladder-lab --test soak_planned_stops
+//! STOP_SOAK_SEEDS=100..150 cargo test -p woodladder-lab --test soak_planned_stops
 //! ```
 
 #[path = "support/cluster.rs"]
@@ -30,7 +30,7 @@
 /// Seeds of a run without [`SEEDS_VARIABLE`].
 const SEEDS: Range<u64> = 1..4;
 /// Environment variable with other seeds, as `FIRST..END`.
-const SEEDS_VARIABLE: &str = "WOODLADDER_SOAK_SEEDS";
+const SEEDS_VARIABLE: &str = "STOP_SOAK_SEEDS";
 /// Time in which the changes of one seed come.
 const LENGTH: Duration = Duration::from_secs(10);
 /// Time between two looks at the processes.
