Soak of planned stops: pauses end by themselves, and a target that cannot be spared stays

Log of a balancer paused for 0.5 s: nothing from 14:03:38.6 to 14:03:49.4.

Pauses now end by a timer of their own, bundles are signed beforehand and rolls run beside the rest, and a leaving target counts as one that does not serve.

--- a/crates/woodladder-lab/src/demo/process.rs
+++ b/crates/woodladder-lab/src/demo/process.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tokio::process::{Child, Command};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// A process that the demo started.
 #[derive(Debug)]
@@ -99,6 +99,17 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Freezes the process and lets it go on after this time, whatever the caller
+    /// does meanwhile. Must be called within a Tokio runtime.
+    pub fn freeze_for(&self, pause: Duration) {
+        self.freeze();
+        let id = self.child.id();
+        tokio::spawn(async move {
+            sleep(pause).await;
+            send_signal(id, Signal::SIGCONT);
+        });
+    }
+
     /// Waits until the process has ended by itself.
     pub async fn wait(&mut self, limit: Duration) -> StopResult {
         match timeout(limit, self.child.wait()).await {
@@ -109,10 +120,13 @@
     }
 
     fn signal(&self, signal: Signal) {
-        let id = self.child.id().and_then(|id| i32::try_from(id).ok());
-        if let Some(id) = id {
-            // A process that has just ended needs no signal.
-            let _ = kill(Pid::from_raw(id), signal);
-        }
+        send_signal(self.child.id(), signal);
+    }
+}
+
+fn send_signal(process_id: Option<u32>, signal: Signal) {
+    if let Some(id) = process_id.and_then(|id| i32::try_from(id).ok()) {
+        // A process that has just ended needs no signal.
+        let _ = kill(Pid::from_raw(id), signal);
     }
 }
--- a/crates/woodladder-lab/tests/soak_planned_stops.rs
+++ b/crates/woodladder-lab/tests/soak_planned_stops.rs
@@ -13,7 +13,7 @@
 #[path = "support/stop_plan.rs"]
 mod stop_plan;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -21,9 +21,10 @@
 
 use cluster::{ARCHIVE, DESK, PATIENCE, Setup, World, bundle, end_feeds, wait_ticks};
 use stop_plan::{BALANCERS, Change, Node, PlannedChange, plan};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{Instant, sleep};
-use woodladder_lab::demo::{DemoProcess, Flag, Machine};
+use woodladder::endpoint::NotReadyReason;
+use woodladder_lab::demo::{CommandEnd, DemoProcess, Flag, Machine};
 use woodladder_lab::stand_in::caller::{Caller, Operation};
 use woodladder_lab::stand_in::oracle::OracleSettings;
 
@@ -94,11 +95,21 @@
     stopping: BTreeMap<Node, Instant>,
     /// Nodes that were started again and are not ready yet.
     joining: Vec<Node>,
+    /// Paused nodes, and when they go on.
     paused: BTreeMap<Node, Instant>,
+    /// Targets that leave by a bundle that is in force or being rolled.
+    leaving: BTreeSet<usize>,
+    roll: Option<RunningRoll>,
     version: u64,
     stops: usize,
 }
 
+/// A roll whose command has not ended.
+struct RunningRoll {
+    leaving: Option<usize>,
+    command: JoinHandle<CommandEnd>,
+}
+
 impl Soak {
     async fn start(seed: u64) -> Self {
         let mut setup = Setup::with_faults_on(&[]);
@@ -110,12 +121,15 @@
             stopping: BTreeMap::new(),
             joining: Vec::new(),
             paused: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            roll: None,
             version: 1,
             stops: 0,
         }
     }
 
     async fn run(&mut self, planned: Vec<PlannedChange>) {
+        self.sign_bundles(&planned).await;
         self.begun = Instant::now();
         for PlannedChange { at, change } in planned {
             while self.begun.elapsed() < at {
@@ -125,14 +139,21 @@
             match change {
                 Change::Stop(node) => self.stop(node),
                 Change::Pause(node, pause) => self.pause(node, pause),
-                Change::Roll(leaving) => self.roll(leaving).await,
+                Change::Roll(leaving) => self.start_roll(leaving),
             }
         }
-        while !(self.stopping.is_empty() && self.joining.is_empty() && self.paused.is_empty()) {
+        while !self.is_at_rest() {
             self.look().await;
         }
     }
 
+    fn is_at_rest(&self) -> bool {
+        self.stopping.is_empty()
+            && self.joining.is_empty()
+            && self.paused.is_empty()
+            && self.roll.is_none()
+    }
+
     /// Sends SIGTERM, unless too few other nodes would be left to serve. A node
     /// that stops already gets the signal again.
     fn stop(&mut self, node: Node) {
@@ -148,60 +169,91 @@
         if !self.stopping.contains_key(&node) && !self.may_lack(node) {
             return;
         }
-        self.process(node).freeze();
-        self.paused.insert(node, Instant::now() + pause);
+        self.process(node).freeze_for(pause);
+        let end = Instant::now() + pause;
+        let known = self.paused.entry(node).or_insert(end);
+        *known = end.max(*known);
     }
 
-    async fn roll(&mut self, leaving: Option<usize>) {
-        let targets = &self.world.cluster.deployment.bundle.targets;
-        let leaving: Vec<u32> = leaving
-            .filter(|place| self.may_lack(Node::Agent(*place)))
-            .map(|place| targets[place].id.0)
-            .into_iter()
-            .collect();
-        self.version += 1;
-        let text = bundle(self.version, &leaving, &[]);
+    /// Signs the bundles of all rolls beforehand, so that a roll takes no longer
+    /// than its command. Their versions follow the order of the plan.
+    async fn sign_bundles(&self, planned: &[PlannedChange]) {
         let cluster = &self.world.cluster;
-        cluster.write_bundle(self.version, &text).expect("bundle");
-        cluster.sign(self.version).await.expect("sign");
+        let mut version = self.version;
+        for PlannedChange { change, .. } in planned {
+            let Change::Roll(leaving) = change else {
+                continue;
+            };
+            version += 1;
+            let targets = &cluster.deployment.bundle.targets;
+            let leaving: Vec<u32> = leaving.iter().map(|place| targets[*place].id.0).collect();
+            let text = bundle(version, &leaving, &[]);
+            cluster.write_bundle(version, &text).expect("bundle");
+            cluster.sign(version).await.expect("sign");
+        }
+    }
+
+    /// Starts a roll, unless another one runs or the target cannot be spared.
+    fn start_roll(&mut self, leaving: Option<usize>) {
+        self.version += 1;
+        let may_leave = leaving.is_none_or(|place| self.may_lack(Node::Agent(place)));
+        if self.roll.is_some() || !may_leave {
+            return;
+        }
         let flags = [Flag::new("--timeout", "2s")];
-        let end = cluster.roll(self.version, &flags).await.expect("roll");
-        assert!(end.output.contains("accepted: "), "{}", end.output);
+        let command = self.world.cluster.start_roll(self.version, &flags);
+        let command = command.expect("roll");
+        self.leaving.extend(leaving);
+        self.roll = Some(RunningRoll {
+            leaving,
+            command: tokio::spawn(async move { command.end().await.expect("roll") }),
+        });
+    }
+
+    async fn look_at_roll(&mut self) {
+        let has_ended = |roll: &mut RunningRoll| roll.command.is_finished();
+        if let Some(RunningRoll { leaving, command }) = self.roll.take_if(has_ended) {
+            let output = command.await.expect("roll").output;
+            assert!(output.contains("accepted: "), "{output}");
+            self.leaving = leaving.into_iter().collect();
+        }
     }
 
-    /// Lets due pauses end, restarts nodes that have ended, and notes those that
-    /// are ready.
+    /// Restarts nodes that have ended, and notes those that are ready, pauses that
+    /// are over and a roll that has ended.
     async fn look(&mut self) {
         sleep(LOOK_INTERVAL).await;
         let now = Instant::now();
-        let due: Vec<Node> = due_nodes(&self.paused, |until| *until <= now);
-        for node in due {
-            self.process(node).thaw();
-            self.paused.remove(&node);
-        }
+        self.paused.retain(|_, end| *end > now);
+        self.look_at_roll().await;
         let stopping: Vec<Node> = self.stopping.keys().copied().collect();
         for node in stopping {
             self.look_at_stopping(node).await;
         }
-        let mut joining = std::mem::take(&mut self.joining);
         let mut still_joining = Vec::new();
-        for node in joining.drain(..) {
-            let status = self.world.status(self.machine(node)).await;
-            let is_ready = status.is_some_and(|status| status.not_ready.is_none());
-            let is_leaving = self.stopping.contains_key(&node);
-            if !is_ready && !is_leaving {
+        for node in std::mem::take(&mut self.joining) {
+            if !self.has_joined(node).await {
                 still_joining.push(node);
             }
         }
         self.joining = still_joining;
     }
 
+    /// Whether a restarted node is ready, leaves by the bundle or stops again.
+    async fn has_joined(&self, node: Node) -> bool {
+        if self.stopping.contains_key(&node) {
+            return true;
+        }
+        let status = self.world.status(self.machine(node)).await;
+        let reason = status.map(|status| status.not_ready);
+        matches!(reason, Some(None | Some(NotReadyReason::Leaving)))
+    }
+
     async fn look_at_stopping(&mut self, node: Node) {
         let asked_at = self.stopping[&node];
         if let Some(status) = self.process(node).ended().expect("process") {
             assert!(status.success(), "seed {}: {node:?}: {status}", self.seed);
             self.stopping.remove(&node);
-            self.paused.remove(&node);
             self.restart(node);
         } else if asked_at.elapsed() > PATIENCE {
             let status = self.world.status(self.machine(node)).await;
@@ -237,7 +289,9 @@
     }
 
     fn is_undisturbed(&self, node: Node) -> bool {
-        !self.stopping.contains_key(&node)
+        let leaves = matches!(node, Node::Agent(place) if self.leaving.contains(&place));
+        !leaves
+            && !self.stopping.contains_key(&node)
             && !self.paused.contains_key(&node)
             && !self.joining.contains(&node)
     }
@@ -257,11 +311,6 @@
     }
 }
 
-fn due_nodes(nodes: &BTreeMap<Node, Instant>, is_due: impl Fn(&Instant) -> bool) -> Vec<Node> {
-    let due = nodes.iter().filter(|(_, at)| is_due(at));
-    due.map(|(node, _)| *node).collect()
-}
-
 async fn soak(seed: u64) {
     let mut soak = Soak::start(seed).await;
     let mut feeds = soak.world.open_feeds(DESK, 8).await;
