--- a/crates/woodladder-lab/tests/promise_planned_stop.rs
+++ b/crates/woodladder-lab/tests/promise_planned_stop.rs
@@ -112,6 +112,7 @@
     assert_eq!(drain.phase, "leaving");
     assert_eq!(drain.reasons, ["signal"]);
     assert!(drain.open_requests > 0 && drain.open_connections > 0);
+    assert!(drain.transport_connections >= drain.open_connections);
     let oldest_request = drain.oldest_request.expect("a request is open");
     assert_eq!(oldest_request.stage, "awaiting_answer");
     assert!(oldest_request.age_ms > 0);
--- a/crates/woodladder/src/agent/counters.rs
+++ b/crates/woodladder/src/agent/counters.rs
@@ -230,6 +230,9 @@
     pub effective_slots: u16,
     /// Requests that wait for a slot now.
     pub queued_requests: u32,
+    /// Connections that the transport has not discarded yet: those that are open
+    /// now, and closed ones for three probe timeouts.
+    pub transport_connections: usize,
     /// Callers' connections that are open now.
     pub connections: usize,
     /// Requests that are open now, feeds included.
--- a/crates/woodladder/src/agent/handle.rs
+++ b/crates/woodladder/src/agent/handle.rs
@@ -205,6 +205,7 @@
             slots: scheduler.slots(),
             effective_slots: scheduler.effective_slots().whole(),
             queued_requests: counts.queued,
+            transport_connections: self.endpoint.open_connections(),
             connections: counters.open_connections.count(),
             open_requests: counters.open_requests.count(),
             oldest_connection: counters.open_connections.oldest(),
--- a/crates/woodladder/src/daemon/drain_report.rs
+++ b/crates/woodladder/src/daemon/drain_report.rs
@@ -26,6 +26,7 @@
         reasons: status.drain.reasons.iter().map(reason_name).collect(),
         open_requests: to_u64(status.open_requests),
         open_connections: to_u64(status.connections),
+        transport_connections: to_u64(status.transport_connections),
         oldest_request: oldest_request.map(|oldest| oldest_work(oldest, oldest.stage.name())),
         oldest_connection: oldest_connection.map(|oldest| oldest_work(oldest, oldest.stage.name())),
     }
@@ -37,6 +38,10 @@
     let mut figures = Figures::new();
     figures.set("drain_stage", status.drain.stage as u64);
     figures.set("drain_reasons", to_u64(status.drain.reasons.len()));
+    figures.set(
+        "transport_connections",
+        to_u64(status.transport_connections),
+    );
     figures.set(
         "oldest_request_seconds",
         seconds(status.oldest_request.map(|oldest| oldest.age)),
@@ -67,6 +72,7 @@
         "reasons" => drain.reasons.join(" "),
         "open_requests" => drain.open_requests,
         "open_connections" => drain.open_connections,
+        "transport_connections" => drain.transport_connections,
         "oldest_request" => describe(drain.oldest_request.as_ref()),
         "oldest_connection" => describe(drain.oldest_connection.as_ref()));
 }
--- a/crates/woodladder/src/endpoint/drain_status.rs
+++ b/crates/woodladder/src/endpoint/drain_status.rs
@@ -17,6 +17,8 @@
     pub open_requests: u64,
     /// Callers' connections that are open now, handshakes included.
     pub open_connections: u64,
+    /// Connections that the transport has not discarded yet, closed ones included.
+    pub transport_connections: u64,
     /// The open request that was opened first.
     pub oldest_request: Option<OldestWorkStatus>,
     /// The open connection that was opened first.
