--- a/crates/woodladder-lab/tests/soak_planned_stops.rs
+++ b/crates/woodladder-lab/tests/soak_planned_stops.rs
@@ -37,8 +37,11 @@
 const SEEDS_VARIABLE: &str = "STOP_SOAK_SEEDS";
 /// Time in which the changes of one seed come.
 const LENGTH: Duration = Duration::from_secs(10);
-/// Time between two looks at the processes.
-const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between two observations of the processes.
+const OBSERVATION_INTERVAL: Duration = Duration::from_millis(10);
+/// Limit after the last change for all stops, pauses and restarts to end: a stop,
+/// which has [`PATIENCE`], and the start that follows.
+const REST_LIMIT: Duration = Duration::from_secs(2 * PATIENCE.as_secs());
 /// Ticks that each feed must show after the changes.
 const TICKS: u64 = 10;
 const DESK_CALLERS: usize = 24;
@@ -102,7 +105,9 @@
     /// Targets that leave by a bundle that is in force or being rolled.
     leaving: BTreeSet<usize>,
     roll: Option<RunningRoll>,
+    /// Version of the bundle of the last planned roll, whether started or not.
     version: u64,
+    /// Number of processes that were asked to stop.
     stops: usize,
 }
 
@@ -151,7 +156,7 @@
         self.begun = Instant::now();
         for PlannedChange { at, change } in planned {
             while self.begun.elapsed() < at {
-                self.look().await;
+                self.observe().await;
             }
             println!("seed {}: {at:?} {change:?}", self.seed);
             match change {
@@ -160,8 +165,15 @@
                 Change::Roll(leaving) => self.start_roll(leaving),
             }
         }
+        let last_change = Instant::now();
         while !self.is_at_rest() {
-            self.look().await;
+            assert!(
+                last_change.elapsed() < REST_LIMIT,
+                "seed {}: not ready: {:?}",
+                self.seed,
+                self.joining
+            );
+            self.observe().await;
         }
     }
 
@@ -175,7 +187,7 @@
     /// Sends SIGTERM, unless too few other nodes would be left to serve. A node
     /// that stops already gets the signal again.
     fn stop(&mut self, node: Node) {
-        if !self.stopping.contains_key(&node) && !self.may_lack(node) {
+        if !self.stopping.contains_key(&node) && !self.can_spare(node) {
             return;
         }
         self.stops += usize::from(!self.stopping.contains_key(&node));
@@ -188,7 +200,7 @@
     }
 
     fn pause(&mut self, node: Node, pause: Duration) {
-        if !self.stopping.contains_key(&node) && !self.may_lack(node) {
+        if !self.stopping.contains_key(&node) && !self.can_spare(node) {
             return;
         }
         self.process(node).freeze_for(pause);
@@ -218,7 +230,7 @@
     /// Starts a roll, unless another one runs or the target cannot be spared.
     fn start_roll(&mut self, leaving: Option<usize>) {
         self.version += 1;
-        let may_leave = leaving.is_none_or(|place| self.may_lack(Node::Agent(place)));
+        let may_leave = leaving.is_none_or(|place| self.can_spare(Node::Agent(place)));
         if self.roll.is_some() || !may_leave {
             return;
         }
@@ -232,7 +244,7 @@
         });
     }
 
-    async fn look_at_roll(&mut self) {
+    async fn observe_roll(&mut self) {
         let has_ended = |roll: &mut RunningRoll| roll.command.is_finished();
         if let Some(RunningRoll { leaving, command }) = self.roll.take_if(has_ended) {
             let output = command.await.expect("roll").output;
@@ -243,14 +255,14 @@
 
     /// Restarts nodes that have ended, and notes those that are ready, pauses that
     /// are over and a roll that has ended.
-    async fn look(&mut self) {
-        sleep(LOOK_INTERVAL).await;
+    async fn observe(&mut self) {
+        sleep(OBSERVATION_INTERVAL).await;
         let now = Instant::now();
         self.paused.retain(|_, end| *end > now);
-        self.look_at_roll().await;
+        self.observe_roll().await;
         let stopping: Vec<Node> = self.stopping.keys().copied().collect();
         for node in stopping {
-            self.look_at_stopping(node).await;
+            self.observe_stopping(node).await;
         }
         let mut still_joining = Vec::new();
         for node in std::mem::take(&mut self.joining) {
@@ -271,7 +283,7 @@
         matches!(reason, Some(None | Some(NotReadyReason::Leaving)))
     }
 
-    async fn look_at_stopping(&mut self, node: Node) {
+    async fn observe_stopping(&mut self, node: Node) {
         let request = self.stopping[&node];
         if let Some(status) = self.process(node).ended().expect("process") {
             assert!(
@@ -297,9 +309,9 @@
         self.joining.push(node);
     }
 
-    /// Whether the service, or the callers, can do without this node now: another
-    /// one of its kind serves undisturbed.
-    fn may_lack(&self, node: Node) -> bool {
+    /// Whether another node serves undisturbed: of the same service if this one is
+    /// an agent.
+    fn can_spare(&self, node: Node) -> bool {
         let others: Vec<Node> = match node {
             Node::Agent(place) => {
                 let service = SERVICES.iter().find(|places| places.contains(&place));
