Agent: logs and metrics say why a target is held for ready or leaving

An on-call engineer could not tell the hypotheses of the incident apart: a change of state named no heartbeat, ignored heartbeats and deregistrations left no line, and no figure counted an opening that reached a leaving target.

- target_state names its cause, the incarnation, the sequence and the age of its newest heartbeat; target_start_replaced says what the replaced start had said last.
Outcomes are typed.
- opening_after_leaving, and the figure opened_after_leaving of promises_broken_total: each packet that opens a flow and is delivered while a leaving is outstanding, whatever path it took.
The watch behind it is independent of the state that admits openings.
- metrics: target_status, target_state_age_seconds, target_heartbeat_sequence and _age_seconds.
- woodladder explain shows the new lines as context.

No decision changes.

--- a/crates/woodladder-core/src/flow/agent/admission/opening_admission.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/opening_admission.rs
@@ -13,7 +13,7 @@
 use crate::flow::agent::admission::opening_queue::QueuedOpening;
 use crate::flow::agent::admission::service_times::EXCHANGE_TIME;
 use crate::flow::agent::admission::work_selection::NextWork;
-use crate::flow::agent::{Agent, AgentAction, FlowState, ForwardDecision, TargetFlow};
+use crate::flow::agent::{Agent, AgentAction, FlowState, ForwardDecision, OpeningPath, TargetFlow};
 use crate::flow::identity::NodeAddress;
 use crate::flow::log_event::LogEvent;
 use crate::flow::message::{ForwardHeader, OpeningTerms, PeerMessage, ReturnReason, TargetState};
@@ -266,6 +266,8 @@
         self.promises
             .record_handover(&opening.promise_input(now), urgent_waits);
         self.deliver_opening(opening.balancer, &opening.header, &opening.packet, now);
+        let path = OpeningPath::Queue(now.since(opening.queued_at));
+        self.watch_delivered_opening(opening.balancer, &opening.packet, path, now);
         self.log_events.add(LogEvent::WorkDelivered {
             key: opening.packet.key,
             waited: now.since(opening.queued_at),
--- a/crates/woodladder-core/src/flow/agent/decision.rs
+++ b/crates/woodladder-core/src/flow/agent/decision.rs
@@ -145,6 +145,8 @@
     pub messages_and_packets_dropped: u64,
     /// Heartbeats accepted.
     pub heartbeats: u64,
+    /// Heartbeats accepted that were not newer than the last one of their incarnation.
+    pub heartbeats_outdated: u64,
     /// Heartbeats rejected because a later incarnation has replaced theirs.
     pub heartbeats_replaced: u64,
     /// Heartbeats rejected because their incarnation may be older than the known one.
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -6,8 +6,8 @@
 use super::super::packet::{FlowPacket, PacketKind};
 use super::target::idle_flow_work::IdleFlowWork;
 use super::{
-    Agent, ColdReason, FailureRecord, FlowState, ForwardDecision, ReplyBody, TargetFlow,
-    TargetPacketDecision, not_held_message,
+    Agent, ColdReason, FailureRecord, FlowState, ForwardDecision, ReplyBody, StateCause,
+    TargetFlow, TargetPacketDecision, not_held_message,
 };
 use crate::clock::Instant;
 
@@ -107,7 +107,7 @@
         self.target.last_packet_at = Some(now);
         self.target.unanswered_since = None;
         if self.target.state == TargetState::Unresponsive {
-            self.set_state(TargetState::Ready);
+            self.set_state(TargetState::Ready, StateCause::Packet, now);
             self.assume_cold(ColdReason::Silent, now);
         }
         match returned_to {
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -55,7 +55,9 @@
 pub use decision::{AgentAction, AgentCounters, ForwardDecision, ReplyBody, TargetPacketDecision};
 pub use reporting::flow_announcer;
 pub use target::failure_record::{AnswerKind, Suspicion};
-pub use target::heartbeat::{Heartbeat, HeartbeatError};
+pub use target::heartbeat::{DeregistrationOutcome, Heartbeat, HeartbeatError, HeartbeatOutcome};
+pub use target::leaving_watch::{AcknowledgedLeaving, LeavingWatch, OpeningPath};
+pub use target::state_cause::{StateCause, TargetStatus};
 
 /// Settings of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -141,6 +143,10 @@
 #[derive(Clone, Debug)]
 struct Target {
     state: TargetState,
+    /// What set `state`.
+    state_cause: StateCause,
+    /// When `state` was set.
+    state_since: Instant,
     incarnation: Option<Incarnation>,
     /// Identifies the target by its name alone, whichever start it is.
     instance: Option<Incarnation>,
@@ -211,6 +217,7 @@
     log_events: LogEventBuffer,
     counters: AgentCounters,
     promises: PromiseWatch,
+    leaving_watch: LeavingWatch,
 }
 
 impl Agent {
@@ -250,6 +257,7 @@
             log_events: LogEventBuffer::default(),
             counters: AgentCounters::default(),
             promises: PromiseWatch::default(),
+            leaving_watch: LeavingWatch::default(),
         }
     }
 
@@ -358,9 +366,9 @@
 
     /// Begins a planned stop: the agent admits no new flow and continues to forward
     /// packets of open flows.
-    pub fn begin_shutdown(&mut self) {
+    pub fn begin_shutdown(&mut self, now: Instant) {
         self.is_stopping = true;
-        self.set_state(TargetState::Leaving);
+        self.set_state(TargetState::Leaving, StateCause::AgentStop, now);
     }
 
     fn adopt_configuration(
@@ -395,20 +403,6 @@
         }
     }
 
-    fn set_state(&mut self, state: TargetState) {
-        let former = self.target.state;
-        if former == state {
-            return;
-        }
-        self.target.state = state;
-        self.is_report_to_all_due = true;
-        self.log_events.add(LogEvent::TargetState {
-            former,
-            state,
-            incarnation: self.target.incarnation,
-        });
-    }
-
     /// Decides about a packet that a balancer sent; `bytes` is the packet as received.
     pub fn handle_forwarded_packet(
         &mut self,
@@ -423,13 +417,17 @@
         if header.service != self.options.service {
             return self.decline_forwarded(ReturnReason::WrongService);
         }
-        match header.purpose {
+        let decision = match header.purpose {
             ForwardPurpose::Open(terms) => {
                 self.admit_opening(from, header, &terms, packet, bytes, now)
             }
             ForwardPurpose::Established => self.handle_established(from, packet, bytes, now),
             ForwardPurpose::Search => self.handle_search(from, packet, bytes, now),
+        };
+        if matches!(decision, ForwardDecision::Deliver { .. }) {
+            self.watch_delivered_opening(from, packet, OpeningPath::Arrival, now);
         }
+        decision
     }
 
     fn decline_forwarded(&mut self, reason: ReturnReason) -> ForwardDecision {
@@ -451,6 +449,8 @@
     fn unknown(now: Instant) -> Self {
         Self {
             state: TargetState::Unknown,
+            state_cause: StateCause::NothingHeard,
+            state_since: now,
             incarnation: None,
             instance: None,
             started_at_ms: None,
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::flow::agent::{Agent, ListenState, ReplacedStart, Target};
+use crate::flow::agent::{Agent, ListenState, ReplacedStart, StateCause, Target};
 use crate::flow::identity::{Incarnation, ServiceKey};
+use crate::flow::log_event::LogEvent;
 use crate::flow::message::TargetState;
 use crate::flow::target_restart::TargetStart;
 
@@ -56,6 +57,41 @@
     Unproven,
 }
 
+/// What a heartbeat that was not rejected has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeartbeatOutcome {
+    /// The agent has taken over what the heartbeat states.
+    Applied,
+    /// The heartbeat is not newer than the last one of its incarnation; nothing has
+    /// changed.
+    Outdated,
+}
+
+/// What a deregistration has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DeregistrationOutcome {
+    /// The target takes no new flow.
+    Applied,
+    /// The deregistration concerns neither the present start nor its name; nothing has
+    /// changed.
+    OtherTarget,
+    /// The deregistration may be a late one of a former start under the same name; nothing
+    /// has changed.
+    FormerStart,
+}
+
+impl DeregistrationOutcome {
+    /// The outcome's name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Applied => "applied",
+            Self::OtherTarget => "other_target",
+            Self::FormerStart => "former_start",
+        }
+    }
+}
+
 impl HeartbeatError {
     /// The error's name in answers and logs.
     #[must_use]
@@ -78,12 +114,21 @@
         &mut self,
         heartbeat: &Heartbeat,
         now: Instant,
-    ) -> Result<(), HeartbeatError> {
+    ) -> Result<HeartbeatOutcome, HeartbeatError> {
         let result = self.apply_heartbeat(heartbeat, now);
+        if heartbeat.service == self.options.service {
+            self.leaving_watch
+                .record_heartbeat(heartbeat.incarnation, heartbeat.sequence, now);
+        }
         match result {
-            Ok(()) => self
-                .promises
-                .record_leaving_accepted(heartbeat.incarnation, now),
+            Ok(_) => {
+                if heartbeat.leaving {
+                    self.leaving_watch
+                        .record_acknowledged(heartbeat.incarnation, now);
+                }
+                self.promises
+                    .record_leaving_accepted(heartbeat.incarnation, now);
+            }
             // A replaced incarnation has ended and does not wait for its leaving to be
             // acknowledged.
             Err(HeartbeatError::Replaced) => {}
@@ -99,7 +144,7 @@
         &mut self,
         heartbeat: &Heartbeat,
         now: Instant,
-    ) -> Result<(), HeartbeatError> {
+    ) -> Result<HeartbeatOutcome, HeartbeatError> {
         if heartbeat.service != self.options.service {
             return Err(HeartbeatError::WrongService);
         }
@@ -115,7 +160,8 @@
             self.replace_target(heartbeat, now);
         } else if heartbeat.sequence <= self.target.heartbeat_sequence {
             self.counters.heartbeats += 1;
-            return Ok(());
+            self.counters.heartbeats_outdated += 1;
+            return Ok(HeartbeatOutcome::Outdated);
         }
         self.counters.heartbeats += 1;
         self.target.restart_detector.confirm_known();
@@ -131,8 +177,8 @@
             (true, _) | (_, TargetState::Leaving) => TargetState::Leaving,
             _ => TargetState::Ready,
         };
-        self.set_state(state);
-        Ok(())
+        self.set_state(state, StateCause::Heartbeat, now);
+        Ok(HeartbeatOutcome::Applied)
     }
 
     /// Handles a deregistration: the target takes no new flow, but may still serve its
@@ -142,7 +188,24 @@
     /// is also ignored if an earlier start under this name was replaced here and the
     /// present start has not announced that it leaves: the message may be a late one of
     /// the earlier start.
-    pub fn handle_deregistration(&mut self, incarnation: Incarnation) {
+    pub fn handle_deregistration(
+        &mut self,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> DeregistrationOutcome {
+        let outcome = self.apply_deregistration(incarnation, now);
+        let is_present = outcome == DeregistrationOutcome::Applied;
+        let present_start = self.target.incarnation.filter(|_| is_present);
+        self.leaving_watch
+            .record_deregistration([present_start, Some(incarnation)], now);
+        outcome
+    }
+
+    fn apply_deregistration(
+        &mut self,
+        incarnation: Incarnation,
+        now: Instant,
+    ) -> DeregistrationOutcome {
         let target = &mut self.target;
         let names_start = target.incarnation == Some(incarnation);
         let names_instance = target.instance == Some(incarnation);
@@ -152,21 +215,37 @@
             // attributed to any start.
             None => {
                 target.instance = Some(incarnation);
-                self.set_state(TargetState::Leaving);
+                self.set_state(TargetState::Leaving, StateCause::Deregistration, now);
+                DeregistrationOutcome::Applied
             }
             Some(_)
                 if names_start
                     || (names_instance && (leaves || !target.has_replaced_same_instance())) =>
             {
                 target.is_deregistered = true;
-                self.set_state(TargetState::Leaving);
+                self.set_state(TargetState::Leaving, StateCause::Deregistration, now);
+                DeregistrationOutcome::Applied
+            }
+            Some(_) => {
+                self.counters.deregistrations_ignored += 1;
+                if names_instance {
+                    DeregistrationOutcome::FormerStart
+                } else {
+                    DeregistrationOutcome::OtherTarget
+                }
             }
-            Some(_) => self.counters.deregistrations_ignored += 1,
         }
     }
 
     fn replace_target(&mut self, heartbeat: &Heartbeat, now: Instant) {
         let previous = self.target.clone();
+        if previous.incarnation.is_some() {
+            self.log_events.add(LogEvent::TargetStartReplaced {
+                former: self.target_status(now),
+                incarnation: heartbeat.incarnation,
+                sequence: heartbeat.sequence,
+            });
+        }
         self.target = Target::unknown(now);
         self.target.incarnation = Some(heartbeat.incarnation);
         self.target.instance = Some(heartbeat.instance);
@@ -179,6 +258,7 @@
         if previous.incarnation.is_none() && previous.instance == Some(heartbeat.incarnation) {
             // This start was deregistered before its first heartbeat.
             self.target.state = TargetState::Leaving;
+            self.target.state_cause = StateCause::Deregistration;
         }
         if let Some(ended) = previous.incarnation {
             let instance = previous.instance.unwrap_or(ended);
@@ -221,7 +301,7 @@
         };
         let is_silent = now.since(since) >= MAXIMUM_UNANSWERED_TIME;
         if is_silent && self.target.state == TargetState::Ready {
-            self.set_state(TargetState::Unresponsive);
+            self.set_state(TargetState::Unresponsive, StateCause::Silence, now);
         }
     }
 }
--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
@@ -0,0 +1,132 @@
+//! Watches that no new flow reaches a target whose leaving was acknowledged.
+//!
+//! The watch is independent of the target's state by which openings are admitted, so that
+//! it notices when this state is wrong. An acknowledged leaving is watched until its
+//! incarnation has ended: until it deregisters after it had announced that it leaves, or
+//! until another incarnation keeps sending heartbeats while it is silent.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::flow::agent::Agent;
+use crate::flow::identity::{Incarnation, NodeAddress};
+use crate::flow::log_event::LogEvent;
+use crate::flow::packet::{FlowPacket, PacketKind};
+use crate::flow::target_restart::SILENCE_BEFORE_SUPERSEDED;
+
+/// Heartbeats of another incarnation since the watched one was last heard.
+#[derive(Clone, Copy, Debug)]
+struct Successor {
+    incarnation: Incarnation,
+    sequence: u64,
+    since: Instant,
+}
+
+/// A leaving that was acknowledged.
+#[derive(Clone, Copy, Debug)]
+pub struct AcknowledgedLeaving {
+    /// The incarnation that leaves, or the target's name if it deregistered by name.
+    pub incarnation: Incarnation,
+    /// When the leaving was first acknowledged.
+    pub acknowledged_at: Instant,
+    successor: Option<Successor>,
+}
+
+/// The latest leaving that was acknowledged to a target which may still run.
+#[derive(Clone, Debug, Default)]
+pub struct LeavingWatch {
+    leaving: Option<AcknowledgedLeaving>,
+}
+
+impl LeavingWatch {
+    /// Records that a leaving was acknowledged.
+    pub fn record_acknowledged(&mut self, incarnation: Incarnation, now: Instant) {
+        let is_known = self
+            .leaving
+            .is_some_and(|known| known.incarnation == incarnation);
+        if !is_known {
+            self.leaving = Some(AcknowledgedLeaving {
+                incarnation,
+                acknowledged_at: now,
+                successor: None,
+            });
+        }
+    }
+
+    /// Records a deregistration that was acknowledged: the first word of a leaving, or the
+    /// end of an incarnation that had announced it.
+    pub fn record_deregistration(&mut self, names: [Option<Incarnation>; 2], now: Instant) {
+        let known = self.leaving.map(|known| known.incarnation);
+        if known.is_some() && names.contains(&known) {
+            self.leaving = None;
+        } else if let Some(incarnation) = names.into_iter().flatten().next() {
+            self.record_acknowledged(incarnation, now);
+        }
+    }
+
+    /// Records a heartbeat, whether or not it was accepted.
+    pub fn record_heartbeat(&mut self, incarnation: Incarnation, sequence: u64, now: Instant) {
+        let Some(leaving) = &mut self.leaving else {
+            return;
+        };
+        if leaving.incarnation == incarnation {
+            leaving.successor = None;
+            return;
+        }
+        let successor = leaving
+            .successor
+            .filter(|known| known.incarnation == incarnation);
+        let successor = *leaving.successor.insert(successor.unwrap_or(Successor {
+            incarnation,
+            sequence,
+            since: now,
+        }));
+        let is_still_sending = sequence > successor.sequence;
+        if is_still_sending && now.since(successor.since) >= SILENCE_BEFORE_SUPERSEDED {
+            self.leaving = None;
+        }
+    }
+
+    /// The acknowledged leaving of a target that may still run.
+    #[must_use]
+    pub fn outstanding(&self) -> Option<AcknowledgedLeaving> {
+        self.leaving
+    }
+}
+
+/// Why an opening was delivered to the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OpeningPath {
+    /// It was admitted on arrival.
+    Arrival,
+    /// It was admitted from the queue, after this time in it.
+    Queue(Duration),
+}
+
+impl Agent {
+    /// Counts and logs a delivered packet that opens a flow while a leaving is outstanding.
+    pub(crate) fn watch_delivered_opening(
+        &mut self,
+        balancer: NodeAddress,
+        packet: &FlowPacket,
+        path: OpeningPath,
+        now: Instant,
+    ) {
+        if packet.kind != PacketKind::Open {
+            return;
+        }
+        let Some(leaving) = self.leaving_watch.outstanding() else {
+            return;
+        };
+        self.promises.record_opened_after_leaving();
+        self.log_events.add(LogEvent::OpeningAfterLeaving {
+            key: packet.key,
+            balancer,
+            copy: packet.acknowledgement,
+            path,
+            leaving: leaving.incarnation,
+            acknowledged_ago: now.since(leaving.acknowledged_at),
+            status: self.target_status(now),
+        });
+    }
+}
--- a/crates/woodladder-core/src/flow/agent/target/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/target/mod.rs
@@ -4,5 +4,7 @@
 pub(crate) mod failure_record;
 pub(crate) mod heartbeat;
 pub(crate) mod idle_flow_work;
+pub(crate) mod leaving_watch;
 pub(crate) mod load;
 pub(crate) mod request_outcome;
+pub(crate) mod state_cause;
--- a/crates/woodladder-core/src/flow/log_event.rs
+++ b/crates/woodladder-core/src/flow/log_event.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::activation::ActiveMechanisms;
+use super::agent::{OpeningPath, TargetStatus};
 use super::cold_reason::ColdReason;
 use super::flow_record::{RecordError, RecordNeed, RestoreTotals};
 use super::identity::{FlowKey, Incarnation, NodeAddress};
@@ -219,10 +220,34 @@
     TargetState {
         /// Previous state.
         former: TargetState,
-        /// Current state.
-        state: TargetState,
-        /// Incarnation of the target, if known.
-        incarnation: Option<Incarnation>,
+        /// Current state with its evidence.
+        status: TargetStatus,
+    },
+    /// Another incarnation has replaced the one that this agent held for its target.
+    TargetStartReplaced {
+        /// The replaced incarnation, its state and its last heartbeat.
+        former: TargetStatus,
+        /// The incarnation that has replaced it.
+        incarnation: Incarnation,
+        /// Sequence number of the heartbeat that stated it.
+        sequence: u64,
+    },
+    /// A packet that opens a flow was delivered to this agent's target although its leaving
+    /// was acknowledged.
+    OpeningAfterLeaving {
+        key: FlowKey,
+        /// Balancer that sent the opening.
+        balancer: NodeAddress,
+        /// Retransmissions of the opening before this packet.
+        copy: u32,
+        /// How the opening came to be delivered.
+        path: OpeningPath,
+        /// The incarnation whose leaving was acknowledged.
+        leaving: Incarnation,
+        /// Time since the acknowledgement.
+        acknowledged_ago: Duration,
+        /// The target's state, with the evidence that it rests on.
+        status: TargetStatus,
     },
     /// An opening was delivered to this agent's target.
     FlowOffered {
--- a/crates/woodladder-core/src/flow/promises.rs
+++ b/crates/woodladder-core/src/flow/promises.rs
@@ -9,6 +9,7 @@
 //! | no refusal while a target is free | balancer | an opening is refused while a live target has a free slot |
 //! | no refusal after a target has accepted | balancer | an opening is refused that a target has accepted |
 //! | no open flow is reset | balancer | a flow that was reset turns out to be held |
+//! | no new flow at a target that leaves | agent | a packet that opens a flow is delivered although the target's leaving was acknowledged |
 //! | a target that shuts down is acknowledged | agent | milliseconds since its first heartbeat that was rejected |
 //!
 //! Some violations cannot be observed by any node: requests on open flows that overtake
@@ -46,6 +47,8 @@
     pub refused_though_accepted: u64,
     /// Flows reset although a target held them.
     pub broken_off: u64,
+    /// Packets that open a flow, delivered to a target whose leaving was acknowledged.
+    pub opened_after_leaving: u64,
     /// Milliseconds that targets that shut down have waited since their first rejected
     /// heartbeat.
     pub unacknowledged_ms: u64,
@@ -75,7 +78,7 @@
 impl BrokenPromises {
     /// Each value with its name in metrics.
     #[must_use]
-    pub fn by_name(&self) -> [(&'static str, u64); 8] {
+    pub fn by_name(&self) -> [(&'static str, u64); 9] {
         [
             ("put_behind", self.put_behind),
             ("worked_for_nobody", self.worked_for_nobody),
@@ -84,6 +87,7 @@
             ("refused_beside_free", self.refused_beside_free),
             ("refused_though_accepted", self.refused_though_accepted),
             ("broken_off", self.broken_off),
+            ("opened_after_leaving", self.opened_after_leaving),
             ("unacknowledged_ms", self.unacknowledged_ms),
         ]
     }
@@ -145,6 +149,12 @@
         self.resets.retain(|(reset, _)| reset != key);
     }
 
+    /// Records that a packet that opens a flow is delivered to a target whose leaving was
+    /// acknowledged.
+    pub fn record_opened_after_leaving(&mut self) {
+        self.broken.opened_after_leaving += 1;
+    }
+
     /// Records that a heartbeat which announces the shutdown of its target was rejected.
     pub fn record_leaving_rejected(&mut self, incarnation: Incarnation, now: Instant) {
         let is_known = self
--- a/crates/woodladder-core/tests/flow_drain.rs
+++ b/crates/woodladder-core/tests/flow_drain.rs
@@ -66,7 +66,7 @@
 fn a_target_that_deregisters_first_keeps_its_flows() {
     let mut agent = agent();
     open_flow_at(&mut agent, flow(1), at(10));
-    agent.handle_deregistration(Incarnation(1));
+    agent.handle_deregistration(Incarnation(1), at(20));
     assert_eq!(
         reason_of_opening(&mut agent, 2, 21),
         Some(ReturnReason::Leaving)
--- a/crates/woodladder-core/tests/flow_held_requests.rs
+++ b/crates/woodladder-core/tests/flow_held_requests.rs
@@ -604,7 +604,7 @@
 fn an_agent_that_stops_delivers_its_queue() {
     let mut agent = agent_with_full_target([2, 1]);
     send_packet(&mut agent, &request(flow(4), 1), 110);
-    agent.begin_shutdown();
+    agent.begin_shutdown(at(110));
     assert_eq!(delivered_now(&mut agent, 111), [second_request(4)]);
 }
 
--- a/crates/woodladder-core/tests/flow_rebirth.rs
+++ b/crates/woodladder-core/tests/flow_rebirth.rs
@@ -139,7 +139,7 @@
         ..heartbeat_of(0, 91)
     };
     agent.handle_heartbeat(&leaving, at(3000)).expect("taken");
-    agent.handle_deregistration(Incarnation::named(NAME));
+    agent.handle_deregistration(Incarnation::named(NAME), at(3050));
     agent
         .handle_heartbeat(&heartbeat_of(-5000, 1), at(3100))
         .expect("taken");
@@ -177,7 +177,7 @@
         agent
             .handle_heartbeat(&heartbeat_of(3000, 1), at(3000))
             .expect("taken");
-        agent.handle_deregistration(former);
+        agent.handle_deregistration(former, at(3100));
         assert_eq!(agent.target_state(), TargetState::Ready);
         assert_eq!(agent.counters().deregistrations_ignored, 1);
     }
@@ -186,21 +186,21 @@
 #[test]
 fn a_deregistration_of_the_present_start_makes_it_leave() {
     let mut agent = agent_of_first_start();
-    agent.handle_deregistration(Incarnation::named(NAME));
+    agent.handle_deregistration(Incarnation::named(NAME), at(2100));
     assert_eq!(agent.target_state(), TargetState::Leaving);
     let mut agent = agent_of_first_start();
     agent
         .handle_heartbeat(&heartbeat_of(3000, 1), at(3000))
         .expect("taken");
     let start = heartbeat_of(3000, 1).incarnation;
-    agent.handle_deregistration(start);
+    agent.handle_deregistration(start, at(3100));
     assert_eq!(agent.target_state(), TargetState::Leaving);
 }
 
 #[test]
 fn a_deregistration_before_any_heartbeat_is_attributed_to_no_start() {
     let mut agent = empty_agent();
-    agent.handle_deregistration(Incarnation::named(NAME));
+    agent.handle_deregistration(Incarnation::named(NAME), at(50));
     assert_eq!(agent.target_state(), TargetState::Leaving);
     agent
         .handle_heartbeat(&heartbeat_of(0, 40), at(100))
--- a/crates/woodladder-core/tests/flow_record_restore.rs
+++ b/crates/woodladder-core/tests/flow_record_restore.rs
@@ -468,7 +468,7 @@
         ask(&mut agent, 7).contains("MayBeHeld"),
         "no heartbeat and no deregistration"
     );
-    agent.handle_deregistration(Incarnation(8));
+    agent.handle_deregistration(Incarnation(8), at(100));
     assert!(ask(&mut agent, 7).contains("MayBeHeld"), "no heartbeat");
     let mut agent = empty_agent();
     agent
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -22,8 +22,9 @@
 use tokio::time::{sleep, timeout};
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{
-    Agent, AgentAction, AgentOptions, ForwardDecision, Heartbeat, HeartbeatError, ListenState,
-    ReplyBody, TargetPacketDecision, WarmUpBounds,
+    Agent, AgentAction, AgentOptions, DeregistrationOutcome, ForwardDecision, Heartbeat,
+    HeartbeatError, HeartbeatOutcome, ListenState, ReplyBody, TargetPacketDecision, TargetStatus,
+    WarmUpBounds,
 };
 use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::log_event::LogEvent;
@@ -174,7 +175,7 @@
         ));
         stop.notified().await;
         info!(self.logger, "agent: planned stop started"; "event" => "stopping");
-        self.core.borrow_mut().begin_shutdown();
+        self.core.borrow_mut().begin_shutdown(self.clock.now());
         self.run_core(|core, now, actions| core.tick(now, actions));
         sleep(SHUTDOWN_DRAIN).await;
         if self.probe_listen_state().await == ListenState::NotListening {
@@ -191,19 +192,36 @@
     /// # Errors
     /// Returns [`HeartbeatError`] when the heartbeat is rejected; it then changes
     /// nothing.
-    pub fn handle_heartbeat(self: &Rc<Self>, heartbeat: &Heartbeat) -> Result<(), HeartbeatError> {
+    pub fn handle_heartbeat(
+        self: &Rc<Self>,
+        heartbeat: &Heartbeat,
+    ) -> Result<HeartbeatOutcome, HeartbeatError> {
         let now = self.clock.now();
-        self.core.borrow_mut().handle_heartbeat(heartbeat, now)?;
+        let outcome = self.core.borrow_mut().handle_heartbeat(heartbeat, now)?;
         self.run_core(|core, now, actions| core.tick(now, actions));
-        Ok(())
+        Ok(outcome)
     }
 
     /// Sets the target's state to leaving and reports the change to the balancers before
     /// returning. A deregistration that may belong to an earlier start of the target
     /// changes nothing.
-    pub fn handle_deregistration(self: &Rc<Self>, incarnation: Incarnation) {
-        self.core.borrow_mut().handle_deregistration(incarnation);
+    pub fn handle_deregistration(
+        self: &Rc<Self>,
+        incarnation: Incarnation,
+    ) -> DeregistrationOutcome {
+        let now = self.clock.now();
+        let outcome = self
+            .core
+            .borrow_mut()
+            .handle_deregistration(incarnation, now);
         self.run_core(|core, now, actions| core.tick(now, actions));
+        outcome
+    }
+
+    /// The target's state with the evidence that it rests on.
+    #[must_use]
+    pub fn target_status(&self) -> TargetStatus {
+        self.core.borrow().target_status(self.clock.now())
     }
 
     /// Whether the state of the target is known and a hello of a balancer has arrived.
--- a/crates/woodladder-node/src/agent/metrics.rs
+++ b/crates/woodladder-node/src/agent/metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of the agent process.
 
+use woodladder_core::flow::agent::TargetStatus;
 use woodladder_core::flow::message::TargetState;
 
+use crate::decision_log::incarnation_text;
 use crate::metrics::{MetricsText, count_as_f64, u64_as_f64};
 
 use super::AgentNode;
@@ -111,6 +113,11 @@
                 "Heartbeats accepted.",
                 counters.heartbeats,
             ),
+            (
+                "heartbeats_outdated_total",
+                "Heartbeats accepted that were not newer than the last one of their target start.",
+                counters.heartbeats_outdated,
+            ),
             (
                 "heartbeats_replaced_total",
                 "Heartbeats of target starts that a later start has replaced.",
@@ -214,6 +221,7 @@
             "1 when the target accepts flows, otherwise 0.",
             f64::from(u8::from(is_ready)),
         );
+        add_target_status(&mut text, &core.target_status(self.clock.now()));
         text.add_histogram(
             "service_time_seconds",
             "Time from a request to the first byte of its answer.",
@@ -222,3 +230,34 @@
         text.finish()
     }
 }
+
+/// Adds the target's state with the evidence that it rests on.
+fn add_target_status(text: &mut MetricsText, status: &TargetStatus) {
+    let incarnation = status.incarnation.map(incarnation_text);
+    text.add_info(
+        "target_status",
+        "1, with the target's state, what set it, and the target start that it holds for.",
+        &[
+            ("state", &format!("{:?}", status.state)),
+            ("cause", status.cause.name()),
+            ("incarnation", incarnation.as_deref().unwrap_or_default()),
+        ],
+    );
+    text.add_gauge(
+        "target_state_age_seconds",
+        "Time since the target's state was set.",
+        status.state_age.as_secs_f64(),
+    );
+    text.add_gauge(
+        "target_heartbeat_sequence",
+        "Number of the target start's newest heartbeat, 0 before the first.",
+        u64_as_f64(status.heartbeat_sequence),
+    );
+    if let Some(age) = status.heartbeat_age {
+        text.add_gauge(
+            "target_heartbeat_age_seconds",
+            "Time since the target start's newest heartbeat arrived.",
+            age.as_secs_f64(),
+        );
+    }
+}
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -10,6 +10,8 @@
 
 use slog::{Logger, debug, info, warn};
 use woodladder_core::clock::Instant;
+use woodladder_core::flow::agent::OpeningPath;
+use woodladder_core::flow::identity::Incarnation;
 use woodladder_core::flow::log_event::LogEvent;
 
 /// Limit for each kind of ordinary decision, in lines per second.
@@ -325,7 +327,7 @@
                 flows,
             } => {
                 info!(log, "balancer: target replaced"; "event" => event_name, "agent" => %agent,
-                    "ended" => format!("{:016x}", ended.0), "flows_reset" => flows,
+                    "ended" => incarnation_text(*ended), "flows_reset" => flows,
                     "left_out" => left_out);
             }
             LogEvent::StoreWatchChanged {
@@ -368,22 +370,56 @@
                 warn!(log, "node: process was paused"; "event" => event_name,
                     "pause_ms" => milliseconds(*duration), "left_out" => left_out);
             }
-            LogEvent::TargetState {
+            LogEvent::TargetState { former, status } => {
+                info!(log, "agent: target changed state"; "event" => event_name,
+                    "former" => ?former, "state" => ?status.state, "cause" => status.cause.name(),
+                    "incarnation" => status.incarnation.map(incarnation_text),
+                    "sequence" => status.heartbeat_sequence,
+                    "heartbeat_age_ms" => status.heartbeat_age.map(milliseconds),
+                    "left_out" => left_out);
+            }
+            LogEvent::TargetStartReplaced {
                 former,
-                state,
                 incarnation,
+                sequence,
             } => {
-                let incarnation = incarnation.map(|it| format!("{:016x}", it.0));
-                info!(log, "agent: target changed state"; "event" => event_name,
-                    "former" => ?former, "state" => ?state, "incarnation" => incarnation,
+                info!(log, "agent: another start replaced the target's"; "event" => event_name,
+                    "ended" => former.incarnation.map(incarnation_text),
+                    "ended_state" => ?former.state, "ended_cause" => former.cause.name(),
+                    "ended_sequence" => former.heartbeat_sequence,
+                    "ended_heartbeat_age_ms" => former.heartbeat_age.map(milliseconds),
+                    "incarnation" => incarnation_text(*incarnation), "sequence" => sequence,
                     "left_out" => left_out);
             }
+            LogEvent::OpeningAfterLeaving {
+                key,
+                balancer,
+                copy,
+                path,
+                leaving,
+                acknowledged_ago,
+                status,
+            } => {
+                let queued_for = match path {
+                    OpeningPath::Arrival => Duration::ZERO,
+                    OpeningPath::Queue(waited) => *waited,
+                };
+                warn!(log, "agent: opening handed to a target that leaves"; "event" => event_name,
+                    "flow" => %key, "balancer" => %balancer, "copy" => copy,
+                    "queued_ms" => milliseconds(queued_for),
+                    "leaving" => incarnation_text(*leaving),
+                    "acknowledged_ago_ms" => milliseconds(*acknowledged_ago),
+                    "state" => ?status.state, "cause" => status.cause.name(),
+                    "state_age_ms" => milliseconds(status.state_age),
+                    "incarnation" => status.incarnation.map(incarnation_text),
+                    "sequence" => status.heartbeat_sequence, "left_out" => left_out);
+            }
             LogEvent::TargetSuspicion {
                 is_suspect,
                 failed_percent,
                 incarnation,
             } => {
-                let incarnation = incarnation.map(|it| format!("{:016x}", it.0));
+                let incarnation = incarnation.map(incarnation_text);
                 warn!(log, "agent: target's failure rate crossed the limit"; "event" => event_name,
                     "suspect" => is_suspect, "failed_percent" => failed_percent,
                     "incarnation" => incarnation, "left_out" => left_out);
@@ -424,6 +460,8 @@
         LogEvent::BalancerLost { .. } => ("balancer_lost", Important),
         LogEvent::Stalled { .. } => ("stalled", Important),
         LogEvent::TargetState { .. } => ("target_state", Important),
+        LogEvent::TargetStartReplaced { .. } => ("target_start_replaced", Important),
+        LogEvent::OpeningAfterLeaving { .. } => ("opening_after_leaving", Important),
         LogEvent::TargetSuspicion { .. } => ("target_suspicion", Important),
         LogEvent::FlowOffered { .. } => ("flow_offered", Ordinary),
         LogEvent::OpeningQueued { .. } => ("opening_queued", Important),
@@ -434,6 +472,12 @@
     }
 }
 
+/// An incarnation as log lines state it.
+#[must_use]
+pub fn incarnation_text(incarnation: Incarnation) -> String {
+    format!("{:016x}", incarnation.0)
+}
+
 /// Converts a duration to milliseconds, with a fraction.
 fn milliseconds(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1000.0
--- a/crates/woodladder-node/src/metrics.rs
+++ b/crates/woodladder-node/src/metrics.rs
@@ -81,6 +81,16 @@
         }
     }
 
+    /// Adds a gauge that is always 1 and whose labels carry the information.
+    pub fn add_info(&mut self, name: &str, help: &str, labels: &[(&str, &str)]) {
+        self.add_header(name, help, "gauge");
+        let labels: Vec<String> = labels
+            .iter()
+            .map(|(label, value)| format!("{label}=\"{value}\""))
+            .collect();
+        let _infallible = writeln!(self.text, "woodladder_{name}{{{}}} 1", labels.join(","));
+    }
+
     /// Adds a gauge.
     pub fn add_gauge(&mut self, name: &str, help: &str, value: f64) {
         self.add_header(name, help, "gauge");
--- a/crates/woodladder/src/explain/mod.rs
+++ b/crates/woodladder/src/explain/mod.rs
@@ -19,12 +19,17 @@
 const CONTEXT_WINDOW_MS: i64 = 2500;
 /// Events that change a node's own state or its view of agents, targets, the
 /// store and the configuration.
-const STATE_CHANGE_EVENTS: [&str; 11] = [
+const STATE_CHANGE_EVENTS: [&str; 16] = [
     "agent_found",
     "agent_lost",
     "agent_stopped",
     "target_replaced",
     "target_state",
+    "target_start_replaced",
+    "target_deregistered",
+    "heartbeat_ignored",
+    "heartbeat_refused",
+    "deregistration_ignored",
     "configuration_adopted",
     "store_lost",
     "store_reached",
