--- a/crates/woodladder-lab/src/command/soak.rs
+++ b/crates/woodladder-lab/src/command/soak.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use clap::Args;
-use woodladder_lab::platform::{self, SiteError, SoakOptions, SoakReport};
+use woodladder_lab::platform::{self, SiteError, SoakOptions, SoakReport, TargetHabits};
 
 use super::time_text;
 
@@ -88,6 +88,7 @@
             directory,
             seed,
             length: self.length,
+            target_habits: TargetHabits::of_seed(seed),
         })
     }
 }
--- a/crates/woodladder-lab/src/platform/day.rs
+++ b/crates/woodladder-lab/src/platform/day.rs
@@ -17,6 +17,7 @@
     BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
 };
 use super::store_state::StoreFault;
+use super::target_control::TargetHabits;
 use super::zones::ZONES;
 
 /// Machine of the target that is added.
@@ -90,6 +91,7 @@
         .build()?;
     LocalSet::new().block_on(&runtime, async {
         let site_options = SiteOptions {
+            target_habits: TargetHabits::default(),
             program: options.program.clone(),
             directory: options.directory.clone(),
             processors: [PROCESSOR; BALANCERS.len()],
--- a/crates/woodladder-lab/src/platform/oracle.rs
+++ b/crates/woodladder-lab/src/platform/oracle.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
-/// Time after a drain's acknowledgement within which a flow that was sent
-/// before may still open.
+/// Time after the acknowledgement of a leaving within which a new flow may still reach the
+/// target: the users' bound for a drain.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
 /// Number of the store's machine.
@@ -130,15 +130,20 @@
 
     /// A flow opens at a target.
     pub fn opened(&mut self, ends: Ends, target: &str) {
-        let too_late = self
-            .leaving
-            .get(target)
-            .is_some_and(|since| since.elapsed() > DRAIN_LIMIT);
-        if too_late {
-            let what = format!("{ends:?} at {target}");
+        self.held.insert(ends, target.to_owned());
+    }
+
+    /// The first packet that opens a flow arrives at a target. The rule binds nodes that
+    /// are in touch: the target's own, which has the last word.
+    pub fn opening_arrived(&mut self, ends: Ends, target: &str, now: Instant) {
+        let Some(acknowledged) = self.leaving.get(target) else {
+            return;
+        };
+        let after = now.saturating_duration_since(*acknowledged);
+        if after > DRAIN_LIMIT && !self.is_disturbed(machine_of(target)) {
+            let what = format!("{ends:?} at {target}, {} ms after", after.as_millis());
             self.violations.push(Violation::FlowAfterDrain(what));
         }
-        self.held.insert(ends, target.to_owned());
     }
 
     /// The store holds that a zone is excluded.
@@ -198,9 +203,15 @@
         self.held.retain(|_, holder| holder != target);
     }
 
-    /// The leaving of a target was acknowledged.
+    /// The leaving of a target was acknowledged; the first acknowledgement counts.
     pub fn acknowledged_leaving(&mut self, target: &str) {
-        self.leaving.insert(target.to_owned(), Instant::now());
+        self.acknowledged_leaving_at(target, Instant::now());
+    }
+
+    /// The leaving of a target was acknowledged at this time.
+    pub fn acknowledged_leaving_at(&mut self, target: &str, at: Instant) {
+        let known = self.leaving.entry(target.to_owned()).or_insert(at);
+        *known = at.min(*known);
     }
 
     /// A machine is disturbed by a fault now: for a while, flows of its target
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -27,7 +27,8 @@
 use super::router::Router;
 use super::store::{self, SharedStore};
 use super::store_state::StoreFault;
-use super::target::{COLD_FOR, Target};
+use super::target::{COLD_FOR, SHORTEST_DRAIN, Target};
+use super::target_control::{HeartbeatText, TargetHabits};
 use super::zones::{CALLERS, zone_of};
 
 /// Prefix of the keys of excluded zones.
@@ -48,6 +49,9 @@
 /// Requests a second that a cold target bears.
 const COLD_RATE: f64 = 20.0;
 
+/// Longest wait for a target's address: longer than the longest leaving.
+const ADDRESS_WAIT: Duration = Duration::from_secs(30);
+
 /// Why a site could not be run.
 #[derive(Debug)]
 pub enum SiteError {
@@ -81,6 +85,8 @@
     pub program: PathBuf,
     /// Directory of settings and logs; must exist.
     pub directory: PathBuf,
+    /// How targets speak to their agents.
+    pub target_habits: TargetHabits,
     /// Processor of each balancer, in thousandths of a core.
     pub processors: [u32; BALANCERS.len()],
 }
@@ -96,7 +102,13 @@
     nodes: BTreeMap<u8, NodeProcess>,
     /// Agents that were told to stop.
     retired: Rc<RefCell<Vec<NodeProcess>>>,
+    target_habits: TargetHabits,
     targets: BTreeMap<u8, Rc<Target>>,
+    /// Targets that have said that they leave and may still serve.
+    leaving: BTreeMap<u8, Rc<Target>>,
+    /// Machines whose next target starts as soon as the address is free, and until when
+    /// that is tried.
+    starting: BTreeMap<u8, Instant>,
     /// Targets that have crashed and will begin again under their name.
     crashed: BTreeMap<u8, Rc<Target>>,
     incarnations: u32,
@@ -104,6 +116,14 @@
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
 
+/// Service of the target of a machine.
+pub fn service_of(machine: u8) -> &'static str {
+    TARGETS
+        .into_iter()
+        .find(|(target, _)| *target == machine)
+        .map_or("kitchen", |(_, service)| service)
+}
+
 /// Address of the kitchen's route.
 pub fn kitchen_route() -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443)
@@ -154,7 +174,10 @@
             links,
             nodes: BTreeMap::new(),
             retired: Rc::default(),
+            target_habits: options.target_habits,
             targets: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            starting: BTreeMap::new(),
             crashed: BTreeMap::new(),
             incarnations: 0,
             version: 0,
@@ -292,6 +315,7 @@
             address,
             zone_of(machine),
             Rc::clone(&self.oracle),
+            self.target_habits,
             None,
         )
         .await?;
@@ -317,7 +341,9 @@
         let zone = zone_of(machine);
         let oracle = Rc::clone(&self.oracle);
         let name = former.name().to_owned();
-        let started = Target::start(&name, service, address, zone, oracle, Some(&former)).await;
+        let habits = self.target_habits;
+        let started =
+            Target::start(&name, service, address, zone, oracle, habits, Some(&former)).await;
         match started {
             Ok(target) => {
                 self.targets.insert(machine, Rc::clone(&target));
@@ -371,20 +397,69 @@
         self.store.borrow_mut().remove(&key);
     }
 
-    /// The target of a machine ends at once, as in a crash.
+    /// The target of a machine ends at once, as in a crash, even if it is leaving.
     pub fn crash_target(&mut self, machine: u8) {
-        if let Some(target) = self.targets.remove(&machine) {
+        let present = self.targets.remove(&machine);
+        let leaving = self.leaving.remove(&machine);
+        for target in present.into_iter().chain(leaving) {
             target.end();
         }
     }
 
-    /// The target of a machine leaves as planned; its agent stays.
-    pub fn drain_target(&mut self, machine: u8) {
+    /// The target of a machine leaves as planned and serves on for a while; its agent
+    /// stays.
+    pub fn drain_target(&mut self, machine: u8, serves_on: Duration) {
         if let Some(target) = self.targets.remove(&machine) {
-            spawn_local(target.leave());
+            self.leaving.insert(machine, Rc::clone(&target));
+            spawn_local(target.leave(serves_on));
+        }
+    }
+
+    /// The target of a machine leaves as planned without saying that it drains: it
+    /// deregisters first and serves on for a while.
+    pub fn deregister_target(&mut self, machine: u8, serves_on: Duration) {
+        if let Some(target) = self.targets.remove(&machine) {
+            self.leaving.insert(machine, Rc::clone(&target));
+            spawn_local(target.deregister_and_leave(serves_on));
+        }
+    }
+
+    /// A heartbeat of the present target of a machine that is held up on its way.
+    pub fn hold_heartbeat(&self, machine: u8) -> Option<HeartbeatText> {
+        self.targets.get(&machine).map(|it| it.next_heartbeat())
+    }
+
+    /// Starts a target on a machine as soon as the former one has let go of its address.
+    pub fn start_when_free(&mut self, machine: u8) {
+        let until = Instant::now() + ADDRESS_WAIT;
+        if !self.targets.contains_key(&machine) {
+            self.starting.entry(machine).or_insert(until);
         }
     }
 
+    /// Starts the waiting targets whose address is free.
+    ///
+    /// # Errors
+    /// The system's error when an address is not free for too long.
+    pub async fn start_waiting(&mut self) -> io::Result<()> {
+        for (machine, until) in self.starting.clone() {
+            let started = if self.crashed.contains_key(&machine) {
+                self.begin_again(machine, service_of(machine)).await
+            } else {
+                self.start_target(machine, service_of(machine)).await
+            };
+            match started {
+                Ok(()) => {
+                    self.starting.remove(&machine);
+                    self.leaving.remove(&machine);
+                }
+                Err(error) if Instant::now() >= until => return Err(error),
+                Err(_) => {}
+            }
+        }
+        Ok(())
+    }
+
     /// A target leaves as planned; its agent is stopped after its end.
     pub fn retire_target(&mut self, machine: u8) {
         let Some(target) = self.targets.remove(&machine) else {
@@ -393,7 +468,7 @@
         let agent = self.nodes.remove(&machine);
         let retired = Rc::clone(&self.retired);
         spawn_local(async move {
-            target.leave().await;
+            target.leave(SHORTEST_DRAIN).await;
             if let Some(agent) = agent {
                 // A process that has ended already needs no signal.
                 let _ended = agent.signal(Signal::SIGTERM);
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -22,10 +22,13 @@
 use super::oracle::STORE;
 use super::site::{
     BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
+    service_of,
 };
 use super::soak_plan::{EXCLUDED_BY, Strike, StrikeKind, plan, processors};
 use super::soak_report::SoakReport;
 use super::store_state::StoreFault;
+use super::target::SHORTEST_DRAIN;
+use super::target_control::TargetHabits;
 use super::zones::ZONES;
 use crate::fault_proxy::{Cut, FaultProxy, FaultProxyConfig, FaultRule, Route};
 
@@ -36,6 +39,8 @@
 const CALM: Duration = Duration::from_secs(4);
 /// Longest wait for a balancer's figures.
 const FIGURES_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two looks at whether a target's address is free.
+const ADDRESS_LOOK: Duration = Duration::from_millis(50);
 const LOSS: f64 = 0.15;
 const REPEAT: f64 = 0.1;
 const SLOW_LINK: Duration = Duration::from_millis(60);
@@ -52,6 +57,8 @@
     pub seed: u64,
     /// How long faults come.
     pub length: Duration,
+    /// How targets speak to their agents; [`TargetHabits::of_seed`] in an ordinary run.
+    pub target_habits: TargetHabits,
 }
 
 /// Runs a soak to its end.
@@ -71,6 +78,7 @@
 struct Soak {
     site: Site,
     store_proxies: BTreeMap<u8, FaultProxy>,
+    habits: TargetHabits,
     configurations: u32,
 }
 
@@ -93,6 +101,7 @@
         let site_options = SiteOptions {
             program: options.program.clone(),
             directory: options.directory.clone(),
+            target_habits: options.target_habits,
             processors: processors(options.seed),
         };
         let mut site = Site::open(&site_options, network, links).await?;
@@ -107,6 +116,7 @@
         Ok(Self {
             site,
             store_proxies,
+            habits: options.target_habits,
             configurations: 0,
         })
     }
@@ -118,14 +128,15 @@
         self.site.call(end).await?;
         let strikes = plan(options.seed, options.length);
         for (at, change) in timeline(&strikes) {
-            sleep_until(begin + at.min(options.length)).await;
+            self.start_targets_until(begin + at.min(options.length))
+                .await?;
             match change {
                 Change::Begin(strike) => self.begin(&strike).await?,
                 Change::End(strike) => self.end(&strike).await?,
             }
         }
         self.heal()?;
-        sleep_until(end - CALM).await;
+        self.start_targets_until(end - CALM).await?;
         let failed = self.site.oracle.borrow().failed;
         self.site.wait_for_callers().await;
         let behind = self.balancers_behind().await;
@@ -147,6 +158,17 @@
         })
     }
 
+    /// Waits until a time, while targets start whose address comes free.
+    async fn start_targets_until(&mut self, until: Instant) -> Result<(), SiteError> {
+        loop {
+            self.site.start_waiting().await?;
+            if Instant::now() >= until {
+                return Ok(());
+            }
+            sleep_until(until.min(Instant::now() + ADDRESS_LOOK)).await;
+        }
+    }
+
     async fn begin(&mut self, strike: &Strike) -> Result<(), SiteError> {
         let machine = strike.machine;
         match strike.kind {
@@ -194,8 +216,24 @@
             ),
             StrikeKind::Configure => self.configure(),
             StrikeKind::CrashTarget => self.site.crash_target(machine),
-            StrikeKind::DrainTarget => self.site.drain_target(machine),
-            StrikeKind::BeginAgain => self.site.crash_to_begin_again(machine),
+            StrikeKind::DrainTarget => {
+                let serves_on = strike.lasts.max(SHORTEST_DRAIN);
+                self.site.drain_target(machine, serves_on);
+            }
+            StrikeKind::DeregisterTarget => {
+                let serves_on = strike.lasts.max(SHORTEST_DRAIN);
+                self.site.deregister_target(machine, serves_on);
+            }
+            StrikeKind::LosePower => {
+                self.disturb(machine);
+                self.site.signal(machine, Signal::SIGKILL)?;
+                self.site.crash_target(machine);
+            }
+            // Only a start that says when it began may use the name of another.
+            StrikeKind::BeginAgain if self.habits.states_start => {
+                self.site.crash_to_begin_again(machine);
+            }
+            StrikeKind::BeginAgain => self.site.crash_target(machine),
             StrikeKind::ExcludeZone => self.site.exclude_zone(excluded_zone(machine)),
         }
         Ok(())
@@ -228,44 +266,21 @@
             StrikeKind::StoreRefusesOne
             | StrikeKind::StoreSilentToOne
             | StrikeKind::StoreSlowToOne => self.store_path(machine, FaultRule::default()),
-            StrikeKind::CrashTarget => {
-                self.site.start_target(machine, service_of(machine)).await?;
+            StrikeKind::CrashTarget
+            | StrikeKind::DrainTarget
+            | StrikeKind::DeregisterTarget
+            | StrikeKind::BeginAgain => self.site.start_when_free(machine),
+            StrikeKind::LosePower => {
+                self.disturb(machine);
+                self.site.start_agent(machine, service_of(machine))?;
+                self.site.start_when_free(machine);
             }
-            StrikeKind::DrainTarget => self.start_after_drain(machine).await?,
-            StrikeKind::BeginAgain => self.begin_again(machine).await?,
             StrikeKind::ExcludeZone => self.site.take_zone_back(excluded_zone(machine)),
             StrikeKind::HangUp | StrikeKind::StoreForgets | StrikeKind::Configure => {}
         }
         Ok(())
     }
 
-    /// Begins a target on a machine whose former one may still serve.
-    async fn start_after_drain(&mut self, machine: u8) -> Result<(), SiteError> {
-        const LONGEST_DRAIN: Duration = Duration::from_secs(6);
-        let until = Instant::now() + LONGEST_DRAIN;
-        loop {
-            let started = self.site.start_target(machine, service_of(machine)).await;
-            match started {
-                Ok(()) => return Ok(()),
-                Err(error) if Instant::now() >= until => return Err(error.into()),
-                Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
-            }
-        }
-    }
-
-    /// Begins a target again once its former start has let go of its address.
-    async fn begin_again(&mut self, machine: u8) -> Result<(), SiteError> {
-        const LONGEST_END: Duration = Duration::from_secs(6);
-        let until = Instant::now() + LONGEST_END;
-        loop {
-            match self.site.begin_again(machine, service_of(machine)).await {
-                Ok(()) => return Ok(()),
-                Err(error) if Instant::now() >= until => return Err(error.into()),
-                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-            }
-        }
-    }
-
     fn heal(&mut self) -> Result<(), SiteError> {
         self.site.links.heal_all();
         self.site.restore_store();
@@ -275,7 +290,8 @@
         for proxy in self.store_proxies.values() {
             proxy.set_rule(FaultRule::default());
         }
-        for machine in BALANCERS {
+        let targets = TARGETS.into_iter().map(|(machine, _)| machine);
+        for machine in BALANCERS.into_iter().chain(targets) {
             self.site.signal(machine, Signal::SIGCONT)?;
         }
         Ok(())
@@ -382,13 +398,6 @@
     ZONES[index.unwrap_or(0)]
 }
 
-fn service_of(machine: u8) -> &'static str {
-    TARGETS
-        .into_iter()
-        .find(|(target, _)| *target == machine)
-        .map_or("kitchen", |(_, service)| service)
-}
-
 async fn store_proxy(network: Network, seed: u64) -> Result<FaultProxy, SiteError> {
     let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
     let config = FaultProxyConfig {
--- a/crates/woodladder-lab/src/platform/soak_plan.rs
+++ b/crates/woodladder-lab/src/platform/soak_plan.rs
@@ -1,5 +1,6 @@
 //! Which faults a soak brings about, drawn from a seed.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
@@ -59,12 +60,18 @@
     DrainTarget,
     /// A target crashes and begins again under its name.
     BeginAgain,
+    /// A target leaves as planned by deregistering first; another starts on its machine.
+    DeregisterTarget,
+    /// A machine loses power: its agent and its target end at the same moment and others
+    /// start in their place.
+    LosePower,
     /// The operators exclude the zone of a machine; its targets return cold.
     ExcludeZone,
 }
 
-/// All kinds but [`StrikeKind::ExcludeZone`] and [`StrikeKind::BeginAgain`], which have
-/// draws of their own.
+/// All kinds but [`StrikeKind::ExcludeZone`], [`StrikeKind::BeginAgain`],
+/// [`StrikeKind::DeregisterTarget`] and [`StrikeKind::LosePower`], which have draws of their
+/// own.
 pub const KINDS: [StrikeKind; 23] = [
     StrikeKind::KillBalancer,
     StrikeKind::StopBalancer,
@@ -117,6 +124,35 @@
 /// Numbers that stand for the zones in exclusions: no machines, so that a zone and
 /// a machine in it can be struck together.
 pub const EXCLUDED_BY: [u8; 2] = [201, 202];
+/// Time between two draws of a long leaving.
+const LEAVING_PAUSES_MS: std::ops::Range<u64> = 500..4000;
+/// How long a leaving target serves on: well beyond the users' bound and the time after
+/// which a machine is in touch again.
+const LEAVING_LENGTHS_MS: std::ops::Range<u64> = 4000..14_000;
+/// Most targets that leave at a time in these draws, so that others can serve.
+const MAXIMUM_LEAVING: usize = 2;
+/// Least time between two long leavings on one machine.
+const LEAVING_REST: Duration = Duration::from_secs(3);
+/// Share of the long leavings that begin with a deregistration.
+const DEREGISTERS_FIRST: f64 = 0.3;
+/// Chance that the machine of a leaving target loses its power just before.
+const POWER_LOST_BEFORE: f64 = 0.4;
+/// How long before a leaving that is.
+const POWER_LOSS_LEAD: Duration = Duration::from_millis(3000);
+/// How long the power is away.
+const POWER_LOSS_LENGTHS_MS: std::ops::Range<u64> = 200..1500;
+/// Faults that strike the machine of a leaving target.
+const FAULTS_IN_LEAVING: [StrikeKind; 5] = [
+    StrikeKind::KillAgent,
+    StrikeKind::PauseAgent,
+    StrikeKind::CutNode,
+    StrikeKind::CutToNode,
+    StrikeKind::SlowNode,
+];
+/// Most of them in one leaving.
+const MAXIMUM_FAULTS_IN_LEAVING: u32 = 2;
+/// How long they last.
+const FAULT_LENGTHS_MS: std::ops::Range<u64> = 200..1800;
 /// How long a strike lasts.
 const LENGTHS_MS: std::ops::Range<u64> = 300..3000;
 
@@ -128,6 +164,11 @@
 }
 
 impl StrikeKind {
+    /// Whether a target leaves as planned.
+    fn is_leaving(self) -> bool {
+        matches!(self, Self::DrainTarget | Self::DeregisterTarget)
+    }
+
     fn machine(self, random: &mut ChaCha8Rng) -> u8 {
         let balancer = BALANCERS[random.random_range(0..BALANCERS.len())];
         let target = TARGETS[random.random_range(0..TARGETS.len())].0;
@@ -141,6 +182,8 @@
             | Self::PauseAgent
             | Self::CrashTarget
             | Self::DrainTarget
+            | Self::DeregisterTarget
+            | Self::LosePower
             | Self::BeginAgain => target,
             Self::CutToNode
             | Self::CutFromNode
@@ -154,7 +197,7 @@
 }
 
 /// The strikes of a seed, until `length`. A machine is struck by one fault at
-/// a time.
+/// a time, but for those of [`leavings`], which overlap each other and all others.
 #[must_use]
 pub fn plan(seed: u64, length: Duration) -> Vec<Strike> {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
@@ -179,9 +222,70 @@
     strikes.extend(starts);
     strikes.sort_by_key(|strike| strike.at);
     strikes.extend(exclusions(seed, length));
+    strikes.extend(leavings(seed, length));
     strikes
 }
 
+/// Long leavings of targets, with faults that strike their machines meanwhile or just
+/// before. They are drawn apart, so that the other strikes of a seed do not depend on them.
+#[must_use]
+pub fn leavings(seed: u64, length: Duration) -> Vec<Strike> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(16) ^ 2);
+    let mut strikes: Vec<Strike> = Vec::new();
+    let mut free_from: BTreeMap<u8, Duration> = BTreeMap::new();
+    let mut at = Duration::from_millis(random.random_range(LEAVING_PAUSES_MS));
+    while at < length {
+        let kind = match random.random_bool(DEREGISTERS_FIRST) {
+            true => StrikeKind::DeregisterTarget,
+            false => StrikeKind::DrainTarget,
+        };
+        let machine = kind.machine(&mut random);
+        let lasts = Duration::from_millis(random.random_range(LEAVING_LENGTHS_MS));
+        let leaving = Strike {
+            at,
+            lasts,
+            kind,
+            machine,
+        };
+        let others_leaving = strikes
+            .iter()
+            .filter(|other| other.kind.is_leaving() && at < other.at + other.lasts)
+            .count();
+        let is_free = free_from.get(&machine).is_none_or(|from| *from <= at);
+        if is_free && others_leaving < MAXIMUM_LEAVING && at + lasts <= length {
+            free_from.insert(machine, at + lasts + LEAVING_REST);
+            strikes.extend(faults_around(&leaving, &mut random));
+            strikes.push(leaving);
+        }
+        at += Duration::from_millis(random.random_range(LEAVING_PAUSES_MS));
+    }
+    strikes
+}
+
+/// Faults that strike the machine of a leaving target.
+fn faults_around(leaving: &Strike, random: &mut ChaCha8Rng) -> Vec<Strike> {
+    let mut faults = Vec::new();
+    if random.random_bool(POWER_LOST_BEFORE) && leaving.at >= POWER_LOSS_LEAD {
+        faults.push(Strike {
+            at: leaving.at - POWER_LOSS_LEAD,
+            lasts: Duration::from_millis(random.random_range(POWER_LOSS_LENGTHS_MS)),
+            kind: StrikeKind::LosePower,
+            machine: leaving.machine,
+        });
+    }
+    let span = leaving.lasts.as_millis() as u64;
+    for _ in 0..random.random_range(0..=MAXIMUM_FAULTS_IN_LEAVING) {
+        let after = Duration::from_millis(random.random_range(0..span));
+        faults.push(Strike {
+            at: leaving.at + after,
+            lasts: Duration::from_millis(random.random_range(FAULT_LENGTHS_MS)),
+            kind: FAULTS_IN_LEAVING[random.random_range(0..FAULTS_IN_LEAVING.len())],
+            machine: leaving.machine,
+        });
+    }
+    faults
+}
+
 /// Targets that begin again under their name, while nothing else strikes their machine.
 /// They are drawn apart, so that the other strikes of a seed do not depend on them.
 fn starts_again(seed: u64, length: Duration, others: &[Strike]) -> Vec<Strike> {
--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -8,22 +8,20 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::json;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::address::{CONTROL_PORT, OUTBOUND_PORT, TARGET_PORT};
+use super::address::{OUTBOUND_PORT, TARGET_PORT};
 use super::head::{Flags, Packet};
 use super::oracle::{Ends, Oracle};
+use super::target_control::{self, HeartbeatDelays, HeartbeatText, TargetHabits};
 
 /// Time between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
-/// Longest time of a heartbeat's answer.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time that a target serves on after its leaving was acknowledged.
-const DRAIN: Duration = Duration::from_millis(1200);
+/// Shortest time that a target serves on after it has said that it leaves.
+pub const SHORTEST_DRAIN: Duration = Duration::from_millis(1200);
 /// Time of work of one request.
 const WORK: Duration = Duration::from_millis(15);
 /// Time for which a target is cold.
@@ -60,6 +58,8 @@
     /// Until when it is cold.
     cold_until: Cell<Instant>,
     leaving: Cell<bool>,
+    /// Whether it has deregistered and sends no further heartbeat.
+    is_deregistered: Cell<bool>,
     has_ended: Cell<bool>,
     sequence: Cell<u64>,
     /// When it began, in milliseconds of Unix time.
@@ -68,6 +68,8 @@
     acknowledged_at: Cell<Option<Instant>>,
     /// Flows that the start before it under its name held.
     former_flows: BTreeSet<Ends>,
+    habits: TargetHabits,
+    delays: RefCell<HeartbeatDelays>,
     /// First number of its side of a flow, which no other target shares.
     first_number: u32,
 }
@@ -83,6 +85,7 @@
         machine: Ipv4Addr,
         zone: &'static str,
         oracle: Rc<RefCell<Oracle>>,
+        habits: TargetHabits,
         former: Option<&Self>,
     ) -> io::Result<Rc<Self>> {
         let born_ms = unix_milliseconds();
@@ -100,11 +103,14 @@
             zone,
             cold_until: Cell::new(Instant::now() + COLD_FOR),
             leaving: Cell::new(false),
+            is_deregistered: Cell::new(false),
             has_ended: Cell::new(false),
             sequence: Cell::new(0),
             born_ms,
             acknowledged_at: Cell::new(None),
             former_flows,
+            habits,
+            delays: RefCell::new(habits.delays(xxh3_64(own_name.as_bytes()))),
             first_number: xxh3_64(own_name.as_bytes()).to_le_bytes()[..4]
                 .iter()
                 .fold(0, |number, byte| number << 8 | u32::from(*byte)),
@@ -114,18 +120,45 @@
         Ok(target)
     }
 
-    /// Leaves as planned: says so, serves on, deregisters and ends.
-    pub async fn leave(self: Rc<Self>) {
+    /// Leaves as planned: says so, serves on for `serves_on`, deregisters and ends.
+    pub async fn leave(self: Rc<Self>, serves_on: Duration) {
         self.leaving.set(true);
-        if self.send_heartbeat().await {
-            self.oracle.borrow_mut().acknowledged_leaving(&self.name);
+        let heartbeat = self.next_heartbeat();
+        self.send_heartbeat(&heartbeat).await;
+        self.serve_on(serves_on).await;
+        if self.has_ended.get() {
+            return;
         }
-        sleep(DRAIN).await;
-        let path = format!("/instances/{}", self.name);
-        self.call("DELETE", &path, "").await;
+        self.is_deregistered.set(true);
+        target_control::deregister(self.machine, &self.name).await;
         self.end();
     }
 
+    /// Leaves as planned without ever saying that it drains: deregisters, serves on for
+    /// `serves_on` and ends. It sends no further heartbeat.
+    pub async fn deregister_and_leave(self: Rc<Self>, serves_on: Duration) {
+        self.is_deregistered.set(true);
+        self.leaving.set(true);
+        let is_acknowledged = self.habits.withholds_leaving
+            || target_control::deregister(self.machine, &self.name).await;
+        if is_acknowledged {
+            self.oracle.borrow_mut().acknowledged_leaving(&self.name);
+        }
+        self.serve_on(serves_on).await;
+        if !self.has_ended.get() {
+            self.end();
+        }
+    }
+
+    /// Waits for as long as a leaving target serves on, or until it crashes.
+    async fn serve_on(&self, serves_on: Duration) {
+        const LOOK: Duration = Duration::from_millis(20);
+        let until = Instant::now() + serves_on;
+        while Instant::now() < until && !self.has_ended.get() {
+            sleep(LOOK).await;
+        }
+    }
+
     /// Turns cold, as after a start.
     pub fn turn_cold(&self) {
         self.cold_until.set(Instant::now() + COLD_FOR);
@@ -159,8 +192,9 @@
             }
             sleep(Duration::from_millis(20)).await;
         }
-        self.leaving.set(true);
-        if self.send_heartbeat().await {
+        let mut heartbeat = self.next_heartbeat();
+        heartbeat.is_leaving = true;
+        if heartbeat.send().await {
             self.oracle.borrow_mut().heartbeat_taken_wrongly(&self.name);
         }
     }
@@ -222,8 +256,12 @@
     fn accept(&self, ends: Ends, packet: &Packet) {
         let mut flows = self.flows.borrow_mut();
         let now = Instant::now();
-        if !flows.contains_key(&ends) && now < self.cold_until.get() {
-            self.oracle.borrow_mut().opened_cold(&self.name, now);
+        if !flows.contains_key(&ends) {
+            let mut oracle = self.oracle.borrow_mut();
+            oracle.opening_arrived(ends, &self.name, now);
+            if now < self.cold_until.get() {
+                oracle.opened_cold(&self.name, now);
+            }
         }
         let flow = flows.entry(ends).or_insert_with(|| Flow {
             awaited: packet.sequence.wrapping_add(1),
@@ -322,9 +360,16 @@
     }
 
     async fn beat(self: Rc<Self>) {
-        while !self.has_ended.get() {
-            if self.send_heartbeat().await && self.acknowledged_at.get().is_none() {
-                self.acknowledged_at.set(Some(Instant::now()));
+        while !self.has_ended.get() && !self.is_deregistered.get() {
+            let heartbeat = self.next_heartbeat();
+            let delay = self.delays.borrow_mut().next();
+            match delay {
+                Some(delay) => {
+                    spawn_local(Rc::clone(&self).send_late(heartbeat, delay));
+                }
+                None => {
+                    self.send_heartbeat(&heartbeat).await;
+                }
             }
             if self.sequence.get().is_multiple_of(FOREIGN_EVERY) {
                 self.send_foreign_heartbeat().await;
@@ -333,35 +378,57 @@
         }
     }
 
-    async fn send_heartbeat(&self) -> bool {
+    /// The next heartbeat that it writes.
+    pub fn next_heartbeat(&self) -> HeartbeatText {
         self.sequence.set(self.sequence.get() + 1);
-        let state = if self.leaving.get() {
-            "draining"
-        } else {
-            "ready"
-        };
-        let cold_for = self
-            .cold_until
-            .get()
-            .saturating_duration_since(Instant::now());
-        let body = json!({
-            "service": self.service, "address": format!("{}:{TARGET_PORT}", self.machine),
-            "zone": self.zone, "version": "v1", "capacity": 50, "state": state,
-            "warmup_left_ms": cold_for.as_millis(), "seq": self.sequence.get(),
-            "born": self.born_ms,
-        });
-        let path = format!("/instances/{}", self.name);
-        self.call("PUT", &path, &body.to_string()).await
+        self.heartbeat_text(self.sequence.get())
+    }
+
+    fn heartbeat_text(&self, sequence: u64) -> HeartbeatText {
+        HeartbeatText {
+            name: self.name.clone(),
+            service: self.service.clone(),
+            machine: self.machine,
+            zone: self.zone,
+            is_leaving: self.leaving.get(),
+            cold_for: self
+                .cold_until
+                .get()
+                .saturating_duration_since(Instant::now()),
+            sequence,
+            born_ms: self.habits.states_start.then_some(self.born_ms),
+        }
+    }
+
+    /// Sends a heartbeat; returns whether it was acknowledged.
+    async fn send_heartbeat(&self, heartbeat: &HeartbeatText) -> bool {
+        let mut sent = heartbeat.clone();
+        sent.is_leaving &= !self.habits.withholds_leaving;
+        let is_acknowledged = sent.send().await;
+        if is_acknowledged {
+            self.acknowledged_at
+                .set(self.acknowledged_at.get().or(Some(Instant::now())));
+            if heartbeat.is_leaving {
+                self.oracle.borrow_mut().acknowledged_leaving(&self.name);
+            }
+        }
+        is_acknowledged
+    }
+
+    /// Sends a heartbeat that was held up; its sender may have ended meanwhile.
+    async fn send_late(self: Rc<Self>, heartbeat: HeartbeatText, delay: Duration) {
+        sleep(delay).await;
+        self.send_heartbeat(&heartbeat).await;
     }
 
     /// Another writer says something under this target's name that cannot be used.
     async fn send_foreign_heartbeat(&self) {
-        let path = format!("/instances/{}", self.name);
-        let whole = json!({
-            "service": self.service, "address": format!("{}:{TARGET_PORT}", self.machine),
-            "zone": self.zone, "version": "v1", "capacity": 50, "state": "ready",
-            "warmup_left_ms": 0, "seq": self.sequence.get() + 1000, "born": self.born_ms,
-        });
+        let whole = HeartbeatText {
+            is_leaving: false,
+            born_ms: Some(self.born_ms),
+            ..self.heartbeat_text(self.sequence.get() + 1000)
+        }
+        .document();
         for (field, value) in [
             ("state", json!("resting")),
             ("service", json!("elsewhere")),
@@ -370,29 +437,11 @@
         ] {
             let mut damaged = whole.clone();
             damaged[field] = value;
-            if self.call("PUT", &path, &damaged.to_string()).await {
+            if target_control::put(self.machine, &self.name, &damaged.to_string()).await {
                 self.oracle.borrow_mut().heartbeat_taken_wrongly(&self.name);
             }
         }
     }
-
-    /// Whether the call was acknowledged.
-    async fn call(&self, method: &str, path: &str, body: &str) -> bool {
-        let address = SocketAddrV4::new(self.machine, CONTROL_PORT);
-        let request = format!(
-            "{method} {path} HTTP/1.1\r\nhost: control\r\nconnection: close\r\n\
-             content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        let exchange = async {
-            let mut stream = TcpStream::connect(address).await.ok()?;
-            stream.write_all(request.as_bytes()).await.ok()?;
-            let mut answer = Vec::new();
-            stream.read_to_end(&mut answer).await.ok()?;
-            answer.starts_with(b"HTTP/1.1 200").then_some(())
-        };
-        matches!(timeout(HEARTBEAT_TIMEOUT, exchange).await, Ok(Some(())))
-    }
 }
 
 fn unix_milliseconds() -> u64 {
--- a/crates/woodladder-lab/tests/platform_oracle.rs
+++ b/crates/woodladder-lab/tests/platform_oracle.rs
@@ -94,6 +94,29 @@
     assert!(matches!(oracle.violations(), [Violation::ChangedPacket(_)]));
 }
 
+#[test]
+fn a_flow_at_a_leaving_target_is_seen_later_than_the_bound_after_the_first_acknowledgement() {
+    let now = Instant::now();
+    let ago = |milliseconds| {
+        now.checked_sub(Duration::from_millis(milliseconds))
+            .expect("earlier")
+    };
+    let mut oracle = oracle();
+    oracle.opening_arrived(ends(), "i-21-1", now);
+    oracle.acknowledged_leaving_at("i-21-1", ago(2900));
+    oracle.opening_arrived(ends(), "i-21-1", now);
+    oracle.opening_arrived(ends(), "i-22-1", now);
+    oracle.acknowledged_leaving_at("i-21-1", ago(3100));
+    oracle.acknowledged_leaving_at("i-21-1", ago(100));
+    oracle.disturb(21);
+    oracle.opening_arrived(ends(), "i-21-1", now);
+    assert_eq!(oracle.violations(), [], "its machine is out of touch");
+    oracle.acknowledged_leaving_at("i-23-1", ago(3100));
+    oracle.opening_arrived(ends(), "i-23-1", now);
+    let seen = oracle.violations();
+    assert!(matches!(seen, [Violation::FlowAfterDrain(_)]), "{seen:?}");
+}
+
 #[test]
 fn a_flow_in_an_excluded_zone_is_seen_unless_its_machine_is_out_of_touch() {
     let mut oracle = oracle();
--- a/crates/woodladder-lab/tests/platform_soak.rs
+++ b/crates/woodladder-lab/tests/platform_soak.rs
@@ -5,7 +5,9 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use woodladder_lab::platform::{self, SoakOptions, SoakReport, plan};
+use woodladder_lab::platform::{
+    self, SoakOptions, SoakReport, Strike, StrikeKind, TargetHabits, leavings, plan,
+};
 
 const LENGTH: Duration = Duration::from_secs(14);
 
@@ -16,6 +18,7 @@
         directory: directory.path().to_owned(),
         seed,
         length,
+        target_habits: TargetHabits::default(),
     };
     platform::soak(&options).expect("the soak is run")
 }
@@ -34,13 +37,15 @@
         .flat_map(|seed| plan(seed, LENGTH))
         .map(|strike| format!("{:?}", strike.kind))
         .collect();
-    assert_eq!(kinds.len(), 25, "{kinds:?}");
+    assert_eq!(kinds.len(), 27, "{kinds:?}");
 }
 
 #[test]
-fn a_machine_is_struck_by_one_fault_at_a_time() {
+fn a_machine_is_struck_by_one_fault_at_a_time_but_for_long_leavings() {
     for seed in 0..100 {
-        let strikes = plan(seed, LENGTH);
+        let leavings = leavings(seed, LENGTH);
+        let mut strikes = plan(seed, LENGTH);
+        strikes.retain(|strike| !leavings.contains(strike));
         for (index, strike) in strikes.iter().enumerate() {
             for later in &strikes[index + 1..] {
                 let is_apart = later.at >= strike.at + strike.lasts;
@@ -66,3 +71,34 @@
     assert!(report.is_kept(), "{report}");
     assert_eq!(report.failed, 0, "{report}");
 }
+
+/// Faults strike the machine of a leaving target, and more than one at a time in some plan.
+#[test]
+fn faults_overlap_while_targets_leave() {
+    const LONG: Duration = Duration::from_secs(40);
+    let mut struck_while_leaving = 0;
+    let mut struck_twice = 0;
+    for seed in 0..100 {
+        let strikes = leavings(seed, LONG);
+        let is_leaving = |it: &&Strike| {
+            matches!(
+                it.kind,
+                StrikeKind::DrainTarget | StrikeKind::DeregisterTarget
+            )
+        };
+        for leaving in strikes.iter().filter(is_leaving) {
+            let end = leaving.at + leaving.lasts;
+            let within: Vec<_> = strikes
+                .iter()
+                .filter(|it| it.machine == leaving.machine && it.kind != leaving.kind)
+                .filter(|it| it.at >= leaving.at && it.at < end)
+                .collect();
+            struck_while_leaving += usize::from(!within.is_empty());
+            let overlap = |a: &Strike, b: &Strike| a != b && a.at <= b.at && b.at < a.at + a.lasts;
+            let overlaps = |a: &&&Strike| within.iter().any(|b| overlap(a, b));
+            struck_twice += usize::from(within.iter().any(|it| overlaps(&it)));
+        }
+    }
+    assert!(struck_while_leaving > 100, "{struck_while_leaving}");
+    assert!(struck_twice > 10, "{struck_twice}");
+}
