Agent applies an overtaken heartbeat that says the target leaves

Callers: new flows at a target whose leaving had been acknowledged. Cause: a heartbeat with a lower number than the last one was answered 200 and ignored, also when it announced the leaving, so the target stayed ready until the next one. Fix: a leaving of an incarnation is final, so the order of its heartbeats does not matter for it; it is applied, and target_state names the cause overtaken_heartbeat.

--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -1,7 +1,8 @@
 //! Heartbeats of the target: its incarnation, state and capacity.
 //!
 //! Each start of a target is a new incarnation. A late heartbeat of an earlier
-//! incarnation, or a heartbeat that arrives out of order, changes nothing.
+//! incarnation changes nothing, and neither does one that later ones have overtaken, unless
+//! it announces that the target leaves.
 
 use std::time::Duration;
 
@@ -159,9 +160,7 @@
             }
             self.replace_target(heartbeat, now);
         } else if heartbeat.sequence <= self.target.heartbeat_sequence {
-            self.counters.heartbeats += 1;
-            self.counters.heartbeats_outdated += 1;
-            return Ok(HeartbeatOutcome::Outdated);
+            return Ok(self.apply_outdated_heartbeat(heartbeat, now));
         }
         self.counters.heartbeats += 1;
         self.target.restart_detector.confirm_known();
@@ -181,6 +180,22 @@
         Ok(HeartbeatOutcome::Applied)
     }
 
+    /// Applies what holds of an overtaken heartbeat: an incarnation that has said that it
+    /// leaves never becomes ready again.
+    fn apply_outdated_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> HeartbeatOutcome {
+        self.counters.heartbeats += 1;
+        if heartbeat.leaving && self.target.state != TargetState::Leaving {
+            self.set_state(TargetState::Leaving, StateCause::OvertakenHeartbeat, now);
+            return HeartbeatOutcome::Applied;
+        }
+        self.counters.heartbeats_outdated += 1;
+        HeartbeatOutcome::Outdated
+    }
+
     /// Handles a deregistration: the target takes no new flow, but may still serve its
     /// open flows. `incarnation` identifies one start of the target, or the target by its
     /// name alone. Once a heartbeat has shown which start is present, a deregistration
--- a/crates/woodladder-core/src/flow/agent/target/state_cause.rs
+++ b/crates/woodladder-core/src/flow/agent/target/state_cause.rs
@@ -15,6 +15,9 @@
     NothingHeard,
     /// A heartbeat of the present incarnation.
     Heartbeat,
+    /// A heartbeat of the present incarnation that a later one had overtaken; it announced
+    /// that the target leaves.
+    OvertakenHeartbeat,
     /// A deregistration.
     Deregistration,
     /// The target has answered no opening for too long.
@@ -32,6 +35,7 @@
         match self {
             Self::NothingHeard => "nothing_heard",
             Self::Heartbeat => "heartbeat",
+            Self::OvertakenHeartbeat => "overtaken_heartbeat",
             Self::Deregistration => "deregistration",
             Self::Silence => "silence",
             Self::Packet => "packet",
