Test of the promise counts records the new one as well

each_count_has_a_name_of_its_own demands that each count is one after one violation of each kind; added a count without its violation, so the test failed there.

--- a/crates/woodladder-core/tests/flow_promises.rs
+++ b/crates/woodladder-core/tests/flow_promises.rs
@@ -280,6 +280,7 @@
     watch.record_held(&flow(1), at(1));
     watch.record_leaving_rejected(Incarnation(1), at(0));
     watch.record_leaving_accepted(Incarnation(1), at(1));
+    watch.record_opened_after_leaving();
     let counts = watch.broken().by_name();
     assert!(counts.iter().all(|(_, count)| *count == 1), "{counts:?}");
     let names: std::collections::BTreeSet<_> = counts.iter().map(|(name, _)| *name).collect();
