Agent: a late copy of an opening is admitted by the target's state

Callers: a new flow at a target whose leaving had been acknowledged 5 s before. Cause: an opening with a copy number above zero passed before the target's state was looked at when the flow table had any entry between the same ends, also one of a flow that had ended or that was opened long before. Fix: a copy passes only within 1.5 s of the opening that it repeats (a caller gives up after 1.4 s); a later one is a new flow and is admitted, queued or returned like every other.

--- a/crates/woodladder-core/src/flow/agent/admission/opening_admission.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/opening_admission.rs
@@ -29,6 +29,9 @@
 /// limit is above 100 because an opening takes no slot until its request arrives, a round
 /// trip later.
 const MAXIMUM_LOAD_PERCENT: u32 = 120;
+/// Longest time from the delivery of an opening to the arrival of a further copy: a caller
+/// gives up an opening 1.4 seconds after its first copy.
+const MAXIMUM_COPY_DELAY: Duration = Duration::from_millis(1500);
 /// Time from the target's acceptance of an opening within which the caller's request is
 /// expected; after it, the opening no longer counts as load.
 const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(50);
@@ -53,13 +56,9 @@
         if self.opening_queue.contains(&packet.key) {
             return ForwardDecision::NoReply;
         }
-        if let Some(flow) = self.flows.touch(&packet.key)
-            && flow.state != FlowState::Unconfirmed
-            && packet.acknowledgement > 0
+        if self.repeats_delivered_opening(packet, now)
+            && let Some(flow) = self.flows.touch(&packet.key)
         {
-            // The acknowledgement number of an opening is the number of copies sent
-            // before it. The target has received an earlier copy and answers this one
-            // again.
             flow.balancer = from;
             return ForwardDecision::plain();
         }
@@ -98,6 +97,18 @@
         self.enqueue_opening(from, header, terms, packet, bytes, now)
     }
 
+    /// Whether an opening is a further copy of one that the target has received; the target
+    /// answers it again. The acknowledgement number of an opening is the number of copies
+    /// sent before it. A copy that comes later than a caller sends any belongs to a new flow
+    /// between the ends of an older one.
+    fn repeats_delivered_opening(&self, packet: &FlowPacket, now: Instant) -> bool {
+        packet.acknowledgement > 0
+            && self.flows.peek(&packet.key).is_some_and(|flow| {
+                flow.opened_at
+                    .is_some_and(|at| now.since(at) < MAXIMUM_COPY_DELAY)
+            })
+    }
+
     fn reason_to_decline(&self, header: &ForwardHeader, now: Instant) -> Option<ReturnReason> {
         match self.target.state {
             TargetState::Unknown => return Some(ReturnReason::NoTarget),
@@ -337,6 +348,7 @@
             has_answered: false,
             balancer,
             state_since: now,
+            opened_at: Some(now),
             busy_since: None,
             caller_next_sequence: opening.sequence.wrapping_add(1),
             request_start_sequence: 0,
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -200,6 +200,7 @@
             has_answered: false,
             balancer: self.options.address,
             state_since: now,
+            opened_at: None,
             busy_since: None,
             caller_next_sequence: packet.acknowledgement,
             request_start_sequence: 0,
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -108,6 +108,8 @@
     balancer: NodeAddress,
     /// When the flow entered its state.
     state_since: Instant,
+    /// When the flow's opening was delivered; `None` if this agent delivered none.
+    opened_at: Option<Instant>,
     /// When the request arrived that has no answer yet; `None` while no request is being
     /// served.
     busy_since: Option<Instant>,
--- a/crates/woodladder-core/src/flow/agent/search.rs
+++ b/crates/woodladder-core/src/flow/agent/search.rs
@@ -150,6 +150,7 @@
             has_answered: false,
             balancer: from,
             state_since: now,
+            opened_at: None,
             busy_since: None,
             caller_next_sequence: packet.sequence.wrapping_add(packet.payload_length.into()),
             request_start_sequence: 0,
