Agent: a planned stop closes the agent whatever its target says

Callers: flows opened through an agent that ends within 300 ms. Cause: the stop was recorded as the target's state, and a heartbeat of another start set the state to ready again: a later message took the stop back. Fix: admission asks whether the agent stops before it asks the target's state.

--- a/crates/woodladder-core/src/flow/agent/admission/opening_admission.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/opening_admission.rs
@@ -110,6 +110,9 @@
     }
 
     fn reason_to_decline(&self, header: &ForwardHeader, now: Instant) -> Option<ReturnReason> {
+        if self.is_stopping {
+            return Some(ReturnReason::Leaving);
+        }
         match self.target.state {
             TargetState::Unknown => return Some(ReturnReason::NoTarget),
             TargetState::Leaving => return Some(ReturnReason::Leaving),
