Platform: a deregistration that is not applied is not acknowledged

Callers: new flows at a target that had deregistered and been answered 200. Cause: the answer to DELETE was 200 whatever the agent made of it. A target that deregisters first and serves on takes it for the acknowledgement of its leaving, while an agent that holds another start (after a late heartbeat of it) ignored the call and stayed ready.

--- a/crates/woodladder-lab/src/platform/leaving.rs
+++ b/crates/woodladder-lab/src/platform/leaving.rs
@@ -13,7 +13,7 @@
 use super::links::Links;
 use super::oracle::Violation;
 use super::site::{BALANCERS, Site, SiteError, SiteOptions, TARGETS};
-use super::target_control::TargetHabits;
+use super::target_control::{self, TargetHabits};
 
 /// Processor of each balancer, in thousandths of a core.
 const PROCESSOR: u32 = 250;
@@ -21,6 +21,8 @@
 const POWER_AWAY: Duration = Duration::from_millis(500);
 /// Time from the return of the power to the leaving: the machine is in touch again by then.
 const IN_TOUCH_AFTER: Duration = Duration::from_secs(5);
+/// Time from the start of the site until each agent has heard its target.
+const HEARD_AFTER: Duration = Duration::from_millis(1500);
 /// Time from the leaving to the late heartbeat.
 const LATE_AFTER: Duration = Duration::from_millis(700);
 /// Time for which the target serves on: well beyond the users' bound.
@@ -52,14 +54,7 @@
         .enable_all()
         .build()?;
     LocalSet::new().block_on(&runtime, async {
-        let site_options = SiteOptions {
-            program: options.program.clone(),
-            directory: options.directory.clone(),
-            target_habits: options.target_habits,
-            processors: [PROCESSOR; BALANCERS.len()],
-        };
-        let links = Rc::new(Links::direct());
-        let mut site = Site::open(&site_options, Network::take(), links).await?;
+        let mut site = open_site(options).await?;
         site.serve().await?;
         let length = POWER_AWAY + IN_TOUCH_AFTER + SERVES_ON + REST;
         site.call(Instant::now() + length).await?;
@@ -95,3 +90,32 @@
     sleep(SERVES_ON.saturating_sub(LATE_AFTER)).await;
     Ok(())
 }
+
+/// Deregisters, at an agent whose target runs, a target that the agent does not know;
+/// returns whether that was acknowledged.
+///
+/// # Errors
+/// [`SiteError`] when it could not be run.
+pub fn deregister_unknown_target(options: &LeavingOptions) -> Result<bool, SiteError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let mut site = open_site(options).await?;
+        site.serve().await?;
+        sleep(HEARD_AFTER).await;
+        let machine = site.network.machine(TARGETS[0].0);
+        Ok(target_control::deregister(machine, "i-unknown").await)
+    })
+}
+
+async fn open_site(options: &LeavingOptions) -> Result<Site, SiteError> {
+    let site_options = SiteOptions {
+        program: options.program.clone(),
+        directory: options.directory.clone(),
+        target_habits: options.target_habits,
+        processors: [PROCESSOR; BALANCERS.len()],
+    };
+    let links = Rc::new(Links::direct());
+    Site::open(&site_options, Network::take(), links).await
+}
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -25,7 +25,7 @@
 mod zones;
 
 pub use day::{DayOptions, DayReport, run};
-pub use leaving::{LeavingOptions, run_leaving};
+pub use leaving::{LeavingOptions, deregister_unknown_target, run_leaving};
 pub use oracle::{Oracle, Violation};
 pub use site::SiteError;
 pub use soak::{SoakOptions, soak};
--- a/crates/woodladder-lab/tests/platform_leaving.rs
+++ b/crates/woodladder-lab/tests/platform_leaving.rs
@@ -82,6 +82,22 @@
     assert_eq!(leave(WITHOUT_START, true, true), []);
 }
 
+/// A target took the answer for the acknowledgement of its leaving although its agent held
+/// another target and changed nothing.
+#[test]
+fn a_deregistration_that_is_not_applied_is_not_acknowledged() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let options = LeavingOptions {
+        program: program(),
+        directory: directory.path().to_owned(),
+        target_habits: WITHOUT_START,
+        deregisters_first: true,
+        has_late_heartbeat: false,
+    };
+    let is_acknowledged = platform::deregister_unknown_target(&options).expect("it is run");
+    assert!(!is_acknowledged);
+}
+
 /// Long leavings while agents are killed, paused, cut off or lose their power, and
 /// heartbeats without a start time come late and overtake each other.
 #[test]
