Agent: another start replaces the present one only on evidence

Cause: where heartbeats state no start time, any other identifier replaced the present start at once. A heartbeat that was held up until its sender had ended, at an agent that had restarted and did not know that sender, therefore took a leaving back: the state became ready, the leaving target's own heartbeats were refused from then on, and balancers reset its flows. Balancers judged the reports of a restarted agent the same way.

Fix: a start replaces the present one if it began later by the times of both, if the present one has ended (it deregistered after it had announced its leaving, or nothing listens at its address while it leaves: the agent probes it then), if the present one was itself heard in one moment only, or if the present one stays silent while the other keeps sending: 2.5 s, and 8 s for a start that leaves and was not seen to end. A start replaced in error returns on the same evidence. While another start may have taken over, the target counts as cold.

--- a/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
@@ -88,7 +88,9 @@
         self.warm_up.assumed_cold_since = Some(now);
         let wait = match reason {
             ColdReason::OutOfTouch => MAXIMUM_HEARTBEAT_DELAY,
-            ColdReason::ZoneTakenBack | ColdReason::Silent => Duration::ZERO,
+            ColdReason::ZoneTakenBack | ColdReason::Silent | ColdReason::OtherStart => {
+                Duration::ZERO
+            }
         };
         self.warm_up.heartbeats_trusted_from = Some(now + wait);
         if self.warm_up_limit().is_some() {
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -39,6 +39,7 @@
 use reporting::report_schedule::ReportSchedule;
 use target::failure_record::FailureRecord;
 use target::idle_flow_work::IdleFlowWork;
+use target::succession::ReplacedStart;
 
 use crate::clock::Instant;
 
@@ -54,8 +55,9 @@
 pub use admission::work_selection::QueuedCounts;
 pub use decision::{AgentAction, AgentCounters, ForwardDecision, ReplyBody, TargetPacketDecision};
 pub use reporting::flow_announcer;
+pub use target::deregistration::DeregistrationOutcome;
 pub use target::failure_record::{AnswerKind, Suspicion};
-pub use target::heartbeat::{DeregistrationOutcome, Heartbeat, HeartbeatError, HeartbeatOutcome};
+pub use target::heartbeat::{Heartbeat, HeartbeatError, HeartbeatOutcome};
 pub use target::leaving_watch::{AcknowledgedLeaving, LeavingWatch, OpeningPath};
 pub use target::state_cause::{StateCause, TargetStatus};
 
@@ -134,14 +136,6 @@
     NotListening,
 }
 
-/// A start of the target (an incarnation) that a later start has replaced.
-#[derive(Clone, Copy, Debug)]
-struct ReplacedStart {
-    incarnation: Incarnation,
-    /// Identifies the target by its name alone, whichever start it is.
-    instance: Incarnation,
-}
-
 #[derive(Clone, Debug)]
 struct Target {
     state: TargetState,
@@ -157,8 +151,10 @@
     started_at_ms: Option<u64>,
     replaced_starts: Vec<ReplacedStart>,
     restart_detector: RestartDetector,
-    /// Whether the target has deregistered.
-    is_deregistered: bool,
+    /// Whether the target has announced that it leaves, in a heartbeat.
+    announced_leaving: bool,
+    /// Whether the target is known to have ended.
+    has_ended: bool,
     first_heartbeat_at: Option<Instant>,
     heartbeat_sequence: u64,
     slots: u16,
@@ -458,7 +454,8 @@
             started_at_ms: None,
             replaced_starts: Vec::new(),
             restart_detector: RestartDetector::default(),
-            is_deregistered: false,
+            announced_leaving: false,
+            has_ended: false,
             first_heartbeat_at: None,
             heartbeat_sequence: 0,
             slots: 0,
--- a/crates/woodladder-core/src/flow/agent/target/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/target/mod.rs
@@ -1,6 +1,7 @@
 //! State of the target as the agent observes it: heartbeats, load, and outcomes of
 //! requests.
 
+pub(crate) mod deregistration;
 pub(crate) mod failure_record;
 pub(crate) mod heartbeat;
 pub(crate) mod idle_flow_work;
@@ -8,3 +9,4 @@
 pub(crate) mod load;
 pub(crate) mod request_outcome;
 pub(crate) mod state_cause;
+pub(crate) mod succession;
--- /dev/null
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -0,0 +1,244 @@
+//! Which start of a target is present: succession of starts at the agent's address.
+//!
+//! Heartbeats may arrive seconds late, after their sender has ended and another start has
+//! registered at the same address, and an agent that has restarted does not know which
+//! starts were there before. So a heartbeat of another start than the present one replaces
+//! it only on evidence:
+//!
+//! - The other start began later, by the times that both state.
+//! - The present start has ended: it deregistered after it had announced that it leaves, or
+//!   nothing listens at its address while it leaves.
+//! - The present start was heard only once or in one moment, so that nothing shows that it
+//!   was not itself a late heartbeat.
+//! - The present start is silent, and the other one keeps sending. For a start that has
+//!   announced that it leaves, this takes longest: one that deregisters first serves on
+//!   without heartbeats.
+//!
+//! A start that was replaced without a statement of its time may return on the same
+//! evidence, since it may have been replaced by a late heartbeat.
+
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::flow::agent::{Agent, Heartbeat, HeartbeatError, StateCause, Target};
+use crate::flow::cold_reason::ColdReason;
+use crate::flow::identity::Incarnation;
+use crate::flow::log_event::LogEvent;
+use crate::flow::message::TargetState;
+use crate::flow::target_restart::{SILENCE_BEFORE_SUPERSEDED, StartOrder, TargetStart};
+
+/// Number of earlier incarnations that are remembered to recognise their late heartbeats.
+const MAXIMUM_REPLACED_STARTS: usize = 16;
+/// Sequence number of the first heartbeat of an incarnation.
+const FIRST_SEQUENCE: u64 = 1;
+/// Two heartbeats of one incarnation that arrive at least this far apart show that the
+/// incarnation was alive in between: delayed heartbeats arrive together.
+const MINIMUM_ALIVE_SPAN: Duration = Duration::from_millis(500);
+/// Time for which another start must keep sending before it replaces a silent start that
+/// leaves and was not seen to end: longer than heartbeats are late.
+const LEAVING_SUPERSEDED_AFTER: Duration = Duration::from_secs(8);
+
+/// A start of the target (an incarnation) that another start has replaced.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReplacedStart {
+    incarnation: Incarnation,
+    /// Identifies the target by its name alone, whichever start it is.
+    instance: Incarnation,
+    first_heartbeat_at: Option<Instant>,
+    heartbeat_sequence: u64,
+    has_ended: bool,
+}
+
+impl Agent {
+    /// Checks whether the sender of a heartbeat replaces the present start.
+    pub(crate) fn check_other_start(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> Result<(), HeartbeatError> {
+        let was_replaced = self.target.replaced_start(heartbeat.incarnation).is_some();
+        if was_replaced && !self.target.may_return(heartbeat) {
+            self.counters.heartbeats_replaced += 1;
+            return Err(HeartbeatError::Replaced);
+        }
+        if self.target.is_superseded_by(heartbeat, now) {
+            return Ok(());
+        }
+        if was_replaced {
+            self.counters.heartbeats_replaced += 1;
+            return Err(HeartbeatError::Replaced);
+        }
+        self.assume_cold(ColdReason::OtherStart, now);
+        self.counters.heartbeats_unproven += 1;
+        Err(HeartbeatError::Unproven)
+    }
+
+    /// Makes the sender of a heartbeat the present start.
+    pub(crate) fn replace_target(&mut self, heartbeat: &Heartbeat, now: Instant) {
+        let previous = self.target.clone();
+        if previous.incarnation.is_some() {
+            self.log_events.add(LogEvent::TargetStartReplaced {
+                former: self.target_status(now),
+                incarnation: heartbeat.incarnation,
+                sequence: heartbeat.sequence,
+            });
+        }
+        let claimed_since = previous
+            .restart_detector
+            .claimed_since(heartbeat.incarnation);
+        self.target = Target::unknown(now);
+        self.target.first_heartbeat_at = claimed_since;
+        self.target.incarnation = Some(heartbeat.incarnation);
+        self.target.instance = Some(heartbeat.instance);
+        self.target.started_at_ms = heartbeat.started_at_ms;
+        self.target.started_after_agent = previous.started_after_agent
+            || previous.was_heard_alive()
+            || heartbeat.sequence <= FIRST_SEQUENCE;
+        self.target.replaced_starts = previous.replaced_starts;
+        if let Some(returned) = self.target.take_replaced_start(heartbeat.incarnation) {
+            // Flows of this start were removed from the table when it was replaced.
+            self.target.started_after_agent = false;
+            self.target.first_heartbeat_at = returned.first_heartbeat_at.or(claimed_since);
+            self.flows.mark_incomplete(now);
+        }
+        self.target.previous_last_heartbeat_at = previous.last_heartbeat_at;
+        if previous.incarnation.is_none() && previous.instance == Some(heartbeat.incarnation) {
+            // This start was deregistered before its first heartbeat.
+            self.target.state = TargetState::Leaving;
+            self.target.state_cause = StateCause::Deregistration;
+        }
+        if let Some(ended) = previous.incarnation {
+            let instance = previous.instance.unwrap_or(ended);
+            let ended = ReplacedStart {
+                incarnation: ended,
+                instance,
+                first_heartbeat_at: previous.first_heartbeat_at,
+                heartbeat_sequence: previous.heartbeat_sequence,
+                has_ended: previous.has_ended,
+            };
+            self.target.replaced_starts.push(ended);
+            let surplus = self
+                .target
+                .replaced_starts
+                .len()
+                .saturating_sub(MAXIMUM_REPLACED_STARTS);
+            self.target.replaced_starts.drain(..surplus);
+            self.remove_flows_of_replaced_target(previous.last_heartbeat_at, now);
+        }
+        self.is_report_to_all_due = true;
+    }
+}
+
+impl Target {
+    fn replaced_start(&self, incarnation: Incarnation) -> Option<&ReplacedStart> {
+        let mut replaced = self.replaced_starts.iter();
+        replaced.find(|start| start.incarnation == incarnation)
+    }
+
+    fn take_replaced_start(&mut self, incarnation: Incarnation) -> Option<ReplacedStart> {
+        let mut replaced = self.replaced_starts.iter();
+        let index = replaced.position(|start| start.incarnation == incarnation)?;
+        Some(self.replaced_starts.remove(index))
+    }
+
+    /// Whether the sender of a heartbeat, which was replaced, may be the present start after
+    /// all: it is not known to have ended, the times of the two starts are not known, and it
+    /// has sent something new.
+    fn may_return(&self, heartbeat: &Heartbeat) -> bool {
+        let are_times_known = self.started_at_ms.is_some() && heartbeat.started_at_ms.is_some();
+        self.replaced_start(heartbeat.incarnation)
+            .is_some_and(|start| {
+                !start.has_ended
+                    && !are_times_known
+                    && heartbeat.sequence > start.heartbeat_sequence
+            })
+    }
+
+    /// Whether the target has announced that it leaves and may still serve.
+    pub(crate) fn may_run_while_leaving(&self) -> bool {
+        self.state == TargetState::Leaving && !self.has_ended
+    }
+
+    /// Whether a start under the present target's name was replaced here.
+    pub(crate) fn has_replaced_same_instance(&self) -> bool {
+        let mut replaced = self.replaced_starts.iter();
+        replaced.any(|start| Some(start.instance) == self.instance)
+    }
+
+    /// Whether the sender of a heartbeat replaces this start.
+    fn is_superseded_by(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        if self.has_ended {
+            return true;
+        }
+        let Some(incarnation) = self.incarnation else {
+            return self.is_superseded_before_heartbeat(heartbeat, now);
+        };
+        let known = TargetStart {
+            incarnation,
+            started_at_ms: self.started_at_ms,
+        };
+        let next = TargetStart {
+            incarnation: heartbeat.incarnation,
+            started_at_ms: heartbeat.started_at_ms,
+        };
+        let order = next.order_after(&known);
+        if order == StartOrder::Later {
+            return true;
+        }
+        if order == StartOrder::Unknown && self.may_be_late_message(heartbeat, now) {
+            return true;
+        }
+        let span =
+            self.restart_detector
+                .record_claim(heartbeat.incarnation, heartbeat.sequence, now);
+        self.is_proven_ended(order, span, now)
+    }
+
+    /// Whether the sender of the first heartbeat is present although a deregistration came
+    /// before any heartbeat.
+    fn is_superseded_before_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        if !self.may_run_while_leaving() || self.instance == Some(heartbeat.instance) {
+            return true;
+        }
+        let span =
+            self.restart_detector
+                .record_claim(heartbeat.incarnation, heartbeat.sequence, now);
+        span >= LEAVING_SUPERSEDED_AFTER
+    }
+
+    /// Whether this start counts as ended after another one has kept sending for `span`
+    /// while this one was silent.
+    fn is_proven_ended(&self, order: StartOrder, span: Duration, now: Instant) -> bool {
+        if self.may_run_while_leaving() {
+            return span >= LEAVING_SUPERSEDED_AFTER;
+        }
+        let silence = self
+            .last_heartbeat_at
+            .map_or(Duration::MAX, |at| now.since(at));
+        match order {
+            StartOrder::Unknown => {
+                span >= MINIMUM_ALIVE_SPAN && silence >= SILENCE_BEFORE_SUPERSEDED
+            }
+            StartOrder::Later | StartOrder::Earlier => span >= SILENCE_BEFORE_SUPERSEDED,
+        }
+    }
+
+    /// Whether this start may itself be known from late messages only, while the sender of a
+    /// heartbeat has not been replaced before, or was heard at times that show it alive.
+    fn may_be_late_message(&self, heartbeat: &Heartbeat, now: Instant) -> bool {
+        let is_alive_span = |first: Instant| now.since(first) >= MINIMUM_ALIVE_SPAN;
+        let may_run = self
+            .replaced_start(heartbeat.incarnation)
+            .is_none_or(|start| start.first_heartbeat_at.is_some_and(is_alive_span));
+        may_run && !self.may_run_while_leaving() && !self.was_heard_alive()
+    }
+
+    /// Whether heartbeats at least [`MINIMUM_ALIVE_SPAN`] apart have shown that this start
+    /// was alive while the agent ran. A single one may have been delayed since before the
+    /// agent's start.
+    fn was_heard_alive(&self) -> bool {
+        self.first_heartbeat_at
+            .zip(self.last_heartbeat_at)
+            .is_some_and(|(first, last)| last.since(first) >= MINIMUM_ALIVE_SPAN)
+    }
+}
--- a/crates/woodladder-core/src/flow/cold_reason.rs
+++ b/crates/woodladder-core/src/flow/cold_reason.rs
@@ -7,6 +7,8 @@
     ZoneTakenBack,
     /// The target was unresponsive until now, so it may have restarted.
     Silent,
+    /// Another start was heard that may have replaced the known one.
+    OtherStart,
     /// The agent's process was paused, or the agent received no list of excluded zones for
     /// a while, so it may have missed that its zone was excluded and included again.
     OutOfTouch,
--- a/crates/woodladder-core/src/flow/flow_table.rs
+++ b/crates/woodladder-core/src/flow/flow_table.rs
@@ -49,12 +49,17 @@
         self.young.is_empty() && self.old.is_empty()
     }
 
-    /// When flows were last forgotten early because the table was full.
+    /// When flows were last forgotten early.
     #[must_use]
     pub fn overflowed_at(&self) -> Option<Instant> {
         self.overflowed_at
     }
 
+    /// Records that flows were forgotten for another reason than a full table.
+    pub fn mark_incomplete(&mut self, now: Instant) {
+        self.overflowed_at = Some(now);
+    }
+
     /// The value of a flow; counts as a use.
     pub fn touch(&mut self, key: &FlowKey) -> Option<&mut V> {
         if let Some(value) = self.old.remove(key) {
--- a/crates/woodladder-core/src/flow/target_restart.rs
+++ b/crates/woodladder-core/src/flow/target_restart.rs
@@ -1,13 +1,13 @@
 //! Decides whether one incarnation of a target supersedes the known one.
 //!
-//! A target states when its incarnation started, by the wall clock of its machine. An
-//! incarnation with a later start time supersedes the known one at once; so does any
-//! incarnation if the start time of the known one is unknown. An earlier or missing start
-//! time proves nothing: the wall clock may have jumped back, and a node that has
-//! restarted has no record of the incarnations that were replaced before. A message with
-//! such a start time is either a delayed one of a previous incarnation or comes from a
-//! new incarnation. A new incarnation supersedes the known one if it continues to send
-//! messages while the known one stays silent for [`SILENCE_BEFORE_SUPERSEDED`].
+//! A target may state when its incarnation started, by the wall clock of its machine. An
+//! incarnation with a later start time than the known one supersedes it at once. An earlier
+//! or missing start time proves nothing: the wall clock may have jumped back, messages may
+//! be late, and a node that has restarted has no record of the incarnations that were
+//! replaced before. A message of another incarnation is then either a delayed one of a
+//! previous incarnation or comes from a new one. A new incarnation supersedes the known one
+//! if it continues to send messages while the known one stays silent for
+//! [`SILENCE_BEFORE_SUPERSEDED`].
 
 use std::time::Duration;
 
@@ -28,15 +28,25 @@
     pub started_at_ms: Option<u64>,
 }
 
+/// Order of two starts by the times that they state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartOrder {
+    /// It began later than the other one.
+    Later,
+    /// It did not begin later, or states no time although the other one does.
+    Earlier,
+    /// The other start states no time, so nothing is known.
+    Unknown,
+}
+
 impl TargetStart {
-    /// Whether this start counts as later than another one: its start time is later, or
-    /// the other start time is unknown. In the second case, the start that was stated in
-    /// the later message wins.
-    fn is_later_than(&self, other: &Self) -> bool {
+    /// The order of this start after another one.
+    #[must_use]
+    pub fn order_after(&self, other: &Self) -> StartOrder {
         match (self.started_at_ms, other.started_at_ms) {
-            (_, None) => true,
-            (None, Some(_)) => false,
-            (Some(own), Some(others)) => own > others,
+            (_, None) => StartOrder::Unknown,
+            (Some(own), Some(others)) if own > others => StartOrder::Later,
+            _ => StartOrder::Earlier,
         }
     }
 }
@@ -64,24 +74,48 @@
         sequence: u64,
         now: Instant,
     ) -> bool {
-        if next.is_later_than(known) {
+        if next.order_after(known) == StartOrder::Later {
             self.candidate = None;
             return true;
         }
+        let span = self.record_claim(next.incarnation, sequence, now);
+        let is_proven = span >= SILENCE_BEFORE_SUPERSEDED;
+        if is_proven {
+            self.candidate = None;
+        }
+        is_proven
+    }
+
+    /// Records a message of another incarnation than the known one. Returns for how long
+    /// this incarnation has kept sending while the known one was silent; zero for a first
+    /// message and for one that is not newer than the first.
+    pub fn record_claim(
+        &mut self,
+        incarnation: Incarnation,
+        sequence: u64,
+        now: Instant,
+    ) -> Duration {
         let candidate = self
             .candidate
-            .filter(|candidate| candidate.incarnation == next.incarnation);
+            .filter(|candidate| candidate.incarnation == incarnation);
         let candidate = *self.candidate.insert(candidate.unwrap_or(Candidate {
-            incarnation: next.incarnation,
+            incarnation,
             sequence,
             since: now,
         }));
-        let is_still_sending = sequence > candidate.sequence;
-        let is_proven = is_still_sending && now.since(candidate.since) >= SILENCE_BEFORE_SUPERSEDED;
-        if is_proven {
-            self.candidate = None;
+        if sequence > candidate.sequence {
+            now.since(candidate.since)
+        } else {
+            Duration::ZERO
         }
-        is_proven
+    }
+
+    /// When the first message of an incarnation arrived that is tracked.
+    #[must_use]
+    pub fn claimed_since(&self, incarnation: Incarnation) -> Option<Instant> {
+        self.candidate
+            .filter(|candidate| candidate.incarnation == incarnation)
+            .map(|candidate| candidate.since)
     }
 
     /// Records that the known incarnation was heard again, so that no other one has
--- a/crates/woodladder-core/tests/flow_leaving.rs
+++ b/crates/woodladder-core/tests/flow_leaving.rs
@@ -4,10 +4,10 @@
 mod flow_support;
 
 use flow_support::*;
-use woodladder_core::flow::agent::{Agent, Heartbeat};
+use woodladder_core::flow::agent::{Agent, Heartbeat, ListenState};
 use woodladder_core::flow::balancer::BalancerAction;
 use woodladder_core::flow::identity::Incarnation;
-use woodladder_core::flow::message::{PeerMessage, TargetLoad, TargetState};
+use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, TargetLoad, TargetState};
 
 /// The target that leaves.
 const TARGET: u64 = 1;
@@ -153,6 +153,46 @@
     assert!(!takes_flow(&mut agent, 1, 3610));
 }
 
+/// An agent that had restarted and first heard a former target denied flows that the present
+/// one held.
+#[test]
+fn a_single_late_heartbeat_does_not_make_a_restarted_agent_deny_living_flows() {
+    let mut agent = empty_agent();
+    agent
+        .handle_heartbeat(&heartbeat(FORMER, 90), at(100))
+        .expect("accepted");
+    agent
+        .handle_heartbeat(&heartbeat(TARGET, 40), at(200))
+        .expect("accepted");
+    let established = header(1, ForwardPurpose::Established);
+    let delivery = forward_to(
+        &mut agent,
+        &established,
+        &data(flow(1), 1101, 5001),
+        at(300),
+    );
+    assert!(is_delivered(&delivery), "{delivery:?}");
+}
+
+/// The next target at an address takes flows as soon as the leaving one has ended without a
+/// deregistration, shown by the address at which nothing listens any more.
+#[test]
+fn the_next_target_takes_flows_after_nothing_listens_at_the_address() {
+    let mut agent = agent_of_target();
+    agent
+        .handle_heartbeat(&leaving_heartbeat(TARGET, 8), at(4000))
+        .expect("accepted");
+    assert!(agent.needs_listen_probe());
+    agent.record_listen_state(ListenState::Listening);
+    assert!(agent.handle_heartbeat(&heartbeat(3, 1), at(4100)).is_err());
+    agent.record_listen_state(ListenState::NotListening);
+    assert!(!agent.needs_listen_probe());
+    agent
+        .handle_heartbeat(&heartbeat(3, 2), at(5300))
+        .expect("accepted");
+    assert!(takes_flow(&mut agent, 1, 5310));
+}
+
 /// A balancer reset the flows of a living target when its restarted agent had first heard
 /// of a former one.
 #[test]
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -87,6 +87,8 @@
     clock: NodeClock,
     peers: PeerTransport,
     outbound_socket: UdpSocket,
+    /// Notified when the target's heartbeat or deregistration has been handled.
+    target_spoke: Notify,
     decision_log: RefCell<DecisionLog>,
     tick_timer: TickTimer,
     logger: Logger,
@@ -119,6 +121,7 @@
             clock,
             peers: PeerTransport::open(config.peer_bind_address)?,
             outbound_socket: datagram_socket::open(config.outbound_address)?,
+            target_spoke: Notify::new(),
             decision_log: RefCell::new(DecisionLog::new(logger.clone())),
             tick_timer: TickTimer::default(),
             logger,
@@ -198,6 +201,7 @@
     ) -> Result<HeartbeatOutcome, HeartbeatError> {
         let now = self.clock.now();
         let outcome = self.core.borrow_mut().handle_heartbeat(heartbeat, now)?;
+        self.target_spoke.notify_one();
         self.run_core(|core, now, actions| core.tick(now, actions));
         Ok(outcome)
     }
@@ -214,6 +218,7 @@
             .core
             .borrow_mut()
             .handle_deregistration(incarnation, now);
+        self.target_spoke.notify_one();
         self.run_core(|core, now, actions| core.tick(now, actions));
         outcome
     }
@@ -385,12 +390,15 @@
         }
     }
 
-    /// Makes listen probes while the core needs them.
+    /// Makes listen probes whenever the core needs them.
     async fn run_listen_probes(self: Rc<Self>) {
-        while self.core.borrow().needs_listen_probe() {
-            let listen_state = self.probe_listen_state().await;
-            self.core.borrow_mut().record_listen_state(listen_state);
-            sleep(LISTEN_PROBE_INTERVAL).await;
+        loop {
+            while self.core.borrow().needs_listen_probe() {
+                let listen_state = self.probe_listen_state().await;
+                self.core.borrow_mut().record_listen_state(listen_state);
+                sleep(LISTEN_PROBE_INTERVAL).await;
+            }
+            self.target_spoke.notified().await;
         }
     }
 
