A leaving outlives its agent's process: balancers tell the next one

Cause: only the agent's process knew of the leaving. The target says nothing more after its deregistration, so a heartbeat from before that was held up opened the next process. Fix: an agent tells balancers, with its reports, which incarnation's leaving it has acknowledged; a balancer holds that incarnation for leaving whatever a later process reports, and reminds that process, which takes the leaving up. A planned stop of an agent is no such leaving. The message is a new kind; nodes without it count it as unreadable and go on. If all balancers end as well, the knowledge is gone.

--- a/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
@@ -5,12 +5,14 @@
 use crate::clock::Instant;
 use crate::flow::agent::reporting::flow_announcer::ANNOUNCED_FROM_AGE;
 use crate::flow::agent::reporting::report_schedule::DueReport;
-use crate::flow::agent::{Agent, AgentAction, ColdReason, FlowState};
+use crate::flow::agent::{Agent, AgentAction, ColdReason, FlowState, StateCause};
 use crate::flow::balancer::OTHER_ZONE_FETCH_DELAY;
 use crate::flow::held_flows::FlowFingerprint;
-use crate::flow::identity::NodeAddress;
+use crate::flow::identity::{Incarnation, NodeAddress};
 use crate::flow::log_event::LogEvent;
-use crate::flow::message::{BalancerHello, PeerMessage, SnapshotRequest, TargetReport};
+use crate::flow::message::{
+    BalancerHello, PeerMessage, SnapshotRequest, TargetReport, TargetState,
+};
 
 /// Time after which a request for a snapshot counts as lost.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -45,6 +47,9 @@
                 self.send_due_reports(now, actions);
             }
             PeerMessage::ListFlows => self.send_flow_list(from, now, actions),
+            PeerMessage::TargetLeaves { incarnation } => {
+                self.resume_leaving(*incarnation, now);
+            }
             _ => self.counters.messages_and_packets_dropped += 1,
         }
     }
@@ -233,6 +238,29 @@
                 to: balancer,
                 message,
             });
+            if let Some(incarnation) = self.acknowledged_leaving() {
+                let message = PeerMessage::TargetLeaves { incarnation };
+                actions.push(AgentAction::Send {
+                    to: balancer,
+                    message,
+                });
+            }
+        }
+    }
+
+    /// The present incarnation, if its leaving was acknowledged.
+    fn acknowledged_leaving(&self) -> Option<Incarnation> {
+        let is_stated = self.target.state_cause != StateCause::AgentStop;
+        self.target
+            .incarnation
+            .filter(|_| is_stated && self.target.may_run_while_leaving())
+    }
+
+    /// Takes up a leaving that this agent's former process has acknowledged.
+    fn resume_leaving(&mut self, incarnation: Incarnation, now: Instant) {
+        if self.target.incarnation == Some(incarnation) {
+            self.set_state(TargetState::Leaving, StateCause::FormerProcess, now);
+            self.leaving_watch.record_acknowledged(incarnation, now);
         }
     }
 
--- a/crates/woodladder-core/src/flow/agent/target/state_cause.rs
+++ b/crates/woodladder-core/src/flow/agent/target/state_cause.rs
@@ -26,6 +26,8 @@
     Packet,
     /// The agent's planned stop.
     AgentStop,
+    /// A leaving that the agent's former process had acknowledged, as a balancer knows.
+    FormerProcess,
 }
 
 impl StateCause {
@@ -40,6 +42,7 @@
             Self::Silence => "silence",
             Self::Packet => "packet",
             Self::AgentStop => "agent_stop",
+            Self::FormerProcess => "former_process",
         }
     }
 }
--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -58,6 +58,8 @@
     pub load: TargetLoad,
     /// Version of the configuration that the agent uses.
     pub version: u64,
+    /// Incarnation whose leaving the agent has acknowledged.
+    pub leaving: Option<Incarnation>,
     /// Incarnation that holds the flows known here.
     pub incarnation: Option<Incarnation>,
     /// When the incarnation started, in milliseconds of Unix time by the clock of the
@@ -162,6 +164,16 @@
         known
     }
 
+    /// The state of the target that a report shows. A target that leaves never becomes
+    /// ready again, even if its agent has started again and does not know of the leaving.
+    pub(super) fn state_of(&self, report: &TargetReport) -> TargetState {
+        let leaves = report.incarnation.is_some() && report.incarnation == self.leaving;
+        match report.state {
+            TargetState::Ready if leaves => TargetState::Leaving,
+            state => state,
+        }
+    }
+
     /// Requests that the target holds or has queued, plus the flows sent there since its
     /// load was reported.
     #[must_use]
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -5,7 +5,7 @@
 use super::super::directory::DirectoryChange;
 use super::super::identity::NodeAddress;
 use super::super::log_event::LogEvent;
-use super::super::message::{PeerMessage, ReturnReason, TargetReport};
+use super::super::message::{PeerMessage, ReturnReason, TargetReport, TargetState};
 use super::super::packet::{FlowPacket, PacketKind};
 use super::{Acceptance, Balancer, BalancerAction, STALL_THRESHOLD, Stage};
 use crate::clock::Instant;
@@ -94,6 +94,9 @@
                 }
             }
             PeerMessage::TargetEnded => self.handle_target_ended(from, actions),
+            PeerMessage::TargetLeaves { incarnation } => {
+                self.directory.record_leaving(from, incarnation);
+            }
             PeerMessage::Hello(hello) => self.handle_hello(from, &hello, now, actions),
             PeerMessage::Forward(_)
             | PeerMessage::Locate { .. }
@@ -123,6 +126,27 @@
             self.correct_report_interval(from, report, now, actions);
         }
         self.handle_version(from, report.zone, report.version, now, actions);
+        self.remind_of_leaving(from, report, actions);
+    }
+
+    /// Tells an agent that its target leaves, if the agent had said so before it started
+    /// again and now reports the target as ready.
+    fn remind_of_leaving(
+        &self,
+        agent: NodeAddress,
+        report: &TargetReport,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        let leaving = self.directory.agent(agent).and_then(|it| it.leaving);
+        if let Some(incarnation) = leaving
+            && report.state == TargetState::Ready
+            && report.incarnation == Some(incarnation)
+        {
+            actions.push(BalancerAction::Send {
+                to: agent,
+                message: PeerMessage::TargetLeaves { incarnation },
+            });
+        }
     }
 
     fn handle_target_ended(&mut self, agent: NodeAddress, actions: &mut Vec<BalancerAction>) {
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -151,7 +151,7 @@
         record.last_heartbeat = report.load.last_heartbeat;
         record.epoch = report.epoch;
         record.sequence = report.sequence;
-        record.state = report.state;
+        record.state = record.state_of(report);
         record.knows_all_flows = report.knows_all_flows;
         record.slots = report.slots;
         record.version = report.version;
@@ -161,6 +161,13 @@
         record.update_load(report.load, now);
     }
 
+    /// Records that an agent has acknowledged the leaving of its target.
+    pub fn record_leaving(&mut self, address: NodeAddress, incarnation: Incarnation) {
+        if let Some(record) = self.agents.get_mut(&address) {
+            record.leaving = Some(incarnation);
+        }
+    }
+
     /// Applies the load that an agent stated in an answer.
     pub fn update_load(&mut self, address: NodeAddress, load: TargetLoad, now: Instant) {
         if let Some(record) = self.agents.get_mut(&address) {
@@ -279,6 +286,7 @@
                 slots: report.slots,
                 load: report.load,
                 version: report.version,
+                leaving: None,
                 incarnation: None,
                 started_at_ms: None,
                 restart_detector: RestartDetector::default(),
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -305,10 +305,13 @@
     ListFlows,
     /// Agent to balancer: a part of the complete list.
     FlowList(FlowListPart),
+    /// Agent to balancer: the target's leaving was acknowledged, and this holds until the
+    /// incarnation ends. Balancer to agent: so the agent said before it started again.
+    TargetLeaves { incarnation: Incarnation },
 }
 
 /// Names of the message kinds in metrics; independent of the names of the variants.
-pub const MESSAGE_KINDS: [&str; 18] = [
+pub const MESSAGE_KINDS: [&str; 19] = [
     "forward",
     "returned",
     "locate",
@@ -327,6 +330,7 @@
     "report_with_flows",
     "list_flows",
     "flow_list",
+    "target_leaves",
 ];
 
 /// Requests a [`Snapshot`] from a node; sent over a stream.
@@ -388,6 +392,7 @@
             Self::ReportWithFlows { .. } => 15,
             Self::ListFlows => 16,
             Self::FlowList(_) => 17,
+            Self::TargetLeaves { .. } => 18,
         }
     }
 
--- a/crates/woodladder-core/tests/flow_leaving.rs
+++ b/crates/woodladder-core/tests/flow_leaving.rs
@@ -4,8 +4,8 @@
 mod flow_support;
 
 use flow_support::*;
-use woodladder_core::flow::agent::{Agent, Heartbeat, ListenState};
-use woodladder_core::flow::balancer::BalancerAction;
+use woodladder_core::flow::agent::{Agent, AgentAction, AgentOptions, Heartbeat, ListenState};
+use woodladder_core::flow::balancer::{Balancer, BalancerAction};
 use woodladder_core::flow::identity::Incarnation;
 use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, TargetLoad, TargetState};
 
@@ -193,6 +193,67 @@
     assert!(takes_flow(&mut agent, 1, 5310));
 }
 
+/// A target deregistered first and served on; its agent was killed, and a held-up heartbeat
+/// from before opened the agent's next process, since the target itself says nothing more.
+#[test]
+fn a_restarted_agent_learns_from_balancers_that_its_target_leaves() {
+    let mut agent = agent_of_target();
+    agent.add_listed_balancers(&[node(1)], at(3500));
+    agent.handle_deregistration(Incarnation(TARGET), at(4000));
+    let mut balancer = balancer(&[]);
+    exchange(&mut agent, &mut balancer, 4001);
+    let mut restarted = empty_agent_of_epoch(2);
+    restarted.add_listed_balancers(&[node(1)], at(5000));
+    restarted
+        .handle_heartbeat(&heartbeat(TARGET, 6), at(5500))
+        .expect("accepted");
+    exchange(&mut restarted, &mut balancer, 5510);
+    assert!(!takes_flow(&mut restarted, 1, 5520));
+    assert_eq!(restarted.target_state(), TargetState::Leaving);
+}
+
+/// The planned stop of an agent is no leaving of its target.
+#[test]
+fn a_target_whose_agent_was_stopped_is_ready_again_with_the_next_process() {
+    let mut agent = agent_of_target();
+    agent.add_listed_balancers(&[node(1)], at(3500));
+    agent.begin_shutdown(at(4000));
+    let mut balancer = balancer(&[]);
+    exchange(&mut agent, &mut balancer, 4001);
+    let mut restarted = empty_agent_of_epoch(2);
+    restarted.add_listed_balancers(&[node(1)], at(5000));
+    restarted
+        .handle_heartbeat(&heartbeat(TARGET, 9), at(5500))
+        .expect("accepted");
+    exchange(&mut restarted, &mut balancer, 5510);
+    assert!(takes_flow(&mut restarted, 1, 5520));
+}
+
+/// An agent like [`empty_agent`], in another process.
+fn empty_agent_of_epoch(epoch: u64) -> Agent {
+    let options = AgentOptions {
+        epoch,
+        ..agent_options()
+    };
+    Agent::new(options, at(5000))
+}
+
+/// Delivers what the agent reports to balancer 1, and the balancer's answers to the agent.
+fn exchange(agent: &mut Agent, balancer: &mut Balancer, milliseconds: u64) {
+    let mut reports = Vec::new();
+    agent.tick(at(milliseconds), &mut reports);
+    for action in reports {
+        let AgentAction::Send { message, .. } = action else {
+            continue;
+        };
+        for answer in deliver_message(balancer, 9, message, at(milliseconds)) {
+            if let BalancerAction::Send { message, .. } = answer {
+                agent.handle_message(node(1), &message, at(milliseconds), &mut Vec::new());
+            }
+        }
+    }
+}
+
 /// A balancer reset the flows of a living target when its restarted agent had first heard
 /// of a former one.
 #[test]
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -219,9 +219,9 @@
     }
 }
 
-/// An agent of [`main_service`] on machine 9 that has heard nothing yet.
-pub fn empty_agent() -> Agent {
-    let options = AgentOptions {
+/// Options of an agent of [`main_service`] on machine 9.
+pub fn agent_options() -> AgentOptions {
+    AgentOptions {
         address: node(9),
         zone: ZoneKey::named("a"),
         service: main_service(),
@@ -230,8 +230,12 @@
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
         warm_up: None,
-    };
-    Agent::new(options, at(0))
+    }
+}
+
+/// An agent of [`main_service`] on machine 9 that has heard nothing yet.
+pub fn empty_agent() -> Agent {
+    Agent::new(agent_options(), at(0))
 }
 
 /// An agent whose target started together with it.
