Agent: a late heartbeat of a warm former target does not end the limit of a cold one

Cause: while the present start was heard in one moment only, a late heartbeat of a former one replaced it, and its warm-up time of zero ended the limit: the same late word, about another matter. Fix: a takeover on such weak evidence, and a heartbeat that is refused, leave the target counted as cold until a heartbeat that is later than heartbeats are late.

--- a/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/warm_up.rs
@@ -87,10 +87,8 @@
     pub(crate) fn assume_cold(&mut self, reason: ColdReason, now: Instant) {
         self.warm_up.assumed_cold_since = Some(now);
         let wait = match reason {
-            ColdReason::OutOfTouch => MAXIMUM_HEARTBEAT_DELAY,
-            ColdReason::ZoneTakenBack | ColdReason::Silent | ColdReason::OtherStart => {
-                Duration::ZERO
-            }
+            ColdReason::OutOfTouch | ColdReason::OtherStart => MAXIMUM_HEARTBEAT_DELAY,
+            ColdReason::ZoneTakenBack | ColdReason::Silent => Duration::ZERO,
         };
         self.warm_up.heartbeats_trusted_from = Some(now + wait);
         if self.warm_up_limit().is_some() {
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -61,7 +61,12 @@
             self.counters.heartbeats_replaced += 1;
             return Err(HeartbeatError::Replaced);
         }
+        let is_weak_evidence =
+            self.target.incarnation.is_some() && self.target.may_be_late_message(heartbeat, now);
         if self.target.is_superseded_by(heartbeat, now) {
+            if is_weak_evidence {
+                self.assume_cold(ColdReason::OtherStart, now);
+            }
             return Ok(());
         }
         if was_replaced {
--- a/crates/woodladder-core/tests/flow_warm_up.rs
+++ b/crates/woodladder-core/tests/flow_warm_up.rs
@@ -300,6 +300,14 @@
     assert_eq!(delivered(&mut agent, 20..40, 4540), limit() - 2);
 }
 
+/// A late heartbeat of a former target, which was warm, ended the limit of the cold one.
+#[test]
+fn a_late_heartbeat_of_a_former_target_does_not_end_the_limit() {
+    let mut agent = agent_of_cold_target(0);
+    let _late = agent.handle_heartbeat(&cold_heartbeat(7, 30, 0), at(40));
+    assert_eq!(delivered(&mut agent, 1..60, 100), limit());
+}
+
 #[test]
 fn a_balancer_sends_a_cold_target_no_more_than_its_remaining_limit() {
     let mut balancer = balancer(&[]);
