--- a/crates/woodladder-core/tests/flow_warm_up.rs
+++ b/crates/woodladder-core/tests/flow_warm_up.rs
@@ -303,9 +303,16 @@
 /// A late heartbeat of a former target, which was warm, ended the limit of the cold one.
 #[test]
 fn a_late_heartbeat_of_a_former_target_does_not_end_the_limit() {
-    let mut agent = agent_of_cold_target(0);
-    let _late = agent.handle_heartbeat(&cold_heartbeat(7, 30, 0), at(40));
-    assert_eq!(delivered(&mut agent, 1..60, 100), limit());
+    let mut agent = empty_agent_started(at(0));
+    configure(&mut agent, REQUESTS_PER_SECOND, at(0));
+    for (revision, time) in [(1, 0), (2, 2000), (3, 4000)] {
+        receive_zones(&mut agent, revision, &[], at(time));
+    }
+    agent
+        .handle_heartbeat(&cold_heartbeat(1, 1, 2000), at(5000))
+        .expect("accepted");
+    let _late = agent.handle_heartbeat(&cold_heartbeat(7, 30, 0), at(5040));
+    assert_eq!(delivered(&mut agent, 1..60, 5100), limit());
 }
 
 #[test]
