--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -41,6 +41,7 @@
     awaited: u32,
     sent: u32,
     is_open: bool,
+    opened_at: Option<Instant>,
     last_answer: Option<Packet>,
 }
 
@@ -66,6 +67,8 @@
     born_ms: u64,
     /// When a heartbeat of it was first acknowledged.
     acknowledged_at: Cell<Option<Instant>>,
+    /// When a heartbeat of it was last acknowledged.
+    last_acknowledged_at: Cell<Option<Instant>>,
     /// Flows that the start before it under its name held.
     former_flows: BTreeSet<Ends>,
     habits: TargetHabits,
@@ -108,6 +111,7 @@
             sequence: Cell::new(0),
             born_ms,
             acknowledged_at: Cell::new(None),
+            last_acknowledged_at: Cell::new(None),
             former_flows,
             habits,
             delays: RefCell::new(habits.delays(xxh3_64(own_name.as_bytes()))),
@@ -176,9 +180,14 @@
         &self.name
     }
 
+    /// The open flows that opened before its last acknowledged heartbeat. A later one may
+    /// have opened at the next start, as far as an agent can know.
     fn open_flows(&self) -> BTreeSet<Ends> {
+        let last_heartbeat = self.last_acknowledged_at.get();
         let flows = self.flows.borrow();
-        let open = flows.iter().filter(|(_, flow)| flow.is_open);
+        let open = flows
+            .iter()
+            .filter(|(_, flow)| flow.opened_at.is_some() && flow.opened_at <= last_heartbeat);
         open.map(|(ends, _)| *ends).collect()
     }
 
@@ -205,6 +214,7 @@
         while let Some(socket) = socket() {
             let wait = Duration::from_millis(50);
             if let Ok(Ok(length)) = timeout(wait, socket.recv(&mut buffer)).await
+                && !self.has_ended.get()
                 && let Some(packet) = Packet::read(&buffer[..length])
             {
                 self.receive(packet);
@@ -239,6 +249,7 @@
                 return self.give_back(packet);
             }
             flow.is_open = true;
+            flow.opened_at = Some(Instant::now());
             let mut oracle = self.oracle.borrow_mut();
             oracle.opened(ends, &self.name);
             oracle.opened_in(self.zone, ends, &self.name);
@@ -408,6 +419,7 @@
         if is_acknowledged {
             self.acknowledged_at
                 .set(self.acknowledged_at.get().or(Some(Instant::now())));
+            self.last_acknowledged_at.set(Some(Instant::now()));
             if heartbeat.is_leaving {
                 self.oracle.borrow_mut().acknowledged_leaving(&self.name);
             }
