--- a/crates/woodladder-lab/src/command/soak.rs
+++ b/crates/woodladder-lab/src/command/soak.rs
@@ -35,6 +35,9 @@
     /// How long faults come in each run.
     #[arg(long, default_value = "14s", value_parser = time_text::parse)]
     length: Duration,
+    /// Play another build of this program's nodes: its path.
+    #[arg(long)]
+    program: Option<PathBuf>,
     /// Keep the processes' settings and logs in this directory, one folder a
     /// seed.
     #[arg(long)]
@@ -84,7 +87,10 @@
         };
         std::fs::create_dir_all(&directory)?;
         platform::soak(&SoakOptions {
-            program: std::env::current_exe()?,
+            program: match &self.program {
+                Some(program) => program.clone(),
+                None => std::env::current_exe()?,
+            },
             directory,
             seed,
             length: self.length,
