--- a/crates/woodladder-lab/src/platform/caller.rs
+++ b/crates/woodladder-lab/src/platform/caller.rs
@@ -30,6 +30,8 @@
 const DEADLINE: Duration = Duration::from_secs(5);
 /// Tries after the first.
 const RETRIES: u32 = 2;
+/// Largest distance of a reset's number from the last acknowledgement of an open flow.
+const RESET_WINDOW: u32 = 76_800;
 /// First number of a caller's side of a flow.
 const FIRST_SEQUENCE: u32 = 1000;
 /// Largest datagram.
@@ -65,17 +67,37 @@
     router: Rc<Router>,
     oracle: Rc<RefCell<Oracle>>,
     links: Rc<Links>,
-    flows: RefCell<BTreeMap<u16, mpsc::UnboundedSender<Packet>>>,
+    flows: RefCell<BTreeMap<u16, FlowInput>>,
     next_port: Cell<u16>,
     next_request: Cell<u64>,
 }
 
+/// Where the packets of a flow go.
+#[derive(Debug)]
+struct FlowInput {
+    packets: mpsc::UnboundedSender<Packet>,
+    /// The caller's last acknowledgement; `None` while the flow is not open.
+    acknowledged: Rc<Cell<Option<u32>>>,
+}
+
+impl FlowInput {
+    /// Whether the caller takes a reset with this number: any while the flow is not open,
+    /// else one close to its last acknowledgement.
+    fn takes_reset(&self, sequence: u32) -> bool {
+        self.acknowledged.get().is_none_or(|acknowledged| {
+            let distance = sequence.wrapping_sub(acknowledged);
+            distance.min(distance.wrapping_neg()) <= RESET_WINDOW
+        })
+    }
+}
+
 /// An open flow.
 struct OpenFlow {
     ends: (SocketAddrV4, SocketAddrV4),
     packets: mpsc::UnboundedReceiver<Packet>,
     sequence: u32,
     awaited: u32,
+    acknowledged: Rc<Cell<Option<u32>>>,
 }
 
 impl OpenFlow {
@@ -124,6 +146,14 @@
                 continue;
             };
             let is_own_reset = packet.flags.has(Flags::RESET) && packet.sum == [0; 4];
+            let takes_reset = self
+                .flows
+                .borrow()
+                .get(&packet.to.port())
+                .is_none_or(|flow| flow.takes_reset(packet.sequence));
+            if is_own_reset && !takes_reset {
+                continue;
+            }
             if is_own_reset {
                 let sender = machine_of(source);
                 let ends = (packet.to, packet.from);
@@ -134,7 +164,7 @@
             }
             if let Some(flow) = self.flows.borrow().get(&packet.to.port()) {
                 // The flow may have ended meanwhile.
-                let _ended = flow.send(packet);
+                let _ended = flow.packets.send(packet);
             }
         }
     }
@@ -212,7 +242,12 @@
         self.next_port.set(port.checked_add(1).unwrap_or(1025));
         let ends = (SocketAddrV4::new(self.address, port), route);
         let (sender, mut packets) = mpsc::unbounded_channel();
-        self.flows.borrow_mut().insert(port, sender);
+        let acknowledged = Rc::new(Cell::new(None));
+        let input = FlowInput {
+            packets: sender,
+            acknowledged: Rc::clone(&acknowledged),
+        };
+        self.flows.borrow_mut().insert(port, input);
         for (copy, pause) in (0..).zip(COPY_PAUSES) {
             let open = Packet::new(Flags::OPEN, ends.0, ends.1, FIRST_SEQUENCE, copy, &[]);
             self.send(ends, &open);
@@ -222,11 +257,14 @@
                     return Err(Failure::NotOpened);
                 }
                 if packet.flags.has(Flags::OPEN.with(Flags::ACKNOWLEDGE)) {
+                    let awaited = packet.sequence.wrapping_add(1);
+                    acknowledged.set(Some(awaited));
                     return Ok(OpenFlow {
                         ends,
                         packets,
                         sequence: FIRST_SEQUENCE + 1,
-                        awaited: packet.sequence.wrapping_add(1),
+                        awaited,
+                        acknowledged,
                     });
                 }
             }
@@ -262,6 +300,7 @@
                 if !packet.data.is_empty() && packet.sequence == flow.awaited {
                     let length = u32::try_from(packet.data.len()).unwrap_or(0);
                     flow.awaited = flow.awaited.wrapping_add(length);
+                    flow.acknowledged.set(Some(flow.awaited));
                     return Ok(String::from_utf8_lossy(&packet.data).into_owned());
                 }
             }
