--- a/crates/woodladder-core/src/flow/agent/target/deregistration.rs
+++ b/crates/woodladder-core/src/flow/agent/target/deregistration.rs
@@ -1,4 +1,4 @@
-//! Deregistrations of the target.
+//! Deregistrations of the target, and the probes that show whether it runs.
 
 use crate::clock::Instant;
 use crate::flow::agent::{Agent, ListenState, StateCause};
@@ -33,12 +33,12 @@
 impl Agent {
     /// Handles a deregistration: the target takes no new flow, but may still serve its
     /// open flows. A target that had announced that it leaves ends with its deregistration;
-    /// one that had not serves on for a while. `incarnation` identifies one start of the target, or the target by its
-    /// name alone. Once a heartbeat has shown which start is present, a deregistration
-    /// that concerns neither this start nor its name is ignored. A deregistration by name
-    /// is also ignored if an earlier start under this name was replaced here and the
-    /// present start has not announced that it leaves: the message may be a late one of
-    /// the earlier start.
+    /// one that had not serves on for a while. `incarnation` identifies one start of the
+    /// target, or the target by its name alone. Once a heartbeat has shown which start is
+    /// present, a deregistration that concerns neither this start nor its name is ignored.
+    /// A deregistration by name is also ignored if an earlier start under this name was
+    /// replaced here and the present start has not announced that it leaves: the message may
+    /// be a late one of the earlier start.
     pub fn handle_deregistration(
         &mut self,
         incarnation: Incarnation,
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -15,6 +15,7 @@
 mod oracle;
 mod router;
 mod site;
+mod site_targets;
 mod soak;
 mod soak_plan;
 mod soak_report;
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -27,8 +27,8 @@
 use super::router::Router;
 use super::store::{self, SharedStore};
 use super::store_state::StoreFault;
-use super::target::{COLD_FOR, SHORTEST_DRAIN, Target};
-use super::target_control::{HeartbeatText, TargetHabits};
+use super::target::{COLD_FOR, Target};
+use super::target_control::TargetHabits;
 use super::zones::{CALLERS, zone_of};
 
 /// Prefix of the keys of excluded zones.
@@ -49,9 +49,6 @@
 /// Requests a second that a cold target bears.
 const COLD_RATE: f64 = 20.0;
 
-/// Longest wait for a target's address: longer than the longest leaving.
-const ADDRESS_WAIT: Duration = Duration::from_secs(30);
-
 /// Why a site could not be run.
 #[derive(Debug)]
 pub enum SiteError {
@@ -99,19 +96,19 @@
     pub router: Rc<Router>,
     pub oracle: Rc<RefCell<Oracle>>,
     pub links: Rc<Links>,
-    nodes: BTreeMap<u8, NodeProcess>,
+    pub(super) nodes: BTreeMap<u8, NodeProcess>,
     /// Agents that were told to stop.
-    retired: Rc<RefCell<Vec<NodeProcess>>>,
-    target_habits: TargetHabits,
-    targets: BTreeMap<u8, Rc<Target>>,
+    pub(super) retired: Rc<RefCell<Vec<NodeProcess>>>,
+    pub(super) target_habits: TargetHabits,
+    pub(super) targets: BTreeMap<u8, Rc<Target>>,
     /// Targets that have said that they leave and may still serve.
-    leaving: BTreeMap<u8, Rc<Target>>,
+    pub(super) leaving: BTreeMap<u8, Rc<Target>>,
     /// Machines whose next target starts as soon as the address is free, and until when
     /// that is tried.
-    starting: BTreeMap<u8, Instant>,
+    pub(super) starting: BTreeMap<u8, Instant>,
     /// Targets that have crashed and will begin again under their name.
-    crashed: BTreeMap<u8, Rc<Target>>,
-    incarnations: u32,
+    pub(super) crashed: BTreeMap<u8, Rc<Target>>,
+    pub(super) incarnations: u32,
     version: u64,
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
@@ -304,59 +301,6 @@
         }
     }
 
-    /// Starts a target beside the agent of its machine.
-    pub async fn start_target(&mut self, machine: u8, service: &str) -> io::Result<()> {
-        self.incarnations += 1;
-        let name = format!("i-{machine}-{}", self.incarnations);
-        let address = self.network.machine(machine);
-        let target = Target::start(
-            &name,
-            service,
-            address,
-            zone_of(machine),
-            Rc::clone(&self.oracle),
-            self.target_habits,
-            None,
-        )
-        .await?;
-        self.targets.insert(machine, target);
-        Ok(())
-    }
-
-    /// The target of a machine crashes and will begin again under its name.
-    pub fn crash_to_begin_again(&mut self, machine: u8) {
-        if let Some(target) = self.targets.remove(&machine) {
-            target.end();
-            self.crashed.insert(machine, target);
-        }
-    }
-
-    /// The target that has crashed begins again under its name; then a heartbeat of the
-    /// former start comes late.
-    pub async fn begin_again(&mut self, machine: u8, service: &str) -> io::Result<()> {
-        let Some(former) = self.crashed.remove(&machine) else {
-            return self.start_target(machine, service).await;
-        };
-        let address = self.network.machine(machine);
-        let zone = zone_of(machine);
-        let oracle = Rc::clone(&self.oracle);
-        let name = former.name().to_owned();
-        let habits = self.target_habits;
-        let started =
-            Target::start(&name, service, address, zone, oracle, habits, Some(&former)).await;
-        match started {
-            Ok(target) => {
-                self.targets.insert(machine, Rc::clone(&target));
-                spawn_local(former.beat_late(target));
-                Ok(())
-            }
-            Err(error) => {
-                self.crashed.insert(machine, former);
-                Err(error)
-            }
-        }
-    }
-
     /// Other writers' entries, of which none names a balancer or a configuration.
     fn put_foreign_entries(&self) {
         let mut store = self.store.borrow_mut();
@@ -397,86 +341,6 @@
         self.store.borrow_mut().remove(&key);
     }
 
-    /// The target of a machine ends at once, as in a crash, even if it is leaving.
-    pub fn crash_target(&mut self, machine: u8) {
-        let present = self.targets.remove(&machine);
-        let leaving = self.leaving.remove(&machine);
-        for target in present.into_iter().chain(leaving) {
-            target.end();
-        }
-    }
-
-    /// The target of a machine leaves as planned and serves on for a while; its agent
-    /// stays.
-    pub fn drain_target(&mut self, machine: u8, serves_on: Duration) {
-        if let Some(target) = self.targets.remove(&machine) {
-            self.leaving.insert(machine, Rc::clone(&target));
-            spawn_local(target.leave(serves_on));
-        }
-    }
-
-    /// The target of a machine leaves as planned without saying that it drains: it
-    /// deregisters first and serves on for a while.
-    pub fn deregister_target(&mut self, machine: u8, serves_on: Duration) {
-        if let Some(target) = self.targets.remove(&machine) {
-            self.leaving.insert(machine, Rc::clone(&target));
-            spawn_local(target.deregister_and_leave(serves_on));
-        }
-    }
-
-    /// A heartbeat of the present target of a machine that is held up on its way.
-    pub fn hold_heartbeat(&self, machine: u8) -> Option<HeartbeatText> {
-        self.targets.get(&machine).map(|it| it.next_heartbeat())
-    }
-
-    /// Starts a target on a machine as soon as the former one has let go of its address.
-    pub fn start_when_free(&mut self, machine: u8) {
-        let until = Instant::now() + ADDRESS_WAIT;
-        if !self.targets.contains_key(&machine) {
-            self.starting.entry(machine).or_insert(until);
-        }
-    }
-
-    /// Starts the waiting targets whose address is free.
-    ///
-    /// # Errors
-    /// The system's error when an address is not free for too long.
-    pub async fn start_waiting(&mut self) -> io::Result<()> {
-        for (machine, until) in self.starting.clone() {
-            let started = if self.crashed.contains_key(&machine) {
-                self.begin_again(machine, service_of(machine)).await
-            } else {
-                self.start_target(machine, service_of(machine)).await
-            };
-            match started {
-                Ok(()) => {
-                    self.starting.remove(&machine);
-                    self.leaving.remove(&machine);
-                }
-                Err(error) if Instant::now() >= until => return Err(error),
-                Err(_) => {}
-            }
-        }
-        Ok(())
-    }
-
-    /// A target leaves as planned; its agent is stopped after its end.
-    pub fn retire_target(&mut self, machine: u8) {
-        let Some(target) = self.targets.remove(&machine) else {
-            return;
-        };
-        let agent = self.nodes.remove(&machine);
-        let retired = Rc::clone(&self.retired);
-        spawn_local(async move {
-            target.leave(SHORTEST_DRAIN).await;
-            if let Some(agent) = agent {
-                // A process that has ended already needs no signal.
-                let _ended = agent.signal(Signal::SIGTERM);
-                retired.borrow_mut().push(agent);
-            }
-        });
-    }
-
     async fn start_callers(&mut self, machine: u8, until: Instant) -> io::Result<()> {
         let address = self.network.machine(machine);
         let router = Rc::clone(&self.router);
