--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -44,6 +44,7 @@
 use crate::clock::Instant;
 
 pub use super::cold_reason::ColdReason;
+pub use super::target_status::{OpeningPath, StateCause, TargetStatus};
 pub use admission::opening_queue::{MAXIMUM_OPENING_AGE, MAXIMUM_QUEUED_OPENINGS};
 pub use admission::request_queue::{
     EnqueueResult, MAXIMUM_PACKETS_PER_REQUEST, MAXIMUM_QUEUED_BYTES, MAXIMUM_QUEUED_REQUESTS,
@@ -58,8 +59,7 @@
 pub use target::deregistration::DeregistrationOutcome;
 pub use target::failure_record::{AnswerKind, Suspicion};
 pub use target::heartbeat::{Heartbeat, HeartbeatError, HeartbeatOutcome};
-pub use target::leaving_watch::{AcknowledgedLeaving, LeavingWatch, OpeningPath};
-pub use target::state_cause::{StateCause, TargetStatus};
+pub use target::leaving_watch::{AcknowledgedLeaving, LeavingWatch};
 
 /// Settings of an agent.
 #[derive(Clone, Copy, Debug)]
--- a/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
+++ b/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
@@ -5,10 +5,8 @@
 //! incarnation has ended: until it deregisters after it had announced that it leaves, or
 //! until another incarnation keeps sending heartbeats while it is silent.
 
-use std::time::Duration;
-
 use crate::clock::Instant;
-use crate::flow::agent::Agent;
+use crate::flow::agent::{Agent, OpeningPath};
 use crate::flow::identity::{Incarnation, NodeAddress};
 use crate::flow::log_event::LogEvent;
 use crate::flow::packet::{FlowPacket, PacketKind};
@@ -94,15 +92,6 @@
     }
 }
 
-/// Why an opening was delivered to the target.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OpeningPath {
-    /// It was admitted on arrival.
-    Arrival,
-    /// It was admitted from the queue, after this time in it.
-    Queue(Duration),
-}
-
 impl Agent {
     /// Counts and logs a delivered packet that opens a flow while a leaving is outstanding.
     pub(crate) fn watch_delivered_opening(
--- a/crates/woodladder-core/src/flow/agent/target/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/target/mod.rs
@@ -8,5 +8,5 @@
 pub(crate) mod leaving_watch;
 pub(crate) mod load;
 pub(crate) mod request_outcome;
-pub(crate) mod state_cause;
+pub(crate) mod state;
 pub(crate) mod succession;
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -80,7 +80,7 @@
 
     /// Makes the sender of a heartbeat the present start.
     pub(crate) fn replace_target(&mut self, heartbeat: &Heartbeat, now: Instant) {
-        let previous = self.target.clone();
+        let mut previous = self.target.clone();
         if previous.incarnation.is_some() {
             self.log_events.add(LogEvent::TargetStartReplaced {
                 former: self.target_status(now),
@@ -99,7 +99,7 @@
         self.target.started_after_agent = previous.started_after_agent
             || previous.was_heard_alive()
             || heartbeat.sequence <= FIRST_SEQUENCE;
-        self.target.replaced_starts = previous.replaced_starts;
+        self.target.replaced_starts = std::mem::take(&mut previous.replaced_starts);
         if let Some(returned) = self.target.take_replaced_start(heartbeat.incarnation) {
             // Flows of this start were removed from the table when it was replaced.
             self.target.started_after_agent = false;
@@ -112,22 +112,8 @@
             self.target.state = TargetState::Leaving;
             self.target.state_cause = StateCause::Deregistration;
         }
-        if let Some(ended) = previous.incarnation {
-            let instance = previous.instance.unwrap_or(ended);
-            let ended = ReplacedStart {
-                incarnation: ended,
-                instance,
-                first_heartbeat_at: previous.first_heartbeat_at,
-                heartbeat_sequence: previous.heartbeat_sequence,
-                has_ended: previous.has_ended,
-            };
-            self.target.replaced_starts.push(ended);
-            let surplus = self
-                .target
-                .replaced_starts
-                .len()
-                .saturating_sub(MAXIMUM_REPLACED_STARTS);
-            self.target.replaced_starts.drain(..surplus);
+        if let Some(replaced) = previous.as_replaced_start() {
+            self.target.remember_replaced_start(replaced);
             self.remove_flows_of_replaced_target(previous.last_heartbeat_at, now);
         }
         self.is_report_to_all_due = true;
@@ -135,6 +121,28 @@
 }
 
 impl Target {
+    /// What is remembered of this start after it was replaced; `None` before its first
+    /// heartbeat.
+    fn as_replaced_start(&self) -> Option<ReplacedStart> {
+        let incarnation = self.incarnation?;
+        Some(ReplacedStart {
+            incarnation,
+            instance: self.instance.unwrap_or(incarnation),
+            first_heartbeat_at: self.first_heartbeat_at,
+            heartbeat_sequence: self.heartbeat_sequence,
+            has_ended: self.has_ended,
+        })
+    }
+
+    fn remember_replaced_start(&mut self, replaced: ReplacedStart) {
+        self.replaced_starts.push(replaced);
+        let surplus = self
+            .replaced_starts
+            .len()
+            .saturating_sub(MAXIMUM_REPLACED_STARTS);
+        self.replaced_starts.drain(..surplus);
+    }
+
     fn replaced_start(&self, incarnation: Incarnation) -> Option<&ReplacedStart> {
         let mut replaced = self.replaced_starts.iter();
         replaced.find(|start| start.incarnation == incarnation)
--- a/crates/woodladder-core/src/flow/log_event.rs
+++ b/crates/woodladder-core/src/flow/log_event.rs
@@ -3,12 +3,12 @@
 use std::time::Duration;
 
 use super::activation::ActiveMechanisms;
-use super::agent::{OpeningPath, TargetStatus};
 use super::cold_reason::ColdReason;
 use super::flow_record::{RecordError, RecordNeed, RestoreTotals};
 use super::identity::{FlowKey, Incarnation, NodeAddress};
 use super::message::{ReturnReason, TargetLoad, TargetState};
 use super::packet::ResetReason;
+use super::target_status::{OpeningPath, TargetStatus};
 
 /// A decision of a node, or a change in its state or in its view of other nodes.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -29,5 +29,6 @@
 pub mod selection;
 pub mod store_session;
 pub mod target_restart;
+pub mod target_status;
 pub mod weighted_round_robin;
 pub mod zone_members;
--- a/crates/woodladder-core/src/flow/agent/target/state_cause.rs
+++ b/crates/woodladder-core/src/flow/target_status.rs
@@ -1,12 +1,9 @@
-//! Why the agent holds its target for ready, leaving or unresponsive.
+//! The state in which an agent holds its target, and the evidence that it rests on.
 
 use std::time::Duration;
 
-use crate::clock::Instant;
-use crate::flow::agent::Agent;
-use crate::flow::identity::Incarnation;
-use crate::flow::log_event::LogEvent;
-use crate::flow::message::TargetState;
+use super::identity::Incarnation;
+use super::message::TargetState;
 
 /// What set the target's state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -64,33 +61,11 @@
     pub heartbeat_age: Option<Duration>,
 }
 
-impl Agent {
-    /// The target's state with the evidence that it rests on.
-    #[must_use]
-    pub fn target_status(&self, now: Instant) -> TargetStatus {
-        TargetStatus {
-            state: self.target.state,
-            cause: self.target.state_cause,
-            state_age: now.since(self.target.state_since),
-            incarnation: self.target.incarnation,
-            heartbeat_sequence: self.target.heartbeat_sequence,
-            heartbeat_age: self.target.last_heartbeat_at.map(|at| now.since(at)),
-        }
-    }
-
-    /// Sets the target's state, and reports a change to all balancers.
-    pub(crate) fn set_state(&mut self, state: TargetState, cause: StateCause, now: Instant) {
-        let former = self.target.state;
-        if former == state {
-            return;
-        }
-        self.target.state = state;
-        self.target.state_cause = cause;
-        self.target.state_since = now;
-        self.is_report_to_all_due = true;
-        self.log_events.add(LogEvent::TargetState {
-            former,
-            status: self.target_status(now),
-        });
-    }
+/// Why an opening was delivered to the target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OpeningPath {
+    /// It was admitted on arrival.
+    Arrival,
+    /// It was admitted from the queue, after this time in it.
+    Queue(Duration),
 }
