--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,5 @@
-"""A target crashes and starts again; a heartbeat that the former start had sent comes late."""
+"""Flows rest for less than the configured idle_timeout_ms, and are then used again."""
 import asyncio
-import os
 import sys
 import time
 from pathlib import Path
@@ -9,88 +8,56 @@
 sys.path.insert(0, str(FOLDER.parent))
 import stand_ins  # noqa: E402
 
-MACHINE = 21
-DOWN_S = 0.5
-# The late heartbeat arrives this long after the start of the next incarnation.
-LATE_ARRIVAL_S = 1.0
-PLAYED_S = 12.0
+IDLE_TIMEOUT_MS = 50_000
+REST_S = 45.0
+# Moments at which clients open their flows, in seconds after the site serves.
+OPENED_AT_S = [2 + 3 * index for index in range(11)]
+USED_EVERY_S = 5.0
 
 
 async def case(site, trouble):
-    is_late = trouble and os.environ.get("LATE", "1") != "0"
     route = (f"{site.base}.200", 443)
-    config = stand_ins.configuration(7, [("r-kitchen", route[0], route[1], "kitchen", "idempotent")])
-    await site.start([11, 12], {MACHINE: "kitchen", 22: "kitchen", 23: "print"}, config)
+    site_config = stand_ins.configuration(
+        7, [("r-kitchen", route[0], route[1], "kitchen", "non_idempotent")], IDLE_TIMEOUT_MS)
+    await site.start([11, 12], {21: "kitchen", 22: "kitchen", 23: "kitchen"}, site_config)
     site.reset_hooks.append(lambda key, sender: judge(site, key, sender))
     client = stand_ins.Client(site, 41)
     await client.start()
-    ends = time.monotonic() + PLAYED_S
-    clients = [asyncio.ensure_future(use_flows(site, client, route, index, ends)) for index in range(24)]
-    await asyncio.sleep(3.0)
-    former = site.targets[MACHINE]
-    former.beats.cancel()
-    await asyncio.sleep(0.1)
-    # The last heartbeat that arrives in time, then the one that is held up on its way.
-    await former.send_beat(former.document())
-    await asyncio.sleep(stand_ins.HEARTBEAT_S)
-    last = former.document()
-    site.record.add(f"target {former.name}: heartbeat {last['seq']} leaves" + (" and is held up" if is_late else ""))
-    if not is_late:
-        await former.send_beat(last)
-    await asyncio.sleep(0.05)
-    if trouble:
-        former.end()
-        await asyncio.sleep(DOWN_S)
-        await site.start_target(MACHINE, "kitchen")
-    else:
-        former.beats = asyncio.ensure_future(former.beat())
-    late = asyncio.ensure_future(arrive_late(site, former, last)) if is_late else None
-    failed = sum(await asyncio.gather(*clients))
-    if late:
-        await late
-    site.record.add(f"requests that failed: {failed}")
-    if not trouble and failed:
-        raise stand_ins.CannotRun("requests failed without trouble")
-
-
-async def arrive_late(site, former, document):
-    await asyncio.sleep(LATE_ARRIVAL_S)
-    status, _ = await stand_ins.call(site.at(MACHINE, "control"), "PUT", f"/instances/{former.name}", document)
-    site.record.add(f"target {former.name}: late heartbeat {document['seq']} answered {status}")
-
-
-async def use_flows(site, client, route, index, ends):
-    """A client that keeps one flow for many requests, with pauses of 0.4 s, and opens another
-    one when it has lost it; returns how many requests failed."""
-    await asyncio.sleep(0.025 * index)
-    flow, number, failed = None, 0, 0
-    while time.monotonic() < ends:
-        if flow is None:
-            flow = client.flow(route)
-            if not await flow.open():
-                flow, failed = None, failed + 1
-                continue
-        number += 1
-        result = await flow.ask(f"q-{index}-{number}")
-        if result != 200:
-            site.record.add(f"client: q-{index}-{number} ended with {result}")
-            flow, failed = None, failed + 1
-            continue
-        await asyncio.sleep(0.4)
-    if flow is not None:
-        await flow.close()
-    return failed
+    began = time.monotonic()
+    results = await asyncio.gather(*(
+        use_flow(site, client, route, index, began + at, trouble) for index, at in enumerate(OPENED_AT_S)))
+    answered = sum(result == 200 for result in results)
+    site.record.add(f"second requests answered: {answered} of {len(results)}")
+    if not trouble and answered != len(results):
+        raise stand_ins.CannotRun("requests failed without any pause")
+
+
+async def use_flow(site, client, route, index, at, trouble):
+    await asyncio.sleep(max(0.0, at - time.monotonic()))
+    flow = client.flow(route)
+    if not await flow.open() or await flow.ask(f"first-{index}", method="POST") != 200:
+        raise stand_ins.CannotRun("a flow did not open")
+    ends = time.monotonic() + REST_S
+    while not trouble and time.monotonic() + USED_EVERY_S < ends:
+        await asyncio.sleep(USED_EVERY_S)
+        await flow.ask(f"between-{index}", method="POST")
+    await asyncio.sleep(max(0.0, ends - time.monotonic()))
+    result = await flow.ask(f"second-{index}", method="POST")
+    site.record.add(f"client: second-{index} ended with {result}")
+    await flow.close()
+    return result
 
 
 def judge(site, key, sender):
-    """FLOW (a): the target lives and was without disruption, its own start included, for contact_ms."""
+    """FLOW (a), with its exclusions: idle for longer than idle_timeout_ms, older than flow_ttl_s."""
     target, flow = site.holder(key)
     if target is None:
         return
-    alive_ms = (time.monotonic() - target.born) * 1000
-    if alive_ms > stand_ins.CONTACT_MS:
-        site.break_rule("FLOW", f"{stand_ins.show(key)} is open at {target.name}, which has run for "
-                                f"{alive_ms:.0f} ms, and was reset by {sender}")
+    now = time.monotonic()
+    idle_ms, age_s = (now - flow.touched_at) * 1000, now - flow.opened_at
+    if idle_ms <= IDLE_TIMEOUT_MS and age_s <= stand_ins.FLOW_TTL_S:
+        site.break_rule("FLOW", f"{stand_ins.show(key)} is open at {target.name} (idle for {idle_ms:.0f} ms, "
+                                f"{age_s:.1f} s old) and was reset by {sender}")
 
 
 stand_ins.play(FOLDER, case)
