--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -715,7 +715,7 @@
             if process.poll() is not None:
                 self.break_rule("Fault", f"the process on machine {machine} ended by itself with {process.returncode}")
 
-    async def end(self):
+    def end(self):
         for target in self.targets.values():
             if not target.ended:
                 target.end()
@@ -746,22 +746,33 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        site = Site(case_folder)
-        site.record.add(f"TROUBLE={int(trouble)}")
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        site, code = None, 2
         try:
-            await asyncio.wait_for(case(site, trouble), 112)
+            site = Site(case_folder)
+            # Whatever a task does, the script and its processes have ended by then.
+            loop.call_later(116, leave, site, 2)
+            site.record.add(f"TROUBLE={int(trouble)}")
+            await asyncio.wait_for(case(site, trouble), 110)
             site.check_processes()
-        finally:
-            await site.end()
+            code = 1 if site.broken else 0
+        except (Exception, asyncio.CancelledError) as error:
+            # Only a broken rule may exit with 1, as an uncaught error of Python would.
+            print(f"could not run: {error!r}")
+        leave(site, code)
+
+    asyncio.run(run())
+
+
+def leave(site, code):
+    """Ends the processes and the script, without waiting for tasks that are still there."""
+    if site is not None:
+        site.end()
         for line in site.broken[:20]:
             print(f"broken: {line}")
-        print(f"{len(site.broken)} breaks" if site.broken else "the rules held")
-        site.record.add(f"{len(site.broken)} breaks")
-        return 1 if site.broken else 0
-
-    try:
-        code = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
-        print(f"could not run: {error!r}")
-        code = 2
-    sys.exit(code)
+        if code != 2:
+            print(f"{len(site.broken)} breaks" if site.broken else "the rules held")
+        site.record.add(f"{len(site.broken)} breaks, exit code {code}")
+    sys.stdout.flush()
+    os._exit(code)
