--- a/review/1/case.py
+++ b/review/1/case.py
@@ -61,7 +61,7 @@
 def judge(site, key, sender):
     """FLOW (a) under planned work: the target lives, and neither it nor its links had disruption."""
     target, flow = site.holder(key)
-    if target is not None:
+    if target is not None and not site.is_excused(flow):
         idle_ms = (time.monotonic() - flow.touched_at) * 1000
         site.break_rule("FLOW", f"{stand_ins.show(key)} is open at {target.name} (idle for {idle_ms:.0f} ms) "
                                 f"and was reset by {sender}")
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -423,6 +423,7 @@
     def __init__(self, client, port, route):
         self.client, self.key = client, ((client.address[0], port), route)
         self.inbox, self.seq, self.awaited, self.is_open, self.is_reset = asyncio.Queue(), 0, 0, False, False
+        self.was_reset = False
 
     def send(self, flags, seq, ack, data=b""):
         self.client.send(self.key, Packet(flags, self.key[0], self.key[1], seq, ack, data))
@@ -532,8 +533,9 @@
         flow = self.flows.get(packet.dst[1])
         key = (packet.dst, packet.src)
         if packet.flags & RST and packet.sum == 0:
-            if flow is None or not flow.takes_reset(packet):
+            if flow is None or flow.was_reset or not flow.takes_reset(packet):
                 return
+            flow.was_reset = True  # a client that has taken a reset has no such flow any more
             self.site.record.add(f"client: RST of the system on {show(key)} from {addr[0]}")
             self.site.on_reset(key, addr[0])
         elif not packet.is_whole():
@@ -551,6 +553,7 @@
         self.record = Record(Path(case_folder) / "record.txt")
         self.folder = Path(tempfile.mkdtemp(prefix="woodladder-review-"))
         self.processes, self.targets, self.balancers, self.ready, self.broken = {}, {}, [], {}, []
+        self.started = {}
         self.opening_hooks, self.run_hooks, self.reset_hooks, self.services = [], [], [], {}
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.take_addresses()
@@ -622,6 +625,7 @@
             self.processes[machine] = subprocess.Popen(
                 [str(ROOT / words[0]), *words[1:]], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                 env={"PATH": os.environ.get("PATH", ""), "WOODLADDER_SETTINGS": str(path)})
+        self.started[machine] = time.monotonic()
         self.record.add(f"{role} on machine {machine} starts")
 
     async def stop_process(self, machine, with_signal=signal.SIGTERM, grace_s=6.0):
@@ -694,6 +698,18 @@
                 return target, flow
         return None, None
 
+    @staticmethod
+    def is_excused(flow, idle_timeout_ms=15_000):
+        """Whether FLOW leaves a flow out: idle for longer than idle_timeout_ms, or older than flow_ttl_s."""
+        now = time.monotonic()
+        return (now - flow.touched_at) * 1000 > idle_timeout_ms or now - flow.opened_at > FLOW_TTL_S
+
+    def in_touch(self, machine):
+        """Whether a machine's process has run for contact_ms; the cases do nothing else to machines."""
+        process = self.processes.get(machine)
+        runs = process is not None and process.poll() is None
+        return runs and (time.monotonic() - self.started[machine]) * 1000 > CONTACT_MS
+
     def on_opening(self, target, key, packet):
         for hook in self.opening_hooks:
             hook(target, key, packet)
