Resets of open flows require, log and count the evidence of absence

The log of a reset named its outcome only: 'target_ended' stood for the agent's statement, for another incarnation and for mere silence, and 'holder_denied' with 'denied: 1' for an answer 'may be held'.

AbsenceEvidence says who is the source (an agent, or all), of which kind the evidence is (statement, replacement, silence, denial) and how old it is. Balancer::reset_open_flow takes it as an argument; refusals of openings need none. The log line 'flow reset' carries it, and open_flow_resets_total counts by kind. No decision changes.

--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::super::absence::AbsenceEvidence;
 use super::super::activation::usable_capacity;
 use super::super::identity::{NodeAddress, ZoneKey};
 use super::super::message::{ForwardHeader, PeerMessage, SnapshotRequest};
@@ -98,6 +99,8 @@
     /// Resets because the agent that the flow record names as the holder denied the
     /// flow.
     pub reset_holder_denied: u64,
+    /// Resets of flows that may have been open, by [`AbsenceEvidence::kind_index`].
+    pub resets_by_evidence: [u64; AbsenceEvidence::KINDS.len()],
     /// Packets relayed to larger balancers.
     pub relayed_packets: u64,
     /// Packets relayed here by smaller balancers.
--- a/crates/woodladder-core/src/flow/balancer/flow_records/restoring.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records/restoring.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::absence::AbsenceEvidence;
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::flow::flow_record::{AgentKnowledge, FlowRecord, RestoredFlow};
 use crate::flow::identity::{FlowKey, Incarnation, NodeAddress};
 use crate::flow::log_event::LogEvent;
 use crate::flow::message::{MAXIMUM_FLOWS_PER_QUERY, PeerMessage, TargetReport};
-use crate::flow::packet::{FlowPacket, ResetReason};
+use crate::flow::packet::FlowPacket;
 
 /// Maximum number of recorded flows queried between two ticks. Each may be answered by
 /// a reset, which takes some 30 microseconds.
@@ -145,7 +146,8 @@
             .handle_denial(from, &key)
             .is_some();
         if is_proven {
-            self.reset_recorded_flow(key, &flow, actions);
+            let evidence = AbsenceEvidence::RecordedHolderDenied { agent: from };
+            self.reset_recorded_flow(key, &flow, &evidence, actions);
         }
         is_proven
     }
@@ -154,12 +156,12 @@
         &mut self,
         key: FlowKey,
         flow: &RestoredFlow,
+        evidence: &AbsenceEvidence,
         actions: &mut Vec<BalancerAction>,
     ) {
         let entry = self.flows.remove(&key);
         let sequence = entry.map_or(flow.acknowledged, |entry| entry.acknowledged);
-        let reset = self.issue_reset(key, sequence, ResetReason::HolderDenied, 1);
-        actions.push(BalancerAction::Reset(reset));
+        self.reset_open_flow(key, sequence, evidence, actions);
     }
 
     /// Whether the flow table shows that the key now belongs to another flow than the
@@ -179,12 +181,13 @@
     pub(crate) fn reset_recorded_flows_of(
         &mut self,
         agent: NodeAddress,
+        evidence: &AbsenceEvidence,
         actions: &mut Vec<BalancerAction>,
     ) -> usize {
         let mut count = 0;
         for (key, flow) in self.flow_records.restorer.remove_ended_target(agent) {
             if !self.is_newer_than_record(&key, &flow) {
-                self.reset_recorded_flow(key, &flow, actions);
+                self.reset_recorded_flow(key, &flow, evidence, actions);
                 count += 1;
             }
         }
--- a/crates/woodladder-core/src/flow/balancer/forwarding/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/established.rs
@@ -4,10 +4,10 @@
 
 use crate::clock::Instant;
 use crate::flow::balancer::forwarding::routing::Routing;
-use crate::flow::balancer::{Acceptance, Balancer, BalancerAction, Stage};
-use crate::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
+use crate::flow::balancer::{Acceptance, Balancer, Stage};
+use crate::flow::identity::ServiceKey;
 use crate::flow::message::{ForwardHeader, ForwardPurpose};
-use crate::flow::packet::{FlowPacket, PacketKind, ResetReason};
+use crate::flow::packet::{FlowPacket, PacketKind};
 
 /// Time after a flow's opening in which the caller acknowledges an acceptance.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -60,45 +60,6 @@
             purpose,
         }
     }
-
-    /// Resets the flows of a target that has ended, and returns the number of flows.
-    /// `ended` is the incarnation that has ended and the time when the incarnation was
-    /// last heard: a flow is reset only if this balancer knew by that time that the
-    /// incarnation holds the flow. `None` means that the agent itself is gone: all
-    /// flows of its target are reset.
-    pub(crate) fn reset_flows_of(
-        &mut self,
-        agent: NodeAddress,
-        ended: Option<(Incarnation, Instant)>,
-        actions: &mut Vec<BalancerAction>,
-    ) -> usize {
-        let lost: Vec<(FlowKey, u32)> = self
-            .flows
-            .iter()
-            .filter(|(_, entry)| !entry.is_finished)
-            .filter(|(_, entry)| match &entry.stage {
-                Stage::Held {
-                    agent: holder,
-                    incarnation,
-                    known_since,
-                    ..
-                } => {
-                    let has_ended = ended.is_none_or(|(ended_incarnation, last_heard_at)| {
-                        *incarnation == Some(ended_incarnation) && *known_since <= last_heard_at
-                    });
-                    *holder == agent && has_ended
-                }
-                _ => false,
-            })
-            .map(|(key, entry)| (*key, entry.acknowledged))
-            .collect();
-        for (key, acknowledged) in &lost {
-            self.flows.remove(key);
-            let reset = self.issue_reset(*key, *acknowledged, ResetReason::TargetEnded, 0);
-            actions.push(BalancerAction::Reset(reset));
-        }
-        lost.len()
-    }
 }
 
 impl crate::flow::balancer::FlowEntry {
--- a/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Instant;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
+use crate::flow::balancer::resets::OpeningRefusal;
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
 use crate::flow::directory::AgentDirectory;
 use crate::flow::identity::{FlowKey, NodeAddress, ServiceKey};
@@ -9,7 +10,7 @@
 use crate::flow::message::{
     ForwardHeader, ForwardPurpose, OpeningTerms, ReturnReason, TargetState,
 };
-use crate::flow::packet::{FlowPacket, ResetReason};
+use crate::flow::packet::FlowPacket;
 use crate::flow::selection::{SelectedTarget, TargetSelector};
 
 /// Maximum number of targets that one opening is offered to before it waits at
@@ -40,12 +41,12 @@
             return Routing::Drop(DropReason::NoConfiguration);
         }
         let Some(route) = self.routes.route(packet.key.service) else {
-            let reset = self.issue_reset(packet.key, 0, ResetReason::NoRoute, 0);
-            return Routing::Reset(reset);
+            let refusal = self.refusal_of(packet.key, OpeningRefusal::NoRoute);
+            return Routing::Reset(refusal);
         };
         let Some(service) = self.part_shares.next_service(route) else {
-            let reset = self.issue_reset(packet.key, 0, ResetReason::NoRoute, 0);
-            return Routing::Reset(reset);
+            let refusal = self.refusal_of(packet.key, OpeningRefusal::NoRoute);
+            return Routing::Reset(refusal);
         };
         self.route_traffic.count_flow(packet.key.service);
         let entry = FlowEntry {
@@ -297,7 +298,7 @@
             let has_free_target = self.has_free_target(entry.service);
             self.promises.record_refusal(was_accepted, has_free_target);
         }
-        Routing::Reset(self.issue_reset(packet.key, 0, ResetReason::NoTarget, 0))
+        Routing::Reset(self.refusal_of(packet.key, OpeningRefusal::NoTarget))
     }
 
     /// Whether a live target of a service has a free slot according to this balancer's
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use super::super::absence::AbsenceEvidence;
 use super::super::directory::DirectoryChange;
 use super::super::identity::NodeAddress;
 use super::super::log_event::LogEvent;
 use super::super::message::{PeerMessage, ReturnReason, TargetReport, TargetState};
 use super::super::packet::{FlowPacket, PacketKind};
+use super::resets::EndedFlows;
 use super::{Acceptance, Balancer, BalancerAction, STALL_THRESHOLD, Stage};
 use crate::clock::Instant;
 
@@ -153,8 +155,9 @@
         self.named_agents.remove(&agent);
         self.flow_index.remove_agent(agent);
         if self.directory.remove(agent) {
-            let flows = self.reset_flows_of(agent, None, actions)
-                + self.reset_recorded_flows_of(agent, actions);
+            let evidence = AbsenceEvidence::TargetEnded { agent };
+            let flows = self.reset_flows_of(agent, EndedFlows::All, &evidence, actions)
+                + self.reset_recorded_flows_of(agent, &evidence, actions);
             self.log_events.add(LogEvent::AgentStopped { agent, flows });
         }
     }
@@ -286,7 +289,16 @@
                     ended,
                     last_heard,
                 } => {
-                    let flows = self.reset_flows_of(agent, Some((ended, last_heard)), actions);
+                    let evidence = AbsenceEvidence::Replaced {
+                        agent,
+                        ended,
+                        last_heard_ago: now.since(last_heard),
+                    };
+                    let ended_flows = EndedFlows::OfIncarnation {
+                        incarnation: ended,
+                        known_by: last_heard,
+                    };
+                    let flows = self.reset_flows_of(agent, ended_flows, &evidence, actions);
                     self.log_events.add(LogEvent::TargetReplaced {
                         agent,
                         ended,
@@ -299,7 +311,12 @@
                         record.map_or(Duration::ZERO, |record| now.since(record.heard_at));
                     let unanswered_for =
                         record.map_or(Duration::ZERO, |record| record.unanswered_for(now));
-                    let flows = self.reset_flows_of(agent, None, actions);
+                    let evidence = AbsenceEvidence::AgentSilent {
+                        agent,
+                        silence,
+                        unanswered_for,
+                    };
+                    let flows = self.reset_flows_of(agent, EndedFlows::All, &evidence, actions);
                     self.log_events.add(LogEvent::AgentLost {
                         agent,
                         silence,
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -12,6 +12,7 @@
 mod forwarding;
 mod membership;
 mod messages;
+mod resets;
 mod search;
 mod store_duty;
 
@@ -27,7 +28,7 @@
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
 use super::link::LinkLoadControl;
 use super::log_event::{LogEvent, LogEventBuffer};
-use super::packet::{CallerReset, FlowPacket, PacketKind, ResetReason};
+use super::packet::{FlowPacket, PacketKind};
 use super::peers::BalancerPeers;
 use super::promises::{BrokenPromises, PromiseWatch};
 use super::route_traffic::RouteTraffic;
@@ -414,37 +415,6 @@
         }
     }
 
-    fn issue_reset(
-        &mut self,
-        key: FlowKey,
-        sequence: u32,
-        reason: ResetReason,
-        denied: usize,
-    ) -> CallerReset {
-        let counter = match reason {
-            ResetReason::NoRoute => &mut self.counters.reset_no_route,
-            ResetReason::NoTarget => &mut self.counters.reset_no_target,
-            ResetReason::TargetEnded => &mut self.counters.reset_target_ended,
-            ResetReason::HeldNowhere => &mut self.counters.reset_held_nowhere,
-            ResetReason::HolderDenied => &mut self.counters.reset_holder_denied,
-        };
-        *counter += 1;
-        let counts_as_gone = matches!(
-            reason,
-            ResetReason::TargetEnded | ResetReason::HeldNowhere | ResetReason::HolderDenied
-        );
-        if counts_as_gone {
-            let now = self.last_tick_at.unwrap_or(self.started_at);
-            self.promises.record_reset(key, now);
-        }
-        self.log_events.add(LogEvent::FlowReset {
-            key,
-            reason,
-            denied,
-        });
-        CallerReset { key, sequence }
-    }
-
     /// How often this balancer has broken each promise.
     #[must_use]
     pub fn broken_promises(&self) -> &BrokenPromises {
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -12,11 +12,12 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::absence::AbsenceEvidence;
 use crate::flow::balancer::{Balancer, BalancerAction, Stage};
 use crate::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey};
 use crate::flow::log_event::LogEvent;
 use crate::flow::message::ForwardPurpose;
-use crate::flow::packet::{FlowPacket, ResetReason};
+use crate::flow::packet::FlowPacket;
 
 /// Maximum number of packets sent, between two full rounds of queries, to agents that
 /// need a packet to decide. Further packets follow when the agent has been queried
@@ -179,14 +180,15 @@
             {
                 continue;
             }
-            let count = search.denied_by.len();
             let waited = now.since(search.started_at);
+            let evidence = AbsenceEvidence::DeniedByAll {
+                agents: search.denied_by.len(),
+                waited,
+            };
             self.log_events
                 .add(LogEvent::AbsenceProved { key: *key, waited });
             if let Some(entry) = self.flows.remove(key) {
-                let sequence = entry.acknowledged;
-                let reset = self.issue_reset(*key, sequence, ResetReason::HeldNowhere, count);
-                actions.push(BalancerAction::Reset(reset));
+                self.reset_open_flow(*key, entry.acknowledged, &evidence, actions);
             }
         }
     }
--- a/crates/woodladder-core/src/flow/log_event.rs
+++ b/crates/woodladder-core/src/flow/log_event.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::absence::AbsenceEvidence;
 use super::activation::ActiveMechanisms;
 use super::cold_reason::ColdReason;
 use super::flow_record::{RecordError, RecordNeed, RestoreTotals};
@@ -105,8 +106,8 @@
         key: FlowKey,
         /// Why the flow was reset.
         reason: ResetReason,
-        /// Agents that denied holding the flow.
-        denied: usize,
+        /// Why no target holds the flow; `None` if its opening was refused.
+        evidence: Option<AbsenceEvidence>,
     },
     /// A newer configuration became active.
     ConfigurationAdopted {
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -6,6 +6,7 @@
 //! load to the balancers. Both are state machines without I/O; the surrounding program
 //! translates packets, heartbeats and store replies into their events.
 
+pub mod absence;
 pub mod activation;
 pub mod agent;
 pub mod agent_record;
--- a/crates/woodladder-node/src/balancer/metrics.rs
+++ b/crates/woodladder-node/src/balancer/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the balancer process.
 
 use woodladder_core::clock::Instant;
+use woodladder_core::flow::absence::AbsenceEvidence;
 use woodladder_core::flow::balancer::Balancer;
 
 use crate::metrics::{MetricsText, count_as_f64, u64_as_f64};
@@ -193,6 +194,19 @@
         ] {
             text.add_counter(name, help, value);
         }
+        let resets_by_evidence =
+            std::array::from_fn::<_, { AbsenceEvidence::KINDS.len() }, _>(|kind| {
+                (
+                    AbsenceEvidence::KINDS[kind],
+                    counters.resets_by_evidence[kind],
+                )
+            });
+        text.add_counters(
+            "open_flow_resets_total",
+            "Resets of flows that may have been open, by the kind of evidence that no target holds the flow.",
+            "evidence",
+            resets_by_evidence,
+        );
         text.add_counters(
             "promises_broken_total",
             "Broken promises, by kind: occurrences, or milliseconds for a kind whose name ends in _ms.",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -200,11 +200,16 @@
             LogEvent::FlowReset {
                 key,
                 reason,
-                denied,
+                evidence,
             } => {
+                let agent = evidence.and_then(|evidence| evidence.agent());
                 warn!(log, "balancer: flow reset"; "event" => event_name, "flow" => %key,
                     "reason" => reason.name(), "retry_is_safe" => reason.retry_is_safe(),
-                    "denied" => denied, "left_out" => left_out);
+                    "evidence" => evidence.map(|evidence| evidence.name()),
+                    "evidence_agent" => agent.map(|agent| agent.to_string()),
+                    "evidence_age_ms" => evidence.map(|evidence| milliseconds(evidence.age())),
+                    "denied" => evidence.map_or(0, |evidence| evidence.denials()),
+                    "left_out" => left_out);
             }
             LogEvent::FlowOffered {
                 key,
