Moved routes: an undecided agent rules a flow out only by a known route history

What callers saw: after a route had moved to another service, planned restarts of the nodes reset the flows that had been opened before and were at rest: some as soon as a balancer was back, the others at their next request, which failed for good.

Cause: an agent that has started again cannot tell without a packet whether its target holds a flow, and says so. A balancer that has started again knows the routes of the newest configuration alone, takes the agent's service for one that the flow cannot have been opened with, and counted 'may be held' as a denial: of the holder named by its own flow record (reset at once), and in searches.

Fix: what a route led to before is knowledge of its own (RouteHistory), with the time that it covers. An undecided answer rules an agent out only if the history covers the lifetime of a flow and no flow record names the agent as the holder; otherwise the flow stays undecided. A packet still goes only to services that its flow may have been opened with.

Why it works: 'the route never led there' is a claim about the past, which a process that has just started cannot make by itself.

What it costs: while all nodes are new at once and nobody knows the past, an agent of another service that cannot tell delays the proof that a flow is gone for up to the lifetime of a flow.

--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -335,6 +335,9 @@
         if let Some(configuration) = snapshot.configuration {
             self.adopt_configuration(Arc::new(configuration), from, now);
         }
+        self.routes
+            .history_mut()
+            .merge(&snapshot.route_history, now);
         self.adopt_excluded_zones(&snapshot.excluded_zones, from, now);
         for balancer in snapshot.balancers {
             self.add_balancer(balancer, now);
@@ -350,11 +353,12 @@
 
     /// The snapshot that this node sends to a node that requests one.
     #[must_use]
-    pub fn answer_snapshot(&self, request: &SnapshotRequest) -> Snapshot {
+    pub fn answer_snapshot(&self, request: &SnapshotRequest, now: Instant) -> Snapshot {
         let known = Snapshot {
             excluded_zones: self.excluded_zones.clone(),
             balancers: self.balancers.confirmed_by_hello().collect(),
             agents: vec![self.options.address],
+            route_history: self.routes.history().summary(now),
             ..Snapshot::default()
         };
         known.for_request(request, self.routes.current())
--- a/crates/woodladder-core/src/flow/agent/planned_stop.rs
+++ b/crates/woodladder-core/src/flow/agent/planned_stop.rs
@@ -28,6 +28,12 @@
 }
 
 impl Agent {
+    /// Whether a planned stop has begun.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.planned_stop.is_stopping()
+    }
+
     /// Begins a planned stop: the agent admits no new flow and continues to forward
     /// packets of open flows.
     pub fn begin_shutdown(&mut self, now: Instant) {
--- a/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
@@ -185,6 +185,7 @@
             self.log_events.add(LogEvent::Stalled { duration: pause });
         }
         self.flows.tick(now);
+        self.routes.tick(self.options.flow_lifetime, now);
         self.check_target_responds(now);
         self.decay_failure_record(now);
         for balancer in self.balancers.tick(now) {
--- a/crates/woodladder-core/src/flow/balancer/flow_records/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records/mod.rs
@@ -7,7 +7,7 @@
 use crate::clock::Instant;
 use crate::flow::balancer::Balancer;
 use crate::flow::flow_record::{RecordNeed, RecordRestorer, RecordSession, RestoreTotals};
-use crate::flow::identity::{NodeAddress, address_hash};
+use crate::flow::identity::{FlowKey, NodeAddress, address_hash};
 
 /// Counters of the flow records, for metrics.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Whether the record names this agent as the holder of the flow.
+    pub(crate) fn names_holder(&self, agent: NodeAddress, key: &FlowKey) -> bool {
+        self.restorer.held_by(agent, key).is_some()
+    }
+
     pub(crate) fn leave(&mut self, now: Instant) {
         self.session.leave(now);
     }
--- a/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
@@ -23,6 +23,8 @@
 /// Time after its start in which the balancer requests snapshots, until it finds a
 /// balancer with a complete list of agents.
 const COMPLETE_SNAPSHOT_REQUESTS_FOR: Duration = Duration::from_secs(2);
+/// Number of agents that a balancer asks after its start which services routes have led to.
+const AGENTS_ASKED_FOR_HISTORY: usize = 3;
 /// Time without a new agent after which the list of agents counts as complete, if the
 /// balancer has no snapshot with all agents.
 const SETTLED_AFTER: Duration = Duration::from_millis(150);
@@ -117,6 +119,32 @@
         }
     }
 
+    /// Requests a snapshot from a few agents after the balancer's start if no other balancer
+    /// has told all services that routes have led to. All balancers may have started again,
+    /// while agents ran on.
+    pub(crate) fn request_route_history(
+        &mut self,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        let listened = now.since(self.listening_since);
+        let is_time = (MINIMUM_LISTENING..COMPLETE_SNAPSHOT_REQUESTS_FOR).contains(&listened);
+        let is_complete = self
+            .routes
+            .history()
+            .covers(self.options.flow_lifetime, now);
+        let asked = self.agents_asked_for_history;
+        if !is_time || is_complete || asked >= AGENTS_ASKED_FOR_HISTORY {
+            return;
+        }
+        let Some(agent) = self.directory.agents().map(|it| it.address).nth(asked) else {
+            return;
+        };
+        if self.request_snapshot(agent, false, now, actions) {
+            self.agents_asked_for_history += 1;
+        }
+    }
+
     /// Requests a snapshot from a balancer that was just found, because the two may
     /// have been separated by a network failure. Shortly after a start many balancers
     /// are found at once: only the first is sent a request here, and
@@ -135,6 +163,19 @@
         }
     }
 
+    /// Requests a snapshot from a balancer that is about to stop, if no other one has told
+    /// this balancer of all agents yet.
+    pub(crate) fn request_snapshot_of_leaving_balancer(
+        &mut self,
+        balancer: NodeAddress,
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        if !self.has_complete_snapshot && !self.knew_all_agents {
+            self.request_snapshot(balancer, true, now, actions);
+        }
+    }
+
     /// Adds an agent that another node has named and that has not reported here yet.
     pub(crate) fn add_named_agent(&mut self, agent: NodeAddress) {
         let named = self.named_agents.entry(agent);
--- a/crates/woodladder-core/src/flow/balancer/membership/hellos.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/hellos.rs
@@ -31,6 +31,7 @@
         if hello.is_leaving {
             self.update_member(from, hello, now);
             self.peers.remove(from);
+            self.request_snapshot_of_leaving_balancer(from, now, actions);
             return;
         }
         let next_hello_within = Duration::from_millis(hello.next_hello_within_ms.into());
--- a/crates/woodladder-core/src/flow/balancer/membership/snapshots.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/snapshots.rs
@@ -31,6 +31,9 @@
         if let Some(configuration) = snapshot.configuration {
             self.adopt_configuration(Arc::new(configuration), Some(from));
         }
+        self.routes
+            .history_mut()
+            .merge(&snapshot.route_history, now);
         self.adopt_excluded_zones(&snapshot.excluded_zones, Some(from));
         for balancer in snapshot.balancers {
             self.add_named_peer(balancer, now, actions);
@@ -77,6 +80,7 @@
             agents: agents.collect(),
             knows_all_agents: self.knew_all_agents,
             stopped_agents: self.stopped_agents(now),
+            route_history: self.routes.history().summary(now),
         };
         known.for_request(request, self.routes.current())
     }
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -222,6 +222,7 @@
     pub fn tick(&mut self, now: Instant, actions: &mut Vec<BalancerAction>) {
         self.detect_stall(now);
         self.flows.tick(now);
+        self.routes.tick(self.options.flow_lifetime, now);
         let mut changes = Vec::new();
         let absence_limit = self.stopped_agent_absence_limit();
         self.directory.tick(absence_limit, now, &mut changes);
@@ -233,6 +234,7 @@
             self.log_events.add(LogEvent::BalancerLost { balancer });
         }
         self.request_complete_snapshot(now, actions);
+        self.request_route_history(now, actions);
         self.send_named_agent_hellos(now, actions);
         self.send_due_probes(now, actions);
         self.log_store_watch_change(now);
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -180,6 +180,8 @@
     has_complete_snapshot: bool,
     /// Number of snapshots requested so far in order to find all agents.
     snapshots_requested: usize,
+    /// Number of agents that were asked which services routes have led to.
+    agents_asked_for_history: usize,
     /// Whether this balancer had a record of every agent as of its last tick.
     knew_all_agents: bool,
     /// Agents that other nodes have named but that have not reported here yet.
@@ -252,6 +254,7 @@
             listening_since: now,
             has_complete_snapshot: false,
             snapshots_requested: 0,
+            agents_asked_for_history: 0,
             knew_all_agents: false,
             named_agents: BTreeMap::new(),
             named_agent_hellos_this_tick: 0,
--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -266,15 +266,15 @@
         Routing::Several(receivers)
     }
 
-    /// Services that the flow may have been opened with: the current services of its
-    /// route and the services that the route had before.
+    /// Services that the flow may have been opened with, as far as this balancer knows: the
+    /// current services of its route and the services that the route had before.
     pub(crate) fn possible_services(&self, key: FlowKey) -> Vec<ServiceKey> {
         let route = self.routes.route(key.service);
         let parts = route.map_or(&[][..], |route| route.parts.as_slice());
         let mut services: Vec<ServiceKey> = parts.iter().map(|part| part.service).collect();
-        for service in self.routes.former_services(key.service) {
-            if !services.contains(service) {
-                services.push(*service);
+        for service in self.routes.history().former_services(key.service) {
+            if !services.contains(&service) {
+                services.push(service);
             }
         }
         services
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -6,7 +6,8 @@
 //! of the caller. An agent that has restarted while its target kept running has no
 //! complete list of the target's flows. Such an agent is sent the packet, which the
 //! target returns if it does not hold the flow. The flow is reset only when each of
-//! these agents has denied the flow and the balancer has a record of every agent
+//! these agents has denied the flow, or is ruled out by the history of the flow's route, and
+//! the balancer has a record of every agent
 //! ([`crate::flow::balancer::membership::agent_discovery`]).
 
 use std::time::Duration;
@@ -87,10 +88,9 @@
     }
 
     /// Handles the answer of an agent that needs packets to decide whether its target
-    /// holds flows: the agent is sent a packet of each flow, and the target decides.
-    /// For a flow that cannot have been opened with the agent's service, the answer
-    /// counts as a denial: the packet must not reach another service, so nothing more
-    /// can be learned.
+    /// holds flows: the agent is sent a packet of each flow, and the target decides. A
+    /// packet must not reach a service that its flow cannot have been opened with, so the
+    /// other flows are either ruled out or stay undecided.
     pub(crate) fn handle_undecided(
         &mut self,
         from: NodeAddress,
@@ -102,15 +102,39 @@
         let Some(service) = self.directory.agent(from).map(|record| record.service) else {
             return;
         };
-        let (possible, ruled_out): (Vec<FlowKey>, Vec<FlowKey>) = keys
+        let (possible, others): (Vec<FlowKey>, Vec<FlowKey>) = keys
             .iter()
             .partition(|key| self.possible_services(**key).contains(&service));
-        self.handle_denial(from, &ruled_out, now, actions);
+        self.rule_out_holder(from, &others, now, actions);
         for key in possible {
             self.send_search_packet_within_limits(from, service, key, now, actions);
         }
     }
 
+    /// Rules out an agent as the holder of flows that cannot have been opened with its
+    /// service. This balancer knows that only if it knows every service that the flows'
+    /// routes have led to within the lifetime of a flow, and if the flow record does not name
+    /// the agent as the holder.
+    fn rule_out_holder(
+        &mut self,
+        agent: NodeAddress,
+        keys: &[FlowKey],
+        now: Instant,
+        actions: &mut Vec<BalancerAction>,
+    ) {
+        let lifetime = self.options.flow_lifetime;
+        if !self.routes.history().covers(lifetime, now) {
+            return;
+        }
+        for key in keys {
+            let is_recorded = self.flow_records.names_holder(agent, key);
+            if let Some(search) = self.search_of(key).filter(|_| !is_recorded) {
+                search.denied_by.insert(agent);
+            }
+        }
+        self.reset_denied_flows(keys, now, actions);
+    }
+
     /// Sends the packet of a search to an agent that needs a packet to decide, if the
     /// limits allow another packet.
     fn send_search_packet_within_limits(
--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -8,10 +8,8 @@
 use rustc_hash::FxHashMap;
 
 use super::identity::ServiceKey;
-
-/// Most former services that are remembered per route, for flows opened under earlier
-/// configurations.
-const MAXIMUM_FORMER_SERVICES: usize = 8;
+use super::route_history::RouteHistory;
+use crate::clock::Instant;
 
 /// A service that receives part of a route's new flows.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
@@ -88,7 +86,7 @@
 pub struct RouteTable {
     current: Option<Arc<Configuration>>,
     routes: FxHashMap<SocketAddrV4, usize>,
-    former: FxHashMap<SocketAddrV4, Vec<ServiceKey>>,
+    history: RouteHistory,
     /// For each service, the greatest priority number (the lowest priority) among its
     /// routes.
     lowest_priorities: FxHashMap<ServiceKey, u8>,
@@ -113,7 +111,7 @@
         if next.version <= self.version() {
             return false;
         }
-        self.remember_former_services(&next);
+        self.record_replaced_routes(&next);
         self.routes = next
             .routes
             .iter()
@@ -166,13 +164,26 @@
         self.current.as_ref()?.routes.get(index)
     }
 
-    /// Services that an address led to under earlier versions.
+    /// The services that addresses led to under earlier versions.
     #[must_use]
-    pub fn former_services(&self, address: SocketAddrV4) -> &[ServiceKey] {
-        self.former.get(&address).map_or(&[], Vec::as_slice)
+    pub fn history(&self) -> &RouteHistory {
+        &self.history
+    }
+
+    /// The same, to take over what another node knows.
+    pub(crate) fn history_mut(&mut self) -> &mut RouteHistory {
+        &mut self.history
+    }
+
+    /// Drops former services of which every flow has ended, and counts the time for which
+    /// all services are known.
+    pub(crate) fn tick(&mut self, flow_lifetime: Duration, now: Instant) {
+        if self.current.is_some() {
+            self.history.tick(flow_lifetime, now);
+        }
     }
 
-    fn remember_former_services(&mut self, next: &Configuration) {
+    fn record_replaced_routes(&mut self, next: &Configuration) {
         let Some(current) = self.current.take() else {
             return;
         };
@@ -186,20 +197,9 @@
                 .get(&route.address)
                 .is_some_and(|next_route| next_route.parts == route.parts);
             if !is_unchanged {
-                self.add_former_services(route);
-            }
-        }
-    }
-
-    fn add_former_services(&mut self, route: &Route) {
-        let services = self.former.entry(route.address).or_default();
-        for part in &route.parts {
-            if !services.contains(&part.service) {
-                services.push(part.service);
+                self.history.record_replaced(route);
             }
         }
-        let surplus = services.len().saturating_sub(MAXIMUM_FORMER_SERVICES);
-        services.drain(..surplus);
     }
 }
 
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -26,6 +26,7 @@
 pub mod packet;
 pub mod peers;
 pub mod promises;
+pub mod route_history;
 pub mod route_traffic;
 pub mod selection;
 pub mod snapshot;
--- a/crates/woodladder-core/src/flow/snapshot.rs
+++ b/crates/woodladder-core/src/flow/snapshot.rs
@@ -8,6 +8,7 @@
 use super::configuration::Configuration;
 use super::excluded_zones::ExcludedZones;
 use super::identity::NodeAddress;
+use super::route_history::RouteHistorySummary;
 
 /// Requests a [`Snapshot`] from a node.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,6 +36,8 @@
     pub knows_all_agents: bool,
     /// Agents that have announced a planned stop and have not returned yet.
     pub stopped_agents: Vec<StoppedAgent>,
+    /// The services that routes led to before.
+    pub route_history: RouteHistorySummary,
 }
 
 /// An agent that has announced a planned stop and has not returned yet.
@@ -67,6 +70,7 @@
         Self {
             configuration,
             excluded_zones: self.excluded_zones,
+            route_history: self.route_history,
             ..Self::default()
         }
     }
--- a/crates/woodladder-core/tests/flow_gone.rs
+++ b/crates/woodladder-core/tests/flow_gone.rs
@@ -9,6 +9,7 @@
 use woodladder_core::flow::balancer::BalancerAction;
 use woodladder_core::flow::identity::NodeAddress;
 use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, Snapshot};
+use woodladder_core::flow::route_history::RouteHistorySummary;
 
 #[test]
 fn a_flow_that_every_target_denies_is_reset_with_the_callers_acknowledgement() {
@@ -67,9 +68,19 @@
     assert!(actions.is_empty(), "{actions:?}");
 }
 
+/// The balancer knows that the flow's route has led to no other service within the lifetime
+/// of a flow.
 #[test]
 fn an_agent_of_another_service_that_cannot_tell_does_not_delay_a_reset() {
     let mut balancer = balancer(&[2]);
+    let snapshot = Snapshot {
+        route_history: RouteHistorySummary {
+            covered_ms: 60_000,
+            former_services: Vec::new(),
+        },
+        ..Snapshot::default()
+    };
+    balancer.handle_snapshot(node(5), snapshot, at(10_000), &mut Vec::new());
     let mut other = report(3, 1);
     other.service = other_service();
     deliver_report(&mut balancer, 3, &other, at(10_000));
--- a/crates/woodladder-lab/src/flow_simulation/world/actions.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/actions.rs
@@ -67,7 +67,7 @@
                 .map(|node| node.answer_snapshot_request(&request, self.now)),
             (_, Some(index)) => self.agents[index]
                 .as_ref()
-                .map(|node| node.answer_snapshot(&request)),
+                .map(|node| node.answer_snapshot(&request, self.now)),
             _ => None,
         };
         let mut actions = Vec::new();
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -151,7 +151,8 @@
         let listener = TcpListener::bind(self.config.peer_bind_address).await?;
         let node = Rc::clone(&self);
         spawn_local(snapshot_exchange::serve(listener, move |request| {
-            node.core.borrow().answer_snapshot(request)
+            let now = node.clock.now();
+            node.core.borrow().answer_snapshot(request, now)
         }));
         let now = self.clock.now();
         // The core treats seeds like balancers in a list from the store.
