Soak and simulation: planned stops of nodes beside living targets, moved routes, callers at rest

Why they had missed both faults: the soak killed and paused agents, which excuses resets for four seconds, and never stopped one as planned; its routes came and went but never moved; all callers used their flows every 80 ms, so that no flow was at rest over restarts. The simulation restarted agents in no time at all and stopped nothing as planned.

In the simulation a product that ignores announced stops, and one that takes 'may be held' for a denial, are reported (two new tests).

--- a/crates/woodladder-lab/src/command/soak.rs
+++ b/crates/woodladder-lab/src/command/soak.rs
@@ -32,6 +32,9 @@
     /// Run the seeds that failed once instead.
     #[arg(long, conflicts_with_all = ["first", "count"])]
     kept: bool,
+    /// Only planned work: nodes are stopped and started again, and configurations change.
+    #[arg(long)]
+    planned: bool,
     /// How long faults come in each run.
     #[arg(long, default_value = "14s", value_parser = time_text::parse)]
     length: Duration,
@@ -95,6 +98,7 @@
             seed,
             length: self.length,
             target_habits: TargetHabits::of_seed(seed),
+            is_planned_work_only: self.planned,
         })
     }
 }
--- a/crates/woodladder-lab/src/flow_simulation/faults.rs
+++ b/crates/woodladder-lab/src/flow_simulation/faults.rs
@@ -19,6 +19,10 @@
     AgentsDeliverAll,
     /// Nodes go back to lesser versions.
     NodesForgetVersions,
+    /// Balancers take the silence of a stopped agent for its target's end.
+    BalancersIgnoreStops,
+    /// The answer of an agent that cannot tell counts as a denial.
+    UndecidedCountsAsDenial,
 }
 
 /// One event of a run.
@@ -44,6 +48,47 @@
     StoreDown,
     /// Callers' flows move to other balancers.
     Shift,
+    /// An agent is stopped as planned beside its living target, and starts again after the
+    /// time.
+    StopAgent(usize, Duration),
+    /// A balancer is stopped as planned, and starts again after the time.
+    StopBalancer(usize, Duration),
+}
+
+/// Time between two planned stops.
+const STOP_PAUSES_MS: std::ops::Range<u64> = 150..2500;
+/// How long a stopped process is away.
+const AWAY_MS: std::ops::Range<u64> = 50..1500;
+/// How long it is away now and then.
+const LONG_AWAY_MS: std::ops::Range<u64> = 1500..6000;
+/// Share of the stops with a long absence.
+const LONG_AWAY_SHARE: f64 = 0.1;
+
+/// Planned stops of agents and balancers, which overlap each other and all faults. They are
+/// drawn apart, so that the faults of a seed do not depend on them.
+pub fn planned_stops(
+    balancers: usize,
+    agents: usize,
+    from: Duration,
+    to: Duration,
+    random: &mut ChaCha8Rng,
+) -> Vec<(Instant, Fault)> {
+    let mut stops = Vec::new();
+    let mut at = from;
+    while at < to {
+        let range = match random.random_bool(LONG_AWAY_SHARE) {
+            true => LONG_AWAY_MS,
+            false => AWAY_MS,
+        };
+        let away = Duration::from_millis(random.random_range(range));
+        let fault = match random.random_range(0..balancers + agents) {
+            index if index < balancers => Fault::StopBalancer(index, away),
+            index => Fault::StopAgent(index - balancers, away),
+        };
+        stops.push((Instant::from_origin(at), fault));
+        at += Duration::from_millis(random.random_range(STOP_PAUSES_MS));
+    }
+    stops
 }
 
 /// Faults with their times, all within a span.
--- a/crates/woodladder-lab/src/flow_simulation/world/delivery.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/delivery.rs
@@ -14,6 +14,9 @@
             let Some(balancer) = self.balancers[index].as_mut() else {
                 return;
             };
+            let Some(message) = mutated(message, self.mutation) else {
+                return;
+            };
             let mut actions = Vec::new();
             let bytes = packet.as_ref().map(packet_bytes::write);
             let packet = packet.as_ref().zip(bytes.as_deref());
@@ -176,3 +179,14 @@
         self.serve_queue(index);
     }
 }
+
+/// A message to a balancer as a faulty product would take it; `None` if it would ignore it.
+fn mutated(message: PeerMessage, mutation: Mutation) -> Option<PeerMessage> {
+    match (message, mutation) {
+        (PeerMessage::AgentStops { .. }, Mutation::BalancersIgnoreStops) => None,
+        (PeerMessage::MayBeHeld { keys }, Mutation::UndecidedCountsAsDenial) => {
+            Some(PeerMessage::NotHeld { keys })
+        }
+        (message, _) => Some(message),
+    }
+}
--- a/crates/woodladder-lab/src/flow_simulation/world/mod.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/mod.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod delivery;
 mod nodes;
+mod planned_stops;
 mod strikes;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,14 +20,16 @@
     Agent, AgentAction, AgentOptions, ForwardDecision, Heartbeat, ListenState, ReplyBody,
     TargetPacketDecision,
 };
-use woodladder_core::flow::balancer::{Balancer, BalancerAction, BalancerOptions, Routing};
+use woodladder_core::flow::balancer::{
+    Balancer, BalancerAction, BalancerOptions, NotReadyReason, Routing,
+};
 use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
 use woodladder_core::flow::identity::{FlowKey, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::message::{ForwardHeader, ForwardPurpose, PeerMessage, SnapshotRequest};
 use woodladder_core::flow::packet::{CallerReset, FlowPacket, PacketKind};
 
 use super::caller::{Caller, Step};
-use super::faults::{Fault, Mutation, plan};
+use super::faults::{Fault, Mutation, plan, planned_stops};
 use super::network::{EventQueue, Links};
 use super::packet_bytes;
 use super::target::{Reaction, Target};
@@ -72,6 +75,9 @@
     },
     Strike(Fault),
     RestoreBalancer(usize),
+    EndBalancer(usize, Duration),
+    EndAgent(usize, Duration),
+    RestoreAgent(usize),
     RestorePower(usize),
     Heal(NodeAddress),
     StoreUp,
@@ -149,6 +155,16 @@
         for (at, fault) in plan(BALANCERS, AGENTS, QUIET_UNTIL, FAULTS_UNTIL, &mut random) {
             events.push(at, Event::Strike(fault));
         }
+        let mut stop_random = ChaCha8Rng::seed_from_u64(!seed);
+        for (at, stop) in planned_stops(
+            BALANCERS,
+            AGENTS,
+            QUIET_UNTIL,
+            FAULTS_UNTIL,
+            &mut stop_random,
+        ) {
+            events.push(at, Event::Strike(stop));
+        }
         let callers = (0..CALLERS).map(|number| {
             let address = if number % 4 == 0 { route(2) } else { route(1) };
             Caller::new(number, address, number % 3 != 0, number % 2 == 0)
@@ -234,6 +250,9 @@
                 let balancer = self.new_balancer(index);
                 self.balancers[index] = Some(balancer);
             }
+            Event::EndBalancer(index, away) => self.end_balancer(index, away),
+            Event::EndAgent(index, away) => self.end_agent(index, away),
+            Event::RestoreAgent(index) => self.restore_agent(index),
             Event::RestorePower(index) => self.restore_power(index),
             Event::Heal(machine) => {
                 self.links.heal(machine);
--- a/crates/woodladder-lab/src/flow_simulation/world/strikes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/strikes.rs
@@ -15,12 +15,7 @@
             Fault::KillAgent(index) => {
                 self.disturb(agent_address(index));
                 let mut agent = self.new_agent(index);
-                let presence = if self.targets[index].runs {
-                    ListenState::Listening
-                } else {
-                    ListenState::NotListening
-                };
-                agent.record_listen_state(presence);
+                agent.record_listen_state(self.listen_state(index));
                 self.agents[index] = Some(agent);
             }
             Fault::PowerLoss(index) => {
@@ -41,6 +36,8 @@
                     .push(self.now + STORE_DOWN_LASTS, Event::StoreUp);
             }
             Fault::Shift => self.shift += 1,
+            Fault::StopAgent(index, away) => self.stop_agent(index, away),
+            Fault::StopBalancer(index, away) => self.stop_balancer(index, away),
         }
     }
 
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -30,7 +30,7 @@
 pub use oracle::{Oracle, Violation};
 pub use site::SiteError;
 pub use soak::{SoakOptions, soak};
-pub use soak_plan::{Strike, StrikeKind, leavings, plan};
+pub use soak_plan::{Strike, StrikeKind, leavings, plan, planned_stops};
 pub use soak_report::SoakReport;
 pub use store_state::StoreFault;
 pub use target_control::TargetHabits;
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -46,6 +46,8 @@
     (23, "kitchen"),
     (31, "print"),
 ];
+/// Pauses of callers whose flows are at rest most of the time.
+const RESTS_MS: [u64; 2] = [2500, 6000];
 /// Requests a second that a cold target bears.
 const COLD_RATE: f64 = 20.0;
 
@@ -136,6 +138,11 @@
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 3), 443)
 }
 
+/// Address of a route that moves between the services.
+pub fn moved_route() -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 4), 443)
+}
+
 impl Site {
     /// Opens store and router; starts no process yet. `links` lie between the
     /// nodes.
@@ -190,7 +197,11 @@
     /// Starts all processes and waits until routers have balancers.
     pub async fn serve(&mut self) -> Result<(), SiteError> {
         self.put_foreign_entries();
-        self.configure(&[(kitchen_route(), "kitchen"), (print_route(), "print")]);
+        self.configure(&[
+            (kitchen_route(), "kitchen"),
+            (print_route(), "print"),
+            (moved_route(), "kitchen"),
+        ]);
         for machine in BALANCERS {
             self.start_balancer(machine)?;
             self.router.add(self.network.machine(machine));
@@ -359,6 +370,10 @@
             habit(kitchen_route(), false, false, 30),
         ];
         habits.extend((0..6).map(|_| habit(kitchen_route(), true, true, 80)));
+        for rest in RESTS_MS {
+            habits.push(habit(kitchen_route(), true, true, rest));
+            habits.push(habit(moved_route(), true, true, rest));
+        }
         for habit in habits {
             let asking = Rc::clone(&callers).ask(habit, until);
             self.callers.push(spawn_local(asking));
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -21,10 +21,10 @@
 use super::links::{self, LinkRule, Links};
 use super::oracle::STORE;
 use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
-    service_of,
+    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, moved_route,
+    print_route, service_of,
 };
-use super::soak_plan::{EXCLUDED_BY, Strike, StrikeKind, plan, processors};
+use super::soak_plan::{EXCLUDED_BY, Strike, StrikeKind, plan, planned_stops, processors};
 use super::soak_report::SoakReport;
 use super::store_state::StoreFault;
 use super::target::SHORTEST_DRAIN;
@@ -59,6 +59,8 @@
     pub length: Duration,
     /// How targets speak to their agents; [`TargetHabits::of_seed`] in an ordinary run.
     pub target_habits: TargetHabits,
+    /// Whether only planned work is done, by which no reset of a living flow is excused.
+    pub is_planned_work_only: bool,
 }
 
 /// Runs a soak to its end.
@@ -126,7 +128,11 @@
         let begin = Instant::now();
         let end = begin + options.length + SETTLING + CALM;
         self.site.call(end).await?;
-        let strikes = plan(options.seed, options.length);
+        let strikes = if options.is_planned_work_only {
+            planned_stops(options.seed, options.length)
+        } else {
+            plan(options.seed, options.length)
+        };
         for (at, change) in timeline(&strikes) {
             self.start_targets_until(begin + at.min(options.length))
                 .await?;
@@ -176,7 +182,9 @@
                 self.disturb(machine);
                 self.site.signal(machine, Signal::SIGKILL)?;
             }
-            StrikeKind::StopBalancer => self.site.signal(machine, Signal::SIGTERM)?,
+            StrikeKind::StopBalancer | StrikeKind::StopAgent => {
+                self.site.signal(machine, Signal::SIGTERM)?;
+            }
             StrikeKind::PauseBalancer | StrikeKind::PauseAgent => {
                 self.disturb(machine);
                 self.site.signal(machine, Signal::SIGSTOP)?;
@@ -249,6 +257,9 @@
                 self.disturb(machine);
                 self.site.start_agent(machine, service_of(machine))?;
             }
+            StrikeKind::StopAgent => {
+                self.site.start_agent(machine, service_of(machine))?;
+            }
             StrikeKind::PauseBalancer | StrikeKind::PauseAgent => {
                 self.disturb(machine);
                 self.site.signal(machine, Signal::SIGCONT)?;
@@ -332,11 +343,18 @@
         }
     }
 
-    /// Writes the next configuration, in which one route comes or goes.
+    /// Writes the next configuration, in which one route comes or goes and another one moves
+    /// to the other service.
     fn configure(&mut self) {
         self.configurations += 1;
-        let mut routes = vec![(kitchen_route(), "kitchen"), (print_route(), "print")];
-        if self.configurations % 2 == 1 {
+        let is_odd = self.configurations % 2 == 1;
+        let moved_to = if is_odd { "print" } else { "kitchen" };
+        let mut routes = vec![
+            (kitchen_route(), "kitchen"),
+            (print_route(), "print"),
+            (moved_route(), moved_to),
+        ];
+        if is_odd {
             routes.push((added_route(), "print"));
         }
         self.site.configure(&routes);
--- a/crates/woodladder-lab/src/platform/soak_plan.rs
+++ b/crates/woodladder-lab/src/platform/soak_plan.rs
@@ -23,6 +23,8 @@
     KillAgent,
     /// An agent stands still.
     PauseAgent,
+    /// An agent is stopped as planned beside its living target, and started again.
+    StopAgent,
     /// Nothing reaches a node from other nodes.
     CutToNode,
     /// Nothing reaches other nodes from a node.
@@ -70,8 +72,8 @@
 }
 
 /// All kinds but [`StrikeKind::ExcludeZone`], [`StrikeKind::BeginAgain`],
-/// [`StrikeKind::DeregisterTarget`] and [`StrikeKind::LosePower`], which have draws of their
-/// own.
+/// [`StrikeKind::DeregisterTarget`], [`StrikeKind::LosePower`] and [`StrikeKind::StopAgent`],
+/// which have draws of their own.
 pub const KINDS: [StrikeKind; 23] = [
     StrikeKind::KillBalancer,
     StrikeKind::StopBalancer,
@@ -153,6 +155,20 @@
 const MAXIMUM_FAULTS_IN_LEAVING: u32 = 2;
 /// How long they last.
 const FAULT_LENGTHS_MS: std::ops::Range<u64> = 200..1800;
+/// Time between two planned stops of nodes.
+const STOP_PAUSES_MS: std::ops::Range<u64> = 200..2500;
+/// Share of the planned stops that strike balancers.
+const STOPS_BALANCER: f64 = 0.25;
+/// Time from an agent's stop to its next start: longer than the stop itself takes.
+const AGENT_STOP_LENGTHS_MS: std::ops::Range<u64> = 500..2000;
+/// The same for an agent that is away for long.
+const LONG_AGENT_STOP_LENGTHS_MS: std::ops::Range<u64> = 2000..6000;
+/// Share of the agents that are away for long.
+const LONG_AGENT_STOP_SHARE: f64 = 0.15;
+/// Time from a balancer's stop to its next start: longer than the stop itself takes.
+const BALANCER_STOP_LENGTHS_MS: std::ops::Range<u64> = 5500..7000;
+/// Time between two configurations beside planned stops.
+const CONFIGURATION_PAUSES_MS: std::ops::Range<u64> = 1500..5000;
 /// How long a strike lasts.
 const LENGTHS_MS: std::ops::Range<u64> = 300..3000;
 
@@ -180,6 +196,7 @@
         match self {
             Self::KillAgent
             | Self::PauseAgent
+            | Self::StopAgent
             | Self::CrashTarget
             | Self::DrainTarget
             | Self::DeregisterTarget
@@ -223,9 +240,60 @@
     strikes.sort_by_key(|strike| strike.at);
     strikes.extend(exclusions(seed, length));
     strikes.extend(leavings(seed, length));
+    strikes.extend(planned_stops(seed, length));
     strikes
 }
 
+/// Planned stops of nodes beside living targets, with changes of the configuration. They
+/// overlap each other and all other strikes, and are drawn apart, so that the other strikes
+/// of a seed do not depend on them. A machine is stopped once at a time, and so are the
+/// balancers.
+#[must_use]
+pub fn planned_stops(seed: u64, length: Duration) -> Vec<Strike> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(48) ^ 3);
+    let mut strikes: Vec<Strike> = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(STOP_PAUSES_MS));
+    while at < length {
+        let strike = planned_stop(at, &mut random);
+        let is_apart = |other: &Strike| {
+            let are_balancers =
+                other.kind == strike.kind && strike.kind == StrikeKind::StopBalancer;
+            other.leaves_free(&strike) && (!are_balancers || other.at + other.lasts <= at)
+        };
+        if strikes.iter().all(is_apart) && at + strike.lasts <= length {
+            strikes.push(strike);
+        }
+        at += Duration::from_millis(random.random_range(STOP_PAUSES_MS));
+    }
+    let mut at = Duration::from_millis(random.random_range(CONFIGURATION_PAUSES_MS));
+    while at < length {
+        strikes.push(Strike {
+            at,
+            lasts: Duration::ZERO,
+            kind: StrikeKind::Configure,
+            machine: BALANCERS[0],
+        });
+        at += Duration::from_millis(random.random_range(CONFIGURATION_PAUSES_MS));
+    }
+    strikes
+}
+
+fn planned_stop(at: Duration, random: &mut ChaCha8Rng) -> Strike {
+    let (kind, lengths) = if random.random_bool(STOPS_BALANCER) {
+        (StrikeKind::StopBalancer, BALANCER_STOP_LENGTHS_MS)
+    } else if random.random_bool(LONG_AGENT_STOP_SHARE) {
+        (StrikeKind::StopAgent, LONG_AGENT_STOP_LENGTHS_MS)
+    } else {
+        (StrikeKind::StopAgent, AGENT_STOP_LENGTHS_MS)
+    };
+    Strike {
+        at,
+        lasts: Duration::from_millis(random.random_range(lengths)),
+        kind,
+        machine: kind.machine(random),
+    }
+}
+
 /// Long leavings of targets, with faults that strike their machines meanwhile or just
 /// before. They are drawn apart, so that the other strikes of a seed do not depend on them.
 #[must_use]
--- a/crates/woodladder-lab/tests/flow_simulation.rs
+++ b/crates/woodladder-lab/tests/flow_simulation.rs
@@ -60,6 +60,24 @@
     assert!(is_seen(Mutation::AgentsDeliverAll, &Breach::WrongService));
 }
 
+/// Planned restarts of the nodes beside targets reset living flows.
+#[test]
+fn balancers_that_take_a_planned_stop_for_an_end_are_seen() {
+    assert!(is_seen(
+        Mutation::BalancersIgnoreStops,
+        &Breach::LivingFlowReset
+    ));
+}
+
+/// After a route had moved, planned restarts reset the flows that were at rest.
+#[test]
+fn balancers_that_take_an_undecided_answer_for_a_denial_are_seen() {
+    assert!(is_seen(
+        Mutation::UndecidedCountsAsDenial,
+        &Breach::LivingFlowReset
+    ));
+}
+
 #[test]
 fn nodes_that_go_back_to_a_lesser_version_are_seen() {
     assert!(is_seen(
--- a/crates/woodladder-lab/tests/platform_leaving.rs
+++ b/crates/woodladder-lab/tests/platform_leaving.rs
@@ -44,6 +44,7 @@
         seed,
         length: Duration::from_secs(20),
         target_habits: TargetHabits::of_seed(seed),
+        is_planned_work_only: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
--- a/crates/woodladder-lab/tests/platform_soak.rs
+++ b/crates/woodladder-lab/tests/platform_soak.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use woodladder_lab::platform::{
-    self, SoakOptions, SoakReport, Strike, StrikeKind, TargetHabits, leavings, plan,
+    self, SoakOptions, SoakReport, Strike, StrikeKind, TargetHabits, leavings, plan, planned_stops,
 };
 
 const LENGTH: Duration = Duration::from_secs(14);
@@ -19,6 +19,7 @@
         seed,
         length,
         target_habits: TargetHabits::default(),
+        is_planned_work_only: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
@@ -37,15 +38,16 @@
         .flat_map(|seed| plan(seed, LENGTH))
         .map(|strike| format!("{:?}", strike.kind))
         .collect();
-    assert_eq!(kinds.len(), 27, "{kinds:?}");
+    assert_eq!(kinds.len(), 28, "{kinds:?}");
 }
 
 #[test]
-fn a_machine_is_struck_by_one_fault_at_a_time_but_for_long_leavings() {
+fn a_machine_is_struck_by_one_fault_at_a_time_but_for_long_leavings_and_planned_stops() {
     for seed in 0..100 {
-        let leavings = leavings(seed, LENGTH);
+        let mut drawn_apart = leavings(seed, LENGTH);
+        drawn_apart.extend(planned_stops(seed, LENGTH));
         let mut strikes = plan(seed, LENGTH);
-        strikes.retain(|strike| !leavings.contains(strike));
+        strikes.retain(|strike| !drawn_apart.contains(strike));
         for (index, strike) in strikes.iter().enumerate() {
             for later in &strikes[index + 1..] {
                 let is_apart = later.at >= strike.at + strike.lasts;
