Flow records name the agents that have announced a planned stop

Fix: a balancer's flow record in the store names the stopped agents with the time since they were heard, and is written once more at the balancer's own planned stop, as before. It costs no further call. Where no flow record is written (no route with a short timeout, or more balancers than share the store's writes), the gap remains.

Tests: two in flow_planned_stops; the first also shows that without the entry the flow is reset. The encoding has a new version; a record of the former one is refused and logged, as any record may be missing.

--- a/crates/woodladder-core/src/flow/balancer/flow_records/recording.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records/recording.rs
@@ -96,7 +96,9 @@
     /// step, or has ended, and the next call of [`Self::next_record_call`] returns the
     /// time to wait for.
     fn next_write_call(&mut self, time_of_day: u64, now: Instant) -> NextCall {
-        let record = self.flow_record(time_of_day);
+        let record = self
+            .flow_record(time_of_day)
+            .with_stopped_agents(self.stopped_agents(now));
         let fingerprint = record.fingerprint();
         let session = &mut self.flow_records.session;
         let Some(revision) = session.offer(fingerprint, record.is_empty(), now) else {
--- a/crates/woodladder-core/src/flow/balancer/flow_records/restoring.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records/restoring.rs
@@ -27,6 +27,7 @@
         let age_ms = time_of_day.saturating_sub(record.written_at_ms);
         self.flow_records.counters.restored_record_age_ms = age_ms;
         self.flow_records.restorer.load(record, now);
+        self.add_stopped_agents(&record.stopped_agents, Duration::from_millis(age_ms), now);
         self.log_events.add(LogEvent::FlowRecordRead {
             flows: record.len(),
             age: Duration::from_millis(age_ms),
--- a/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
@@ -13,7 +13,7 @@
 use crate::clock::Instant;
 use crate::flow::balancer::{Balancer, BalancerAction};
 use crate::flow::identity::NodeAddress;
-use crate::flow::message::PeerMessage;
+use crate::flow::message::{PeerMessage, StoppedAgent};
 
 /// Minimum time of listening when another balancer has sent a snapshot with all agents.
 const MINIMUM_LISTENING: Duration = Duration::from_millis(200);
@@ -182,6 +182,22 @@
         named.or_insert_with(|| NamedAgent::new(None));
     }
 
+    /// Adds the agents that had announced a planned stop, as another balancer or an earlier
+    /// process of this one knew `age` ago.
+    pub(crate) fn add_stopped_agents(
+        &mut self,
+        stopped: &[StoppedAgent],
+        age: Duration,
+        now: Instant,
+    ) {
+        for agent in stopped {
+            if self.directory.agent(agent.address).is_none() {
+                let silence = age + Duration::from_millis(agent.silent_for_ms.into());
+                self.add_stopped_agent(agent.address, silence, now);
+            }
+        }
+    }
+
     /// Adds an agent that has announced a planned stop, `silence` ago at the latest, and has
     /// not reported here yet.
     pub(crate) fn add_stopped_agent(
--- a/crates/woodladder-core/src/flow/balancer/membership/snapshots.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/snapshots.rs
@@ -44,12 +44,7 @@
                 self.add_named_agent(agent);
             }
         }
-        for stopped in snapshot.stopped_agents {
-            if self.directory.agent(stopped.address).is_none() {
-                let silence = Duration::from_millis(stopped.silent_for_ms.into());
-                self.add_stopped_agent(stopped.address, silence, now);
-            }
-        }
+        self.add_stopped_agents(&snapshot.stopped_agents, Duration::ZERO, now);
         self.send_next_named_agent_hellos(now, actions);
     }
 
@@ -87,7 +82,7 @@
 
     /// The agents that have announced a planned stop and have not returned yet, to this
     /// balancer or to another one that has told this one.
-    fn stopped_agents(&self, now: Instant) -> Vec<StoppedAgent> {
+    pub(crate) fn stopped_agents(&self, now: Instant) -> Vec<StoppedAgent> {
         let recorded = self
             .directory
             .stopped_agents()
--- a/crates/woodladder-core/src/flow/flow_record/record.rs
+++ b/crates/woodladder-core/src/flow/flow_record/record.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::flow::identity::{FlowKey, Incarnation, NodeAddress};
+use crate::flow::snapshot::StoppedAgent;
 
 /// Most flows in one record. Each flow takes 14 bytes and each [`HolderFlows`] group 24
 /// more, so a full record with 500 groups has about 70 KB, far below the store's limit of
@@ -15,7 +16,7 @@
 /// Most bytes of a record that is read.
 pub const MAXIMUM_BYTES: usize = 256 * 1024;
 /// Version of the encoding.
-const ENCODING_VERSION: u8 = 1;
+const ENCODING_VERSION: u8 = 2;
 /// Low bits of the caller's acknowledgement number that [`FlowRecord::fingerprint`]
 /// ignores: for the same flows, the fingerprint changes only if the acknowledgement
 /// number of some flow has crossed a multiple of 16 KiB. This step is far smaller than
@@ -58,6 +59,8 @@
     pub written_at_ms: u64,
     /// The flows, grouped by holder and route.
     pub holders: Vec<HolderFlows>,
+    /// Agents that had announced a planned stop and had not returned yet.
+    pub stopped_agents: Vec<StoppedAgent>,
 }
 
 /// Why a record cannot be used.
@@ -124,6 +127,16 @@
             balancer,
             written_at_ms,
             holders: holders.collect(),
+            stopped_agents: Vec::new(),
+        }
+    }
+
+    /// The record with these agents, which had announced a planned stop.
+    #[must_use]
+    pub fn with_stopped_agents(self, stopped_agents: Vec<StoppedAgent>) -> Self {
+        Self {
+            stopped_agents,
+            ..self
         }
     }
 
@@ -133,14 +146,14 @@
         self.holders.iter().map(|group| group.flows.len()).sum()
     }
 
-    /// Whether the record contains no flow.
+    /// Whether the record contains neither a flow nor a stopped agent.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.holders.is_empty()
+        self.holders.is_empty() && self.stopped_agents.is_empty()
     }
 
-    /// A hash that changes if the record is worth writing again: if flows or holders
-    /// differ, or if a caller's acknowledgement number has crossed a multiple of 16 KiB.
+    /// A hash that changes if the record is worth writing again: if flows, holders or
+    /// stopped agents differ, or if a caller's acknowledgement number has crossed a multiple of 16 KiB.
     /// Differences in `caller_next` alone do not change the hash.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
@@ -158,6 +171,10 @@
                 bytes.extend_from_slice(&advanced.to_be_bytes());
             }
         }
+        for stopped in &self.stopped_agents {
+            bytes.extend_from_slice(&stopped.address.ip().octets());
+            bytes.extend_from_slice(&stopped.address.port().to_be_bytes());
+        }
         xxh3_64(&bytes)
     }
 
--- a/crates/woodladder-core/tests/flow_planned_stops.rs
+++ b/crates/woodladder-core/tests/flow_planned_stops.rs
@@ -6,10 +6,12 @@
 use flow_support::*;
 use woodladder_core::flow::agent::{AgentAction, ListenState};
 use woodladder_core::flow::balancer::{Balancer, BalancerAction};
+use woodladder_core::flow::flow_record::FlowRecord;
 use woodladder_core::flow::identity::{Incarnation, NodeAddress};
 use woodladder_core::flow::message::{
-    PeerMessage, Snapshot, SnapshotRequest, TargetReport, TargetState,
+    PeerMessage, Snapshot, SnapshotRequest, StoppedAgent, TargetReport, TargetState,
 };
+use woodladder_core::flow::store_session::{NextCall, StoreCall, StoreReply};
 
 /// Idle timeout of the configuration of these tests, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
@@ -211,6 +213,64 @@
     balancer
 }
 
+/// All balancers may be restarted while an agent is away; then only their flow records tell.
+#[test]
+fn a_stopped_agent_is_made_known_by_the_flow_record_of_the_balancers_former_process() {
+    for is_recorded in [true, false] {
+        let stopped = StoppedAgent {
+            address: node(4),
+            silent_for_ms: 500,
+        };
+        let stopped = if is_recorded { vec![stopped] } else { vec![] };
+        let record = FlowRecord::of(node(1), 0, [].into_iter()).with_stopped_agents(stopped);
+        let mut balancer = empty_balancer();
+        let mut configuration = (*configuration(1)).clone();
+        configuration.routes[0].terms.timeout_ms = 1500;
+        balancer.adopt_store_configuration(configuration.into());
+        balancer.tick(at(0), &mut Vec::new());
+        let call = balancer.next_record_call(1000, at(10));
+        assert_eq!(call, NextCall::Now(StoreCall::ReadFlowRecord));
+        let reply = StoreReply::FlowRecord {
+            value: Some(record.encode()),
+            revision: 9,
+        };
+        balancer.handle_record_reply(reply, 1000, at(10), &mut Vec::new());
+        run(&mut balancer, 4, (10, 3000));
+        deliver_caller_packet(&mut balancer, &data(flow(1), 1001, 5001), at(3000));
+        deliver_message(&mut balancer, 2, denial(), at(3010));
+        let actions = deliver_message(&mut balancer, 3, denial(), at(3010));
+        assert_eq!(has_reset(&actions), !is_recorded, "{actions:?}");
+    }
+}
+
+/// The record is written again when an agent stops, at the latest as the balancer stops.
+#[test]
+fn a_balancer_that_stops_records_the_stopped_agents() {
+    let mut balancer = balancer(&[2, 3, 4]);
+    let mut configuration = (*configuration(2)).clone();
+    configuration.routes[0].terms.timeout_ms = 1500;
+    balancer.adopt_store_configuration(configuration.into());
+    balancer.tick(at(10_000), &mut Vec::new());
+    balancer.next_record_call(10_000, at(10_000));
+    let nothing = StoreReply::FlowRecord {
+        value: None,
+        revision: 0,
+    };
+    balancer.handle_record_reply(nothing, 10_010, at(10_010), &mut Vec::new());
+    deliver_message(&mut balancer, 3, agent_stops(3), at(STOPPED_AT));
+    balancer.leave(at(STOPPED_AT + 100), &mut Vec::new());
+    let call = balancer.next_record_call(10_200, at(STOPPED_AT + 100));
+    let NextCall::Now(StoreCall::WriteFlowRecord { bytes, .. }) = call else {
+        panic!("{call:?}");
+    };
+    let record = FlowRecord::decode(&bytes).expect("a record");
+    let stopped = StoppedAgent {
+        address: node(3),
+        silent_for_ms: 100,
+    };
+    assert_eq!(record.stopped_agents, [stopped]);
+}
+
 #[test]
 fn late_messages_of_a_former_start_change_nothing() {
     let (mut balancer, holder) = balancer_with_flow();
