Searches: packets reach few other targets while the holder's node is away

What callers saw: nothing by itself.

Cause: an agent that cannot tell hands the packet to its target; a search did not consider that the holder may be out of reach.

Agents that know all flows, or announce the flow, are asked as before.

Test: packets_of_a_flow_whose_holder_may_be_away_reach_few_other_targets, which also shows the number without an announced stop.

--- a/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
@@ -182,6 +182,13 @@
         named.or_insert_with(|| NamedAgent::new(None));
     }
 
+    /// Whether an agent that has announced a planned stop, and that this balancer has not
+    /// heard itself, is awaited.
+    pub(crate) fn awaits_stopped_agents(&self) -> bool {
+        let mut named = self.named_agents.values();
+        named.any(|agent| agent.stop_heard_at.is_some())
+    }
+
     /// Adds the agents that had announced a planned stop, as another balancer or an earlier
     /// process of this one knew `age` ago.
     pub(crate) fn add_stopped_agents(
--- a/crates/woodladder-core/src/flow/balancer/search/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/mod.rs
@@ -12,6 +12,7 @@
 pub mod flow_index;
 pub(crate) mod outcome;
 pub(crate) mod rounds;
+pub(crate) mod strays;
 pub mod work_budget;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,6 +59,8 @@
     kept_packets: Vec<Vec<u8>>,
     /// When each agent that needs a packet to decide was last sent one.
     packet_sent_at: BTreeMap<NodeAddress, Instant>,
+    /// When a packet was last sent to such an agent while the holder may have been away.
+    stray_sent_at: Option<Instant>,
     /// Agents of the first targets, which the packet was copied to.
     first_targets: Vec<NodeAddress>,
     /// Time that the first targets have to answer before all agents are queried.
@@ -75,6 +78,7 @@
             latest_packet: packet.to_vec(),
             kept_packets: Vec::new(),
             packet_sent_at: BTreeMap::new(),
+            stray_sent_at: None,
             first_targets: Vec::new(),
             first_targets_timeout: FIRST_TARGETS_TIMEOUT,
             is_logged: false,
@@ -148,7 +152,7 @@
             stage: Stage::Searching(Search::new(bytes, now)),
         };
         self.flows.insert(packet.key, entry, now);
-        self.begin_search(packet.key)
+        self.begin_search(packet.key, now)
     }
 
     /// Begins a search for a flow that was opened through another balancer. At this
@@ -161,7 +165,7 @@
         now: Instant,
     ) -> Routing {
         self.set_searching(&packet.key, Search::new(bytes, now));
-        self.begin_search(packet.key)
+        self.begin_search(packet.key, now)
     }
 
     fn set_searching(&mut self, key: &FlowKey, search: Search) {
@@ -203,18 +207,21 @@
             return Routing::Drop(DropReason::HolderUnknown);
         };
         if search.is_over(now) {
-            *search = Search::new(bytes, now);
-            return self.begin_search(key);
+            *search = Search {
+                stray_sent_at: search.stray_sent_at,
+                ..Search::new(bytes, now)
+            };
+            return self.begin_search(key, now);
         }
         search.latest_packet = bytes.to_vec();
         self.counters.searched_packets += 1;
-        self.route_search_packet(key)
+        self.route_search_packet(key, now)
     }
 
-    pub(crate) fn begin_search(&mut self, key: FlowKey) -> Routing {
+    pub(crate) fn begin_search(&mut self, key: FlowKey, now: Instant) -> Routing {
         self.searched_flows.push(key);
         self.counters.searched_packets += 1;
-        let routing = self.route_search_packet(key);
+        let routing = self.route_search_packet(key, now);
         let first_targets: Vec<NodeAddress> = match &routing {
             Routing::Several(receivers) => receivers.iter().map(|(agent, _)| *agent).collect(),
             _ => Vec::new(),
@@ -240,14 +247,15 @@
     }
 
     /// Routes a packet to the first targets that have not denied the flow.
-    fn route_search_packet(&mut self, key: FlowKey) -> Routing {
+    fn route_search_packet(&mut self, key: FlowKey, now: Instant) -> Routing {
         if self.locates_flows() {
             return self.route_to_announced_holders(key);
         }
         let denied = self
             .search_of(&key)
             .map_or_else(BTreeSet::new, |search| search.denied_by.clone());
-        self.route_to_first_targets(key, &denied)
+        let routing = self.route_to_first_targets(key, &denied);
+        self.hold_back_strays(&key, routing, now)
     }
 
     fn route_to_first_targets(&self, key: FlowKey, denied: &BTreeSet<NodeAddress>) -> Routing {
--- a/crates/woodladder-core/src/flow/balancer/search/outcome.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/outcome.rs
@@ -50,7 +50,7 @@
         actions: &mut Vec<BalancerAction>,
     ) {
         if self.search_if_denied_by_holder(from, &packet.key, bytes, now) {
-            let routing = self.begin_search(packet.key);
+            let routing = self.begin_search(packet.key, now);
             self.push_actions(routing, bytes, actions);
         }
         self.handle_denial(from, &[packet.key], now, actions);
@@ -163,6 +163,9 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
+        if !self.may_send_stray(&key, now) {
+            return;
+        }
         let packet = self
             .search_of(&key)
             .and_then(|search| search.take_packet_for(agent, now));
--- a/crates/woodladder-core/tests/flow_planned_stops.rs
+++ b/crates/woodladder-core/tests/flow_planned_stops.rs
@@ -162,6 +162,36 @@
     assert!(has_reset(&actions), "{actions:?}");
 }
 
+/// While the holder's node was away, copies of the flow's packets reached many other targets
+/// and none its own.
+#[test]
+fn packets_of_a_flow_whose_holder_may_be_away_reach_few_other_targets() {
+    for (stopped, most) in [(None, 6), (Some(9), 2)] {
+        let mut balancer = balancer(&[2, 3, 4, 5, 6, 7, 9]);
+        if let Some(agent) = stopped {
+            deliver_message(&mut balancer, agent, agent_stops(agent), at(STOPPED_AT));
+        }
+        let mut others = 0;
+        for now in (10_200..12_200).step_by(50) {
+            let packet = data(flow(1), 1001, 5001);
+            let routing = deliver_caller_packet(&mut balancer, &packet, at(now));
+            let mut reached = receivers(&routing);
+            for agent in 2..8 {
+                deliver_report(&mut balancer, agent, &report(agent, now), at(now));
+                let keys = vec![flow(1)];
+                let undecided = PeerMessage::MayBeHeld { keys };
+                let actions = deliver_message(&mut balancer, agent, undecided, at(now + 1));
+                reached.extend(actions.iter().filter_map(|action| match action {
+                    BalancerAction::Forward { to, .. } => Some(*to),
+                    _ => None,
+                }));
+            }
+            others += reached.iter().filter(|to| **to != node(9)).count();
+        }
+        assert_eq!(others <= most, stopped.is_some(), "{others}");
+    }
+}
+
 /// Balancers that start while an agent is away have never heard it; each learns of it from
 /// the one before.
 #[test]
