--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -6,7 +6,9 @@
 //! own to finish: the target has ended before, or runs on beside the agent's next process.
 //! The agent tells the balancers which it is, as listen probes show.
 
+mod listen_probes;
 mod metrics;
+mod planned_stop;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -16,15 +18,14 @@
 
 use rand::random;
 use slog::{Logger, info};
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{
     Agent, AgentAction, AgentOptions, DeregistrationOutcome, ForwardDecision, Heartbeat,
-    HeartbeatError, HeartbeatOutcome, ListenState, ReplyBody, TargetPacketDecision, TargetStatus,
-    WarmUpBounds,
+    HeartbeatError, HeartbeatOutcome, ReplyBody, TargetPacketDecision, TargetStatus, WarmUpBounds,
 };
 use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::log_event::LogEvent;
@@ -43,18 +44,6 @@
 
 /// Capacity of the flow table.
 const FLOW_CAPACITY: usize = 100_000;
-/// Pause between two listen probes, which check whether the target accepts connections.
-const LISTEN_PROBE_INTERVAL: Duration = Duration::from_millis(300);
-/// Time limit for a listen probe.
-const LISTEN_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which an agent that shuts down still forwards packets.
-const SHUTDOWN_DRAIN: Duration = Duration::from_millis(300);
-/// Number of times that the agent's stop or the target's end is announced. Without the
-/// announcement, a balancer judges by the agent's silence.
-const STOP_ANNOUNCEMENTS: u32 = 3;
-/// Time between the last announcements, which state what the last listen probe has shown.
-const LAST_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(20);
-
 /// Settings of an agent process.
 #[derive(Clone, Debug)]
 pub struct AgentConfig {
@@ -192,34 +181,6 @@
         Ok(())
     }
 
-    /// Forwards packets for [`SHUTDOWN_DRAIN`], and tells the balancers whether the target
-    /// may run on or has ended.
-    async fn drain(self: &Rc<Self>) {
-        let mut may_run = self.may_target_run().await;
-        for _ in 0..STOP_ANNOUNCEMENTS {
-            if may_run {
-                self.run_core(|core, _, actions| core.announce_stop(actions));
-            }
-            sleep(SHUTDOWN_DRAIN / STOP_ANNOUNCEMENTS).await;
-        }
-        may_run = self.may_target_run().await;
-        for _ in 0..STOP_ANNOUNCEMENTS {
-            self.run_core(|core, _, actions| {
-                if may_run {
-                    core.announce_stop(actions);
-                } else {
-                    core.announce_target_end(actions);
-                }
-            });
-            sleep(LAST_ANNOUNCEMENT_INTERVAL).await;
-        }
-    }
-
-    /// Whether the target may run, as far as a listen probe can tell.
-    async fn may_target_run(&self) -> bool {
-        self.probe_listen_state().await != ListenState::NotListening
-    }
-
     /// Applies a heartbeat of the target and reports a change of its state to the
     /// balancers before returning.
     ///
@@ -410,29 +371,6 @@
         self.run_core(|core, now, actions| core.dispatch_queued(now, actions));
     }
 
-    async fn probe_listen_state(&self) -> ListenState {
-        let connect = TcpStream::connect(self.config.target_address);
-        match timeout(LISTEN_PROBE_TIMEOUT, connect).await {
-            Ok(Ok(_)) => ListenState::Listening,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                ListenState::NotListening
-            }
-            _ => ListenState::Unknown,
-        }
-    }
-
-    /// Makes listen probes whenever the core needs them.
-    async fn run_listen_probes(self: Rc<Self>) {
-        loop {
-            while self.core.borrow().needs_listen_probe() {
-                let listen_state = self.probe_listen_state().await;
-                self.core.borrow_mut().record_listen_state(listen_state);
-                sleep(LISTEN_PROBE_INTERVAL).await;
-            }
-            self.target_spoke.notified().await;
-        }
-    }
-
     async fn run_ticks(self: Rc<Self>) {
         loop {
             self.run_core(|core, now, actions| core.tick(now, actions));
--- a/crates/woodladder-node/src/lib.rs
+++ b/crates/woodladder-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod decision_log;
 pub mod http;
 pub mod log;
+mod log_rate_limiter;
 pub mod metrics;
 pub mod node_clock;
 pub mod packet_codec;
