--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -99,9 +99,9 @@
 
 impl AgentRecord {
     /// Whether the agent's messages allow new flows to be sent to it: the agent has not
-    /// announced a stop, it was heard within the silence limits, fewer than `SILENT_AFTER_UNANSWERED_OPENINGS` openings
-    /// in a row are unanswered, and no probe has been unanswered for
-    /// `SILENT_WHEN_UNANSWERED_FOR`.
+    /// announced a stop, it was heard within the silence limits, fewer than
+    /// `SILENT_AFTER_UNANSWERED_OPENINGS` openings in a row are unanswered, and no probe has
+    /// been unanswered for `SILENT_WHEN_UNANSWERED_FOR`.
     #[must_use]
     pub fn is_live(&self, now: Instant) -> bool {
         let limit = liveness_timeout(self.interval, SILENT_AFTER_INTERVALS, SILENT_AFTER);
