--- a/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::Instant;
 use crate::flow::balancer::{Balancer, BalancerAction};
-use crate::flow::identity::NodeAddress;
+use crate::flow::identity::{NodeAddress, address_hash};
 use crate::flow::message::{PeerMessage, StoppedAgent};
 
 /// Minimum time of listening when another balancer has sent a snapshot with all agents.
@@ -137,7 +137,7 @@
         if !is_time || is_complete || asked >= AGENTS_ASKED_FOR_HISTORY {
             return;
         }
-        let Some(agent) = self.directory.agents().map(|it| it.address).nth(asked) else {
+        let Some(agent) = self.agent_to_ask(asked) else {
             return;
         };
         if self.request_snapshot(agent, false, now, actions) {
@@ -163,6 +163,17 @@
         }
     }
 
+    /// The agent with this number in an order that begins elsewhere for each balancer, so that
+    /// many balancers that start together do not all ask the same agents.
+    fn agent_to_ask(&self, number: usize) -> Option<NodeAddress> {
+        let first = usize::try_from(address_hash(self.options.address) >> 32).unwrap_or(0);
+        let index = first
+            .wrapping_add(number)
+            .checked_rem(self.directory.len())?;
+        let mut agents = self.directory.agents();
+        agents.nth(index).map(|record| record.address)
+    }
+
     /// Requests a snapshot from a balancer that is about to stop, if no other one has told
     /// this balancer of all agents yet.
     pub(crate) fn request_snapshot_of_leaving_balancer(
