--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -197,7 +197,8 @@
                 .get(&route.address)
                 .is_some_and(|next_route| next_route.parts == route.parts);
             if !is_unchanged {
-                self.history.record_replaced(route);
+                let services = route.parts.iter().map(|part| part.service);
+                self.history.record_replaced(route.address, services);
             }
         }
     }
--- a/crates/woodladder-core/src/flow/route_history.rs
+++ b/crates/woodladder-core/src/flow/route_history.rs
@@ -11,7 +11,6 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use rustc_hash::FxHashMap;
 
-use super::configuration::Route;
 use super::identity::ServiceKey;
 use super::message_timing::milliseconds;
 use crate::clock::Instant;
@@ -84,9 +83,13 @@
     }
 
     /// Records the services of a route that the next configuration changes or drops.
-    pub(crate) fn record_replaced(&mut self, route: &Route) {
-        for part in &route.parts {
-            self.record_service(route.address, part.service, None);
+    pub(crate) fn record_replaced(
+        &mut self,
+        address: SocketAddrV4,
+        services: impl Iterator<Item = ServiceKey>,
+    ) {
+        for service in services {
+            self.record_service(address, service, None);
         }
     }
 
