--- a/crates/woodladder-lab/src/platform/day.rs
+++ b/crates/woodladder-lab/src/platform/day.rs
@@ -14,7 +14,8 @@
 use super::address::Network;
 use super::links::Links;
 use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, print_route,
+    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, moved_route,
+    print_route,
 };
 use super::store_state::StoreFault;
 use super::target_control::TargetHabits;
@@ -127,6 +128,7 @@
     site.configure(&[
         (kitchen_route(), "kitchen"),
         (print_route(), "print"),
+        (moved_route(), "kitchen"),
         (added_route(), "print"),
     ]);
     sleep(step).await;
