Flow records: heartbeats of another incarnation confirm no holder

What callers would see: a living flow reset after its balancer's restart.

Cause: a balancer kept the last heartbeat number of whichever incarnation an agent reported. A restarted agent's report of an incarnation that the balancer does not take for the later one yet so confirmed flows at the other one; they were written to the flow record under it, and the agent's true denial reset them.

Fix: a report sets the number only if it is about the incarnation that the balancer holds for present. Heartbeat numbers mean nothing across incarnations.

--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -72,7 +72,7 @@
     pub(super) stop_announced_in: Option<u64>,
     /// Epoch in which the agent has reported that its target holds no flow.
     pub(super) no_target_reported_in: Option<u64>,
-    /// Number of the target's last heartbeat that was reported.
+    /// Number of the last heartbeat of [`Self::incarnation`] that was reported.
     pub last_heartbeat: u64,
     /// When the last message of the agent arrived.
     pub heard_at: Instant,
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -162,7 +162,9 @@
         if record.epoch != report.epoch {
             record.previous_epoch = Some(record.epoch);
         }
-        record.last_heartbeat = report.load.last_heartbeat;
+        if record.incarnation == report.incarnation {
+            record.last_heartbeat = report.load.last_heartbeat;
+        }
         record.epoch = report.epoch;
         record.sequence = report.sequence;
         record.state = record.state_of(report);
--- a/crates/woodladder-core/tests/flow_record_restore.rs
+++ b/crates/woodladder-core/tests/flow_record_restore.rs
@@ -338,6 +338,26 @@
     assert_eq!(resets(&actions), [(flow(1), 5001)]);
 }
 
+/// A restarted agent reports an incarnation that is not known to be the later one; its
+/// heartbeats confirmed a flow at the other one, which was then recorded, denied and reset.
+#[test]
+fn heartbeats_of_another_incarnation_do_not_confirm_a_holder() {
+    let confirmed = HEARTBEAT_BEFORE_OPENING + 2;
+    for (epoch, incarnation, flows) in [(2, 2, 1), (77, 99, 0)] {
+        let mut balancer = started_balancer(0);
+        let before = report_after(2, 1, HEARTBEAT_BEFORE_OPENING);
+        deliver_report(&mut balancer, 2, &before, at(10));
+        open_flow(&mut balancer, 1, 2, 20);
+        let after = TargetReport {
+            epoch,
+            incarnation: Some(Incarnation(incarnation)),
+            ..report_after(2, 2, confirmed)
+        };
+        deliver_report(&mut balancer, 2, &after, at(50));
+        assert_eq!(balancer.flow_record(WALL_CLOCK_ORIGIN_MS).len(), flows);
+    }
+}
+
 #[test]
 fn a_later_flow_from_the_same_port_is_not_reset() {
     let mut opening_anew = restored_balancer(&[(1, 2)]);
