Searches hold packets back only while a stopped agent has been away for long

While nodes are restarted in turn, some agent of a large service is always away, so packets went to one agent at a time, and a flow whose own agent was present was found too late.

Fix: packets are held back only once a stopped agent that may hold the flow has been silent for 1 s. After a shorter absence the holder gets a packet soon enough.

Test: packets_of_a_flow_whose_holder_may_be_away_reach_few_other_targets plays the same course from 1.1 s after the stop on; same bounds.

--- a/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/agent_discovery.rs
@@ -194,10 +194,14 @@
     }
 
     /// Whether an agent that has announced a planned stop, and that this balancer has not
-    /// heard itself, is awaited.
-    pub(crate) fn awaits_stopped_agents(&self) -> bool {
+    /// heard itself, is awaited and was last heard at least `silence` ago.
+    pub(crate) fn awaits_stopped_agents(&self, silence: Duration, now: Instant) -> bool {
         let mut named = self.named_agents.values();
-        named.any(|agent| agent.stop_heard_at.is_some())
+        named.any(|agent| {
+            agent
+                .stop_heard_at
+                .is_some_and(|at| now.since(at) >= silence)
+        })
     }
 
     /// Adds the agents that had announced a planned stop, as another balancer or an earlier
--- a/crates/woodladder-core/src/flow/balancer/search/strays.rs
+++ b/crates/woodladder-core/src/flow/balancer/search/strays.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::agent_record::AgentRecord;
 use crate::flow::balancer::Balancer;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
 use crate::flow::identity::{FlowKey, NodeAddress};
@@ -15,12 +16,16 @@
 /// Time between two such packets of one balancer. The flow's packets may move to another
 /// balancer meanwhile, which searches as well.
 const STRAY_INTERVAL: Duration = Duration::from_millis(2100);
+/// Silence of a stopped agent from which on packets are held back. After a shorter absence
+/// the holder gets a packet soon after the others, and holding packets back would only delay
+/// finding flows at agents that are present.
+const LONG_ABSENCE: Duration = Duration::from_millis(1000);
 
 impl Balancer {
     /// Whether a packet of a searched flow may be sent to an agent that needs one to decide.
     /// If the holder may be away, the packet counts as sent now.
     pub(crate) fn may_send_stray(&mut self, key: &FlowKey, now: Instant) -> bool {
-        if !self.may_holder_be_away(key) {
+        if !self.may_holder_be_away(key, now) {
             return true;
         }
         let Some(search) = self.search_of(key) else {
@@ -46,7 +51,7 @@
         let Routing::Several(mut receivers) = routing else {
             return routing;
         };
-        if !self.may_holder_be_away(key) {
+        if !self.may_holder_be_away(key, now) {
             return Routing::Several(receivers);
         }
         let mut allowed = usize::from(self.may_send_stray(key, now));
@@ -63,12 +68,13 @@
     }
 
     /// Whether the flow may be held by a target whose agent has announced a planned stop and
-    /// has not returned yet.
-    fn may_holder_be_away(&self, key: &FlowKey) -> bool {
-        if self.awaits_stopped_agents() {
+    /// has been away for long.
+    fn may_holder_be_away(&self, key: &FlowKey, now: Instant) -> bool {
+        if self.awaits_stopped_agents(LONG_ABSENCE, now) {
             return true;
         }
-        let mut stopped = self.directory.stopped_agents().peekable();
+        let is_long = |record: &&AgentRecord| record.silence(now) >= LONG_ABSENCE;
+        let mut stopped = self.directory.stopped_agents().filter(is_long).peekable();
         if stopped.peek().is_none() {
             return false;
         }
