--- a/crates/woodladder-core/tests/flow_planned_stops.rs
+++ b/crates/woodladder-core/tests/flow_planned_stops.rs
@@ -394,3 +394,16 @@
     });
     assert!(tells, "{actions:?}");
 }
+
+/// While nodes were restarted in turn, packets went to one agent at a time, and flows at
+/// agents that were present were found too late.
+#[test]
+fn a_short_absence_of_one_agent_delays_no_search_at_the_others() {
+    let mut balancer = balancer(&[2, 3, 4, 9]);
+    deliver_message(&mut balancer, 9, agent_stops(9), at(STOPPED_AT));
+    let packet = data(flow(1), 1001, 5001);
+    let routing = deliver_caller_packet(&mut balancer, &packet, at(STOPPED_AT + 500));
+    for agent in [2, 3, 4] {
+        assert!(receivers(&routing).contains(&node(agent)), "{routing:?}");
+    }
+}
