Agents log the acknowledgement of a leaving and the evidence on which another start takes over

The logs could not tell the hypotheses of the postmortem apart: target_state named neither the agent's age nor for how long the start was heard, target_start_replaced not what counted as the end of the start before, and no line told when a leaving was acknowledged. No decision changes.

Metrics: target_successions_total{evidence}, leavings_acknowledged_total, agent_age_seconds.

--- a/crates/woodladder-core/src/flow/agent/decision.rs
+++ b/crates/woodladder-core/src/flow/agent/decision.rs
@@ -2,6 +2,7 @@
 
 use super::super::identity::{FlowKey, NodeAddress};
 use super::super::message::{PeerMessage, SnapshotRequest};
+use super::super::target_status::SuccessionEvidence;
 
 /// What happens to a packet that a balancer sent.
 #[derive(Clone, Debug, PartialEq)]
@@ -153,6 +154,11 @@
     pub heartbeats_unproven: u64,
     /// Deregistrations that were ignored because they may concern a former incarnation.
     pub deregistrations_ignored: u64,
+    /// Leavings acknowledged for the first time.
+    pub leavings_acknowledged: u64,
+    /// Starts of the target that became the present one, by evidence, in the order of
+    /// [`SuccessionEvidence::ALL`].
+    pub successions: [u64; SuccessionEvidence::ALL.len()],
     /// Parts of flow lists sent to balancers.
     pub flow_list_parts_sent: u64,
 }
--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -46,7 +46,7 @@
 use crate::clock::Instant;
 
 pub use super::cold_reason::ColdReason;
-pub use super::target_status::{OpeningPath, StateCause, TargetStatus};
+pub use super::target_status::{OpeningPath, StateCause, SuccessionEvidence, TargetStatus};
 pub use admission::opening_queue::{MAXIMUM_OPENING_AGE, MAXIMUM_QUEUED_OPENINGS};
 pub use admission::request_queue::{
     EnqueueResult, MAXIMUM_PACKETS_PER_REQUEST, MAXIMUM_QUEUED_BYTES, MAXIMUM_QUEUED_REQUESTS,
@@ -157,6 +157,8 @@
     announced_leaving: bool,
     /// Whether the target is known to have ended.
     has_ended: bool,
+    /// What showed that the target has ended, if it has.
+    end_evidence: SuccessionEvidence,
     first_heartbeat_at: Option<Instant>,
     heartbeat_sequence: u64,
     slots: u16,
@@ -451,6 +453,7 @@
             restart_detector: RestartDetector::default(),
             announced_leaving: false,
             has_ended: false,
+            end_evidence: SuccessionEvidence::NothingKnown,
             first_heartbeat_at: None,
             heartbeat_sequence: 0,
             slots: 0,
--- a/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
@@ -260,7 +260,7 @@
     fn resume_leaving(&mut self, incarnation: Incarnation, now: Instant) {
         if self.target.incarnation == Some(incarnation) {
             self.set_state(TargetState::Leaving, StateCause::FormerProcess, now);
-            self.leaving_watch.record_acknowledged(incarnation, now);
+            self.acknowledge_leaving(incarnation, now);
         }
     }
 
--- a/crates/woodladder-core/src/flow/agent/target/deregistration.rs
+++ b/crates/woodladder-core/src/flow/agent/target/deregistration.rs
@@ -1,7 +1,7 @@
 //! Deregistrations of the target, and the probes that show whether it runs.
 
 use crate::clock::Instant;
-use crate::flow::agent::{Agent, ListenState, StateCause};
+use crate::flow::agent::{Agent, ListenState, StateCause, SuccessionEvidence};
 use crate::flow::identity::Incarnation;
 use crate::flow::message::TargetState;
 
@@ -45,9 +45,11 @@
         now: Instant,
     ) -> DeregistrationOutcome {
         let outcome = self.apply_deregistration(incarnation, now);
-        if outcome == DeregistrationOutcome::Applied {
-            self.leaving_watch
-                .record_deregistration([self.target.incarnation, Some(incarnation)], now);
+        let names = [self.target.incarnation, Some(incarnation)];
+        if outcome == DeregistrationOutcome::Applied
+            && self.leaving_watch.record_deregistration(names, now)
+        {
+            self.log_acknowledged_leaving(self.target.incarnation.unwrap_or(incarnation), now);
         }
         outcome
     }
@@ -73,7 +75,10 @@
                 if names_start
                     || (names_instance && (leaves || !target.has_replaced_same_instance())) =>
             {
-                target.has_ended |= target.announced_leaving;
+                if target.announced_leaving && !target.has_ended {
+                    target.has_ended = true;
+                    target.end_evidence = SuccessionEvidence::Deregistered;
+                }
                 self.set_state(TargetState::Leaving, StateCause::Deregistration, now);
                 DeregistrationOutcome::Applied
             }
@@ -107,6 +112,7 @@
     pub fn record_listen_state(&mut self, listen_state: ListenState) {
         if self.target.may_run_while_leaving() {
             self.target.has_ended = listen_state == ListenState::NotListening;
+            self.target.end_evidence = SuccessionEvidence::NothingListened;
             return;
         }
         self.target.listen_state = listen_state;
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -90,8 +90,7 @@
         match result {
             Ok(_) => {
                 if heartbeat.leaving {
-                    self.leaving_watch
-                        .record_acknowledged(heartbeat.incarnation, now);
+                    self.acknowledge_leaving(heartbeat.incarnation, now);
                 }
                 self.promises
                     .record_leaving_accepted(heartbeat.incarnation, now);
@@ -116,8 +115,8 @@
             return Err(HeartbeatError::WrongService);
         }
         if self.target.incarnation != Some(heartbeat.incarnation) {
-            self.check_other_start(heartbeat, now)?;
-            self.replace_target(heartbeat, now);
+            let evidence = self.check_other_start(heartbeat, now)?;
+            self.replace_target(heartbeat, evidence, now);
         } else if heartbeat.sequence <= self.target.heartbeat_sequence {
             return Ok(self.apply_outdated_heartbeat(heartbeat, now));
         }
--- a/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
+++ b/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
@@ -37,8 +37,8 @@
 }
 
 impl LeavingWatch {
-    /// Records that a leaving was acknowledged.
-    pub fn record_acknowledged(&mut self, incarnation: Incarnation, now: Instant) {
+    /// Records that a leaving was acknowledged. Returns whether it was not known before.
+    pub fn record_acknowledged(&mut self, incarnation: Incarnation, now: Instant) -> bool {
         let is_known = self
             .leaving
             .is_some_and(|known| known.incarnation == incarnation);
@@ -49,17 +49,19 @@
                 successor: None,
             });
         }
+        !is_known
     }
 
     /// Records a deregistration that was acknowledged: the first word of a leaving, or the
-    /// end of an incarnation that had announced it.
-    pub fn record_deregistration(&mut self, names: [Option<Incarnation>; 2], now: Instant) {
+    /// end of an incarnation that had announced it. Returns whether it was the first word.
+    pub fn record_deregistration(&mut self, names: [Option<Incarnation>; 2], now: Instant) -> bool {
         let known = self.leaving.map(|known| known.incarnation);
         if known.is_some() && names.contains(&known) {
             self.leaving = None;
-        } else if let Some(incarnation) = names.into_iter().flatten().next() {
-            self.record_acknowledged(incarnation, now);
+            return false;
         }
+        let named = names.into_iter().flatten().next();
+        named.is_some_and(|incarnation| self.record_acknowledged(incarnation, now))
     }
 
     /// Records a heartbeat, whether or not it was accepted.
@@ -93,6 +95,22 @@
 }
 
 impl Agent {
+    /// Records that the leaving of an incarnation is acknowledged.
+    pub(crate) fn acknowledge_leaving(&mut self, incarnation: Incarnation, now: Instant) {
+        if self.leaving_watch.record_acknowledged(incarnation, now) {
+            self.log_acknowledged_leaving(incarnation, now);
+        }
+    }
+
+    /// Counts and logs a leaving that is acknowledged for the first time.
+    pub(crate) fn log_acknowledged_leaving(&mut self, incarnation: Incarnation, now: Instant) {
+        self.counters.leavings_acknowledged += 1;
+        self.log_events.add(LogEvent::LeavingAcknowledged {
+            incarnation,
+            status: self.target_status(now),
+        });
+    }
+
     /// Counts and logs a delivered packet that opens a flow while a leaving is outstanding.
     pub(crate) fn watch_delivered_opening(
         &mut self,
--- a/crates/woodladder-core/src/flow/agent/target/state.rs
+++ b/crates/woodladder-core/src/flow/agent/target/state.rs
@@ -16,6 +16,9 @@
             incarnation: self.target.incarnation,
             heartbeat_sequence: self.target.heartbeat_sequence,
             heartbeat_age: self.target.last_heartbeat_at.map(|at| now.since(at)),
+            heard_for: self.target.heard_for(),
+            started_at_ms: self.target.started_at_ms,
+            agent_age: now.since(self.started_at),
         }
     }
 
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -20,7 +20,9 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
-use crate::flow::agent::{Agent, Heartbeat, HeartbeatError, StateCause, Target};
+use crate::flow::agent::{
+    Agent, Heartbeat, HeartbeatError, StateCause, SuccessionEvidence, Target,
+};
 use crate::flow::cold_reason::ColdReason;
 use crate::flow::identity::Incarnation;
 use crate::flow::log_event::LogEvent;
@@ -50,12 +52,12 @@
 }
 
 impl Agent {
-    /// Checks whether the sender of a heartbeat replaces the present start.
+    /// Returns the evidence on which the sender of a heartbeat replaces the present start.
     pub(crate) fn check_other_start(
         &mut self,
         heartbeat: &Heartbeat,
         now: Instant,
-    ) -> Result<(), HeartbeatError> {
+    ) -> Result<SuccessionEvidence, HeartbeatError> {
         let was_replaced = self.target.replaced_start(heartbeat.incarnation).is_some();
         if was_replaced && !self.target.may_return(heartbeat) {
             self.counters.heartbeats_replaced += 1;
@@ -63,11 +65,11 @@
         }
         let is_weak_evidence =
             self.target.incarnation.is_some() && self.target.may_be_late_message(heartbeat, now);
-        if self.target.is_superseded_by(heartbeat, now) {
+        if let Some(evidence) = self.target.evidence_for(heartbeat, now) {
             if is_weak_evidence {
                 self.assume_cold(ColdReason::OtherStart, now);
             }
-            return Ok(());
+            return Ok(evidence);
         }
         if was_replaced {
             self.counters.heartbeats_replaced += 1;
@@ -79,13 +81,20 @@
     }
 
     /// Makes the sender of a heartbeat the present start.
-    pub(crate) fn replace_target(&mut self, heartbeat: &Heartbeat, now: Instant) {
+    pub(crate) fn replace_target(
+        &mut self,
+        heartbeat: &Heartbeat,
+        evidence: SuccessionEvidence,
+        now: Instant,
+    ) {
         let mut previous = self.target.clone();
+        self.counters.successions[evidence.index()] += 1;
         if previous.incarnation.is_some() {
             self.log_events.add(LogEvent::TargetStartReplaced {
                 former: self.target_status(now),
                 incarnation: heartbeat.incarnation,
                 sequence: heartbeat.sequence,
+                evidence,
             });
         }
         let claimed_since = previous
@@ -178,13 +187,14 @@
         replaced.any(|start| Some(start.instance) == self.instance)
     }
 
-    /// Whether the sender of a heartbeat replaces this start.
-    fn is_superseded_by(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
+    /// The evidence on which the sender of a heartbeat replaces this start, if there is any.
+    fn evidence_for(&mut self, heartbeat: &Heartbeat, now: Instant) -> Option<SuccessionEvidence> {
         if self.has_ended {
-            return true;
+            return Some(self.end_evidence);
         }
         let Some(incarnation) = self.incarnation else {
-            return self.is_superseded_before_heartbeat(heartbeat, now);
+            let is_superseded = self.is_superseded_before_heartbeat(heartbeat, now);
+            return is_superseded.then_some(SuccessionEvidence::NothingKnown);
         };
         let known = TargetStart {
             incarnation,
@@ -196,15 +206,16 @@
         };
         let order = next.order_after(&known);
         if order == StartOrder::Later {
-            return true;
+            return Some(SuccessionEvidence::LaterStart);
         }
         if order == StartOrder::Unknown && self.may_be_late_message(heartbeat, now) {
-            return true;
+            return Some(SuccessionEvidence::HeardOnce);
         }
         let span =
             self.restart_detector
                 .record_claim(heartbeat.incarnation, heartbeat.sequence, now);
-        self.is_proven_ended(order, span, now)
+        let is_proven = self.is_proven_ended(order, span, now);
+        is_proven.then_some(SuccessionEvidence::Silence)
     }
 
     /// Whether the sender of the first heartbeat is present although a deregistration came
@@ -250,8 +261,13 @@
     /// was alive while the agent ran. A single one may have been delayed since before the
     /// agent's start.
     fn was_heard_alive(&self) -> bool {
+        self.heard_for() >= MINIMUM_ALIVE_SPAN
+    }
+
+    /// Time from the first heartbeat of this start to its newest one.
+    pub(crate) fn heard_for(&self) -> Duration {
         self.first_heartbeat_at
             .zip(self.last_heartbeat_at)
-            .is_some_and(|(first, last)| last.since(first) >= MINIMUM_ALIVE_SPAN)
+            .map_or(Duration::ZERO, |(first, last)| last.since(first))
     }
 }
--- a/crates/woodladder-core/src/flow/log_event.rs
+++ b/crates/woodladder-core/src/flow/log_event.rs
@@ -9,7 +9,7 @@
 use super::identity::{FlowKey, Incarnation, NodeAddress};
 use super::message::{ReturnReason, TargetLoad, TargetState};
 use super::packet::ResetReason;
-use super::target_status::{OpeningPath, TargetStatus};
+use super::target_status::{OpeningPath, SuccessionEvidence, TargetStatus};
 
 /// A decision of a node, or a change in its state or in its view of other nodes.
 #[derive(Clone, Debug, PartialEq)]
@@ -242,6 +242,15 @@
         incarnation: Incarnation,
         /// Sequence number of the heartbeat that stated it.
         sequence: u64,
+        /// What showed that it is the present one.
+        evidence: SuccessionEvidence,
+    },
+    /// This agent has acknowledged for the first time that its target leaves.
+    LeavingAcknowledged {
+        /// The incarnation that leaves, or the target's name if it deregistered by name.
+        incarnation: Incarnation,
+        /// The target's state, with the evidence that it rests on.
+        status: TargetStatus,
     },
     /// A packet that opens a flow was delivered to this agent's target although its leaving
     /// was acknowledged.
--- a/crates/woodladder-core/src/flow/target_status.rs
+++ b/crates/woodladder-core/src/flow/target_status.rs
@@ -59,6 +59,62 @@
     pub heartbeat_sequence: u64,
     /// Time since the incarnation's newest heartbeat arrived; `None` before the first.
     pub heartbeat_age: Option<Duration>,
+    /// Time from the incarnation's first heartbeat that this agent has received to its
+    /// newest one.
+    pub heard_for: Duration,
+    /// When the incarnation began, in milliseconds of Unix time; `None` if the target does
+    /// not state it.
+    pub started_at_ms: Option<u64>,
+    /// Time since this agent's process started.
+    pub agent_age: Duration,
+}
+
+/// What made an agent take another start for the present one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SuccessionEvidence {
+    /// No start was known.
+    NothingKnown,
+    /// The other start states that it began later.
+    LaterStart,
+    /// The former start had announced that it leaves, and deregistered.
+    Deregistered,
+    /// Nothing listened at the address of the former start after it had left.
+    NothingListened,
+    /// The former start was heard only once or in one moment.
+    HeardOnce,
+    /// The former start was silent while the other one kept sending.
+    Silence,
+}
+
+impl SuccessionEvidence {
+    /// All kinds, in the order of [`Self::index`].
+    pub const ALL: [Self; 6] = [
+        Self::NothingKnown,
+        Self::LaterStart,
+        Self::Deregistered,
+        Self::NothingListened,
+        Self::HeardOnce,
+        Self::Silence,
+    ];
+
+    /// The kind's name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NothingKnown => "nothing_known",
+            Self::LaterStart => "later_start",
+            Self::Deregistered => "deregistered",
+            Self::NothingListened => "nothing_listened",
+            Self::HeardOnce => "heard_once",
+            Self::Silence => "silence",
+        }
+    }
+
+    /// Position of the kind in [`Self::ALL`].
+    #[must_use]
+    pub fn index(self) -> usize {
+        self as usize
+    }
 }
 
 /// Why an opening was delivered to the target.
--- a/crates/woodladder-core/tests/flow_leaving_evidence.rs
+++ b/crates/woodladder-core/tests/flow_leaving_evidence.rs
@@ -8,7 +8,7 @@
 use flow_support::*;
 use woodladder_core::flow::agent::{
     Agent, DeregistrationOutcome, Heartbeat, HeartbeatOutcome, LeavingWatch, StateCause,
-    TargetStatus,
+    SuccessionEvidence, TargetStatus,
 };
 use woodladder_core::flow::identity::Incarnation;
 use woodladder_core::flow::log_event::LogEvent;
@@ -41,6 +41,9 @@
         incarnation: Some(Incarnation(1)),
         heartbeat_sequence: 8,
         heartbeat_age: Some(Duration::from_millis(800)),
+        heard_for: Duration::from_millis(2200),
+        started_at_ms: None,
+        agent_age: Duration::from_millis(3000),
     };
     assert_eq!(agent.target_status(at(3000)), expected);
 }
@@ -53,9 +56,18 @@
         .handle_heartbeat(&leaving_heartbeat(1, 7), at(1000))
         .expect("accepted");
     let events = take_events(&mut agent);
-    let [LogEvent::TargetState { former, status }] = events.as_slice() else {
+    let [
+        LogEvent::TargetState { former, status },
+        LogEvent::LeavingAcknowledged {
+            incarnation,
+            status: acknowledged,
+        },
+    ] = events.as_slice()
+    else {
         panic!("{events:?}");
     };
+    assert_eq!(*incarnation, Incarnation(1));
+    assert_eq!(acknowledged, status);
     assert_eq!(*former, TargetState::Ready);
     assert_eq!(status.cause, StateCause::Heartbeat);
     assert_eq!(status.heartbeat_sequence, 7);
@@ -77,11 +89,14 @@
             former,
             incarnation,
             sequence,
-        } => Some((*former, *incarnation, *sequence)),
+            evidence,
+        } => Some((*former, *incarnation, *sequence, *evidence)),
         _ => None,
     });
-    let (former, incarnation, sequence) = replaced.expect("a replacement");
+    let (former, incarnation, sequence, evidence) = replaced.expect("a replacement");
     assert_eq!((incarnation, sequence), (Incarnation(2), 1));
+    assert_eq!(evidence, SuccessionEvidence::HeardOnce);
+    assert_eq!(agent.counters().successions[evidence.index()], 1);
     assert_eq!(former.state, TargetState::Ready);
     assert_eq!(former.heartbeat_sequence, 7);
 }
--- a/crates/woodladder-node/src/agent/metrics.rs
+++ b/crates/woodladder-node/src/agent/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of the agent process.
 
-use woodladder_core::flow::agent::TargetStatus;
+use woodladder_core::flow::agent::{SuccessionEvidence, TargetStatus};
 use woodladder_core::flow::message::TargetState;
 
 use crate::decision_log::incarnation_text;
@@ -133,6 +133,11 @@
                 "Deregistrations that may belong to an earlier target start.",
                 counters.deregistrations_ignored,
             ),
+            (
+                "leavings_acknowledged_total",
+                "Leavings of the target that were acknowledged for the first time.",
+                counters.leavings_acknowledged,
+            ),
             (
                 "flow_list_parts_total",
                 "Parts of flow lists sent to balancers.",
@@ -152,6 +157,12 @@
             "promise",
             core.broken_promises().by_name(),
         );
+        text.add_counters(
+            "target_successions_total",
+            "Starts of the target that became the present one, by what showed it.",
+            "evidence",
+            SuccessionEvidence::ALL.map(|kind| (kind.name(), counters.successions[kind.index()])),
+        );
         text.add_counters(
             "store_calls_total",
             "Calls to the store, by kind.",
@@ -248,6 +259,11 @@
         "Time since the target's state was set.",
         status.state_age.as_secs_f64(),
     );
+    text.add_gauge(
+        "agent_age_seconds",
+        "Time since the agent's process started.",
+        status.agent_age.as_secs_f64(),
+    );
     text.add_gauge(
         "target_heartbeat_sequence",
         "Number of the target start's newest heartbeat, 0 before the first.",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -329,20 +329,37 @@
                     "incarnation" => status.incarnation.map(incarnation_text),
                     "sequence" => status.heartbeat_sequence,
                     "heartbeat_age_ms" => status.heartbeat_age.map(milliseconds),
+                    "heard_for_ms" => milliseconds(status.heard_for),
+                    "started_at_ms" => status.started_at_ms,
+                    "agent_age_ms" => milliseconds(status.agent_age),
+                    "left_out" => left_out);
+            }
+            LogEvent::LeavingAcknowledged {
+                incarnation,
+                status,
+            } => {
+                info!(log, "agent: leaving of the target acknowledged"; "event" => event_name,
+                    "incarnation" => incarnation_text(*incarnation),
+                    "state" => ?status.state, "cause" => status.cause.name(),
+                    "sequence" => status.heartbeat_sequence,
+                    "started_at_ms" => status.started_at_ms,
+                    "agent_age_ms" => milliseconds(status.agent_age),
                     "left_out" => left_out);
             }
             LogEvent::TargetStartReplaced {
                 former,
                 incarnation,
                 sequence,
+                evidence,
             } => {
                 info!(log, "agent: another start replaced the target's"; "event" => event_name,
                     "ended" => former.incarnation.map(incarnation_text),
                     "ended_state" => ?former.state, "ended_cause" => former.cause.name(),
                     "ended_sequence" => former.heartbeat_sequence,
                     "ended_heartbeat_age_ms" => former.heartbeat_age.map(milliseconds),
+                    "ended_heard_for_ms" => milliseconds(former.heard_for),
                     "incarnation" => incarnation_text(*incarnation), "sequence" => sequence,
-                    "left_out" => left_out);
+                    "evidence" => evidence.name(), "left_out" => left_out);
             }
             LogEvent::OpeningAfterLeaving {
                 key,
@@ -365,7 +382,9 @@
                     "state" => ?status.state, "cause" => status.cause.name(),
                     "state_age_ms" => milliseconds(status.state_age),
                     "incarnation" => status.incarnation.map(incarnation_text),
-                    "sequence" => status.heartbeat_sequence, "left_out" => left_out);
+                    "sequence" => status.heartbeat_sequence,
+                    "heard_for_ms" => milliseconds(status.heard_for),
+                    "agent_age_ms" => milliseconds(status.agent_age), "left_out" => left_out);
             }
             LogEvent::TargetSuspicion {
                 is_suspect,
@@ -416,6 +435,7 @@
         LogEvent::Stalled { .. } => ("stalled", Important),
         LogEvent::TargetState { .. } => ("target_state", Important),
         LogEvent::TargetStartReplaced { .. } => ("target_start_replaced", Important),
+        LogEvent::LeavingAcknowledged { .. } => ("leaving_acknowledged", Important),
         LogEvent::OpeningAfterLeaving { .. } => ("opening_after_leaving", Important),
         LogEvent::TargetSuspicion { .. } => ("target_suspicion", Important),
         LogEvent::FlowOffered { .. } => ("flow_offered", Ordinary),
