--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod day;
 mod head;
 mod leaving;
+mod leaving_course;
 mod links;
 mod node_process;
 mod oracle;
@@ -27,6 +28,9 @@
 
 pub use day::{DayOptions, DayReport, run};
 pub use leaving::{LeavingOptions, deregister_unknown_target, run_leaving};
+pub use leaving_course::{
+    LeavingCourse, LeavingCourseOptions, LeavingCourseReport, run_leaving_course,
+};
 pub use oracle::{Oracle, Violation};
 pub use site::SiteError;
 pub use soak::{SoakOptions, soak};
--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -59,8 +59,9 @@
     /// Until when it is cold.
     cold_until: Cell<Instant>,
     leaving: Cell<bool>,
-    /// Whether it has deregistered and sends no further heartbeat.
-    is_deregistered: Cell<bool>,
+    sends_heartbeats: Cell<bool>,
+    heartbeats_held_until: Cell<Instant>,
+    openings: Cell<u64>,
     has_ended: Cell<bool>,
     sequence: Cell<u64>,
     /// When it began, in milliseconds of Unix time.
@@ -106,7 +107,9 @@
             zone,
             cold_until: Cell::new(Instant::now() + COLD_FOR),
             leaving: Cell::new(false),
-            is_deregistered: Cell::new(false),
+            sends_heartbeats: Cell::new(true),
+            heartbeats_held_until: Cell::new(Instant::now()),
+            openings: Cell::new(0),
             has_ended: Cell::new(false),
             sequence: Cell::new(0),
             born_ms,
@@ -133,15 +136,31 @@
         if self.has_ended.get() {
             return;
         }
-        self.is_deregistered.set(true);
+        self.stop_heartbeats();
         target_control::deregister(self.machine, &self.name).await;
+        sleep(self.habits.ends_after).await;
         self.end();
     }
 
+    /// Sends no heartbeat for a while, as if they were held up.
+    pub fn hold_heartbeats(&self, held_for: Duration) {
+        self.heartbeats_held_until.set(Instant::now() + held_for);
+    }
+
+    /// Sends no further heartbeat.
+    pub fn stop_heartbeats(&self) {
+        self.sends_heartbeats.set(false);
+    }
+
+    /// Openings that it has taken.
+    pub fn openings(&self) -> u64 {
+        self.openings.get()
+    }
+
     /// Leaves as planned without ever saying that it drains: deregisters, serves on for
     /// `serves_on` and ends. It sends no further heartbeat.
     pub async fn deregister_and_leave(self: Rc<Self>, serves_on: Duration) {
-        self.is_deregistered.set(true);
+        self.stop_heartbeats();
         self.leaving.set(true);
         let is_acknowledged = self.habits.withholds_leaving
             || target_control::deregister(self.machine, &self.name).await;
@@ -268,6 +287,7 @@
         let mut flows = self.flows.borrow_mut();
         let now = Instant::now();
         if !flows.contains_key(&ends) {
+            self.openings.set(self.openings.get() + 1);
             let mut oracle = self.oracle.borrow_mut();
             oracle.opening_arrived(ends, &self.name, now);
             if now < self.cold_until.get() {
@@ -371,7 +391,11 @@
     }
 
     async fn beat(self: Rc<Self>) {
-        while !self.has_ended.get() && !self.is_deregistered.get() {
+        while !self.has_ended.get() && self.sends_heartbeats.get() {
+            if Instant::now() < self.heartbeats_held_until.get() {
+                sleep(HEARTBEAT_INTERVAL).await;
+                continue;
+            }
             let heartbeat = self.next_heartbeat();
             let delay = self.delays.borrow_mut().next();
             match delay {
--- a/crates/woodladder-lab/src/platform/target_control.rs
+++ b/crates/woodladder-lab/src/platform/target_control.rs
@@ -32,6 +32,8 @@
     /// Whether each leaving is acknowledged on the way and never told to the agent: a
     /// product that is broken on purpose.
     pub withholds_leaving: bool,
+    /// Time from a target's last deregistration to its end, in which it takes packets.
+    pub ends_after: Duration,
 }
 
 impl Default for TargetHabits {
@@ -41,6 +43,7 @@
             states_start: true,
             delays_heartbeats: false,
             withholds_leaving: false,
+            ends_after: Duration::ZERO,
         }
     }
 }
@@ -54,7 +57,7 @@
             seed,
             states_start: seed.is_multiple_of(2),
             delays_heartbeats: true,
-            withholds_leaving: false,
+            ..Self::default()
         }
     }
 
--- a/crates/woodladder-lab/tests/platform_leaving.rs
+++ b/crates/woodladder-lab/tests/platform_leaving.rs
@@ -14,6 +14,7 @@
     states_start: false,
     delays_heartbeats: false,
     withholds_leaving: false,
+    ends_after: Duration::ZERO,
 };
 
 fn program() -> PathBuf {
