--- a/crates/woodladder-core/src/flow/balancer/flow_records/recording.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records/recording.rs
@@ -44,7 +44,7 @@
         now: Instant,
         actions: &mut Vec<BalancerAction>,
     ) {
-        if matches!(reply, StoreReply::FlowRecordWritten { .. }) {
+        if matches!(reply, StoreReply::RecordWritten { .. }) {
             self.flow_records.counters.writes += 1;
         }
         let Some(bytes) = self.flow_records.session.reply(reply, now) else {
--- a/crates/woodladder-core/src/flow/flow_record/session.rs
+++ b/crates/woodladder-core/src/flow/flow_record/session.rs
@@ -168,7 +168,7 @@
     pub fn reply(&mut self, reply: StoreReply, now: Instant) -> Option<Vec<u8>> {
         self.is_in_flight = false;
         match (reply, self.stage) {
-            (StoreReply::FlowRecord { value, revision }, Stage::Reading { .. }) => {
+            (StoreReply::Record { value, revision }, Stage::Reading { .. }) => {
                 self.backoff.reset();
                 self.revision = revision;
                 self.stage = Stage::Writing;
@@ -179,14 +179,14 @@
                 self.due_at = now + self.backoff.next_pause();
                 None
             }
-            (StoreReply::FlowRecordWritten { revision }, _) => {
+            (StoreReply::RecordWritten { revision }, _) => {
                 self.backoff.reset();
                 self.revision = revision;
                 self.stored_fingerprint = self.offered_fingerprint.take();
                 self.advance(now);
                 None
             }
-            (StoreReply::FlowRecordChanged { revision }, _) => {
+            (StoreReply::RecordChanged { revision }, _) => {
                 // An earlier write without an answer took effect after all, or the entry
                 // was removed.
                 self.revision = revision;
--- a/crates/woodladder-core/src/flow/store_session/mod.rs
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -134,20 +134,20 @@
     Done,
     /// The registered balancers.
     Balancers(Vec<NodeAddress>),
-    /// The flow record of this balancer.
-    FlowRecord {
+    /// The record of this node that was read.
+    Record {
         /// The encoded record; `None` if there is none.
         value: Option<Vec<u8>>,
         /// Revision of its last change; zero if there is no record.
         revision: u64,
     },
-    /// The flow record was written.
-    FlowRecordWritten {
+    /// The record was written or removed.
+    RecordWritten {
         /// New revision of the record.
         revision: u64,
     },
-    /// The flow record does not have the expected revision; nothing was written.
-    FlowRecordChanged {
+    /// The record does not have the expected revision; nothing was written.
+    RecordChanged {
         /// Current revision of the record; zero if there is none.
         revision: u64,
     },
--- a/crates/woodladder-core/tests/flow_moved_routes.rs
+++ b/crates/woodladder-core/tests/flow_moved_routes.rs
@@ -148,7 +148,7 @@
             5001,
             1101,
         );
-        let reply = StoreReply::FlowRecord {
+        let reply = StoreReply::Record {
             value: Some(FlowRecord::of(node(1), 1000, [holder].into_iter()).encode()),
             revision: 9,
         };
--- a/crates/woodladder-core/tests/flow_planned_stops.rs
+++ b/crates/woodladder-core/tests/flow_planned_stops.rs
@@ -260,7 +260,7 @@
         balancer.tick(at(0), &mut Vec::new());
         let call = balancer.next_record_call(1000, at(10));
         assert_eq!(call, NextCall::Now(StoreCall::ReadFlowRecord));
-        let reply = StoreReply::FlowRecord {
+        let reply = StoreReply::Record {
             value: Some(record.encode()),
             revision: 9,
         };
@@ -282,7 +282,7 @@
     balancer.adopt_store_configuration(configuration.into());
     balancer.tick(at(10_000), &mut Vec::new());
     balancer.next_record_call(10_000, at(10_000));
-    let nothing = StoreReply::FlowRecord {
+    let nothing = StoreReply::Record {
         value: None,
         revision: 0,
     };
--- a/crates/woodladder-core/tests/flow_record.rs
+++ b/crates/woodladder-core/tests/flow_record.rs
@@ -28,7 +28,7 @@
 fn session_without_record() -> RecordSession {
     let mut session = RecordSession::new(1, at(0));
     assert_eq!(session.next(NEED, at(0)), RecordStep::Read);
-    let nothing = StoreReply::FlowRecord {
+    let nothing = StoreReply::Record {
         value: None,
         revision: 0,
     };
@@ -137,7 +137,7 @@
         session.next(NEED, at(time + 5000)),
         RecordStep::At(at(time + 5500))
     );
-    session.reply(StoreReply::FlowRecordWritten { revision: 40 }, at(time + 5));
+    session.reply(StoreReply::RecordWritten { revision: 40 }, at(time + 5));
     let (second, _) = next_step(&mut session, time + 5, 20_000).expect("a step");
     assert!(second >= time + 2000, "{second}");
     assert_eq!(session.offer(7, false, at(second)), None);
@@ -164,10 +164,7 @@
     let (second, _) = next_step(&mut session, time + 100, 20_000).expect("a step");
     assert!(second >= time + 2000, "{second}");
     assert_eq!(session.offer(7, false, at(second)), Some(0));
-    session.reply(
-        StoreReply::FlowRecordChanged { revision: 41 },
-        at(second + 5),
-    );
+    session.reply(StoreReply::RecordChanged { revision: 41 }, at(second + 5));
     let (third, _) = next_step(&mut session, second + 5, 20_000).expect("a step");
     assert_eq!(session.offer(7, false, at(third)), Some(41));
 }
@@ -214,7 +211,7 @@
 fn a_record_is_read_once() {
     let mut session = RecordSession::new(1, at(0));
     assert_eq!(session.next(RecordNeed::ReadOnly, at(0)), RecordStep::Read);
-    let found = StoreReply::FlowRecord {
+    let found = StoreReply::Record {
         value: Some(vec![1]),
         revision: 9,
     };
@@ -230,7 +227,7 @@
     let mut session = session_without_record();
     let (time, _) = next_step(&mut session, 10, 10_000).expect("a step");
     session.offer(7, false, at(time));
-    session.reply(StoreReply::FlowRecordWritten { revision: 40 }, at(time + 5));
+    session.reply(StoreReply::RecordWritten { revision: 40 }, at(time + 5));
     session.leave(at(time + 50));
     assert_eq!(session.next(NEED, at(time + 50)), RecordStep::Collect);
     assert_eq!(session.offer(8, false, at(time + 50)), Some(40));
@@ -242,7 +239,7 @@
 fn a_planned_stop_during_a_write_writes_once_more() {
     let mut session = RecordSession::new(1, at(0));
     session.next(NEED, at(0));
-    let read = StoreReply::FlowRecord {
+    let read = StoreReply::Record {
         value: None,
         revision: 0,
     };
@@ -250,10 +247,10 @@
     let (time, _) = next_step(&mut session, 10, 10_000).expect("a step");
     session.offer(7, false, at(time));
     session.leave(at(time + 2));
-    session.reply(StoreReply::FlowRecordWritten { revision: 40 }, at(time + 5));
+    session.reply(StoreReply::RecordWritten { revision: 40 }, at(time + 5));
     assert_eq!(session.next(NEED, at(time + 5)), RecordStep::Collect);
     assert_eq!(session.offer(8, false, at(time + 5)), Some(40));
-    session.reply(StoreReply::FlowRecordWritten { revision: 41 }, at(time + 9));
+    session.reply(StoreReply::RecordWritten { revision: 41 }, at(time + 9));
     assert_eq!(next_step(&mut session, time + 9, 60_000), None);
 }
 
--- a/crates/woodladder-core/tests/flow_record_property.rs
+++ b/crates/woodladder-core/tests/flow_record_property.rs
@@ -319,7 +319,7 @@
         assert_eq!(call, NextCall::Now(StoreCall::ReadFlowRecord));
         let (value, revision) = self.stored.clone();
         let mut actions = Vec::new();
-        let reply = StoreReply::FlowRecord { value, revision };
+        let reply = StoreReply::Record { value, revision };
         self.balancer
             .handle_record_reply(reply, self.now, at(self.now), &mut actions);
         self.sent_by_balancer(actions);
--- a/crates/woodladder-core/tests/flow_record_restore.rs
+++ b/crates/woodladder-core/tests/flow_record_restore.rs
@@ -75,7 +75,7 @@
     let call = balancer.next_record_call(time_of_day, at(now));
     assert_eq!(call, NextCall::Now(StoreCall::ReadFlowRecord));
     let mut actions = Vec::new();
-    let reply = StoreReply::FlowRecord {
+    let reply = StoreReply::Record {
         value: Some(record.encode()),
         revision: 9,
     };
@@ -444,7 +444,7 @@
     }
     let mut balancer = started_balancer(0);
     balancer.next_record_call(WALL_CLOCK_ORIGIN_MS, at(0));
-    let reply = StoreReply::FlowRecord {
+    let reply = StoreReply::Record {
         value: Some(b"something else".to_vec()),
         revision: 9,
     };
--- a/crates/woodladder-lab/src/platform/store.rs
+++ b/crates/woodladder-lab/src/platform/store.rs
@@ -113,12 +113,19 @@
 
 fn transaction(state: &mut StoreState, body: &[u8]) -> HttpResponse {
     let body: Value = serde_json::from_slice(body).unwrap_or_default();
-    for expected in body["expected_rev"].as_array().into_iter().flatten() {
-        let key = expected["tls_key"].as_str().unwrap_or_default();
-        let revision = state.get(key).map_or(0, |entry| entry.revision);
-        if expected["revision"].as_u64() != Some(revision) {
-            return empty(StatusCode::PRECONDITION_FAILED);
-        }
+    let expected = body["expected_rev"].as_array().into_iter().flatten();
+    let mut is_expected = true;
+    let mut items = Vec::new();
+    for row in expected {
+        let key = row["tls_key"].as_str().unwrap_or_default();
+        let entry = state.get(key);
+        let revision = entry.as_ref().map_or(0, |entry| entry.revision);
+        is_expected &= row["revision"].as_u64() == Some(revision);
+        items.extend(entry.map(|entry| item(key, &entry)));
+    }
+    if !is_expected {
+        let found = json!({ "items": items, "at": state.revision() });
+        return HttpResponse::json(StatusCode::PRECONDITION_FAILED, found.to_string());
     }
     for put in body["put"].as_array().into_iter().flatten() {
         let key = put["tls_key"].as_str().unwrap_or_default();
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -171,7 +171,7 @@
         let record_wakeup = Rc::new(Notify::new());
         let call_node = Rc::clone(self);
         let reply_node = Rc::clone(self);
-        spawn_local(store::maintain_flow_record(
+        spawn_local(store::maintain_record(
             store,
             self.clock,
             Rc::clone(&self.store_stats),
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -106,10 +106,10 @@
     }
 }
 
-/// Maintains a balancer's flow record in the store until the process ends. `next_call`
-/// returns the next call, `on_reply` gets each reply, and a notification on `wakeup` makes
-/// the task call `next_call` at once.
-pub async fn maintain_flow_record(
+/// Maintains a node's record in the store until the process ends. `next_call` returns the
+/// next call, `on_reply` gets each reply, and a notification on `wakeup` makes the task call
+/// `next_call` at once.
+pub async fn maintain_record(
     mut store: impl Store,
     clock: NodeClock,
     stats: Rc<StoreCallStats>,
