The end of a leaving target is shown by its address, not by a word

Callers' new flows reached a target that had drained and deregistered, until its process ended: a late heartbeat of a former start had become the present one.

Cause: a deregistration after a drain, or one refused listen probe, set has_ended for good, and from then on any heartbeat of any start took over at once, also one that says that it began earlier. Nothing in it shows that its sender runs, or that the one that leaves no longer takes packets.

Now only the address tells: nothing listened there since the leaving, and something listens again. An address is used by one start at a time, so what listens again is another one. The leaving watch goes by the same evidence, so that opened_after_leaving counts such flows.

Tests changed: a_start_whose_clock_went_back_replaces_a_deregistered_one_at_once and the_next_target_takes_flows_after_the_leaving_one_has_deregistered demanded the takeover on the deregistration alone, which is the fault. The watch's test demanded that a deregistration ends the watch.

--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -138,6 +138,17 @@
     NotListening,
 }
 
+/// What listen probes have shown of a leaving target's end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TargetEnd {
+    /// The target may still run.
+    NotSeen,
+    /// Nothing listens at its address.
+    NothingListens,
+    /// Nothing listened at its address, and now something does: another start.
+    ListensAgain,
+}
+
 #[derive(Clone, Debug)]
 struct Target {
     state: TargetState,
@@ -155,10 +166,10 @@
     restart_detector: RestartDetector,
     /// Whether the target has announced that it leaves, in a heartbeat.
     announced_leaving: bool,
-    /// Whether the target is known to have ended.
-    has_ended: bool,
-    /// What showed that the target has ended, if it has.
-    end_evidence: SuccessionEvidence,
+    /// Whether the target has deregistered after it had announced that it leaves: it ends.
+    has_taken_leave: bool,
+    /// What listen probes have shown of a leaving target's end.
+    end: TargetEnd,
     first_heartbeat_at: Option<Instant>,
     heartbeat_sequence: u64,
     slots: u16,
@@ -452,8 +463,8 @@
             replaced_starts: Vec::new(),
             restart_detector: RestartDetector::default(),
             announced_leaving: false,
-            has_ended: false,
-            end_evidence: SuccessionEvidence::NothingKnown,
+            has_taken_leave: false,
+            end: TargetEnd::NotSeen,
             first_heartbeat_at: None,
             heartbeat_sequence: 0,
             slots: 0,
--- a/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
@@ -253,7 +253,7 @@
         let is_stated = self.target.state_cause != StateCause::AgentStop;
         self.target
             .incarnation
-            .filter(|_| is_stated && self.target.may_run_while_leaving())
+            .filter(|_| is_stated && self.target.state == TargetState::Leaving)
     }
 
     /// Takes up a leaving that this agent's former process has acknowledged.
--- a/crates/woodladder-core/src/flow/agent/target/deregistration.rs
+++ b/crates/woodladder-core/src/flow/agent/target/deregistration.rs
@@ -1,7 +1,7 @@
 //! Deregistrations of the target, and the probes that show whether it runs.
 
 use crate::clock::Instant;
-use crate::flow::agent::{Agent, ListenState, StateCause, SuccessionEvidence};
+use crate::flow::agent::{Agent, Heartbeat, ListenState, StateCause, TargetEnd};
 use crate::flow::identity::Incarnation;
 use crate::flow::message::TargetState;
 
@@ -75,10 +75,7 @@
                 if names_start
                     || (names_instance && (leaves || !target.has_replaced_same_instance())) =>
             {
-                if target.announced_leaving && !target.has_ended {
-                    target.has_ended = true;
-                    target.end_evidence = SuccessionEvidence::Deregistered;
-                }
+                target.has_taken_leave |= target.announced_leaving;
                 self.set_state(TargetState::Leaving, StateCause::Deregistration, now);
                 DeregistrationOutcome::Applied
             }
@@ -95,10 +92,10 @@
 
     /// Whether the target's address should be probed. It is probed until the target has
     /// sent a heartbeat, a deregistration or a packet, or listens at the address, and again
-    /// while the target leaves, until it has ended.
+    /// while the target leaves, until another start is present.
     #[must_use]
     pub fn needs_listen_probe(&self) -> bool {
-        if self.target.may_run_while_leaving() {
+        if self.target.state == TargetState::Leaving {
             return true;
         }
         let was_heard =
@@ -106,13 +103,33 @@
         !was_heard && self.target.listen_state != ListenState::Listening
     }
 
+    /// Whether the address should be probed before a heartbeat is handled: its sender may
+    /// be the next start after a leaving one, or its message may be late.
+    #[must_use]
+    pub fn needs_listen_probe_before(&self, heartbeat: &Heartbeat) -> bool {
+        self.target.state == TargetState::Leaving
+            && self.target.incarnation != Some(heartbeat.incarnation)
+    }
+
+    /// Whether the target has said that it is about to end.
+    #[must_use]
+    pub fn is_end_near(&self) -> bool {
+        self.target.has_taken_leave && self.target.end == TargetEnd::NotSeen
+    }
+
     /// Records whether the target listens. A target that does not listen yet will start
     /// while the agent runs, so the agent sees each of its flows. A leaving target that no
     /// longer listens has ended.
     pub fn record_listen_state(&mut self, listen_state: ListenState) {
-        if self.target.may_run_while_leaving() {
-            self.target.has_ended = listen_state == ListenState::NotListening;
-            self.target.end_evidence = SuccessionEvidence::NothingListened;
+        if listen_state == ListenState::NotListening {
+            self.leaving_watch.record_end();
+        }
+        if self.target.state == TargetState::Leaving {
+            self.target.end = match (self.target.end, listen_state) {
+                (_, ListenState::NotListening) => TargetEnd::NothingListens,
+                (TargetEnd::NothingListens, ListenState::Listening) => TargetEnd::ListensAgain,
+                (end, _) => end,
+            };
             return;
         }
         self.target.listen_state = listen_state;
--- a/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
+++ b/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
@@ -2,8 +2,8 @@
 //!
 //! The watch is independent of the target's state by which openings are admitted, so that
 //! it notices when this state is wrong. An acknowledged leaving is watched until its
-//! incarnation has ended: until it deregisters after it had announced that it leaves, or
-//! until another incarnation keeps sending heartbeats while it is silent.
+//! incarnation has ended: until nothing listens at its address, or until another
+//! incarnation keeps sending heartbeats while it is silent.
 
 use crate::clock::Instant;
 use crate::flow::agent::{Agent, OpeningPath};
@@ -53,17 +53,21 @@
     }
 
     /// Records a deregistration that was acknowledged: the first word of a leaving, or the
-    /// end of an incarnation that had announced it. Returns whether it was the first word.
+    /// last one of an incarnation that had announced it. Returns whether it was the first.
     pub fn record_deregistration(&mut self, names: [Option<Incarnation>; 2], now: Instant) -> bool {
         let known = self.leaving.map(|known| known.incarnation);
         if known.is_some() && names.contains(&known) {
-            self.leaving = None;
             return false;
         }
         let named = names.into_iter().flatten().next();
         named.is_some_and(|incarnation| self.record_acknowledged(incarnation, now))
     }
 
+    /// Records that nothing listens at the target's address.
+    pub fn record_end(&mut self) {
+        self.leaving = None;
+    }
+
     /// Records a heartbeat, whether or not it was accepted.
     pub fn record_heartbeat(&mut self, incarnation: Incarnation, sequence: u64, now: Instant) {
         let Some(leaving) = &mut self.leaving else {
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -6,13 +6,14 @@
 //! it only on evidence:
 //!
 //! - The other start began later, by the times that both state.
-//! - The present start has ended: it deregistered after it had announced that it leaves, or
-//!   nothing listens at its address while it leaves.
+//! - The present start has ended: while it left, nothing listened at its address, and now
+//!   something does. Its deregistration is no such evidence, since it may take packets for
+//!   a while after it, and neither is a message of another start.
 //! - The present start was heard only once or in one moment, so that nothing shows that it
 //!   was not itself a late heartbeat.
 //! - The present start is silent, and the other one keeps sending. For a start that has
-//!   announced that it leaves, this takes longest: one that deregisters first serves on
-//!   without heartbeats.
+//!   announced that it leaves, this takes longest, unless it has deregistered after that:
+//!   one that deregisters first serves on without heartbeats.
 //!
 //! A start that was replaced without a statement of its time may return on the same
 //! evidence, since it may have been replaced by a late heartbeat.
@@ -21,7 +22,7 @@
 
 use crate::clock::Instant;
 use crate::flow::agent::{
-    Agent, Heartbeat, HeartbeatError, StateCause, SuccessionEvidence, Target,
+    Agent, Heartbeat, HeartbeatError, StateCause, SuccessionEvidence, Target, TargetEnd,
 };
 use crate::flow::cold_reason::ColdReason;
 use crate::flow::identity::Incarnation;
@@ -139,7 +140,7 @@
             instance: self.instance.unwrap_or(incarnation),
             first_heartbeat_at: self.first_heartbeat_at,
             heartbeat_sequence: self.heartbeat_sequence,
-            has_ended: self.has_ended,
+            has_ended: self.end != TargetEnd::NotSeen,
         })
     }
 
@@ -176,11 +177,6 @@
             })
     }
 
-    /// Whether the target has announced that it leaves and may still serve.
-    pub(crate) fn may_run_while_leaving(&self) -> bool {
-        self.state == TargetState::Leaving && !self.has_ended
-    }
-
     /// Whether a start under the present target's name was replaced here.
     pub(crate) fn has_replaced_same_instance(&self) -> bool {
         let mut replaced = self.replaced_starts.iter();
@@ -189,12 +185,11 @@
 
     /// The evidence on which the sender of a heartbeat replaces this start, if there is any.
     fn evidence_for(&mut self, heartbeat: &Heartbeat, now: Instant) -> Option<SuccessionEvidence> {
-        if self.has_ended {
-            return Some(self.end_evidence);
+        if self.end == TargetEnd::ListensAgain {
+            return Some(SuccessionEvidence::NothingListened);
         }
         let Some(incarnation) = self.incarnation else {
-            let is_superseded = self.is_superseded_before_heartbeat(heartbeat, now);
-            return is_superseded.then_some(SuccessionEvidence::NothingKnown);
+            return self.evidence_before_heartbeat(heartbeat, now);
         };
         let known = TargetStart {
             incarnation,
@@ -218,23 +213,33 @@
         is_proven.then_some(SuccessionEvidence::Silence)
     }
 
-    /// Whether the sender of the first heartbeat is present although a deregistration came
-    /// before any heartbeat.
-    fn is_superseded_before_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> bool {
-        if !self.may_run_while_leaving() || self.instance == Some(heartbeat.instance) {
-            return true;
+    /// The evidence on which the sender of the first heartbeat is present, although a
+    /// deregistration may have come before any heartbeat.
+    fn evidence_before_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> Option<SuccessionEvidence> {
+        let is_leaving_name = self.instance == Some(heartbeat.instance);
+        if self.state != TargetState::Leaving || is_leaving_name {
+            return Some(SuccessionEvidence::NothingKnown);
         }
         let span =
             self.restart_detector
                 .record_claim(heartbeat.incarnation, heartbeat.sequence, now);
-        span >= LEAVING_SUPERSEDED_AFTER
+        (span >= LEAVING_SUPERSEDED_AFTER).then_some(SuccessionEvidence::Silence)
     }
 
     /// Whether this start counts as ended after another one has kept sending for `span`
     /// while this one was silent.
     fn is_proven_ended(&self, order: StartOrder, span: Duration, now: Instant) -> bool {
-        if self.may_run_while_leaving() {
-            return span >= LEAVING_SUPERSEDED_AFTER;
+        if self.state == TargetState::Leaving {
+            let limit = if self.has_taken_leave {
+                SILENCE_BEFORE_SUPERSEDED
+            } else {
+                LEAVING_SUPERSEDED_AFTER
+            };
+            return span >= limit;
         }
         let silence = self
             .last_heartbeat_at
@@ -254,7 +259,7 @@
         let may_run = self
             .replaced_start(heartbeat.incarnation)
             .is_none_or(|start| start.first_heartbeat_at.is_some_and(is_alive_span));
-        may_run && !self.may_run_while_leaving() && !self.was_heard_alive()
+        may_run && self.state != TargetState::Leaving && !self.was_heard_alive()
     }
 
     /// Whether heartbeats at least [`MINIMUM_ALIVE_SPAN`] apart have shown that this start
--- a/crates/woodladder-core/src/flow/target_status.rs
+++ b/crates/woodladder-core/src/flow/target_status.rs
@@ -76,9 +76,8 @@
     NothingKnown,
     /// The other start states that it began later.
     LaterStart,
-    /// The former start had announced that it leaves, and deregistered.
-    Deregistered,
-    /// Nothing listened at the address of the former start after it had left.
+    /// While the former start left, nothing listened at its address, and now something
+    /// does.
     NothingListened,
     /// The former start was heard only once or in one moment.
     HeardOnce,
@@ -88,10 +87,9 @@
 
 impl SuccessionEvidence {
     /// All kinds, in the order of [`Self::index`].
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 5] = [
         Self::NothingKnown,
         Self::LaterStart,
-        Self::Deregistered,
         Self::NothingListened,
         Self::HeardOnce,
         Self::Silence,
@@ -103,7 +101,6 @@
         match self {
             Self::NothingKnown => "nothing_known",
             Self::LaterStart => "later_start",
-            Self::Deregistered => "deregistered",
             Self::NothingListened => "nothing_listened",
             Self::HeardOnce => "heard_once",
             Self::Silence => "silence",
--- a/crates/woodladder-core/tests/flow_leaving.rs
+++ b/crates/woodladder-core/tests/flow_leaving.rs
@@ -186,10 +186,13 @@
     agent.record_listen_state(ListenState::Listening);
     assert!(agent.handle_heartbeat(&heartbeat(3, 1), at(4100)).is_err());
     agent.record_listen_state(ListenState::NotListening);
-    assert!(!agent.needs_listen_probe());
+    assert!(agent.handle_heartbeat(&heartbeat(3, 2), at(5250)).is_err());
+    assert!(agent.needs_listen_probe_before(&heartbeat(3, 3)));
+    agent.record_listen_state(ListenState::Listening);
     agent
-        .handle_heartbeat(&heartbeat(3, 2), at(5300))
+        .handle_heartbeat(&heartbeat(3, 3), at(5300))
         .expect("accepted");
+    assert!(!agent.needs_listen_probe());
     assert!(takes_flow(&mut agent, 1, 5310));
 }
 
@@ -285,7 +288,8 @@
 }
 
 /// The next target at an address takes flows at once after one that said that it leaves
-/// and then deregistered.
+/// and then deregistered and ended. The deregistration alone does not show that it has
+/// ended: a late heartbeat of a former target would bring flows to it.
 #[test]
 fn the_next_target_takes_flows_after_the_leaving_one_has_deregistered() {
     let mut agent = agent_of_target();
@@ -293,6 +297,15 @@
         .handle_heartbeat(&leaving_heartbeat(TARGET, 8), at(4000))
         .expect("accepted");
     agent.handle_deregistration(Incarnation(TARGET), at(7500));
+    assert!(agent.is_end_near());
+    assert!(
+        agent
+            .handle_heartbeat(&heartbeat(FORMER, 90), at(7510))
+            .is_err()
+    );
+    assert!(!takes_flow(&mut agent, 2, 7520));
+    agent.record_listen_state(ListenState::NotListening);
+    agent.record_listen_state(ListenState::Listening);
     agent
         .handle_heartbeat(&heartbeat(3, 1), at(9500))
         .expect("accepted");
--- a/crates/woodladder-core/tests/flow_leaving_evidence.rs
+++ b/crates/woodladder-core/tests/flow_leaving_evidence.rs
@@ -124,13 +124,15 @@
 }
 
 #[test]
-fn an_acknowledged_leaving_is_watched_until_its_start_has_deregistered() {
+fn an_acknowledged_leaving_is_watched_until_nothing_listens_at_the_address() {
     let mut watch = LeavingWatch::default();
     watch.record_acknowledged(Incarnation(1), at(10));
     watch.record_acknowledged(Incarnation(1), at(1210));
     let leaving = watch.outstanding().expect("watched");
     assert_eq!(leaving.acknowledged_at, at(10));
     watch.record_deregistration([Some(Incarnation(1)), Some(Incarnation(1))], at(3500));
+    assert!(watch.outstanding().is_some(), "it may take packets on");
+    watch.record_end();
     assert!(watch.outstanding().is_none());
 }
 
--- a/crates/woodladder-core/tests/flow_rebirth.rs
+++ b/crates/woodladder-core/tests/flow_rebirth.rs
@@ -5,7 +5,7 @@
 
 use flow_support::*;
 use woodladder_core::clock::Instant;
-use woodladder_core::flow::agent::{Agent, Heartbeat, HeartbeatError};
+use woodladder_core::flow::agent::{Agent, Heartbeat, HeartbeatError, ListenState};
 use woodladder_core::flow::balancer::{Balancer, BalancerAction};
 use woodladder_core::flow::identity::Incarnation;
 use woodladder_core::flow::message::{
@@ -140,6 +140,10 @@
     };
     agent.handle_heartbeat(&leaving, at(3000)).expect("taken");
     agent.handle_deregistration(Incarnation::named(NAME), at(3050));
+    let may_be_late = agent.handle_heartbeat(&heartbeat_of(-5000, 1), at(3060));
+    assert_eq!(may_be_late, Err(HeartbeatError::Unproven));
+    agent.record_listen_state(ListenState::NotListening);
+    agent.record_listen_state(ListenState::Listening);
     agent
         .handle_heartbeat(&heartbeat_of(-5000, 1), at(3100))
         .expect("taken");
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -187,14 +187,14 @@
     /// # Errors
     /// Returns [`HeartbeatError`] when the heartbeat is rejected; it then changes
     /// nothing.
-    pub fn handle_heartbeat(
+    pub async fn handle_heartbeat(
         self: &Rc<Self>,
         heartbeat: &Heartbeat,
     ) -> Result<HeartbeatOutcome, HeartbeatError> {
+        self.probe_before(heartbeat).await;
         let now = self.clock.now();
         let outcome = self.core.borrow_mut().handle_heartbeat(heartbeat, now)?;
-        self.target_spoke.notify_one();
-        self.run_core(|core, now, actions| core.tick(now, actions));
+        self.report_target();
         Ok(outcome)
     }
 
@@ -210,9 +210,14 @@
             .core
             .borrow_mut()
             .handle_deregistration(incarnation, now);
+        self.report_target();
+        outcome
+    }
+
+    /// Reports what the target has said, and wakes the tasks that depend on it.
+    fn report_target(self: &Rc<Self>) {
         self.target_spoke.notify_one();
         self.run_core(|core, now, actions| core.tick(now, actions));
-        outcome
     }
 
     /// The target's state with the evidence that it rests on.
--- a/crates/woodladder-node/src/agent/listen_probes.rs
+++ b/crates/woodladder-node/src/agent/listen_probes.rs
@@ -7,13 +7,15 @@
 
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
-use woodladder_core::flow::agent::ListenState;
+use woodladder_core::flow::agent::{Heartbeat, ListenState};
 
 use super::AgentNode;
 use crate::packet_codec::PacketCodec;
 
 /// Pause between two listen probes, which check whether the target accepts connections.
 const LISTEN_PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two listen probes of a target that has deregistered and is about to end.
+const END_PROBE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time limit for a listen probe.
 const LISTEN_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 impl<C: PacketCodec + 'static> AgentNode<C> {
@@ -28,15 +30,31 @@
         }
     }
 
-    /// Makes listen probes whenever the core needs them.
+    /// Makes listen probes whenever the core needs them. A target that is about to end is
+    /// probed more often, so that the moment at which nothing listens is seen even if the
+    /// next start follows at once.
     pub(super) async fn run_listen_probes(self: Rc<Self>) {
         loop {
             while self.core.borrow().needs_listen_probe() {
                 let listen_state = self.probe_listen_state().await;
                 self.core.borrow_mut().record_listen_state(listen_state);
-                sleep(LISTEN_PROBE_INTERVAL).await;
+                let interval = if self.core.borrow().is_end_near() {
+                    END_PROBE_INTERVAL
+                } else {
+                    LISTEN_PROBE_INTERVAL
+                };
+                sleep(interval).await;
             }
             self.target_spoke.notified().await;
         }
     }
+
+    /// Makes a listen probe before a heartbeat that only the state of the address can
+    /// tell from a late one.
+    pub(super) async fn probe_before(&self, heartbeat: &Heartbeat) {
+        if self.core.borrow().needs_listen_probe_before(heartbeat) {
+            let listen_state = self.probe_listen_state().await;
+            self.core.borrow_mut().record_listen_state(listen_state);
+        }
+    }
 }
