Leavings are recorded at the store before they are acknowledged

Callers' new flows reached targets whose leaving had been acknowledged, after all processes had been killed at the same moment, until the targets ended.

Cause: an acknowledged leaving lived in the memory of one agent and of the balancers. A heartbeat that the target had sent before, or one of a former start, came late and opened the agent's next process. Nothing in a heartbeat shows when it was sent, and a target that deregisters first says nothing more.

Why this works: "this start has said that it leaves" stays true for ever, so no order of messages can undo it. The agent writes the start to the store (woodladder/leavings/NODE) and only then answers 200; the next process takes no target for ready until it has read the record, or has seen that nothing listens at the address. A start in the record is the present one, and leaves, until the address has shown its end or a later start is heard; then the record is removed. Writes are conditional on the revision. While the store is away a leaving is not acknowledged (503, the target takes no new flow all the same), and a restarted agent goes by heartbeats after a second and by the record once it is there.

Three calls a leaving (one write, one removal, one read a process start).

--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -24,6 +24,7 @@
 use super::excluded_zones::ExcludedZones;
 use super::flow_table::FlowTable;
 use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use super::leaving_record::LeavingRecordSession;
 use super::log_event::{LogEvent, LogEventBuffer};
 use super::message::{
     ForwardHeader, ForwardPurpose, PeerMessage, ReturnReason, Snapshot, SnapshotRequest,
@@ -84,6 +85,9 @@
     /// Limit on the requests that a cold target may be sent; `None` when the operators
     /// set no limit.
     pub warm_up: Option<WarmUpBounds>,
+    /// Whether leavings are recorded in the store before they are acknowledged, and the
+    /// record is read after a restart.
+    pub records_leavings: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -166,6 +170,9 @@
     restart_detector: RestartDetector,
     /// Whether the target has announced that it leaves, in a heartbeat.
     announced_leaving: bool,
+    /// Whether the target has announced that it leaves, in a heartbeat, by a
+    /// deregistration, or to a former process of this agent.
+    is_leaving_stated: bool,
     /// Whether the target has deregistered after it had announced that it leaves: it ends.
     has_taken_leave: bool,
     /// What listen probes have shown of a leaving target's end.
@@ -230,6 +237,7 @@
     counters: AgentCounters,
     promises: PromiseWatch,
     leaving_watch: LeavingWatch,
+    leaving_record: LeavingRecordSession,
 }
 
 impl Agent {
@@ -270,6 +278,7 @@
             counters: AgentCounters::default(),
             promises: PromiseWatch::default(),
             leaving_watch: LeavingWatch::default(),
+            leaving_record: LeavingRecordSession::new(options.epoch, now),
         }
     }
 
@@ -463,6 +472,7 @@
             replaced_starts: Vec::new(),
             restart_detector: RestartDetector::default(),
             announced_leaving: false,
+            is_leaving_stated: false,
             has_taken_leave: false,
             end: TargetEnd::NotSeen,
             first_heartbeat_at: None,
--- a/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
@@ -187,6 +187,7 @@
         self.flows.tick(now);
         self.routes.tick(self.options.flow_lifetime, now);
         self.check_target_responds(now);
+        self.admit_known_target(now);
         self.decay_failure_record(now);
         for balancer in self.balancers.tick(now) {
             self.log_events.add(LogEvent::BalancerLost { balancer });
@@ -256,11 +257,12 @@
             .filter(|_| is_stated && self.target.state == TargetState::Leaving)
     }
 
-    /// Takes up a leaving that this agent's former process has acknowledged.
-    fn resume_leaving(&mut self, incarnation: Incarnation, now: Instant) {
-        if self.target.incarnation == Some(incarnation) {
-            self.set_state(TargetState::Leaving, StateCause::FormerProcess, now);
-            self.acknowledge_leaving(incarnation, now);
+    /// The state in reports. A target that was heard and is not admitted yet takes no new
+    /// flow, but may hold open ones.
+    fn reported_state(&self) -> TargetState {
+        match self.target.state {
+            TargetState::Unknown if self.target.incarnation.is_some() => TargetState::Leaving,
+            state => state,
         }
     }
 
@@ -278,7 +280,7 @@
             }),
             knows_all_flows: self.has_all_flows_in_table(now),
             zone: self.options.zone,
-            state: self.target.state,
+            state: self.reported_state(),
             slots: self.target.slots,
             warm_up_ms: u32::try_from(warm_up.as_millis()).unwrap_or(u32::MAX),
             load: self.load,
--- a/crates/woodladder-core/src/flow/agent/search.rs
+++ b/crates/woodladder-core/src/flow/agent/search.rs
@@ -106,7 +106,8 @@
     /// yet answers a packet with a reset, which would end a flow that another target
     /// holds.
     pub(super) fn is_target_known_to_run(&self) -> bool {
-        let had_heartbeat = self.target.state != TargetState::Unknown;
+        let had_heartbeat =
+            self.target.incarnation.is_some() || self.target.state != TargetState::Unknown;
         had_heartbeat
             || self.target.last_packet_at.is_some()
             || self.target.listen_state == ListenState::Listening
--- a/crates/woodladder-core/src/flow/agent/target/deregistration.rs
+++ b/crates/woodladder-core/src/flow/agent/target/deregistration.rs
@@ -16,6 +16,8 @@
     /// The deregistration may be a late one of a former start under the same name; nothing
     /// has changed.
     FormerStart,
+    /// The target takes no new flow, but its leaving is not recorded in the store yet.
+    Unrecorded,
 }
 
 impl DeregistrationOutcome {
@@ -26,6 +28,7 @@
             Self::Applied => "applied",
             Self::OtherTarget => "other_target",
             Self::FormerStart => "former_start",
+            Self::Unrecorded => "unrecorded",
         }
     }
 }
@@ -76,6 +79,7 @@
                     || (names_instance && (leaves || !target.has_replaced_same_instance())) =>
             {
                 target.has_taken_leave |= target.announced_leaving;
+                target.is_leaving_stated = true;
                 self.set_state(TargetState::Leaving, StateCause::Deregistration, now);
                 DeregistrationOutcome::Applied
             }
@@ -98,8 +102,9 @@
         if self.target.state == TargetState::Leaving {
             return true;
         }
-        let was_heard =
-            self.target.state != TargetState::Unknown || self.target.last_packet_at.is_some();
+        let was_heard = self.target.incarnation.is_some()
+            || self.target.state != TargetState::Unknown
+            || self.target.last_packet_at.is_some();
         !was_heard && self.target.listen_state != ListenState::Listening
     }
 
@@ -118,8 +123,8 @@
     }
 
     /// Records whether the target listens. A target that does not listen yet will start
-    /// while the agent runs, so the agent sees each of its flows. A leaving target that no
-    /// longer listens has ended.
+    /// while the agent runs, so the agent sees each of its flows, and no former process can
+    /// have acknowledged its leaving. A leaving target that no longer listens has ended.
     pub fn record_listen_state(&mut self, listen_state: ListenState) {
         if listen_state == ListenState::NotListening {
             self.leaving_watch.record_end();
@@ -133,6 +138,9 @@
             return;
         }
         self.target.listen_state = listen_state;
+        if listen_state == ListenState::NotListening {
+            self.leaving_record.set_irrelevant();
+        }
         if listen_state == ListenState::NotListening && !self.target.started_after_agent {
             self.target.started_after_agent = true;
             // Balancers may hold flows of a target that ended while no agent ran.
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -47,6 +47,8 @@
     /// The incarnation may be older than the known one, or the known one may still run;
     /// only further heartbeats can show that this one runs.
     Unproven,
+    /// The leaving that the heartbeat announces is not recorded in the store yet.
+    Unrecorded,
 }
 
 /// What a heartbeat that was not rejected has changed.
@@ -67,6 +69,7 @@
             Self::WrongService => "wrong_service",
             Self::Replaced => "replaced",
             Self::Unproven => "unproven",
+            Self::Unrecorded => "unrecorded",
         }
     }
 }
@@ -121,7 +124,7 @@
             return Ok(self.apply_outdated_heartbeat(heartbeat, now));
         }
         self.counters.heartbeats += 1;
-        self.target.announced_leaving |= heartbeat.leaving;
+        self.note_announced_leaving(heartbeat);
         self.target.restart_detector.confirm_known();
         self.target.first_heartbeat_at.get_or_insert(now);
         self.target.heartbeat_sequence = heartbeat.sequence;
@@ -133,12 +136,22 @@
         self.warm_up.end_uncertainty(now);
         let state = match (heartbeat.leaving, self.target.state) {
             (true, _) | (_, TargetState::Leaving) => TargetState::Leaving,
+            _ if !self.knows_former_leavings(now) => TargetState::Unknown,
             _ => TargetState::Ready,
         };
         self.set_state(state, StateCause::Heartbeat, now);
         Ok(HeartbeatOutcome::Applied)
     }
 
+    fn note_announced_leaving(&mut self, heartbeat: &Heartbeat) {
+        self.target.announced_leaving |= heartbeat.leaving;
+        self.target.is_leaving_stated |= heartbeat.leaving;
+        if self.target.started_at_ms.is_none() {
+            self.target.started_at_ms = heartbeat.started_at_ms;
+        }
+        self.target.instance.get_or_insert(heartbeat.instance);
+    }
+
     /// Applies what holds of an overtaken heartbeat: an incarnation that has said that it
     /// leaves never becomes ready again.
     fn apply_outdated_heartbeat(
@@ -147,7 +160,7 @@
         now: Instant,
     ) -> HeartbeatOutcome {
         self.counters.heartbeats += 1;
-        self.target.announced_leaving |= heartbeat.leaving;
+        self.note_announced_leaving(heartbeat);
         if heartbeat.leaving && self.target.state != TargetState::Leaving {
             self.set_state(TargetState::Leaving, StateCause::OvertakenHeartbeat, now);
             return HeartbeatOutcome::Applied;
--- a/crates/woodladder-core/src/flow/agent/target/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/target/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod deregistration;
 pub(crate) mod failure_record;
+pub(crate) mod former_leavings;
 pub(crate) mod heartbeat;
 pub(crate) mod idle_flow_work;
 pub(crate) mod leaving_watch;
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -50,6 +50,7 @@
     first_heartbeat_at: Option<Instant>,
     heartbeat_sequence: u64,
     has_ended: bool,
+    is_leaving_stated: bool,
 }
 
 impl Agent {
@@ -115,10 +116,16 @@
             self.target.started_after_agent = false;
             self.target.first_heartbeat_at = returned.first_heartbeat_at.or(claimed_since);
             self.flows.mark_incomplete(now);
+            if returned.is_leaving_stated {
+                self.target.is_leaving_stated = true;
+                self.target.state = TargetState::Leaving;
+                self.target.state_cause = StateCause::Heartbeat;
+            }
         }
         self.target.previous_last_heartbeat_at = previous.last_heartbeat_at;
         if previous.incarnation.is_none() && previous.instance == Some(heartbeat.incarnation) {
             // This start was deregistered before its first heartbeat.
+            self.target.is_leaving_stated = true;
             self.target.state = TargetState::Leaving;
             self.target.state_cause = StateCause::Deregistration;
         }
@@ -141,6 +148,7 @@
             first_heartbeat_at: self.first_heartbeat_at,
             heartbeat_sequence: self.heartbeat_sequence,
             has_ended: self.end != TargetEnd::NotSeen,
+            is_leaving_stated: self.is_leaving_stated,
         })
     }
 
--- a/crates/woodladder-core/src/flow/mod.rs
+++ b/crates/woodladder-core/src/flow/mod.rs
@@ -19,6 +19,7 @@
 pub mod flow_table;
 pub mod held_flows;
 pub mod identity;
+pub mod leaving_record;
 pub mod link;
 pub mod log_event;
 pub mod message;
--- a/crates/woodladder-core/src/flow/store_session/mod.rs
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Three state machines have at most one call in flight each: the watch of the
 //! configuration, the registration of a balancer under a lease, and the list of
-//! balancers. A fourth is [`super::flow_record::session`]. If the store is slow, down or
+//! balancers. Others are [`super::flow_record::session`] and
+//! [`super::leaving_record::session`]. If the store is slow, down or
 //! refuses this node, calls are retried with growing pauses, and the node continues with
 //! what it knows.
 
@@ -65,10 +66,19 @@
         /// The encoded record.
         bytes: Vec<u8>,
     },
+    /// Read the leaving record of this agent.
+    ReadLeavingRecord,
+    /// Write or remove the leaving record of this agent.
+    WriteLeavingRecord {
+        /// Revision that the entry must have; zero if there must be no entry.
+        revision: u64,
+        /// The encoded record; `None` to remove it.
+        bytes: Option<Vec<u8>>,
+    },
 }
 
 /// Names of the call kinds in metrics.
-pub const CALL_KINDS: [&str; 9] = [
+pub const CALL_KINDS: [&str; 11] = [
     "read_configuration",
     "await_configuration",
     "grant_lease",
@@ -78,6 +88,8 @@
     "list_balancers",
     "read_flow_record",
     "write_flow_record",
+    "read_leaving_record",
+    "write_leaving_record",
 ];
 
 impl StoreCall {
@@ -94,6 +106,8 @@
             Self::ListBalancers { .. } => 6,
             Self::ReadFlowRecord => 7,
             Self::WriteFlowRecord { .. } => 8,
+            Self::ReadLeavingRecord => 9,
+            Self::WriteLeavingRecord { .. } => 10,
         }
     }
 }
--- a/crates/woodladder-core/src/flow/target_status.rs
+++ b/crates/woodladder-core/src/flow/target_status.rs
@@ -23,7 +23,8 @@
     Packet,
     /// The agent's planned stop.
     AgentStop,
-    /// A leaving that the agent's former process had acknowledged, as a balancer knows.
+    /// A leaving that the agent's former process had acknowledged, as the leaving record or
+    /// a balancer states.
     FormerProcess,
 }
 
--- a/crates/woodladder-core/tests/flow_exploration_world/mod.rs
+++ b/crates/woodladder-core/tests/flow_exploration_world/mod.rs
@@ -74,6 +74,7 @@
         flow_retention: std::time::Duration::from_secs(30),
         flow_lifetime: std::time::Duration::from_secs(60),
         warm_up: None,
+        records_leavings: false,
     };
     Agent::new(options, at(now))
 }
--- a/crates/woodladder-core/tests/flow_record_property.rs
+++ b/crates/woodladder-core/tests/flow_record_property.rs
@@ -121,6 +121,7 @@
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
         warm_up: None,
+        records_leavings: false,
     };
     let mut agent = Agent::new(options, at(now));
     agent.record_listen_state(ListenState::Listening);
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -247,6 +247,7 @@
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
         warm_up: None,
+        records_leavings: false,
     }
 }
 
--- a/crates/woodladder-core/tests/flow_warm_up.rs
+++ b/crates/woodladder-core/tests/flow_warm_up.rs
@@ -50,6 +50,7 @@
             overage: 1.5,
             slack: 5,
         }),
+        records_leavings: false,
     };
     Agent::new(options, started_at)
 }
--- a/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -36,6 +36,7 @@
             flow_retention: Duration::from_secs(30),
             flow_lifetime: Duration::from_secs(60),
             warm_up: None,
+            records_leavings: false,
         };
         let mut agent = Agent::new(options, self.now);
         let known = if self.store_is_up { BALANCERS } else { 1 };
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -6,6 +6,7 @@
 //! own to finish: the target has ended before, or runs on beside the agent's next process.
 //! The agent tells the balancers which it is, as listen probes show.
 
+mod leaving_record;
 mod listen_probes;
 mod metrics;
 mod planned_stop;
@@ -83,6 +84,10 @@
     outbound_socket: UdpSocket,
     /// Notified when the target's heartbeat or deregistration has been handled.
     target_spoke: Notify,
+    /// Notified when the leaving record may have to be read, written or removed.
+    leaving_record_due: Rc<Notify>,
+    /// Notified after each reply of the store about the leaving record.
+    leaving_record_replied: Notify,
     decision_log: RefCell<DecisionLog>,
     tick_timer: TickTimer,
     logger: Logger,
@@ -108,6 +113,7 @@
             flow_retention: config.flow_retention,
             flow_lifetime: config.flow_lifetime,
             warm_up: config.warm_up,
+            records_leavings: true,
         };
         Ok(Rc::new(Self {
             core: RefCell::new(Agent::new(options, clock.now())),
@@ -116,6 +122,8 @@
             peers: PeerTransport::open(config.peer_bind_address)?,
             outbound_socket: datagram_socket::open(config.outbound_address)?,
             target_spoke: Notify::new(),
+            leaving_record_due: Rc::new(Notify::new()),
+            leaving_record_replied: Notify::new(),
             decision_log: RefCell::new(DecisionLog::new(logger.clone())),
             tick_timer: TickTimer::default(),
             logger,
@@ -152,6 +160,7 @@
         spawn_local(Rc::clone(&self).run_ticks());
         spawn_local(Rc::clone(&self).log_counters());
         spawn_local(Rc::clone(&self).run_listen_probes());
+        spawn_local(Rc::clone(&self).maintain_leaving_record(store()));
         let node = Rc::clone(&self);
         let discovering_node = Rc::clone(&self);
         spawn_local(store::discover_balancers(
@@ -182,11 +191,13 @@
     }
 
     /// Applies a heartbeat of the target and reports a change of its state to the
-    /// balancers before returning.
+    /// balancers before returning. A heartbeat that announces that the target leaves is
+    /// accepted only once the leaving is recorded in the store.
     ///
     /// # Errors
-    /// Returns [`HeartbeatError`] when the heartbeat is rejected; it then changes
-    /// nothing.
+    /// Returns [`HeartbeatError`] when the heartbeat is rejected; it then changes nothing,
+    /// except that a target whose leaving is [`HeartbeatError::Unrecorded`] takes no new
+    /// flow.
     pub async fn handle_heartbeat(
         self: &Rc<Self>,
         heartbeat: &Heartbeat,
@@ -195,13 +206,16 @@
         let now = self.clock.now();
         let outcome = self.core.borrow_mut().handle_heartbeat(heartbeat, now)?;
         self.report_target();
+        if heartbeat.leaving && !self.is_leaving_recorded_in_time().await {
+            return Err(HeartbeatError::Unrecorded);
+        }
         Ok(outcome)
     }
 
-    /// Sets the target's state to leaving and reports the change to the balancers before
-    /// returning. A deregistration that may belong to an earlier start of the target
-    /// changes nothing.
-    pub fn handle_deregistration(
+    /// Sets the target's state to leaving, reports the change to the balancers and returns
+    /// once the leaving is recorded in the store. A deregistration that may belong to an
+    /// earlier start of the target changes nothing.
+    pub async fn handle_deregistration(
         self: &Rc<Self>,
         incarnation: Incarnation,
     ) -> DeregistrationOutcome {
@@ -211,12 +225,17 @@
             .borrow_mut()
             .handle_deregistration(incarnation, now);
         self.report_target();
+        let is_applied = outcome == DeregistrationOutcome::Applied;
+        if is_applied && !self.is_leaving_recorded_in_time().await {
+            return DeregistrationOutcome::Unrecorded;
+        }
         outcome
     }
 
     /// Reports what the target has said, and wakes the tasks that depend on it.
     fn report_target(self: &Rc<Self>) {
         self.target_spoke.notify_one();
+        self.leaving_record_due.notify_one();
         self.run_core(|core, now, actions| core.tick(now, actions));
     }
 
--- a/crates/woodladder-node/src/agent/planned_stop.rs
+++ b/crates/woodladder-node/src/agent/planned_stop.rs
@@ -23,6 +23,10 @@
     /// may run on or has ended.
     pub(super) async fn drain(self: &Rc<Self>) {
         let mut may_run = self.may_target_run().await;
+        if !may_run {
+            self.core.borrow_mut().forget_leaving_of_ended_target();
+            self.leaving_record_due.notify_one();
+        }
         for _ in 0..STOP_ANNOUNCEMENTS {
             if may_run {
                 self.run_core(|core, _, actions| core.announce_stop(actions));
