A restarted agent is reminded of a leaving whichever start it has heard

While the store is away, a restarted agent that had heard a former start took new flows for a target whose leaving the balancers remembered: they reminded it only if it reported that target as ready, and it applied the reminder only to its present start.

A balancer now reminds each new process of the agent, three times at most, until it reports the start that leaves, and forgets the leaving once the process that had acknowledged it has seen another start follow. An agent whose record has not been read takes the start that it is reminded of for the present one; a record that was read decides, since it holds every acknowledged leaving.

a_restarted_agent_that_reports_another_start_is_reminded_of_the_leaving failed before (no reminder).

--- a/crates/woodladder-core/src/flow/agent/target/former_leavings.rs
+++ b/crates/woodladder-core/src/flow/agent/target/former_leavings.rs
@@ -28,12 +28,31 @@
 
     /// Handles the reply to a call for the leaving record.
     pub fn handle_leaving_record_reply(&mut self, reply: StoreReply, now: Instant) {
-        if let Some(start) = self.leaving_record.reply(reply, now) {
-            self.take_up_former_leaving(start, now);
+        let was_known = self.leaving_record.is_known();
+        match self.leaving_record.reply(reply, now) {
+            Some(start) => self.take_up_former_leaving(start, now),
+            None if !was_known && self.leaving_record.is_known() => {
+                self.drop_unrecorded_leaving(now);
+            }
+            None => {}
         }
         self.admit_known_target(now);
     }
 
+    /// Drops a start that only a balancer's memory has shown: the record, which holds every
+    /// acknowledged leaving, does not.
+    fn drop_unrecorded_leaving(&mut self, now: Instant) {
+        let is_only_remembered = self.target.state_cause == StateCause::FormerProcess
+            && self.target.last_heartbeat_at.is_none();
+        if is_only_remembered {
+            let known = self.target.clone();
+            self.target = Target::unknown(now);
+            self.target.listen_state = known.listen_state;
+            self.target.last_packet_at = known.last_packet_at;
+            self.is_report_to_all_due = true;
+        }
+    }
+
     /// Whether the target's leaving, if it has announced any, is recorded and so may be
     /// acknowledged.
     #[must_use]
@@ -74,9 +93,12 @@
         }
     }
 
-    /// Takes up a leaving of the present start that a balancer remembers.
+    /// Takes up a leaving that a balancer remembers. Once the record was read, only the
+    /// present start can be meant: the record holds every other one.
     pub(crate) fn resume_leaving(&mut self, incarnation: Incarnation, now: Instant) {
-        if self.target.incarnation == Some(incarnation) {
+        let is_present = self.target.incarnation == Some(incarnation);
+        let is_record_missing = self.options.records_leavings && !self.leaving_record.is_known();
+        if is_present || is_record_missing {
             let start = LeavingStart {
                 incarnation,
                 instance: None,
--- a/crates/woodladder-core/src/flow/agent_record.rs
+++ b/crates/woodladder-core/src/flow/agent_record.rs
@@ -39,6 +39,21 @@
 /// Unanswered openings after which an agent gets no new flow.
 const SILENT_AFTER_UNANSWERED_OPENINGS: u32 = 2;
 
+/// Number of times that an agent which has restarted is reminded of a leaving while it
+/// reports another start: a datagram may be lost, and the agent may know better.
+const MAXIMUM_REMINDERS: u8 = 3;
+
+/// A leaving that an agent has acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AcknowledgedLeaving {
+    /// The incarnation that leaves.
+    pub incarnation: Incarnation,
+    /// Epoch of the agent's process that has last stated it.
+    epoch: u64,
+    /// Reminders sent to the present process that reported another start.
+    reminders: u8,
+}
+
 /// One agent and its target.
 #[derive(Clone, Debug)]
 pub struct AgentRecord {
@@ -58,8 +73,8 @@
     pub load: TargetLoad,
     /// Version of the configuration that the agent uses.
     pub version: u64,
-    /// Incarnation whose leaving the agent has acknowledged.
-    pub leaving: Option<Incarnation>,
+    /// The leaving that the agent has acknowledged.
+    pub leaving: Option<AcknowledgedLeaving>,
     /// Incarnation that holds the flows known here.
     pub incarnation: Option<Incarnation>,
     /// When the incarnation started, in milliseconds of Unix time by the clock of the
@@ -197,13 +212,47 @@
     /// The state of the target that a report shows. A target that leaves never becomes
     /// ready again, even if its agent has started again and does not know of the leaving.
     pub(super) fn state_of(&self, report: &TargetReport) -> TargetState {
-        let leaves = report.incarnation.is_some() && report.incarnation == self.leaving;
+        let leaving = self.leaving.map(|leaving| leaving.incarnation);
+        let leaves = report.incarnation.is_some() && report.incarnation == leaving;
         match report.state {
             TargetState::Ready if leaves => TargetState::Leaving,
             state => state,
         }
     }
 
+    /// Records that the agent has stated that an incarnation leaves.
+    pub(super) fn record_leaving(&mut self, incarnation: Incarnation) {
+        self.leaving = Some(AcknowledgedLeaving {
+            incarnation,
+            epoch: self.epoch,
+            reminders: 0,
+        });
+    }
+
+    /// Forgets the leaving once the process that has stated it reports another start: that
+    /// process has seen the end of the one that left.
+    pub(super) fn forget_leaving_of_replaced(&mut self, report: &TargetReport) {
+        let is_replaced = |leaving: &mut AcknowledgedLeaving| {
+            let is_another = report.incarnation != Some(leaving.incarnation);
+            leaving.epoch == report.epoch && report.incarnation.is_some() && is_another
+        };
+        self.leaving.take_if(is_replaced);
+    }
+
+    /// The leaving that the agent's process does not know or has not applied, by what it
+    /// reports, and is to be reminded of.
+    pub(super) fn take_leaving_reminder(&mut self, report: &TargetReport) -> Option<Incarnation> {
+        let leaving = self.leaving.as_mut()?;
+        if report.incarnation == Some(leaving.incarnation) {
+            return (report.state == TargetState::Ready).then_some(leaving.incarnation);
+        }
+        if leaving.epoch == report.epoch || leaving.reminders >= MAXIMUM_REMINDERS {
+            return None;
+        }
+        leaving.reminders += 1;
+        Some(leaving.incarnation)
+    }
+
     /// Requests that the target holds or has queued, plus the flows sent there since its
     /// load was reported.
     #[must_use]
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -5,7 +5,7 @@
 use super::super::directory::DirectoryChange;
 use super::super::identity::NodeAddress;
 use super::super::log_event::LogEvent;
-use super::super::message::{PeerMessage, ReturnReason, TargetReport, TargetState};
+use super::super::message::{PeerMessage, ReturnReason, TargetReport};
 use super::super::packet::{FlowPacket, PacketKind};
 use super::{Acceptance, Balancer, BalancerAction, STALL_THRESHOLD, Stage};
 use crate::clock::Instant;
@@ -133,18 +133,14 @@
     }
 
     /// Tells an agent that its target leaves, if the agent had said so before it started
-    /// again and now reports the target as ready.
+    /// again and now reports the target as ready or another start in its place.
     fn remind_of_leaving(
-        &self,
+        &mut self,
         agent: NodeAddress,
         report: &TargetReport,
         actions: &mut Vec<BalancerAction>,
     ) {
-        let leaving = self.directory.agent(agent).and_then(|it| it.leaving);
-        if let Some(incarnation) = leaving
-            && report.state == TargetState::Ready
-            && report.incarnation == Some(incarnation)
-        {
+        if let Some(incarnation) = self.directory.take_leaving_reminder(agent, report) {
             actions.push(BalancerAction::Send {
                 to: agent,
                 message: PeerMessage::TargetLeaves { incarnation },
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -166,6 +166,7 @@
             record.last_heartbeat = report.load.last_heartbeat;
         }
         record.epoch = report.epoch;
+        record.forget_leaving_of_replaced(report);
         record.sequence = report.sequence;
         record.state = record.state_of(report);
         record.knows_all_flows = report.knows_all_flows;
@@ -227,10 +228,19 @@
     /// Records that an agent has acknowledged the leaving of its target.
     pub fn record_leaving(&mut self, address: NodeAddress, incarnation: Incarnation) {
         if let Some(record) = self.agents.get_mut(&address) {
-            record.leaving = Some(incarnation);
+            record.record_leaving(incarnation);
         }
     }
 
+    /// The leaving that an agent is to be reminded of after this report of it.
+    pub fn take_leaving_reminder(
+        &mut self,
+        address: NodeAddress,
+        report: &TargetReport,
+    ) -> Option<Incarnation> {
+        self.agents.get_mut(&address)?.take_leaving_reminder(report)
+    }
+
     /// Applies the load that an agent stated in an answer.
     pub fn update_load(&mut self, address: NodeAddress, load: TargetLoad, now: Instant) {
         if let Some(record) = self.agents.get_mut(&address) {
--- a/crates/woodladder-core/tests/flow_leaving_records.rs
+++ b/crates/woodladder-core/tests/flow_leaving_records.rs
@@ -7,9 +7,10 @@
 use woodladder_core::flow::agent::{
     Agent, AgentOptions, DeregistrationOutcome, Heartbeat, ListenState,
 };
+use woodladder_core::flow::balancer::BalancerAction;
 use woodladder_core::flow::identity::Incarnation;
 use woodladder_core::flow::leaving_record::LeavingStart;
-use woodladder_core::flow::message::TargetState;
+use woodladder_core::flow::message::{PeerMessage, TargetState};
 use woodladder_core::flow::store_session::{NextCall, StoreCall, StoreReply};
 
 /// The target that leaves.
@@ -83,6 +84,11 @@
     is_delivered(&forward_to(agent, &open_header(1), &open, at(milliseconds)))
 }
 
+/// Whether a balancer sends this message.
+fn is_sent(action: &BalancerAction, sent: &PeerMessage) -> bool {
+    matches!(action, BalancerAction::Send { message, .. } if message == sent)
+}
+
 /// The store's entry after the target has said that it leaves and was acknowledged.
 fn entry_of_leaving_target() -> Entry {
     let mut entry = Entry::default();
@@ -235,3 +241,47 @@
     entry.carry_out(unanswered);
     assert_eq!(entry.revision, recorded_at);
 }
+
+/// A restarted agent that had heard a former start was not reminded of the leaving.
+#[test]
+fn a_restarted_agent_that_reports_another_start_is_reminded_of_the_leaving() {
+    let mut balancer = balancer(&[2]);
+    let mut known = report(2, 5);
+    known.state = TargetState::Leaving;
+    deliver_report(&mut balancer, 2, &known, at(10_010));
+    let incarnation = known.incarnation.expect("stated");
+    let leaves = PeerMessage::TargetLeaves { incarnation };
+    deliver_message(&mut balancer, 2, leaves.clone(), at(10_011));
+    let mut other = report(2, 1);
+    other.epoch = 77;
+    other.incarnation = Some(Incarnation(900));
+    let actions = deliver_report(&mut balancer, 2, &other, at(10_100));
+    assert!(actions.iter().any(|it| is_sent(it, &leaves)), "{actions:?}");
+    let mut agent = recording_agent(77);
+    agent
+        .handle_heartbeat(&heartbeat(900, 5), at(100))
+        .expect("accepted");
+    agent.handle_message(node(1), &leaves, at(200), &mut Vec::new());
+    assert_eq!(agent.target_state(), TargetState::Leaving);
+}
+
+/// The memory of balancers must not take a start out that an agent has seen to follow.
+#[test]
+fn an_agent_that_has_seen_the_next_start_is_not_reminded_of_the_former_ones_leaving() {
+    let mut balancer = balancer(&[2]);
+    let known = report(2, 5);
+    let incarnation = known.incarnation.expect("stated");
+    let leaves = PeerMessage::TargetLeaves { incarnation };
+    deliver_message(&mut balancer, 2, leaves.clone(), at(10_011));
+    let mut next = report(2, 6);
+    next.incarnation = Some(Incarnation(900));
+    deliver_report(&mut balancer, 2, &next, at(10_100));
+    let mut restarted = report(2, 1);
+    restarted.epoch = 77;
+    restarted.incarnation = Some(Incarnation(900));
+    let actions = deliver_report(&mut balancer, 2, &restarted, at(10_200));
+    assert!(
+        !actions.iter().any(|it| is_sent(it, &leaves)),
+        "{actions:?}"
+    );
+}
