A deregistration that no start can be named for is not acknowledged

An agent that had just restarted answered 200 to a deregistration before it had heard any heartbeat, and took the next heartbeat for ready, also a late one of the target that had deregistered: the acknowledgement bound nobody. It may as well be a late one of a former start under the same name, so it must not close the next start either (a_deregistration_before_any_heartbeat_is_attributed_to_no_start).

By reading; not seen between real processes.

a_deregistration_before_any_heartbeat_is_not_acknowledged failed before (Applied).

--- a/crates/woodladder-core/src/flow/agent/target/deregistration.rs
+++ b/crates/woodladder-core/src/flow/agent/target/deregistration.rs
@@ -16,6 +16,9 @@
     /// The deregistration may be a late one of a former start under the same name; nothing
     /// has changed.
     FormerStart,
+    /// No heartbeat has shown which start is present. The target takes no new flow until one
+    /// does, and the deregistration is not acknowledged.
+    Unattributed,
     /// The target takes no new flow, but its leaving is not recorded in the store yet.
     Unrecorded,
 }
@@ -28,6 +31,7 @@
             Self::Applied => "applied",
             Self::OtherTarget => "other_target",
             Self::FormerStart => "former_start",
+            Self::Unattributed => "unattributed",
             Self::Unrecorded => "unrecorded",
         }
     }
@@ -67,12 +71,12 @@
         let names_instance = target.instance == Some(incarnation);
         let leaves = target.state == TargetState::Leaving;
         match target.incarnation {
-            // It is unknown which start the deregistration concerns, so it is not
-            // attributed to any start.
+            // It is unknown which start the deregistration concerns. It may be a late one of
+            // a former start, so it cannot bind whichever start is heard next.
             None => {
                 target.instance = Some(incarnation);
                 self.set_state(TargetState::Leaving, StateCause::Deregistration, now);
-                DeregistrationOutcome::Applied
+                DeregistrationOutcome::Unattributed
             }
             Some(_)
                 if names_start
--- a/crates/woodladder-core/tests/flow_leaving_records.rs
+++ b/crates/woodladder-core/tests/flow_leaving_records.rs
@@ -145,6 +145,15 @@
     assert_eq!(recorded.incarnation, Incarnation(TARGET));
 }
 
+/// A deregistration that could not be attributed was acknowledged and bound nobody.
+#[test]
+fn a_deregistration_before_any_heartbeat_is_not_acknowledged() {
+    let mut agent = recording_agent(1);
+    let outcome = agent.handle_deregistration(Incarnation(TARGET), at(10));
+    assert_eq!(outcome, DeregistrationOutcome::Unattributed);
+    assert!(!takes_flow(&mut agent, 1, 20));
+}
+
 /// The record of one that has ended must not keep the next one waiting.
 #[test]
 fn the_next_start_at_the_address_is_served_at_once_and_the_record_removed() {
