A leaving that is announced while its agent stops is told to the balancers

A draining heartbeat that was answered 200 during the agent's planned stop changed no state, since a stopping agent counts as leaving already, and so neither reports nor balancers named it: the agent's next process knew nothing of it (but for the record, which holds it now).

Whether a target has stated that it leaves is kept apart from what set the state.

a_leaving_that_is_announced_during_a_planned_stop_is_recorded_and_told failed before (not told).

--- a/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
@@ -6,7 +6,7 @@
 use crate::flow::agent::planned_stop::PlannedStop;
 use crate::flow::agent::reporting::flow_announcer::ANNOUNCED_FROM_AGE;
 use crate::flow::agent::reporting::report_schedule::DueReport;
-use crate::flow::agent::{Agent, AgentAction, ColdReason, FlowState, StateCause};
+use crate::flow::agent::{Agent, AgentAction, ColdReason, FlowState};
 use crate::flow::balancer::OTHER_ZONE_FETCH_DELAY;
 use crate::flow::held_flows::FlowFingerprint;
 use crate::flow::identity::{Incarnation, NodeAddress};
@@ -249,12 +249,11 @@
         }
     }
 
-    /// The present incarnation, if its leaving was acknowledged.
+    /// The present incarnation, if it has stated that it leaves.
     fn acknowledged_leaving(&self) -> Option<Incarnation> {
-        let is_stated = self.target.state_cause != StateCause::AgentStop;
         self.target
             .incarnation
-            .filter(|_| is_stated && self.target.state == TargetState::Leaving)
+            .filter(|_| self.target.is_leaving_stated)
     }
 
     /// The state in reports. A target that was heard and is not admitted yet takes no new
--- a/crates/woodladder-core/tests/flow_leaving_records.rs
+++ b/crates/woodladder-core/tests/flow_leaving_records.rs
@@ -5,7 +5,7 @@
 
 use flow_support::*;
 use woodladder_core::flow::agent::{
-    Agent, AgentOptions, DeregistrationOutcome, Heartbeat, ListenState,
+    Agent, AgentAction, AgentOptions, DeregistrationOutcome, Heartbeat, ListenState,
 };
 use woodladder_core::flow::balancer::BalancerAction;
 use woodladder_core::flow::identity::Incarnation;
@@ -251,6 +251,34 @@
     assert_eq!(entry.revision, recorded_at);
 }
 
+/// A target that said that it drains while its agent stopped was remembered by nobody.
+#[test]
+fn a_leaving_that_is_announced_during_a_planned_stop_is_recorded_and_told() {
+    let mut entry = Entry::default();
+    let mut agent = recording_agent(1);
+    sync(&mut agent, &mut entry, 10);
+    agent.add_listed_balancers(&[node(1)], at(20));
+    agent
+        .handle_heartbeat(&heartbeat(TARGET, 7), at(1000))
+        .expect("accepted");
+    agent.begin_shutdown(at(1100));
+    agent
+        .handle_heartbeat(&leaving_heartbeat(TARGET, 8), at(1200))
+        .expect("accepted");
+    sync(&mut agent, &mut entry, 1201);
+    assert!(entry.start().is_some());
+    let mut actions = Vec::new();
+    agent.tick(at(1300), &mut actions);
+    let told = PeerMessage::TargetLeaves {
+        incarnation: Incarnation(TARGET),
+    };
+    let is_told = |action: &AgentAction| match action {
+        AgentAction::Send { message, .. } => *message == told,
+        _ => false,
+    };
+    assert!(actions.iter().any(is_told), "{actions:?}");
+}
+
 /// A restarted agent that had heard a former start was not reminded of the leaving.
 #[test]
 fn a_restarted_agent_that_reports_another_start_is_reminded_of_the_leaving() {
