--- a/crates/woodladder-lab/src/command/soak.rs
+++ b/crates/woodladder-lab/src/command/soak.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use clap::Args;
-use woodladder_lab::platform::{self, SiteError, SoakOptions, SoakReport, TargetHabits};
+use woodladder_lab::platform::{
+    self, SiteError, SoakCourse, SoakOptions, SoakReport, TargetHabits,
+};
 
 use super::time_text;
 
@@ -35,6 +37,9 @@
     /// Only planned work: nodes are stopped and started again, and configurations change.
     #[arg(long)]
     planned: bool,
+    /// Only long leavings of targets, in which all processes are killed at the same moment.
+    #[arg(long, conflicts_with = "planned")]
+    kills_in_leavings: bool,
     /// How long faults come in each run.
     #[arg(long, default_value = "14s", value_parser = time_text::parse)]
     length: Duration,
@@ -98,9 +103,18 @@
             seed,
             length: self.length,
             target_habits: TargetHabits::of_seed(seed),
-            is_planned_work_only: self.planned,
+            course: self.course(),
+            loses_leaving_records: false,
         })
     }
+
+    fn course(&self) -> SoakCourse {
+        match (self.planned, self.kills_in_leavings) {
+            (true, _) => SoakCourse::PlannedWork,
+            (_, true) => SoakCourse::KillsInLeavings,
+            _ => SoakCourse::Mixed,
+        }
+    }
 }
 
 /// The seed of a line `SEED: CAUSE`; lines that begin otherwise are comments.
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -33,8 +33,8 @@
 };
 pub use oracle::{Oracle, Violation};
 pub use site::SiteError;
-pub use soak::{SoakOptions, soak};
-pub use soak_plan::{Strike, StrikeKind, leavings, plan, planned_stops};
+pub use soak::{SoakCourse, SoakOptions, soak};
+pub use soak_plan::{Strike, StrikeKind, leavings, leavings_under_kills, plan, planned_stops};
 pub use soak_report::SoakReport;
 pub use store_state::StoreFault;
 pub use target_control::TargetHabits;
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -24,7 +24,9 @@
     BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, moved_route,
     print_route, service_of,
 };
-use super::soak_plan::{EXCLUDED_BY, Strike, StrikeKind, plan, planned_stops, processors};
+use super::soak_plan::{
+    EXCLUDED_BY, Strike, StrikeKind, leavings_under_kills, plan, planned_stops, processors,
+};
 use super::soak_report::SoakReport;
 use super::store_state::StoreFault;
 use super::target::SHORTEST_DRAIN;
@@ -41,6 +43,8 @@
 const FIGURES_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two looks at whether a target's address is free.
 const ADDRESS_LOOK: Duration = Duration::from_millis(50);
+/// Key prefix of the agents' leaving records.
+const LEAVING_RECORDS: &str = "woodladder/leavings/";
 const LOSS: f64 = 0.15;
 const REPEAT: f64 = 0.1;
 const SLOW_LINK: Duration = Duration::from_millis(60);
@@ -59,8 +63,22 @@
     pub length: Duration,
     /// How targets speak to their agents; [`TargetHabits::of_seed`] in an ordinary run.
     pub target_habits: TargetHabits,
-    /// Whether only planned work is done, by which no reset of a living flow is excused.
-    pub is_planned_work_only: bool,
+    /// Which faults come.
+    pub course: SoakCourse,
+    /// Whether the store loses the leaving records that it has acknowledged: a product whose
+    /// agents forget what they acknowledged, broken on purpose.
+    pub loses_leaving_records: bool,
+}
+
+/// Which faults come in a soak.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SoakCourse {
+    /// Faults and planned work of all kinds.
+    Mixed,
+    /// Only planned work, by which no reset of a living flow is excused.
+    PlannedWork,
+    /// Long leavings in which all processes are killed at the same moment.
+    KillsInLeavings,
 }
 
 /// Runs a soak to its end.
@@ -95,10 +113,7 @@
     async fn open(options: &SoakOptions) -> Result<Self, SiteError> {
         let network = Network::take();
         let links = Rc::new(Links::between_nodes(options.seed));
-        let machines: Vec<u8> = BALANCERS
-            .into_iter()
-            .chain(TARGETS.into_iter().map(|(machine, _)| machine))
-            .collect();
+        let machines: Vec<u8> = all_nodes().collect();
         links::open_proxies(network, &machines, &links).await?;
         let site_options = SiteOptions {
             program: options.program.clone(),
@@ -107,6 +122,8 @@
             processors: processors(options.seed),
         };
         let mut site = Site::open(&site_options, network, links).await?;
+        site.store.borrow_mut().lost_prefix =
+            options.loses_leaving_records.then_some(LEAVING_RECORDS);
         let mut store_proxies = BTreeMap::new();
         for machine in BALANCERS {
             let proxy = store_proxy(network, options.seed).await?;
@@ -128,11 +145,12 @@
         let begin = Instant::now();
         let end = begin + options.length + SETTLING + CALM;
         self.site.call(end).await?;
-        let strikes = if options.is_planned_work_only {
-            planned_stops(options.seed, options.length)
-        } else {
-            plan(options.seed, options.length)
+        let draw = match options.course {
+            SoakCourse::Mixed => plan,
+            SoakCourse::PlannedWork => planned_stops,
+            SoakCourse::KillsInLeavings => leavings_under_kills,
         };
+        let strikes = draw(options.seed, options.length);
         for (at, change) in timeline(&strikes) {
             self.start_targets_until(begin + at.min(options.length))
                 .await?;
@@ -243,6 +261,27 @@
             }
             StrikeKind::BeginAgain => self.site.crash_target(machine),
             StrikeKind::ExcludeZone => self.site.exclude_zone(excluded_zone(machine)),
+            StrikeKind::KillEverything => self.kill_everything()?,
+        }
+        Ok(())
+    }
+
+    fn kill_everything(&self) -> Result<(), SiteError> {
+        for machine in all_nodes() {
+            self.disturb(machine);
+            self.site.signal(machine, Signal::SIGKILL)?;
+        }
+        Ok(())
+    }
+
+    fn start_everything(&mut self) -> Result<(), SiteError> {
+        for machine in BALANCERS {
+            self.disturb(machine);
+            self.site.start_balancer(machine)?;
+        }
+        for (machine, service) in TARGETS {
+            self.disturb(machine);
+            self.site.start_agent(machine, service)?;
         }
         Ok(())
     }
@@ -287,6 +326,7 @@
                 self.site.start_when_free(machine);
             }
             StrikeKind::ExcludeZone => self.site.take_zone_back(excluded_zone(machine)),
+            StrikeKind::KillEverything => self.start_everything()?,
             StrikeKind::HangUp | StrikeKind::StoreForgets | StrikeKind::Configure => {}
         }
         Ok(())
@@ -301,8 +341,7 @@
         for proxy in self.store_proxies.values() {
             proxy.set_rule(FaultRule::default());
         }
-        let targets = TARGETS.into_iter().map(|(machine, _)| machine);
-        for machine in BALANCERS.into_iter().chain(targets) {
+        for machine in all_nodes() {
             self.site.signal(machine, Signal::SIGCONT)?;
         }
         Ok(())
@@ -316,11 +355,7 @@
     fn link(&self, machine: u8, to: Option<LinkRule>, from: Option<LinkRule>) {
         self.disturb(machine);
         let links = &self.site.links;
-        let others = BALANCERS
-            .into_iter()
-            .chain(TARGETS.into_iter().map(|(other, _)| other))
-            .filter(|other| *other != machine);
-        for other in others {
+        for other in all_nodes().filter(|other| *other != machine) {
             match to {
                 Some(rule) => links.set(other, machine, rule),
                 None => links.heal(other, machine),
@@ -399,6 +434,13 @@
     delay: SLOW_LINK,
 };
 
+/// Machines of all balancers and agents.
+fn all_nodes() -> impl Iterator<Item = u8> {
+    BALANCERS
+        .into_iter()
+        .chain(TARGETS.into_iter().map(|(machine, _)| machine))
+}
+
 /// Begins and ends of strikes in the order of time.
 fn timeline(strikes: &[Strike]) -> Vec<(Duration, Change)> {
     let mut changes: Vec<(Duration, Change)> = Vec::new();
--- a/crates/woodladder-lab/src/platform/soak_plan.rs
+++ b/crates/woodladder-lab/src/platform/soak_plan.rs
@@ -69,11 +69,13 @@
     LosePower,
     /// The operators exclude the zone of a machine; its targets return cold.
     ExcludeZone,
+    /// All balancers and agents are killed at the same moment and started again.
+    KillEverything,
 }
 
 /// All kinds but [`StrikeKind::ExcludeZone`], [`StrikeKind::BeginAgain`],
-/// [`StrikeKind::DeregisterTarget`], [`StrikeKind::LosePower`] and [`StrikeKind::StopAgent`],
-/// which have draws of their own.
+/// [`StrikeKind::DeregisterTarget`], [`StrikeKind::LosePower`], [`StrikeKind::StopAgent`] and
+/// [`StrikeKind::KillEverything`], which have draws of their own.
 pub const KINDS: [StrikeKind; 23] = [
     StrikeKind::KillBalancer,
     StrikeKind::StopBalancer,
@@ -155,6 +157,12 @@
 const MAXIMUM_FAULTS_IN_LEAVING: u32 = 2;
 /// How long they last.
 const FAULT_LENGTHS_MS: std::ops::Range<u64> = 200..1800;
+/// Share of the long leavings in which everything is killed, where that is drawn.
+const EVERYTHING_KILLED: f64 = 0.8;
+/// Time from the begin of a leaving to the kill.
+const KILLED_AFTER_MS: std::ops::Range<u64> = 300..2000;
+/// How long killed processes are away.
+const KILLED_FOR_MS: std::ops::Range<u64> = 200..1200;
 /// Time between two planned stops of nodes.
 const STOP_PAUSES_MS: std::ops::Range<u64> = 200..2500;
 /// Share of the planned stops that strike balancers.
@@ -330,6 +338,28 @@
     strikes
 }
 
+/// Long leavings, in most of which all processes are killed at the same moment.
+#[must_use]
+pub fn leavings_under_kills(seed: u64, length: Duration) -> Vec<Strike> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(8) ^ 4);
+    let mut strikes = leavings(seed, length);
+    let mut kills: Vec<Strike> = Vec::new();
+    for leaving in strikes.iter().filter(|strike| strike.kind.is_leaving()) {
+        let kill = Strike {
+            at: leaving.at + Duration::from_millis(random.random_range(KILLED_AFTER_MS)),
+            lasts: Duration::from_millis(random.random_range(KILLED_FOR_MS)),
+            kind: StrikeKind::KillEverything,
+            machine: BALANCERS[0],
+        };
+        let is_drawn = random.random_bool(EVERYTHING_KILLED);
+        if is_drawn && kills.iter().all(|other| other.leaves_free(&kill)) {
+            kills.push(kill);
+        }
+    }
+    strikes.extend(kills);
+    strikes
+}
+
 /// Faults that strike the machine of a leaving target.
 fn faults_around(leaving: &Strike, random: &mut ChaCha8Rng) -> Vec<Strike> {
     let mut faults = Vec::new();
--- a/crates/woodladder-lab/src/platform/store_state.rs
+++ b/crates/woodladder-lab/src/platform/store_state.rs
@@ -50,6 +50,8 @@
 pub struct StoreState {
     pub fault: StoreFault,
     pub calls: u64,
+    /// Prefix of keys that are lost although their writes were acknowledged.
+    pub lost_prefix: Option<&'static str>,
     revision: u64,
     entries: BTreeMap<String, Entry>,
     history: VecDeque<Change>,
@@ -110,6 +112,12 @@
             made,
             lease,
         };
+        if self
+            .lost_prefix
+            .is_some_and(|prefix| key.starts_with(prefix))
+        {
+            return true;
+        }
         self.entries.insert(key.to_owned(), entry.clone());
         self.record(key, Some(entry));
         true
--- a/crates/woodladder-lab/tests/platform_leaving.rs
+++ b/crates/woodladder-lab/tests/platform_leaving.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use woodladder_lab::platform::{
-    self, LeavingOptions, SoakOptions, SoakReport, TargetHabits, Violation,
+    self, LeavingOptions, SoakCourse, SoakOptions, SoakReport, TargetHabits, Violation,
 };
 
 /// Habits of targets whose heartbeats do not say when they began.
@@ -45,7 +45,8 @@
         seed,
         length: Duration::from_secs(20),
         target_habits: TargetHabits::of_seed(seed),
-        is_planned_work_only: false,
+        course: SoakCourse::Mixed,
+        loses_leaving_records: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
--- a/crates/woodladder-lab/tests/platform_leaving_courses.rs
+++ b/crates/woodladder-lab/tests/platform_leaving_courses.rs
@@ -2,13 +2,20 @@
 //! real processes: no new flow reaches the target, and the next start at its address serves.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
-use woodladder_lab::platform::{self, LeavingCourse, LeavingCourseOptions};
+use woodladder_lab::platform::{
+    self, LeavingCourse, LeavingCourseOptions, SoakCourse, SoakOptions, SoakReport, TargetHabits,
+};
+
+fn program() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_woodladder-lab"))
+}
 
 fn assert_leaving_holds(course: LeavingCourse, states_start: bool) {
     let directory = tempfile::tempdir().expect("a directory");
     let options = LeavingCourseOptions {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_woodladder-lab")),
+        program: program(),
         directory: directory.path().to_owned(),
         states_start,
         course,
@@ -54,3 +61,39 @@
         assert_leaving_holds(LeavingCourse::SlowEnd, states_start);
     }
 }
+
+fn soak_kills_in_leavings(seed: u64, loses_leaving_records: bool) -> SoakReport {
+    let directory = tempfile::tempdir().expect("a directory");
+    let options = SoakOptions {
+        program: program(),
+        directory: directory.path().to_owned(),
+        seed,
+        length: Duration::from_secs(20),
+        target_habits: TargetHabits::of_seed(seed),
+        course: SoakCourse::KillsInLeavings,
+        loses_leaving_records,
+    };
+    platform::soak(&options).expect("the soak is run")
+}
+
+fn has_flow_after_drain(report: &SoakReport) -> bool {
+    let is_after_drain = |it: &String| it.starts_with("flow after drain");
+    report.violations.iter().any(is_after_drain)
+}
+
+/// Acknowledged leavings were forgotten when all processes were killed at the same moment.
+#[test]
+fn leavings_hold_while_all_processes_are_killed_again_and_again() {
+    for seed in [88_000, 88_001] {
+        let report = soak_kills_in_leavings(seed, false);
+        assert!(!has_flow_after_drain(&report), "{report}");
+        assert!(report.answered > 300, "{report}");
+    }
+}
+
+/// The oracle itself: a product that loses what its agents have acknowledged is reported.
+#[test]
+fn a_product_that_loses_its_leaving_records_is_reported() {
+    let reports = [88_000, 88_001].map(|seed| soak_kills_in_leavings(seed, true));
+    assert!(reports.iter().any(has_flow_after_drain));
+}
--- a/crates/woodladder-lab/tests/platform_planned_stops.rs
+++ b/crates/woodladder-lab/tests/platform_planned_stops.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use woodladder_lab::platform::{
-    self, SoakOptions, SoakReport, StrikeKind, TargetHabits, planned_stops,
+    self, SoakCourse, SoakOptions, SoakReport, StrikeKind, TargetHabits, planned_stops,
 };
 
 const LENGTH: Duration = Duration::from_secs(16);
@@ -21,7 +21,8 @@
         seed,
         length: LENGTH,
         target_habits: TargetHabits::default(),
-        is_planned_work_only: true,
+        course: SoakCourse::PlannedWork,
+        loses_leaving_records: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
--- a/crates/woodladder-lab/tests/platform_soak.rs
+++ b/crates/woodladder-lab/tests/platform_soak.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use woodladder_lab::platform::{
-    self, SoakOptions, SoakReport, Strike, StrikeKind, TargetHabits, leavings, plan, planned_stops,
+    self, SoakCourse, SoakOptions, SoakReport, Strike, StrikeKind, TargetHabits, leavings, plan,
+    planned_stops,
 };
 
 const LENGTH: Duration = Duration::from_secs(14);
@@ -19,7 +20,8 @@
         seed,
         length,
         target_habits: TargetHabits::default(),
-        is_planned_work_only: false,
+        course: SoakCourse::Mixed,
+        loses_leaving_records: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
