The leaving watch ends when a later start is present

promises_broken_total{opened_after_leaving} and opening_after_leaving counted flows of the next start at the address as new flows at the one that had left, for up to 2.5 s, when that start was known by its stated time and no probe had seen the moment at which nothing listened.

a_leaving_is_watched_no_longer_once_a_later_start_is_present failed before (1 counted).

--- a/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
+++ b/crates/woodladder-core/src/flow/agent/target/leaving_watch.rs
@@ -2,8 +2,8 @@
 //!
 //! The watch is independent of the target's state by which openings are admitted, so that
 //! it notices when this state is wrong. An acknowledged leaving is watched until its
-//! incarnation has ended: until nothing listens at its address, or until another
-//! incarnation keeps sending heartbeats while it is silent.
+//! incarnation has ended: until nothing listens at its address, a later incarnation is
+//! present, or another one keeps sending heartbeats while it is silent.
 
 use crate::clock::Instant;
 use crate::flow::agent::{Agent, OpeningPath};
@@ -63,7 +63,8 @@
         named.is_some_and(|incarnation| self.record_acknowledged(incarnation, now))
     }
 
-    /// Records that nothing listens at the target's address.
+    /// Records that the incarnation has ended: nothing listens at its address, or a later
+    /// one is present.
     pub fn record_end(&mut self) {
         self.leaving = None;
     }
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -91,6 +91,9 @@
     ) {
         let mut previous = self.target.clone();
         self.counters.successions[evidence.index()] += 1;
+        if evidence.shows_end() {
+            self.leaving_watch.record_end();
+        }
         if previous.incarnation.is_some() {
             self.log_events.add(LogEvent::TargetStartReplaced {
                 former: self.target_status(now),
--- a/crates/woodladder-core/src/flow/target_status.rs
+++ b/crates/woodladder-core/src/flow/target_status.rs
@@ -96,6 +96,13 @@
         Self::Silence,
     ];
 
+    /// Whether it shows by itself that the former start has ended: an address is used by one
+    /// start at a time.
+    #[must_use]
+    pub fn shows_end(self) -> bool {
+        matches!(self, Self::LaterStart | Self::NothingListened)
+    }
+
     /// The kind's name in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/woodladder-core/tests/flow_leaving_evidence.rs
+++ b/crates/woodladder-core/tests/flow_leaving_evidence.rs
@@ -157,3 +157,29 @@
     watch.record_heartbeat(Incarnation(2), 5, at(5400));
     assert!(watch.outstanding().is_none());
 }
+
+/// Flows of a later start were counted as new flows at the one that had left before.
+#[test]
+fn a_leaving_is_watched_no_longer_once_a_later_start_is_present() {
+    let started = |incarnation, started_at_ms| Heartbeat {
+        started_at_ms: Some(started_at_ms),
+        ..heartbeat(incarnation, 1)
+    };
+    let mut agent = empty_agent();
+    let leaving = Heartbeat {
+        leaving: true,
+        ..started(1, 5000)
+    };
+    agent.handle_heartbeat(&leaving, at(10)).expect("accepted");
+    agent
+        .handle_heartbeat(&started(2, 9000), at(20))
+        .expect("accepted");
+    let open = opening(flow(1), 0);
+    assert!(is_delivered(&forward_to(
+        &mut agent,
+        &open_header(1),
+        &open,
+        at(30)
+    )));
+    assert_eq!(agent.broken_promises().opened_after_leaving, 0);
+}
