Requests are not queued for a target whose slots are unknown

An agent that has restarted beside a leaving target knows that it leaves, from the record or from a deregistration, and none of its slots, which only heartbeats state; a target that has deregistered sends none. Requests on its open flows were queued as for a full target, all but one at a time, until their callers left. They are delivered at once now, as before a target is heard.

A deregistration before any heartbeat had the same effect before; leaving records would have made it frequent. requests_on_open_flows_are_delivered_while_the_targets_slots_are_unknown failed before (the request of the second flow was queued).

--- a/crates/woodladder-core/src/flow/agent/admission/request_admission.rs
+++ b/crates/woodladder-core/src/flow/agent/admission/request_admission.rs
@@ -117,11 +117,15 @@
     }
 
     /// Whether requests must not be queued, because it is uncertain whether the target is
-    /// alive, the agent is stopping, or the target is stuck. All requests are then
-    /// delivered at once; the target serves or returns them.
+    /// alive, its slots are unknown, the agent is stopping, or the target is stuck. All
+    /// requests are then delivered at once; the target serves or returns them.
     pub(crate) fn must_not_queue_requests(&self, now: Instant) -> bool {
         let is_responsive = matches!(self.target.state, TargetState::Ready | TargetState::Leaving);
-        self.planned_stop.is_stopping() || !is_responsive || self.is_target_stuck(now)
+        let are_slots_known = self.target.last_heartbeat_at.is_some();
+        self.planned_stop.is_stopping()
+            || !is_responsive
+            || !are_slots_known
+            || self.is_target_stuck(now)
     }
 
     /// Delivers a queued request with all of its packets.
--- a/crates/woodladder-core/tests/flow_held_requests.rs
+++ b/crates/woodladder-core/tests/flow_held_requests.rs
@@ -12,7 +12,7 @@
     MAXIMUM_QUEUED_REQUESTS, RequestQueue, RequestTerms,
 };
 use woodladder_core::flow::configuration::{Configuration, Route, RoutePart, RouteTerms};
-use woodladder_core::flow::identity::FlowKey;
+use woodladder_core::flow::identity::{FlowKey, Incarnation};
 use woodladder_core::flow::message::{
     ForwardPurpose, OpeningTerms, PeerMessage, ReturnReason, Snapshot, TargetState,
 };
@@ -663,3 +663,20 @@
     let fresh = open(&mut agent, 101, DELIVERED_AT_ONCE + 3);
     assert!(matches!(fresh, ForwardDecision::Queued(_)), "{fresh:?}");
 }
+
+/// An agent that had restarted beside a leaving target knew no slots of it, and kept the
+/// requests of the target's open flows until their callers had left.
+#[test]
+fn requests_on_open_flows_are_delivered_while_the_targets_slots_are_unknown() {
+    let mut agent = empty_agent();
+    adopt(&mut agent, 1, [2, 1]);
+    agent.handle_deregistration(Incarnation(1), at(0));
+    for port in 1..=6 {
+        send_packet(&mut agent, &request(flow(port), 0), 10);
+        answer(&mut agent, flow(port), 0, 20);
+    }
+    for port in 1..=6 {
+        let decision = send_packet(&mut agent, &request(flow(port), 1), 30);
+        assert!(is_delivered(&decision), "flow {port}: {decision:?}");
+    }
+}
