Soak: only zones that were excluded return cold

At the end of the faults the stand-in turned the targets of all zones cold, also of zones that nobody had excluded.

The check and its bound are as they were.

--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -340,6 +340,12 @@
         self.oracle.borrow_mut().zone_excluded(zone);
     }
 
+    /// Whether the operators have excluded a zone.
+    pub fn is_excluded(&self, zone: &str) -> bool {
+        let key = format!("{EXCLUSIONS_PREFIX}{zone}");
+        self.store.borrow_mut().get(&key).is_some()
+    }
+
     /// The operators take a zone back, whose targets have just turned cold.
     pub fn take_zone_back(&self, zone: &'static str) {
         for (machine, target) in &self.targets {
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -336,7 +336,9 @@
         self.site.links.heal_all();
         self.site.restore_store();
         for zone in ZONES {
-            self.site.take_zone_back(zone);
+            if self.site.is_excluded(zone) {
+                self.site.take_zone_back(zone);
+            }
         }
         for proxy in self.store_proxies.values() {
             proxy.set_rule(FaultRule::default());
