--- a/crates/woodladder-lab/src/platform/leaving_course.rs
+++ b/crates/woodladder-lab/src/platform/leaving_course.rs
@@ -106,8 +106,9 @@
 pub struct LeavingCourseReport {
     /// Promises that were broken.
     pub violations: Vec<Violation>,
-    /// Openings that the next start at the target's address has taken.
-    pub openings_at_next_start: u64,
+    /// Time from the next start at the target's address to the first opening that it takes;
+    /// `None` if it took none.
+    pub next_start_serves_after: Option<Duration>,
 }
 
 /// Plays a course.
@@ -148,7 +149,7 @@
         let next_start = site.targets.get(&machine);
         Ok(LeavingCourseReport {
             violations: site.oracle.borrow().violations().to_vec(),
-            openings_at_next_start: next_start.map_or(0, |target| target.openings()),
+            next_start_serves_after: next_start.and_then(|it| it.first_opening_after()),
         })
     })
 }
--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -61,7 +61,8 @@
     leaving: Cell<bool>,
     sends_heartbeats: Cell<bool>,
     heartbeats_held_until: Cell<Instant>,
-    openings: Cell<u64>,
+    started_at: Instant,
+    first_opening_after: Cell<Option<Duration>>,
     has_ended: Cell<bool>,
     sequence: Cell<u64>,
     /// When it began, in milliseconds of Unix time.
@@ -109,7 +110,8 @@
             leaving: Cell::new(false),
             sends_heartbeats: Cell::new(true),
             heartbeats_held_until: Cell::new(Instant::now()),
-            openings: Cell::new(0),
+            started_at: Instant::now(),
+            first_opening_after: Cell::new(None),
             has_ended: Cell::new(false),
             sequence: Cell::new(0),
             born_ms,
@@ -152,9 +154,9 @@
         self.sends_heartbeats.set(false);
     }
 
-    /// Openings that it has taken.
-    pub fn openings(&self) -> u64 {
-        self.openings.get()
+    /// Time from its start to the first opening that it has taken; `None` before that.
+    pub fn first_opening_after(&self) -> Option<Duration> {
+        self.first_opening_after.get()
     }
 
     /// Leaves as planned without ever saying that it drains: deregisters, serves on for
@@ -287,7 +289,9 @@
         let mut flows = self.flows.borrow_mut();
         let now = Instant::now();
         if !flows.contains_key(&ends) {
-            self.openings.set(self.openings.get() + 1);
+            let first = self.first_opening_after.get();
+            let first = first.unwrap_or_else(|| self.started_at.elapsed());
+            self.first_opening_after.set(Some(first));
             let mut oracle = self.oracle.borrow_mut();
             oracle.opening_arrived(ends, &self.name, now);
             if now < self.cold_until.get() {
--- a/crates/woodladder-lab/tests/platform_leaving_courses.rs
+++ b/crates/woodladder-lab/tests/platform_leaving_courses.rs
@@ -23,7 +23,7 @@
     let report = platform::run_leaving_course(&options).expect("the course is run");
     let count = report.violations.len();
     assert_eq!(report.violations.first(), None, "the first of {count}");
-    assert!(report.openings_at_next_start > 0, "{report:?}");
+    assert!(report.next_start_serves_after.is_some(), "{report:?}");
 }
 
 /// A target deregistered first and served on; all processes were killed, and a heartbeat
