A reminder brings back no start whose end this process has seen

Living flows were reset (FLOW) after a leaving: balancers reminded an agent, whose record could not be read, of a start that had left, after that agent had seen the address free and another start follow. It took the former one for present again, and balancers reset the flows of the living one as "replaced".

A start whose end was seen here is not taken up again, by a reminder or by the record; an address at which nothing listened since the process began makes both irrelevant, whatever state the target had.

a_reminder_does_not_bring_back_a_start_that_another_has_followed fails without the change.

--- a/crates/woodladder-core/src/flow/agent/target/deregistration.rs
+++ b/crates/woodladder-core/src/flow/agent/target/deregistration.rs
@@ -131,7 +131,7 @@
     /// have acknowledged its leaving. A leaving target that no longer listens has ended.
     pub fn record_listen_state(&mut self, listen_state: ListenState) {
         if listen_state == ListenState::NotListening {
-            self.leaving_watch.record_end();
+            self.record_address_free();
         }
         if self.target.state == TargetState::Leaving {
             self.target.end = match (self.target.end, listen_state) {
@@ -142,13 +142,16 @@
             return;
         }
         self.target.listen_state = listen_state;
-        if listen_state == ListenState::NotListening {
-            self.leaving_record.set_irrelevant();
-        }
         if listen_state == ListenState::NotListening && !self.target.started_after_agent {
             self.target.started_after_agent = true;
             // Balancers may hold flows of a target that ended while no agent ran.
             self.is_report_to_all_due = true;
         }
     }
+
+    /// Every start that has used the address until now has ended.
+    fn record_address_free(&mut self) {
+        self.leaving_watch.record_end();
+        self.leaving_record.set_irrelevant();
+    }
 }
--- a/crates/woodladder-core/src/flow/agent/target/former_leavings.rs
+++ b/crates/woodladder-core/src/flow/agent/target/former_leavings.rs
@@ -111,7 +111,8 @@
     /// Takes up a leaving that a former process of this agent has acknowledged: the start
     /// that leaves is the present one, until something shows that it has ended.
     fn take_up_former_leaving(&mut self, start: LeavingStart, now: Instant) {
-        if self.target.is_after(&start) {
+        let has_ended = self.target.has_seen_end_of(start.incarnation);
+        if has_ended || self.target.is_after(&start) {
             return;
         }
         let is_present = self.target.incarnation == Some(start.incarnation);
@@ -145,6 +146,7 @@
         leaving.instance = start.instance;
         leaving.started_at_ms = start.started_at_ms;
         leaving.slots = self.slots;
+        leaving.replaced_starts = self.replaced_starts.clone();
         leaving.listen_state = self.listen_state;
         leaving.last_packet_at = self.last_packet_at;
         leaving
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -132,7 +132,7 @@
             self.target.state = TargetState::Leaving;
             self.target.state_cause = StateCause::Deregistration;
         }
-        if let Some(replaced) = previous.as_replaced_start() {
+        if let Some(replaced) = previous.as_replaced_start(evidence) {
             self.target.remember_replaced_start(replaced);
             self.remove_flows_of_replaced_target(previous.last_heartbeat_at, now);
         }
@@ -141,16 +141,16 @@
 }
 
 impl Target {
-    /// What is remembered of this start after it was replaced; `None` before its first
-    /// heartbeat.
-    fn as_replaced_start(&self) -> Option<ReplacedStart> {
+    /// What is remembered of this start after it was replaced on this evidence; `None`
+    /// before its first heartbeat.
+    fn as_replaced_start(&self, evidence: SuccessionEvidence) -> Option<ReplacedStart> {
         let incarnation = self.incarnation?;
         Some(ReplacedStart {
             incarnation,
             instance: self.instance.unwrap_or(incarnation),
             first_heartbeat_at: self.first_heartbeat_at,
             heartbeat_sequence: self.heartbeat_sequence,
-            has_ended: self.end != TargetEnd::NotSeen,
+            has_ended: self.end != TargetEnd::NotSeen || evidence.shows_end(),
             is_leaving_stated: self.is_leaving_stated,
         })
     }
@@ -188,6 +188,12 @@
             })
     }
 
+    /// Whether this process has seen that a start has ended, and another one followed it.
+    pub(crate) fn has_seen_end_of(&self, incarnation: Incarnation) -> bool {
+        self.replaced_start(incarnation)
+            .is_some_and(|start| start.has_ended)
+    }
+
     /// Whether a start under the present target's name was replaced here.
     pub(crate) fn has_replaced_same_instance(&self) -> bool {
         let mut replaced = self.replaced_starts.iter();
--- a/crates/woodladder-core/tests/flow_leaving_records.rs
+++ b/crates/woodladder-core/tests/flow_leaving_records.rs
@@ -322,3 +322,25 @@
         "{actions:?}"
     );
 }
+
+/// A balancer's reminder brought back a start that this process had seen another one follow,
+/// and balancers reset the flows of the living one.
+#[test]
+fn a_reminder_does_not_bring_back_a_start_that_another_has_followed() {
+    let mut agent = recording_agent(77);
+    let leaves = PeerMessage::TargetLeaves {
+        incarnation: Incarnation(TARGET),
+    };
+    agent.handle_message(node(1), &leaves, at(10), &mut Vec::new());
+    agent.record_listen_state(ListenState::NotListening);
+    agent.record_listen_state(ListenState::Listening);
+    agent
+        .handle_heartbeat(&heartbeat(NEXT, 1), at(500))
+        .expect("accepted");
+    agent.handle_message(node(2), &leaves, at(600), &mut Vec::new());
+    assert_eq!(
+        agent.target_status(at(601)).incarnation,
+        Some(Incarnation(NEXT))
+    );
+    assert!(takes_flow(&mut agent, 1, 602));
+}
