The end of a target that has taken leave is seen on a connection, and its record removed at once

A next start that listened within 50 ms after the end of the one before, and stated no start time, was refused for 2.5 s, and from agent to agent for as long as these were restarted meanwhile: the probes had missed the moment at which nothing listened, and the record named the start before. Before the deregistration alone let it in.

After a deregistration that follows a leaving, the agent holds a connection to the target, which ends with the target's process, however soon another one listens; and the record is removed when the end is seen, not only when the next start is taken.

a_next_start_that_listens_at_once_is_served_at_once fails without it.

--- a/crates/woodladder-core/src/flow/agent/target/deregistration.rs
+++ b/crates/woodladder-core/src/flow/agent/target/deregistration.rs
@@ -154,4 +154,13 @@
         self.leaving_watch.record_end();
         self.leaving_record.set_irrelevant();
     }
+
+    /// Records that a connection to a target that had said that it is about to end was
+    /// closed: the target has ended, however soon another one listens.
+    pub fn record_closed_connection(&mut self) {
+        if self.is_end_near() {
+            self.target.end = TargetEnd::NothingListens;
+            self.record_address_free();
+        }
+    }
 }
--- a/crates/woodladder-core/src/flow/agent/target/former_leavings.rs
+++ b/crates/woodladder-core/src/flow/agent/target/former_leavings.rs
@@ -12,7 +12,7 @@
 //! balancers remember.
 
 use crate::clock::Instant;
-use crate::flow::agent::{Agent, StateCause, Target};
+use crate::flow::agent::{Agent, StateCause, Target, TargetEnd};
 use crate::flow::identity::Incarnation;
 use crate::flow::leaving_record::LeavingStart;
 use crate::flow::message::TargetState;
@@ -68,7 +68,8 @@
 
     fn wanted_leaving_record(&self) -> Option<LeavingStart> {
         let target = &self.target;
-        let incarnation = target.incarnation.filter(|_| target.is_leaving_stated)?;
+        let may_run = target.is_leaving_stated && target.end == TargetEnd::NotSeen;
+        let incarnation = target.incarnation.filter(|_| may_run)?;
         Some(LeavingStart {
             incarnation,
             instance: target.instance,
--- a/crates/woodladder-core/tests/flow_leaving_records.rs
+++ b/crates/woodladder-core/tests/flow_leaving_records.rs
@@ -344,3 +344,24 @@
     );
     assert!(takes_flow(&mut agent, 1, 602));
 }
+
+/// The next start listened before any probe, and was kept waiting.
+#[test]
+fn a_next_start_that_listens_at_once_is_served_at_once() {
+    let mut entry = Entry::default();
+    let mut agent = recording_agent(1);
+    sync(&mut agent, &mut entry, 10);
+    agent
+        .handle_heartbeat(&leaving_heartbeat(TARGET, 8), at(1000))
+        .expect("accepted");
+    sync(&mut agent, &mut entry, 1001);
+    agent.handle_deregistration(Incarnation(TARGET), at(6000));
+    agent.record_closed_connection();
+    sync(&mut agent, &mut entry, 6100);
+    assert_eq!(entry.start(), None, "the next process need not know it");
+    agent.record_listen_state(ListenState::Listening);
+    agent
+        .handle_heartbeat(&heartbeat(NEXT, 1), at(6101))
+        .expect("accepted");
+    assert!(takes_flow(&mut agent, 1, 6102));
+}
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -14,8 +14,8 @@
 use nix::sys::signal::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::address::{METRICS_PORT, Network, STORE_PORT};
 use super::links::{self, LinkRule, Links};
@@ -43,6 +43,9 @@
 const FIGURES_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two looks at whether a target's address is free.
 const ADDRESS_LOOK: Duration = Duration::from_millis(50);
+/// Time for which a heartbeat is held up that is sent before a leaving and comes after the
+/// kill in it.
+const HELD_UP_OVER_KILL: Duration = Duration::from_millis(3500);
 /// Key prefix of the agents' leaving records.
 const LEAVING_RECORDS: &str = "woodladder/leavings/";
 const LOSS: f64 = 0.15;
@@ -99,6 +102,7 @@
     site: Site,
     store_proxies: BTreeMap<u8, FaultProxy>,
     habits: TargetHabits,
+    course: SoakCourse,
     configurations: u32,
 }
 
@@ -136,6 +140,7 @@
             site,
             store_proxies,
             habits: options.target_habits,
+            course: options.course,
             configurations: 0,
         })
     }
@@ -248,6 +253,9 @@
             }
             StrikeKind::DeregisterTarget => {
                 let serves_on = strike.lasts.max(SHORTEST_DRAIN);
+                if self.course == SoakCourse::KillsInLeavings {
+                    self.delay_heartbeat(machine);
+                }
                 self.site.deregister_target(machine, serves_on);
             }
             StrikeKind::LosePower => {
@@ -266,6 +274,16 @@
         Ok(())
     }
 
+    /// A heartbeat of the present target of a machine comes after the next kill.
+    fn delay_heartbeat(&self, machine: u8) {
+        if let Some(heartbeat) = self.site.hold_heartbeat(machine) {
+            spawn_local(async move {
+                sleep(HELD_UP_OVER_KILL).await;
+                heartbeat.send().await;
+            });
+        }
+    }
+
     fn kill_everything(&self) -> Result<(), SiteError> {
         for machine in all_nodes() {
             self.disturb(machine);
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -225,6 +225,9 @@
             .borrow_mut()
             .handle_deregistration(incarnation, now);
         self.report_target();
+        if self.core.borrow().is_end_near() {
+            spawn_local(Rc::clone(self).watch_end());
+        }
         let is_applied = outcome == DeregistrationOutcome::Applied;
         if is_applied && !self.is_leaving_recorded_in_time().await {
             return DeregistrationOutcome::Unrecorded;
--- a/crates/woodladder-node/src/agent/listen_probes.rs
+++ b/crates/woodladder-node/src/agent/listen_probes.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 use woodladder_core::flow::agent::{Heartbeat, ListenState};
@@ -16,6 +17,8 @@
 const LISTEN_PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two listen probes of a target that has deregistered and is about to end.
 const END_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait for the end of a target that has said that it is about to end.
+const END_WATCH_LIMIT: Duration = Duration::from_secs(10);
 /// Time limit for a listen probe.
 const LISTEN_PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 impl<C: PacketCodec + 'static> AgentNode<C> {
@@ -49,6 +52,21 @@
         }
     }
 
+    /// Waits, on a connection to a target that has said that it is about to end, until the
+    /// target's process closes it. A next start may listen sooner than a probe comes.
+    pub(super) async fn watch_end(self: Rc<Self>) {
+        let connect = TcpStream::connect(self.config.target_address);
+        let Ok(Ok(mut connection)) = timeout(LISTEN_PROBE_TIMEOUT, connect).await else {
+            return;
+        };
+        let mut unexpected = [0; 1];
+        let read = timeout(END_WATCH_LIMIT, connection.read(&mut unexpected)).await;
+        if matches!(read, Ok(Ok(0) | Err(_))) {
+            self.core.borrow_mut().record_closed_connection();
+            self.leaving_record_due.notify_one();
+        }
+    }
+
     /// Makes a listen probe before a heartbeat that only the state of the address can
     /// tell from a late one.
     pub(super) async fn probe_before(&self, heartbeat: &Heartbeat) {
