--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -23,7 +23,7 @@
 use super::configuration::{Configuration, RouteTable};
 use super::excluded_zones::ExcludedZones;
 use super::flow_table::FlowTable;
-use super::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use super::identity::{FlowKey, NodeAddress, ServiceKey, ZoneKey};
 use super::leaving_record::LeavingRecordSession;
 use super::log_event::{LogEvent, LogEventBuffer};
 use super::message::{
@@ -34,7 +34,6 @@
 use super::peers::BalancerPeers;
 use super::promises::{BrokenPromises, PromiseWatch};
 use super::store_session::ListNeed;
-use super::target_restart::RestartDetector;
 use admission::opening_queue::OpeningQueue;
 use admission::warm_up::WarmUp;
 use planned_stop::PlannedStop;
@@ -42,7 +41,7 @@
 use reporting::report_schedule::ReportSchedule;
 use target::failure_record::FailureRecord;
 use target::idle_flow_work::IdleFlowWork;
-use target::succession::ReplacedStart;
+use target::present_start::{Target, TargetEnd};
 
 use crate::clock::Instant;
 
@@ -63,6 +62,7 @@
 pub use target::failure_record::{AnswerKind, Suspicion};
 pub use target::heartbeat::{Heartbeat, HeartbeatError, HeartbeatOutcome};
 pub use target::leaving_watch::{AcknowledgedLeaving, LeavingWatch};
+pub use target::present_start::ListenState;
 
 /// Settings of an agent.
 #[derive(Clone, Copy, Debug)]
@@ -130,68 +130,6 @@
     awaits_outcome: bool,
 }
 
-/// Whether anything listens at the target's address, as the last probe has shown; see
-/// [`Agent::needs_listen_probe`].
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ListenState {
-    /// Not probed yet, or the probe gave no result.
-    Unknown,
-    /// Something listens.
-    Listening,
-    /// Nothing listens.
-    NotListening,
-}
-
-/// What listen probes have shown of a leaving target's end.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum TargetEnd {
-    /// The target may still run.
-    NotSeen,
-    /// Nothing listens at its address.
-    NothingListens,
-    /// Nothing listened at its address, and now something does: another start.
-    ListensAgain,
-}
-
-#[derive(Clone, Debug)]
-struct Target {
-    state: TargetState,
-    /// What set `state`.
-    state_cause: StateCause,
-    /// When `state` was set.
-    state_since: Instant,
-    incarnation: Option<Incarnation>,
-    /// Identifies the target by its name alone, whichever start it is.
-    instance: Option<Incarnation>,
-    /// When the incarnation began, in milliseconds of Unix time; `None` if the target
-    /// does not state it.
-    started_at_ms: Option<u64>,
-    replaced_starts: Vec<ReplacedStart>,
-    restart_detector: RestartDetector,
-    /// Whether the target has announced that it leaves, in a heartbeat.
-    announced_leaving: bool,
-    /// Whether the target has announced that it leaves, in a heartbeat, by a
-    /// deregistration, or to a former process of this agent.
-    is_leaving_stated: bool,
-    /// Whether the target has deregistered after it had announced that it leaves: it ends.
-    has_taken_leave: bool,
-    /// What listen probes have shown of a leaving target's end.
-    end: TargetEnd,
-    first_heartbeat_at: Option<Instant>,
-    heartbeat_sequence: u64,
-    slots: u16,
-    warm_from: Instant,
-    last_heartbeat_at: Option<Instant>,
-    /// When the previous incarnation sent its last heartbeat.
-    previous_last_heartbeat_at: Option<Instant>,
-    last_packet_at: Option<Instant>,
-    unanswered_since: Option<Instant>,
-    listen_state: ListenState,
-    /// Whether the target started while the agent ran, so that the agent has seen each of
-    /// its flows.
-    started_after_agent: bool,
-}
-
 /// State of an agent.
 #[derive(Clone, Debug)]
 pub struct Agent {
@@ -460,35 +398,6 @@
     }
 }
 
-impl Target {
-    fn unknown(now: Instant) -> Self {
-        Self {
-            state: TargetState::Unknown,
-            state_cause: StateCause::NothingHeard,
-            state_since: now,
-            incarnation: None,
-            instance: None,
-            started_at_ms: None,
-            replaced_starts: Vec::new(),
-            restart_detector: RestartDetector::default(),
-            announced_leaving: false,
-            is_leaving_stated: false,
-            has_taken_leave: false,
-            end: TargetEnd::NotSeen,
-            first_heartbeat_at: None,
-            heartbeat_sequence: 0,
-            slots: 0,
-            warm_from: now,
-            last_heartbeat_at: None,
-            previous_last_heartbeat_at: None,
-            last_packet_at: None,
-            unanswered_since: None,
-            listen_state: ListenState::Unknown,
-            started_after_agent: false,
-        }
-    }
-}
-
 fn not_held_message(key: FlowKey) -> PeerMessage {
     PeerMessage::NotHeld { keys: vec![key] }
 }
--- a/crates/woodladder-core/src/flow/agent/target/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/target/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod idle_flow_work;
 pub(crate) mod leaving_watch;
 pub(crate) mod load;
+pub(crate) mod present_start;
 pub(crate) mod request_outcome;
 pub(crate) mod state;
 pub(crate) mod succession;
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -18,6 +18,7 @@
 mod site;
 mod site_targets;
 mod soak;
+mod soak_kills;
 mod soak_plan;
 mod soak_report;
 mod store;
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -115,6 +115,13 @@
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
 
+/// Machines of all balancers and agents.
+pub fn all_nodes() -> impl Iterator<Item = u8> {
+    BALANCERS
+        .into_iter()
+        .chain(TARGETS.into_iter().map(|(machine, _)| machine))
+}
+
 /// Service of the target of a machine.
 pub fn service_of(machine: u8) -> &'static str {
     TARGETS
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -14,14 +14,14 @@
 use nix::sys::signal::Signal;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep_until, timeout};
 
 use super::address::{METRICS_PORT, Network, STORE_PORT};
 use super::links::{self, LinkRule, Links};
 use super::oracle::STORE;
 use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route, moved_route,
+    BALANCERS, Site, SiteError, SiteOptions, added_route, all_nodes, kitchen_route, moved_route,
     print_route, service_of,
 };
 use super::soak_plan::{
@@ -43,9 +43,6 @@
 const FIGURES_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two looks at whether a target's address is free.
 const ADDRESS_LOOK: Duration = Duration::from_millis(50);
-/// Time for which a heartbeat is held up that is sent before a leaving and comes after the
-/// kill in it.
-const HELD_UP_OVER_KILL: Duration = Duration::from_millis(3500);
 /// Key prefix of the agents' leaving records.
 const LEAVING_RECORDS: &str = "woodladder/leavings/";
 const LOSS: f64 = 0.15;
@@ -98,8 +95,8 @@
     })
 }
 
-struct Soak {
-    site: Site,
+pub(super) struct Soak {
+    pub(super) site: Site,
     store_proxies: BTreeMap<u8, FaultProxy>,
     habits: TargetHabits,
     course: SoakCourse,
@@ -274,36 +271,6 @@
         Ok(())
     }
 
-    /// A heartbeat of the present target of a machine comes after the next kill.
-    fn delay_heartbeat(&self, machine: u8) {
-        if let Some(heartbeat) = self.site.hold_heartbeat(machine) {
-            spawn_local(async move {
-                sleep(HELD_UP_OVER_KILL).await;
-                heartbeat.send().await;
-            });
-        }
-    }
-
-    fn kill_everything(&self) -> Result<(), SiteError> {
-        for machine in all_nodes() {
-            self.disturb(machine);
-            self.site.signal(machine, Signal::SIGKILL)?;
-        }
-        Ok(())
-    }
-
-    fn start_everything(&mut self) -> Result<(), SiteError> {
-        for machine in BALANCERS {
-            self.disturb(machine);
-            self.site.start_balancer(machine)?;
-        }
-        for (machine, service) in TARGETS {
-            self.disturb(machine);
-            self.site.start_agent(machine, service)?;
-        }
-        Ok(())
-    }
-
     async fn end(&mut self, strike: &Strike) -> Result<(), SiteError> {
         let machine = strike.machine;
         match strike.kind {
@@ -367,7 +334,7 @@
         Ok(())
     }
 
-    fn disturb(&self, machine: u8) {
+    pub(super) fn disturb(&self, machine: u8) {
         self.site.oracle.borrow_mut().disturb(machine);
     }
 
@@ -454,13 +421,6 @@
     delay: SLOW_LINK,
 };
 
-/// Machines of all balancers and agents.
-fn all_nodes() -> impl Iterator<Item = u8> {
-    BALANCERS
-        .into_iter()
-        .chain(TARGETS.into_iter().map(|(machine, _)| machine))
-}
-
 /// Begins and ends of strikes in the order of time.
 fn timeline(strikes: &[Strike]) -> Vec<(Duration, Change)> {
     let mut changes: Vec<(Duration, Change)> = Vec::new();
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -10,6 +10,7 @@
 mod listen_probes;
 mod metrics;
 mod planned_stop;
+mod target_statements;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -25,10 +26,10 @@
 use tokio::time::sleep;
 use woodladder_core::clock::Instant;
 use woodladder_core::flow::agent::{
-    Agent, AgentAction, AgentOptions, DeregistrationOutcome, ForwardDecision, Heartbeat,
-    HeartbeatError, HeartbeatOutcome, ReplyBody, TargetPacketDecision, TargetStatus, WarmUpBounds,
+    Agent, AgentAction, AgentOptions, ForwardDecision, ReplyBody, TargetPacketDecision,
+    TargetStatus, WarmUpBounds,
 };
-use woodladder_core::flow::identity::{FlowKey, Incarnation, NodeAddress, ServiceKey, ZoneKey};
+use woodladder_core::flow::identity::{FlowKey, NodeAddress, ServiceKey, ZoneKey};
 use woodladder_core::flow::log_event::LogEvent;
 use woodladder_core::flow::message::{ForwardHeader, PeerMessage, TargetState};
 use woodladder_core::flow::store_session::BalancerDiscovery;
@@ -190,58 +191,6 @@
         Ok(())
     }
 
-    /// Applies a heartbeat of the target and reports a change of its state to the
-    /// balancers before returning. A heartbeat that announces that the target leaves is
-    /// accepted only once the leaving is recorded in the store.
-    ///
-    /// # Errors
-    /// Returns [`HeartbeatError`] when the heartbeat is rejected; it then changes nothing,
-    /// except that a target whose leaving is [`HeartbeatError::Unrecorded`] takes no new
-    /// flow.
-    pub async fn handle_heartbeat(
-        self: &Rc<Self>,
-        heartbeat: &Heartbeat,
-    ) -> Result<HeartbeatOutcome, HeartbeatError> {
-        self.probe_before(heartbeat).await;
-        let now = self.clock.now();
-        let outcome = self.core.borrow_mut().handle_heartbeat(heartbeat, now)?;
-        self.report_target();
-        if heartbeat.leaving && !self.is_leaving_recorded_in_time().await {
-            return Err(HeartbeatError::Unrecorded);
-        }
-        Ok(outcome)
-    }
-
-    /// Sets the target's state to leaving, reports the change to the balancers and returns
-    /// once the leaving is recorded in the store. A deregistration that may belong to an
-    /// earlier start of the target changes nothing.
-    pub async fn handle_deregistration(
-        self: &Rc<Self>,
-        incarnation: Incarnation,
-    ) -> DeregistrationOutcome {
-        let now = self.clock.now();
-        let outcome = self
-            .core
-            .borrow_mut()
-            .handle_deregistration(incarnation, now);
-        self.report_target();
-        if self.core.borrow().is_end_near() {
-            spawn_local(Rc::clone(self).watch_end());
-        }
-        let is_applied = outcome == DeregistrationOutcome::Applied;
-        if is_applied && !self.is_leaving_recorded_in_time().await {
-            return DeregistrationOutcome::Unrecorded;
-        }
-        outcome
-    }
-
-    /// Reports what the target has said, and wakes the tasks that depend on it.
-    fn report_target(self: &Rc<Self>) {
-        self.target_spoke.notify_one();
-        self.leaving_record_due.notify_one();
-        self.run_core(|core, now, actions| core.tick(now, actions));
-    }
-
     /// The target's state with the evidence that it rests on.
     #[must_use]
     pub fn target_status(&self) -> TargetStatus {
