Stand-in: open store connections go silent, answers to watches are lost, openings are judged by version

The fault proxy can silence the connections that are open, without a reset, while new ones work; the store can answer no watch that finds a change. A probing caller sends single openings to each balancer, and a judge compares how each is handled with the versions that may be in force (3 s after the acknowledgement, 250 ms after a version was seen at the same machine, 4 s after a disturbance). A course plays a change under one trouble with real processes. No product code is touched.

--- a/crates/woodladder-lab/src/fault_proxy/server.rs
+++ b/crates/woodladder-lab/src/fault_proxy/server.rs
@@ -120,6 +120,12 @@
         self.switch.set(rule);
     }
 
+    /// The TCP connections that are open now carry nothing more, in either direction, and are
+    /// not closed; new ones are relayed.
+    pub fn silence_open_connections(&self) {
+        self.switch.silence_open_connections();
+    }
+
     /// Datagrams lost on purpose so far.
     #[must_use]
     pub fn lost_datagrams(&self) -> u64 {
--- a/crates/woodladder-lab/src/fault_proxy/switch.rs
+++ b/crates/woodladder-lab/src/fault_proxy/switch.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct RuleSwitch {
     rule: Arc<watch::Sender<FaultRule>>,
+    /// How often the open connections have gone silent.
+    silences: Arc<watch::Sender<u64>>,
     lost: Arc<AtomicU64>,
 }
 
@@ -17,6 +19,7 @@
     pub(super) fn new(rule: FaultRule) -> Self {
         Self {
             rule: Arc::new(watch::Sender::new(rule)),
+            silences: Arc::new(watch::Sender::new(0)),
             lost: Arc::default(),
         }
     }
@@ -29,6 +32,17 @@
         *self.rule.borrow()
     }
 
+    pub(super) fn silence_open_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
+    /// Waits for the next silence of the connections that are open now.
+    pub(super) async fn wait_silenced(&self) {
+        let mut silences = self.silences.subscribe();
+        // The sender lives in `self`, so the wait cannot fail.
+        let _ = silences.changed().await;
+    }
+
     pub(super) fn count_lost(&self) {
         self.lost.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/woodladder-lab/src/fault_proxy/tcp.rs
+++ b/crates/woodladder-lab/src/fault_proxy/tcp.rs
@@ -67,10 +67,14 @@
 impl Connection {
     async fn run(self) {
         let switch = self.switch.clone();
+        let relay = self.relay();
+        tokio::pin!(relay);
         tokio::select! {
             // Dropping the streams closes them.
             () = switch.wait_refuse() => {}
-            _ = self.relay() => {}
+            // The streams stay open until the connection is refused or the proxy stops.
+            () = switch.wait_silenced() => switch.wait_refuse().await,
+            _ = &mut relay => {}
         }
     }
 
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -7,6 +7,8 @@
 
 mod address;
 mod caller;
+mod configuration_course;
+mod configuration_judge;
 mod day;
 mod head;
 mod leaving;
@@ -14,6 +16,7 @@
 mod links;
 mod node_process;
 mod oracle;
+mod probe;
 mod router;
 mod site;
 mod site_targets;
@@ -27,6 +30,11 @@
 mod target_control;
 mod zones;
 
+pub use configuration_course::{
+    ConfigurationCourse, ConfigurationCourseOptions, ConfigurationCourseReport,
+    run_configuration_course,
+};
+pub use configuration_judge::{ConfigurationJudge, Handling, OlderHandling, OlderUse};
 pub use day::{DayOptions, DayReport, run};
 pub use leaving::{LeavingOptions, deregister_unknown_target, run_leaving};
 pub use leaving_course::{
--- a/crates/woodladder-lab/src/platform/oracle.rs
+++ b/crates/woodladder-lab/src/platform/oracle.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use super::configuration_judge::{CONTACT, ConfigurationJudge, OlderHandling};
+
 /// Time after the acknowledgement of a leaving within which a new flow may still reach the
 /// target: the users' bound for a drain.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
@@ -12,10 +14,6 @@
 /// Number of the store's machine.
 pub const STORE: u8 = 1;
 
-/// Time after a fault during which its machine counts as disturbed, as in the
-/// users' rules.
-const CONTACT: Duration = Duration::from_secs(4);
-
 /// Time after the store has taken a zone's exclusion within which nodes that are in
 /// touch may still open flows there.
 const EXCLUSION_LIMIT: Duration = Duration::from_secs(5);
@@ -55,6 +53,8 @@
     FormerFlowReached(String),
     /// A heartbeat of a former start or of another writer was acknowledged.
     HeartbeatTakenWrongly(String),
+    /// An opening was handled as only an older version of the configuration allows.
+    OlderConfiguration(OlderHandling),
 }
 
 impl fmt::Display for Violation {
@@ -74,6 +74,7 @@
             Self::HeartbeatTakenWrongly(what) => {
                 write!(formatter, "heartbeat taken wrongly: {what}")
             }
+            Self::OlderConfiguration(what) => write!(formatter, "older configuration: {what}"),
         }
     }
 }
@@ -102,6 +103,8 @@
     /// When machines were last disturbed by a fault.
     disturbed: BTreeMap<u8, Instant>,
     violations: Vec<Violation>,
+    /// Which versions of the configuration the openings of probing callers follow.
+    pub configurations: ConfigurationJudge,
     /// Requests answered.
     pub answered: u64,
     /// Requests that found no answer with all of their tries.
@@ -278,6 +281,20 @@
             .push(Violation::ChangedPacket(where_seen.to_owned()));
     }
 
+    /// A target of this machine takes an opening of a probing caller.
+    pub fn probe_taken(&mut self, ends: Ends, service: &str, machine: u8) {
+        let older = self.configurations.taken(ends, service, machine);
+        self.violations
+            .extend(older.map(Violation::OlderConfiguration));
+    }
+
+    /// An opening of a probing caller is reset.
+    pub fn probe_refused(&mut self, ends: Ends) {
+        let older = self.configurations.refused(ends);
+        self.violations
+            .extend(older.map(Violation::OlderConfiguration));
+    }
+
     /// Promises broken so far.
     pub fn violations(&self) -> &[Violation] {
         &self.violations
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -39,6 +39,10 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// Machines of balancers.
 pub const BALANCERS: [u8; 3] = [11, 12, 13];
+/// First machine that a balancer may stand on.
+pub const FIRST_BALANCER: u8 = BALANCERS[0];
+/// Last machine that a balancer may stand on.
+const LAST_BALANCER: u8 = 20;
 /// Machines of targets with their services.
 pub const TARGETS: [(u8, &str); 4] = [
     (21, "kitchen"),
@@ -86,7 +90,8 @@
     pub directory: PathBuf,
     /// How targets speak to their agents.
     pub target_habits: TargetHabits,
-    /// Processor of each balancer, in thousandths of a core.
+    /// Processor of each balancer of [`BALANCERS`], in thousandths of a core; others get the
+    /// first one's.
     pub processors: [u32; BALANCERS.len()],
 }
 
@@ -167,7 +172,10 @@
         let router = Rc::new(Router::default());
         let probing = Rc::clone(&router);
         spawn_local(async move { probing.probe().await });
-        let processors = BALANCERS.into_iter().zip(options.processors).collect();
+        let mut processors: BTreeMap<u8, u32> = (FIRST_BALANCER..=LAST_BALANCER)
+            .map(|machine| (machine, options.processors[0]))
+            .collect();
+        processors.extend(BALANCERS.into_iter().zip(options.processors));
         Ok(Self {
             network,
             launcher: Launcher {
@@ -203,22 +211,29 @@
 
     /// Starts all processes and waits until routers have balancers.
     pub async fn serve(&mut self) -> Result<(), SiteError> {
+        self.serve_with(&BALANCERS).await
+    }
+
+    /// Starts these balancers and all agents and targets, and waits until routers have
+    /// balancers.
+    pub async fn serve_with(&mut self, balancers: &[u8]) -> Result<(), SiteError> {
         self.put_foreign_entries();
         self.configure(&[
             (kitchen_route(), "kitchen"),
             (print_route(), "print"),
             (moved_route(), "kitchen"),
         ]);
-        for machine in BALANCERS {
-            self.start_balancer(machine)?;
-            self.router.add(self.network.machine(machine));
+        for machine in balancers {
+            self.start_balancer(*machine)?;
+            self.router.add(self.network.machine(*machine));
         }
         for (machine, service) in TARGETS {
             self.start_agent(machine, service)?;
             self.start_target(machine, service).await?;
         }
         let router = Rc::clone(&self.router);
-        let serves = move || router.ready_count() * 2 > BALANCERS.len();
+        let balancer_count = balancers.len();
+        let serves = move || router.ready_count() * 2 > balancer_count;
         if !eventually(START_LIMIT, serves).await {
             return Err(SiteError::NotServing);
         }
@@ -289,10 +304,13 @@
         let damaged = STANDARD.encode(json!({ "version": "9", "routes": 4 }).to_string());
         self.store.borrow_mut().put(CONFIGURATION_KEY, &damaged, 0);
         self.store.borrow_mut().put(CONFIGURATION_KEY, &value, 0);
+        let mut oracle = self.oracle.borrow_mut();
+        oracle.configurations.acknowledged(routes);
     }
 
     fn start_node(&mut self, machine: u8, role: &NodeRole) -> io::Result<()> {
         self.nodes.remove(&machine);
+        self.oracle.borrow_mut().configurations.restart(machine);
         let node = self.launcher.start(machine, role)?;
         self.nodes.insert(machine, node);
         Ok(())
@@ -313,6 +331,7 @@
 
     /// Sends a signal to the node on a machine, if there is one.
     pub fn signal(&self, machine: u8, signal: Signal) -> io::Result<()> {
+        self.oracle.borrow_mut().configurations.disturb(machine);
         match self.nodes.get(&machine) {
             Some(node) => node.signal(signal),
             None => Ok(()),
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -438,7 +438,7 @@
     ZONES[index.unwrap_or(0)]
 }
 
-async fn store_proxy(network: Network, seed: u64) -> Result<FaultProxy, SiteError> {
+pub(super) async fn store_proxy(network: Network, seed: u64) -> Result<FaultProxy, SiteError> {
     let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
     let config = FaultProxyConfig {
         tcp: vec![Route {
--- a/crates/woodladder-lab/src/platform/store.rs
+++ b/crates/woodladder-lab/src/platform/store.rs
@@ -26,7 +26,7 @@
         StoreFault::Busy => return empty(StatusCode::SERVICE_UNAVAILABLE),
         StoreFault::Throttled => return empty(StatusCode::TOO_MANY_REQUESTS),
         StoreFault::Closed => return never().await,
-        StoreFault::None | StoreFault::AnswersLost => {}
+        StoreFault::None | StoreFault::AnswersLost | StoreFault::ChangesUnanswered => {}
     }
     let answered = carry_out(&store, &request).await;
     let is_write = request.method != Method::GET;
@@ -103,6 +103,10 @@
         let Some(changes) = changes else {
             return empty(StatusCode::GONE);
         };
+        let is_unanswered = store.borrow().fault == StoreFault::ChangesUnanswered;
+        if !changes.is_empty() && is_unanswered {
+            return never().await;
+        }
         if !changes.is_empty() || Instant::now() >= until {
             let events: Vec<Value> = changes.iter().map(event).collect();
             return ok(&json!({ "events": events, "at": revision }));
--- a/crates/woodladder-lab/src/platform/store_state.rs
+++ b/crates/woodladder-lab/src/platform/store_state.rs
@@ -20,6 +20,8 @@
     Closed,
     /// It carries writes out and answers none of them.
     AnswersLost,
+    /// It answers no watch that finds a change, and all other calls.
+    ChangesUnanswered,
 }
 
 /// An entry.
--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -294,6 +294,8 @@
             self.first_opening_after.set(Some(first));
             let mut oracle = self.oracle.borrow_mut();
             oracle.opening_arrived(ends, &self.name, now);
+            let machine = self.machine.octets()[3];
+            oracle.probe_taken(ends, &self.service, machine);
             if now < self.cold_until.get() {
                 oracle.opened_cold(&self.name, now);
             }
