--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -341,6 +341,7 @@
             former,
             routes: self.routes.current().map_or(0, |it| it.routes.len()),
             from: Some(from),
+            confirmed_ago: None,
         });
         self.update_mechanisms();
     }
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -374,6 +374,8 @@
         from: Option<NodeAddress>,
     ) {
         let former = self.routes.version();
+        let last_tick_at = self.last_tick_at.unwrap_or(self.started_at);
+        let confirmed_ago = self.confirmation_age(last_tick_at);
         if !self.routes.adopt(configuration) {
             return;
         }
@@ -398,6 +400,7 @@
             former,
             routes: self.routes.current().map_or(0, |it| it.routes.len()),
             from,
+            confirmed_ago,
         });
         self.update_mechanisms();
     }
--- a/crates/woodladder-core/src/flow/log_event.rs
+++ b/crates/woodladder-core/src/flow/log_event.rs
@@ -119,6 +119,9 @@
         routes: usize,
         /// Node that sent the configuration; `None` for the store.
         from: Option<NodeAddress>,
+        /// Time since the store last confirmed the former version, as far as a balancer has
+        /// heard; `None` for an agent, or if unknown.
+        confirmed_ago: Option<Duration>,
     },
     /// The set of active optional mechanisms has changed.
     MechanismsChanged {
--- a/crates/woodladder-node/src/balancer/metrics.rs
+++ b/crates/woodladder-node/src/balancer/metrics.rs
@@ -227,6 +227,13 @@
                 age.as_secs_f64(),
             );
         }
+        if let Some(wait) = self.store_stats.watch_wait(now) {
+            text.add_gauge(
+                "store_watch_waiting_seconds",
+                "Time for which the watch of the configuration has been waiting for an answer of the store.",
+                wait.as_secs_f64(),
+            );
+        }
         let watches_store = core.store_watch_wait(now).is_some();
         text.add_gauge(
             "watches_store",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -212,11 +212,13 @@
                 former,
                 routes,
                 from,
+                confirmed_ago,
             } => {
                 let source = from.map_or_else(|| "store".to_owned(), |node| node.to_string());
                 info!(log, "node: configuration adopted"; "event" => event_name,
                     "version" => version, "former" => former, "routes" => routes,
-                    "from" => source, "left_out" => left_out);
+                    "from" => source, "confirmed_ago_ms" => confirmed_ago.map(milliseconds),
+                    "left_out" => left_out);
             }
             LogEvent::MechanismsChanged { active } => {
                 info!(log, "node: active optional mechanisms changed"; "event" => event_name,
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -7,6 +7,7 @@
 
 use slog::{Logger, info};
 use tokio::time::sleep;
+use woodladder_core::clock::Instant;
 use woodladder_core::flow::identity::NodeAddress;
 use woodladder_core::flow::store_session::{
     BalancerDiscovery, BalancerRegistration, CALL_KINDS, ConfigurationWatch, ListNeed, NextCall,
@@ -38,7 +39,9 @@
             NextCall::At(at) => sleep(at.since(clock.now())).await,
             NextCall::Now(call) => {
                 stats.count_call(&call);
+                stats.watch_started_at.set(Some(clock.now()));
                 let reply = store.call(call).await;
+                stats.watch_started_at.set(None);
                 stats.record_reply(&reply);
                 if let Some(state) = watch.reply(reply, clock.now()) {
                     on_state(state);
@@ -141,6 +144,9 @@
     /// last change has been taken.
     reachability_change: std::cell::Cell<Option<bool>>,
     calls: std::cell::Cell<[u64; CALL_KINDS.len()]>,
+    /// When the watch of the configuration made the call that waits for its answer; `None`
+    /// between two calls.
+    watch_started_at: std::cell::Cell<Option<Instant>>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -212,6 +218,12 @@
         self.reachability_change.take()
     }
 
+    /// Returns for how long the watch of the configuration has been waiting for an answer.
+    #[must_use]
+    pub fn watch_wait(&self, now: Instant) -> Option<Duration> {
+        self.watch_started_at.get().map(|at| now.since(at))
+    }
+
     /// Returns three numbers of calls, in this order: calls that were answered, calls that the
     /// store refused, and calls without a usable response.
     #[must_use]
