Balancers call the store anew when no answer of it is as young as the settings' bound asks

Cause: silence was taken for "no change". A watch waits up to 5 s and ends 1.5 s later, on a connection that may carry nothing from its first moment; TCP keep-alive sees nothing while the other kernel acknowledges. The age of the last confirmation was known, told in every hello, and in deployments of up to eight balancers nobody acted on it; in larger ones only those that do not watch, by a constant. Now the age is compared with two thirds of the shorter one of config_apply_ms and contact_ms. Past it the watchers give up their watches, in turn, and read anew on a new connection; the call owns its connection until its response is there, so that one that is given up closes it. So that age tells silence from quiet, watchers end their watches at different parts of a common period, also after a change that ended all at once. An answer without a change confirms only up to the end of its wait.

--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -26,6 +26,8 @@
     pub flow_retention: Duration,
     /// Longest life of a flow.
     pub flow_lifetime: Duration,
+    /// Time within which a change of the configuration must be in force at this balancer.
+    pub change_bound: Duration,
 }
 
 impl BalancerOptions {
@@ -103,6 +105,8 @@
     pub reset_holder_denied: u64,
     /// Resets of flows that may have been open, by [`AbsenceEvidence::kind_index`].
     pub resets_by_evidence: [u64; AbsenceEvidence::KINDS.len()],
+    /// Watches of the store that were given up without an answer.
+    pub store_watches_abandoned: u64,
     /// Packets relayed to larger balancers.
     pub relayed_packets: u64,
     /// Packets relayed here by smaller balancers.
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -44,7 +44,7 @@
 pub use search::flow_index::FlowIndex;
 pub use search::work_budget::WorkBudget;
 pub use search::{MAXIMUM_SEARCHES_PER_ROUND, SEARCH_FANOUT};
-pub use store_duty::{REGISTERED_BALANCERS, STORE_WATCHERS};
+pub use store_duty::{REGISTERED_BALANCERS, STORE_WATCHERS, confirmation_limit};
 
 /// Largest number of agents at which queries to all agents replace copying the packet of
 /// an unknown flow to the first targets. With more agents, the queries and their answers
--- a/crates/woodladder-core/src/flow/balancer/store_duty.rs
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -1,13 +1,18 @@
 //! Chooses the balancers that call the store, so that the number of calls does not grow
-//! with the fleet.
+//! with the fleet, and bounds the age of what they know.
 //!
 //! A few balancers watch the store for configuration changes and register in its list
 //! of balancers. They are the first, in the order of a hash of the address, among the
 //! balancers heard recently. All balancers compute nearly the same order without having
 //! to agree on it. Every hello states how long ago the store last confirmed the
-//! configuration to its sender, or to a balancer that the sender has heard of. When
-//! that time exceeds a limit, the other balancers begin to call the store in turn until
-//! one of them gets an answer.
+//! configuration to its sender, or to a balancer that the sender has heard of.
+//!
+//! A watch that gets no answer shows nothing: there may be no change, or its connection may
+//! carry nothing any more. What shows that the store can still be heard is an answer to any
+//! balancer. The watchers end their watches at different times, so that such an answer comes
+//! several times within [`confirmation_limit`]. When none has come for that long, the
+//! balancers call the store anew in turn, on new connections, until one of them gets an
+//! answer. The watchers give up the watches that they wait in, and the others begin to call.
 //!
 //! At start-up, the seed balancers and those in the store's list read the configuration
 //! at once, because all others contact them first and wait for their hellos. A balancer
@@ -28,13 +33,15 @@
 pub const STORE_WATCHERS: usize = 8;
 /// Number of balancers that register in the store's list.
 pub const REGISTERED_BALANCERS: usize = 12;
-/// Time since the last confirmation from which on balancers other than the watchers
-/// call the store. With all watchers, the store answers one of them every half a
-/// second, and every balancer has heard of the answer 0.8 s later. A configuration
-/// change has 5 s to take effect in deployments that are large enough to have balancers
-/// other than watchers.
-const TAKE_OVER_AGE: Duration = Duration::from_millis(3000);
-/// Time in which hellos spread an answer of the store to all balancers. It is the
+/// Longest age of the last confirmation before the balancers call the store anew. With all
+/// watchers, the store answers one of them every half a second, and every balancer has heard
+/// of the answer 0.8 s later.
+const LONGEST_CONFIRMATION_LIMIT: Duration = Duration::from_millis(3000);
+/// Time in which hellos tell a small deployment of an answer of the store. It is the
+/// additional delay for each doubling of the number of watchers that may call the store anew,
+/// beginning with a single one.
+const TURN_INTERVAL: Duration = Duration::from_millis(250);
+/// Time in which hellos spread an answer of the store to all balancers of a fleet. It is the
 /// additional delay for each doubling of the number of balancers that may call the
 /// store, beginning with the watchers. The last of 304 balancers therefore calls the
 /// store 4.2 s after the first, and the last of 4,000 after 7.2 s. An answer to one
@@ -42,13 +49,12 @@
 /// constant 0.1 s from one balancer to the next, the last one would call the store 30 s
 /// after the first among 304 balancers, and 400 s after the first among 4,000.
 const TAKE_OVER_WAVE_INTERVAL: Duration = Duration::from_millis(800);
-/// Maximum duration of one watch while every balancer watches. A watch can hang without
-/// an error. The node then receives a change from the other balancers, or from its own
-/// next watch after this time.
-const LONG_WATCH_WAIT: Duration = Duration::from_millis(5000);
-/// Maximum duration of one watch while some balancers do not watch: short enough that
-/// the answers to all watchers together are seldom further apart than [`TAKE_OVER_AGE`].
-const SHORT_WATCH_WAIT: Duration = Duration::from_millis(4000);
+/// Longest time between two answers to the watch of one balancer while every balancer
+/// watches.
+const LONG_WATCH_PERIOD: Duration = Duration::from_millis(5000);
+/// Longest time between two answers to the watch of one balancer while some balancers do not
+/// watch.
+const SHORT_WATCH_PERIOD: Duration = Duration::from_millis(4000);
 /// Time after its start in which a balancer with seeds waits for hellos from the seeds
 /// before calling the store.
 const SEED_WAIT: Duration = Duration::from_millis(150);
@@ -108,29 +114,68 @@
         self.configuration_confirmed_at.map(|at| now.since(at))
     }
 
-    /// How long each watch of the configuration by this balancer should wait for a
-    /// change; `None` when the balancer should not call the store.
+    /// Whether this balancer should watch the configuration in the store.
+    #[must_use]
+    pub fn watches_store(&self, now: Instant) -> bool {
+        let rank = self.store_rank(now);
+        match self.confirmation_age(now) {
+            None => self.has_waited_for_seeds(take_over_delay(rank), now),
+            Some(age) => rank < STORE_WATCHERS || age >= self.own_confirmation_limit(rank),
+        }
+    }
+
+    /// How long a watch of the configuration that this balancer begins now should wait for a
+    /// change; `None` when the balancer should not call the store. `unix_time_ms` is the time
+    /// of day: the watchers end their watches at different parts of a common period.
     #[must_use]
-    pub fn store_watch_wait(&self, now: Instant) -> Option<Duration> {
-        let others_before = self.store_rank(now);
-        let surplus = (others_before + 1).saturating_sub(STORE_WATCHERS);
-        let delay = take_over_delay(surplus);
-        let is_due = match self.confirmation_age(now) {
-            None => self.has_waited_for_seeds(delay, now),
-            Some(age) => surplus == 0 || age >= TAKE_OVER_AGE + delay,
+    pub fn store_watch_wait(&self, unix_time_ms: u64, now: Instant) -> Option<Duration> {
+        if !self.watches_store(now) {
+            return None;
+        }
+        let balancers = self.peers.heard_recently(now).count() + 1;
+        let watchers = balancers.min(STORE_WATCHERS);
+        let longest_period = if balancers <= STORE_WATCHERS {
+            LONG_WATCH_PERIOD
+        } else {
+            SHORT_WATCH_PERIOD
         };
-        let all_watch = self.peers.heard_recently(now).count() < STORE_WATCHERS;
-        let wait = if all_watch {
-            LONG_WATCH_WAIT
+        let limit = confirmation_limit(self.options.change_bound);
+        let period = watch_period(watchers, limit).min(longest_period);
+        let part = self.store_rank(now) % watchers;
+        Some(time_until_part(part, watchers, period, unix_time_ms))
+    }
+
+    /// When this balancer should give up a watch that waits for an answer and call the store
+    /// anew, unless an answer to any balancer is heard of until then.
+    #[must_use]
+    pub fn store_watch_deadline(&self, now: Instant) -> Option<Instant> {
+        let limit = self.own_confirmation_limit(self.store_rank(now));
+        self.configuration_confirmed_at.map(|at| at + limit)
+    }
+
+    /// Records that the balancer has given up a watch that had waited for `waited`.
+    pub fn record_abandoned_watch(&mut self, waited: Duration, now: Instant) {
+        self.counters.store_watches_abandoned += 1;
+        self.log_events.add(LogEvent::StoreWatchAbandoned {
+            waited,
+            confirmed_ago: self.confirmation_age(now),
+        });
+    }
+
+    /// Age of the last confirmation from which on this balancer calls the store, whether it
+    /// waits in a watch or does not watch. `rank` is its place among all balancers.
+    fn own_confirmation_limit(&self, rank: usize) -> Duration {
+        let delay = if rank < STORE_WATCHERS {
+            TURN_INTERVAL.mul_f64(doublings(1, rank))
         } else {
-            SHORT_WATCH_WAIT
+            take_over_delay(rank)
         };
-        is_due.then_some(wait)
+        confirmation_limit(self.options.change_bound) + delay
     }
 
     /// Logs when the balancer begins or stops to watch the store.
     pub(super) fn log_store_watch_change(&mut self, now: Instant) {
-        let watches = self.store_watch_wait(now).is_some();
+        let watches = self.watches_store(now);
         if std::mem::replace(&mut self.was_watching_store, watches) != watches {
             self.log_events.add(LogEvent::StoreWatchChanged {
                 watches,
@@ -182,11 +227,51 @@
     }
 }
 
+/// Age of the last confirmation from which on the balancers call the store anew. `change_bound`
+/// is the time within which a change must be in force: a third of it is left for the calls and
+/// for telling other nodes.
+#[must_use]
+pub fn confirmation_limit(change_bound: Duration) -> Duration {
+    (change_bound * 2 / 3).min(LONGEST_CONFIRMATION_LIMIT)
+}
+
+/// Time between two answers to the watch of one balancer with which one of the watchers is
+/// answered often enough: the answer to one watcher may fail to come, and hellos take a while.
+fn watch_period(watchers: usize, confirmation_limit: Duration) -> Duration {
+    let watchers = u32::try_from(watchers).unwrap_or(u32::MAX);
+    (confirmation_limit * 5 / 8).saturating_mul(watchers)
+}
+
+/// Time until the given part of the current period, or of the next one if the part is less than
+/// a quarter of a part away: a watch that ends a little early is not followed by a short one.
+fn time_until_part(part: usize, parts: usize, period: Duration, unix_time_ms: u64) -> Duration {
+    let part = u32::try_from(part).unwrap_or(0);
+    let parts = u32::try_from(parts).unwrap_or(1).max(1);
+    let period_ms = u64::try_from(period.as_millis()).unwrap_or(u64::MAX).max(1);
+    let begin = period * part / parts;
+    let position = Duration::from_millis(unix_time_ms % period_ms);
+    let ahead = if begin >= position {
+        begin - position
+    } else {
+        begin + period - position
+    };
+    if ahead < period / (4 * parts) {
+        ahead + period
+    } else {
+        ahead
+    }
+}
+
 /// How much longer than the common limit a balancer waits before it takes over from the
-/// watchers. `surplus` counts the balancers other than watchers up to and including
-/// this one; it is 0 for a watcher.
-fn take_over_delay(surplus: usize) -> Duration {
-    let surplus = f64::from(u32::try_from(surplus).unwrap_or(u32::MAX));
-    let watchers = f64::from(u32::try_from(STORE_WATCHERS).unwrap_or(u32::MAX));
-    TAKE_OVER_WAVE_INTERVAL.mul_f64((1.0 + surplus / watchers).log2())
+/// watchers; zero for a watcher.
+fn take_over_delay(rank: usize) -> Duration {
+    let surplus = (rank + 1).saturating_sub(STORE_WATCHERS);
+    TAKE_OVER_WAVE_INTERVAL.mul_f64(doublings(STORE_WATCHERS, surplus))
+}
+
+/// How often `first` doubles until it reaches `first + further`.
+fn doublings(first: usize, further: usize) -> f64 {
+    let first = f64::from(u32::try_from(first).unwrap_or(u32::MAX));
+    let further = f64::from(u32::try_from(further).unwrap_or(u32::MAX));
+    (1.0 + further / first).log2()
 }
--- a/crates/woodladder-core/src/flow/log_event.rs
+++ b/crates/woodladder-core/src/flow/log_event.rs
@@ -196,6 +196,15 @@
         /// this balancer has heard; `None` if unknown.
         confirmed_ago: Option<Duration>,
     },
+    /// The balancer has given up a watch of the store, because no balancer had an answer of the
+    /// store for too long.
+    StoreWatchAbandoned {
+        /// Time for which the watch had waited.
+        waited: Duration,
+        /// Time since the store last confirmed the configuration to any balancer, as far as
+        /// this balancer has heard.
+        confirmed_ago: Option<Duration>,
+    },
     /// The purpose of the flow record in the store has changed.
     FlowRecording {
         /// What the record is needed for now.
--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -26,19 +26,37 @@
 /// The state that the store has confirmed with one answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OperatorState {
+    /// Time at which the state was the store's newest, as the answer proves it.
+    pub confirmed_at: Instant,
     /// The configuration, if the answer contained one.
     pub configuration: Option<Configuration>,
     /// All excluded zones.
     pub excluded_zones: ExcludedZones,
 }
 
+/// A call that waits for its answer.
+#[derive(Clone, Copy, Debug)]
+struct CallInFlight {
+    sent_at: Instant,
+    /// Time for which the store may hold the call; zero for a read.
+    wait: Duration,
+}
+
+impl CallInFlight {
+    /// Time at which a state without changes was the store's newest: an answer may be long on
+    /// its way.
+    fn confirmed_at(&self, now: Instant) -> Instant {
+        now.min(self.sent_at + self.wait)
+    }
+}
+
 /// Watches the state that the operators have written.
 #[derive(Clone, Debug)]
 pub struct ConfigurationWatch {
     revision: Option<u64>,
     excluded_zones: ExcludedZones,
     due_at: Instant,
-    is_in_flight: bool,
+    in_flight: Option<CallInFlight>,
     backoff: Backoff,
     heard_at: Option<Instant>,
     started_at: Instant,
@@ -52,7 +70,7 @@
             revision: None,
             excluded_zones: ExcludedZones::default(),
             due_at: now,
-            is_in_flight: false,
+            in_flight: None,
             backoff: Backoff::new(seed),
             heard_at: None,
             started_at: now,
@@ -68,7 +86,7 @@
     /// The next call; the caller passes its reply to [`Self::reply`]. `wait` limits how
     /// long the store may hold the call; `None` while the node need not watch.
     pub fn next(&mut self, wait: Option<Duration>, now: Instant) -> NextCall {
-        if self.is_in_flight {
+        if self.in_flight.is_some() {
             return NextCall::At(now + POLL_INTERVAL_IN_FLIGHT);
         }
         if now < self.due_at {
@@ -86,16 +104,26 @@
             };
             return NextCall::At(now + pause);
         };
-        self.is_in_flight = true;
-        NextCall::Now(match self.revision {
-            None => StoreCall::ReadConfiguration,
-            Some(after) => StoreCall::AwaitConfiguration { after, wait },
-        })
+        let (call, wait) = match self.revision {
+            None => (StoreCall::ReadConfiguration, Duration::ZERO),
+            Some(after) => (StoreCall::AwaitConfiguration { after, wait }, wait),
+        };
+        self.in_flight = Some(CallInFlight { sent_at: now, wait });
+        NextCall::Now(call)
+    }
+
+    /// Gives up the call in flight, whose reply is not awaited any more. The next call reads
+    /// the whole state and is due at once. Returns for how long the call had waited.
+    pub fn abandon(&mut self, now: Instant) -> Duration {
+        self.revision = None;
+        self.due_at = now;
+        let call = self.in_flight.take();
+        call.map_or(Duration::ZERO, |call| now.since(call.sent_at))
     }
 
     /// Handles a reply; returns the current state if the store has answered.
     pub fn reply(&mut self, reply: StoreReply, now: Instant) -> Option<OperatorState> {
-        self.is_in_flight = false;
+        let call = self.in_flight.take();
         match reply {
             StoreReply::OperatorState {
                 configuration,
@@ -112,7 +140,9 @@
                 };
                 let zones_differ = excluded_zones.zones != self.excluded_zones.zones;
                 self.excluded_zones.clone_from(&excluded_zones);
-                if !is_first && (configuration.is_some() || zones_differ) {
+                // A watch that finds a change is answered at once.
+                let is_change = !is_first && (configuration.is_some() || zones_differ);
+                if is_change {
                     self.due_at = now + self.backoff.randomize(PAUSE_AFTER_CHANGE);
                 }
                 if is_first && configuration.is_none() {
@@ -120,7 +150,12 @@
                     self.due_at = now + self.backoff.randomize(Duration::from_millis(100));
                 }
                 self.revision = Some(revision);
+                let confirmed_at = match call {
+                    Some(call) if !is_change => call.confirmed_at(now),
+                    _ => now,
+                };
                 Some(OperatorState {
+                    confirmed_at,
                     configuration,
                     excluded_zones,
                 })
--- a/crates/woodladder-core/tests/flow_fleet_size.rs
+++ b/crates/woodladder-core/tests/flow_fleet_size.rs
@@ -59,6 +59,7 @@
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
+        change_bound: Duration::from_secs(5),
     };
     let mut balancer = Balancer::new(options, at(0));
     balancer.adopt_store_configuration(configuration(1));
@@ -314,7 +315,7 @@
                         balancer.handle_message(from, message, None, at(10_000), &mut actions);
                     }
                     balancer.record_store_confirmation(at(10_000));
-                    balancer.store_watch_wait(at(now)).is_some()
+                    balancer.watches_store(at(now))
                 })
                 .count()
         };
--- a/crates/woodladder-core/tests/flow_small_balancers.rs
+++ b/crates/woodladder-core/tests/flow_small_balancers.rs
@@ -35,6 +35,7 @@
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
+        change_bound: Duration::from_secs(5),
     };
     let mut balancer = Balancer::new(options, at(0));
     balancer.adopt_store_configuration(configuration(1));
--- a/crates/woodladder-core/tests/flow_store_duty.rs
+++ b/crates/woodladder-core/tests/flow_store_duty.rs
@@ -8,14 +8,21 @@
 use flow_support::*;
 use woodladder_core::flow::balancer::{
     Balancer, BalancerAction, BalancerOptions, REGISTERED_BALANCERS, STORE_WATCHERS,
+    confirmation_limit,
 };
 use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
 use woodladder_core::flow::message::{BalancerHello, PeerMessage};
 
+/// Time within which a change must be in force.
+const CHANGE_BOUND: Duration = Duration::from_secs(5);
 /// Number of balancers in the fleet.
 const FLEET: u8 = 90;
 
 fn balancer_on(number: u8) -> Balancer {
+    balancer_bound_by(number, CHANGE_BOUND)
+}
+
+fn balancer_bound_by(number: u8, change_bound: Duration) -> Balancer {
     let options = BalancerOptions {
         address: node(number),
         zone: ZoneKey::named("a"),
@@ -24,6 +31,7 @@
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
+        change_bound,
     };
     Balancer::new(options, at(0))
 }
@@ -56,10 +64,39 @@
         .collect()
 }
 
+/// The balancers of a small deployment, which all have heard each other and a confirmation at
+/// `confirmed` milliseconds.
+fn small_deployment(balancers: u8, change_bound: Duration, confirmed: u64) -> Vec<Balancer> {
+    (1..=balancers)
+        .map(|number| {
+            let mut balancer = balancer_bound_by(number, change_bound);
+            balancer.adopt_store_configuration(configuration(1));
+            for other in (1..=balancers).filter(|other| *other != number) {
+                hear(&mut balancer, other, hello(1, None), confirmed);
+            }
+            balancer.record_store_confirmation(at(confirmed));
+            balancer
+        })
+        .collect()
+}
+
+/// Times at which the balancers give up the watches that they wait in, the earliest first, in
+/// milliseconds.
+fn deadlines(balancers: &[Balancer], now: u64) -> Vec<u128> {
+    let deadline = |balancer: &Balancer| balancer.store_watch_deadline(at(now));
+    let mut deadlines: Vec<u128> = balancers
+        .iter()
+        .filter_map(deadline)
+        .map(|deadline| deadline.since_origin().as_millis())
+        .collect();
+    deadlines.sort_unstable();
+    deadlines
+}
+
 fn watching(fleet: &[Balancer], now: u64) -> usize {
     fleet
         .iter()
-        .filter(|balancer| balancer.store_watch_wait(at(now)).is_some())
+        .filter(|balancer| balancer.watches_store(at(now)))
         .count()
 }
 
@@ -167,10 +204,10 @@
 #[test]
 fn a_balancer_whose_seeds_are_gone_asks_the_store() {
     let balancer = seeded(7, &[node(1), node(2)]);
-    assert!(balancer.store_watch_wait(at(100)).is_none());
-    assert!(balancer.store_watch_wait(at(600)).is_some());
+    assert!(!balancer.watches_store(at(100)));
+    assert!(balancer.watches_store(at(600)));
     let alone = seeded(7, &[]);
-    assert!(alone.store_watch_wait(at(0)).is_some());
+    assert!(alone.watches_store(at(0)));
 }
 
 /// After a power failure, the store's list still names the balancers that were
@@ -179,9 +216,9 @@
 fn a_balancer_in_the_stores_list_reads_the_configuration_at_once() {
     let mut balancer = seeded(7, &[node(1), node(2)]);
     balancer.add_listed_balancers(&[node(5), node(6)], at(10), &mut Vec::new());
-    assert!(balancer.store_watch_wait(at(10)).is_none());
+    assert!(!balancer.watches_store(at(10)));
     balancer.add_listed_balancers(&[node(5), node(7)], at(20), &mut Vec::new());
-    assert!(balancer.store_watch_wait(at(20)).is_some());
+    assert!(balancer.watches_store(at(20)));
 }
 
 #[test]
@@ -216,3 +253,73 @@
         Some(Duration::from_secs(1))
     );
 }
+
+/// Silence of the store was taken for "no change": watches waited on connections that carried
+/// nothing, and no watcher called the store anew.
+#[test]
+fn watchers_give_up_their_watches_in_turn_when_nobody_has_an_answer() {
+    for change_bound in [3000, 4000, 6000] {
+        let deployment = small_deployment(4, Duration::from_millis(change_bound), 10_000);
+        let deadlines = deadlines(&deployment, 10_100);
+        assert_eq!(deadlines.len(), 4);
+        assert!(deadlines[0] >= 11_500, "{deadlines:?}");
+        let last = deadlines[3] + 300;
+        assert!(last <= u128::from(10_000 + change_bound), "{deadlines:?}");
+        for pair in deadlines.windows(2) {
+            assert!(pair[0] < pair[1], "{deadlines:?}");
+        }
+    }
+}
+
+#[test]
+fn an_answer_to_any_balancer_keeps_the_other_watches_waiting() {
+    let mut deployment = small_deployment(4, CHANGE_BOUND, 10_000);
+    deployment.remove(2);
+    let before = deadlines(&deployment, 10_100);
+    for balancer in &mut deployment {
+        hear(balancer, 3, hello(1, Some(100)), 12_000);
+    }
+    let after = deadlines(&deployment, 12_000);
+    for (before, after) in before.iter().zip(&after) {
+        assert_eq!(after - before, 1900);
+    }
+}
+
+/// The watchers end their watches at different times, so that the age of the last answer
+/// stays well below the limit after a change, which ends all watches at once.
+#[test]
+fn the_answers_to_the_watchers_are_spread_over_a_common_period() {
+    const UNIX_TIME_MS: u64 = 1_700_000_000_000;
+    for (balancers, change_bound) in [(1, 3000), (2, 3000), (3, 3000), (4, 3000), (8, 5000)] {
+        let change_bound = Duration::from_millis(change_bound);
+        let limit = confirmation_limit(change_bound).as_millis();
+        let deployment = small_deployment(balancers, change_bound, 10_000);
+        for begin in (0..5000).step_by(130) {
+            let wait =
+                |balancer: &Balancer| balancer.store_watch_wait(UNIX_TIME_MS + begin, at(10_100));
+            let waits = deployment.iter().filter_map(wait);
+            let mut ends: Vec<u128> = waits.map(|wait| wait.as_millis()).collect();
+            ends.sort_unstable();
+            assert_eq!(ends.len(), usize::from(balancers));
+            let mut former = 0;
+            for end in ends {
+                assert!(end - former < limit - 300, "{balancers}: {former} {end}");
+                former = end;
+            }
+        }
+    }
+}
+
+/// A watch that ends a little early is not followed by a very short one.
+#[test]
+fn a_watch_waits_for_a_quarter_of_its_part_at_least() {
+    let deployment = small_deployment(3, Duration::from_secs(3), 10_000);
+    for balancer in &deployment {
+        for begin in 0..5000 {
+            let wait = balancer.store_watch_wait(begin, at(10_100));
+            let wait = wait.expect("it watches");
+            assert!(wait >= Duration::from_millis(310), "{wait:?}");
+            assert!(wait <= Duration::from_millis(4070), "{wait:?}");
+        }
+    }
+}
--- a/crates/woodladder-core/tests/flow_store_session.rs
+++ b/crates/woodladder-core/tests/flow_store_session.rs
@@ -308,3 +308,31 @@
         StoreCall::ReadConfiguration
     );
 }
+
+/// What a watch has missed while its connection was silent shows only in a read.
+#[test]
+fn a_watch_that_was_given_up_is_followed_by_a_read_at_once() {
+    let mut watch = ConfigurationWatch::new(1, at(0));
+    watch.next(WAIT, at(0));
+    watch.reply(configuration_reply(40), at(5));
+    let begin = waits_until(watch.next(WAIT, at(5)));
+    let begin = u64::try_from(begin.as_millis()).expect("a time of the test") + 1;
+    call(watch.next(WAIT, at(begin)));
+    assert_eq!(watch.abandon(at(begin + 2000)), Duration::from_secs(2));
+    assert_eq!(
+        call(watch.next(WAIT, at(begin + 2000))),
+        StoreCall::ReadConfiguration
+    );
+}
+
+/// An answer that is long on its way counted as confirmed when it arrived.
+#[test]
+fn an_answer_without_a_change_confirms_only_until_the_end_of_its_wait() {
+    let mut watch = ConfigurationWatch::new(1, at(0));
+    watch.next(WAIT, at(100));
+    let read = watch.reply(configuration_reply(40), at(340));
+    assert_eq!(read.map(|state| state.confirmed_at), Some(at(100)));
+    call(watch.next(WAIT, at(1000)));
+    let late = watch.reply(configuration_reply(40), at(7200));
+    assert_eq!(late.map(|state| state.confirmed_at), Some(at(6000)));
+}
--- a/crates/woodladder-core/tests/flow_support/mod.rs
+++ b/crates/woodladder-core/tests/flow_support/mod.rs
@@ -119,6 +119,7 @@
         flow_capacity: 1000,
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
+        change_bound: Duration::from_secs(5),
     };
     Balancer::new(options, at(0))
 }
@@ -133,6 +134,7 @@
         flow_capacity: 100_000,
         flow_retention: Duration::from_secs(30),
         flow_lifetime: Duration::from_secs(60),
+        change_bound: Duration::from_secs(5),
     };
     let mut balancer = Balancer::new(options, at(0));
     balancer.adopt_store_configuration(configuration(1));
--- a/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
+++ b/crates/woodladder-lab/src/flow_simulation/world/nodes.rs
@@ -12,6 +12,7 @@
             flow_capacity: 10_000,
             flow_retention: Duration::from_secs(30),
             flow_lifetime: Duration::from_secs(60),
+            change_bound: Duration::from_secs(5),
         };
         let mut balancer = Balancer::new(options, self.now);
         let mut actions = Vec::new();
--- a/crates/woodladder-lab/src/platform/node_process.rs
+++ b/crates/woodladder-lab/src/platform/node_process.rs
@@ -110,7 +110,8 @@
              port_range = [{PEER_PORT}, {PEER_PORT}]\nseeds = [{}]\n\
              metrics = \"{METRICS_PORT}/metrics\"\n{target}\
              [listen]\ndatagram_addr = \"{}\"\nready = \"{}\"\ncontrol = \"{}\"\n{outbound}\
-             [bounds]\ngrace_s = 6\nflow_ttl_s = 60\nwarmup_overage = 1.5\nwarmup_slack = 5\n\
+             [bounds]\nconfig_apply_ms = 3000\ncontact_ms = 4000\ngrace_s = 6\nflow_ttl_s = 60\n\
+             warmup_overage = 1.5\nwarmup_slack = 5\n\
              [limits]\ncpu_share = {}\n\
              [platform]\naddress = \"{store}\"\n",
             network.machine(machine),
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -27,7 +27,9 @@
 use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
 use woodladder_core::flow::message::PeerMessage;
 use woodladder_core::flow::packet::FlowPacket;
-use woodladder_core::flow::store_session::{BalancerDiscovery, BalancerRegistration};
+use woodladder_core::flow::store_session::{
+    BalancerDiscovery, BalancerRegistration, OperatorState,
+};
 
 use self::outgoing::OutgoingQueue;
 use crate::datagram_socket;
@@ -36,7 +38,7 @@
 use crate::packet_codec::PacketCodec;
 use crate::peer_transport::{COUNTERS_LOG_INTERVAL, PeerTransport};
 use crate::snapshot_exchange;
-use crate::store::{self, Store, StoreCallStats};
+use crate::store::{self, Store, StoreCallStats, WatchingNode};
 use crate::tick_timer::TickTimer;
 
 /// Pause between two checks of whether a balancer that shuts down may exit.
@@ -76,6 +78,8 @@
     pub flow_lifetime: Duration,
     /// Maximum duration of a planned stop.
     pub stop_timeout: Duration,
+    /// Time within which a change of the configuration must be in force at this balancer.
+    pub change_bound: Duration,
 }
 
 /// State that the tasks of a balancer process share.
@@ -110,6 +114,7 @@
             flow_capacity: FLOW_CAPACITY,
             flow_retention: config.flow_retention,
             flow_lifetime: config.flow_lifetime,
+            change_bound: config.change_bound,
         };
         Ok(Rc::new(Self {
             core: RefCell::new(Balancer::new(options, clock.now())),
@@ -198,28 +203,12 @@
         self: &Rc<Self>,
         store: impl Fn() -> S,
     ) -> (Rc<RefCell<BalancerRegistration>>, Rc<Notify>) {
-        let node = Rc::clone(self);
-        let wait_node = Rc::clone(self);
         spawn_local(store::watch_configuration(
             store(),
             random(),
             self.clock,
             Rc::clone(&self.store_stats),
-            move || {
-                wait_node
-                    .core
-                    .borrow()
-                    .store_watch_wait(wait_node.clock.now())
-            },
-            move |state| {
-                node.run_core(|core, now, _| {
-                    if let Some(configuration) = state.configuration {
-                        core.adopt_store_configuration(configuration.into());
-                    }
-                    core.adopt_store_exclusions(&state.excluded_zones);
-                    core.record_store_confirmation(now);
-                });
-            },
+            Rc::clone(self),
         ));
         let now = self.clock.now();
         let registration = Rc::new(RefCell::new(BalancerRegistration::new(random(), now)));
@@ -447,3 +436,28 @@
         *self.config.peer_address.ip()
     }
 }
+
+impl<C: PacketCodec + 'static> WatchingNode for Rc<BalancerNode<C>> {
+    fn watch_wait(&self) -> Option<Duration> {
+        let core = self.core.borrow();
+        core.store_watch_wait(self.clock.unix_time_ms(), self.clock.now())
+    }
+
+    fn watch_deadline(&self) -> Option<Instant> {
+        self.core.borrow().store_watch_deadline(self.clock.now())
+    }
+
+    fn adopt_state(&self, state: OperatorState) {
+        self.run_core(|core, _, _| {
+            if let Some(configuration) = state.configuration {
+                core.adopt_store_configuration(configuration.into());
+            }
+            core.adopt_store_exclusions(&state.excluded_zones);
+            core.record_store_confirmation(state.confirmed_at);
+        });
+    }
+
+    fn watch_abandoned(&self, waited: Duration) {
+        self.run_core(|core, now, _| core.record_abandoned_watch(waited, now));
+    }
+}
--- a/crates/woodladder-node/src/balancer/metrics.rs
+++ b/crates/woodladder-node/src/balancer/metrics.rs
@@ -76,6 +76,11 @@
                 "Resets because the recorded target does not hold the flow.",
                 counters.reset_holder_denied,
             ),
+            (
+                "store_watches_abandoned_total",
+                "Watches of the store that were given up because no balancer had an answer of the store for too long.",
+                counters.store_watches_abandoned,
+            ),
             (
                 "flow_record_writes_total",
                 "Flow records written to the store.",
@@ -234,7 +239,7 @@
                 wait.as_secs_f64(),
             );
         }
-        let watches_store = core.store_watch_wait(now).is_some();
+        let watches_store = core.watches_store(now);
         text.add_gauge(
             "watches_store",
             "1 when the balancer watches the store, otherwise 0.",
--- a/crates/woodladder-node/src/decision_log.rs
+++ b/crates/woodladder-node/src/decision_log.rs
@@ -295,6 +295,15 @@
                     "confirmed_ago_ms" => confirmed_ago.map(milliseconds),
                     "left_out" => left_out);
             }
+            LogEvent::StoreWatchAbandoned {
+                waited,
+                confirmed_ago,
+            } => {
+                warn!(log, "balancer: watch of the store given up"; "event" => event_name,
+                    "waited_ms" => milliseconds(*waited),
+                    "confirmed_ago_ms" => confirmed_ago.map(milliseconds),
+                    "left_out" => left_out);
+            }
             LogEvent::FlowRecording { need, balancers } => {
                 info!(log, "balancer: use of the flow record changed"; "event" => event_name,
                     "need" => ?need, "balancers" => balancers, "left_out" => left_out);
@@ -428,6 +437,7 @@
         LogEvent::AgentStopped { .. } => ("agent_stopped", Important),
         LogEvent::TargetReplaced { .. } => ("target_replaced", Important),
         LogEvent::StoreWatchChanged { .. } => ("store_duty", Important),
+        LogEvent::StoreWatchAbandoned { .. } => ("store_watch_abandoned", Important),
         LogEvent::FlowRecording { .. } => ("flow_recording", Important),
         LogEvent::FlowRecordRead { .. } => ("flow_record_read", Important),
         LogEvent::FlowRecordRefused { .. } => ("flow_record_refused", Important),
--- a/crates/woodladder-node/src/store.rs
+++ b/crates/woodladder-node/src/store.rs
@@ -18,35 +18,72 @@
 
 /// A session with the platform's store, which makes one call at a time.
 pub trait Store {
-    /// Makes a call. Implementations limit how long a call may take.
+    /// Makes a call. Implementations limit how long a call may take. When the future is
+    /// dropped before its end, the next call does not use the same connection.
     fn call(&mut self, call: StoreCall) -> impl Future<Output = StoreReply>;
 }
 
+/// The node whose configuration is watched.
+pub trait WatchingNode {
+    /// How long a watch call that is made now may wait; `None` while the node need not watch.
+    fn watch_wait(&self) -> Option<Duration>;
+
+    /// When a watch call that waits for its answer should be given up, as far as is known now.
+    fn watch_deadline(&self) -> Option<Instant>;
+
+    /// Handles each state that the store returns.
+    fn adopt_state(&self, state: OperatorState);
+
+    /// A watch call was given up after it had waited for `waited`.
+    fn watch_abandoned(&self, waited: Duration);
+}
+
 /// Keeps the configuration and the excluded zones up to date until the process ends.
-/// `watch_wait` returns how long one watch call may wait, or `None` while this node need
-/// not watch. `on_state` gets each state that the store returns.
 pub async fn watch_configuration(
     mut store: impl Store,
     seed: u64,
     clock: NodeClock,
     stats: Rc<StoreCallStats>,
-    watch_wait: impl Fn() -> Option<Duration>,
-    mut on_state: impl FnMut(OperatorState),
+    node: impl WatchingNode,
 ) {
     let mut watch = ConfigurationWatch::new(seed, clock.now());
     loop {
-        match watch.next(watch_wait(), clock.now()) {
-            NextCall::At(at) => sleep(at.since(clock.now())).await,
-            NextCall::Now(call) => {
-                stats.count_call(&call);
-                stats.watch_started_at.set(Some(clock.now()));
-                let reply = store.call(call).await;
-                stats.watch_started_at.set(None);
-                stats.record_reply(&reply);
-                if let Some(state) = watch.reply(reply, clock.now()) {
-                    on_state(state);
-                }
+        let call = match watch.next(node.watch_wait(), clock.now()) {
+            NextCall::At(at) => {
+                sleep(at.since(clock.now())).await;
+                continue;
             }
+            NextCall::Now(call) => call,
+        };
+        stats.count_call(&call);
+        stats.watch_started_at.set(Some(clock.now()));
+        let is_held = matches!(call, StoreCall::AwaitConfiguration { .. });
+        let reply = tokio::select! {
+            reply = store.call(call) => Some(reply),
+            () = watch_overdue(&node, clock), if is_held => None,
+        };
+        stats.watch_started_at.set(None);
+        let Some(reply) = reply else {
+            node.watch_abandoned(watch.abandon(clock.now()));
+            continue;
+        };
+        stats.record_reply(&reply);
+        if let Some(state) = watch.reply(reply, clock.now()) {
+            node.adopt_state(state);
+        }
+    }
+}
+
+/// Waits until a watch call should be given up.
+async fn watch_overdue(node: &impl WatchingNode, clock: NodeClock) {
+    /// Interval at which the deadline is determined again while there is none.
+    const DEADLINE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+    loop {
+        let now = clock.now();
+        match node.watch_deadline() {
+            Some(deadline) if deadline <= now => return,
+            Some(deadline) => sleep(deadline.since(now)).await,
+            None => sleep(DEADLINE_CHECK_INTERVAL).await,
         }
     }
 }
