An opening that no target has accepted follows its route when the route changes

What callers saw: a copy of an opening, sent after a new version had been used here, was offered to the service of the older version: run by the old service, or run with a dropped route. Copies are sent 200 and 600 ms after the first, and each is judged by the time at which it was sent; 250 ms after the effect of a version no machine may go back. An opening that waited here for a target, or was returned by one, was offered to the old service too, and where that had no target left the caller waited for up to 1.2 s for a refusal. Cause: the service of a flow was chosen by its first copy and kept, and the header of the later ones named the new version, so that the agents' check of the version did not see it either. Now each further copy, each return and each tick compares the service with the route in force. A service that the route still leads to is kept, also among weighted parts; otherwise the opening goes to the next service, or is reset at once when the route is dropped. What a target has accepted stays with it. As targets of both services may then accept copies of one opening, an acceptance names its service, and the flow's packets go out under that of the acceptance that the caller chooses: before, they would have named the wrong one.

--- a/crates/woodladder-core/src/flow/balancer/forwarding/established.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/established.rs
@@ -93,11 +93,12 @@
         }
         let presumed = awaited
             .filter(|_| accepted.is_empty() && !is_queued)
-            .map(|agent| (agent, None, 0));
+            .map(|agent| (self.service, agent, None, 0));
         let held = chosen_by_caller(accepted, acknowledgement)
-            .map(|it| (it.agent, it.incarnation, it.heartbeat))
+            .map(|it| (it.service, it.agent, it.incarnation, it.heartbeat))
             .or(presumed);
-        if let Some((agent, incarnation, heartbeat)) = held {
+        if let Some((service, agent, incarnation, heartbeat)) = held {
+            self.service = service;
             self.stage = Stage::Held {
                 agent,
                 incarnation,
--- a/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -1,6 +1,7 @@
 //! Routes new flows: the choice of service and target, and further attempts.
 
 use crate::clock::Instant;
+use crate::flow::balancer::forwarding::route_change::RouteChange;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
 use crate::flow::balancer::resets::OpeningRefusal;
 use crate::flow::balancer::{Balancer, BalancerAction, FlowEntry, Stage};
@@ -75,6 +76,11 @@
         bytes: &[u8],
         now: Instant,
     ) -> Option<Routing> {
+        match self.apply_route_change(packet.key) {
+            RouteChange::None => {}
+            RouteChange::Moved => return Some(self.offer_or_wait(packet, bytes, now)),
+            RouteChange::Dropped(reset) => return Some(reset),
+        }
         let entry = self.flows.touch(&packet.key)?;
         let service = entry.service;
         let repeat = match &mut entry.stage {
@@ -85,9 +91,9 @@
                 accepted,
                 ..
             } => match (accepted.last(), *awaited) {
-                (Some(acceptance), _) => Some(acceptance.agent),
+                (Some(acceptance), _) => Some((acceptance.service, acceptance.agent)),
                 (None, Some(agent)) if *is_queued && is_live(&self.directory, agent, now) => {
-                    Some(agent)
+                    Some((service, agent))
                 }
                 (None, Some(silent)) => {
                     // The agents that returned the opening may accept it now, so only
@@ -100,11 +106,11 @@
                 }
                 (None, None) => return Some(Routing::Drop(DropReason::NoTargetYet)),
             },
-            Stage::Held { agent, .. } => Some(*agent),
+            Stage::Held { agent, .. } => Some((service, *agent)),
             Stage::Searching(_) => return Some(Routing::Drop(DropReason::Ended)),
         };
         match repeat {
-            Some(agent) => {
+            Some((service, agent)) => {
                 let first_sent_at = packet.first_sent(now);
                 let terms = self.opening_terms(packet, service, first_sent_at, now);
                 Some(Routing::One {
@@ -253,13 +259,14 @@
         *awaited = None;
         tried.push(from);
         let is_exhausted = tried.len() >= MAXIMUM_TRIES;
-        let routing = match reason {
-            ReturnReason::Expired => {
+        let routing = match (self.apply_route_change(packet.key), reason) {
+            (RouteChange::Dropped(reset), _) => reset,
+            (_, ReturnReason::Expired) => {
                 self.promises.record_held_untried();
                 self.refuse_opening(packet)
             }
-            ReturnReason::StaleVersion => self.reopen_under_new_version(packet, bytes, now),
-            _ if is_exhausted => self.queue_for_target(packet, bytes),
+            (_, ReturnReason::StaleVersion) => self.reopen_under_new_version(packet, bytes, now),
+            (RouteChange::None, _) if is_exhausted => self.queue_for_target(packet, bytes),
             _ => self.offer_or_wait(packet, bytes, now),
         };
         self.push_actions(routing, bytes, actions);
--- a/crates/woodladder-core/src/flow/balancer/forwarding/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/waiting.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::flow::balancer::forwarding::route_change::RouteChange;
 use crate::flow::balancer::forwarding::routing::{DropReason, Routing};
 use crate::flow::balancer::{Balancer, BalancerAction, Stage};
 use crate::flow::log_event::LogEvent;
@@ -73,6 +74,10 @@
             let Some(first_sent_at) = self.waiting_since(&opening) else {
                 continue;
             };
+            if let RouteChange::Dropped(reset) = self.apply_route_change(opening.packet.key) {
+                self.push_actions(reset, &opening.bytes, actions);
+                continue;
+            }
             let age = now.since(first_sent_at);
             if self.is_too_late(&opening.packet, age) {
                 self.promises.record_held_untried();
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::super::directory::DirectoryChange;
-use super::super::identity::NodeAddress;
+use super::super::identity::{NodeAddress, ServiceKey};
 use super::super::log_event::LogEvent;
 use super::super::message::{PeerMessage, ReturnReason, TargetReport};
 use super::super::packet::{FlowPacket, PacketKind};
@@ -68,8 +68,12 @@
                 load,
             } => {
                 self.directory.update_load(from, load, now);
+                let Some(service) = self.service_of(from, &key) else {
+                    return;
+                };
                 let acceptance = Acceptance {
                     agent: from,
+                    service,
                     sequence,
                     incarnation,
                     heartbeat: load.last_heartbeat,
@@ -173,6 +177,14 @@
         }
     }
 
+    /// The service of an agent, or of the flow if the agent is not known; `None` if neither
+    /// is.
+    fn service_of(&self, agent: NodeAddress, key: &super::FlowKey) -> Option<ServiceKey> {
+        let record = self.directory.agent(agent);
+        let known = record.map(|record| record.service);
+        known.or_else(|| self.flows.peek(key).map(|entry| entry.service))
+    }
+
     fn handle_acceptance(&mut self, key: super::FlowKey, acceptance: Acceptance) {
         let Some(entry) = self.flows.touch(&key) else {
             return;
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -56,6 +56,8 @@
 #[derive(Clone, Debug)]
 struct Acceptance {
     agent: NodeAddress,
+    /// Service of the agent, which may be a former service of the flow's route.
+    service: ServiceKey,
     sequence: u32,
     incarnation: Option<Incarnation>,
     /// Number of the target's last heartbeat.
--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -56,6 +56,17 @@
     pub terms: RouteTerms,
 }
 
+impl Route {
+    /// Whether new flows to the route may go to a service. The weight of an only part does
+    /// not matter.
+    #[must_use]
+    pub fn leads_to(&self, service: ServiceKey) -> bool {
+        let is_only = self.parts.len() == 1;
+        let mut parts = self.parts.iter();
+        parts.any(|part| part.service == service && (is_only || part.weight > 0))
+    }
+}
+
 /// The operators' settings for the targets of a service.
 #[derive(BorshDeserialize, BorshSerialize, Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ServiceTerms {
