An opening returned for a newer version waits for that version instead of being dropped

What callers saw: an opening that an agent with a newer configuration had returned was never served: the balancer dropped it, and kept it in its table as under way with nobody awaited, so that the copies sent 200 and 600 ms later were dropped too, also after the version had arrived. While the return came before the agent's report of its version, the opening went back to the same agent at once, again and again. Cause: dropping was meant to leave the opening to the caller's next copy, but a copy of an opening without an awaited agent counts as one that waits in the queue. That the balancer is behind was decided by the records of all agents, dead ones included, and only by reports. Now the opening waits in the queue until a newer version is in force here, which a tick notices 25 ms later, and follows its route then. A return states the agent's version, and only live agents count. Where the version does not arrive, the opening is reset after 1.2 s like any that waits.

--- a/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -273,10 +273,10 @@
     }
 
     /// Handles an opening that was returned because the agent that received it has a
-    /// newer configuration. While any known agent has a newer version than this
-    /// balancer, that version is being fetched and the opening is dropped. Otherwise, as
-    /// when the newer version has arrived here meanwhile, the opening is routed again
-    /// under the version in force here.
+    /// newer configuration. While a live agent has a newer version than this balancer, that
+    /// version is being fetched and the opening waits for it. Otherwise, as when the newer
+    /// version has arrived here meanwhile, the opening is routed again under the version in
+    /// force here.
     fn reopen_under_new_version(
         &mut self,
         packet: &FlowPacket,
@@ -287,9 +287,9 @@
         let is_behind = self
             .directory
             .agents()
-            .any(|record| record.version > version);
+            .any(|record| record.version > version && record.is_live(now));
         if is_behind {
-            return Routing::Drop(DropReason::NoConfiguration);
+            return self.queue_for_newer_version(packet, bytes);
         }
         self.route_first_opening(packet, bytes, now)
     }
--- a/crates/woodladder-core/src/flow/balancer/forwarding/waiting.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/waiting.rs
@@ -1,9 +1,12 @@
-//! Openings that wait for a target with a free slot.
+//! Openings that wait for a target with a free slot, or for a newer configuration.
 //!
 //! While every target of a service is full, or none is known yet, openings wait here
 //! and not at the targets, so nothing of them has been executed. The newest are served
 //! first, because they can still be answered in time. An opening that has waited too
 //! long, or that finds the queue full, is refused at once.
+//!
+//! An opening that an agent with a newer configuration has returned waits until that
+//! configuration is in force here.
 
 use std::time::Duration;
 
@@ -19,21 +22,47 @@
 const MAXIMUM_WAITING_OPENINGS: usize = 2048;
 /// Maximum time that an opening waits. The caller's attempt ends soon after.
 const MAXIMUM_WAIT: Duration = Duration::from_millis(1200);
-/// An opening that waits for a target.
+
+/// What an opening waits for.
+#[derive(Clone, Copy, Debug)]
+enum AwaitedCondition {
+    /// A target with a free slot.
+    Target,
+    /// A configuration with a greater version.
+    VersionAfter(u64),
+}
+
+/// An opening that waits at this balancer.
 #[derive(Clone, Debug)]
 pub(crate) struct WaitingOpening {
     packet: FlowPacket,
     bytes: Vec<u8>,
+    condition: AwaitedCondition,
 }
 
 impl Balancer {
-    /// Number of openings that wait for a target.
+    /// Number of openings that wait for a target or for a newer configuration.
     #[must_use]
     pub fn waiting_opening_count(&self) -> usize {
         self.waiting_openings.len()
     }
 
     pub(crate) fn queue_for_target(&mut self, packet: &FlowPacket, bytes: &[u8]) -> Routing {
+        self.queue_opening(packet, bytes, AwaitedCondition::Target)
+    }
+
+    /// Queues an opening until a newer configuration than the present one is in force.
+    pub(crate) fn queue_for_newer_version(&mut self, packet: &FlowPacket, bytes: &[u8]) -> Routing {
+        let condition = AwaitedCondition::VersionAfter(self.routes.version());
+        self.queue_opening(packet, bytes, condition)
+    }
+
+    fn queue_opening(
+        &mut self,
+        packet: &FlowPacket,
+        bytes: &[u8],
+        condition: AwaitedCondition,
+    ) -> Routing {
         let Some(entry) = self.flows.touch(&packet.key) else {
             return Routing::Drop(DropReason::Ended);
         };
@@ -57,12 +86,13 @@
         self.waiting_openings.push(WaitingOpening {
             packet: *packet,
             bytes: bytes.to_vec(),
+            condition,
         });
         Routing::Drop(DropReason::NoTargetYet)
     }
 
     /// Offers the waiting openings, newest first, to targets that have free slots by
-    /// now.
+    /// now, unless they wait for a newer configuration.
     pub(crate) fn offer_waiting_openings(
         &mut self,
         now: Instant,
@@ -88,7 +118,7 @@
                 self.push_actions(routing, &opening.bytes, actions);
                 continue;
             }
-            match self.offer(&opening.packet, now) {
+            match self.offer_waiting_opening(&opening, now) {
                 Some(routing) => self.push_actions(routing, &opening.bytes, actions),
                 None => remaining.push(opening),
             }
@@ -97,6 +127,13 @@
         self.waiting_openings = remaining;
     }
 
+    fn offer_waiting_opening(&mut self, opening: &WaitingOpening, now: Instant) -> Option<Routing> {
+        match opening.condition {
+            AwaitedCondition::VersionAfter(version) if self.routes.version() <= version => None,
+            _ => self.offer(&opening.packet, now),
+        }
+    }
+
     /// Whether no target can answer an opening of this age in time for its caller.
     fn is_too_late(&self, packet: &FlowPacket, age: Duration) -> bool {
         let Some(entry) = self.flows.peek(&packet.key) else {
--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -49,6 +49,7 @@
             } => {
                 self.adopt_excluded_zones(&excluded_zones, Some(from));
                 self.directory.update_load(from, load, now);
+                self.directory.record_version(from, version);
                 if let Some(zone) = self.directory.agent(from).map(|record| record.zone) {
                     self.handle_version(from, zone, version, now, actions);
                 }
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -249,6 +249,13 @@
         }
     }
 
+    /// Records a configuration version that an agent has stated outside its reports.
+    pub fn record_version(&mut self, address: NodeAddress, version: u64) {
+        if let Some(record) = self.agents.get_mut(&address) {
+            record.version = record.version.max(version);
+        }
+    }
+
     /// Records that an agent has sent a message, which shows that it is alive.
     pub fn record_contact(&mut self, address: NodeAddress, now: Instant) {
         if let Some(record) = self.agents.get_mut(&address) {
--- a/crates/woodladder-core/tests/flow_route_changes.rs
+++ b/crates/woodladder-core/tests/flow_route_changes.rs
@@ -100,10 +100,19 @@
 }
 
 fn return_opening(balancer: &mut Balancer, reason: ReturnReason) -> Vec<BalancerAction> {
+    return_opening_under(balancer, reason, 1)
+}
+
+/// The agent returns the opening, and states the version of its configuration.
+fn return_opening_under(
+    balancer: &mut Balancer,
+    reason: ReturnReason,
+    version: u64,
+) -> Vec<BalancerAction> {
     let returned = PeerMessage::Returned {
         reason,
         load: TargetLoad::default(),
-        version: 1,
+        version,
         excluded_zones: ExcludedZones::default(),
     };
     let packet = opening(flow(1), 0);
@@ -262,3 +271,58 @@
     assert!(has_reset(&actions), "{actions:?}");
     assert_eq!(balancer.waiting_opening_count(), 0);
 }
+
+/// An opening that an agent with a newer version had returned was dropped, and so were all
+/// further copies of it after the version had arrived.
+#[test]
+fn an_opening_returned_for_a_newer_version_is_handled_once_that_version_arrives() {
+    for (next, is_dropped) in [(moved(), false), (dropped(), true)] {
+        let mut balancer = balancer_with(&[OLD_AGENT, NEW_AGENT]);
+        offer(&mut balancer, 1);
+        let stale = ReturnReason::StaleVersion;
+        let actions = return_opening_under(&mut balancer, stale, NEXT_VERSION);
+        assert!(forwarded(&actions).is_empty(), "{actions:?}");
+        let mut actions = Vec::new();
+        balancer.tick(at(10_125), &mut actions);
+        assert!(forwarded(&actions).is_empty(), "{actions:?}");
+        balancer.adopt_store_configuration(next);
+        balancer.tick(at(10_150), &mut actions);
+        assert_eq!(has_reset(&actions), is_dropped, "{actions:?}");
+        assert_eq!(forwarded(&actions).is_empty(), is_dropped, "{actions:?}");
+    }
+}
+
+/// Where the version does not arrive, callers were left without an answer.
+#[test]
+fn an_opening_returned_for_a_newer_version_that_does_not_arrive_is_refused() {
+    let mut balancer = balancer_with(&[OLD_AGENT]);
+    offer(&mut balancer, 1);
+    return_opening_under(&mut balancer, ReturnReason::StaleVersion, NEXT_VERSION);
+    let mut actions = Vec::new();
+    balancer.tick(at(11_100), &mut actions);
+    assert!(!has_reset(&actions), "{actions:?}");
+    balancer.tick(at(11_300), &mut actions);
+    assert!(has_reset(&actions), "{actions:?}");
+}
+
+/// A silent agent that had reported a newer version kept all returned openings from targets.
+#[test]
+fn a_returned_opening_does_not_wait_for_the_version_of_a_silent_agent() {
+    let mut balancer = balancer_with(&[OLD_AGENT]);
+    let ahead = TargetReport {
+        version: NEXT_VERSION + 1,
+        ..report_of(4, 1)
+    };
+    deliver_report(&mut balancer, 4, &ahead, at(7_000));
+    offer(&mut balancer, 1);
+    balancer.adopt_store_configuration(configuration(NEXT_VERSION));
+    deliver_report(
+        &mut balancer,
+        OLD_AGENT,
+        &report_of(OLD_AGENT, 2),
+        at(10_090),
+    );
+    let stale = ReturnReason::StaleVersion;
+    let actions = return_opening_under(&mut balancer, stale, NEXT_VERSION);
+    assert_eq!(forwarded(&actions), [node(OLD_AGENT)]);
+}
