A small balancer relays openings only to larger ones with the newest version of the configuration

What callers saw: openings at one small balancer followed a new version of the configuration and, up to the moment at which the last larger balancer had adopted it, the older one again, because each opening goes to one of them by a hash. For callers this is one machine that goes back. Cause: the receivers were chosen by size and liveness alone; the version that each states in its hellos was not looked at. Evidence: a new test of flow_small_balancers on the code without the fix: after one of two receivers has stated version 2, openings go to both. Now openings go to the receivers that have stated the newest version, by the same hash; the others get openings again once they state it too. Packets of open flows keep their receiver, which has the flow in its table; a flow opened in between is located by a search, as after any change of the receivers. Where the only receiver with the newest version ends, openings go to an older one, as before. Both new tests pass, with the others of the file and of flow_unequal_links.

--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -122,7 +122,7 @@
     /// Load and limits of the machine's link; `None` when its rate is not known.
     link: Option<LinkLoadControl>,
     /// Larger balancers that this one relays callers' packets to.
-    relay_receivers: Vec<NodeAddress>,
+    relay_receivers: forwarding::relay::RelayReceivers,
     /// Smaller balancers of the zone that relay their packets to this one.
     relaying_members: Vec<NodeAddress>,
     flows: FlowTable<FlowEntry>,
@@ -226,7 +226,7 @@
             peers: BalancerPeers::default(),
             zone_members: ZoneMembers::default(),
             link: options.link_rate_kbps.map(LinkLoadControl::new),
-            relay_receivers: Vec::new(),
+            relay_receivers: forwarding::relay::RelayReceivers::default(),
             relaying_members: Vec::new(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
             log_events: LogEventBuffer::default(),
@@ -449,7 +449,7 @@
         bytes: &[u8],
         now: Instant,
     ) -> Routing {
-        match self.relay_receiver(packet.key) {
+        match self.relay_receiver(packet) {
             Some(receiver) => self.relay(receiver),
             None => self.route_packet(packet, bytes, now),
         }
--- a/crates/woodladder-core/src/flow/peers.rs
+++ b/crates/woodladder-core/src/flow/peers.rs
@@ -217,6 +217,12 @@
         }
     }
 
+    /// Version of the configuration that a balancer stated last; zero if it has stated none.
+    #[must_use]
+    pub fn version(&self, address: NodeAddress) -> u64 {
+        self.records.get(&address).map_or(0, |it| it.version)
+    }
+
     /// Whether a balancer is known.
     #[must_use]
     pub fn knows(&self, address: NodeAddress) -> bool {
--- a/crates/woodladder-core/tests/flow_small_balancers.rs
+++ b/crates/woodladder-core/tests/flow_small_balancers.rs
@@ -3,6 +3,7 @@
 
 mod flow_support;
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use flow_support::*;
@@ -216,3 +217,48 @@
     members.tick(at(50_001));
     assert!(members.is_empty());
 }
+
+/// Openings at one small balancer went to two large ones, of which only one had adopted a new
+/// version: the small balancer's callers saw the newer version and then the older one again.
+#[test]
+fn openings_are_relayed_to_the_receivers_with_the_newest_configuration() {
+    let mut balancer = small_balancer();
+    let newer = |zone| BalancerHello {
+        version: 2,
+        ..hello(zone, LARGE)
+    };
+    let receivers = |balancer: &mut Balancer| -> BTreeSet<NodeAddress> {
+        let ports = 1..=50;
+        let relayed = ports.map(|port| {
+            let packet = opening(flow(port), 0);
+            relay_receiver(&deliver_caller_packet(balancer, &packet, at(10_110)))
+        });
+        relayed.collect()
+    };
+    assert_eq!(receivers(&mut balancer), BTreeSet::from([node(2), node(3)]));
+    hear(&mut balancer, 3, newer("a"), 10_050);
+    tick(&mut balancer, 10_050);
+    assert_eq!(receivers(&mut balancer), BTreeSet::from([node(3)]));
+    hear(&mut balancer, 2, newer("a"), 10_100);
+    tick(&mut balancer, 10_100);
+    assert_eq!(receivers(&mut balancer), BTreeSet::from([node(2), node(3)]));
+}
+
+/// The receiver of a flow's packets has the flow in its table, whatever its version is.
+#[test]
+fn packets_of_open_flows_keep_their_receiver_while_the_versions_of_receivers_differ() {
+    let mut balancer = small_balancer();
+    let receiver = |balancer: &mut Balancer, port| {
+        let routing = deliver_caller_packet(balancer, &data(flow(port), 1001, 5001), at(10_060));
+        relay_receiver(&routing)
+    };
+    let before: Vec<NodeAddress> = (1..=50).map(|port| receiver(&mut balancer, port)).collect();
+    let newer = BalancerHello {
+        version: 2,
+        ..hello("a", LARGE)
+    };
+    hear(&mut balancer, 3, newer, 10_050);
+    tick(&mut balancer, 10_050);
+    let after: Vec<NodeAddress> = (1..=50).map(|port| receiver(&mut balancer, port)).collect();
+    assert_eq!(before, after);
+}
