A balancer does not confirm its configuration while the store's newest one cannot be read

What callers saw: nothing yet; found by looking for other ways into "an added route is not served". A balancer that could not read the newest document went on with the older version, as it should, but told all others with every answer of the store that this version was confirmed as the newest. Balancers that only listen then never ask the store, also where they could read the document, as while two releases of the program run side by side. Cause: an answer without a usable configuration counted like one without a change. Evidence: two of three tests of unreadable_configuration fail when every answer confirms, as before: the age of the confirmation is 0 s instead of 1 s after a document of version 8 that has no readable route, and a starting balancer without any configuration has one confirmed. Now an answer states whether the newest configuration can be read, the watch remembers it until the next one, and only then is the time handed on as a confirmation. What is readable is adopted as before. The balancer's own deadline for silent connections counts any answer, so that a watch after an unreadable document waits as long as any other (third test); balancers that do not watch begin to watch meanwhile. The decision moves from the node into the core.

--- a/crates/woodladder-core/tests/flow_zone_exploration.rs
+++ b/crates/woodladder-core/tests/flow_zone_exploration.rs
@@ -189,6 +189,7 @@
         };
         StoreReply::OperatorState {
             configuration: None,
+            has_unreadable_configuration: false,
             zones,
             revision: self.revision,
         }
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -448,13 +448,7 @@
     }
 
     fn adopt_state(&self, state: OperatorState) {
-        self.run_core(|core, _, _| {
-            if let Some(configuration) = state.configuration {
-                core.adopt_store_configuration(configuration.into());
-            }
-            core.adopt_store_exclusions(&state.excluded_zones);
-            core.record_store_confirmation(state.confirmed_at);
-        });
+        self.run_core(|core, _, _| core.adopt_operator_state(state));
     }
 
     fn watch_abandoned(&self, waited: Duration) {
