--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -122,7 +122,7 @@
     /// Load and limits of the machine's link; `None` when its rate is not known.
     link: Option<LinkLoadControl>,
     /// Larger balancers that this one relays callers' packets to.
-    relay_receivers: Vec<NodeAddress>,
+    relay_receivers: forwarding::relay::RelayReceivers,
     /// Smaller balancers of the zone that relay their packets to this one.
     relaying_members: Vec<NodeAddress>,
     flows: FlowTable<FlowEntry>,
@@ -140,6 +140,8 @@
     /// When the store last confirmed the configuration, to this balancer or to another
     /// one whose confirmation was stated in a hello.
     configuration_confirmed_at: Option<Instant>,
+    /// When the store last answered this balancer's watch, whatever it answered.
+    store_answered_at: Option<Instant>,
     /// A configuration version newer than the one in force here, and when the store
     /// confirmed that version, as stated in another balancer's hello.
     newer_version_confirmation: Option<(u64, Instant)>,
@@ -226,7 +228,7 @@
             peers: BalancerPeers::default(),
             zone_members: ZoneMembers::default(),
             link: options.link_rate_kbps.map(LinkLoadControl::new),
-            relay_receivers: Vec::new(),
+            relay_receivers: forwarding::relay::RelayReceivers::default(),
             relaying_members: Vec::new(),
             flows: FlowTable::new(options.flow_capacity, options.flow_retention),
             log_events: LogEventBuffer::default(),
@@ -238,6 +240,7 @@
             peer_hello_round: 0,
             balancers_in_hellos: Vec::new(),
             configuration_confirmed_at: None,
+            store_answered_at: None,
             newer_version_confirmation: None,
             was_watching_store: false,
             has_seeds: false,
@@ -449,7 +452,7 @@
         bytes: &[u8],
         now: Instant,
     ) -> Routing {
-        match self.relay_receiver(packet.key) {
+        match self.relay_receiver(packet) {
             Some(receiver) => self.relay(receiver),
             None => self.route_packet(packet, bytes, now),
         }
