After a call to the store without a response, the client uses new connections

A node whose client had kept several connections to the key-value service lost one call after the other when they went silent together, 4 s each with a growing pause between them. That a change then takes longer than 11 s at a node that only the service tells is inferred from these times and was not measured. Cause: the client dropped only the connection of the call that had timed out and took the next kept one for a working one. Now a call without a response replaces the client, and with it all connections that it had kept. Calls under way keep theirs. Calls to the service do not rise: a new connection takes the place of a silent one.

--- a/crates/woodladder-core/tests/control_simulation/mod.rs
+++ b/crates/woodladder-core/tests/control_simulation/mod.rs
@@ -5,3 +5,4 @@
 pub mod fixture;
 pub mod network;
 pub mod store;
+pub mod store_connections;
--- a/crates/woodladder-core/tests/control_simulation/network.rs
+++ b/crates/woodladder-core/tests/control_simulation/network.rs
@@ -22,6 +22,7 @@
 
 use super::fixture;
 use super::store::Store;
+use super::store_connections::{Call, SilenceCount, StoreConnections};
 
 /// Faults of the network.
 #[derive(Clone, Copy, Debug)]
@@ -49,6 +50,7 @@
     /// installed roll.
     pub routing_table: Option<Arc<RoutingTable>>,
     pub paused_until: Instant,
+    store_connections: StoreConnections,
     wake_at: Instant,
 }
 
@@ -56,7 +58,8 @@
     Wake,
     Message(SocketAddr, Box<ControlMessage>),
     StoreAnswer(StoreRequestId, StoreAnswer),
-    StoreRequest(StoreRequestId, StoreOperation),
+    StoreRequest(StoreRequestId, StoreOperation, Call),
+    NoStoreAnswer(StoreRequestId),
 }
 
 struct ScheduledDelivery {
@@ -79,6 +82,7 @@
     pub partitioned_pair: Option<(usize, usize)>,
     /// Whether agents announce their targets.
     pub agents_announce_targets: bool,
+    store_silences: SilenceCount,
     started_runs: u64,
     random: ChaCha8Rng,
     queue: BinaryHeap<Reverse<ScheduledDelivery>>,
@@ -129,6 +133,7 @@
             partitioned_at: None,
             partitioned_pair: None,
             agents_announce_targets: false,
+            store_silences: SilenceCount::default(),
             started_runs: 0,
             random: ChaCha8Rng::seed_from_u64(seed),
             queue: BinaryHeap::new(),
@@ -169,6 +174,7 @@
             installed: Vec::new(),
             routing_table: None,
             paused_until: Instant::ORIGIN,
+            store_connections: StoreConnections::default(),
             wake_at: Instant::ORIGIN,
         });
         self.event(index, ReplicaEvent::Tick);
@@ -180,6 +186,7 @@
         let replica = self.replica(index, tuning);
         self.nodes[index].replica = replica;
         self.nodes[index].installed.clear();
+        self.nodes[index].store_connections = StoreConnections::default();
         self.nodes[index].down = false;
         self.event(index, ReplicaEvent::Tick);
     }
@@ -223,6 +230,11 @@
         true
     }
 
+    /// Connections to the store that are open now carry nothing any more. New ones work.
+    pub fn silence_store_connections(&mut self) {
+        self.store_silences.0 += 1;
+    }
+
     pub fn all_have_in_force(&self, sequence: Sequence) -> bool {
         let up = self.nodes.iter().filter(|node| !node.down);
         up.clone().all(|node| node.replica.sequence() == sequence)
@@ -289,8 +301,13 @@
             Delivery::StoreAnswer(request, answer) => {
                 self.event(due.node, ReplicaEvent::StoreAnswer { request, answer });
             }
-            Delivery::StoreRequest(request, operation) => {
-                self.ask_store(due.node, request, operation);
+            Delivery::StoreRequest(request, operation, call) => {
+                self.ask_store(due.node, request, operation, call);
+            }
+            Delivery::NoStoreAnswer(request) => {
+                self.nodes[due.node].store_connections.record_no_answer();
+                let answer = StoreAnswer::Unknown;
+                self.event(due.node, ReplicaEvent::StoreAnswer { request, answer });
             }
         }
     }
@@ -299,7 +316,9 @@
         match action {
             ReplicaAction::Send { to, message } => self.send(index, to, message),
             ReplicaAction::Store { request, operation } => {
-                self.ask_store(index, request, operation)
+                let connections = &mut self.nodes[index].store_connections;
+                let call = connections.call(self.store_silences, self.now);
+                self.ask_store(index, request, operation, call);
             }
             ReplicaAction::Install(installed) => {
                 self.nodes[index].installed.push(installed.sequence());
@@ -311,16 +330,30 @@
         }
     }
 
-    fn ask_store(&mut self, index: usize, request: StoreRequestId, operation: StoreOperation) {
-        if self.store.blocks(&operation) {
+    fn ask_store(
+        &mut self,
+        index: usize,
+        request: StoreRequestId,
+        operation: StoreOperation,
+        call: Call,
+    ) {
+        if call.is_silent(self.store_silences) {
+            let expires_at = call.expires_at(&operation);
+            self.push(expires_at, index, Delivery::NoStoreAnswer(request));
+            return;
+        }
+        if self.store.blocks(&operation) && call.may_be_held(self.now) {
             let later = self.now + Duration::from_millis(200);
-            self.push(later, index, Delivery::StoreRequest(request, operation));
+            let again = Delivery::StoreRequest(request, operation, call);
+            self.push(later, index, again);
             return;
         }
         let answer = self.store.answer(&operation);
         if self.store.loses_answers {
             return;
         }
+        let connections = &mut self.nodes[index].store_connections;
+        connections.record_answer(call, self.now);
         let delay = self.delay() * 2;
         self.push(
             self.now + delay,
--- a/crates/woodladder-lab/src/demo/wiring.rs
+++ b/crates/woodladder-lab/src/demo/wiring.rs
@@ -136,6 +136,14 @@
         }
     }
 
+    /// Connections of a path that are open now carry nothing any more and are not closed. New
+    /// ones work.
+    pub fn silence_open_connections(&self, path: FaultPath) {
+        if let Some(proxy) = self.proxies.get(&path) {
+            proxy.silence_open_connections();
+        }
+    }
+
     /// Datagrams lost on purpose so far, on all paths.
     #[must_use]
     pub fn lost_datagrams(&self) -> u64 {
--- a/crates/woodladder/src/store/consul.rs
+++ b/crates/woodladder/src/store/consul.rs
@@ -13,12 +13,12 @@
 use http::{Method, StatusCode};
 use serde::Deserialize;
 use slog::{Logger, debug};
-use volo_http::client::Client;
 use woodladder_core::control::store_operation::{
     MAXIMUM_STORED_VALUE_LENGTH, StoreAnswer, StoreIndex, StoreKey, StoreOperation,
 };
 
-use super::http::{Request, Response, build_client, send};
+use super::connections::Connections;
+use super::http::{Request, Response, send};
 use super::{ServiceError, Store};
 
 /// Time limit for the response to a request that does not block.
@@ -28,7 +28,7 @@
 
 /// Client of a key-value service that speaks Consul's HTTP interface.
 pub struct ConsulStore {
-    client: Client,
+    connections: Connections,
     addresses: Vec<SocketAddr>,
     /// Index of the address to try first, modulo the number of addresses.
     preferred_index: AtomicUsize,
@@ -51,7 +51,7 @@
     /// [`ServiceError::Unreachable`] when the HTTP client cannot be built.
     pub fn new(addresses: Vec<SocketAddr>, logger: Logger) -> Result<Self, ServiceError> {
         Ok(Self {
-            client: build_client()?,
+            connections: Connections::new()?,
             addresses,
             preferred_index: AtomicUsize::new(0),
             response_timeout: RESPONSE_TIMEOUT,
@@ -114,11 +114,15 @@
         let mut last_error = ServiceError::Unreachable("no address".to_owned());
         for offset in 0..self.addresses.len() {
             let index = start.wrapping_add(offset) % self.addresses.len();
-            match send(&self.client, self.addresses[index], request).await {
+            let client = self.connections.client();
+            match send(&client, self.addresses[index], request).await {
                 Err(ServiceError::Unreachable(reason)) => {
                     last_error = ServiceError::Unreachable(reason);
                 }
                 result => {
+                    if let Err(ServiceError::NoResponse(_)) = &result {
+                        self.connections.replace(&client);
+                    }
                     self.update_preferred(index, &result);
                     return result;
                 }
--- a/crates/woodladder/src/store/mod.rs
+++ b/crates/woodladder/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! Clients of the platform's services: the key-value service and the machine
 //! list.
 
+mod connections;
 mod consul;
 mod http;
 mod machine_list;
