--- a/crates/woodladder-core/tests/flow_store_duty.rs
+++ b/crates/woodladder-core/tests/flow_store_duty.rs
@@ -15,6 +15,8 @@
 
 /// Time within which a change must be in force.
 const CHANGE_BOUND: Duration = Duration::from_secs(5);
+/// Longest wait of a watch, as the operators' page states it.
+const LONGEST_WATCH: Duration = Duration::from_millis(5500);
 /// Number of balancers in the fleet.
 const FLEET: u8 = 90;
 
@@ -323,3 +325,22 @@
         }
     }
 }
+
+/// Guards against a watch on a silent connection that goes on for longer than the pages say while
+/// the other watches are answered.
+#[test]
+fn a_watch_waits_for_its_period_and_a_quarter_of_a_part_at_most() {
+    let mut longest = Duration::ZERO;
+    for balancers in 1..=10 {
+        for change_bound in [3_000, 5_000, 30_000].map(Duration::from_millis) {
+            let deployment = small_deployment(balancers, change_bound, 10_000);
+            for unix_time_ms in (0..20_000).step_by(10) {
+                let wait =
+                    |balancer: &Balancer| balancer.store_watch_wait(unix_time_ms, at(10_100));
+                longest = longest.max(deployment.iter().filter_map(wait).max().expect("watchers"));
+            }
+        }
+    }
+    println!("figures: {longest:?}");
+    assert!(longest < LONGEST_WATCH);
+}
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -18,6 +18,7 @@
 mod oracle;
 mod probe;
 mod router;
+mod silence_course;
 mod site;
 mod site_targets;
 mod soak;
@@ -41,6 +42,7 @@
     LeavingCourse, LeavingCourseOptions, LeavingCourseReport, run_leaving_course,
 };
 pub use oracle::{Oracle, Violation};
+pub use silence_course::{SilenceCourseOptions, SilenceCourseReport, run_silence_course};
 pub use site::SiteError;
 pub use soak::{SoakCourse, SoakOptions, soak};
 pub use soak_plan::{Strike, StrikeKind, leavings, leavings_under_kills, plan, planned_stops};
--- a/crates/woodladder-lab/src/platform/store_state.rs
+++ b/crates/woodladder-lab/src/platform/store_state.rs
@@ -54,6 +54,10 @@
     pub calls: u64,
     /// Prefix of keys that are lost although their writes were acknowledged.
     pub lost_prefix: Option<&'static str>,
+    /// Leases that ended without having been revoked.
+    pub lapsed_leases: u64,
+    /// Longest time between two renewals of one lease.
+    pub longest_renewal_gap: Duration,
     revision: u64,
     entries: BTreeMap<String, Entry>,
     history: VecDeque<Change>,
@@ -145,7 +149,10 @@
     pub fn renew(&mut self, lease: u64) -> Option<Duration> {
         self.end_leases();
         let lease = self.leases.get_mut(&lease)?;
-        lease.ends_at = Instant::now() + lease.lifetime;
+        let ends_at = Instant::now() + lease.lifetime;
+        let gap = ends_at.duration_since(lease.ends_at);
+        self.longest_renewal_gap = self.longest_renewal_gap.max(gap);
+        lease.ends_at = ends_at;
         Some(lease.lifetime)
     }
 
@@ -163,6 +170,7 @@
             .filter(|(_, lease)| lease.ends_at <= now)
             .map(|(lease, _)| *lease)
             .collect();
+        self.lapsed_leases += u64::try_from(ended.len()).unwrap_or(0);
         self.leases.retain(|lease, _| !ended.contains(lease));
         self.drop_entries_of(&ended);
     }
--- a/crates/woodladder-node/tests/snapshot_exchange.rs
+++ b/crates/woodladder-node/tests/snapshot_exchange.rs
@@ -1,6 +1,7 @@
 //! Snapshot transfer over TCP connections on loopback.
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{LocalSet, spawn_local};
@@ -12,6 +13,9 @@
     wants_nodes: true,
 };
 
+/// Longest time for which a connection that carries nothing may hold up a node.
+const SILENCE_LIMIT: Duration = Duration::from_secs(1);
+
 async fn bind_listener() -> (TcpListener, SocketAddrV4) {
     let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
     let listener = TcpListener::bind(any).await.expect("a port");
@@ -50,3 +54,38 @@
         })
         .await;
 }
+
+/// Guards against a node that waits for a snapshot on a connection that carries nothing.
+#[tokio::test]
+async fn a_silent_connection_costs_a_fetch_no_more_than_its_time_limit() {
+    let (listener, address) = bind_listener().await;
+    let since = Instant::now();
+    let (fetched, accepted) = tokio::join!(fetch(address, REQUEST), listener.accept());
+    let error = fetched.expect_err("no answer");
+    assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
+    assert!(since.elapsed() < SILENCE_LIMIT);
+    drop(accepted);
+}
+
+/// Guards against silent connections that keep a node from answering others.
+#[tokio::test]
+async fn silent_connections_keep_others_from_an_answer_for_a_time_limit_only() {
+    LocalSet::new()
+        .run_until(async {
+            let (listener, address) = bind_listener().await;
+            spawn_local(serve(listener, |_| sample_snapshot()));
+            let mut silent_connections = Vec::new();
+            for _ in 0..MAXIMUM_EXCHANGES {
+                silent_connections.push(TcpStream::connect(address).await.expect("connected"));
+            }
+            let since = Instant::now();
+            let mut answer = fetch(address, REQUEST).await;
+            assert!(answer.is_err());
+            while answer.is_err() {
+                answer = fetch(address, REQUEST).await;
+            }
+            assert!(since.elapsed() < SILENCE_LIMIT);
+            drop(silent_connections);
+        })
+        .await;
+}
