--- a/crates/woodladder-lab/tests/promise_silent_store.rs
+++ b/crates/woodladder-lab/tests/promise_silent_store.rs
@@ -1,5 +1,5 @@
 //! An accepted bundle is in force everywhere within eleven seconds although every open connection
-//! to the store carries nothing any more.
+//! to the store carries nothing any more, and clients of the platform's services lose one call only.
 
 #[path = "support/cluster.rs"]
 mod cluster;
@@ -14,10 +14,11 @@
 use futures::future::join_all;
 use tokio::time::{Instant, sleep, timeout};
 use woodladder::endpoint::NodeStatus;
-use woodladder::store::{ConsulStore, Store as _};
+use woodladder::store::{ConsulStore, MachineListClient, Store as _};
 use woodladder_core::control::store_operation::{StoreAnswer, StoreKey, StoreOperation};
 use woodladder_lab::demo::{FaultPath, Flag};
 use woodladder_lab::fault_proxy::{Cut, FaultProxy, FaultProxyConfig, FaultRule, Route};
+use woodladder_lab::stand_in::machine_list::{MachineList, MachineListConfig};
 use woodladder_lab::stand_in::store::{Store, StoreConfig, StoreFault};
 
 const LIMIT: Duration = Duration::from_secs(11);
@@ -103,19 +104,41 @@
     }
 }
 
-/// Guards against a client that loses one call after the other on connections that went silent
-/// together.
-#[tokio::test]
-async fn only_one_call_is_lost_on_connections_that_went_silent_together() {
-    let store = Store::start(StoreConfig::default()).await.expect("store");
+/// A proxy in front of a service of the platform.
+async fn start_proxy(service: SocketAddr) -> FaultProxy {
     let config = FaultProxyConfig {
         tcp: vec![Route {
             listen: ([127, 0, 0, 1], 0).into(),
-            upstream: store.address(),
+            upstream: service,
         }],
         ..FaultProxyConfig::default()
     };
-    let proxy = FaultProxy::start(config).await.expect("proxy");
+    FaultProxy::start(config).await.expect("proxy")
+}
+
+/// Guards against a machine list that is read on a silent connection for ever.
+#[tokio::test]
+async fn only_one_read_of_the_machine_list_is_lost_on_a_connection_that_went_silent() {
+    let list = MachineList::start(MachineListConfig::default()).await;
+    let list = list.expect("list");
+    let proxy = start_proxy(list.address()).await;
+    let client = MachineListClient::new(proxy.tcp_addresses()[0]).expect("client");
+    client.read().await.expect("read");
+    sleep(TAKE_BACK).await;
+
+    proxy.silence_open_connections();
+    let since = Instant::now();
+    client.read().await.expect_err("silent");
+    client.read().await.expect("read");
+    assert!(since.elapsed() < LIMIT, "{:?}", since.elapsed());
+}
+
+/// Guards against a client that loses one call after the other on connections that went silent
+/// together.
+#[tokio::test]
+async fn only_one_call_is_lost_on_connections_that_went_silent_together() {
+    let store = Store::start(StoreConfig::default()).await.expect("store");
+    let proxy = start_proxy(store.address()).await;
     let logger = woodladder::log::discarding_logger();
     let client = ConsulStore::new(proxy.tcp_addresses().to_vec(), logger)
         .expect("client")
