An opening returned under a newer version keeps its part of the route, and its age

What callers saw: an opening that an agent had returned because its balancer was behind was routed as if it had just come: to the next part of a weighted route, although the new version had left its own in place, and with an age of zero, so that queues held it past its time. Cause: the way for first openings was used again, which draws a part and counts the age from the number of copies. Evidence: the new test of flow_route_changes on the code without the fix: the opening of the part with weight 1 goes to the part with weight 9. Now the opening is offered again as it stands, also to the agent that returned it; whether its route still leads to its service has been seen to before. All 14 tests of the file pass.

--- a/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
+++ b/crates/woodladder-core/src/flow/balancer/forwarding/opening.rs
@@ -275,8 +275,8 @@
     /// Handles an opening that was returned because the agent that received it has a
     /// newer configuration. While a live agent has a newer version than this balancer, that
     /// version is being fetched and the opening waits for it. Otherwise, as when the newer
-    /// version has arrived here meanwhile, the opening is routed again under the version in
-    /// force here.
+    /// version has arrived here meanwhile, the opening is offered again under the version in
+    /// force here, also to the agent that returned it.
     fn reopen_under_new_version(
         &mut self,
         packet: &FlowPacket,
@@ -291,7 +291,12 @@
         if is_behind {
             return self.queue_for_newer_version(packet, bytes);
         }
-        self.route_first_opening(packet, bytes, now)
+        if let Some(entry) = self.flows.touch(&packet.key)
+            && let Stage::Opening { tried, .. } = &mut entry.stage
+        {
+            tried.clear();
+        }
+        self.offer_or_wait(packet, bytes, now)
     }
 
     /// Refuses an opening. No target may have executed anything of the flow: the refusal
--- a/crates/woodladder-core/tests/flow_route_changes.rs
+++ b/crates/woodladder-core/tests/flow_route_changes.rs
@@ -11,7 +11,7 @@
 use woodladder_core::flow::excluded_zones::ExcludedZones;
 use woodladder_core::flow::identity::{NodeAddress, ServiceKey};
 use woodladder_core::flow::message::{
-    ForwardHeader, PeerMessage, ReturnReason, TargetLoad, TargetReport,
+    ForwardHeader, ForwardPurpose, PeerMessage, ReturnReason, TargetLoad, TargetReport,
 };
 
 /// Number of the agent of [`main_service`], to which the route leads at first.
@@ -326,3 +326,24 @@
     let actions = return_opening_under(&mut balancer, stale, NEXT_VERSION);
     assert_eq!(forwarded(&actions), [node(OLD_AGENT)]);
 }
+
+/// An opening that was returned under a new version went to another part of its route, which the
+/// new version had left in place.
+#[test]
+fn an_opening_returned_under_a_newer_version_keeps_its_part_and_its_age() {
+    let mut balancer = balancer_with(&[OLD_AGENT, NEW_AGENT]);
+    offer(&mut balancer, 1);
+    let parts = [(main_service(), 1), (other_service(), 9)];
+    balancer.adopt_store_configuration(configuration_of(NEXT_VERSION, &[(1, &parts)]));
+    let stale = ReturnReason::StaleVersion;
+    let actions = return_opening_under(&mut balancer, stale, NEXT_VERSION);
+    assert_eq!(forwarded(&actions), [node(OLD_AGENT)]);
+    let age = actions.iter().find_map(|action| match action {
+        BalancerAction::Forward { header, .. } => match header.purpose {
+            ForwardPurpose::Open(terms) => Some(terms.age_ms),
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(age, Some(100));
+}
