Flows at rest are kept for the idle timeout of the configuration in force and the settings' lifetime of flows

What callers saw: with idle_timeout_ms = 50000, flows that had rested for 45 s were reset while their targets held them (5 of 11 flows in 3 of 3 plays of the script of before the change). Cause: flows were kept for a constant of 30 s; the configured idle timeout bounded only the wait for agents that are away. An agent that had forgotten a flow so still claimed to know all flows of its target, because its table had never been full, and denied it. Evidence: the flows that were reset are those that a rotation of the table every 30 s forgets; no process was touched. The fix: both roles keep a flow for the idle timeout, no longer than flow_ttl_s and no shorter than the former 30 s, and for the lifetime before the first configuration. A longer time counts at once for flows that are open already. If flows were forgotten under a shorter one, the table counts as incomplete since then, until their lifetime has passed. flow_ttl_s is taken in when the settings file changes. With an idle timeout of at most 30 s, tables, claims and searches are as before. Tests: flow_retention.

--- a/crates/woodladder-core/src/flow/agent/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod decision;
+mod flow_retention;
 mod flows;
 mod planned_stop;
 mod reporting;
@@ -77,7 +78,8 @@
     pub epoch: u64,
     /// Maximum number of flows in the flow table.
     pub flow_capacity: usize,
-    /// Minimum time for which an idle flow stays in the flow table.
+    /// Minimum time for which an idle flow stays in the flow table, also under a
+    /// configuration with a shorter idle timeout.
     pub flow_retention: Duration,
     /// Longest life of a flow. An agent that has run for this long has every open flow in
     /// its table.
@@ -193,7 +195,7 @@
             zones_heard_at: None,
             warm_up: WarmUp::default(),
             balancers: BalancerPeers::default(),
-            flows: FlowTable::new(options.flow_capacity, options.flow_retention),
+            flows: FlowTable::new(options.flow_capacity, options.longest_retention()),
             opening_queue: OpeningQueue::default(),
             request_queue: RequestQueue::default(),
             serving_order: ServingOrder::default(),
@@ -336,6 +338,7 @@
         }
         self.version_adopted_at = now;
         self.newer_heard_at = None;
+        self.update_flow_retention();
         self.log_events.add(LogEvent::ConfigurationAdopted {
             version: self.routes.version(),
             former,
--- a/crates/woodladder-core/src/flow/balancer/decision.rs
+++ b/crates/woodladder-core/src/flow/balancer/decision.rs
@@ -22,7 +22,8 @@
     pub link_rate_kbps: Option<u32>,
     /// Maximum number of flows in the table.
     pub flow_capacity: usize,
-    /// Minimum time that an idle flow stays in the table.
+    /// Minimum time that an idle flow stays in the table, also under a configuration with a
+    /// shorter idle timeout.
     pub flow_retention: Duration,
     /// Longest life of a flow.
     pub flow_lifetime: Duration,
--- a/crates/woodladder-core/src/flow/balancer/membership/agent_changes.rs
+++ b/crates/woodladder-core/src/flow/balancer/membership/agent_changes.rs
@@ -20,13 +20,7 @@
     /// Silence after which the flows of an agent that has announced a planned stop count as
     /// gone: the shorter of the idle timeout of flows and their lifetime.
     pub(crate) fn stopped_agent_absence_limit(&self) -> Duration {
-        let configuration = self.routes.current();
-        let idle_timeout = configuration.map_or(0, |it| it.idle_timeout_ms);
-        let lifetime = self.options.flow_lifetime;
-        match idle_timeout {
-            0 => lifetime,
-            idle_timeout_ms => lifetime.min(Duration::from_millis(idle_timeout_ms)),
-        }
+        self.routes.idle_limit(self.options.flow_lifetime)
     }
 
     /// Handles an agent's message that it stops as planned while its target may run on.
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -9,6 +9,7 @@
 
 mod decision;
 mod flow_records;
+mod flow_retention;
 mod forwarding;
 mod membership;
 mod messages;
@@ -226,7 +227,7 @@
             link: options.link_rate_kbps.map(LinkLoadControl::new),
             relay_receivers: Vec::new(),
             relaying_members: Vec::new(),
-            flows: FlowTable::new(options.flow_capacity, options.flow_retention),
+            flows: FlowTable::new(options.flow_capacity, options.longest_retention()),
             log_events: LogEventBuffer::default(),
             counters: BalancerCounters::default(),
             promises: PromiseWatch::default(),
@@ -379,6 +380,7 @@
         if !self.routes.adopt(configuration) {
             return;
         }
+        self.update_flow_retention();
         let routes = &self.routes;
         self.part_shares
             .retain(|address| routes.route(address).is_some());
--- a/crates/woodladder-core/src/flow/configuration.rs
+++ b/crates/woodladder-core/src/flow/configuration.rs
@@ -152,6 +152,18 @@
         })
     }
 
+    /// Longest time for which a flow may rest and be used again: the idle timeout of the
+    /// active configuration, but no longer than the lifetime of a flow. It is the lifetime
+    /// while no configuration is active, and where it states no idle timeout.
+    #[must_use]
+    pub fn idle_limit(&self, flow_lifetime: Duration) -> Duration {
+        let idle_timeout_ms = self.current.as_ref().map_or(0, |it| it.idle_timeout_ms);
+        match idle_timeout_ms {
+            0 => flow_lifetime,
+            idle_timeout_ms => flow_lifetime.min(Duration::from_millis(idle_timeout_ms)),
+        }
+    }
+
     fn service_terms(&self, service: ServiceKey) -> Option<&ServiceTerms> {
         let services = &self.current.as_ref()?.services;
         services.iter().find(|terms| terms.service == service)
--- a/crates/woodladder-core/src/flow/flow_table.rs
+++ b/crates/woodladder-core/src/flow/flow_table.rs
@@ -1,8 +1,8 @@
 //! A bounded table of flows that forgets the least recently used ones.
 //!
 //! The table keeps two generations. Using a flow moves it into the young generation; each
-//! rotation forgets the old generation as a whole. A flow is kept for at least one period
-//! after its last use, unless the table is full.
+//! rotation forgets the old generation as a whole. A flow is kept for at least one period after its last use, unless the table is
+//! full. The table knows since when it may lack flows that are still in use.
 
 use std::time::Duration;
 
@@ -17,6 +17,8 @@
     young: FxHashMap<FlowKey, V>,
     old: FxHashMap<FlowKey, V>,
     rotated_at: Instant,
+    /// When flows were last forgotten, for whatever reason.
+    forgotten_at: Option<Instant>,
     overflowed_at: Option<Instant>,
     period: Duration,
     capacity: usize,
@@ -31,6 +33,7 @@
             young: FxHashMap::default(),
             old: FxHashMap::default(),
             rotated_at: Instant::ORIGIN,
+            forgotten_at: None,
             overflowed_at: None,
             period,
             capacity: capacity.max(2),
@@ -49,7 +52,17 @@
         self.young.is_empty() && self.old.is_empty()
     }
 
-    /// When flows were last forgotten early.
+    /// Changes the period. Flows that were forgotten under a shorter one count as forgotten
+    /// early.
+    pub fn set_period(&mut self, period: Duration) {
+        if period > self.period {
+            self.overflowed_at = self.overflowed_at.max(self.forgotten_at);
+        }
+        self.period = period;
+    }
+
+    /// When flows were last forgotten early: before the period that holds now had passed
+    /// since their last use.
     #[must_use]
     pub fn overflowed_at(&self) -> Option<Instant> {
         self.overflowed_at
@@ -115,6 +128,9 @@
     }
 
     fn rotate(&mut self, now: Instant) {
+        if !self.old.is_empty() {
+            self.forgotten_at = Some(now);
+        }
         self.old = std::mem::take(&mut self.young);
         self.rotated_at = now;
     }
--- a/crates/woodladder-node/src/agent.rs
+++ b/crates/woodladder-node/src/agent.rs
@@ -66,7 +66,8 @@
     pub service: ServiceKey,
     /// Balancers that get the first reports, before other balancers are known.
     pub seeds: Vec<NodeAddress>,
-    /// Minimum time for which an idle flow stays in the table.
+    /// Minimum time for which an idle flow stays in the table, also under a configuration
+    /// with a shorter idle timeout.
     pub flow_retention: Duration,
     /// Maximum lifetime of a flow.
     pub flow_lifetime: Duration,
@@ -205,8 +206,7 @@
         is_target_state_known && core.balancers().confirmed_by_hello().next().is_some()
     }
 
-    /// Adds the seeds of the reloaded settings. Other changed settings take effect only
-    /// after a restart.
+    /// Adds the seeds of the reloaded settings.
     pub fn reload_seeds(&self, seeds: &[NodeAddress]) {
         info!(self.logger, "agent: settings reloaded"; "event" => "reloaded",
             "seeds" => seeds.len());
@@ -215,6 +215,11 @@
             .add_listed_balancers(seeds, self.clock.now());
     }
 
+    /// Applies the lifetime of flows of the reloaded settings.
+    pub fn reload_flow_lifetime(&self, flow_lifetime: Duration) {
+        self.core.borrow_mut().set_flow_lifetime(flow_lifetime);
+    }
+
     fn start_receiving(self: &Rc<Self>) {
         let node = Rc::clone(self);
         spawn_local(async move {
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -72,7 +72,8 @@
     pub link_rate_kbps: Option<u32>,
     /// Nodes that get the first hellos, before other nodes are known.
     pub seeds: Vec<NodeAddress>,
-    /// Minimum time for which an idle flow stays in the table.
+    /// Minimum time for which an idle flow stays in the table, also under a configuration
+    /// with a shorter idle timeout.
     pub flow_retention: Duration,
     /// Longest life of a flow.
     pub flow_lifetime: Duration,
@@ -273,14 +274,18 @@
         self.core.borrow().check_ready(self.clock.now())
     }
 
-    /// Adds the seeds of the reloaded settings. Other changed settings take effect only
-    /// after a restart.
+    /// Adds the seeds of the reloaded settings.
     pub fn reload_seeds(self: &Rc<Self>, seeds: &[NodeAddress]) {
         info!(self.logger, "balancer: settings reloaded"; "event" => "reloaded",
             "seeds" => seeds.len());
         self.run_core(|core, now, actions| core.add_seed_balancers(seeds, now, actions));
     }
 
+    /// Applies the lifetime of flows of the reloaded settings.
+    pub fn reload_flow_lifetime(&self, flow_lifetime: Duration) {
+        self.core.borrow_mut().set_flow_lifetime(flow_lifetime);
+    }
+
     fn start_receiving(self: &Rc<Self>) {
         let node = Rc::clone(self);
         spawn_local(async move {
