A flow table holds at most its capacity while all its flows are in use, and says when it forgot one of them

What callers would have seen: a balancer that is killed for its memory. Cause: using a flow moved it into the young generation without a check of its room, and rotating an empty old generation counted as no loss, so that a table whose flows were all used between two rotations grew without a bound and was never full. Now a used flow stays in the old generation if the young one has no room; when that generation is forgotten, the table counts as incomplete from then on, and the agent denies no flow until the lifetime of flows has passed. The price: with more than half the capacity in use (200,000 flows at a balancer, 50,000 at an agent), flows in use may be forgotten.

--- a/crates/woodladder-core/src/flow/flow_table.rs
+++ b/crates/woodladder-core/src/flow/flow_table.rs
@@ -1,7 +1,8 @@
 //! A bounded table of flows that forgets the least recently used ones.
 //!
-//! The table keeps two generations. Using a flow moves it into the young generation; each
-//! rotation forgets the old generation as a whole. A flow is kept for at least one period after its last use, unless the table is
+//! The table keeps two generations of at most half the capacity each. Using a flow moves it
+//! into the young generation, if that has room; each rotation forgets the old generation as
+//! a whole. A flow is kept for at least one period after its last use, unless the table is
 //! full. The table knows since when it may lack flows that are still in use.
 
 use std::time::Duration;
@@ -20,6 +21,9 @@
     /// When flows were last forgotten, for whatever reason.
     forgotten_at: Option<Instant>,
     overflowed_at: Option<Instant>,
+    /// Whether flows of the old generation have been used and found no room in the young
+    /// one.
+    is_old_in_use: bool,
     period: Duration,
     capacity: usize,
 }
@@ -35,6 +39,7 @@
             rotated_at: Instant::ORIGIN,
             forgotten_at: None,
             overflowed_at: None,
+            is_old_in_use: false,
             period,
             capacity: capacity.max(2),
         }
@@ -75,6 +80,10 @@
 
     /// The value of a flow; counts as a use.
     pub fn touch(&mut self, key: &FlowKey) -> Option<&mut V> {
+        if self.young.len() >= self.capacity / 2 && self.old.contains_key(key) {
+            self.is_old_in_use = true;
+            return self.old.get_mut(key);
+        }
         if let Some(value) = self.old.remove(key) {
             self.young.insert(*key, value);
         }
@@ -91,9 +100,7 @@
     pub fn insert(&mut self, key: FlowKey, value: V, now: Instant) {
         self.old.remove(&key);
         if self.young.len() >= self.capacity / 2 && !self.young.contains_key(&key) {
-            if !self.old.is_empty() {
-                self.overflowed_at = Some(now);
-            }
+            self.is_old_in_use = true;
             self.rotate(now);
         }
         self.young.insert(key, value);
@@ -130,7 +137,11 @@
     fn rotate(&mut self, now: Instant) {
         if !self.old.is_empty() {
             self.forgotten_at = Some(now);
+            if self.is_old_in_use {
+                self.overflowed_at = Some(now);
+            }
         }
+        self.is_old_in_use = false;
         self.old = std::mem::take(&mut self.young);
         self.rotated_at = now;
     }
--- a/crates/woodladder-core/tests/flow_retention.rs
+++ b/crates/woodladder-core/tests/flow_retention.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use flow_support::*;
-use woodladder_core::flow::agent::{Agent, AgentAction};
+use woodladder_core::flow::agent::{Agent, AgentAction, AgentOptions};
 use woodladder_core::flow::configuration::Configuration;
+use woodladder_core::flow::flow_table::FlowTable;
 use woodladder_core::flow::message::{ForwardPurpose, PeerMessage};
 use woodladder_core::flow::snapshot::Snapshot;
 
@@ -180,3 +181,44 @@
     }
     assert_eq!(balancer.flow_count(), 1);
 }
+
+/// A table whose flows were all in use grew without a bound.
+#[test]
+fn a_table_of_flows_in_use_stays_within_its_capacity() {
+    const CAPACITY: usize = 100;
+    let mut table = FlowTable::new(CAPACITY, Duration::from_secs(30));
+    for port in 1..=1000 {
+        table.insert(flow(port), (), at(u64::from(port)));
+        for used in 1..=port {
+            table.touch(&flow(used));
+        }
+        assert!(table.len() <= CAPACITY, "{} flows", table.len());
+    }
+    assert!(table.overflowed_at().is_some());
+}
+
+/// A full table forgot flows in use and its agent went on to deny them.
+#[test]
+fn an_agent_whose_table_was_full_denies_no_flow() {
+    let options = AgentOptions {
+        flow_capacity: 10,
+        ..agent_options()
+    };
+    let mut agent = Agent::new(options, at(0));
+    let mut beat = heartbeat(1, 1);
+    beat.slots = 100;
+    agent.handle_heartbeat(&beat, at(0)).expect("heartbeat");
+    adopt(&mut agent, configuration_with(1, 15_000), 0);
+    let established = header(1, ForwardPurpose::Established);
+    for port in 1..=20 {
+        open_flow_at(&mut agent, flow(port), at(u64::from(port)));
+        for used in 1..=port {
+            let packet = data(flow(used), 1001, 5001);
+            forward_to(&mut agent, &established, &packet, at(u64::from(port)));
+        }
+    }
+    assert!(agent.flow_count() <= 10);
+    for port in 1..=20 {
+        assert!(!is_denied(&answer_about(&mut agent, port, 100)), "{port}");
+    }
+}
