A route history covers only the time since the replacement of what it has dropped

What callers would have seen: after a longer lifetime of flows has been set, resets of flows whose route was moved to another service more than the former lifetime ago: balancers rule out the agents of services that they do not remember. Shown by a test only. Cause: the history drops former services after the lifetime and went on to claim the time before. Evidence: with a service dropped 60 s after its replacement, the history stated 70 s. Now the covered time is cut to the time since the replacement of each dropped service, which is at least the lifetime in force, so that nothing changes while the lifetime stays. Other nodes are told the same. Test: a_route_history_covers_only_the_time_since_what_it_has_dropped failed before.

--- a/crates/woodladder-core/src/flow/route_history.rs
+++ b/crates/woodladder-core/src/flow/route_history.rs
@@ -94,16 +94,23 @@
     }
 
     /// Drops what is older than the lifetime of flows. The history covers the time from the
-    /// first call on, which must not be made before the first configuration is known.
+    /// first call on, which must not be made before the first configuration is known, but
+    /// only the time since the replacement of each service that was dropped: the lifetime
+    /// may become longer.
     pub(crate) fn tick(&mut self, flow_lifetime: Duration, now: Instant) {
         let begins_now = Span {
             length: Duration::ZERO,
             as_of: now,
         };
-        self.covered.get_or_insert(begins_now);
+        let covered = self.covered.get_or_insert(begins_now);
         self.former.retain(|_, services| {
             services.retain_mut(|former| {
-                former.replaced_for.get_or_insert(begins_now).at(now) < flow_lifetime
+                let replaced_for = *former.replaced_for.get_or_insert(begins_now);
+                let is_kept = replaced_for.at(now) < flow_lifetime;
+                if !is_kept && replaced_for.at(now) < covered.at(now) {
+                    *covered = replaced_for;
+                }
+                is_kept
             });
             !services.is_empty()
         });
--- a/crates/woodladder-core/tests/flow_retention.rs
+++ b/crates/woodladder-core/tests/flow_retention.rs
@@ -9,9 +9,10 @@
 
 use flow_support::*;
 use woodladder_core::flow::agent::{Agent, AgentAction, AgentOptions};
+use woodladder_core::flow::balancer::Balancer;
 use woodladder_core::flow::configuration::Configuration;
 use woodladder_core::flow::flow_table::FlowTable;
-use woodladder_core::flow::message::{ForwardPurpose, PeerMessage};
+use woodladder_core::flow::message::{ForwardPurpose, PeerMessage, SnapshotRequest};
 use woodladder_core::flow::snapshot::Snapshot;
 
 /// Interval between two ticks, in milliseconds.
@@ -222,3 +223,27 @@
         assert!(!is_denied(&answer_about(&mut agent, port, 100)), "{port}");
     }
 }
+
+/// A balancer would rule out holders by a history that had dropped former services after
+/// the shorter lifetime.
+#[test]
+fn a_route_history_covers_only_the_time_since_what_it_has_dropped() {
+    let covered_ms = |balancer: &Balancer, now: u64| {
+        let request = SnapshotRequest {
+            known_version: 9,
+            wants_nodes: false,
+        };
+        let snapshot = balancer.answer_snapshot_request(&request, at(now));
+        snapshot.route_history.covered_ms
+    };
+    let mut balancer = balancer(&[2]);
+    balancer.tick(at(0), &mut Vec::new());
+    let moved = configuration_of(2, &[(1, &[(other_service(), 1)])]);
+    balancer.adopt_store_configuration(moved);
+    balancer.tick(at(10_000), &mut Vec::new());
+    balancer.tick(at(70_000), &mut Vec::new());
+    assert_eq!(covered_ms(&balancer, 70_000), 60_000);
+    balancer.set_flow_lifetime(Duration::from_secs(200));
+    balancer.tick(at(80_000), &mut Vec::new());
+    assert_eq!(covered_ms(&balancer, 80_000), 70_000);
+}
