Flow records are used for as long as their flows can live by the settings

What callers would have seen: with flow_ttl_s above 60, flows recorded more than 60 s before a balancer's start wait for a search; with a shorter one, flows that have ended are queried. Shown by a test only. Cause: the greatest age of a record was a constant of 60 s that stood for the lifetime of flows. Test: a_record_is_used_for_as_long_as_its_flows_can_live failed before.

--- a/crates/woodladder-core/src/flow/balancer/flow_records/recording.rs
+++ b/crates/woodladder-core/src/flow/balancer/flow_records/recording.rs
@@ -18,9 +18,6 @@
 /// only when the first, which arrived after the opening, has been answered or has timed
 /// out at the target.
 const CONFIRMING_HEARTBEATS: u64 = 2;
-/// Age, by wall-clock time, from which on a record is ignored because its flows have
-/// ended: longer than a restart takes, and not longer than a flow lasts.
-const MAXIMUM_RECORD_AGE: Duration = Duration::from_secs(60);
 
 impl Balancer {
     /// The next call to the store for the flow record. Its reply goes to
@@ -167,7 +164,8 @@
             return Err(RecordError::OtherBalancer);
         }
         let age = Duration::from_millis(time_of_day.abs_diff(record.written_at_ms));
-        if age > MAXIMUM_RECORD_AGE {
+        // Every flow of an older record has ended.
+        if age > self.options.flow_lifetime {
             return Err(RecordError::TooOld);
         }
         Ok(record)
--- a/crates/woodladder-core/tests/flow_record_restore.rs
+++ b/crates/woodladder-core/tests/flow_record_restore.rs
@@ -3,6 +3,7 @@
 mod flow_support;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use flow_support::*;
 use woodladder_core::flow::balancer::{Balancer, BalancerAction, Routing};
@@ -452,6 +453,19 @@
     assert_eq!(balancer.restore_totals().recorded, 0);
 }
 
+/// A record was ignored from 60 s on, whatever lifetime the settings gave flows.
+#[test]
+fn a_record_is_used_for_as_long_as_its_flows_can_live() {
+    for (lifetime_s, recorded) in [(90, 1), (60, 0)] {
+        let mut balancer = started_balancer(0);
+        balancer.set_flow_lifetime(Duration::from_secs(lifetime_s));
+        let mut old = record(&[(1, 2)]);
+        old.written_at_ms = WALL_CLOCK_ORIGIN_MS - 70_000;
+        deliver_record(&mut balancer, &old, 10);
+        assert_eq!(balancer.restore_totals().recorded, recorded);
+    }
+}
+
 #[test]
 fn a_planned_stop_writes_the_record_at_once() {
     let mut balancer = started_balancer(0);
