--- a/crates/woodladder-core/src/flow/flow_table.rs
+++ b/crates/woodladder-core/src/flow/flow_table.rs
@@ -1,8 +1,9 @@
 //! A bounded table of flows that forgets the least recently used ones.
 //!
-//! The table keeps two generations. Using a flow moves it into the young generation; each
-//! rotation forgets the old generation as a whole. A flow is kept for at least one period
-//! after its last use, unless the table is full.
+//! The table keeps two generations of at most half the capacity each. Using a flow moves it
+//! into the young generation, if that has room; each rotation forgets the old generation as
+//! a whole. A flow is kept for at least one period after its last use, unless the table is
+//! full. The table knows since when it may lack flows that are still in use.
 
 use std::time::Duration;
 
@@ -17,7 +18,12 @@
     young: FxHashMap<FlowKey, V>,
     old: FxHashMap<FlowKey, V>,
     rotated_at: Instant,
+    /// When flows were last forgotten, for whatever reason.
+    forgotten_at: Option<Instant>,
     overflowed_at: Option<Instant>,
+    /// Whether flows of the old generation have been used and found no room in the young
+    /// one.
+    is_old_in_use: bool,
     period: Duration,
     capacity: usize,
 }
@@ -31,7 +37,9 @@
             young: FxHashMap::default(),
             old: FxHashMap::default(),
             rotated_at: Instant::ORIGIN,
+            forgotten_at: None,
             overflowed_at: None,
+            is_old_in_use: false,
             period,
             capacity: capacity.max(2),
         }
@@ -49,7 +57,17 @@
         self.young.is_empty() && self.old.is_empty()
     }
 
-    /// When flows were last forgotten early.
+    /// Changes the period. Flows that were forgotten under a shorter one count as forgotten
+    /// early.
+    pub fn set_period(&mut self, period: Duration) {
+        if period > self.period {
+            self.overflowed_at = self.overflowed_at.max(self.forgotten_at);
+        }
+        self.period = period;
+    }
+
+    /// When flows were last forgotten early: before the period that holds now had passed
+    /// since their last use.
     #[must_use]
     pub fn overflowed_at(&self) -> Option<Instant> {
         self.overflowed_at
@@ -62,6 +80,10 @@
 
     /// The value of a flow; counts as a use.
     pub fn touch(&mut self, key: &FlowKey) -> Option<&mut V> {
+        if self.young.len() >= self.capacity / 2 && self.old.contains_key(key) {
+            self.is_old_in_use = true;
+            return self.old.get_mut(key);
+        }
         if let Some(value) = self.old.remove(key) {
             self.young.insert(*key, value);
         }
@@ -78,9 +100,7 @@
     pub fn insert(&mut self, key: FlowKey, value: V, now: Instant) {
         self.old.remove(&key);
         if self.young.len() >= self.capacity / 2 && !self.young.contains_key(&key) {
-            if !self.old.is_empty() {
-                self.overflowed_at = Some(now);
-            }
+            self.is_old_in_use = true;
             self.rotate(now);
         }
         self.young.insert(key, value);
@@ -115,6 +135,13 @@
     }
 
     fn rotate(&mut self, now: Instant) {
+        if !self.old.is_empty() {
+            self.forgotten_at = Some(now);
+            if self.is_old_in_use {
+                self.overflowed_at = Some(now);
+            }
+        }
+        self.is_old_in_use = false;
         self.old = std::mem::take(&mut self.young);
         self.rotated_at = now;
     }
