Configuration judge: faults excuse for as long as they last, and no more than the users' rules allow

Seen: the judge knew disturbances only as moments. A fault that outlasts the time of contact was excused for 4 s from its begin, a store without history lifted the bound, any signal counted (SIGHUP, SIGCONT to a running process), and a refusal for want of a target counted as an older version. Now faults of a machine or of the store have a begin and an end; the end counts as the disturbance. A forgotten history extends the bounds by 12 s. Of the signals only those that stop a process count. A refusal is excused while no target of the service stands on a machine in touch: the newest version allows it then. New tests: each face that the judge must report (late, an added route refused, a dropped one served, older again), and the limits of each excuse.

--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -34,7 +34,9 @@
     ConfigurationCourse, ConfigurationCourseOptions, ConfigurationCourseReport,
     run_configuration_course,
 };
-pub use configuration_judge::{ConfigurationJudge, Handling, OlderHandling, OlderUse};
+pub use configuration_judge::{
+    ConfigurationJudge, Handling, LastingFault, OlderHandling, OlderUse,
+};
 pub use day::{DayOptions, DayReport, run};
 pub use leaving::{LeavingOptions, deregister_unknown_target, run_leaving};
 pub use leaving_course::{
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -21,9 +21,10 @@
 
 use super::address::{Network, STORE_PORT};
 use super::caller::{CallerMachine, Habit, eventually};
+use super::configuration_judge::LastingFault;
 use super::links::Links;
 use super::node_process::{Launcher, NodeProcess, NodeRole};
-use super::oracle::Oracle;
+use super::oracle::{Oracle, STORE};
 use super::router::Router;
 use super::store::{self, SharedStore};
 use super::store_state::StoreFault;
@@ -228,6 +229,10 @@
             self.router.add(self.network.machine(*machine));
         }
         for (machine, service) in TARGETS {
+            self.oracle
+                .borrow_mut()
+                .configurations
+                .target_at(service, machine);
             self.start_agent(machine, service)?;
             self.start_target(machine, service).await?;
         }
@@ -269,6 +274,11 @@
         let mut state = self.store.borrow_mut();
         state.fault = StoreFault::None;
         state.forget_history();
+        let mut oracle = self.oracle.borrow_mut();
+        oracle
+            .configurations
+            .end_fault(STORE, LastingFault::StoreUnreachable);
+        oracle.configurations.history_forgotten();
     }
 
     /// Version of the last configuration.
@@ -331,7 +341,8 @@
 
     /// Sends a signal to the node on a machine, if there is one.
     pub fn signal(&self, machine: u8, signal: Signal) -> io::Result<()> {
-        self.oracle.borrow_mut().configurations.disturb(machine);
+        let mut oracle = self.oracle.borrow_mut();
+        oracle.configurations.signalled(machine, signal);
         match self.nodes.get(&machine) {
             Some(node) => node.signal(signal),
             None => Ok(()),
