--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -141,8 +141,6 @@
     /// When the store last confirmed the configuration, to this balancer or to another
     /// one whose confirmation was stated in a hello.
     configuration_confirmed_at: Option<Instant>,
-    /// When the store last answered this balancer's watch, whatever it answered.
-    store_answered_at: Option<Instant>,
     /// A configuration version newer than the one in force here, and when the store
     /// confirmed that version, as stated in another balancer's hello.
     newer_version_confirmation: Option<(u64, Instant)>,
@@ -241,7 +239,6 @@
             peer_hello_round: 0,
             balancers_in_hellos: Vec::new(),
             configuration_confirmed_at: None,
-            store_answered_at: None,
             newer_version_confirmation: None,
             was_watching_store: false,
             has_seeds: false,
--- a/crates/woodladder-core/src/flow/balancer/store_duty.rs
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -19,13 +19,12 @@
 //! that an outdated list names makes an additional call, which costs little.
 
 use std::cmp::Reverse;
-use std::sync::Arc;
 use std::time::Duration;
 
 use super::super::identity::address_hash;
 use super::super::log_event::LogEvent;
 use super::super::message::BalancerHello;
-use super::super::store_session::{ListNeed, OperatorState};
+use super::super::store_session::ListNeed;
 use super::Balancer;
 use crate::clock::Instant;
 
@@ -67,20 +66,6 @@
 const REGISTRATION_DELAY: Duration = Duration::from_millis(1000);
 
 impl Balancer {
-    /// Adopts what the store has answered. The answer confirms that the configuration in force
-    /// is the newest, unless the newest one cannot be read: whoever can read it must go on
-    /// asking for it.
-    pub fn adopt_operator_state(&mut self, state: OperatorState) {
-        if let Some(configuration) = state.configuration {
-            self.adopt_store_configuration(Arc::new(configuration));
-        }
-        self.adopt_store_exclusions(&state.excluded_zones);
-        self.store_answered_at = self.store_answered_at.max(Some(state.confirmed_at));
-        if state.is_newest_readable {
-            self.record_store_confirmation(state.confirmed_at);
-        }
-    }
-
     /// Records that the store confirmed to this balancer that its configuration is the
     /// newest.
     pub fn record_store_confirmation(&mut self, now: Instant) {
@@ -161,14 +146,11 @@
     }
 
     /// When this balancer should give up a watch that waits for an answer and call the store
-    /// anew, unless an answer to any balancer is heard of until then. An answer with a
-    /// configuration that cannot be read counts too, at the balancer that received it: its
-    /// connection is not silent.
+    /// anew, unless an answer to any balancer is heard of until then.
     #[must_use]
     pub fn store_watch_deadline(&self, now: Instant) -> Option<Instant> {
         let limit = self.own_confirmation_limit(self.store_rank(now));
-        let heard_at = self.configuration_confirmed_at.max(self.store_answered_at);
-        heard_at.map(|at| at + limit)
+        self.configuration_confirmed_at.map(|at| at + limit)
     }
 
     /// Records that the balancer has given up a watch that had waited for `waited`.
--- a/crates/woodladder-core/src/flow/store_session/mod.rs
+++ b/crates/woodladder-core/src/flow/store_session/mod.rs
@@ -126,11 +126,9 @@
 pub enum StoreReply {
     /// The state that the operators have written.
     OperatorState {
-        /// The newest configuration that can be read; `None` if it has not changed, does not
-        /// exist or cannot be read.
+        /// The configuration; `None` if it has not changed, does not exist or cannot be
+        /// read.
         configuration: Option<Configuration>,
-        /// Whether the answer contains a newer configuration that cannot be read.
-        has_unreadable_configuration: bool,
         /// All excluded zones, or their changes.
         zones: ZoneUpdate,
         /// Revision of the store.
--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -28,8 +28,6 @@
 pub struct OperatorState {
     /// Time at which the state was the store's newest, as the answer proves it.
     pub confirmed_at: Instant,
-    /// Whether the store's newest configuration can be read, or there is none.
-    pub is_newest_readable: bool,
     /// The configuration, if the answer contained one.
     pub configuration: Option<Configuration>,
     /// All excluded zones.
@@ -56,8 +54,6 @@
 #[derive(Clone, Debug)]
 pub struct ConfigurationWatch {
     revision: Option<u64>,
-    /// Whether the newest configuration that the store has sent cannot be read.
-    is_newest_unreadable: bool,
     excluded_zones: ExcludedZones,
     due_at: Instant,
     in_flight: Option<CallInFlight>,
@@ -72,7 +68,6 @@
     pub fn new(seed: u64, now: Instant) -> Self {
         Self {
             revision: None,
-            is_newest_unreadable: false,
             excluded_zones: ExcludedZones::default(),
             due_at: now,
             in_flight: None,
@@ -132,15 +127,10 @@
         match reply {
             StoreReply::OperatorState {
                 configuration,
-                has_unreadable_configuration,
                 zones,
                 revision,
             } => {
                 let is_first = self.revision.is_none();
-                // An answer to a watch contains a configuration only if it has changed.
-                if is_first || configuration.is_some() || has_unreadable_configuration {
-                    self.is_newest_unreadable = has_unreadable_configuration;
-                }
                 self.heard_at = Some(now);
                 self.backoff.reset();
                 self.due_at = now;
@@ -166,7 +156,6 @@
                 };
                 Some(OperatorState {
                     confirmed_at,
-                    is_newest_readable: !self.is_newest_unreadable,
                     configuration,
                     excluded_zones,
                 })
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -453,7 +453,13 @@
     }
 
     fn adopt_state(&self, state: OperatorState) {
-        self.run_core(|core, _, _| core.adopt_operator_state(state));
+        self.run_core(|core, _, _| {
+            if let Some(configuration) = state.configuration {
+                core.adopt_store_configuration(configuration.into());
+            }
+            core.adopt_store_exclusions(&state.excluded_zones);
+            core.record_store_confirmation(state.confirmed_at);
+        });
     }
 
     fn watch_abandoned(&self, waited: Duration) {
