--- a/crates/woodladder-lab/src/platform/configuration_course.rs
+++ b/crates/woodladder-lab/src/platform/configuration_course.rs
@@ -46,6 +46,12 @@
 const AWAY: Duration = Duration::from_millis(300);
 /// Time for which a balancer stands still.
 const STANDS_STILL_FOR: Duration = Duration::from_secs(3);
+/// Targets that leave openings without an answer.
+const IGNORING_TARGETS: [u8; 2] = [21, 22];
+/// Time from then on to the change.
+const IGNORED_BEFORE: Duration = Duration::from_millis(300);
+/// Time from the change on for which they go on so: the last copies are sent by then.
+const IGNORED_AFTER: Duration = Duration::from_millis(700);
 /// Time for which the store takes no connection.
 const STORE_AWAY_FOR: Duration = Duration::from_secs(4);
 
@@ -75,6 +81,9 @@
     BalancerStandsStill,
     /// The store takes no connection for some seconds; the change comes as it returns.
     StoreAway,
+    /// Some targets leave openings without an answer over the change, so that callers send
+    /// copies.
+    OpeningsUnanswered,
 }
 
 /// What a course is played with.
@@ -164,7 +173,8 @@
         let balancers = self.balancers.clone();
         self.site.serve_with(&balancers).await?;
         self.configure_before();
-        self.start_probes().await?;
+        let sends_copies = course == ConfigurationCourse::OpeningsUnanswered;
+        self.start_probes(sends_copies).await?;
         let calls_at_start = self.calls();
         sleep(SETTLED_AFTER).await;
         let calls_before = self.calls();
@@ -243,6 +253,13 @@
                 self.refuse_store(false);
                 self.change();
             }
+            ConfigurationCourse::OpeningsUnanswered => {
+                self.ignore_openings(true);
+                sleep(IGNORED_BEFORE).await;
+                self.change();
+                sleep(IGNORED_AFTER).await;
+                self.ignore_openings(false);
+            }
         }
         Ok(())
     }
@@ -280,7 +297,7 @@
         ]);
     }
 
-    async fn start_probes(&self) -> Result<(), SiteError> {
+    async fn start_probes(&self, sends_copies: bool) -> Result<(), SiteError> {
         let oracle = Rc::clone(&self.site.oracle);
         let probes = ProbeMachine::open(self.site.network, PROBE_MACHINE, oracle).await?;
         spawn_local(Rc::clone(&probes).receive());
@@ -292,7 +309,7 @@
         ];
         let until = Instant::now() + Duration::from_secs(60);
         let balancers = self.balancers.clone();
-        spawn_local(probes.probe(balancers, routes, PROBE_INTERVAL, until));
+        spawn_local(probes.probe(balancers, routes, PROBE_INTERVAL, sends_copies, until));
         Ok(())
     }
 
@@ -307,6 +324,12 @@
         }
     }
 
+    fn ignore_openings(&self, ignores: bool) {
+        for machine in IGNORING_TARGETS {
+            self.site.ignore_openings(machine, ignores);
+        }
+    }
+
     fn refuse_store(&self, refuse: bool) {
         self.disturb(STORE);
         for proxy in self.store_proxies.values() {
--- a/crates/woodladder-lab/src/platform/configuration_judge.rs
+++ b/crates/woodladder-lab/src/platform/configuration_judge.rs
@@ -85,8 +85,24 @@
 }
 
 /// An opening of a probing caller.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Probe {
+    balancer: u8,
+    /// When each copy was sent.
+    copies_sent_at: Vec<Instant>,
+}
+
+impl Probe {
+    fn sent_at(&self, copy: usize) -> Instant {
+        let last = self.copies_sent_at.last();
+        let sent_at = self.copies_sent_at.get(copy).or(last);
+        sent_at.copied().unwrap_or_else(Instant::now)
+    }
+}
+
+/// The copy of an opening that was handled.
+#[derive(Clone, Copy, Debug)]
+struct HandledCopy {
     balancer: u8,
     sent_at: Instant,
 }
@@ -138,18 +154,38 @@
 
     /// An opening is sent to a balancer.
     pub fn probe_sent(&mut self, ends: Ends, balancer: u8) {
-        let sent_at = Instant::now();
-        self.probes.insert(ends, Probe { balancer, sent_at });
+        let copies_sent_at = vec![Instant::now()];
+        let probe = Probe {
+            balancer,
+            copies_sent_at,
+        };
+        self.probes.insert(ends, probe);
     }
 
-    /// A target takes an opening. `machine` is its own.
-    pub fn taken(&mut self, ends: Ends, service: &str, machine: u8) -> Option<OlderHandling> {
-        self.judge(ends, Handling::Taken(service.to_owned()), Some(machine))
+    /// A further copy of an opening is sent to the same balancer.
+    pub fn copy_sent(&mut self, ends: Ends) {
+        if let Some(probe) = self.probes.get_mut(&ends) {
+            probe.copies_sent_at.push(Instant::now());
+        }
     }
 
-    /// An opening is reset.
+    /// A target takes a copy of an opening. `machine` is its own.
+    pub fn taken(
+        &mut self,
+        ends: Ends,
+        copy: u32,
+        service: &str,
+        machine: u8,
+    ) -> Option<OlderHandling> {
+        let copy = usize::try_from(copy).unwrap_or(0);
+        let handling = Handling::Taken(service.to_owned());
+        self.judge(ends, copy, handling, Some(machine))
+    }
+
+    /// An opening is reset. A reset does not tell which copy it answers, so the first one
+    /// counts.
     pub fn refused(&mut self, ends: Ends) -> Option<OlderHandling> {
-        self.judge(ends, Handling::Refused, None)
+        self.judge(ends, 0, Handling::Refused, None)
     }
 
     /// Number of openings that were judged.
@@ -167,10 +203,15 @@
     fn judge(
         &mut self,
         ends: Ends,
+        copy: usize,
         handling: Handling,
         target_machine: Option<u8>,
     ) -> Option<OlderHandling> {
         let probe = self.probes.remove(&ends)?;
+        let probe = HandledCopy {
+            balancer: probe.balancer,
+            sent_at: probe.sent_at(copy),
+        };
         let newest = self.versions.len().checked_sub(1)?;
         self.judged += 1;
         let route = ends.1;
@@ -197,7 +238,7 @@
 
     /// In which way the handling follows an older version than it must, and which version it
     /// must follow at least.
-    fn older_use(&self, probe: &Probe, allowing: &[usize]) -> Option<(OlderUse, usize)> {
+    fn older_use(&self, probe: &HandledCopy, allowing: &[usize]) -> Option<(OlderUse, usize)> {
         let due = |version: &Version| version.acknowledged_at + APPLY_LIMIT < probe.sent_at;
         let oldest_due = self.versions.iter().rposition(due);
         let is_older = |required: &usize| allowing.iter().all(|index| index < required);
@@ -209,7 +250,7 @@
         (is_due && is_older(&seen.index)).then_some((OlderUse::Regressed, seen.index))
     }
 
-    fn is_in_touch(&self, probe: &Probe, target_machine: Option<u8>) -> bool {
+    fn is_in_touch(&self, probe: &HandledCopy, target_machine: Option<u8>) -> bool {
         let machines = [
             Some(probe.balancer),
             Some(super::oracle::STORE),
--- a/crates/woodladder-lab/src/platform/oracle.rs
+++ b/crates/woodladder-lab/src/platform/oracle.rs
@@ -281,9 +281,9 @@
             .push(Violation::ChangedPacket(where_seen.to_owned()));
     }
 
-    /// A target of this machine takes an opening of a probing caller.
-    pub fn probe_taken(&mut self, ends: Ends, service: &str, machine: u8) {
-        let older = self.configurations.taken(ends, service, machine);
+    /// A target of this machine takes a copy of an opening of a probing caller.
+    pub fn probe_taken(&mut self, ends: Ends, copy: u32, service: &str, machine: u8) {
+        let older = self.configurations.taken(ends, copy, service, machine);
         self.violations
             .extend(older.map(Violation::OlderConfiguration));
     }
--- a/crates/woodladder-lab/src/platform/site_targets.rs
+++ b/crates/woodladder-lab/src/platform/site_targets.rs
@@ -36,6 +36,13 @@
         Ok(())
     }
 
+    /// The target of a machine begins or ends to leave openings without an answer.
+    pub fn ignore_openings(&self, machine: u8, ignores: bool) {
+        if let Some(target) = self.targets.get(&machine) {
+            target.ignore_openings(ignores);
+        }
+    }
+
     /// The target of a machine crashes and will begin again under its name.
     pub fn crash_to_begin_again(&mut self, machine: u8) {
         if let Some(target) = self.targets.remove(&machine) {
--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -64,6 +64,7 @@
     started_at: Instant,
     first_opening_after: Cell<Option<Duration>>,
     has_ended: Cell<bool>,
+    ignores_openings: Cell<bool>,
     sequence: Cell<u64>,
     /// When it began, in milliseconds of Unix time.
     born_ms: u64,
@@ -113,6 +114,7 @@
             started_at: Instant::now(),
             first_opening_after: Cell::new(None),
             has_ended: Cell::new(false),
+            ignores_openings: Cell::new(false),
             sequence: Cell::new(0),
             born_ms,
             acknowledged_at: Cell::new(None),
@@ -184,6 +186,11 @@
         }
     }
 
+    /// Begins or ends to leave openings without an answer.
+    pub fn ignore_openings(&self, ignores: bool) {
+        self.ignores_openings.set(ignores);
+    }
+
     /// Turns cold, as after a start.
     pub fn turn_cold(&self) {
         self.cold_until.set(Instant::now() + COLD_FOR);
@@ -286,6 +293,9 @@
     }
 
     fn accept(&self, ends: Ends, packet: &Packet) {
+        if self.ignores_openings.get() {
+            return;
+        }
         let mut flows = self.flows.borrow_mut();
         let now = Instant::now();
         if !flows.contains_key(&ends) {
@@ -295,7 +305,7 @@
             let mut oracle = self.oracle.borrow_mut();
             oracle.opening_arrived(ends, &self.name, now);
             let machine = self.machine.octets()[3];
-            oracle.probe_taken(ends, &self.service, machine);
+            oracle.probe_taken(ends, packet.acknowledgement, &self.service, machine);
             if now < self.cold_until.get() {
                 oracle.opened_cold(&self.name, now);
             }
--- a/crates/woodladder-lab/tests/platform_configuration_courses.rs
+++ b/crates/woodladder-lab/tests/platform_configuration_courses.rs
@@ -89,3 +89,10 @@
     assert_change_in_force(ConfigurationCourse::BalancerStandsStill, 3);
     assert_change_in_force(ConfigurationCourse::StoreAway, 3);
 }
+
+/// Copies of openings that were sent after a change had taken effect went to the service that
+/// the first copies had gone to.
+#[test]
+fn copies_of_unanswered_openings_follow_a_change_that_has_taken_effect() {
+    assert_change_in_force(ConfigurationCourse::OpeningsUnanswered, 10);
+}
