--- a/crates/woodladder-lab/src/platform/configuration_judge.rs
+++ b/crates/woodladder-lab/src/platform/configuration_judge.rs
@@ -99,8 +99,24 @@
 }
 
 /// An opening of a probing caller.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Probe {
+    balancer: u8,
+    /// When each copy was sent.
+    copies_sent_at: Vec<Instant>,
+}
+
+impl Probe {
+    fn sent_at(&self, copy: usize) -> Instant {
+        let last = self.copies_sent_at.last();
+        let sent_at = self.copies_sent_at.get(copy).or(last);
+        sent_at.copied().unwrap_or_else(Instant::now)
+    }
+}
+
+/// The copy of an opening that was handled.
+#[derive(Clone, Copy, Debug)]
+struct HandledCopy {
     balancer: u8,
     sent_at: Instant,
 }
@@ -204,18 +220,39 @@
 
     /// An opening is sent to a balancer.
     pub fn probe_sent(&mut self, ends: Ends, balancer: u8) {
-        let sent_at = self.now();
-        self.probes.insert(ends, Probe { balancer, sent_at });
+        let copies_sent_at = vec![self.now()];
+        let probe = Probe {
+            balancer,
+            copies_sent_at,
+        };
+        self.probes.insert(ends, probe);
     }
 
-    /// A target takes an opening. `machine` is its own.
-    pub fn taken(&mut self, ends: Ends, service: &str, machine: u8) -> Option<OlderHandling> {
-        self.judge(ends, Handling::Taken(service.to_owned()), Some(machine))
+    /// A further copy of an opening is sent to the same balancer.
+    pub fn copy_sent(&mut self, ends: Ends) {
+        let now = self.now();
+        if let Some(probe) = self.probes.get_mut(&ends) {
+            probe.copies_sent_at.push(now);
+        }
     }
 
-    /// An opening is reset.
+    /// A target takes a copy of an opening. `machine` is its own.
+    pub fn taken(
+        &mut self,
+        ends: Ends,
+        copy: u32,
+        service: &str,
+        machine: u8,
+    ) -> Option<OlderHandling> {
+        let copy = usize::try_from(copy).unwrap_or(0);
+        let handling = Handling::Taken(service.to_owned());
+        self.judge(ends, copy, handling, Some(machine))
+    }
+
+    /// An opening is reset. A reset does not tell which copy it answers, so the first one
+    /// counts.
     pub fn refused(&mut self, ends: Ends) -> Option<OlderHandling> {
-        self.judge(ends, Handling::Refused, None)
+        self.judge(ends, 0, Handling::Refused, None)
     }
 
     /// Number of openings that were judged.
@@ -233,10 +270,15 @@
     fn judge(
         &mut self,
         ends: Ends,
+        copy: usize,
         handling: Handling,
         target_machine: Option<u8>,
     ) -> Option<OlderHandling> {
         let probe = self.probes.remove(&ends)?;
+        let probe = HandledCopy {
+            balancer: probe.balancer,
+            sent_at: probe.sent_at(copy),
+        };
         let newest = self.versions.len().checked_sub(1)?;
         self.judged += 1;
         let route = ends.1;
@@ -266,7 +308,7 @@
 
     /// In which way the handling follows an older version than it must, and which version it
     /// must follow at least.
-    fn older_use(&self, probe: &Probe, allowing: &[usize]) -> Option<(OlderUse, usize)> {
+    fn older_use(&self, probe: &HandledCopy, allowing: &[usize]) -> Option<(OlderUse, usize)> {
         let extension = self.extension(probe);
         let apply_limit = APPLY_LIMIT + extension;
         let due = |version: &Version| version.acknowledged_at + apply_limit < probe.sent_at;
@@ -280,7 +322,7 @@
         (is_due && is_older(&seen.index)).then_some((OlderUse::Regressed, seen.index))
     }
 
-    fn are_in_touch(&self, probe: &Probe, target_machine: Option<u8>) -> bool {
+    fn are_in_touch(&self, probe: &HandledCopy, target_machine: Option<u8>) -> bool {
         let machines = [Some(probe.balancer), Some(STORE), target_machine];
         let mut machines = machines.into_iter().flatten();
         machines.all(|machine| self.is_in_touch(machine, probe))
@@ -288,14 +330,14 @@
 
     /// Whether nothing disturbed a machine, or the store, from [`CONTACT`] before the sending
     /// of a probe until now.
-    fn is_in_touch(&self, machine: u8, probe: &Probe) -> bool {
+    fn is_in_touch(&self, machine: u8, probe: &HandledCopy) -> bool {
         let is_disturbed = self.lasting.iter().any(|(owner, _)| *owner == machine);
         let ended_at = self.disturbed.get(&machine);
         !is_disturbed && ended_at.is_none_or(|at| *at + CONTACT < probe.sent_at)
     }
 
     /// Time by which the bounds are extended for a probe.
-    fn extension(&self, probe: &Probe) -> Duration {
+    fn extension(&self, probe: &HandledCopy) -> Duration {
         match self.history_forgotten_at {
             Some(at) if probe.sent_at <= at + CONTACT => SKEW_LIMIT,
             _ => Duration::ZERO,
@@ -304,7 +346,7 @@
 
     /// Whether a service that the route leads to by this version or a later one has a target
     /// on a machine in touch. Without one an opening may be refused by any version.
-    fn has_target(&self, probe: &Probe, route: SocketAddrV4, required: usize) -> bool {
+    fn has_target(&self, probe: &HandledCopy, route: SocketAddrV4, required: usize) -> bool {
         let mut services = self.versions[required..]
             .iter()
             .filter_map(|version| version.services.get(&route));
--- a/crates/woodladder-lab/tests/platform_configuration_judge.rs
+++ b/crates/woodladder-lab/tests/platform_configuration_judge.rs
@@ -77,7 +77,7 @@
         } else {
             AGENT
         };
-        let older = self.judge.taken(ends, service, machine);
+        let older = self.judge.taken(ends, 0, service, machine);
         older.map(|older| older.older_use)
     }
 
