Stand-in: oracle and configuration judge do not import each other

module_graph's no_two_modules_import_each_other failed since (seen on the parent of this commit: "platform::configuration_judge and platform::oracle"): the judge took the type of a flow's ends from the oracle, which owns the judge. The type and the number of the store's machine now stand beside the other addresses. The test passes; nothing else changes.

--- a/crates/woodladder-lab/src/platform/address.rs
+++ b/crates/woodladder-lab/src/platform/address.rs
@@ -20,6 +20,12 @@
 /// Port of the store.
 pub const STORE_PORT: u16 = 18_169;
 
+/// Number of the store's machine.
+pub const STORE: u8 = 1;
+
+/// The ends of a flow: caller, then service.
+pub type Ends = (SocketAddrV4, SocketAddrV4);
+
 /// Distance of a node's own address from its machine's, where a proxy stands
 /// between nodes.
 const NODE_OFFSET: u8 = 128;
--- a/crates/woodladder-lab/src/platform/configuration_course.rs
+++ b/crates/woodladder-lab/src/platform/configuration_course.rs
@@ -11,9 +11,9 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep};
 
-use super::address::Network;
+use super::address::{Network, STORE};
 use super::links::Links;
-use super::oracle::{STORE, Violation};
+use super::oracle::Violation;
 use super::probe::ProbeMachine;
 use super::site::{
     BALANCERS, FIRST_BALANCER, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route,
--- a/crates/woodladder-lab/src/platform/configuration_judge.rs
+++ b/crates/woodladder-lab/src/platform/configuration_judge.rs
@@ -10,7 +10,7 @@
 
 use nix::sys::signal::Signal;
 
-use super::oracle::{Ends, STORE};
+use super::address::{Ends, STORE};
 
 /// Time after the acknowledgement of a version from which on no older one may be used: the
 /// users' bound for a change of the configuration.
--- a/crates/woodladder-lab/src/platform/oracle.rs
+++ b/crates/woodladder-lab/src/platform/oracle.rs
@@ -5,15 +5,13 @@
 use std::net::SocketAddrV4;
 use std::time::{Duration, Instant};
 
+use super::address::{Ends, STORE};
 use super::configuration_judge::{CONTACT, ConfigurationJudge, OlderHandling};
 
 /// Time after the acknowledgement of a leaving within which a new flow may still reach the
 /// target: the users' bound for a drain.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
-/// Number of the store's machine.
-pub const STORE: u8 = 1;
-
 /// Time after the store has taken a zone's exclusion within which nodes that are in
 /// touch may still open flows there.
 const EXCLUSION_LIMIT: Duration = Duration::from_secs(5);
@@ -79,9 +77,6 @@
     }
 }
 
-/// The ends of a flow: caller, then service.
-pub type Ends = (SocketAddrV4, SocketAddrV4);
-
 /// Collects what was seen.
 #[derive(Debug, Default)]
 pub struct Oracle {
--- a/crates/woodladder-lab/src/platform/probe.rs
+++ b/crates/woodladder-lab/src/platform/probe.rs
@@ -11,9 +11,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
-use super::address::{DATAGRAM_PORT, Network};
+use super::address::{DATAGRAM_PORT, Ends, Network};
 use super::head::{Flags, Packet};
-use super::oracle::{Ends, Oracle};
+use super::oracle::Oracle;
 
 /// First number of the caller's side of a flow.
 const FIRST_SEQUENCE: u32 = 5000;
--- a/crates/woodladder-lab/src/platform/router.rs
+++ b/crates/woodladder-lab/src/platform/router.rs
@@ -9,8 +9,7 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::address::{DATAGRAM_PORT, READY_PORT};
-use super::oracle::Ends;
+use super::address::{DATAGRAM_PORT, Ends, READY_PORT};
 
 /// Time between two questions for readiness.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -19,12 +19,12 @@
 use tokio::time::Instant;
 use woodladder_node::http;
 
-use super::address::{Network, STORE_PORT};
+use super::address::{Network, STORE, STORE_PORT};
 use super::caller::{CallerMachine, Habit, eventually};
 use super::configuration_judge::LastingFault;
 use super::links::Links;
 use super::node_process::{Launcher, NodeProcess, NodeRole};
-use super::oracle::{Oracle, STORE};
+use super::oracle::Oracle;
 use super::router::Router;
 use super::store::{self, SharedStore};
 use super::store_state::StoreFault;
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -17,9 +17,8 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::address::{METRICS_PORT, Network, STORE_PORT};
+use super::address::{METRICS_PORT, Network, STORE, STORE_PORT};
 use super::links::{self, LinkRule, Links};
-use super::oracle::STORE;
 use super::site::{
     BALANCERS, Site, SiteError, SiteOptions, added_route, all_nodes, kitchen_route, moved_route,
     print_route, service_of,
--- a/crates/woodladder-lab/src/platform/target.rs
+++ b/crates/woodladder-lab/src/platform/target.rs
@@ -13,9 +13,9 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::address::{OUTBOUND_PORT, TARGET_PORT};
+use super::address::{Ends, OUTBOUND_PORT, TARGET_PORT};
 use super::head::{Flags, Packet};
-use super::oracle::{Ends, Oracle};
+use super::oracle::Oracle;
 use super::target_control::{self, HeartbeatDelays, HeartbeatText, TargetHabits};
 
 /// Time between heartbeats.
