Soak: open store connections go silent and answers are lost while the configuration changes

What the soaks missed: none of their faults leaves open connections silent while new ones work, none loses the answers to watches only, and nobody compared what became of an opening with the version in force. Probing callers send openings straight to each balancer, and the judge counts those that are handled as only an older version allows. Agents reach the store through proxies too. Plans of the other courses are as before: the faults are drawn in a module of their own, and soak_plan only has new kinds.

--- a/crates/woodladder-lab/src/command/soak.rs
+++ b/crates/woodladder-lab/src/command/soak.rs
@@ -40,6 +40,14 @@
     /// Only long leavings of targets, in which all processes are killed at the same moment.
     #[arg(long, conflicts_with = "planned")]
     kills_in_leavings: bool,
+    /// Changes of the configuration while open connections to the store go silent and answers
+    /// are lost.
+    #[arg(long, conflicts_with_all = ["planned", "kills_in_leavings"])]
+    silent_connections: bool,
+    /// Play a product that is broken on purpose: its changes of the configuration come into
+    /// force late.
+    #[arg(long)]
+    late_changes: bool,
     /// How long faults come in each run.
     #[arg(long, default_value = "14s", value_parser = time_text::parse)]
     length: Duration,
@@ -105,14 +113,19 @@
             target_habits: TargetHabits::of_seed(seed),
             course: self.course(),
             loses_leaving_records: false,
+            applies_changes_late: self.late_changes,
         })
     }
 
     fn course(&self) -> SoakCourse {
-        match (self.planned, self.kills_in_leavings) {
-            (true, _) => SoakCourse::PlannedWork,
-            (_, true) => SoakCourse::KillsInLeavings,
-            _ => SoakCourse::Mixed,
+        if self.planned {
+            SoakCourse::PlannedWork
+        } else if self.kills_in_leavings {
+            SoakCourse::KillsInLeavings
+        } else if self.silent_connections {
+            SoakCourse::SilentConnections
+        } else {
+            SoakCourse::Mixed
         }
     }
 }
--- a/crates/woodladder-lab/src/platform/configuration_course.rs
+++ b/crates/woodladder-lab/src/platform/configuration_course.rs
@@ -14,12 +14,12 @@
 use super::address::{Network, STORE};
 use super::links::Links;
 use super::oracle::Violation;
+use super::path_rules::store_proxy;
 use super::probe::ProbeMachine;
 use super::site::{
     BALANCERS, FIRST_BALANCER, Site, SiteError, SiteOptions, TARGETS, added_route, kitchen_route,
     moved_route, print_route, service_of,
 };
-use super::soak::store_proxy;
 use super::store_state::StoreFault;
 use super::target_control::TargetHabits;
 use crate::fault_proxy::{FaultProxy, FaultRule};
--- a/crates/woodladder-lab/src/platform/site.rs
+++ b/crates/woodladder-lab/src/platform/site.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use woodladder_node::http;
 
 use super::address::{Network, STORE, STORE_PORT};
@@ -118,6 +118,8 @@
     pub(super) crashed: BTreeMap<u8, Rc<Target>>,
     pub(super) incarnations: u32,
     version: u64,
+    /// Time for which acknowledged configurations are kept from all nodes.
+    pub(super) held_back: Duration,
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
 
@@ -201,6 +203,7 @@
             crashed: BTreeMap::new(),
             incarnations: 0,
             version: 0,
+            held_back: Duration::ZERO,
             callers: Vec::new(),
         })
     }
@@ -312,8 +315,20 @@
         });
         let value = STANDARD.encode(document.to_string());
         let damaged = STANDARD.encode(json!({ "version": "9", "routes": 4 }).to_string());
-        self.store.borrow_mut().put(CONFIGURATION_KEY, &damaged, 0);
-        self.store.borrow_mut().put(CONFIGURATION_KEY, &value, 0);
+        let store = Rc::clone(&self.store);
+        let put = move || {
+            store.borrow_mut().put(CONFIGURATION_KEY, &damaged, 0);
+            store.borrow_mut().put(CONFIGURATION_KEY, &value, 0);
+        };
+        if self.held_back.is_zero() {
+            put();
+        } else {
+            let held_back = self.held_back;
+            spawn_local(async move {
+                sleep(held_back).await;
+                put();
+            });
+        }
         let mut oracle = self.oracle.borrow_mut();
         oracle.configurations.acknowledged(routes);
     }
--- a/crates/woodladder-lab/src/platform/soak.rs
+++ b/crates/woodladder-lab/src/platform/soak.rs
@@ -6,7 +6,7 @@
 //! configuration.
 
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,37 +17,35 @@
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::address::{METRICS_PORT, Network, STORE, STORE_PORT};
-use super::links::{self, LinkRule, Links};
-use super::site::{
-    BALANCERS, Site, SiteError, SiteOptions, added_route, all_nodes, kitchen_route, moved_route,
-    print_route, service_of,
-};
+use super::address::{METRICS_PORT, Network};
+use super::links::{self, Links};
+use super::path_rules::{self, CUT, LOSSY, SLOW, store_proxy};
+use super::site::{BALANCERS, Site, SiteError, SiteOptions, all_nodes, service_of};
 use super::soak_plan::{
     EXCLUDED_BY, Strike, StrikeKind, leavings_under_kills, plan, planned_stops, processors,
 };
 use super::soak_report::SoakReport;
+use super::soak_silences::silences;
 use super::store_state::StoreFault;
 use super::target::SHORTEST_DRAIN;
 use super::target_control::TargetHabits;
 use super::zones::ZONES;
-use crate::fault_proxy::{Cut, FaultProxy, FaultProxyConfig, FaultRule, Route};
+use crate::fault_proxy::{FaultProxy, FaultRule};
 
 /// Time for everything to settle after the last fault: longer than any
 /// request lasts.
 const SETTLING: Duration = Duration::from_secs(6);
 /// Time in which no request may fail.
 const CALM: Duration = Duration::from_secs(4);
+/// Time by which the changes of a product that is broken on purpose come late: beyond the users'
+/// bound and the time after which machines are in touch again.
+const CHANGES_LATE_BY: Duration = Duration::from_secs(6);
 /// Longest wait for a balancer's figures.
 const FIGURES_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between two looks at whether a target's address is free.
 const ADDRESS_LOOK: Duration = Duration::from_millis(50);
 /// Key prefix of the agents' leaving records.
 const LEAVING_RECORDS: &str = "woodladder/leavings/";
-const LOSS: f64 = 0.15;
-const REPEAT: f64 = 0.1;
-const SLOW_LINK: Duration = Duration::from_millis(60);
-const SLOW_STORE_US: u64 = 800_000;
 
 /// Settings of a soak.
 #[derive(Clone, Debug)]
@@ -67,6 +65,9 @@
     /// Whether the store loses the leaving records that it has acknowledged: a product whose
     /// agents forget what they acknowledged, broken on purpose.
     pub loses_leaving_records: bool,
+    /// Whether nodes learn of an acknowledged configuration far too late: a product whose changes
+    /// come into force late, broken on purpose.
+    pub applies_changes_late: bool,
 }
 
 /// Which faults come in a soak.
@@ -78,6 +79,16 @@
     PlannedWork,
     /// Long leavings in which all processes are killed at the same moment.
     KillsInLeavings,
+    /// Changes of the configuration while open connections to the store go silent and answers
+    /// are lost.
+    SilentConnections,
+}
+
+impl SoakCourse {
+    /// Whether a proxy stands between the node on a machine and the store.
+    fn has_store_path(self, machine: u8) -> bool {
+        self == Self::SilentConnections || BALANCERS.contains(&machine)
+    }
 }
 
 /// Runs a soak to its end.
@@ -96,10 +107,11 @@
 
 pub(super) struct Soak {
     pub(super) site: Site,
-    store_proxies: BTreeMap<u8, FaultProxy>,
+    pub(super) store_proxies: BTreeMap<u8, FaultProxy>,
     habits: TargetHabits,
-    course: SoakCourse,
-    configurations: u32,
+    pub(super) course: SoakCourse,
+    pub(super) configurations: u32,
+    pub(super) unrelated_changes: u8,
 }
 
 /// What ends with a strike's time.
@@ -125,7 +137,7 @@
         site.store.borrow_mut().lost_prefix =
             options.loses_leaving_records.then_some(LEAVING_RECORDS);
         let mut store_proxies = BTreeMap::new();
-        for machine in BALANCERS {
+        for machine in all_nodes().filter(|machine| options.course.has_store_path(*machine)) {
             let proxy = store_proxy(network, options.seed).await?;
             if let Some(SocketAddr::V4(address)) = proxy.tcp_addresses().first() {
                 site.set_store_address(machine, *address);
@@ -138,11 +150,15 @@
             habits: options.target_habits,
             course: options.course,
             configurations: 0,
+            unrelated_changes: 0,
         })
     }
 
     async fn run(&mut self, options: &SoakOptions) -> Result<SoakReport, SiteError> {
         self.site.serve().await?;
+        if options.applies_changes_late {
+            self.site.held_back = CHANGES_LATE_BY;
+        }
         let begin = Instant::now();
         let end = begin + options.length + SETTLING + CALM;
         self.site.call(end).await?;
@@ -150,7 +166,11 @@
             SoakCourse::Mixed => plan,
             SoakCourse::PlannedWork => planned_stops,
             SoakCourse::KillsInLeavings => leavings_under_kills,
+            SoakCourse::SilentConnections => silences,
         };
+        if options.course == SoakCourse::SilentConnections {
+            self.start_probes(end).await?;
+        }
         let strikes = draw(options.seed, options.length);
         for (at, change) in timeline(&strikes) {
             self.start_targets_until(begin + at.min(options.length))
@@ -173,6 +193,7 @@
             answered: oracle.answered,
             failed,
             failed_when_calm: oracle.failed - failed,
+            openings_judged: oracle.configurations.judged(),
             ended_by_themselves,
             behind,
             violations: oracle
@@ -219,29 +240,15 @@
             StrikeKind::StoreThrottled => self.store_fault(StoreFault::Throttled),
             StrikeKind::StoreSilent => self.store_fault(StoreFault::Closed),
             StrikeKind::StoreAnswersLost => self.store_fault(StoreFault::AnswersLost),
-            StrikeKind::StoreForgets => self.site.store.borrow_mut().forget_history(),
-            StrikeKind::StoreRefusesOne => self.store_path(
-                machine,
-                FaultRule {
-                    refuse: true,
-                    ..FaultRule::default()
-                },
-            ),
-            StrikeKind::StoreSilentToOne => self.store_path(
-                machine,
-                FaultRule {
-                    cut: Cut::ToClient,
-                    ..FaultRule::default()
-                },
-            ),
-            StrikeKind::StoreSlowToOne => self.store_path(
-                machine,
-                FaultRule {
-                    delay_us: SLOW_STORE_US,
-                    ..FaultRule::default()
-                },
-            ),
+            StrikeKind::StoreForgets => self.forget_history(),
+            StrikeKind::StoreChangesUnanswered => self.store_fault(StoreFault::ChangesUnanswered),
+            StrikeKind::SilenceAll => self.silence(None),
+            StrikeKind::SilenceOne => self.silence(Some(machine)),
+            StrikeKind::StoreRefusesOne => self.store_path(machine, path_rules::refusing()),
+            StrikeKind::StoreSilentToOne => self.store_path(machine, path_rules::silent_to_node()),
+            StrikeKind::StoreSlowToOne => self.store_path(machine, path_rules::slow()),
             StrikeKind::Configure => self.configure(),
+            StrikeKind::ConfigureUnrelated => self.configure_unrelated(),
             StrikeKind::CrashTarget => self.site.crash_target(machine),
             StrikeKind::DrainTarget => {
                 let serves_on = strike.lasts.max(SHORTEST_DRAIN);
@@ -296,7 +303,8 @@
             StrikeKind::StoreBusy
             | StrikeKind::StoreThrottled
             | StrikeKind::StoreSilent
-            | StrikeKind::StoreAnswersLost => self.store_fault(StoreFault::None),
+            | StrikeKind::StoreAnswersLost
+            | StrikeKind::StoreChangesUnanswered => self.store_fault(StoreFault::None),
             StrikeKind::StoreRefusesOne
             | StrikeKind::StoreSilentToOne
             | StrikeKind::StoreSlowToOne => self.store_path(machine, FaultRule::default()),
@@ -311,7 +319,12 @@
             }
             StrikeKind::ExcludeZone => self.site.take_zone_back(excluded_zone(machine)),
             StrikeKind::KillEverything => self.start_everything()?,
-            StrikeKind::HangUp | StrikeKind::StoreForgets | StrikeKind::Configure => {}
+            StrikeKind::HangUp
+            | StrikeKind::StoreForgets
+            | StrikeKind::Configure
+            | StrikeKind::ConfigureUnrelated
+            | StrikeKind::SilenceAll
+            | StrikeKind::SilenceOne => {}
         }
         Ok(())
     }
@@ -324,8 +337,8 @@
                 self.site.take_zone_back(zone);
             }
         }
-        for proxy in self.store_proxies.values() {
-            proxy.set_rule(FaultRule::default());
+        for machine in self.store_proxies.keys() {
+            self.store_path(*machine, FaultRule::default());
         }
         for machine in all_nodes() {
             self.site.signal(machine, Signal::SIGCONT)?;
@@ -337,50 +350,6 @@
         self.site.oracle.borrow_mut().disturb(machine);
     }
 
-    /// Sets what happens between a node and all others.
-    fn link(&self, machine: u8, to: Option<LinkRule>, from: Option<LinkRule>) {
-        self.disturb(machine);
-        let links = &self.site.links;
-        for other in all_nodes().filter(|other| *other != machine) {
-            match to {
-                Some(rule) => links.set(other, machine, rule),
-                None => links.heal(other, machine),
-            }
-            match from {
-                Some(rule) => links.set(machine, other, rule),
-                None => links.heal(machine, other),
-            }
-        }
-    }
-
-    fn store_fault(&self, fault: StoreFault) {
-        self.disturb(STORE);
-        self.site.store.borrow_mut().fault = fault;
-    }
-
-    fn store_path(&self, machine: u8, rule: FaultRule) {
-        if let Some(proxy) = self.store_proxies.get(&machine) {
-            proxy.set_rule(rule);
-        }
-    }
-
-    /// Writes the next configuration, in which one route comes or goes and another one moves
-    /// to the other service.
-    fn configure(&mut self) {
-        self.configurations += 1;
-        let is_odd = self.configurations % 2 == 1;
-        let moved_to = if is_odd { "print" } else { "kitchen" };
-        let mut routes = vec![
-            (kitchen_route(), "kitchen"),
-            (print_route(), "print"),
-            (moved_route(), moved_to),
-        ];
-        if is_odd {
-            routes.push((added_route(), "print"));
-        }
-        self.site.configure(&routes);
-    }
-
     async fn balancers_behind(&self) -> Vec<u8> {
         let expected = format!("woodladder_configuration_version {}", self.site.version());
         let mut behind = Vec::new();
@@ -399,27 +368,6 @@
     }
 }
 
-const CUT: LinkRule = LinkRule {
-    is_cut: true,
-    loss: 0.0,
-    repeat: 0.0,
-    delay: Duration::ZERO,
-};
-
-const LOSSY: LinkRule = LinkRule {
-    is_cut: false,
-    loss: LOSS,
-    repeat: REPEAT,
-    delay: Duration::ZERO,
-};
-
-const SLOW: LinkRule = LinkRule {
-    is_cut: false,
-    loss: 0.0,
-    repeat: 0.0,
-    delay: SLOW_LINK,
-};
-
 /// Begins and ends of strikes in the order of time.
 fn timeline(strikes: &[Strike]) -> Vec<(Duration, Change)> {
     let mut changes: Vec<(Duration, Change)> = Vec::new();
@@ -437,21 +385,6 @@
     ZONES[index.unwrap_or(0)]
 }
 
-pub(super) async fn store_proxy(network: Network, seed: u64) -> Result<FaultProxy, SiteError> {
-    let any = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
-    let config = FaultProxyConfig {
-        tcp: vec![Route {
-            listen: any.into(),
-            upstream: network.at(1, STORE_PORT).into(),
-        }],
-        seed,
-        ..FaultProxyConfig::default()
-    };
-    FaultProxy::start(config)
-        .await
-        .map_err(|error| SiteError::System(std::io::Error::other(error.to_string())))
-}
-
 /// The figures that a node tells.
 async fn figures(address: SocketAddrV4) -> Option<String> {
     let mut stream = TcpStream::connect(address).await.ok()?;
--- a/crates/woodladder-lab/src/platform/soak_plan.rs
+++ b/crates/woodladder-lab/src/platform/soak_plan.rs
@@ -71,11 +71,20 @@
     ExcludeZone,
     /// All balancers and agents are killed at the same moment and started again.
     KillEverything,
+    /// The open connections of all nodes to the store go silent.
+    SilenceAll,
+    /// The open connections of one node to the store go silent.
+    SilenceOne,
+    /// The store answers no watch that finds a change.
+    StoreChangesUnanswered,
+    /// The operators write a configuration that changes a route without callers.
+    ConfigureUnrelated,
 }
 
 /// All kinds but [`StrikeKind::ExcludeZone`], [`StrikeKind::BeginAgain`],
-/// [`StrikeKind::DeregisterTarget`], [`StrikeKind::LosePower`], [`StrikeKind::StopAgent`] and
-/// [`StrikeKind::KillEverything`], which have draws of their own.
+/// [`StrikeKind::DeregisterTarget`], [`StrikeKind::LosePower`], [`StrikeKind::StopAgent`],
+/// [`StrikeKind::KillEverything`] and those of
+/// [`silences`](super::soak_silences::silences), which have draws of their own.
 pub const KINDS: [StrikeKind; 23] = [
     StrikeKind::KillBalancer,
     StrikeKind::StopBalancer,
--- a/crates/woodladder-lab/src/platform/soak_report.rs
+++ b/crates/woodladder-lab/src/platform/soak_report.rs
@@ -17,6 +17,8 @@
     pub failed: u64,
     /// Requests that found no answer after all was healed.
     pub failed_when_calm: u64,
+    /// Openings of probing callers that were judged.
+    pub openings_judged: u64,
     /// Processes that ended by themselves.
     pub ended_by_themselves: Vec<u8>,
     /// Balancers that do not hold the last configuration at the end.
@@ -43,6 +45,9 @@
             "seed {}: {} faults, answered {}, failed {} under faults and {} after",
             self.seed, self.strikes, self.answered, self.failed, self.failed_when_calm
         )?;
+        if self.openings_judged > 0 {
+            write!(formatter, ", judged {} openings", self.openings_judged)?;
+        }
         for machine in &self.ended_by_themselves {
             write!(formatter, "\n  ended by itself: node-{machine}")?;
         }
--- a/crates/woodladder-lab/tests/platform_leaving.rs
+++ b/crates/woodladder-lab/tests/platform_leaving.rs
@@ -47,6 +47,7 @@
         target_habits: TargetHabits::of_seed(seed),
         course: SoakCourse::Mixed,
         loses_leaving_records: false,
+        applies_changes_late: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
--- a/crates/woodladder-lab/tests/platform_leaving_courses.rs
+++ b/crates/woodladder-lab/tests/platform_leaving_courses.rs
@@ -72,6 +72,7 @@
         target_habits: TargetHabits::of_seed(seed),
         course: SoakCourse::KillsInLeavings,
         loses_leaving_records,
+        applies_changes_late: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
--- a/crates/woodladder-lab/tests/platform_planned_stops.rs
+++ b/crates/woodladder-lab/tests/platform_planned_stops.rs
@@ -23,6 +23,7 @@
         target_habits: TargetHabits::default(),
         course: SoakCourse::PlannedWork,
         loses_leaving_records: false,
+        applies_changes_late: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
--- a/crates/woodladder-lab/tests/platform_soak.rs
+++ b/crates/woodladder-lab/tests/platform_soak.rs
@@ -22,6 +22,7 @@
         target_habits: TargetHabits::default(),
         course: SoakCourse::Mixed,
         loses_leaving_records: false,
+        applies_changes_late: false,
     };
     platform::soak(&options).expect("the soak is run")
 }
