--- a/crates/woodladder-lab/src/platform/probe.rs
+++ b/crates/woodladder-lab/src/platform/probe.rs
@@ -12,9 +12,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use super::address::{DATAGRAM_PORT, Network};
+use super::address::{DATAGRAM_PORT, Ends, Network};
 use super::head::{Flags, Packet};
-use super::oracle::{Ends, Oracle};
+use super::oracle::Oracle;
 
 /// First number of the caller's side of a flow.
 const FIRST_SEQUENCE: u32 = 5000;
