--- a/crates/woodladder-lab/src/platform/silence_course.rs
+++ b/crates/woodladder-lab/src/platform/silence_course.rs
@@ -11,8 +11,8 @@
 
 use super::address::Network;
 use super::links::Links;
+use super::path_rules::store_proxy;
 use super::site::{BALANCERS, Site, SiteError, SiteOptions, TARGETS};
-use super::soak::store_proxy;
 use super::target_control::TargetHabits;
 use crate::fault_proxy::FaultProxy;
 
--- a/crates/woodladder-lab/src/platform/soak_configurations.rs
+++ b/crates/woodladder-lab/src/platform/soak_configurations.rs
@@ -41,7 +41,7 @@
         spawn_local(Rc::clone(&probes).receive());
         let mut routes = vec![kitchen_route(), print_route(), moved_route(), added_route()];
         routes.extend(slow_routes());
-        spawn_local(probes.probe(BALANCERS.to_vec(), routes, PROBE_INTERVAL, until));
+        spawn_local(probes.probe(BALANCERS.to_vec(), routes, PROBE_INTERVAL, false, until));
         Ok(())
     }
 
