A confirmation that was long on its way confirms no more than it shows

Cause: the age in a hello counted from its handling, so that hellos which had waited in the socket of a stopped process were taken for fresh and told on; and an answer with a change confirmed its version as of its arrival. Now hellos handled after a pause of the process, or within 250 ms of its end, confirm nothing, and an answer confirms no more than the end of the time for which the store may hold its call. What stays: within its wait, an answer with a change may be older than its arrival.

--- a/crates/woodladder-core/src/flow/balancer/messages.rs
+++ b/crates/woodladder-core/src/flow/balancer/messages.rs
@@ -261,6 +261,7 @@
         let pause = self.last_tick_at.map_or(Duration::ZERO, |at| now.since(at));
         self.last_tick_at = Some(now);
         if pause >= STALL_THRESHOLD {
+            self.stalled_until = Some(now);
             self.directory.restart_silence_timers(now);
             self.peers.restart_silence_timers(now);
             self.zone_members.restart_silence_timers(now);
--- a/crates/woodladder-core/src/flow/balancer/mod.rs
+++ b/crates/woodladder-core/src/flow/balancer/mod.rs
@@ -141,6 +141,8 @@
     /// When the store last confirmed the configuration, to this balancer or to another
     /// one whose confirmation was stated in a hello.
     configuration_confirmed_at: Option<Instant>,
+    /// When the last pause of the process ended.
+    stalled_until: Option<Instant>,
     /// A configuration version newer than the one in force here, and when the store
     /// confirmed that version, as stated in another balancer's hello.
     newer_version_confirmation: Option<(u64, Instant)>,
@@ -239,6 +241,7 @@
             peer_hello_round: 0,
             balancers_in_hellos: Vec::new(),
             configuration_confirmed_at: None,
+            stalled_until: None,
             newer_version_confirmation: None,
             was_watching_store: false,
             has_seeds: false,
--- a/crates/woodladder-core/src/flow/balancer/store_duty.rs
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -25,7 +25,7 @@
 use super::super::log_event::LogEvent;
 use super::super::message::BalancerHello;
 use super::super::store_session::ListNeed;
-use super::Balancer;
+use super::{Balancer, STALL_THRESHOLD};
 use crate::clock::Instant;
 
 /// Number of balancers that watch the configuration. If a third of the fleet is cut off
@@ -55,6 +55,9 @@
 /// Longest time between two answers to the watch of one balancer while some balancers do not
 /// watch.
 const SHORT_WATCH_PERIOD: Duration = Duration::from_millis(4000);
+/// Time after a pause of the process within which the messages are read that had arrived
+/// during it.
+const WAITING_MESSAGES_READ_WITHIN: Duration = Duration::from_millis(250);
 /// Time after its start in which a balancer with seeds waits for hellos from the seeds
 /// before calling the store.
 const SEED_WAIT: Duration = Duration::from_millis(150);
@@ -79,7 +82,7 @@
         let Some(age) = hello.confirmed_ago_ms else {
             return;
         };
-        if hello.version == 0 {
+        if hello.version == 0 || self.may_have_waited_over_pause(now) {
             return;
         }
         let age = Duration::from_millis(age.into());
@@ -92,6 +95,18 @@
         }
     }
 
+    /// Whether a message that is handled now may have waited in the socket while the process
+    /// was paused. The times that it states ago cannot be used then.
+    fn may_have_waited_over_pause(&self, now: Instant) -> bool {
+        let is_paused = self
+            .last_tick_at
+            .is_some_and(|at| now.since(at) >= STALL_THRESHOLD);
+        let was_paused = self
+            .stalled_until
+            .is_some_and(|at| now.since(at) < WAITING_MESSAGES_READ_WITHIN);
+        is_paused || was_paused
+    }
+
     /// Applies the confirmation that was heard for the version that has just been
     /// adopted. Without this, a balancer that has just started would read the store
     /// although a hello has already confirmed its version: 109 of 304 balancers did
--- a/crates/woodladder-core/src/flow/store_session/watch.rs
+++ b/crates/woodladder-core/src/flow/store_session/watch.rs
@@ -34,7 +34,7 @@
     pub excluded_zones: ExcludedZones,
 }
 
-/// A call that waits for its answer.
+/// A call that waits for its answer. An answer may be long on its way.
 #[derive(Clone, Copy, Debug)]
 struct CallInFlight {
     sent_at: Instant,
@@ -43,8 +43,7 @@
 }
 
 impl CallInFlight {
-    /// Time at which a state without changes was the store's newest: an answer may be long on
-    /// its way.
+    /// Latest time that the answer can be from: the store holds the call no longer.
     fn confirmed_at(&self, now: Instant) -> Instant {
         now.min(self.sent_at + self.wait)
     }
@@ -150,10 +149,7 @@
                     self.due_at = now + self.backoff.randomize(Duration::from_millis(100));
                 }
                 self.revision = Some(revision);
-                let confirmed_at = match call {
-                    Some(call) if !is_change => call.confirmed_at(now),
-                    _ => now,
-                };
+                let confirmed_at = call.map_or(now, |call| call.confirmed_at(now));
                 Some(OperatorState {
                     confirmed_at,
                     configuration,
