Flows of a crashed start end where it is proven to have run, not where its last heartbeat arrived

Cause: flows of the next start are accepted under the crashed one's incarnation, and the arrival of the crashed start's last heartbeat divided the flows of both. A late heartbeat put flows of the next start on the wrong side. Now the division is a time until which the crashed start is known to have run: a heartbeat counts for when it was due, a packet of a flow that the start took counts as proof, and nothing counts that arrives after the first message of the next start. The last heartbeat counts on arrival only if the next start's number 1 came an interval later. No constant of silence has changed.

--- a/crates/woodladder-core/src/flow/absence.rs
+++ b/crates/woodladder-core/src/flow/absence.rs
@@ -22,7 +22,7 @@
         agent: NodeAddress,
         /// The incarnation that held the flow.
         ended: Incarnation,
-        /// Time since that incarnation was last heard.
+        /// Time since that incarnation is known to have run.
         last_heard_ago: Duration,
     },
     /// The agent of the flow's target has started again and has stated that the target
--- a/crates/woodladder-core/src/flow/agent/flows.rs
+++ b/crates/woodladder-core/src/flow/agent/flows.rs
@@ -5,6 +5,7 @@
 use super::super::message::{PeerMessage, ReturnReason, TargetState};
 use super::super::packet::{FlowPacket, PacketKind};
 use super::target::idle_flow_work::IdleFlowWork;
+use super::target::life_proof::FormerLife;
 use super::{
     Agent, ColdReason, FailureRecord, FlowState, ForwardDecision, ReplyBody, StateCause,
     TargetFlow, TargetPacketDecision, not_held_message,
@@ -152,6 +153,9 @@
             self.remove_flow(&packet.key);
             return TargetPacketDecision::ToCaller(None);
         }
+        if packet.kind != PacketKind::Accept {
+            self.note_life_shown_by_packet(&packet.key, now);
+        }
         if self.flows.touch(&packet.key).is_none() {
             self.add_missing_flow(packet, now);
         }
@@ -240,26 +244,25 @@
     }
 
     /// Removes the flows of a target that was replaced, except for flows whose state
-    /// changed after the replaced target's last heartbeat. Because a target takes flows
-    /// before its own first heartbeat, the remaining flows may be open at the new target;
+    /// changed after the time until which it is known to have run. Because a target takes
+    /// flows before its own first heartbeat, the remaining flows may be open at the new target;
     /// if they are not, the new target returns their packets. Requests of the remaining
     /// flows that were in service no longer count as load: most of them ended with the
     /// former incarnation, and would keep slots of the new one occupied.
     pub(super) fn remove_flows_of_replaced_target(
         &mut self,
-        last_heartbeat: Option<Instant>,
+        former_life: FormerLife,
         now: Instant,
     ) {
-        let last_heartbeat = last_heartbeat.unwrap_or(now);
         self.flows
-            .retain(|_, flow| flow.state_since > last_heartbeat);
+            .retain(|_, flow| former_life.may_have_ended_by(flow.state_since));
         for (_, flow) in self.flows.iter_mut() {
             flow.busy_since = None;
             flow.awaits_outcome = false;
             flow.counts_as_opening = false;
         }
         self.accepted_without_request
-            .retain(|(_, at)| *at > last_heartbeat);
+            .retain(|(_, at)| former_life.may_have_ended_by(*at));
         self.load.service_time_us = 0;
         self.service_times.clear();
         self.failure_record = FailureRecord::new(now);
--- a/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
+++ b/crates/woodladder-core/src/flow/agent/reporting/balancer_messages.rs
@@ -274,9 +274,7 @@
             service: self.options.service,
             incarnation: self.target.incarnation,
             started_at_ms: self.target.started_at_ms,
-            previous_heartbeat_age_ms: self.target.previous_last_heartbeat_at.map_or(0, |at| {
-                u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
-            }),
+            previous_heartbeat_age_ms: self.target.former_life.reported_age_ms(now),
             knows_all_flows: self.has_all_flows_in_table(now),
             zone: self.options.zone,
             state: self.reported_state(),
--- a/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
+++ b/crates/woodladder-core/src/flow/agent/target/heartbeat.rs
@@ -130,6 +130,9 @@
         self.target.heartbeat_sequence = heartbeat.sequence;
         self.load.last_heartbeat = heartbeat.sequence;
         self.target.last_heartbeat_at = Some(now);
+        self.target
+            .life_proof
+            .record_heartbeat(heartbeat.sequence, now);
         self.target.unanswered_since = None;
         self.target.slots = heartbeat.slots;
         self.target.warm_from = now + heartbeat.warm_up_remaining;
--- a/crates/woodladder-core/src/flow/agent/target/mod.rs
+++ b/crates/woodladder-core/src/flow/agent/target/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod heartbeat;
 pub(crate) mod idle_flow_work;
 pub(crate) mod leaving_watch;
+pub(crate) mod life_proof;
 pub(crate) mod load;
 pub(crate) mod present_start;
 pub(crate) mod request_outcome;
--- a/crates/woodladder-core/src/flow/agent/target/present_start.rs
+++ b/crates/woodladder-core/src/flow/agent/target/present_start.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Instant;
 use crate::flow::agent::StateCause;
+use crate::flow::agent::target::life_proof::{FormerLife, LifeProof};
 use crate::flow::agent::target::succession::ReplacedStart;
 use crate::flow::identity::Incarnation;
 use crate::flow::message::TargetState;
@@ -59,8 +60,8 @@
     pub(crate) slots: u16,
     pub(crate) warm_from: Instant,
     pub(crate) last_heartbeat_at: Option<Instant>,
-    /// When the previous incarnation sent its last heartbeat.
-    pub(crate) previous_last_heartbeat_at: Option<Instant>,
+    pub(crate) life_proof: LifeProof,
+    pub(crate) former_life: FormerLife,
     pub(crate) last_packet_at: Option<Instant>,
     pub(crate) unanswered_since: Option<Instant>,
     pub(crate) listen_state: ListenState,
@@ -90,7 +91,8 @@
             slots: 0,
             warm_from: now,
             last_heartbeat_at: None,
-            previous_last_heartbeat_at: None,
+            life_proof: LifeProof::default(),
+            former_life: FormerLife::default(),
             last_packet_at: None,
             unanswered_since: None,
             listen_state: ListenState::Unknown,
--- a/crates/woodladder-core/src/flow/agent/target/succession.rs
+++ b/crates/woodladder-core/src/flow/agent/target/succession.rs
@@ -15,6 +15,8 @@
 //!   announced that it leaves, this takes longest, unless it has deregistered after that:
 //!   one that deregisters first serves on without heartbeats.
 //!
+//! Which flows ended with the former start is decided by [`super::life_proof`].
+//!
 //! A start that was replaced without a statement of its time may return on the same
 //! evidence, since it may have been replaced by a late heartbeat.
 
@@ -33,10 +35,10 @@
 /// Number of earlier incarnations that are remembered to recognise their late heartbeats.
 const MAXIMUM_REPLACED_STARTS: usize = 16;
 /// Sequence number of the first heartbeat of an incarnation.
-const FIRST_SEQUENCE: u64 = 1;
+pub(crate) const FIRST_SEQUENCE: u64 = 1;
 /// Two heartbeats of one incarnation that arrive at least this far apart show that the
 /// incarnation was alive in between: delayed heartbeats arrive together.
-const MINIMUM_ALIVE_SPAN: Duration = Duration::from_millis(500);
+pub(crate) const MINIMUM_ALIVE_SPAN: Duration = Duration::from_millis(500);
 /// Time for which another start must keep sending before it replaces a silent start that
 /// leaves and was not seen to end: longer than heartbeats are late.
 const LEAVING_SUPERSEDED_AFTER: Duration = Duration::from_secs(8);
@@ -60,6 +62,7 @@
         heartbeat: &Heartbeat,
         now: Instant,
     ) -> Result<SuccessionEvidence, HeartbeatError> {
+        self.target.life_proof.record_other_start(heartbeat, now);
         let was_replaced = self.target.replaced_start(heartbeat.incarnation).is_some();
         if was_replaced && !self.target.may_return(heartbeat) {
             self.counters.heartbeats_replaced += 1;
@@ -125,7 +128,6 @@
                 self.target.state_cause = StateCause::Heartbeat;
             }
         }
-        self.target.previous_last_heartbeat_at = previous.last_heartbeat_at;
         if previous.incarnation.is_none() && previous.instance == Some(heartbeat.incarnation) {
             // This start was deregistered before its first heartbeat.
             self.target.is_leaving_stated = true;
@@ -134,7 +136,9 @@
         }
         if let Some(replaced) = previous.as_replaced_start(evidence) {
             self.target.remember_replaced_start(replaced);
-            self.remove_flows_of_replaced_target(previous.last_heartbeat_at, now);
+            let former_life = previous.life_proof.before(heartbeat.incarnation, evidence);
+            self.target.former_life = former_life;
+            self.remove_flows_of_replaced_target(former_life, now);
         }
         self.is_report_to_all_due = true;
     }
--- a/crates/woodladder-core/src/flow/balancer/resets.rs
+++ b/crates/woodladder-core/src/flow/balancer/resets.rs
@@ -13,9 +13,9 @@
 pub(crate) enum EndedFlows {
     /// All flows of the agent's target.
     All,
-    /// The flows of one incarnation that this balancer knew by the time when the
-    /// incarnation was last heard. A later flow may be open at the next incarnation, which
-    /// takes flows before its own first heartbeat.
+    /// The flows of one incarnation that this balancer knew by a time at which the
+    /// incarnation is known to have run. A later flow may be open at the next incarnation,
+    /// which takes flows before its own first heartbeat.
     OfIncarnation {
         incarnation: Incarnation,
         known_by: Instant,
--- a/crates/woodladder-core/src/flow/directory.rs
+++ b/crates/woodladder-core/src/flow/directory.rs
@@ -42,9 +42,9 @@
         agent: NodeAddress,
         /// The incarnation that has ended.
         ended: Incarnation,
-        /// When that incarnation was last heard; the current time if an agent of another
-        /// service now reports from the address. Flows that were opened later may be open
-        /// at the incarnation that replaced it.
+        /// When that incarnation is last known to have run; the current time if an agent of
+        /// another service now reports from the address. Flows that were opened later may be
+        /// open at the incarnation that replaced it.
         last_heard: Instant,
     },
     /// The agent has been silent for so long that its flows count as lost.
--- a/crates/woodladder-core/src/flow/message.rs
+++ b/crates/woodladder-core/src/flow/message.rs
@@ -155,8 +155,9 @@
     /// When the incarnation started, in milliseconds of Unix time by the clock of the
     /// target's machine; `None` if unknown.
     pub started_at_ms: Option<u64>,
-    /// Time since the last heartbeat of the previous incarnation, in milliseconds. Flows
-    /// that were opened after that heartbeat may be open at the current incarnation.
+    /// Time since the previous incarnation is known to have run, in milliseconds;
+    /// `u32::MAX` if nothing shows it. Flows that were opened later may be open at the
+    /// current incarnation.
     pub previous_heartbeat_age_ms: u32,
     /// Whether the agent knows every open flow of the target: it has run since the target
     /// started, or for longer than the lifetime of a flow.
--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -17,6 +17,7 @@
 mod node_process;
 mod oracle;
 mod probe;
+mod replacement_course;
 mod router;
 mod site;
 mod site_targets;
@@ -41,6 +42,9 @@
     LeavingCourse, LeavingCourseOptions, LeavingCourseReport, run_leaving_course,
 };
 pub use oracle::{Oracle, Violation};
+pub use replacement_course::{
+    ReplacementCourse, ReplacementCourseOptions, ReplacementCourseReport, run_replacement_course,
+};
 pub use site::SiteError;
 pub use soak::{SoakCourse, SoakOptions, soak};
 pub use soak_plan::{Strike, StrikeKind, leavings, leavings_under_kills, plan, planned_stops};
