--- a/crates/woodladder-lab/src/platform/mod.rs
+++ b/crates/woodladder-lab/src/platform/mod.rs
@@ -18,6 +18,7 @@
 mod oracle;
 mod path_rules;
 mod probe;
+mod replacement_course;
 mod router;
 mod silence_course;
 mod site;
@@ -48,6 +49,9 @@
     LeavingCourse, LeavingCourseOptions, LeavingCourseReport, run_leaving_course,
 };
 pub use oracle::{Oracle, Violation};
+pub use replacement_course::{
+    ReplacementCourse, ReplacementCourseOptions, ReplacementCourseReport, run_replacement_course,
+};
 pub use silence_course::{SilenceCourseOptions, SilenceCourseReport, run_silence_course};
 pub use site::SiteError;
 pub use soak::{SoakCourse, SoakOptions, soak};
