--- a/crates/woodladder-core/src/flow/balancer/store_duty.rs
+++ b/crates/woodladder-core/src/flow/balancer/store_duty.rs
@@ -69,10 +69,10 @@
 const REGISTRATION_DELAY: Duration = Duration::from_millis(1000);
 
 impl Balancer {
-    /// Records that the store confirmed to this balancer that its configuration is the
-    /// newest.
-    pub fn record_store_confirmation(&mut self, now: Instant) {
-        self.configuration_confirmed_at = Some(now);
+    /// Records that the store confirmed to this balancer that its configuration was the
+    /// newest at a time.
+    pub fn record_store_confirmation(&mut self, confirmed_at: Instant) {
+        self.configuration_confirmed_at = self.configuration_confirmed_at.max(Some(confirmed_at));
     }
 
     /// Takes over the time of the confirmation that a hello states, if it is later than
--- a/crates/woodladder-node/src/balancer.rs
+++ b/crates/woodladder-node/src/balancer.rs
@@ -7,6 +7,7 @@
 
 mod metrics;
 mod outgoing;
+mod watching;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -27,9 +28,7 @@
 use woodladder_core::flow::identity::{NodeAddress, ZoneKey};
 use woodladder_core::flow::message::PeerMessage;
 use woodladder_core::flow::packet::FlowPacket;
-use woodladder_core::flow::store_session::{
-    BalancerDiscovery, BalancerRegistration, OperatorState,
-};
+use woodladder_core::flow::store_session::{BalancerDiscovery, BalancerRegistration};
 
 use self::outgoing::OutgoingQueue;
 use crate::datagram_socket;
@@ -38,7 +37,7 @@
 use crate::packet_codec::PacketCodec;
 use crate::peer_transport::{COUNTERS_LOG_INTERVAL, PeerTransport};
 use crate::snapshot_exchange;
-use crate::store::{self, Store, StoreCallStats, WatchingNode};
+use crate::store::{self, Store, StoreCallStats};
 use crate::tick_timer::TickTimer;
 
 /// Pause between two checks of whether a balancer that shuts down may exit.
@@ -441,28 +440,3 @@
         *self.config.peer_address.ip()
     }
 }
-
-impl<C: PacketCodec + 'static> WatchingNode for Rc<BalancerNode<C>> {
-    fn watch_wait(&self) -> Option<Duration> {
-        let core = self.core.borrow();
-        core.store_watch_wait(self.clock.unix_time_ms(), self.clock.now())
-    }
-
-    fn watch_deadline(&self) -> Option<Instant> {
-        self.core.borrow().store_watch_deadline(self.clock.now())
-    }
-
-    fn adopt_state(&self, state: OperatorState) {
-        self.run_core(|core, _, _| {
-            if let Some(configuration) = state.configuration {
-                core.adopt_store_configuration(configuration.into());
-            }
-            core.adopt_store_exclusions(&state.excluded_zones);
-            core.record_store_confirmation(state.confirmed_at);
-        });
-    }
-
-    fn watch_abandoned(&self, waited: Duration) {
-        self.run_core(|core, now, _| core.record_abandoned_watch(waited, now));
-    }
-}
